--- /dev/null
+++ b/include/snipewalk/base/log.h
@@ -0,0 +1,63 @@
+// JSON-lines logs on log4cplus: one line an event, with a level per module.
+// Fields never carry statement texts, tokens or keys.
+#ifndef SNIPEWALK_BASE_LOG_H_
+#define SNIPEWALK_BASE_LOG_H_
+
+#include "snipewalk/base/name_table.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace snipewalk {
+
+enum class log_level
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+  Off
+};
+
+inline constexpr name_table<log_level, 5> kLogLevelNames{ {
+  { log_level::Debug, "debug" },
+  { log_level::Info, "info" },
+  { log_level::Warning, "warning" },
+  { log_level::Error, "error" },
+  { log_level::Off, "off" },
+} };
+
+struct log_settings
+{
+  // Level of modules that mModules does not name.
+  log_level mLevel = log_level::Info;
+  std::map<std::string, log_level> mModules;
+  // Written in each line; the instance's name.
+  std::string mInstance;
+};
+
+struct log_field
+{
+  std::string_view mName;
+  std::variant<std::string_view, std::int64_t, double, bool> mValue;
+};
+
+// Directs logs to standard error. Call once, before other threads start; until
+// then warnings and errors are written with an empty instance name.
+void
+InitLogs(const log_settings& aSettings);
+
+// Writes one event. Any thread.
+void
+Log(log_level aLevel,
+    std::string_view aModule,
+    std::string_view aMessage,
+    std::initializer_list<log_field> aFields = {});
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_BASE_LOG_H_
--- /dev/null
+++ b/include/snipewalk/connection/stream_connection.h
@@ -0,0 +1,106 @@
+// Non-blocking TCP connection on an event loop with bounded buffering. Used
+// for callers, peers, backend servers and the platform's store.
+#ifndef SNIPEWALK_CONNECTION_STREAM_CONNECTION_H_
+#define SNIPEWALK_CONNECTION_STREAM_CONNECTION_H_
+
+#include "snipewalk/base/time.h"
+#include "snipewalk/connection/event_loop.h"
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include <Poco/Net/StreamSocket.h>
+
+namespace snipewalk {
+
+enum class close_cause
+{
+  // The other end closed or reset an established connection.
+  ClosedByPeer,
+  // The connection could not be established.
+  Refused,
+  // The other end reads too slowly: more than the output limit is waiting.
+  OutputOverflow
+};
+
+class stream_connection : public socket_handler
+{
+public:
+  // All handlers run on the loop thread and may destroy the connection only
+  // through event_loop::Post() or after they returned.
+  struct handlers
+  {
+    std::function<void(time_point)> mOnConnected;
+    // Consumes a prefix of the buffer and leaves the rest.
+    std::function<void(std::string& aInput, time_point)> mOnInput;
+    // Called once; not called after Close().
+    std::function<void(close_cause, time_point)> mOnClosed;
+  };
+
+  // Starts a connection to `aAddress` ("IP:port"). mOnClosed is called with
+  // `Refused` from the loop when it fails, also for a malformed address.
+  static std::unique_ptr<stream_connection> Connect(event_loop& aLoop,
+                                                    const std::string& aAddress,
+                                                    handlers aHandlers);
+
+  // Takes over an accepted socket.
+  static std::unique_ptr<stream_connection> Adopt(
+    event_loop& aLoop,
+    const Poco::Net::StreamSocket& aSocket,
+    handlers aHandlers);
+
+  ~stream_connection() override;
+  stream_connection(const stream_connection&) = delete;
+  stream_connection& operator=(const stream_connection&) = delete;
+
+  // Appends bytes to the output and writes as much as the socket takes.
+  void Send(std::string_view aBytes);
+
+  // Closes without further callbacks. Unsent output is lost.
+  void Close();
+
+  // Closes as soon as all output was written.
+  void CloseAfterOutput();
+
+  bool IsOpen() const { return mState != state::Closed; }
+  bool IsConnected() const { return mState == state::Connected; }
+  std::size_t PendingOutput() const { return mOutput.size() - mOutputSent; }
+
+  void OnReadable(time_point aNow) override;
+  void OnWritable(time_point aNow) override;
+  void OnSocketError(time_point aNow) override;
+
+private:
+  enum class state
+  {
+    Connecting,
+    Connected,
+    Closed
+  };
+
+  stream_connection(event_loop& aLoop, handlers aHandlers);
+  void BeginConnect(const std::string& aAddress);
+  void FinishConnect(time_point aNow);
+  void Flush(time_point aNow);
+  void Fail(close_cause aCause, time_point aNow);
+  void Detach();
+
+  event_loop& mLoop;
+  handlers mHandlers;
+  Poco::Net::StreamSocket mSocket;
+  state mState = state::Connecting;
+  // Memory is released whenever a buffer is empty: most connections idle.
+  std::string mInput;
+  std::string mOutput;
+  // Bytes of mOutput already written; never above mOutput.size().
+  std::size_t mOutputSent = 0;
+  bool mCloseAfterOutput = false;
+  // Expires with the connection; guards callbacks posted to the loop.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_CONNECTION_STREAM_CONNECTION_H_
--- /dev/null
+++ b/include/snipewalk/process/store_client.h
@@ -0,0 +1,129 @@
+// Client of the platform's object store. Requests and replies are typed; the
+// implementation speaks the store's HTTP API on an event loop.
+#ifndef SNIPEWALK_PROCESS_STORE_CLIENT_H_
+#define SNIPEWALK_PROCESS_STORE_CLIENT_H_
+
+#include "snipewalk/base/name_table.h"
+#include "snipewalk/base/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipewalk {
+
+struct object_key
+{
+  std::string mKind;
+  std::string mName;
+
+  auto operator<=>(const object_key&) const = default;
+};
+
+// One version of an object. A deleted object has an empty value.
+struct stored_object
+{
+  object_key mKey;
+  // The store's revision at the change; grows over all objects.
+  std::uint64_t mVersion = 0;
+  bool mDeleted = false;
+  std::string mValue;
+};
+
+struct store_get
+{
+  object_key mKey;
+};
+
+// Conditional update.
+struct store_put
+{
+  object_key mKey;
+  std::string mValue;
+  // Zero: the object must not exist yet.
+  std::uint64_t mExpectedVersion = 0;
+};
+
+// Waits for changes of a kind after `mFrom`; with mFrom = 0 returns all at
+// once.
+struct store_watch
+{
+  std::string mKind;
+  std::uint64_t mFrom = 0;
+  milliseconds mWait{ 20'000 };
+};
+
+struct store_list_instances
+{};
+
+using store_request =
+  std::variant<store_get, store_put, store_watch, store_list_instances>;
+
+enum class store_status
+{
+  Ok,
+  // The expected version is not the current one; mObjects holds the current.
+  Conflict,
+  NotFound,
+  RateLimited,
+  // Certain that a put did not take effect.
+  Refused,
+  // No answer: a put may have taken effect. Read back before deciding.
+  Unknown
+};
+
+inline constexpr name_table<store_status, 6> kStoreStatusNames{ {
+  { store_status::Ok, "ok" },
+  { store_status::Conflict, "conflict" },
+  { store_status::NotFound, "not_found" },
+  { store_status::RateLimited, "rate_limited" },
+  { store_status::Refused, "refused" },
+  { store_status::Unknown, "unknown" },
+} };
+
+enum class platform_instance_state
+{
+  Live,
+  Leaving
+};
+
+inline constexpr name_table<platform_instance_state, 2>
+  kPlatformInstanceStateNames{ {
+    { platform_instance_state::Live, "live" },
+    { platform_instance_state::Leaving, "leaving" },
+  } };
+
+struct platform_instance
+{
+  std::string mName;
+  platform_instance_state mState = platform_instance_state::Live;
+};
+
+struct store_reply
+{
+  store_status mStatus = store_status::Unknown;
+  // The object got or put, or all changes of a watch.
+  std::vector<stored_object> mObjects;
+  // Revision that the reply reflects; the next watch starts from it.
+  std::uint64_t mRevision = 0;
+  std::vector<platform_instance> mInstances;
+};
+
+// Loop thread only. Each request gets exactly one reply, from the loop, never
+// from within Submit().
+class store_client
+{
+public:
+  using reply_handler =
+    std::function<void(const store_reply& aReply, time_point aNow)>;
+
+  virtual ~store_client() = default;
+  virtual void Submit(store_request aRequest, reply_handler aOnReply) = 0;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_STORE_CLIENT_H_
--- /dev/null
+++ b/src/base/log.cpp
@@ -0,0 +1,146 @@
+// Implementation of the JSON-lines logs.
+#include "snipewalk/base/log.h"
+
+#include <json/value.h>
+#include <json/writer.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+
+#include <chrono>
+#include <memory>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+std::string&
+InstanceName()
+{
+  static std::string name;
+  return name;
+}
+
+std::string
+QuoteJson(std::string_view aText)
+{
+  return Json::valueToQuotedString(std::string(aText).c_str());
+}
+
+log4cplus::LogLevel
+LevelOf(log_level aLevel)
+{
+  switch (aLevel) {
+    case log_level::Debug:
+      return log4cplus::DEBUG_LOG_LEVEL;
+    case log_level::Info:
+      return log4cplus::INFO_LOG_LEVEL;
+    case log_level::Warning:
+      return log4cplus::WARN_LOG_LEVEL;
+    case log_level::Error:
+      return log4cplus::ERROR_LOG_LEVEL;
+    case log_level::Off:
+      break;
+  }
+  return log4cplus::OFF_LOG_LEVEL;
+}
+
+std::string_view
+LevelName(log4cplus::LogLevel aLevel)
+{
+  for (const auto& [value, name] : kLogLevelNames) {
+    if (LevelOf(value) == aLevel) {
+      return name;
+    }
+  }
+  return "info";
+}
+
+// Writes one JSON object a line. The event's message holds the fields already
+// serialised, so that the layout only adds time, level and module.
+class json_layout : public log4cplus::Layout
+{
+public:
+  void formatAndAppend(
+    log4cplus::tostream& aOutput,
+    const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    const auto sinceEpoch = aEvent.getTimestamp().time_since_epoch();
+    const auto micros =
+      std::chrono::duration_cast<std::chrono::microseconds>(sinceEpoch);
+    aOutput << "{\"time_us\":" << micros.count() << ",\"level\":\""
+            << LevelName(aEvent.getLogLevel())
+            << "\",\"instance\":" << QuoteJson(InstanceName())
+            << ",\"module\":" << QuoteJson(aEvent.getLoggerName())
+            << aEvent.getMessage() << "}\n";
+  }
+};
+
+struct value_writer
+{
+  std::string operator()(std::string_view aValue) const
+  {
+    return QuoteJson(aValue);
+  }
+  std::string operator()(std::int64_t aValue) const
+  {
+    return std::to_string(aValue);
+  }
+  std::string operator()(double aValue) const
+  {
+    return Json::valueToString(aValue);
+  }
+  std::string operator()(bool aValue) const
+  {
+    return aValue ? "true" : "false";
+  }
+};
+
+} // namespace
+
+void
+InitLogs(const log_settings& aSettings)
+{
+  InstanceName() = aSettings.mInstance;
+  log4cplus::initialize();
+  log4cplus::SharedAppenderPtr appender(
+    new log4cplus::ConsoleAppender(true, true));
+  appender->setLayout(std::make_unique<json_layout>());
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(appender);
+  root.setLogLevel(LevelOf(aSettings.mLevel));
+  for (const auto& [module, level] : aSettings.mModules) {
+    log4cplus::Logger::getInstance(module).setLogLevel(LevelOf(level));
+  }
+}
+
+void
+Log(log_level aLevel,
+    std::string_view aModule,
+    std::string_view aMessage,
+    std::initializer_list<log_field> aFields)
+{
+  static const bool initialized = [] {
+    log4cplus::initialize();
+    return true;
+  }();
+  (void)initialized;
+  const log4cplus::Logger logger =
+    log4cplus::Logger::getInstance(std::string(aModule));
+  const log4cplus::LogLevel level = LevelOf(aLevel);
+  if (!logger.isEnabledFor(level)) {
+    return;
+  }
+  std::string line = ",\"message\":" + QuoteJson(aMessage);
+  for (const auto& field : aFields) {
+    line += "," + QuoteJson(field.mName) + ":" +
+            std::visit(value_writer{}, field.mValue);
+  }
+  logger.forcedLog(level, line);
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/connection/stream_connection.cpp
@@ -0,0 +1,242 @@
+// Implementation of the non-blocking TCP connection.
+#include "snipewalk/connection/stream_connection.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// A reader that leaves this much unread is disconnected.
+constexpr std::size_t kOutputLimitBytes = 8 * 1024 * 1024;
+constexpr std::size_t kReadChunkBytes = 64 * 1024;
+
+// Frees the memory of an empty buffer.
+void
+ReleaseIfEmpty(std::string& aBuffer)
+{
+  if (aBuffer.empty() && aBuffer.capacity() > sizeof(std::string)) {
+    std::string().swap(aBuffer);
+  }
+}
+
+} // namespace
+
+stream_connection::stream_connection(event_loop& aLoop, handlers aHandlers)
+  : mLoop(aLoop)
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+stream_connection::~stream_connection()
+{
+  Close();
+}
+
+std::unique_ptr<stream_connection>
+stream_connection::Connect(event_loop& aLoop,
+                           const std::string& aAddress,
+                           handlers aHandlers)
+{
+  std::unique_ptr<stream_connection> connection(
+    new stream_connection(aLoop, std::move(aHandlers)));
+  connection->BeginConnect(aAddress);
+  return connection;
+}
+
+std::unique_ptr<stream_connection>
+stream_connection::Adopt(event_loop& aLoop,
+                         const Poco::Net::StreamSocket& aSocket,
+                         handlers aHandlers)
+{
+  std::unique_ptr<stream_connection> connection(
+    new stream_connection(aLoop, std::move(aHandlers)));
+  connection->mSocket = aSocket;
+  connection->mSocket.setBlocking(false);
+  connection->mSocket.setNoDelay(true);
+  connection->mState = state::Connected;
+  aLoop.Add(connection->mSocket, connection.get(), false);
+  return connection;
+}
+
+void
+stream_connection::BeginConnect(const std::string& aAddress)
+{
+  try {
+    mSocket.connectNB(Poco::Net::SocketAddress(aAddress));
+    mLoop.Add(mSocket, this, true);
+  } catch (const Poco::Exception&) {
+    mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired() && IsOpen()) {
+        Fail(close_cause::Refused, mLoop.Now());
+      }
+    });
+  }
+}
+
+void
+stream_connection::Send(std::string_view aBytes)
+{
+  if (!IsOpen()) {
+    return;
+  }
+  mOutput.append(aBytes);
+  if (IsConnected()) {
+    Flush(mLoop.Now());
+  }
+}
+
+void
+stream_connection::Close()
+{
+  if (mState == state::Closed) {
+    return;
+  }
+  Detach();
+}
+
+void
+stream_connection::CloseAfterOutput()
+{
+  mCloseAfterOutput = true;
+  if (IsConnected() && PendingOutput() == 0) {
+    Close();
+  }
+}
+
+void
+stream_connection::Detach()
+{
+  mState = state::Closed;
+  mLoop.Remove(mSocket);
+  try {
+    mSocket.close();
+  } catch (const Poco::Exception&) {
+    // The descriptor is gone either way.
+  }
+}
+
+void
+stream_connection::Fail(close_cause aCause, time_point aNow)
+{
+  if (mState == state::Closed) {
+    return;
+  }
+  Detach();
+  if (mHandlers.mOnClosed) {
+    // Moved out so that the callback may replace this connection.
+    auto onClosed = std::move(mHandlers.mOnClosed);
+    onClosed(aCause, aNow);
+  }
+}
+
+void
+stream_connection::OnReadable(time_point aNow)
+{
+  if (mState != state::Connected) {
+    return;
+  }
+  // One buffer a thread: idle connections keep none of their own.
+  thread_local std::array<char, kReadChunkBytes> chunk;
+  int received = 0;
+  try {
+    received =
+      mSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
+  } catch (const Poco::Exception&) {
+    Fail(close_cause::ClosedByPeer, aNow);
+    return;
+  }
+  if (received == 0) {
+    Fail(close_cause::ClosedByPeer, aNow);
+    return;
+  }
+  if (received < 0) {
+    return;
+  }
+  mInput.append(chunk.data(), static_cast<std::size_t>(received));
+  mHandlers.mOnInput(mInput, aNow);
+  ReleaseIfEmpty(mInput);
+}
+
+void
+stream_connection::OnWritable(time_point aNow)
+{
+  if (mState == state::Connecting) {
+    FinishConnect(aNow);
+  }
+  if (mState == state::Connected) {
+    Flush(aNow);
+  }
+}
+
+void
+stream_connection::OnSocketError(time_point aNow)
+{
+  Fail(mState == state::Connecting ? close_cause::Refused
+                                   : close_cause::ClosedByPeer,
+       aNow);
+}
+
+void
+stream_connection::FinishConnect(time_point aNow)
+{
+  if (mSocket.impl()->socketError() != 0) {
+    Fail(close_cause::Refused, aNow);
+    return;
+  }
+  mSocket.setNoDelay(true);
+  mState = state::Connected;
+  if (mHandlers.mOnConnected) {
+    mHandlers.mOnConnected(aNow);
+  }
+}
+
+void
+stream_connection::Flush(time_point aNow)
+{
+  try {
+    while (PendingOutput() > 0) {
+      const int sent = mSocket.sendBytes(mOutput.data() + mOutputSent,
+                                         static_cast<int>(PendingOutput()));
+      if (sent <= 0) {
+        break;
+      }
+      mOutputSent += static_cast<std::size_t>(sent);
+    }
+  } catch (const Poco::Exception&) {
+    // The loop reports the broken socket; callers of Send() are not re-entered.
+    mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired()) {
+        Fail(close_cause::ClosedByPeer, mLoop.Now());
+      }
+    });
+    return;
+  }
+  if (PendingOutput() == 0) {
+    mOutput.clear();
+    mOutputSent = 0;
+    ReleaseIfEmpty(mOutput);
+    mLoop.SetWantWrite(mSocket, false);
+    if (mCloseAfterOutput) {
+      Close();
+    }
+    return;
+  }
+  if (PendingOutput() > kOutputLimitBytes) {
+    mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired()) {
+        Fail(close_cause::OutputOverflow, mLoop.Now());
+      }
+    });
+    return;
+  }
+  (void)aNow;
+  mLoop.SetWantWrite(mSocket, true);
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/tests/connection/event_loop_test.cpp
@@ -0,0 +1,98 @@
+// Tests of the event loop.
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/connection/stream_connection.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace snipewalk {
+namespace {
+
+// Guards against a posted task that waits until the loop's poll times out.
+TEST(EventLoopTest, RunsTasksPostedByAnotherThread)
+{
+  event_loop loop;
+  int ran = 0;
+  std::thread poster([&] {
+    loop.Post([&] { ++ran; });
+    loop.Post([&] { loop.Stop(); });
+  });
+  loop.Run();
+  poster.join();
+  EXPECT_EQ(ran, 1);
+}
+
+// Guards against timers that run out of order or after their cancellation.
+TEST(EventLoopTest, RunsTimersInOrderAndNotWhenCancelled)
+{
+  event_loop loop;
+  std::string order;
+  const time_point now = loop.Now();
+  loop.RunAt(now + milliseconds(4), [&](time_point) {
+    order += "b";
+    loop.Stop();
+  });
+  loop.RunAt(now + milliseconds(1), [&](time_point) { order += "a"; });
+  const auto cancelled =
+    loop.RunAt(now + milliseconds(2), [&](time_point) { order += "x"; });
+  loop.Cancel(cancelled);
+  loop.Run();
+  EXPECT_EQ(order, "ab");
+}
+
+// Guards against bytes lost or reordered between partial reads.
+TEST(StreamConnectionTest, CarriesBytesBothWays)
+{
+  event_loop loop;
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string sent(300'000, 'q');
+  std::string received;
+  std::unique_ptr<stream_connection> accepted;
+  auto client =
+    stream_connection::Connect(loop,
+                               server.address().toString(),
+                               { {},
+                                 [&](std::string& aInput, time_point) {
+                                   received += aInput;
+                                   aInput.clear();
+                                   if (received.size() == sent.size()) {
+                                     loop.Stop();
+                                   }
+                                 },
+                                 {} });
+  client->Send(sent);
+  accepted = stream_connection::Adopt(loop,
+                                      server.acceptConnection(),
+                                      { {},
+                                        [&](std::string& aInput, time_point) {
+                                          accepted->Send(aInput);
+                                          aInput.clear();
+                                        },
+                                        {} });
+  loop.Run();
+  EXPECT_EQ(received, sent);
+}
+
+// Guards against a refused connection that is never reported.
+TEST(StreamConnectionTest, ReportsRefusedConnection)
+{
+  event_loop loop;
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = server.address().toString();
+  server.close();
+  std::optional<close_cause> cause;
+  auto client = stream_connection::Connect(
+    loop, address, { {}, {}, [&](close_cause aCause, time_point) {
+                      cause = aCause;
+                      loop.Stop();
+                    } });
+  loop.Run();
+  EXPECT_EQ(cause, close_cause::Refused);
+}
+
+} // namespace
+} // namespace snipewalk
