Serve statements: admission, routing, acknowledgement, transactions

Purpose: the traffic threads need an engine behind the typed events and actions. Ruled out: a timer per request and connection in a plain heap, because answered requests would leave stale timers; a confirmation connection per write, because the number of connections would grow with the write rate. Conclusion: usable by the traffic threads; promises are not all tested yet.

--- /dev/null
+++ b/src/request/engine_replies.cpp
@@ -0,0 +1,313 @@
+// Replies of servers to statements, and connections that are lost or silent.
+#include "request/service_engine_state.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+// Weight of the newest statement in the mean service time.
+constexpr double kServiceTimeWeight = 0.02;
+constexpr int kAttemptsMax = 4;
+constexpr milliseconds kAnsweredInterval{ 100 };
+// Writes are held this long after the primary refused its role or term, unless
+// a new view comes first.
+constexpr milliseconds kHoldWrites{ 10 };
+
+void
+Average(double& aMean, duration aValue)
+{
+  const double value = std::chrono::duration<double>(aValue).count();
+  aMean += kServiceTimeWeight * (value - aMean);
+}
+
+} // namespace
+
+void
+service_engine_state::OnStatementReply(pooled_connection& aConnection,
+                                       const backend_reply& aReply)
+{
+  const auto found = mTransactions.find(aConnection.mOwner);
+  open_transaction* transaction =
+    found == mTransactions.end() ? nullptr : &found->second;
+  auto* entry =
+    FindRequest(transaction ? transaction->mStatement : aConnection.mOwner);
+  const bool broken = aReply.mError == backend_error::Malformed ||
+                      aReply.mError == backend_error::Internal;
+  if (!entry || aReply.mRequestId != entry->mAttemptId || broken) {
+    // Not the reply to this request, or one that does not say whether it ran.
+    const pooled_connection copy = aConnection;
+    mPool.Close(copy.mId, *mActions);
+    OnLost(copy);
+    return;
+  }
+  aConnection.mOutstanding = false;
+  Average(entry->mRequest.mKind == statement_kind::Read ? mReadSeconds
+                                                        : mWriteSeconds,
+          mNow - aConnection.mSentAt);
+  if (transaction) {
+    OnTransactionReply(*transaction, *entry, aReply);
+    return;
+  }
+  if (entry->mRequest.mKind == statement_kind::Begin &&
+      aReply.mError == backend_error::None) {
+    OnBegun(*entry, aConnection, aReply);
+    return;
+  }
+  const std::size_t server = aConnection.mServer;
+  const time_point sentAt = aConnection.mSentAt;
+  mPool.Release(aConnection.mId, mNow, *mActions);
+  entry->mConnection = 0;
+  if (aReply.mError != backend_error::None) {
+    OnRefused(*entry, server, aReply);
+    return;
+  }
+  if (!aReply.mReplayed) {
+    mRouter.ObserveIndex(server, aReply.mTerm, aReply.mIndex, sentAt);
+  }
+  OnExecuted(*entry, server, aReply);
+}
+
+void
+service_engine_state::OnExecuted(request_entry& aEntry,
+                                 std::size_t aServer,
+                                 const backend_reply& aReply)
+{
+  aEntry.mServer = aServer;
+  aEntry.mExecuted = { aReply.mTerm, aReply.mIndex };
+  aEntry.mReplyBody = aReply.mBody;
+  aEntry.mReplayed = aReply.mReplayed;
+  if (aEntry.mRequest.mKind == statement_kind::Read) {
+    OnReadDone(aEntry, aReply);
+    return;
+  }
+  aEntry.mDoubtTerm = std::max(aEntry.mDoubtTerm, aEntry.mSentTerm);
+  if (aReply.mTerm != aEntry.mSentTerm || aReply.mTerm != mRouter.Term()) {
+    // Executed in a term that is over: the present primary knows whether the
+    // write is in its log.
+    Lookup(aEntry);
+    return;
+  }
+  if (!aReply.mReplayed) {
+    mAcknowledgement.NoteWritten(aReply.mIndex);
+  }
+  AwaitAcknowledgement(aEntry);
+}
+
+void
+service_engine_state::OnReadDone(request_entry& aEntry,
+                                 const backend_reply& aReply)
+{
+  const bool byPrimary = mRouter.Primary() == aEntry.mServer;
+  if (aEntry.mRequest.mMaxAge) {
+    const auto age =
+      byPrimary ? mRouter.PrimaryAge(mNow) : mRouter.AgeOf(aReply.mIndex, mNow);
+    if (aReply.mTerm != mRouter.Term() || !age ||
+        *age > *aEntry.mRequest.mMaxAge) {
+      // The age is promised at the time of the answer, not of the choice.
+      aEntry.mTriedServers |= std::uint64_t{ 1 } << aEntry.mServer;
+      aEntry.mLane = queue_lane::AgedRead;
+      if (byPrimary) {
+        AnswerFailed(aEntry,
+                     refusal_reason::TooStale,
+                     "the primary's term is not confirmed",
+                     milliseconds(100));
+      } else {
+        Enqueue(aEntry, true);
+      }
+      return;
+    }
+  }
+  ++(byPrimary ? mCounters.mReadsByPrimary : mCounters.mReadsByReplicas);
+  AnswerDone(aEntry);
+}
+
+// The server did not execute the statement.
+void
+service_engine_state::OnRefused(request_entry& aEntry,
+                                std::size_t aServer,
+                                const backend_reply& aReply)
+{
+  if (aReply.mError == backend_error::Conflict) {
+    AnswerFailed(
+      aEntry, refusal_reason::Conflict, "the server reports a conflict");
+    return;
+  }
+  const bool wrongRole = aReply.mError == backend_error::TermMismatch ||
+                         aReply.mError == backend_error::NotPrimary;
+  if (wrongRole && aEntry.mSentTerm == mRouter.Term()) {
+    mRouter.ObserveRefusal(aServer);
+    if (mRouter.Primary() == aServer) {
+      mHoldWritesUntil = mNow + kHoldWrites;
+      SetTimer(mHoldWritesUntil, timer_kind::Wakeup, 0);
+    }
+  }
+  if (aEntry.mRequest.mKind == statement_kind::Read) {
+    aEntry.mTriedServers |= std::uint64_t{ 1 } << aServer;
+    if (aEntry.mLane == queue_lane::PrimaryRead) {
+      aEntry.mTriedServers = 0;
+      aEntry.mLane = LaneOf(aEntry.mRequest);
+    }
+    Enqueue(aEntry, true);
+    return;
+  }
+  if (aReply.mError == backend_error::InProgress) {
+    // An earlier attempt under this key is running: its outcome counts.
+    aEntry.mDoubtTerm = std::max(aEntry.mDoubtTerm, aReply.mTerm);
+    Delay(aEntry, true);
+  } else if (wrongRole) {
+    Enqueue(aEntry, true);
+  } else {
+    Delay(aEntry, false);
+  }
+}
+
+void
+service_engine_state::OnCheckReply(connection_id aId,
+                                   const backend_reply& aReply)
+{
+  const auto connection = *mPool.Find(aId);
+  if (!aReply.mStatus) {
+    mPool.Close(aId, *mActions);
+    return;
+  }
+  mRouter.ObserveStatus(
+    connection.mServer, *aReply.mStatus, connection.mSentAt);
+  mPool.Release(aId, mNow, *mActions);
+  // The server answers on this connection, so overdue ones are silent.
+  for (const auto id : mPool.Busy(connection.mServer)) {
+    const auto* busy = mPool.Find(id);
+    const auto* entry = FindRequest(busy->mOwner);
+    if (busy->mOverdues > 0 && busy->mUse == connection_use::Write && entry &&
+        entry->mStage == request_stage::Sent) {
+      const pooled_connection copy = *busy;
+      mPool.Close(id, *mActions);
+      OnLost(copy);
+    }
+  }
+}
+
+// The connection is gone. Its request is settled without a reply.
+void
+service_engine_state::OnLost(const pooled_connection& aConnection)
+{
+  if (aConnection.mUse == connection_use::Acknowledgement) {
+    mLinks[aConnection.mServer].mConnection = 0;
+    return;
+  }
+  if (mTransactions.contains(aConnection.mOwner)) {
+    LoseTransaction(aConnection.mOwner);
+    return;
+  }
+  auto* entry = FindRequest(aConnection.mOwner);
+  if (!entry || entry->mConnection != aConnection.mId) {
+    return;
+  }
+  entry->mConnection = 0;
+  if (entry->mStage == request_stage::LookupSent) {
+    Delay(*entry, true);
+  } else if (entry->mStage == request_stage::Sent) {
+    OnAttemptLost(*entry);
+  }
+}
+
+void
+service_engine_state::OnAttemptLost(request_entry& aEntry)
+{
+  if (aEntry.mHasEffect) {
+    aEntry.mDoubtTerm = std::max(aEntry.mDoubtTerm, aEntry.mSentTerm);
+    Lookup(aEntry);
+    return;
+  }
+  // A read has no effect; a begin is rolled back with its connection.
+  ++aEntry.mFailures;
+  if (aEntry.mFailures >= kAttemptsMax || !mBudget.TryRetry(mNow)) {
+    AnswerFailed(aEntry,
+                 refusal_reason::ConnectionLost,
+                 "the connection to the server was lost",
+                 milliseconds(100));
+    return;
+  }
+  ++mCounters.mRetries;
+  if (aEntry.mRequest.mKind == statement_kind::Read) {
+    aEntry.mTriedServers |= std::uint64_t{ 1 } << aEntry.mServer;
+    aEntry.mLane = LaneOf(aEntry.mRequest);
+  }
+  Enqueue(aEntry, true);
+}
+
+void
+service_engine_state::OnOverdue(connection_id aId)
+{
+  auto* connection = mPool.Find(aId);
+  if (!connection) {
+    return;
+  }
+  connection->mTimerSet = false;
+  const bool opening = connection->mPhase == connection_phase::Opening;
+  if (!opening && !connection->mOutstanding) {
+    return;
+  }
+  if (mNow < connection->mDueAt) {
+    EnsureOverdueTimer(*connection);
+    return;
+  }
+  ReportEvidence(connection->mServer, server_evidence::Silent, 0);
+  const pooled_connection copy = *connection;
+  if (opening) {
+    mActions->push_back(close_connection{ aId });
+    mPool.Closed(aId, true, mNow);
+    return;
+  }
+  const auto* entry = FindRequest(copy.mOwner);
+  const bool statement = copy.mUse != connection_use::Check &&
+                         copy.mUse != connection_use::Acknowledgement &&
+                         copy.mUse != connection_use::Lookup;
+  if (!statement) {
+    mPool.Close(aId, *mActions);
+    OnLost(copy);
+    return;
+  }
+  // The reply may be slow rather than lost. A probe over a new connection tells
+  // whether the server lives; a read moves on after half of its time.
+  ++connection->mOverdues;
+  if (connection->mOverdues > 1 && entry && !entry->mHasEffect &&
+      copy.mUse != connection_use::Transaction) {
+    mPool.Close(aId, *mActions);
+    OnLost(copy);
+    return;
+  }
+  connection->mDueAt = mNow + kOverdueAge;
+  if (entry && !entry->mHasEffect) {
+    connection->mDueAt = std::max(
+      connection->mDueAt, mNow + (entry->mRequest.mDeadline - mNow) / 2);
+  }
+  EnsureOverdueTimer(*connection);
+  const bool probed = mPool.InUse(copy.mServer, connection_use::Check) > 0 ||
+                      mPool.OpenProbe(copy.mServer, *mActions);
+  if (!probed && copy.mUse == connection_use::Write) {
+    // Every connection is busy, perhaps silent like this one: giving it up
+    // makes room for a new one, and the look-up settles the write.
+    mPool.Close(aId, *mActions);
+    OnLost(copy);
+  }
+}
+
+void
+service_engine_state::ReportEvidence(std::size_t aServer,
+                                     server_evidence aEvidence,
+                                     std::uint64_t aTerm)
+{
+  if (aEvidence == server_evidence::Answered) {
+    auto& reported = mAnsweredReportedAt[aServer];
+    if (mNow - reported < kAnsweredInterval) {
+      return;
+    }
+    reported = mNow;
+  }
+  mActions->push_back(
+    report_evidence{ mRouter.Servers()[aServer].mName, aEvidence, aTerm });
+}
+
+} // namespace snipewalk
