Test the engine against a model of three servers

Purpose: the promises of the engine have to hold under losses, silence, late replies and changes of term at any moment. Change: a model of backend servers that takes the protocol literally, and a property test with 200,000 seeded steps. Replies with the id of a statement are no longer taken for replies to status, wait and outcome requests; a replica counts as serving only with an entry of the term; a rejected statement is settled by one look-up instead of being sent again.

--- a/include/snipewalk/request/read_router.h
+++ b/include/snipewalk/request/read_router.h
@@ -30,9 +30,9 @@
   bool mLeaving = false;
   bool mSuspected = false;
   bool mVoter = false;
-  // Highest term in which the server was seen as primary or following replica.
-  // A fenced server may hold entries that the new primary lacks, so it serves
-  // neither reads nor acknowledgements until it was seen to follow.
+  // Highest term in which the server was seen as primary, or as a replica with
+  // an entry of that term. Before that it may hold entries that the primary
+  // lacks, so it serves neither reads nor acknowledgements.
   std::uint64_t mServingTerm = 0;
   // Valid for mServingTerm.
   std::uint64_t mApplied = 0;
--- a/src/request/engine_acknowledgement.cpp
+++ b/src/request/engine_acknowledgement.cpp
@@ -87,7 +87,7 @@
   auto& link = mLinks[server];
   aConnection.mOutstanding = false;
   if (aReply.mStatus) {
-    mRouter.ObserveStatus(server, *aReply.mStatus, aConnection.mSentAt);
+    ObserveStatus(server, *aReply.mStatus, aConnection.mSentAt);
     if (!mRouter.Serving(server)) {
       link.mNotBefore = mNow + kRetryInterval;
     }
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -197,6 +197,8 @@
   aEntry.mStage = request_stage::Sent;
   aEntry.mConnection = aConnection.mId;
   aEntry.mServer = aConnection.mServer;
+  aEntry.mAttempts =
+    aEntry.mSentTerm == mRouter.Term() ? aEntry.mAttempts + 1 : 1;
   aEntry.mSentTerm = mRouter.Term();
   aEntry.mAttemptId =
     absl::StrCat(aEntry.mRequest.mRequestId, ".", ++mLastAttempt);
--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -9,7 +9,6 @@
 
 // Weight of the newest statement in the mean service time.
 constexpr double kServiceTimeWeight = 0.02;
-constexpr int kAttemptsMax = 4;
 constexpr milliseconds kAnsweredInterval{ 100 };
 // Writes are held this long after the primary refused its role or term, unless
 // a new view comes first.
@@ -35,8 +34,9 @@
     FindRequest(transaction ? transaction->mStatement : aConnection.mOwner);
   const bool broken = aReply.mError == backend_error::Malformed ||
                       aReply.mError == backend_error::Internal;
-  if (!entry || aReply.mRequestId != entry->mAttemptId || broken) {
-    // Not the reply to this request, or one that does not say whether it ran.
+  if (!entry || aReply.mRequestId != entry->mAttemptId ||
+      (broken && transaction)) {
+    // Not the reply to this request, or a transaction in an unknown state.
     const pooled_connection copy = aConnection;
     mPool.Close(copy.mId, *mActions);
     OnLost(copy);
@@ -59,6 +59,10 @@
   const time_point sentAt = aConnection.mSentAt;
   mPool.Release(aConnection.mId, mNow, *mActions);
   entry->mConnection = 0;
+  if (broken) {
+    OnRejected(*entry, aReply.mError);
+    return;
+  }
   if (aReply.mError != backend_error::None) {
     OnRefused(*entry, server, aReply);
     return;
@@ -123,6 +127,23 @@
   AnswerDone(aEntry);
 }
 
+// The server answered completely without saying whether the statement ran.
+void
+service_engine_state::OnRejected(request_entry& aEntry, backend_error aError)
+{
+  const auto reason = aError == backend_error::Malformed
+                        ? refusal_reason::BadRequest
+                        : refusal_reason::ConnectionLost;
+  if (!aEntry.mHasEffect) {
+    AnswerFailed(aEntry, reason, "the server rejected the statement");
+    return;
+  }
+  aEntry.mRejected = reason;
+  aEntry.mDoubtBefore = aEntry.mDoubtTerm;
+  aEntry.mDoubtTerm = std::max(aEntry.mDoubtTerm, aEntry.mSentTerm);
+  Lookup(aEntry);
+}
+
 // The server did not execute the statement.
 void
 service_engine_state::OnRefused(request_entry& aEntry,
@@ -172,8 +193,7 @@
     mPool.Close(aId, *mActions);
     return;
   }
-  mRouter.ObserveStatus(
-    connection.mServer, *aReply.mStatus, connection.mSentAt);
+  ObserveStatus(connection.mServer, *aReply.mStatus, connection.mSentAt);
   mPool.Release(aId, mNow, *mActions);
   // The server answers on this connection, so overdue ones are silent.
   for (const auto id : mPool.Busy(connection.mServer)) {
@@ -221,8 +241,7 @@
     return;
   }
   // A read has no effect; a begin is rolled back with its connection.
-  ++aEntry.mFailures;
-  if (aEntry.mFailures >= kAttemptsMax || !mBudget.TryRetry(mNow)) {
+  if (aEntry.mAttempts >= kAttemptsMax || !mBudget.TryRetry(mNow)) {
     AnswerFailed(aEntry,
                  refusal_reason::ConnectionLost,
                  "the connection to the server was lost",
--- a/src/request/engine_settlement.cpp
+++ b/src/request/engine_settlement.cpp
@@ -21,7 +21,7 @@
   aEntry.mStage = request_stage::Delayed;
   aEntry.mConnection = 0;
   aEntry.mDelayedLookup = aLookup;
-  SetTimer(mNow + mBudget.Delay(aEntry.mFailures++),
+  SetTimer(mNow + mBudget.Delay(aEntry.mDelays++),
            timer_kind::DelayEnd,
            aEntry.mNumber);
 }
@@ -32,7 +32,7 @@
 {
   auto* entry = FindRequest(aConnection.mOwner);
   const std::size_t server = aConnection.mServer;
-  if (!aReply.mKeyState) {
+  if (aReply.mError == backend_error::None && !aReply.mKeyState) {
     const pooled_connection copy = aConnection;
     mPool.Close(copy.mId, *mActions);
     OnLost(copy);
@@ -74,6 +74,13 @@
                  "no outcome is recorded; the request may still be under way");
     return;
   }
+  if (aEntry.mRejected) {
+    // The attempt has ended with a complete reply and left no effect.
+    aEntry.mDoubtTerm = aEntry.mDoubtBefore;
+    AnswerFailed(
+      aEntry, *aEntry.mRejected, "the server rejected the statement");
+    return;
+  }
   // Until a majority holds an entry of this term, a later primary could still
   // come from the old primary's log and have the key.
   const bool impossible =
@@ -97,7 +104,8 @@
   }
   // The same key has at most one effect, so the write may be sent again even
   // if the first attempt is still on its way.
-  if (aTerm > aEntry.mSentTerm || mBudget.TryRetry(mNow)) {
+  const bool newTerm = aTerm > aEntry.mSentTerm;
+  if (newTerm || (aEntry.mAttempts < kAttemptsMax && mBudget.TryRetry(mNow))) {
     ++mCounters.mRetries;
     Enqueue(aEntry, true);
   } else {
@@ -144,7 +152,7 @@
 void
 service_engine_state::Confirmed(request_entry& aEntry)
 {
-  ++mCounters.mWritesDone;
+  mCounters.mWritesDone += aEntry.mOutcomeOnly ? 0 : 1;
   AnswerDone(aEntry);
 }
 
--- a/src/request/read_router.cpp
+++ b/src/request/read_router.cpp
@@ -88,7 +88,11 @@
                            time_point aSentAt)
 {
   ObserveTerm(aServer, aStatus.mTerm, aSentAt);
-  if (aStatus.mRole == server_role::Fenced) {
+  // A replica that received no entry of the term yet may still hold entries
+  // that the primary's log lacks.
+  const bool unproven =
+    aStatus.mRole == server_role::Replica && aStatus.mLogTerm != aStatus.mTerm;
+  if (aStatus.mRole == server_role::Fenced || unproven) {
     // A late status of an earlier term says nothing about the present one.
     if (aStatus.mTerm >= mServers[aServer].mServingTerm) {
       mServers[aServer].mServingTerm = 0;
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -116,7 +116,11 @@
   if (!connection) {
     return;
   }
-  if (!connection->mOutstanding) {
+  const auto& reply = aEvent.mReply;
+  const bool statement = connection->mUse != connection_use::Check &&
+                         connection->mUse != connection_use::Acknowledgement &&
+                         connection->mUse != connection_use::Lookup;
+  if (!connection->mOutstanding || (!statement && !reply.mRequestId.empty())) {
     // A reply that nobody asked for: the connection is out of step.
     const pooled_connection copy = *connection;
     mPool.Close(copy.mId, *mActions);
@@ -125,7 +129,6 @@
     }
     return;
   }
-  const auto& reply = aEvent.mReply;
   ReportEvidence(connection->mServer, server_evidence::Answered, reply.mTerm);
   mRouter.ObserveTerm(connection->mServer, reply.mTerm, connection->mSentAt);
   switch (connection->mUse) {
@@ -148,7 +151,20 @@
 service_engine_state::On(const status_observed& aEvent)
 {
   if (const auto server = mRouter.IndexOf(aEvent.mServer)) {
-    mRouter.ObserveStatus(*server, aEvent.mStatus, aEvent.mSentAt);
+    ObserveStatus(*server, aEvent.mStatus, aEvent.mSentAt);
+  }
+}
+
+void
+service_engine_state::ObserveStatus(std::size_t aServer,
+                                    const server_status& aStatus,
+                                    time_point aSentAt)
+{
+  mRouter.ObserveStatus(aServer, aStatus, aSentAt);
+  if (aStatus.mRole == server_role::Primary &&
+      aStatus.mTerm == mAcknowledgement.Term() &&
+      aStatus.mLogTerm == aStatus.mTerm && mRouter.Primary() == aServer) {
+    mAcknowledgement.NoteWritten(aStatus.mReceived);
   }
 }
 
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -31,6 +31,9 @@
 // Servers whose role in the present term is unknown are asked this often.
 inline constexpr milliseconds kUnknownRefreshInterval{ 50 };
 
+// A statement is sent at most this often in one term.
+inline constexpr int kAttemptsMax = 4;
+
 enum class request_stage
 {
   // Waits in the admission queue; no attempt is under way.
@@ -68,8 +71,15 @@
   // Highest term in which an attempt was sent whose outcome is not known; zero
   // when "not run" may be said.
   std::uint64_t mDoubtTerm = 0;
+  // Set when the server answered the last attempt without saying whether it
+  // ran: the reason to give once the key turns out to be absent.
+  std::optional<refusal_reason> mRejected;
+  // mDoubtTerm before that attempt.
+  std::uint64_t mDoubtBefore = 0;
   std::uint64_t mTriedServers = 0;
-  int mFailures = 0;
+  int mAttempts = 0;
+  // Delays so far.
+  int mDelays = 0;
   // Set from the execution on.
   std::size_t mServer = 0;
   log_position mExecuted;
@@ -142,6 +152,9 @@
   void On(const view_changed& aEvent);
   void On(const drain_requested& aEvent);
   void On(const timer_expired& aEvent);
+  void ObserveStatus(std::size_t aServer,
+                     const server_status& aStatus,
+                     time_point aSentAt);
   void Fire(const timer_key& aTimer);
   void Pump();
 
@@ -180,6 +193,7 @@
   void OnRefused(request_entry& aEntry,
                  std::size_t aServer,
                  const backend_reply& aReply);
+  void OnRejected(request_entry& aEntry, backend_error aError);
   void OnCheckReply(connection_id aId, const backend_reply& aReply);
   void OnLost(const pooled_connection& aConnection);
   void OnAttemptLost(request_entry& aEntry);
--- a/src/request/write_acknowledgement.cpp
+++ b/src/request/write_acknowledgement.cpp
@@ -44,7 +44,7 @@
 write_acknowledgement::NoteWritten(std::uint64_t aIndex)
 {
   // With policy "primary" nothing says that a majority holds the entry.
-  if (mReplicated && (!mFirstIndex || aIndex < *mFirstIndex)) {
+  if (mReplicated && aIndex > 0 && (!mFirstIndex || aIndex < *mFirstIndex)) {
     mFirstIndex = aIndex;
   }
 }
@@ -124,6 +124,10 @@
   if (next != mWaiting.end()) {
     return next->first;
   }
+  if (mFirstIndex && *mFirstIndex > mConfirmed &&
+      *mFirstIndex > found->mReceived) {
+    return mFirstIndex;
+  }
   for (const auto& entry : mUnconfirmed) {
     if (entry.mIndex > found->mReceived) {
       return entry.mIndex;
--- a/tests/request/engine_driver.h
+++ b/tests/request/engine_driver.h
@@ -93,7 +93,7 @@
     reply.mTerm = mView.mTerm.mTerm;
     server_status status;
     status.mServer = aSent.mServer;
-    status.mTerm = reply.mTerm;
+    status.mTerm = status.mLogTerm = reply.mTerm;
     status.mRole = aSent.mServer == mView.mTerm.mPrimary ? server_role::Primary
                                                          : server_role::Replica;
     status.mApplied = status.mReceived = mApplied[aSent.mServer];
--- /dev/null
+++ b/tests/request/service_engine_property_test.cpp
@@ -0,0 +1,548 @@
+// Property test: the engine against a model of three backend servers under
+// connection losses, silence, late and duplicate replies, time jumps and
+// changes of term. The engine's promises are checked at each step.
+#include "request/backend_model.h"
+#include "snipewalk/request/session_token.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+
+namespace snipewalk {
+namespace {
+
+constexpr std::size_t kShare = 4;
+constexpr int kSessions = 8;
+constexpr int kStepsPerSeed = 2'000;
+constexpr unsigned kSeeds = 100;
+
+const wall_time kWall{ seconds(1'800'000'000) };
+
+std::vector<session_key>
+Keys()
+{
+  return { { "k", "secret", wall_time{} } };
+}
+
+// One caller, with a register of its own.
+struct caller
+{
+  int mNumber = 0;
+  std::string mToken;
+  std::string mTransaction;
+  std::vector<int> mInTransaction;
+  std::set<int> mDone;
+  std::optional<statement_request> mWaiting;
+  // A write whose outcome is unknown, to be repeated with its key.
+  std::optional<statement_request> mRepeat;
+};
+
+class engine_world
+{
+public:
+  explicit engine_world(unsigned aSeed)
+    : mModel(aSeed)
+    , mRandom(aSeed)
+    , mEngine("s", { "i", 1, "m", aSeed })
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      server_entry entry;
+      entry.mName = entry.mAddress = name;
+      mView.mDocument.mServers.push_back(entry);
+      mView.mTerm.mVoters.emplace_back(name);
+    }
+    mView.mTerm.mTerm = 1;
+    mView.mTerm.mPrimary = "a";
+    mView.mConnectionShare = kShare;
+    for (int i = 0; i < kSessions; ++i) {
+      mCallers.emplace_back();
+      mCallers.back().mNumber = i;
+    }
+    mModel.Follow(1);
+    mModel.Follow(2);
+    Publish();
+  }
+
+  void Step()
+  {
+    mNow += std::chrono::microseconds(Random(Random(40) == 0 ? 40'000 : 400));
+    Tick();
+    switch (Random(40)) {
+      case 0:
+      case 1:
+      case 2:
+      case 3:
+      case 4:
+      case 5:
+        Submit(mCallers[Random(kSessions)]);
+        break;
+      case 6:
+        if (Random(2) == 0) {
+          Disturb();
+        }
+        break;
+      case 7:
+      case 8:
+      case 9:
+      case 10:
+      case 11:
+        mModel.Replicate(Random(3));
+        break;
+      case 12:
+        mModel.RunOrphan();
+        break;
+      case 13:
+        if (Random(6) == 0) {
+          ChangeTerm();
+        }
+        break;
+      case 14:
+        mModel.Follow(Random(3));
+        break;
+      default:
+        MoveLink();
+        break;
+    }
+  }
+
+  // Heals everything, lets all requests be answered and checks the final log.
+  void Finish()
+  {
+    for (auto& server : mModel.mServers) {
+      server.mUp = server.mReachable = true;
+    }
+    for (int i = 0; i < 12'000; ++i) {
+      mNow += milliseconds(1);
+      Tick();
+      MoveLink();
+      mModel.Replicate(Random(3));
+      mModel.RunOrphan();
+    }
+    EXPECT_TRUE(mOpenRequests.empty()) << *mOpenRequests.begin();
+    ChangeTerm();
+    const auto primary = *mModel.mPrimary;
+    for (const auto& key : mNotRun) {
+      EXPECT_EQ(mModel.Find(primary, key), nullptr) << key;
+    }
+    for (const auto& key : mDoneKeys) {
+      EXPECT_NE(mModel.Find(primary, key), nullptr) << key;
+    }
+    std::set<std::string> seen;
+    for (const auto& entry : mModel.mServers[primary].mLog) {
+      EXPECT_TRUE(entry.mKey.empty() || seen.insert(entry.mKey).second);
+    }
+  }
+
+  std::map<statement_outcome, int> mOutcomes;
+  int mCommits = 0;
+
+private:
+  std::size_t Random(std::size_t aBelow) { return mRandom() % aBelow; }
+
+  void Publish()
+  {
+    Handle(view_changed{ std::make_shared<service_view>(mView), Keys() });
+  }
+
+  void Tick()
+  {
+    const auto next = mEngine.NextTimer();
+    if (next && *next <= mNow) {
+      Handle(timer_expired{});
+    }
+    if (mPublishAt && *mPublishAt <= mNow) {
+      mPublishAt.reset();
+      Publish();
+    }
+  }
+
+  void Handle(const engine_event& aEvent)
+  {
+    std::vector<engine_action> actions;
+    mEngine.Handle(aEvent, mNow, kWall, actions);
+    for (const auto& action : actions) {
+      std::visit([this](const auto& aTyped) { Carry(aTyped); }, action);
+    }
+    std::map<std::size_t, std::size_t> counts;
+    for (const auto& [id, link] : mModel.mLinks) {
+      EXPECT_LE(++counts[link.mServer], kShare);
+    }
+  }
+
+  void Carry(const open_connection& aAction)
+  {
+    model_link link;
+    link.mServer = mModel.IndexOf(aAction.mServer.mName);
+    EXPECT_TRUE(mModel.mLinks.emplace(aAction.mConnection, link).second);
+  }
+
+  void Carry(const close_connection& aAction)
+  {
+    EXPECT_TRUE(mModel.mLinks.contains(aAction.mConnection));
+    mModel.Close(aAction.mConnection);
+    mOutstanding.erase(aAction.mConnection);
+  }
+
+  void Carry(const send_request& aAction)
+  {
+    auto& link = mModel.mLinks.at(aAction.mConnection);
+    EXPECT_TRUE(link.mOpen);
+    EXPECT_TRUE(mOutstanding.insert(aAction.mConnection).second)
+      << "two requests on one connection";
+    link.mToServer = aAction.mRequest;
+    link.mArrivedAt = mNow;
+    const auto* statement = std::get_if<backend_statement>(&aAction.mRequest);
+    if (link.mTransaction && statement) {
+      const auto id =
+        statement->mRequestId.substr(0, statement->mRequestId.find('.'));
+      // The owner is the id that the caller got from this link's begin.
+      auto& owner = link.mTransaction->mOwner;
+      owner = owner.empty() ? mTransactionOf[id] : owner;
+      EXPECT_FALSE(owner.empty()) << "statement outside the transaction";
+      EXPECT_EQ(mTransactionOf[id], owner) << "another transaction";
+    }
+  }
+
+  void Carry(const answer_request& aAction)
+  {
+    const auto& response = aAction.mResponse;
+    EXPECT_EQ(mOpenRequests.erase(response.mRequestId), 1U)
+      << "not exactly one answer";
+    ++mOutcomes[response.mOutcome];
+    EXPECT_EQ(response.mReason == refusal_reason::None,
+              response.mOutcome == statement_outcome::Done);
+    for (auto& caller : mCallers) {
+      if (caller.mWaiting &&
+          caller.mWaiting->mRequestId == response.mRequestId) {
+        const auto request = *caller.mWaiting;
+        caller.mWaiting.reset();
+        Answered(caller, request, response);
+      }
+    }
+  }
+
+  void Carry(const report_evidence&) {}
+
+  void Answered(caller& aCaller,
+                const statement_request& aRequest,
+                const statement_response& aResponse)
+  {
+    const bool done = aResponse.mOutcome == statement_outcome::Done;
+    if (!aResponse.mSession.empty()) {
+      aCaller.mToken = aResponse.mSession;
+    }
+    switch (aRequest.mKind) {
+      case statement_kind::Read:
+        if (done) {
+          CheckRead(aCaller, aRequest, aResponse);
+        }
+        return;
+      case statement_kind::Begin:
+        aCaller.mTransaction = aResponse.mTransaction;
+        aCaller.mInTransaction.clear();
+        return;
+      case statement_kind::Rollback:
+        aCaller.mTransaction.clear();
+        return;
+      case statement_kind::Write:
+        if (!aRequest.mTransaction.empty()) {
+          AnsweredInside(aCaller, aRequest, aResponse);
+          return;
+        }
+        break;
+      case statement_kind::Commit:
+        aCaller.mTransaction.clear();
+        mCommits += done ? 1 : 0;
+        break;
+    }
+    Settled(aCaller, aRequest, aResponse.mOutcome);
+  }
+
+  void AnsweredInside(caller& aCaller,
+                      const statement_request& aRequest,
+                      const statement_response& aResponse)
+  {
+    if (aResponse.mOutcome == statement_outcome::Done) {
+      aCaller.mInTransaction.push_back(ValueOfBody(aRequest));
+    } else if (aResponse.mReason != refusal_reason::Conflict) {
+      aCaller.mTransaction.clear();
+    }
+  }
+
+  void Settled(caller& aCaller,
+               const statement_request& aRequest,
+               statement_outcome aOutcome)
+  {
+    const auto& key = aRequest.mIdempotencyKey;
+    if (aOutcome == statement_outcome::NotRun) {
+      // A repeated key may have run in its first request.
+      if (!mUnknown.contains(key)) {
+        mNotRun.insert(key);
+      }
+    } else if (aOutcome == statement_outcome::Unknown) {
+      mUnknown.insert(key);
+      aCaller.mRepeat = aRequest;
+    } else {
+      mDoneKeys.insert(key);
+      std::vector<int> values{ ValueOfBody(aRequest) };
+      if (aRequest.mKind == statement_kind::Commit) {
+        values = mCommitValues[key];
+      }
+      for (const int value : values) {
+        aCaller.mDone.insert(value);
+        mDoneAt[{ aCaller.mNumber, value }] = mNow;
+      }
+    }
+  }
+
+  void CheckRead(const caller& aCaller,
+                 const statement_request& aRequest,
+                 const statement_response& aResponse)
+  {
+    if (aRequest.mMaxAge) {
+      ASSERT_TRUE(aResponse.mDataAge);
+      EXPECT_LE(*aResponse.mDataAge, *aRequest.mMaxAge);
+    }
+    for (const int value : aCaller.mDone) {
+      const bool mustSee =
+        !aRequest.mMaxAge ||
+        mDoneAt[{ aCaller.mNumber, value }] < mNow - *aResponse.mDataAge;
+      const bool sees = aResponse.mBody.find(" " + std::to_string(value) +
+                                             " ") != std::string::npos;
+      EXPECT_TRUE(sees || !mustSee)
+        << "caller " << aCaller.mNumber << " misses " << value << " at "
+        << aResponse.mServer;
+    }
+  }
+
+  static int ValueOfBody(const statement_request& aRequest)
+  {
+    return std::stoi(aRequest.mBody.substr(aRequest.mBody.find(' ')));
+  }
+
+  void Submit(caller& aCaller)
+  {
+    if (aCaller.mWaiting) {
+      return;
+    }
+    statement_request request;
+    request.mRequestId = "r" + std::to_string(++mRequests);
+    request.mAccount = "account" + std::to_string(aCaller.mNumber);
+    request.mSession = aCaller.mToken;
+    request.mBody =
+      std::to_string(aCaller.mNumber) + " " + std::to_string(mRequests);
+    request.mDeadline = mNow + milliseconds(20 + Random(3'000));
+    const auto choice = Random(10);
+    if (!aCaller.mTransaction.empty()) {
+      request.mTransaction = aCaller.mTransaction;
+      request.mKind = choice < 6   ? statement_kind::Write
+                      : choice < 9 ? statement_kind::Commit
+                                   : statement_kind::Rollback;
+    } else if (aCaller.mRepeat) {
+      request.mKind = statement_kind::Write;
+    } else if (choice < 4) {
+      request.mKind = statement_kind::Write;
+    } else if (choice == 4) {
+      request.mKind = statement_kind::Begin;
+    } else if (choice < 7) {
+      request.mMaxAge = milliseconds(20 + Random(500));
+    }
+    if (request.mKind == statement_kind::Write ||
+        request.mKind == statement_kind::Commit) {
+      request.mIdempotencyKey = "k" + std::to_string(mRequests);
+    }
+    if (aCaller.mRepeat && aCaller.mTransaction.empty()) {
+      Repeat(aCaller, request);
+    }
+    if (request.mKind == statement_kind::Commit) {
+      mCommitValues[request.mIdempotencyKey] = aCaller.mInTransaction;
+    }
+    mTransactionOf[request.mRequestId] = request.mTransaction;
+    mOpenRequests.insert(request.mRequestId);
+    aCaller.mWaiting = request;
+    Handle(statement_submitted{ request });
+  }
+
+  static void Repeat(caller& aCaller, statement_request& aRequest)
+  {
+    aRequest.mKind = aCaller.mRepeat->mKind;
+    aRequest.mTransaction = aCaller.mRepeat->mTransaction;
+    aRequest.mIdempotencyKey = aCaller.mRepeat->mIdempotencyKey;
+    aRequest.mBody = aCaller.mRepeat->mBody;
+    aCaller.mRepeat.reset();
+  }
+
+  // Moves one message, or establishes or refuses one connection.
+  void MoveLink()
+  {
+    if (mModel.mLinks.empty()) {
+      return;
+    }
+    auto chosen = mModel.mLinks.begin();
+    for (int tries = 0; tries < 4; ++tries) {
+      chosen = mModel.mLinks.begin();
+      std::advance(chosen, Random(mModel.mLinks.size()));
+      const auto& tried = chosen->second;
+      if (!tried.mOpen || tried.mToServer || !tried.mToCaller.empty()) {
+        break;
+      }
+    }
+    const auto id = chosen->first;
+    auto& link = chosen->second;
+    auto& server = mModel.mServers[link.mServer];
+    if (!link.mOpen) {
+      link.mOpen = server.mUp;
+      if (!link.mOpen) {
+        mModel.mLinks.erase(chosen);
+        Handle(connection_closed{ id, true });
+      } else {
+        Handle(connection_opened{ id });
+      }
+    } else if (link.mSilent) {
+      return;
+    } else if (!link.mToCaller.empty()) {
+      const auto reply = link.mToCaller.front();
+      link.mToCaller.pop_front();
+      mOutstanding.erase(id);
+      Handle(reply_received{ id, reply });
+      // Only statements carry an id by which a duplicate can be told.
+      if (!reply.mRequestId.empty() && Random(300) == 0) {
+        Handle(reply_received{ id, reply });
+      }
+    } else if (link.mToServer && server.mUp) {
+      ServeLink(link);
+    }
+  }
+
+  void ServeLink(model_link& aLink)
+  {
+    const auto* statement = std::get_if<backend_statement>(&*aLink.mToServer);
+    const auto* wait = std::get_if<backend_wait>(&*aLink.mToServer);
+    const auto limit = statement ? statement->mWait
+                       : wait    ? wait->mWait
+                                 : milliseconds(0);
+    auto reply = mModel.Execute(aLink.mServer,
+                                *aLink.mToServer,
+                                aLink.mTransaction,
+                                mNow >= aLink.mArrivedAt + limit);
+    if (!reply) {
+      return;
+    }
+    aLink.mToServer.reset();
+    aLink.mToCaller.push_back(std::move(*reply));
+  }
+
+  void Disturb()
+  {
+    auto& server = mModel.mServers[Random(3)];
+    switch (Random(12)) {
+      case 0:
+        server.mUp = !server.mUp;
+        break;
+      case 1:
+      case 2:
+        server.mReachable = !server.mReachable;
+        break;
+      case 3:
+        mNow += milliseconds(Random(1'500));
+        break;
+      case 4:
+      case 5:
+        for (auto& [id, link] : mModel.mLinks) {
+          link.mSilent |= link.mOpen && Random(6) == 0;
+        }
+        break;
+      case 6:
+      case 7:
+        server.mUp = server.mReachable = true;
+        break;
+      default:
+        LoseLink();
+        break;
+    }
+  }
+
+  void LoseLink()
+  {
+    if (mModel.mLinks.empty()) {
+      return;
+    }
+    auto chosen = mModel.mLinks.begin();
+    std::advance(chosen, Random(mModel.mLinks.size()));
+    const auto id = chosen->first;
+    const bool open = chosen->second.mOpen;
+    mOutstanding.erase(id);
+    mModel.Close(id);
+    Handle(connection_closed{ id, !open });
+  }
+
+  // Elects and publishes at once, or only later.
+  void ChangeTerm()
+  {
+    const auto primary = mModel.Elect();
+    if (!primary) {
+      return;
+    }
+    mView.mTerm.mTerm = mModel.mNewestTerm;
+    mView.mTerm.mPrimary = mModel.mServers[*primary].mName;
+    if (Random(2) == 0) {
+      auto electing = mView;
+      electing.mTerm.mPhase = term_phase::Electing;
+      electing.mTerm.mPrimary.clear();
+      Handle(view_changed{ std::make_shared<service_view>(electing), Keys() });
+    }
+    mPublishAt = mNow + milliseconds(Random(100));
+  }
+
+  backend_model mModel;
+  std::mt19937 mRandom;
+  service_engine mEngine;
+  service_view mView;
+  time_point mNow{ seconds(1'000) };
+  std::optional<time_point> mPublishAt;
+  std::vector<caller> mCallers;
+  int mRequests = 0;
+  std::set<std::string> mOpenRequests;
+  std::set<connection_id> mOutstanding;
+  std::map<std::string, std::string> mTransactionOf;
+  std::map<std::string, std::vector<int>> mCommitValues;
+  std::map<std::pair<int, int>, time_point> mDoneAt;
+  std::set<std::string> mNotRun;
+  std::set<std::string> mUnknown;
+  std::set<std::string> mDoneKeys;
+};
+
+// Guards against lost or repeated effects, false "not run" answers, stale reads
+// of a session's own writes, mixed transactions and exceeded shares, over
+// 200,000 steps of failures.
+TEST(ServiceEnginePropertyTest, KeepsItsPromisesUnderFailures)
+{
+  std::map<statement_outcome, int> outcomes;
+  int commits = 0;
+  for (unsigned seed = 1; seed <= kSeeds && !::testing::Test::HasFailure();
+       ++seed) {
+    SCOPED_TRACE(seed);
+    engine_world world(seed);
+    for (int i = 0; i < kStepsPerSeed; ++i) {
+      world.Step();
+    }
+    world.Finish();
+    for (const auto& [outcome, count] : world.mOutcomes) {
+      outcomes[outcome] += count;
+    }
+    commits += world.mCommits;
+  }
+  RecordProperty("done", outcomes[statement_outcome::Done]);
+  RecordProperty("not_run", outcomes[statement_outcome::NotRun]);
+  RecordProperty("unknown", outcomes[statement_outcome::Unknown]);
+  RecordProperty("commits", commits);
+  // The run is worth nothing when an outcome never occurs.
+  EXPECT_GT(outcomes[statement_outcome::Done], 1'000);
+  EXPECT_GT(outcomes[statement_outcome::NotRun], 100);
+  EXPECT_GT(outcomes[statement_outcome::Unknown], 10);
+  EXPECT_GT(commits, 50);
+}
+
+} // namespace
+} // namespace snipewalk
