Test two engines with different views against one model

Purpose: a session that moves between instances and an instance with an old view are the cases in which stale reads can occur; one engine alone cannot show them.

--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -1,12 +1,14 @@
-// Property test: the engine against a model of three backend servers under
+// Property test: two engines against a model of three backend servers under
 // connection losses, silence, late and duplicate replies, time jumps and
-// changes of term. The engine's promises are checked at each step.
+// changes of term that the engines learn at different times. The promises are
+// checked at each step.
 #include "request/backend_model.h"
 #include "snipewalk/request/session_token.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <set>
 
 namespace snipewalk {
@@ -14,8 +16,8 @@
 
 constexpr std::size_t kShare = 4;
 constexpr int kSessions = 8;
-constexpr int kStepsPerSeed = 2'000;
-constexpr unsigned kSeeds = 100;
+constexpr int kStepsPerSeed = 2'500;
+constexpr unsigned kSeeds = 80;
 
 const wall_time kWall{ seconds(1'800'000'000) };
 
@@ -31,6 +33,7 @@
   int mNumber = 0;
   std::string mToken;
   std::string mTransaction;
+  std::size_t mHolder = 0;
   std::vector<int> mInTransaction;
   std::set<int> mDone;
   std::optional<statement_request> mWaiting;
@@ -44,8 +47,11 @@
   explicit engine_world(unsigned aSeed)
     : mModel(aSeed)
     , mRandom(aSeed)
-    , mEngine("s", { "i", 1, "m", aSeed })
   {
+    for (const char* instance : { "i", "j" }) {
+      mEngines.push_back(std::make_unique<service_engine>(
+        "s", engine_options{ instance, 1, "m", aSeed }));
+    }
     for (const char* name : { "a", "b", "c" }) {
       server_entry entry;
       entry.mName = entry.mAddress = name;
@@ -61,7 +67,8 @@
     }
     mModel.Follow(1);
     mModel.Follow(2);
-    Publish();
+    Publish(0);
+    Publish(1);
   }
 
   void Step()
@@ -140,33 +147,40 @@
 private:
   std::size_t Random(std::size_t aBelow) { return mRandom() % aBelow; }
 
-  void Publish()
+  // Connections of both engines share the model's numbering.
+  connection_id Global(connection_id aId) const { return aId * 2 + mActive; }
+
+  void Publish(std::size_t aEngine)
   {
-    Handle(view_changed{ std::make_shared<service_view>(mView), Keys() });
+    Handle(aEngine,
+           view_changed{ std::make_shared<service_view>(mView), Keys() });
   }
 
   void Tick()
   {
-    const auto next = mEngine.NextTimer();
-    if (next && *next <= mNow) {
-      Handle(timer_expired{});
-    }
-    if (mPublishAt && *mPublishAt <= mNow) {
-      mPublishAt.reset();
-      Publish();
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      const auto next = mEngines[i]->NextTimer();
+      if (next && *next <= mNow) {
+        Handle(i, timer_expired{});
+      }
+      if (mPublishAt[i] && *mPublishAt[i] <= mNow) {
+        mPublishAt[i].reset();
+        Publish(i);
+      }
     }
   }
 
-  void Handle(const engine_event& aEvent)
+  void Handle(std::size_t aEngine, const engine_event& aEvent)
   {
+    mActive = aEngine;
     std::vector<engine_action> actions;
-    mEngine.Handle(aEvent, mNow, kWall, actions);
+    mEngines[aEngine]->Handle(aEvent, mNow, kWall, actions);
     for (const auto& action : actions) {
       std::visit([this](const auto& aTyped) { Carry(aTyped); }, action);
     }
-    std::map<std::size_t, std::size_t> counts;
+    std::map<std::pair<std::size_t, std::size_t>, std::size_t> counts;
     for (const auto& [id, link] : mModel.mLinks) {
-      EXPECT_LE(++counts[link.mServer], kShare);
+      EXPECT_LE(++counts[std::pair(link.mServer, id % 2)], kShare);
     }
   }
 
@@ -174,21 +188,22 @@
   {
     model_link link;
     link.mServer = mModel.IndexOf(aAction.mServer.mName);
-    EXPECT_TRUE(mModel.mLinks.emplace(aAction.mConnection, link).second);
+    EXPECT_TRUE(
+      mModel.mLinks.emplace(Global(aAction.mConnection), link).second);
   }
 
   void Carry(const close_connection& aAction)
   {
-    EXPECT_TRUE(mModel.mLinks.contains(aAction.mConnection));
-    mModel.Close(aAction.mConnection);
-    mOutstanding.erase(aAction.mConnection);
+    EXPECT_TRUE(mModel.mLinks.contains(Global(aAction.mConnection)));
+    mModel.Close(Global(aAction.mConnection));
+    mOutstanding.erase(Global(aAction.mConnection));
   }
 
   void Carry(const send_request& aAction)
   {
-    auto& link = mModel.mLinks.at(aAction.mConnection);
+    auto& link = mModel.mLinks.at(Global(aAction.mConnection));
     EXPECT_TRUE(link.mOpen);
-    EXPECT_TRUE(mOutstanding.insert(aAction.mConnection).second)
+    EXPECT_TRUE(mOutstanding.insert(Global(aAction.mConnection)).second)
       << "two requests on one connection";
     link.mToServer = aAction.mRequest;
     link.mArrivedAt = mNow;
@@ -361,7 +376,11 @@
     mTransactionOf[request.mRequestId] = request.mTransaction;
     mOpenRequests.insert(request.mRequestId);
     aCaller.mWaiting = request;
-    Handle(statement_submitted{ request });
+    // Sessions move between the instances; a transaction stays at its holder.
+    const auto engine =
+      request.mTransaction.empty() ? Random(2) : aCaller.mHolder;
+    aCaller.mHolder = engine;
+    Handle(engine, statement_submitted{ request });
   }
 
   static void Repeat(caller& aCaller, statement_request& aRequest)
@@ -395,9 +414,9 @@
       link.mOpen = server.mUp;
       if (!link.mOpen) {
         mModel.mLinks.erase(chosen);
-        Handle(connection_closed{ id, true });
+        Handle(id % 2, connection_closed{ id / 2, true });
       } else {
-        Handle(connection_opened{ id });
+        Handle(id % 2, connection_opened{ id / 2 });
       }
     } else if (link.mSilent) {
       return;
@@ -405,10 +424,10 @@
       const auto reply = link.mToCaller.front();
       link.mToCaller.pop_front();
       mOutstanding.erase(id);
-      Handle(reply_received{ id, reply });
+      Handle(id % 2, reply_received{ id / 2, reply });
       // Only statements carry an id by which a duplicate can be told.
       if (!reply.mRequestId.empty() && Random(300) == 0) {
-        Handle(reply_received{ id, reply });
+        Handle(id % 2, reply_received{ id / 2, reply });
       }
     } else if (link.mToServer && server.mUp) {
       ServeLink(link);
@@ -474,7 +493,7 @@
     const bool open = chosen->second.mOpen;
     mOutstanding.erase(id);
     mModel.Close(id);
-    Handle(connection_closed{ id, !open });
+    Handle(id % 2, connection_closed{ id / 2, !open });
   }
 
   // Elects and publishes at once, or only later.
@@ -486,21 +505,26 @@
     }
     mView.mTerm.mTerm = mModel.mNewestTerm;
     mView.mTerm.mPrimary = mModel.mServers[*primary].mName;
-    if (Random(2) == 0) {
-      auto electing = mView;
-      electing.mTerm.mPhase = term_phase::Electing;
-      electing.mTerm.mPrimary.clear();
-      Handle(view_changed{ std::make_shared<service_view>(electing), Keys() });
+    for (std::size_t i = 0; i < mEngines.size(); ++i) {
+      if (Random(2) == 0) {
+        auto electing = mView;
+        electing.mTerm.mPhase = term_phase::Electing;
+        electing.mTerm.mPrimary.clear();
+        Handle(
+          i, view_changed{ std::make_shared<service_view>(electing), Keys() });
+      }
+      mPublishAt[i] = mNow + milliseconds(Random(Random(3) == 0 ? 2'000 : 50));
     }
-    mPublishAt = mNow + milliseconds(Random(100));
   }
 
   backend_model mModel;
   std::mt19937 mRandom;
-  service_engine mEngine;
+  std::vector<std::unique_ptr<service_engine>> mEngines;
+  // Engine whose actions are carried out.
+  std::size_t mActive = 0;
   service_view mView;
   time_point mNow{ seconds(1'000) };
-  std::optional<time_point> mPublishAt;
+  std::array<std::optional<time_point>, 2> mPublishAt;
   std::vector<caller> mCallers;
   int mRequests = 0;
   std::set<std::string> mOpenRequests;
