Notice an overdue reply on a young connection

Purpose: the timer that guards the opening of a connection hid the earlier due time of its first statement, so that silence was noticed after 2 s, not 1 s. Change: a connection's timer is replaced by an earlier one.

--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -61,8 +61,8 @@
   time_point mDueAt;
   // How often the outstanding request was found overdue.
   int mOverdues = 0;
-  // True while a timer for mDueAt or an earlier time is set.
-  bool mTimerSet = false;
+  // Time of the set timer, at mDueAt or earlier; nothing without a timer.
+  std::optional<time_point> mTimerAt;
   time_point mIdleSince;
 };
 
--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -257,13 +257,13 @@
 }
 
 void
-service_engine_state::OnOverdue(connection_id aId)
+service_engine_state::OnOverdue(connection_id aId, time_point aTimerAt)
 {
   auto* connection = mPool.Find(aId);
-  if (!connection) {
+  if (!connection || connection->mTimerAt != aTimerAt) {
     return;
   }
-  connection->mTimerSet = false;
+  connection->mTimerAt.reset();
   const bool opening = connection->mPhase == connection_phase::Opening;
   if (!opening && !connection->mOutstanding) {
     return;
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -204,7 +204,7 @@
       }
       break;
     case timer_kind::Overdue:
-      OnOverdue(aTimer.mId);
+      OnOverdue(aTimer.mId, aTimer.mAt);
       break;
     case timer_kind::TransactionIdle:
       OnTransactionIdle(aTimer.mId);
@@ -246,10 +246,11 @@
 void
 service_engine_state::EnsureOverdueTimer(pooled_connection& aConnection)
 {
-  // A set timer is left alone: when it fires, it is set again for the request
-  // that is outstanding then. This saves two changes of the set a statement.
-  if (!aConnection.mTimerSet) {
-    aConnection.mTimerSet = true;
+  // An earlier timer is left alone: when it fires, it is set again for the
+  // request that is outstanding then. This saves two changes of the set of
+  // timers a statement. A later one is ignored when it fires.
+  if (!aConnection.mTimerAt || *aConnection.mTimerAt > aConnection.mDueAt) {
+    aConnection.mTimerAt = aConnection.mDueAt;
     SetTimer(aConnection.mDueAt, timer_kind::Overdue, aConnection.mId);
   }
 }
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -197,7 +197,7 @@
   void OnCheckReply(connection_id aId, const backend_reply& aReply);
   void OnLost(const pooled_connection& aConnection);
   void OnAttemptLost(request_entry& aEntry);
-  void OnOverdue(connection_id aId);
+  void OnOverdue(connection_id aId, time_point aTimerAt);
   void ReportEvidence(std::size_t aServer,
                       server_evidence aEvidence,
                       std::uint64_t aTerm);
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace snipewalk {
 namespace {
 
@@ -37,5 +39,313 @@
   EXPECT_FALSE(driver.mAnswers[0].mSession.empty());
 }
 
+// Guards against a write that the caller believes lost although it ran.
+TEST(ServiceEngineTest, LooksUpAWriteWhoseReplyWasLost)
+{
+  engine_driver driver;
+  driver.Start();
+  const auto request = driver.Request(statement_kind::Write);
+  driver.Submit(request);
+  driver.Lose(driver.Take<backend_statement>("a")->first.mConnection);
+  const auto lookup = driver.Take<backend_outcome_query>("a");
+  ASSERT_TRUE(lookup);
+  EXPECT_EQ(lookup->second.mIdempotencyKey, request.mIdempotencyKey);
+  backend_reply reply;
+  reply.mTerm = 1;
+  reply.mKeyState = key_state::Done;
+  reply.mIndex = 4;
+  driver.Handle(reply_received{ lookup->first.mConnection, reply });
+  driver.Acknowledge("b", 4);
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::Done);
+  EXPECT_TRUE(driver.mAnswers[0].mReplayed);
+}
+
+// Guards against "not run" while an attempt may still take effect.
+TEST(ServiceEngineTest, SaysUnknownWhenAnAttemptWasNotSettled)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  driver.Submit(driver.Request(statement_kind::Write));
+  ASSERT_TRUE(driver.Take<backend_statement>("a"));
+  driver.Execute(*driver.Take<backend_statement>("a"), 3);
+  driver.Advance(seconds(6));
+  ASSERT_EQ(driver.mAnswers.size(), 2U);
+  for (const auto& answer : driver.mAnswers) {
+    EXPECT_EQ(answer.mOutcome, statement_outcome::Unknown);
+    EXPECT_FALSE(answer.mIdempotencyKey.empty());
+  }
+}
+
+// Guards against failed writes during a change of primary: they wait and run
+// at the new one.
+TEST(ServiceEngineTest, HoldsWritesDuringAChangeOfPrimary)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.mView.mTerm.mTerm = 2;
+  driver.mView.mTerm.mPhase = term_phase::Electing;
+  driver.mView.mTerm.mPrimary.clear();
+  driver.Publish();
+  driver.Submit(driver.Request(statement_kind::Write));
+  driver.Advance(seconds(1));
+  EXPECT_TRUE(driver.mAnswers.empty());
+  EXPECT_FALSE(driver.Take<backend_statement>());
+  driver.mView.mTerm.mPhase = term_phase::Stable;
+  driver.mView.mTerm.mPrimary = "b";
+  driver.Publish();
+  driver.Settle();
+  const auto write = driver.Take<backend_statement>("b");
+  ASSERT_TRUE(write);
+  EXPECT_EQ(write->second.mTerm, 2U);
+}
+
+// Guards against a write of the old term that is answered without knowing
+// whether the new primary has it.
+TEST(ServiceEngineTest, SettlesWritesOfTheOldTermAtTheNewPrimary)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  driver.Execute(*driver.Take<backend_statement>("a"), 3);
+  const auto wait = driver.Take<backend_wait>("b");
+  ASSERT_TRUE(wait);
+  driver.mView.mTerm.mTerm = 2;
+  driver.mView.mTerm.mPrimary = "b";
+  driver.Publish();
+  // A late confirmation of the old term no longer counts.
+  backend_reply late;
+  late.mTerm = 1;
+  late.mIndex = 3;
+  driver.Handle(reply_received{ wait->first.mConnection, late });
+  EXPECT_TRUE(driver.mAnswers.empty());
+  EXPECT_TRUE(driver.Take<backend_outcome_query>("b"));
+}
+
+// Guards against a request that is sent although it cannot be served in time.
+TEST(ServiceEngineTest, RefusesWhenTheQueueIsFull)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mQueueLimit = 3;
+  driver.Start();
+  for (int i = 0; i < 10; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+  }
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::Overloaded);
+  EXPECT_GT(driver.mAnswers[0].mRetryAfter, milliseconds(0));
+}
+
+// Guards against statements of two transactions on one connection, and against
+// a connection with an open transaction that serves others.
+TEST(ServiceEngineTest, PinsEachTransactionToItsConnection)
+{
+  engine_driver driver;
+  driver.Start();
+  std::vector<connection_id> pinned;
+  for (int i = 0; i < 2; ++i) {
+    driver.Submit(driver.Request(statement_kind::Begin));
+    const auto begin = driver.Take<backend_statement>("a");
+    ASSERT_TRUE(begin);
+    pinned.push_back(begin->first.mConnection);
+    driver.Execute(*begin, 1);
+  }
+  EXPECT_NE(pinned[0], pinned[1]);
+  ASSERT_EQ(driver.mAnswers.size(), 2U);
+  for (const std::size_t i : { 1U, 0U, 1U }) {
+    auto request = driver.Request(statement_kind::Write);
+    request.mTransaction = driver.mAnswers[i].mTransaction;
+    driver.Submit(request);
+    const auto write = driver.Take<backend_statement>("a");
+    ASSERT_TRUE(write);
+    EXPECT_EQ(write->first.mConnection, pinned[i]);
+    driver.Execute(*write, 1);
+  }
+  driver.Submit(driver.Request(statement_kind::Write));
+  const auto other = driver.Take<backend_statement>("a");
+  ASSERT_TRUE(other);
+  EXPECT_NE(other->first.mConnection, pinned[0]);
+  EXPECT_NE(other->first.mConnection, pinned[1]);
+}
+
+// Guards against another account's or a made-up transaction id.
+TEST(ServiceEngineTest, RejectsAForeignTransaction)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Begin));
+  driver.Execute(*driver.Take<backend_statement>("a"), 1);
+  auto request = driver.Request(statement_kind::Write);
+  request.mTransaction = driver.mAnswers[0].mTransaction;
+  request.mAccount = "another";
+  driver.Submit(request);
+  EXPECT_EQ(driver.mAnswers[1].mReason, refusal_reason::UnknownTransaction);
+}
+
+// Guards against abandoned transactions that hold scarce connections.
+TEST(ServiceEngineTest, EndsIdleTransactions)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Begin));
+  const auto begin = driver.Take<backend_statement>("a");
+  driver.Execute(*begin, 1);
+  driver.Advance(seconds(31));
+  EXPECT_EQ(driver.mEngine.Status().mTransactions, 0U);
+  EXPECT_EQ(std::count(driver.mClosed.begin(),
+                       driver.mClosed.end(),
+                       begin->first.mConnection),
+            1);
+  auto request = driver.Request(statement_kind::Write);
+  request.mTransaction = driver.mAnswers[0].mTransaction;
+  driver.Submit(request);
+  EXPECT_EQ(driver.mAnswers[1].mReason, refusal_reason::TransactionLost);
+  EXPECT_EQ(driver.mAnswers[1].mOutcome, statement_outcome::NotRun);
+}
+
+// Guards against a lost commit that is reported as rolled back.
+TEST(ServiceEngineTest, LooksUpALostCommit)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Begin));
+  driver.Execute(*driver.Take<backend_statement>("a"), 1);
+  auto commit = driver.Request(statement_kind::Commit);
+  commit.mTransaction = driver.mAnswers[0].mTransaction;
+  driver.Submit(commit);
+  driver.Lose(driver.Take<backend_statement>("a")->first.mConnection);
+  const auto lookup = driver.Take<backend_outcome_query>("a");
+  ASSERT_TRUE(lookup);
+  EXPECT_EQ(lookup->second.mIdempotencyKey, commit.mIdempotencyKey);
+  driver.Advance(seconds(6));
+  ASSERT_EQ(driver.mAnswers.size(), 2U);
+  EXPECT_EQ(driver.mAnswers[1].mOutcome, statement_outcome::Unknown);
+}
+
+// Guards against a caller that waits for its whole deadline on a connection
+// that became silent: a probe over a new connection tells.
+TEST(ServiceEngineTest, ProbesAServerWhoseReplyIsOverdue)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  const auto write = driver.Take<backend_statement>("a");
+  ASSERT_TRUE(write);
+  driver.Advance(milliseconds(1'001));
+  EXPECT_FALSE(driver.mOpening.empty());
+  EXPECT_EQ(driver.mEvidence.back().mEvidence, server_evidence::Silent);
+  driver.Settle();
+  EXPECT_EQ(std::count(driver.mClosed.begin(),
+                       driver.mClosed.end(),
+                       write->first.mConnection),
+            1);
+  EXPECT_TRUE(driver.Take<backend_outcome_query>("a"));
+}
+
+// Guards against a reply that is delivered to another request.
+TEST(ServiceEngineTest, DropsAReplyWithAnotherRequestId)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Read));
+  auto read = driver.Take<backend_statement>();
+  ASSERT_TRUE(read);
+  auto foreign = *read;
+  foreign.second.mRequestId = "r0.1";
+  driver.Execute(foreign, 5, "another caller's rows");
+  EXPECT_TRUE(driver.mAnswers.empty());
+  const auto retry = driver.Take<backend_statement>();
+  ASSERT_TRUE(retry);
+  driver.Execute(*retry, 5, "rows");
+  EXPECT_EQ(driver.mAnswers.at(0).mBody, "rows");
+}
+
+// Guards against data older than stated while the primary is silent.
+TEST(ServiceEngineTest, RefusesAReadWhoseAgeCannotBePromised)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Advance(seconds(1));
+  auto request = driver.Request(statement_kind::Read);
+  request.mMaxAge = milliseconds(50);
+  driver.Submit(request);
+  driver.Advance(milliseconds(150));
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::TooStale);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+}
+
+// Guards against new work on a leaving server and connections that stay there.
+TEST(ServiceEngineTest, DrainsALeavingServer)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.mView.mDocument.mServers[1].mState = server_state::Leaving;
+  driver.mView.mTerm.mTerm = 2;
+  driver.mView.mTerm.mVoters = { "a", "c" };
+  driver.Publish();
+  driver.Settle();
+  for (const auto& server : driver.mEngine.Status().mServers) {
+    EXPECT_EQ(server.mConnections, server.mName == "b" ? 0U : 6U);
+  }
+}
+
+// Guards against an instance that starts transactions which its end cuts.
+TEST(ServiceEngineTest, BeginsNoTransactionWhileShuttingDown)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Handle(drain_requested{});
+  driver.Submit(driver.Request(statement_kind::Begin));
+  EXPECT_EQ(driver.mAnswers.at(0).mReason, refusal_reason::ShuttingDown);
+  driver.Submit(driver.Request(statement_kind::Read));
+  EXPECT_TRUE(driver.Take<backend_statement>());
+}
+
+// Guards against writes that are accepted while no replica keeps up.
+TEST(ServiceEngineTest, RefusesWritesWhileAllReplicasAreBehind)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  driver.Execute(*driver.Take<backend_statement>("a"), 3);
+  driver.Advance(seconds(11));
+  driver.Submit(driver.Request(statement_kind::Write));
+  EXPECT_EQ(driver.mAnswers.back().mReason, refusal_reason::ReplicasBehind);
+  EXPECT_EQ(driver.mAnswers.back().mOutcome, statement_outcome::NotRun);
+}
+
+// Guards against a rejected statement that is sent again and again.
+TEST(ServiceEngineTest, SettlesAMalformedWriteByOneLookup)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  driver.RefuseStatement(*driver.Take<backend_statement>("a"),
+                         backend_error::Malformed);
+  const auto lookup = driver.Take<backend_outcome_query>("a");
+  ASSERT_TRUE(lookup);
+  backend_reply reply;
+  reply.mTerm = 1;
+  reply.mKeyState = key_state::Absent;
+  driver.Handle(reply_received{ lookup->first.mConnection, reply });
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::BadRequest);
+}
+
+// Guards against an explanation that changes the engine or fails.
+TEST(ServiceEngineTest, ExplainsTheRouteOfARead)
+{
+  engine_driver driver;
+  driver.Start();
+  const auto text =
+    driver.mEngine.Explain(driver.Request(statement_kind::Read), driver.mNow);
+  EXPECT_NE(text.find("would go to b"), std::string::npos) << text;
+  EXPECT_TRUE(driver.mSent.empty());
+}
+
 } // namespace
 } // namespace snipewalk
