--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -3,6 +3,7 @@
 // changes of term that the engines learn at different times. The promises are
 // checked at each step.
 #include "request/backend_model.h"
+#include "request/caller_ledger.h"
 #include "snipewalk/request/session_token.h"
 
 #include <gtest/gtest.h>
@@ -27,21 +28,7 @@
   return { { "k", "secret", wall_time{} } };
 }
 
-// One caller, with a register of its own.
-struct caller
-{
-  int mNumber = 0;
-  std::string mToken;
-  std::string mTransaction;
-  std::size_t mHolder = 0;
-  std::vector<int> mInTransaction;
-  std::set<int> mDone;
-  std::optional<statement_request> mWaiting;
-  // A write whose outcome is unknown, to be repeated with its key.
-  std::optional<statement_request> mRepeat;
-};
-
-class engine_world
+class engine_world : private caller_ledger
 {
 public:
   explicit engine_world(unsigned aSeed)
@@ -141,8 +128,8 @@
     }
   }
 
+  using caller_ledger::mCommits;
   std::map<statement_outcome, int> mOutcomes;
-  int mCommits = 0;
 
 private:
   std::size_t Random(std::size_t aBelow) { return mRandom() % aBelow; }
@@ -232,110 +219,13 @@
           caller.mWaiting->mRequestId == response.mRequestId) {
         const auto request = *caller.mWaiting;
         caller.mWaiting.reset();
-        Answered(caller, request, response);
+        Answered(caller, request, response, mNow);
       }
     }
   }
 
   void Carry(const report_evidence&) {}
 
-  void Answered(caller& aCaller,
-                const statement_request& aRequest,
-                const statement_response& aResponse)
-  {
-    const bool done = aResponse.mOutcome == statement_outcome::Done;
-    if (!aResponse.mSession.empty()) {
-      aCaller.mToken = aResponse.mSession;
-    }
-    switch (aRequest.mKind) {
-      case statement_kind::Read:
-        if (done) {
-          CheckRead(aCaller, aRequest, aResponse);
-        }
-        return;
-      case statement_kind::Begin:
-        aCaller.mTransaction = aResponse.mTransaction;
-        aCaller.mInTransaction.clear();
-        return;
-      case statement_kind::Rollback:
-        aCaller.mTransaction.clear();
-        return;
-      case statement_kind::Write:
-        if (!aRequest.mTransaction.empty()) {
-          AnsweredInside(aCaller, aRequest, aResponse);
-          return;
-        }
-        break;
-      case statement_kind::Commit:
-        aCaller.mTransaction.clear();
-        mCommits += done ? 1 : 0;
-        break;
-    }
-    Settled(aCaller, aRequest, aResponse.mOutcome);
-  }
-
-  void AnsweredInside(caller& aCaller,
-                      const statement_request& aRequest,
-                      const statement_response& aResponse)
-  {
-    if (aResponse.mOutcome == statement_outcome::Done) {
-      aCaller.mInTransaction.push_back(ValueOfBody(aRequest));
-    } else if (aResponse.mReason != refusal_reason::Conflict) {
-      aCaller.mTransaction.clear();
-    }
-  }
-
-  void Settled(caller& aCaller,
-               const statement_request& aRequest,
-               statement_outcome aOutcome)
-  {
-    const auto& key = aRequest.mIdempotencyKey;
-    if (aOutcome == statement_outcome::NotRun) {
-      // A repeated key may have run in its first request.
-      if (!mUnknown.contains(key)) {
-        mNotRun.insert(key);
-      }
-    } else if (aOutcome == statement_outcome::Unknown) {
-      mUnknown.insert(key);
-      aCaller.mRepeat = aRequest;
-    } else {
-      mDoneKeys.insert(key);
-      std::vector<int> values{ ValueOfBody(aRequest) };
-      if (aRequest.mKind == statement_kind::Commit) {
-        values = mCommitValues[key];
-      }
-      for (const int value : values) {
-        aCaller.mDone.insert(value);
-        mDoneAt[{ aCaller.mNumber, value }] = mNow;
-      }
-    }
-  }
-
-  void CheckRead(const caller& aCaller,
-                 const statement_request& aRequest,
-                 const statement_response& aResponse)
-  {
-    if (aRequest.mMaxAge) {
-      ASSERT_TRUE(aResponse.mDataAge);
-      EXPECT_LE(*aResponse.mDataAge, *aRequest.mMaxAge);
-    }
-    for (const int value : aCaller.mDone) {
-      const bool mustSee =
-        !aRequest.mMaxAge ||
-        mDoneAt[{ aCaller.mNumber, value }] < mNow - *aResponse.mDataAge;
-      const bool sees = aResponse.mBody.find(" " + std::to_string(value) +
-                                             " ") != std::string::npos;
-      EXPECT_TRUE(sees || !mustSee)
-        << "caller " << aCaller.mNumber << " misses " << value << " at "
-        << aResponse.mServer;
-    }
-  }
-
-  static int ValueOfBody(const statement_request& aRequest)
-  {
-    return std::stoi(aRequest.mBody.substr(aRequest.mBody.find(' ')));
-  }
-
   void Submit(caller& aCaller)
   {
     if (aCaller.mWaiting) {
@@ -523,16 +413,10 @@
   service_view mView;
   time_point mNow{ seconds(1'000) };
   std::array<std::optional<time_point>, 2> mPublishAt;
-  std::vector<caller> mCallers;
   int mRequests = 0;
   std::set<std::string> mOpenRequests;
   std::set<connection_id> mOutstanding;
   std::map<std::string, std::string> mTransactionOf;
-  std::map<std::string, std::vector<int>> mCommitValues;
-  std::map<std::pair<int, int>, time_point> mDoneAt;
-  std::set<std::string> mNotRun;
-  std::set<std::string> mUnknown;
-  std::set<std::string> mDoneKeys;
 };
 
 // Guards against lost or repeated effects, false "not run" answers, stale reads
