Move overdue reads on when a probe finds the server silent

Purpose: a read on a silent server waited for half of its time although a probe had already shown the silence. Change: the end of a probe settles overdue reads or writes; long functions and the property test's file are split.

--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -21,6 +21,13 @@
   aMean += kServiceTimeWeight * (value - aMean);
 }
 
+bool
+IsStatement(connection_use aUse)
+{
+  return aUse != connection_use::Check && aUse != connection_use::Lookup &&
+         aUse != connection_use::Acknowledgement;
+}
+
 } // namespace
 
 void
@@ -195,12 +202,22 @@
   }
   ObserveStatus(connection.mServer, *aReply.mStatus, connection.mSentAt);
   mPool.Release(aId, mNow, *mActions);
-  // The server answers on this connection, so overdue ones are silent.
-  for (const auto id : mPool.Busy(connection.mServer)) {
+  GiveUpOverdue(connection.mServer, true);
+}
+
+// A probe of the server ended. If it answered, overdue writes are on silent
+// connections and are settled by a look-up; if not, overdue reads go elsewhere.
+void
+service_engine_state::GiveUpOverdue(std::size_t aServer, bool aAnswered)
+{
+  for (const auto id : mPool.Busy(aServer)) {
     const auto* busy = mPool.Find(id);
-    const auto* entry = FindRequest(busy->mOwner);
-    if (busy->mOverdues > 0 && busy->mUse == connection_use::Write && entry &&
-        entry->mStage == request_stage::Sent) {
+    if (!busy || busy->mOverdues == 0) {
+      continue;
+    }
+    const bool read = busy->mUse == connection_use::Read ||
+                      busy->mUse == connection_use::PrimaryRead;
+    if (aAnswered ? busy->mUse == connection_use::Write : read) {
       const pooled_connection copy = *busy;
       mPool.Close(id, *mActions);
       OnLost(copy);
@@ -216,6 +233,10 @@
     mLinks[aConnection.mServer].mConnection = 0;
     return;
   }
+  if (aConnection.mUse == connection_use::Check) {
+    GiveUpOverdue(aConnection.mServer, false);
+    return;
+  }
   if (mTransactions.contains(aConnection.mOwner)) {
     LoseTransaction(aConnection.mOwner);
     return;
@@ -277,38 +298,43 @@
   if (opening) {
     mActions->push_back(close_connection{ aId });
     mPool.Closed(aId, true, mNow);
+    if (copy.mUse == connection_use::Check) {
+      OnLost(copy);
+    }
     return;
   }
-  const auto* entry = FindRequest(copy.mOwner);
-  const bool statement = copy.mUse != connection_use::Check &&
-                         copy.mUse != connection_use::Acknowledgement &&
-                         copy.mUse != connection_use::Lookup;
-  if (!statement) {
-    mPool.Close(aId, *mActions);
-    OnLost(copy);
-    return;
-  }
-  // The reply may be slow rather than lost. A probe over a new connection tells
-  // whether the server lives; a read moves on after half of its time.
-  ++connection->mOverdues;
-  if (connection->mOverdues > 1 && entry && !entry->mHasEffect &&
-      copy.mUse != connection_use::Transaction) {
+  if (IsStatement(copy.mUse)) {
+    OnStatementOverdue(*connection);
+  } else {
     mPool.Close(aId, *mActions);
     OnLost(copy);
-    return;
   }
-  connection->mDueAt = mNow + kOverdueAge;
-  if (entry && !entry->mHasEffect) {
-    connection->mDueAt = std::max(
-      connection->mDueAt, mNow + (entry->mRequest.mDeadline - mNow) / 2);
-  }
-  EnsureOverdueTimer(*connection);
-  const bool probed = mPool.InUse(copy.mServer, connection_use::Check) > 0 ||
-                      mPool.OpenProbe(copy.mServer, *mActions);
-  if (!probed && copy.mUse == connection_use::Write) {
-    // Every connection is busy, perhaps silent like this one: giving it up
-    // makes room for a new one, and the look-up settles the write.
-    mPool.Close(aId, *mActions);
+}
+
+// The reply may be slow rather than lost. A probe over a new connection tells
+// whether the server lives; a read moves on after half of its time.
+void
+service_engine_state::OnStatementOverdue(pooled_connection& aConnection)
+{
+  const auto* entry = FindRequest(aConnection.mOwner);
+  const bool read = entry && !entry->mHasEffect;
+  const bool late = ++aConnection.mOverdues > 1;
+  aConnection.mDueAt = mNow + kOverdueAge;
+  if (read) {
+    aConnection.mDueAt = std::max(
+      aConnection.mDueAt, mNow + (entry->mRequest.mDeadline - mNow) / 2);
+  }
+  EnsureOverdueTimer(aConnection);
+  const std::size_t server = aConnection.mServer;
+  const bool probed = mPool.InUse(server, connection_use::Check) > 0 ||
+                      mPool.OpenProbe(server, *mActions);
+  // Without a probe every connection is busy, perhaps silent like this one:
+  // giving it up makes room for a new one, and a look-up settles the write.
+  const bool giveUp =
+    read ? late : !probed && aConnection.mUse == connection_use::Write;
+  if (giveUp && aConnection.mUse != connection_use::Transaction) {
+    const pooled_connection copy = aConnection;
+    mPool.Close(copy.mId, *mActions);
     OnLost(copy);
   }
 }
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -109,13 +109,8 @@
 }
 
 std::string
-service_engine_state::Explain(const statement_request& aRequest,
-                              time_point aNow) const
+service_engine_state::ExplainServers() const
 {
-  if (!mView || mView->mConnectionShare <= 0) {
-    return "This instance holds no slot of the service; the request would be "
-           "forwarded to a holder.\n";
-  }
   const auto& servers = mRouter.Servers();
   const auto primary = mRouter.Primary();
   std::string text =
@@ -133,30 +128,31 @@
     if (!server.mPresent) {
       continue;
     }
-    absl::StrAppend(&text,
-                    "  ",
-                    server.mName,
-                    ": applied ",
-                    server.mApplied,
-                    " in term ",
-                    server.mServingTerm,
-                    ", ",
-                    mPool.Outstanding(i),
-                    " outstanding, ",
-                    mPool.Count(i),
-                    " of ",
-                    mPool.Limit(i),
-                    " connections",
-                    server.mLeaving ? ", leaving" : "",
-                    server.mSuspected ? ", suspected" : "",
-                    mRouter.Serving(i) ? "" : ", role in this term not known",
-                    "\n");
+    absl::StrAppend(&text, "  ", server.mName, ": applied ", server.mApplied);
+    absl::StrAppend(&text, " in term ", server.mServingTerm, ", ");
+    absl::StrAppend(&text, mPool.Outstanding(i), " outstanding, ");
+    absl::StrAppend(&text, mPool.Count(i), " of ", mPool.Limit(i));
+    absl::StrAppend(&text, " connections", server.mLeaving ? ", leaving" : "");
+    absl::StrAppend(&text, server.mSuspected ? ", suspected" : "");
+    absl::StrAppend(
+      &text, mRouter.Serving(i) ? "" : ", role in this term not known", "\n");
+  }
+  return text;
+}
+
+std::string
+service_engine_state::Explain(const statement_request& aRequest,
+                              time_point aNow) const
+{
+  if (!mView || mView->mConnectionShare <= 0) {
+    return "This instance holds no slot of the service; the request would be "
+           "forwarded to a holder.\n";
   }
+  const std::string text = ExplainServers();
   if (aRequest.mKind != statement_kind::Read ||
       !aRequest.mTransaction.empty()) {
-    return text + (mNow >= mHoldWritesUntil && PrimaryReady()
-                     ? "The request would go to the primary.\n"
-                     : "The request would wait for a primary.\n");
+    return text + (PrimaryReady() ? "The request would go to the primary.\n"
+                                  : "The request would wait for a primary.\n");
   }
   read_request_facts facts;
   facts.mNeed = aRequest.mMaxAge ? read_need::Age : read_need::Position;
@@ -176,28 +172,32 @@
       return mPool.Available(aServer, connection_use::Read, aNow);
     },
     [&](std::size_t aServer) { return mPool.Outstanding(aServer); });
-  absl::StrAppend(
-    &text, "Needed position: index ", facts.mPosition.mIndex, ".\n");
-  switch (route.mVerdict) {
+  return absl::StrCat(text,
+                      "Needed position: index ",
+                      facts.mPosition.mIndex,
+                      ".\n",
+                      ExplainVerdict(route));
+}
+
+std::string
+service_engine_state::ExplainVerdict(const read_route& aRoute) const
+{
+  switch (aRoute.mVerdict) {
     case route_verdict::Send:
-      absl::StrAppend(&text,
-                      "The read would go to ",
-                      servers[route.mServer].mName,
-                      " (fewest outstanding statements among the servers that "
-                      "are fresh enough, or the freshest one).\n");
-      break;
+      return absl::StrCat(
+        "The read would go to ",
+        mRouter.Servers()[aRoute.mServer].mName,
+        " (fewest outstanding statements among the servers that are fresh "
+        "enough, or the freshest one).\n");
     case route_verdict::Wait:
-      text += "The read would wait for a free connection.\n";
-      break;
+      return "The read would wait for a free connection.\n";
     case route_verdict::ToPrimary:
-      text += "No replica can serve the read: it would go to the primary.\n";
-      break;
+      return "No replica can serve the read: it would go to the primary.\n";
     case route_verdict::Refresh:
-      text += "No replica is known to have data of the stated age: positions "
-              "would be refreshed first.\n";
-      break;
+      return "No replica is known to have data of the stated age: positions "
+             "would be refreshed first.\n";
   }
-  return text;
+  return {};
 }
 
 } // namespace snipewalk
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -104,7 +104,8 @@
   if (aEvent.mRefused) {
     ReportEvidence(closed->mServer, server_evidence::Refused, 0);
   }
-  if (closed->mPhase == connection_phase::Busy) {
+  if (closed->mPhase == connection_phase::Busy ||
+      closed->mUse == connection_use::Check) {
     OnLost(*closed);
   }
 }
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -203,6 +203,8 @@
   void OnLost(const pooled_connection& aConnection);
   void OnAttemptLost(request_entry& aEntry);
   void OnOverdue(connection_id aId, time_point aTimerAt);
+  void OnStatementOverdue(pooled_connection& aConnection);
+  void GiveUpOverdue(std::size_t aServer, bool aAnswered);
   void ReportEvidence(std::size_t aServer,
                       server_evidence aEvidence,
                       std::uint64_t aTerm);
@@ -250,6 +252,8 @@
   void ApplyServers();
   void AbandonServer(std::size_t aServer);
   void RefuseWithoutShare();
+  std::string ExplainServers() const;
+  std::string ExplainVerdict(const read_route& aRoute) const;
   std::size_t LimitOf(const server_entry& aEntry, std::size_t aServer) const;
 
   request_entry* FindRequest(std::uint64_t aNumber);
--- a/tests/request/caller_ledger.cpp
+++ b/tests/request/caller_ledger.cpp
@@ -15,6 +15,47 @@
 
 } // namespace
 
+statement_request
+caller_ledger::NextRequest(caller& aCaller,
+                           std::mt19937& aRandom,
+                           int aNumber,
+                           time_point aNow)
+{
+  statement_request request;
+  const auto number = std::to_string(aNumber);
+  request.mRequestId = "r" + number;
+  request.mAccount = "account" + std::to_string(aCaller.mNumber);
+  request.mSession = aCaller.mToken;
+  request.mBody = std::to_string(aCaller.mNumber) + " " + number;
+  request.mDeadline = aNow + milliseconds(20 + aRandom() % 3'000);
+  const auto choice = aRandom() % 10;
+  if (!aCaller.mTransaction.empty()) {
+    request.mTransaction = aCaller.mTransaction;
+    request.mKind = choice < 6   ? statement_kind::Write
+                    : choice < 9 ? statement_kind::Commit
+                                 : statement_kind::Rollback;
+  } else if (aCaller.mRepeat) {
+    request.mKind = aCaller.mRepeat->mKind;
+    request.mTransaction = aCaller.mRepeat->mTransaction;
+    request.mBody = aCaller.mRepeat->mBody;
+    request.mIdempotencyKey = aCaller.mRepeat->mIdempotencyKey;
+    aCaller.mRepeat.reset();
+    return request;
+  } else if (choice < 5) {
+    request.mKind = choice < 4 ? statement_kind::Write : statement_kind::Begin;
+  } else if (choice < 7) {
+    request.mMaxAge = milliseconds(20 + aRandom() % 500);
+  }
+  if (request.mKind == statement_kind::Write ||
+      request.mKind == statement_kind::Commit) {
+    request.mIdempotencyKey = "k" + number;
+  }
+  if (request.mKind == statement_kind::Commit) {
+    mCommitValues[request.mIdempotencyKey] = aCaller.mInTransaction;
+  }
+  return request;
+}
+
 void
 caller_ledger::Answered(caller& aCaller,
                         const statement_request& aRequest,
@@ -113,4 +154,19 @@
   }
 }
 
+void
+caller_ledger::CheckLog(const backend_model& aModel, std::size_t aPrimary) const
+{
+  for (const auto& key : mNotRun) {
+    EXPECT_EQ(aModel.Find(aPrimary, key), nullptr) << key;
+  }
+  for (const auto& key : mDoneKeys) {
+    EXPECT_NE(aModel.Find(aPrimary, key), nullptr) << key;
+  }
+  std::set<std::string> seen;
+  for (const auto& entry : aModel.mServers[aPrimary].mLog) {
+    EXPECT_TRUE(entry.mKey.empty() || seen.insert(entry.mKey).second);
+  }
+}
+
 } // namespace snipewalk
--- a/tests/request/caller_ledger.h
+++ b/tests/request/caller_ledger.h
@@ -3,10 +3,12 @@
 #ifndef SNIPEWALK_TESTS_REQUEST_CALLER_LEDGER_H_
 #define SNIPEWALK_TESTS_REQUEST_CALLER_LEDGER_H_
 
+#include "request/backend_model.h"
 #include "snipewalk/request/statement.h"
 
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -30,12 +32,21 @@
 
 struct caller_ledger
 {
+  // Makes the next request of a caller; aNumber is new.
+  statement_request NextRequest(caller& aCaller,
+                                std::mt19937& aRandom,
+                                int aNumber,
+                                time_point aNow);
+
   // Takes an answer to a caller's request and checks what it promises.
   void Answered(caller& aCaller,
                 const statement_request& aRequest,
                 const statement_response& aResponse,
                 time_point aNow);
 
+  // Checks the log of the last primary against what the callers were told.
+  void CheckLog(const backend_model& aModel, std::size_t aPrimary) const;
+
   std::vector<caller> mCallers;
   // Values written inside a transaction, by the key of its commit.
   std::map<std::string, std::vector<int>> mCommitValues;
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -62,41 +62,21 @@
   {
     mNow += std::chrono::microseconds(Random(Random(40) == 0 ? 40'000 : 400));
     Tick();
-    switch (Random(40)) {
-      case 0:
-      case 1:
-      case 2:
-      case 3:
-      case 4:
-      case 5:
-        Submit(mCallers[Random(kSessions)]);
-        break;
-      case 6:
-        if (Random(2) == 0) {
-          Disturb();
-        }
-        break;
-      case 7:
-      case 8:
-      case 9:
-      case 10:
-      case 11:
-        mModel.Replicate(Random(3));
-        break;
-      case 12:
-        mModel.RunOrphan();
-        break;
-      case 13:
-        if (Random(6) == 0) {
-          ChangeTerm();
-        }
-        break;
-      case 14:
-        mModel.Follow(Random(3));
-        break;
-      default:
-        MoveLink();
-        break;
+    const auto choice = Random(40);
+    if (choice < 6) {
+      Submit(mCallers[Random(kSessions)]);
+    } else if (choice == 6 && Random(2) == 0) {
+      Disturb();
+    } else if (choice > 6 && choice < 12) {
+      mModel.Replicate(Random(3));
+    } else if (choice == 12) {
+      mModel.RunOrphan();
+    } else if (choice == 13 && Random(6) == 0) {
+      ChangeTerm();
+    } else if (choice == 14) {
+      mModel.Follow(Random(3));
+    } else {
+      MoveLink();
     }
   }
 
@@ -116,16 +96,7 @@
     EXPECT_TRUE(mOpenRequests.empty()) << *mOpenRequests.begin();
     ChangeTerm();
     const auto primary = *mModel.mPrimary;
-    for (const auto& key : mNotRun) {
-      EXPECT_EQ(mModel.Find(primary, key), nullptr) << key;
-    }
-    for (const auto& key : mDoneKeys) {
-      EXPECT_NE(mModel.Find(primary, key), nullptr) << key;
-    }
-    std::set<std::string> seen;
-    for (const auto& entry : mModel.mServers[primary].mLog) {
-      EXPECT_TRUE(entry.mKey.empty() || seen.insert(entry.mKey).second);
-    }
+    CheckLog(mModel, primary);
   }
 
   using caller_ledger::mCommits;
@@ -231,36 +202,7 @@
     if (aCaller.mWaiting) {
       return;
     }
-    statement_request request;
-    request.mRequestId = "r" + std::to_string(++mRequests);
-    request.mAccount = "account" + std::to_string(aCaller.mNumber);
-    request.mSession = aCaller.mToken;
-    request.mBody =
-      std::to_string(aCaller.mNumber) + " " + std::to_string(mRequests);
-    request.mDeadline = mNow + milliseconds(20 + Random(3'000));
-    const auto choice = Random(10);
-    if (!aCaller.mTransaction.empty()) {
-      request.mTransaction = aCaller.mTransaction;
-      request.mKind = choice < 6   ? statement_kind::Write
-                      : choice < 9 ? statement_kind::Commit
-                                   : statement_kind::Rollback;
-    } else if (aCaller.mRepeat || choice < 4) {
-      request.mKind = statement_kind::Write;
-    } else if (choice == 4) {
-      request.mKind = statement_kind::Begin;
-    } else if (choice < 7) {
-      request.mMaxAge = milliseconds(20 + Random(500));
-    }
-    if (request.mKind == statement_kind::Write ||
-        request.mKind == statement_kind::Commit) {
-      request.mIdempotencyKey = "k" + std::to_string(mRequests);
-    }
-    if (aCaller.mRepeat && aCaller.mTransaction.empty()) {
-      Repeat(aCaller, request);
-    }
-    if (request.mKind == statement_kind::Commit) {
-      mCommitValues[request.mIdempotencyKey] = aCaller.mInTransaction;
-    }
+    const auto request = NextRequest(aCaller, mRandom, ++mRequests, mNow);
     mTransactionOf[request.mRequestId] = request.mTransaction;
     mOpenRequests.insert(request.mRequestId);
     aCaller.mWaiting = request;
@@ -271,15 +213,6 @@
     Handle(engine, statement_submitted{ request });
   }
 
-  static void Repeat(caller& aCaller, statement_request& aRequest)
-  {
-    aRequest.mKind = aCaller.mRepeat->mKind;
-    aRequest.mTransaction = aCaller.mRepeat->mTransaction;
-    aRequest.mIdempotencyKey = aCaller.mRepeat->mIdempotencyKey;
-    aRequest.mBody = aCaller.mRepeat->mBody;
-    aCaller.mRepeat.reset();
-  }
-
   // Moves one message, or establishes or refuses one connection.
   void MoveLink()
   {
