Serve aged reads whose session is ahead of the view

Purpose: a read with a stated age was held until the view of its session's term arrived, although its position is not required. Change: only reads by position and writes are held; long functions are split.

--- a/include/snipewalk/request/read_router.h
+++ b/include/snipewalk/request/read_router.h
@@ -134,6 +134,27 @@
     std::uint64_t mIndex = 0;
   };
 
+  // Servers that a read may go to, all with a free connection.
+  struct candidates
+  {
+    // Cheapest of the servers that suit the read.
+    std::optional<std::size_t> mBest;
+    // Freshest of the others.
+    std::optional<std::size_t> mFreshest;
+    // Whether any server may be used at all, and whether one suits, free or
+    // not.
+    bool mUsable = false;
+    bool mReached = false;
+  };
+
+  bool Suits(std::size_t aServer,
+             const read_request_facts& aFacts,
+             time_point aNow) const;
+  candidates FindCandidates(
+    const read_request_facts& aFacts,
+    time_point aNow,
+    const std::function<bool(std::size_t)>& aFree,
+    const std::function<std::size_t(std::size_t)>& aOutstanding) const;
   std::size_t Adopt(const server_entry& aEntry);
   void AddSample(std::uint64_t aIndex, time_point aSentAt);
   // Latest time at which a majority of voters was still in the current term.
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -75,7 +75,8 @@
       return;
     }
     auto& entry = EntryOf(*node);
-    if (entry.mPosition.mTerm > mRouter.Term()) {
+    // A read with a stated age does not need the session's position.
+    if (entry.mPosition.mTerm > mRouter.Term() && !entry.mRequest.mMaxAge) {
       mQueue.Pop(aLane);
       Delay(entry, false);
       continue;
@@ -100,6 +101,27 @@
   }
 }
 
+read_route
+service_engine_state::RouteOf(const statement_request& aRequest,
+                              const log_position& aPosition,
+                              std::uint64_t aTried,
+                              time_point aNow) const
+{
+  read_request_facts facts;
+  facts.mNeed = aRequest.mMaxAge ? read_need::Age : read_need::Position;
+  facts.mPosition = aPosition;
+  facts.mMaxAge = aRequest.mMaxAge.value_or(milliseconds(0));
+  facts.mTried = aTried;
+  facts.mDeadline = aRequest.mDeadline;
+  return mRouter.Route(
+    facts,
+    aNow,
+    [&](std::size_t aServer) {
+      return mPool.Available(aServer, connection_use::Read, aNow);
+    },
+    [&](std::size_t aServer) { return mPool.Outstanding(aServer); });
+}
+
 // Returns false when the read, and with it its lane, has to wait.
 bool
 service_engine_state::DispatchRead(request_entry& aEntry)
@@ -111,19 +133,8 @@
     Delay(aEntry, false);
     return true;
   }
-  read_request_facts facts;
-  facts.mNeed = aged ? read_need::Age : read_need::Position;
-  facts.mPosition = aEntry.mPosition;
-  facts.mMaxAge = aEntry.mRequest.mMaxAge.value_or(milliseconds(0));
-  facts.mTried = aEntry.mTriedServers;
-  facts.mDeadline = aEntry.mRequest.mDeadline;
-  const auto route = mRouter.Route(
-    facts,
-    mNow,
-    [this](std::size_t aServer) {
-      return mPool.Available(aServer, connection_use::Read, mNow);
-    },
-    [this](std::size_t aServer) { return mPool.Outstanding(aServer); });
+  const auto route =
+    RouteOf(aEntry.mRequest, aEntry.mPosition, aEntry.mTriedServers, mNow);
   switch (route.mVerdict) {
     case route_verdict::Send: {
       mQueue.Pop(aEntry.mLane);
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -154,27 +154,16 @@
     return text + (PrimaryReady() ? "The request would go to the primary.\n"
                                   : "The request would wait for a primary.\n");
   }
-  read_request_facts facts;
-  facts.mNeed = aRequest.mMaxAge ? read_need::Age : read_need::Position;
-  facts.mMaxAge = aRequest.mMaxAge.value_or(milliseconds(0));
-  facts.mDeadline = aRequest.mDeadline;
   const auto session =
     DecodeSession(aRequest.mSession, mSessionKeys, mService, aRequest.mAccount);
-  if (session.ok()) {
-    facts.mPosition = session->mPosition;
-  } else if (!aRequest.mSession.empty()) {
+  if (!session.ok() && !aRequest.mSession.empty()) {
     return text + "The session token is invalid: the request is refused.\n";
   }
-  const auto route = mRouter.Route(
-    facts,
-    aNow,
-    [&](std::size_t aServer) {
-      return mPool.Available(aServer, connection_use::Read, aNow);
-    },
-    [&](std::size_t aServer) { return mPool.Outstanding(aServer); });
+  const auto position = session.ok() ? session->mPosition : log_position{};
+  const auto route = RouteOf(aRequest, position, 0, aNow);
   return absl::StrCat(text,
                       "Needed position: index ",
-                      facts.mPosition.mIndex,
+                      position.mIndex,
                       ".\n",
                       ExplainVerdict(route));
 }
--- a/src/request/read_router.cpp
+++ b/src/request/read_router.cpp
@@ -233,59 +233,78 @@
   return aOutstanding + (near ? 0 : kDistancePenalty);
 }
 
-read_route
-read_router::Route(
+bool
+read_router::Suits(std::size_t aServer,
+                   const read_request_facts& aFacts,
+                   time_point aNow) const
+{
+  const auto& server = mServers[aServer];
+  if (aFacts.mNeed == read_need::Position) {
+    return server.mApplied >= aFacts.mPosition.mIndex;
+  }
+  const auto age = AgeOf(server.mApplied, aNow);
+  return age && *age <= aFacts.mMaxAge;
+}
+
+read_router::candidates
+read_router::FindCandidates(
   const read_request_facts& aFacts,
   time_point aNow,
   const std::function<bool(std::size_t)>& aFree,
   const std::function<std::size_t(std::size_t)>& aOutstanding) const
 {
-  const bool position = aFacts.mNeed == read_need::Position;
-  read_route route;
-  route.mVerdict = route_verdict::ToPrimary;
-  if (aFacts.mNeed == read_need::Primary ||
-      (position && CountBits(aFacts.mTried) >= kReplicasTried)) {
-    return route;
-  }
-  std::size_t best = 0;
-  bool usable = false;
-  bool reached = false;
-  std::optional<std::size_t> freshest;
+  candidates found;
+  std::size_t least = 0;
   for (std::size_t i = 0; i < mServers.size(); ++i) {
     if (!Usable(i, aFacts.mTried)) {
       continue;
     }
-    usable = true;
+    found.mUsable = true;
     const bool free = aFree(i);
-    bool suits = mServers[i].mApplied >= aFacts.mPosition.mIndex;
-    if (!position) {
-      const auto age = AgeOf(mServers[i].mApplied, aNow);
-      suits = age && *age <= aFacts.mMaxAge;
-    }
-    if (suits) {
+    if (Suits(i, aFacts, aNow)) {
+      found.mReached = true;
       const std::size_t cost = Cost(i, aOutstanding(i));
-      reached = true;
-      if (free && (route.mVerdict != route_verdict::Send || cost < best)) {
-        route.mVerdict = route_verdict::Send;
-        route.mServer = i;
-        best = cost;
+      if (free && (!found.mBest || cost < least)) {
+        found.mBest = i;
+        least = cost;
       }
-    } else if (free && (!freshest ||
-                        mServers[i].mApplied > mServers[*freshest].mApplied)) {
-      freshest = i;
+    } else if (free &&
+               (!found.mFreshest ||
+                mServers[i].mApplied > mServers[*found.mFreshest].mApplied)) {
+      found.mFreshest = i;
     }
   }
-  if (!usable) {
+  return found;
+}
+
+read_route
+read_router::Route(
+  const read_request_facts& aFacts,
+  time_point aNow,
+  const std::function<bool(std::size_t)>& aFree,
+  const std::function<std::size_t(std::size_t)>& aOutstanding) const
+{
+  const bool position = aFacts.mNeed == read_need::Position;
+  read_route route;
+  route.mVerdict = route_verdict::ToPrimary;
+  if (aFacts.mNeed == read_need::Primary ||
+      (position && CountBits(aFacts.mTried) >= kReplicasTried)) {
     return route;
   }
-  if (route.mVerdict != route_verdict::Send) {
-    route.mVerdict = route_verdict::Wait;
-    if (!reached && !position) {
-      route.mVerdict = route_verdict::Refresh;
-    } else if (!reached && freshest) {
-      route.mVerdict = route_verdict::Send;
-      route.mServer = *freshest;
-    }
+  const auto found = FindCandidates(aFacts, aNow, aFree, aOutstanding);
+  if (!found.mUsable) {
+    return route;
+  }
+  // Without a server that is known to be far enough, the freshest one waits
+  // for the position.
+  const auto chosen =
+    found.mBest || found.mReached || !position ? found.mBest : found.mFreshest;
+  if (chosen) {
+    route.mVerdict = route_verdict::Send;
+    route.mServer = *chosen;
+  } else {
+    route.mVerdict =
+      found.mReached || position ? route_verdict::Wait : route_verdict::Refresh;
   }
   if (position) {
     route.mMinIndex = aFacts.mPosition.mIndex;
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -174,6 +174,10 @@
   void DispatchLookups();
   void DispatchPrimaryLane(queue_lane aLane, connection_use aUse);
   void DispatchReads(queue_lane aLane);
+  read_route RouteOf(const statement_request& aRequest,
+                     const log_position& aPosition,
+                     std::uint64_t aTried,
+                     time_point aNow) const;
   bool DispatchRead(request_entry& aEntry);
   bool PrimaryReady() const;
   void MoveToPrimaryLane(request_entry& aEntry);
--- a/tests/request/backend_model.cpp
+++ b/tests/request/backend_model.cpp
@@ -130,55 +130,75 @@
     aOpen.reset();
     return fail(backend_error::NoTransaction);
   }
-  const auto [target, value] = Parse(aStatement.mBody);
-  const auto index = [&] { return aServer.mLog.size(); };
-  if (read) {
-    if (aServer.mApplied < aStatement.mMinIndex) {
-      return fail(backend_error::Behind);
-    }
-    for (std::uint64_t i = 0; i < aServer.mApplied; ++i) {
-      if (aServer.mLog[i].mRegister == target) {
-        for (const int written : aServer.mLog[i].mValues) {
-          reply.mBody += " " + std::to_string(written) + " ";
-        }
-      }
-    }
-    return reply;
+  switch (aStatement.mKind) {
+    case statement_kind::Read:
+      return ExecuteRead(aServer, aStatement, std::move(reply));
+    case statement_kind::Begin:
+      aOpen = model_transaction{ aServer.mTerm, -1, {}, {} };
+      return reply;
+    case statement_kind::Rollback:
+      aOpen.reset();
+      return reply;
+    default:
+      return ExecuteEffect(aServer, aStatement, aOpen, std::move(reply));
   }
-  if (aStatement.mKind == statement_kind::Begin) {
-    aOpen = model_transaction{ aServer.mTerm, -1, {}, {} };
-    return reply;
+}
+
+backend_reply
+backend_model::ExecuteRead(const model_server& aServer,
+                           const backend_statement& aStatement,
+                           backend_reply aReply)
+{
+  if (aServer.mApplied < aStatement.mMinIndex) {
+    aReply.mError = backend_error::Behind;
+    return aReply;
   }
-  if (aStatement.mKind == statement_kind::Rollback) {
-    aOpen.reset();
-    return reply;
+  const int target = Parse(aStatement.mBody).first;
+  for (std::uint64_t i = 0; i < aServer.mApplied; ++i) {
+    if (aServer.mLog[i].mRegister == target) {
+      for (const int written : aServer.mLog[i].mValues) {
+        aReply.mBody += " " + std::to_string(written) + " ";
+      }
+    }
   }
+  return aReply;
+}
+
+// A write or a commit; a write inside a transaction is only remembered.
+backend_reply
+backend_model::ExecuteEffect(model_server& aServer,
+                             const backend_statement& aStatement,
+                             std::optional<model_transaction>& aOpen,
+                             backend_reply aReply)
+{
+  const auto [target, value] = Parse(aStatement.mBody);
   if (aStatement.mKind == statement_kind::Write && aOpen) {
     aOpen->mRegister = target;
     aOpen->mValues.push_back(value);
-    return reply;
+    return aReply;
   }
   const auto server = IndexOf(aServer.mName);
   if (const auto* done = Find(server, aStatement.mIdempotencyKey)) {
     aOpen.reset();
-    reply.mReplayed = true;
-    reply.mIndex = static_cast<std::uint64_t>(done - aServer.mLog.data()) + 1;
-    return reply;
+    aReply.mReplayed = true;
+    aReply.mIndex = static_cast<std::uint64_t>(done - aServer.mLog.data()) + 1;
+    return aReply;
   }
   model_entry entry{
     aServer.mTerm, aStatement.mIdempotencyKey, target, { value }
   };
   if (aStatement.mKind == statement_kind::Commit) {
     if (!aOpen) {
-      return fail(backend_error::NoTransaction);
+      aReply.mError = backend_error::NoTransaction;
+      return aReply;
     }
     entry.mRegister = aOpen->mRegister;
     entry.mValues = aOpen->mValues;
     aOpen.reset();
   }
   Append(aServer, std::move(entry));
-  reply.mIndex = index();
-  return reply;
+  aReply.mIndex = aServer.mLog.size();
+  return aReply;
 }
 
 void
--- a/tests/request/backend_model.h
+++ b/tests/request/backend_model.h
@@ -102,6 +102,13 @@
   backend_reply ExecuteStatement(model_server& aServer,
                                  const backend_statement& aStatement,
                                  std::optional<model_transaction>& aOpen);
+  static backend_reply ExecuteRead(const model_server& aServer,
+                                   const backend_statement& aStatement,
+                                   backend_reply aReply);
+  backend_reply ExecuteEffect(model_server& aServer,
+                              const backend_statement& aStatement,
+                              std::optional<model_transaction>& aOpen,
+                              backend_reply aReply);
   void Append(model_server& aServer, model_entry aEntry);
 
   std::vector<orphan> mOrphans;
