Add stand-ins of a backend server and of the platform's store

Purpose: the failover, routing and configuration paths need the other ends of their protocols (design, section 2.1) before they can be tried.

standin_server is a state machine without I/O: terms, fencing, promotion, following with truncation, waits, idempotency keys in the same entry as the effect, transactions with first-committer-wins, apply and receive lag. A promotion appends an empty entry of its term, and a wait is confirmed only by a replica whose log ends in that term; otherwise a replica that still holds entries of a replaced primary could confirm a position it never received.

Ruled out: counting connections at accept. Replication and /standin/ requests share the port, so a connection counts at its first request or after 50 ms.

--- /dev/null
+++ b/tests/standins/backend_http.h
@@ -0,0 +1,41 @@
+// HTTP form of the stand-in backend server's requests and replies (design
+// section 2.1).
+#ifndef SNIPEWALK_STANDINS_BACKEND_HTTP_H_
+#define SNIPEWALK_STANDINS_BACKEND_HTTP_H_
+
+#include "snipewalk/connection/http_codec.h"
+#include "snipewalk/request/backend_messages.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+namespace snipewalk::standins {
+
+// Request of the path /v1/..., or nothing when it is malformed or unknown.
+std::optional<backend_request>
+ParseBackendRequest(const http_request& aRequest);
+
+http_response
+WriteBackendReply(const backend_request& aRequest, const backend_reply& aReply);
+
+// Parses an object; nothing for anything else.
+std::optional<Json::Value>
+ParseJsonObject(const std::string& aText);
+
+// Without line breaks, so that one line holds one value.
+std::string
+WriteJson(const Json::Value& aValue);
+
+// Reads a whole number of at least zero into `aTarget` when the field exists.
+// Returns false when it has another type.
+bool
+ReadNumber(const Json::Value& aObject,
+           const char* aField,
+           std::uint64_t& aTarget);
+
+} // namespace snipewalk::standins
+
+#endif // SNIPEWALK_STANDINS_BACKEND_HTTP_H_
