--- a/tests/standins/store_service.cpp
+++ b/tests/standins/store_service.cpp
@@ -249,10 +249,10 @@
     return;
   }
   watch.mTimer = mLoop.RunAt(aNow + wait, [this, aConnection](time_point) {
-    const auto found = mWatches.find(aConnection);
-    if (found != mWatches.end()) {
-      AnswerWatch(aConnection, found->second, true);
-      mWatches.erase(found);
+    // Taken out first: the answer may close the connection.
+    const auto ended = mWatches.extract(aConnection);
+    if (!ended.empty() && mOutage == store_outage::None) {
+      AnswerWatch(aConnection, ended.mapped(), true);
     }
   });
   mWatches[aConnection] = std::move(watch);
@@ -289,12 +289,11 @@
   if (mOutage != store_outage::None) {
     return;
   }
-  for (auto entry = mWatches.begin(); entry != mWatches.end();) {
-    if (AnswerWatch(entry->first, entry->second, false)) {
-      mLoop.Cancel(entry->second.mTimer);
-      entry = mWatches.erase(entry);
+  for (auto& [connection, watch] : std::exchange(mWatches, {})) {
+    if (AnswerWatch(connection, watch, false)) {
+      mLoop.Cancel(watch.mTimer);
     } else {
-      ++entry;
+      mWatches.emplace(connection, std::move(watch));
     }
   }
 }
