--- /dev/null
+++ b/include/snipewalk/version/control_messages.h
@@ -0,0 +1,55 @@
+// Typed messages that the control threads of different instances exchange
+// about the primary of a service.
+#ifndef SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
+#define SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
+
+#include "snipewalk/base/name_table.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+namespace snipewalk {
+
+// How an instance sees a backend server.
+enum class server_reachability
+{
+  // Answered after the query arrived, or within the last probe interval.
+  Reachable,
+  // Suspected, or probed without an answer since the query arrived.
+  Unreachable
+};
+
+inline constexpr name_table<server_reachability, 2> kServerReachabilityNames{ {
+  { server_reachability::Reachable, "reachable" },
+  { server_reachability::Unreachable, "unreachable" },
+} };
+
+// Asks an instance whether it reaches the primary of a service.
+struct primary_report_query
+{
+  std::string mService;
+  std::string mServer;
+  // Address of the server in the sender's document.
+  std::string mAddress;
+  // Term in which the server is primary, as the sender knows it.
+  std::uint64_t mTerm = 0;
+  // Chosen by the sender; echoed in the report.
+  std::uint64_t mQuery = 0;
+};
+
+// Answer to a primary_report_query.
+struct primary_report
+{
+  std::string mService;
+  std::string mServer;
+  std::uint64_t mTerm = 0;
+  std::uint64_t mQuery = 0;
+  server_reachability mReachability = server_reachability::Reachable;
+};
+
+using control_message = std::variant<primary_report_query, primary_report>;
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
