Add the failover state machine with a model of its platform

Orders first start, elections after failures, planned changes and completion of recorded promotions through conditional updates of one record; each holder decides anew from the record it knows, so that conflicts and lost answers need no special recovery. New voters are recorded only when a majority of them, fenced at the new term, holds the whole log of the new primary; a swap of voters without that rule could lose acknowledged entries.

--- /dev/null
+++ b/src/version/candidate_selection.cpp
@@ -0,0 +1,108 @@
+// Implementation of the choice of primary and voters.
+#include "snipewalk/version/candidate_selection.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <tuple>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+std::pair<std::uint64_t, std::uint64_t>
+PositionOf(const server_status& aStatus)
+{
+  return { aStatus.mLogTerm, aStatus.mReceived };
+}
+
+// Greater is better. The name makes the choice the same on all instances.
+auto
+RankOf(const selection_input& aInput, const server_status& aStatus)
+{
+  const server_entry* entry = aInput.mDocument->Find(aStatus.mServer);
+  const server_entry* old = aInput.mDocument->Find(aInput.mOldPrimary);
+  const bool planned =
+    aInput.mPlan && aInput.mPlan->mCandidate == aStatus.mServer;
+  const bool staying =
+    entry != nullptr && entry->mState == server_state::Active;
+  const bool notFailed =
+    aInput.mPlan.has_value() || aStatus.mServer != aInput.mOldPrimary;
+  const bool near = entry != nullptr && old != nullptr &&
+                    entry->mDataCentre == old->mDataCentre;
+  return std::make_tuple(
+    PositionOf(aStatus), planned, staying, notFailed, near);
+}
+
+std::vector<std::string>
+VotersFor(const selection_input& aInput,
+          const fenced_servers& aFenced,
+          const server_status& aChosen)
+{
+  std::vector<std::string> voters = aInput.mVoters;
+  if (!Contains(voters, aChosen.mServer)) {
+    voters.push_back(aChosen.mServer);
+  }
+  if (!aInput.mPlan || !Contains(aInput.mPlan->mVoters, aChosen.mServer)) {
+    return voters;
+  }
+  fenced_servers equal;
+  for (const auto& [name, status] : aFenced) {
+    if (PositionOf(status) == PositionOf(aChosen)) {
+      equal.emplace(name, status);
+    }
+  }
+  return HasMajority(aInput.mPlan->mVoters, equal) ? aInput.mPlan->mVoters
+                                                   : voters;
+}
+
+} // namespace
+
+bool
+Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+bool
+HasMajority(const std::vector<std::string>& aVoters,
+            const fenced_servers& aFenced)
+{
+  const auto fenced =
+    std::count_if(aVoters.begin(), aVoters.end(), [&](const auto& aVoter) {
+      return aFenced.count(aVoter) > 0;
+    });
+  return 2 * static_cast<std::size_t>(fenced) > aVoters.size();
+}
+
+std::vector<std::string>
+StayingServers(const service_document& aDocument)
+{
+  std::vector<std::string> names;
+  for (const auto& server : aDocument.mServers) {
+    if (server.mState == server_state::Active) {
+      names.push_back(server.mName);
+    }
+  }
+  return names;
+}
+
+std::optional<selection>
+SelectCandidate(const selection_input& aInput, const fenced_servers& aFenced)
+{
+  if (!HasMajority(aInput.mVoters, aFenced)) {
+    return std::nullopt;
+  }
+  const server_status* best = nullptr;
+  for (const auto& [name, status] : aFenced) {
+    if (!aInput.mFirstStart && !Contains(aInput.mVoters, name)) {
+      continue;
+    }
+    if (best == nullptr || RankOf(aInput, status) > RankOf(aInput, *best)) {
+      best = &status;
+    }
+  }
+  return selection{ best->mServer, VotersFor(aInput, aFenced, *best) };
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/failover_decisions.cpp
@@ -0,0 +1,447 @@
+// Decisions of the failover state machine: when to order a term, whom to fence
+// and promote, and who has to follow.
+#include "snipewalk/version/failover.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Requests to a server are lost with its connection after these times.
+constexpr milliseconds kFenceTimeout{ 300 };
+constexpr milliseconds kPromoteTimeout{ 400 };
+constexpr milliseconds kFollowTimeout{ 500 };
+// Next try after a request of the purpose was sent.
+constexpr milliseconds kFenceInterval{ 50 };
+constexpr milliseconds kPromoteInterval{ 200 };
+constexpr milliseconds kFollowInterval{ 300 };
+// A planned change gives up waiting for the last entries after this time; the
+// target for the gap of a planned change is 200 ms.
+constexpr milliseconds kCatchUpLimit{ 150 };
+// Time after the majority was fenced for the remaining voters to answer.
+constexpr milliseconds kSettleTime{ 50 };
+// On a first start nothing is urgent, and a server outside the majority may
+// hold the longest log.
+constexpr milliseconds kFirstStartSettleTime{ 300 };
+// A holder that did not order the promotion helps after this time.
+constexpr milliseconds kHelpTime{ 300 };
+// A primary that answers without its role is replaced after this time.
+constexpr milliseconds kRoleLostTime{ 500 };
+
+// A planned change that could not start for this long is planned anew.
+constexpr milliseconds kPlanAge{ 1'000 };
+
+} // namespace
+
+void
+failover::Advance(time_point aNow, actions& aOut)
+{
+  if (!mSlot || mDocument.mServers.empty()) {
+    return;
+  }
+  if (!mSynced && !mStoreCall && aNow >= mStoreRetryAt) {
+    Read(aOut);
+  }
+  if (!mRecord) {
+    AdvanceFirstStart(aNow, aOut);
+    return;
+  }
+  AdvanceBehindServers(aNow, aOut);
+  if (mRecord->mPhase == term_phase::Electing) {
+    AdvanceElection(aNow, aOut);
+  } else if (!mConfirmed) {
+    AdvancePromotion(aNow, aOut);
+  } else {
+    AdvanceStable(aNow, aOut);
+  }
+}
+
+void
+failover::AdvanceFirstStart(time_point aNow, actions& aOut)
+{
+  if (StoreIsFree(aNow) && RecordAge(aNow) >= SlotDelay() &&
+      HasReachableMajority(aNow)) {
+    OrderTerm(mHighestTerm + 1, "first start", aOut);
+  }
+}
+
+bool
+failover::IsBehindServers() const
+{
+  return mRecord && mHighestTerm > mRecord->mTerm;
+}
+
+// Servers learn a term only after the store recorded it. A higher term than
+// the record's therefore is a change that the cache has not seen, or, if the
+// store has no newer record either, a term of a record that was deleted.
+void
+failover::AdvanceBehindServers(time_point aNow, actions& aOut)
+{
+  if (!IsBehindServers() || !StoreIsFree(aNow)) {
+    return;
+  }
+  if (mReadBackVersion != mVersion) {
+    Read(aOut);
+  } else if (RecordAge(aNow) >= SlotDelay() && HasReachableMajority(aNow)) {
+    OrderTerm(mHighestTerm + 1, "a server is in a later term", aOut);
+  }
+}
+
+void
+failover::AdvanceElection(time_point aNow, actions& aOut)
+{
+  if (!IsMine() || !mElection) {
+    if (RecordAge(aNow) >= StallTime() + SlotDelay()) {
+      Supersede("the election made no progress", aNow, aOut);
+    }
+    return;
+  }
+  AdvanceHandOver(aNow, aOut);
+  SendFences(aNow, aOut);
+  if (!mElection->mMajorityAt && mElection->mFenceAll &&
+      HasMajority(mRecord->mVoters, mElection->mFenced)) {
+    mElection->mMajorityAt = aNow;
+  }
+  if (StoreIsFree(aNow) && MayChoose(aNow)) {
+    Choose(aNow, aOut);
+  }
+}
+
+// While the old primary hands over, the planned voters still replicate its
+// last entries; they are fenced once they hold them.
+void
+failover::AdvanceHandOver(time_point aNow, actions& aOut)
+{
+  election& round = *mElection;
+  if (round.mFenceAll) {
+    return;
+  }
+  const auto old = round.mFenced.find(mOldPrimary);
+  if (old != round.mFenced.end()) {
+    for (const auto& voter : round.mPlan->mVoters) {
+      if (voter != mOldPrimary && round.mCaughtUp.count(voter) == 0) {
+        Send(voter,
+             purpose::CatchUp,
+             backend_wait{
+               round.mPreviousTerm, old->second.mReceived, kCatchUpLimit },
+             kCatchUpLimit,
+             aNow,
+             aOut);
+      }
+    }
+  }
+  round.mFenceAll = IsCaughtUp() || RecordAge(aNow) >= kCatchUpLimit;
+}
+
+bool
+failover::IsCaughtUp() const
+{
+  const election& round = *mElection;
+  if (round.mFenced.count(mOldPrimary) == 0) {
+    return false;
+  }
+  const auto holds = [&](const std::string& aServer) {
+    return aServer == mOldPrimary || round.mCaughtUp.count(aServer) > 0;
+  };
+  const auto& voters = round.mPlan->mVoters;
+  const auto holding = std::count_if(voters.begin(), voters.end(), holds);
+  return holds(round.mPlan->mCandidate) &&
+         2 * static_cast<std::size_t>(holding) > voters.size();
+}
+
+void
+failover::SendFences(time_point aNow, actions& aOut)
+{
+  for (const auto& server : KnownServers()) {
+    if (mElection->mFenced.count(server) == 0 &&
+        (mElection->mFenceAll || server == mOldPrimary)) {
+      Send(server,
+           purpose::Fence,
+           backend_fence{ mRecord->mTerm },
+           kFenceTimeout,
+           aNow,
+           aOut);
+    }
+  }
+}
+
+bool
+failover::MayChoose(time_point aNow) const
+{
+  const election& round = *mElection;
+  if (!round.mMajorityAt) {
+    return false;
+  }
+  const auto servers = KnownServers();
+  const bool allTried =
+    std::all_of(servers.begin(), servers.end(), [&](const auto& aServer) {
+      return round.mTried.count(aServer) > 0;
+    });
+  const milliseconds settle =
+    mLastStableTerm == 0 ? kFirstStartSettleTime : kSettleTime;
+  return allTried || aNow - *round.mMajorityAt >= settle;
+}
+
+selection_input
+failover::SelectionInput() const
+{
+  selection_input input;
+  input.mDocument = &mDocument;
+  input.mVoters = mRecord->mVoters;
+  input.mOldPrimary = mOldPrimary;
+  input.mPlan = mElection->mPlan;
+  input.mFirstStart = mLastStableTerm == 0 && mOldPrimary.empty();
+  return input;
+}
+
+void
+failover::Choose(time_point aNow, actions& aOut)
+{
+  const auto chosen = SelectCandidate(SelectionInput(), mElection->mFenced);
+  if (!chosen || !StoreIsFree(aNow)) {
+    return;
+  }
+  term_record record = *mRecord;
+  record.mPhase = term_phase::Promoting;
+  record.mPrimary = chosen->mPrimary;
+  record.mVoters = chosen->mVoters;
+  Write(std::move(record), "candidate chosen", aOut);
+}
+
+// Promoting twice is harmless: the term has one recorded candidate. That is
+// why any holder may complete it, and why no store is needed for it.
+void
+failover::AdvancePromotion(time_point aNow, actions& aOut)
+{
+  const bool help = RecordAge(aNow) >= kHelpTime + SlotDelay();
+  if (IsMine() || help) {
+    backend_promote request{ mRecord->mTerm, {} };
+    for (const auto& server : KnownServers()) {
+      if (!EndpointOf(server).mAddress.empty()) {
+        request.mMembers.push_back(EndpointOf(server));
+      }
+    }
+    Send(mRecord->mPrimary,
+         purpose::Promote,
+         std::move(request),
+         kPromoteTimeout,
+         aNow,
+         aOut);
+  }
+  if (RecordAge(aNow) >= StallTime() + SlotDelay()) {
+    Supersede("the candidate did not become primary", aNow, aOut);
+  }
+}
+
+void
+failover::OnPromoted(const backend_reply& aReply,
+                     time_point aNow,
+                     actions& aOut)
+{
+  if (aReply.mTerm != mRecord->mTerm ||
+      mRecord->mPhase == term_phase::Electing) {
+    return;
+  }
+  Confirm(aOut);
+  for (const auto& server : KnownServers()) {
+    SendFollow(server, aNow, aOut);
+  }
+}
+
+void
+failover::Confirm(actions& aOut)
+{
+  if (mConfirmed) {
+    return;
+  }
+  mConfirmed = true;
+  mLastStableTerm = mRecord->mTerm;
+  aOut.emplace_back(term_changed{});
+}
+
+void
+failover::AdvanceStable(time_point aNow, actions& aOut)
+{
+  AdvanceFollowers(aNow, aOut);
+  if (!StoreIsFree(aNow)) {
+    return;
+  }
+  const std::string reason = ReplacementReason(aNow);
+  if (!reason.empty()) {
+    Supersede(reason, aNow, aOut);
+  } else if (mRecord->mPhase == term_phase::Promoting) {
+    if (IsMine() || RecordAge(aNow) >= kStallTime + SlotDelay()) {
+      term_record record = *mRecord;
+      record.mPhase = term_phase::Stable;
+      Write(std::move(record), "primary serves", aOut);
+    }
+  } else if (mPlan && aNow - mPlannedAt <= kPlanAge &&
+             HasReachableMajority(aNow)) {
+    OrderTerm(mRecord->mTerm + 1, mPlan->mChange.mReason, aOut);
+  }
+}
+
+std::string
+failover::ReplacementReason(time_point aNow) const
+{
+  if (mFailedSince && aNow - *mFailedSince >= SlotDelay()) {
+    return "the primary failed";
+  }
+  if (PrimaryLostItsRole(aNow)) {
+    return "the primary lost its role";
+  }
+  if (mDocument.Find(mRecord->mPrimary) == nullptr &&
+      RecordAge(aNow) >= SlotDelay()) {
+    return "the primary was removed from the document";
+  }
+  return {};
+}
+
+bool
+failover::PrimaryLostItsRole(time_point aNow) const
+{
+  const auto seen = mObserved.find(mRecord->mPrimary);
+  if (seen == mObserved.end() || seen->second.mSentAt <= mRecordSince ||
+      RecordAge(aNow) < kRoleLostTime + SlotDelay()) {
+    return false;
+  }
+  const server_status& status = seen->second.mStatus;
+  return status.mTerm < mRecord->mTerm ||
+         (status.mTerm == mRecord->mTerm &&
+          status.mRole != server_role::Primary);
+}
+
+// The orderer told all servers to follow when the candidate was promoted; this
+// reaches those that missed it, such as an old primary that returns.
+void
+failover::AdvanceFollowers(time_point aNow, actions& aOut)
+{
+  if (RecordAge(aNow) < kRoleLostTime + SlotDelay()) {
+    return;
+  }
+  for (const auto& server : KnownServers()) {
+    const auto seen = mObserved.find(server);
+    if (seen == mObserved.end() || seen->second.mSentAt <= mRecordSince) {
+      continue;
+    }
+    const server_status& status = seen->second.mStatus;
+    if (status.mTerm < mRecord->mTerm ||
+        (status.mTerm == mRecord->mTerm &&
+         status.mRole != server_role::Replica)) {
+      SendFollow(server, aNow, aOut);
+    }
+  }
+}
+
+void
+failover::SendFollow(const std::string& aServer, time_point aNow, actions& aOut)
+{
+  if (aServer == mRecord->mPrimary) {
+    return;
+  }
+  Send(aServer,
+       purpose::Follow,
+       backend_follow{ mRecord->mTerm, EndpointOf(mRecord->mPrimary) },
+       kFollowTimeout,
+       aNow,
+       aOut);
+}
+
+void
+failover::Supersede(std::string aReason, time_point aNow, actions& aOut)
+{
+  if (StoreIsFree(aNow) && HasReachableMajority(aNow)) {
+    const std::uint64_t term = std::max(mRecord->mTerm, mHighestTerm) + 1;
+    OrderTerm(term, std::move(aReason), aOut);
+  }
+}
+
+bool
+failover::Send(const std::string& aServer,
+               purpose aPurpose,
+               backend_request aRequest,
+               milliseconds aTimeout,
+               time_point aNow,
+               actions& aOut)
+{
+  const server_endpoint endpoint = EndpointOf(aServer);
+  if (endpoint.mAddress.empty()) {
+    if (mElection) {
+      mElection->mTried.insert(aServer);
+    }
+    return false;
+  }
+  const bool outstanding =
+    std::any_of(mServerCalls.begin(), mServerCalls.end(), [&](const auto& aIt) {
+      const server_call& call = aIt.second;
+      return call.mServer == aServer && call.mPurpose == aPurpose &&
+             call.mTerm == mRecord->mTerm;
+    });
+  time_point& nextTry = mNextTry[{ aServer, aPurpose }];
+  if (outstanding || aNow < nextTry) {
+    return false;
+  }
+  const milliseconds interval = aPurpose == purpose::Promote  ? kPromoteInterval
+                                : aPurpose == purpose::Follow ? kFollowInterval
+                                                              : kFenceInterval;
+  nextTry = aNow + interval;
+  const failover_call call = mNextCall++;
+  mServerCalls[call] = { aServer, aPurpose, mRecord->mTerm };
+  aOut.emplace_back(
+    send_to_server{ call, endpoint, std::move(aRequest), aTimeout });
+  return true;
+}
+
+bool
+failover::HasReachableMajority(time_point aNow) const
+{
+  const auto voters = mRecord ? mRecord->mVoters : StayingServers(mDocument);
+  const auto reached =
+    std::count_if(voters.begin(), voters.end(), [&](const auto& aVoter) {
+      const auto seen = mObserved.find(aVoter);
+      const bool failed =
+        mFailedSince && mRecord && aVoter == mRecord->mPrimary;
+      return !failed && seen != mObserved.end() &&
+             aNow - seen->second.mSentAt <= kEvidenceAge;
+    });
+  return 2 * static_cast<std::size_t>(reached) > voters.size();
+}
+
+std::vector<std::string>
+failover::KnownServers() const
+{
+  std::vector<std::string> names = mRecord->mVoters;
+  for (const auto& server : mDocument.mServers) {
+    if (!Contains(names, server.mName)) {
+      names.push_back(server.mName);
+    }
+  }
+  return names;
+}
+
+server_endpoint
+failover::EndpointOf(const std::string& aServer) const
+{
+  const server_entry* entry = mDocument.Find(aServer);
+  return { aServer, entry != nullptr ? entry->mAddress : std::string() };
+}
+
+milliseconds
+failover::SlotDelay() const
+{
+  return mSlot.value_or(0) * kSlotStep;
+}
+
+milliseconds
+failover::StallTime() const
+{
+  const std::uint64_t superseded = mRecord->mTerm - mLastStableTerm - 1;
+  const auto doublings = std::min<std::uint64_t>(superseded, 3);
+  return std::min(kStallTime * (1U << doublings), kMaxStallTime);
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/tests/version/failover_model.cpp
@@ -0,0 +1,543 @@
+// Implementation of the failover model.
+#include "version/failover_model.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr milliseconds kProbeInterval{ 100 };
+constexpr milliseconds kTick{ 20 };
+
+backend_reply
+Refusal(const model_server& aServer, const std::string& aName)
+{
+  backend_reply reply;
+  reply.mError = backend_error::TermMismatch;
+  reply.mTerm = aServer.mTerm;
+  reply.mStatus = aServer.Status(aName);
+  return reply;
+}
+
+backend_reply
+Success(const model_server& aServer, const std::string& aName)
+{
+  backend_reply reply = Refusal(aServer, aName);
+  reply.mError = backend_error::None;
+  return reply;
+}
+
+} // namespace
+
+server_status
+model_server::Status(const std::string& aName) const
+{
+  return { aName,       mTerm,      mRole, mLog.empty() ? 0 : mLog.back().mTerm,
+           mLog.size(), mLog.size() };
+}
+
+backend_reply
+model_server::Fence(const std::string& aName, std::uint64_t aTerm)
+{
+  if (aTerm < mTerm) {
+    return Refusal(*this, aName);
+  }
+  if (aTerm > mTerm) {
+    // A fenced primary still hands its last entries to its replicas.
+    mTerm = aTerm;
+    mRole = server_role::Fenced;
+    mPrimary.clear();
+    mMatched = false;
+  }
+  return Success(*this, aName);
+}
+
+backend_reply
+model_server::Promote(const std::string& aName, std::uint64_t aTerm)
+{
+  if (aTerm < mTerm || (aTerm == mTerm && mRole == server_role::Replica)) {
+    return Refusal(*this, aName);
+  }
+  if (aTerm > mTerm || mRole != server_role::Primary) {
+    mTerm = aTerm;
+    mRole = server_role::Primary;
+    mPrimary = aName;
+    mLog.push_back({ aTerm, 0 });
+  }
+  return Success(*this, aName);
+}
+
+backend_reply
+model_server::Follow(const std::string& aName, const backend_follow& aFollow)
+{
+  if (aFollow.mTerm < mTerm ||
+      (aFollow.mTerm == mTerm && mRole == server_role::Primary)) {
+    return Refusal(*this, aName);
+  }
+  if (aFollow.mTerm > mTerm || mPrimary != aFollow.mPrimary.mName) {
+    mTerm = aFollow.mTerm;
+    mRole = server_role::Replica;
+    mPrimary = aFollow.mPrimary.mName;
+    mMatched = false;
+  }
+  return Success(*this, aName);
+}
+
+void
+model_server::ReplicateFrom(const model_server& aPrimary, std::size_t aEntries)
+{
+  // Entries with the same term and id have the same predecessors.
+  std::size_t common = std::min(mLog.size(), aPrimary.mLog.size());
+  while (common > 0 && !(mLog[common - 1] == aPrimary.mLog[common - 1])) {
+    --common;
+  }
+  mLog.resize(common);
+  const std::size_t end = std::min(common + aEntries, aPrimary.mLog.size());
+  mLog.insert(mLog.end(),
+              aPrimary.mLog.begin() + static_cast<std::ptrdiff_t>(common),
+              aPrimary.mLog.begin() + static_cast<std::ptrdiff_t>(end));
+  mMatched = true;
+}
+
+failover_model::failover_model(std::uint64_t aSeed,
+                               std::vector<std::string> aServers,
+                               std::size_t aOrderers)
+  : mRandom(aSeed)
+{
+  mDocument.mService = "ledger";
+  for (const auto& name : aServers) {
+    mDocument.mServers.push_back(
+      { name, name + ":1", "dc-" + name, server_state::Active, {} });
+    mServers[name] = {};
+  }
+  mNextProbe = mNextTick = mNow;
+  for (std::size_t i = 0; i < aOrderers; ++i) {
+    const std::string name = "instance-" + std::to_string(i);
+    mOrderers.push_back(
+      std::make_unique<failover>(failover_options{ name, 1, aSeed + i + 1 }));
+    mPaused.push_back(false);
+    Deliver(i, failover_configured{ mDocument, static_cast<int>(i) });
+  }
+}
+
+bool
+failover_model::Chance(int aPercent)
+{
+  return Below(100) < static_cast<std::size_t>(aPercent);
+}
+
+std::size_t
+failover_model::Below(std::size_t aLimit)
+{
+  return static_cast<std::size_t>(mRandom() % aLimit);
+}
+
+milliseconds
+failover_model::Jittered(milliseconds aTime)
+{
+  return milliseconds(1 + Below(2 * static_cast<std::size_t>(aTime.count())));
+}
+
+void
+failover_model::Later(milliseconds aAfter, std::function<void()> aWork)
+{
+  mQueue.emplace(mNow + aAfter, std::move(aWork));
+}
+
+void
+failover_model::Deliver(std::size_t aOrderer, const failover_event& aEvent)
+{
+  if (mPaused[aOrderer]) {
+    // A paused process handles its input when it goes on.
+    Later(milliseconds(20), [=, this] { Deliver(aOrderer, aEvent); });
+    return;
+  }
+  failover::actions actions;
+  mOrderers[aOrderer]->Handle(aEvent, mNow, actions);
+  for (const auto& action : actions) {
+    Perform(aOrderer, action);
+  }
+}
+
+void
+failover_model::Run(milliseconds aTime)
+{
+  const time_point end = mNow + aTime;
+  while (mNow < end) {
+    mNow += milliseconds(1);
+    while (!mQueue.empty() && mQueue.begin()->first <= mNow) {
+      auto entry = mQueue.extract(mQueue.begin());
+      entry.mapped()();
+    }
+    if (mNow >= mNextProbe) {
+      mNextProbe = mNow + kProbeInterval;
+      Probe();
+    }
+    if (mNow >= mNextTick) {
+      mNextTick = mNow + kTick;
+      for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+        if (!mPaused[i]) {
+          Deliver(i, failover_time_passed{});
+        }
+      }
+    }
+  }
+}
+
+void
+failover_model::Perform(std::size_t aOrderer, const failover_action& aAction)
+{
+  if (const auto* read = std::get_if<read_term>(&aAction)) {
+    Perform(aOrderer, *read);
+  } else if (const auto* write = std::get_if<write_term>(&aAction)) {
+    Perform(aOrderer, *write);
+  } else if (const auto* send = std::get_if<send_to_server>(&aAction)) {
+    Perform(aOrderer, *send);
+  }
+}
+
+void
+failover_model::Perform(std::size_t aOrderer, const read_term& aAction)
+{
+  Later(Jittered(mStoreDelay), [=, this] {
+    term_call_done done;
+    done.mCall = aAction.mCall;
+    if (mStoreUp && !Chance(mLostAnswerPercent)) {
+      done.mStatus = mRecord ? store_status::Ok : store_status::NotFound;
+      done.mRecord = mRecord;
+      done.mVersion = mVersion;
+    }
+    Later(Jittered(mStoreDelay), [=, this] { Deliver(aOrderer, done); });
+  });
+}
+
+void
+failover_model::Perform(std::size_t aOrderer, const write_term& aAction)
+{
+  Later(Jittered(mStoreDelay), [=, this] { Apply(aOrderer, aAction); });
+}
+
+void
+failover_model::Apply(std::size_t aOrderer, const write_term& aAction)
+{
+  term_call_done done;
+  done.mCall = aAction.mCall;
+  const bool dropped = mBeforeWrite && mBeforeWrite(aAction);
+  if (mStoreUp && !dropped && Chance(mRefusedPercent)) {
+    done.mStatus = store_status::Refused;
+  } else if (mStoreUp && !dropped) {
+    const bool current = mRecord ? mVersion == aAction.mExpectedVersion
+                                 : aAction.mExpectedVersion == 0;
+    done.mStatus = current ? store_status::Ok : store_status::Conflict;
+    if (current) {
+      mRecord = aAction.mRecord;
+      ++mVersion;
+      Disseminate();
+    }
+    done.mRecord = mRecord;
+    done.mVersion = mVersion;
+  }
+  if (Chance(mLostAnswerPercent)) {
+    done = { aAction.mCall, store_status::Unknown, {}, 0 };
+  }
+  Later(Jittered(mStoreDelay), [=, this] { Deliver(aOrderer, done); });
+}
+
+void
+failover_model::Disseminate()
+{
+  for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+    if (!mStoreSilentToCache) {
+      const term_observed seen{ mRecord, mVersion };
+      Later(Jittered(milliseconds(10)), [=, this] { Deliver(i, seen); });
+    }
+  }
+}
+
+void
+failover_model::Perform(std::size_t aOrderer, const send_to_server& aAction)
+{
+  const std::string name = aAction.mServer.mName;
+  const auto lost = [=, this] {
+    return mCut.count({ aOrderer, name }) > 0 || !mServers[name].mUp ||
+           Chance(mLossPercent);
+  };
+  auto answered = std::make_shared<bool>(false);
+  // A repeated request may arrive long after its answer.
+  const int copies = Chance(mLossPercent) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    Later(Jittered(copy == 0 ? mDelay : 100 * mDelay), [=, this] {
+      if (lost()) {
+        return;
+      }
+      const auto reply = Execute(name, aAction.mRequest);
+      if (!reply || lost()) {
+        return;
+      }
+      Later(Jittered(mDelay), [=, this] {
+        if (!*answered) {
+          *answered = true;
+          Deliver(aOrderer, server_call_done{ aAction.mCall, reply });
+        }
+      });
+    });
+  }
+  Later(aAction.mTimeout, [=, this] {
+    if (!*answered) {
+      *answered = true;
+      Deliver(aOrderer, server_call_done{ aAction.mCall, {} });
+    }
+  });
+}
+
+std::optional<backend_reply>
+failover_model::Execute(const std::string& aServer,
+                        const backend_request& aRequest)
+{
+  model_server& server = mServers[aServer];
+  if (const auto* fence = std::get_if<backend_fence>(&aRequest)) {
+    return server.Fence(aServer, fence->mTerm);
+  }
+  if (const auto* promote = std::get_if<backend_promote>(&aRequest)) {
+    const bool before =
+      server.mRole == server_role::Primary && server.mTerm == promote->mTerm;
+    if (!before) {
+      const auto reply = server.Promote(aServer, promote->mTerm);
+      if (reply.mError == backend_error::None) {
+        CheckPromotion(aServer, promote->mTerm);
+      }
+      return reply;
+    }
+    return Success(server, aServer);
+  }
+  if (const auto* follow = std::get_if<backend_follow>(&aRequest)) {
+    return server.Follow(aServer, *follow);
+  }
+  if (const auto* wait = std::get_if<backend_wait>(&aRequest)) {
+    // Answers what the server knows now; the caller asks again.
+    const bool holds = server.mTerm == wait->mTerm && server.mMatched &&
+                       server.mLog.size() >= wait->mIndex;
+    return holds ? Success(server, aServer) : Refusal(server, aServer);
+  }
+  return std::nullopt;
+}
+
+void
+failover_model::CheckPromotion(const std::string& aServer, std::uint64_t aTerm)
+{
+  ++mPromotions;
+  const auto [entry, fresh] = mPromoted.emplace(aTerm, aServer);
+  if (entry->second != aServer) {
+    mViolations.push_back("two primaries in term " + std::to_string(aTerm));
+  }
+  const auto& log = mServers[aServer].mLog;
+  for (const auto& [index, written] : mAcknowledged) {
+    // Entries have unique ids, so a position that differs is a lost entry.
+    if (log.size() < index || !(log[index - 1] == written)) {
+      mViolations.push_back("term " + std::to_string(aTerm) +
+                            " lacks acknowledged entry " +
+                            std::to_string(index));
+      return;
+    }
+  }
+}
+
+void
+failover_model::Probe()
+{
+  for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+    for (const auto& [name, server] : mServers) {
+      if (server.mUp && mCut.count({ i, name }) == 0 && !Chance(mLossPercent)) {
+        const server_observed seen{ server.Status(name), mNow };
+        Later(Jittered(mDelay), [=, this] { Deliver(i, seen); });
+      }
+    }
+  }
+}
+
+void
+failover_model::Detect()
+{
+  for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+    const auto record = mOrderers[i]->Term();
+    if (record && !record->mPrimary.empty()) {
+      const bool failed = !mServers[record->mPrimary].mUp ||
+                          mCut.count({ i, record->mPrimary }) > 0;
+      Deliver(i, primary_failed{ record->mTerm, failed });
+    }
+  }
+}
+
+void
+failover_model::Replicate()
+{
+  for (auto& [name, server] : mServers) {
+    const auto primary = mServers.find(server.mPrimary);
+    if (!server.mUp || server.mRole != server_role::Replica ||
+        primary == mServers.end() || !primary->second.mUp || Chance(30)) {
+      continue;
+    }
+    // A primary that was fenced for a later term still serves its log.
+    const auto& source = primary->second;
+    const bool serves =
+      (source.mRole == server_role::Primary && source.mTerm == server.mTerm) ||
+      (source.mRole == server_role::Fenced && source.mTerm > server.mTerm &&
+       server.mMatched && mPromoted[server.mTerm] == server.mPrimary);
+    if (serves) {
+      server.ReplicateFrom(source, 1 + Below(4));
+    }
+  }
+}
+
+void
+failover_model::Write(std::size_t aOrderer)
+{
+  const auto record = mOrderers[aOrderer]->Term();
+  if (!record || record->mPhase != term_phase::Stable) {
+    return;
+  }
+  model_server& primary = mServers[record->mPrimary];
+  if (!primary.mUp || primary.mTerm != record->mTerm ||
+      primary.mRole != server_role::Primary) {
+    return;
+  }
+  const model_entry entry{ record->mTerm, mNextId++ };
+  primary.mLog.push_back(entry);
+  mWrites.push_back({ aOrderer,
+                      record->mTerm,
+                      record->mPrimary,
+                      record->mVoters,
+                      primary.mLog.size(),
+                      entry,
+                      { record->mPrimary } });
+}
+
+void
+failover_model::Confirm()
+{
+  for (auto& write : mWrites) {
+    for (const auto& voter : write.mVoters) {
+      const model_server& server = mServers[voter];
+      if (server.mUp && server.mTerm == write.mTerm && server.mMatched &&
+          server.mRole == server_role::Replica &&
+          server.mLog.size() >= write.mIndex && Chance(50)) {
+        write.mConfirmed.insert(voter);
+      }
+    }
+  }
+  std::erase_if(mWrites, [this](const model_write& aWrite) {
+    const auto confirmed = std::count_if(
+      aWrite.mVoters.begin(), aWrite.mVoters.end(), [&](const auto& aVoter) {
+        return aWrite.mConfirmed.count(aVoter) > 0;
+      });
+    if (2 * static_cast<std::size_t>(confirmed) <= aWrite.mVoters.size()) {
+      return false;
+    }
+    mAcknowledged.emplace_back(aWrite.mIndex, aWrite.mEntry);
+    return true;
+  });
+}
+
+void
+failover_model::RandomServerStep()
+{
+  auto server = std::next(mServers.begin(),
+                          static_cast<std::ptrdiff_t>(Below(mServers.size())));
+  switch (Below(3)) {
+    case 0:
+      server->second.mUp = Chance(70);
+      return;
+    case 1:
+      if (Chance(40)) {
+        mCut.insert({ Below(mOrderers.size()), server->first });
+      } else if (!mCut.empty()) {
+        mCut.erase(mCut.begin());
+      }
+      return;
+    default:
+      mLossPercent = Chance(20) ? 20 : 0;
+      return;
+  }
+}
+
+void
+failover_model::RandomStoreStep()
+{
+  switch (Below(4)) {
+    case 0:
+      mStoreUp = Chance(75);
+      return;
+    case 1:
+      mLostAnswerPercent = Chance(30) ? 40 : 0;
+      return;
+    case 2:
+      mRefusedPercent = Chance(20) ? 40 : 0;
+      return;
+    default:
+      mStoreSilentToCache = Chance(20);
+      return;
+  }
+}
+
+void
+failover_model::RandomOrder()
+{
+  const std::size_t orderer = Below(mOrderers.size());
+  const auto record = mOrderers[orderer]->Term();
+  if (!record) {
+    return;
+  }
+  if (Chance(50)) {
+    // A wrong verdict must cost no more than a change of primary.
+    Deliver(orderer, primary_failed{ record->mTerm, true });
+    return;
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, server] : mServers) {
+    names.push_back(name);
+  }
+  std::shuffle(names.begin(), names.end(), mRandom);
+  names.resize(std::min<std::size_t>(names.size(), 3));
+  Deliver(
+    orderer,
+    change_planned{ record->mTerm, { names.front(), names, "random change" } });
+}
+
+void
+failover_model::RandomStep()
+{
+  const std::size_t kind = Below(100);
+  if (kind < 4) {
+    RandomServerStep();
+  } else if (kind < 7) {
+    RandomStoreStep();
+  } else if (kind < 9) {
+    const std::size_t orderer = Below(mOrderers.size());
+    mPaused[orderer] = Chance(30);
+  } else if (kind < 10) {
+    RandomOrder();
+  } else if (kind < 30) {
+    Detect();
+  } else {
+    Write(Below(mOrderers.size()));
+    Replicate();
+    Confirm();
+  }
+  Run(milliseconds(1 + Below(20)));
+}
+
+void
+failover_model::Heal()
+{
+  for (auto& [name, server] : mServers) {
+    server.mUp = true;
+  }
+  std::fill(mPaused.begin(), mPaused.end(), false);
+  mCut.clear();
+  mStoreUp = true;
+  mStoreSilentToCache = false;
+  mLostAnswerPercent = mRefusedPercent = mLossPercent = 0;
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/tests/version/failover_property_test.cpp
@@ -0,0 +1,76 @@
+// Property tests of failover: several orderers against one store and servers
+// that fail, with lost answers, conflicts, outages and pauses.
+#include "version/failover_model.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+constexpr int kSteps = 100'000;
+
+class FailoverPropertyTest : public testing::TestWithParam<std::uint64_t>
+{
+protected:
+  // Runs the steps and reports what was exercised.
+  static void RunSteps(failover_model& aModel)
+  {
+    for (int i = 0; i < kSteps && aModel.mViolations.empty(); ++i) {
+      aModel.RandomStep();
+    }
+    ASSERT_TRUE(aModel.mViolations.empty()) << aModel.mViolations.front();
+    RecordProperty("promotions", static_cast<int>(aModel.mPromotions));
+    RecordProperty("acknowledged",
+                   static_cast<int>(aModel.mAcknowledged.size()));
+    // A run without promotions or writes would prove nothing.
+    EXPECT_GT(aModel.mPromotions, 100U);
+    EXPECT_GT(aModel.mAcknowledged.size(), 1'000U);
+  }
+};
+
+// Guards against two primaries in one term and against acknowledged entries
+// that the promoted server lacks, with three servers.
+TEST_P(FailoverPropertyTest, KeepsAcknowledgedWritesWithThreeServers)
+{
+  failover_model model(GetParam(), { "a", "b", "c" }, 3);
+  RunSteps(model);
+}
+
+// Guards against a majority of new voters that misses acknowledged entries
+// after the voters changed.
+TEST_P(FailoverPropertyTest, KeepsAcknowledgedWritesWhileVotersChange)
+{
+  failover_model model(GetParam() + 50, { "a", "b", "c", "d", "e" }, 3);
+  RunSteps(model);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, FailoverPropertyTest, testing::Values(1, 2, 3));
+
+// Guards against orderers that stay stuck after any sequence of failures: once
+// everything is back, a primary serves again.
+TEST(FailoverProgressTest, ServesAgainOnceEverythingIsBack)
+{
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    failover_model model(seed, { "a", "b", "c" }, 3);
+    for (int i = 0; i < 300; ++i) {
+      model.RandomStep();
+    }
+    model.Heal();
+    for (int i = 0; i < 300; ++i) {
+      model.Detect();
+      model.Run(milliseconds(50));
+    }
+    ASSERT_TRUE(model.mViolations.empty()) << model.mViolations.front();
+    ASSERT_TRUE(model.mRecord) << "seed " << seed;
+    ASSERT_EQ(model.mRecord->mPhase, term_phase::Stable) << "seed " << seed;
+    const auto& primary = model.mServers[model.mRecord->mPrimary];
+    EXPECT_EQ(primary.mRole, server_role::Primary) << "seed " << seed;
+    EXPECT_EQ(primary.mTerm, model.mRecord->mTerm) << "seed " << seed;
+    for (const auto& [name, server] : model.mServers) {
+      EXPECT_EQ(server.mTerm, model.mRecord->mTerm) << seed << " " << name;
+    }
+  }
+}
+
+} // namespace
+} // namespace snipewalk
