--- a/include/snipewalk/process/settings.h
+++ b/include/snipewalk/process/settings.h
@@ -6,6 +6,7 @@
 #include "snipewalk/base/log.h"
 #include "snipewalk/base/time.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +41,10 @@
   std::string mFleetKeyFile;
   std::string mAdminTokenFile;
 
+  // Addresses under which this instance reaches backend servers, by the address
+  // in the documents; for instances behind network address translation.
+  std::map<std::string, std::string> mAddressTranslation;
+
   int mTrafficThreads = 2;
   int mCallerConnectionLimit = 20'000;
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -50,6 +50,7 @@
     ReadAddresses();
     ReadStore();
     ReadSecrets();
+    ReadTranslation();
     ReadTraffic();
     ReadDetection();
     ReadShutdown();
@@ -137,6 +138,21 @@
     mSettings.mAdminTokenFile = mRoot.OptionalString("admin_token_file", "");
   }
 
+  void ReadTranslation()
+  {
+    const Json::Value* map = mRoot.Object("address_translation", false);
+    if (!map) {
+      return;
+    }
+    object_reader section = Section(*map, "address_translation");
+    for (const auto& from : map->getMemberNames()) {
+      if (!IsAddress(from)) {
+        section.Report((*map)[from], from, "bad_address", "is not an address");
+      }
+      mSettings.mAddressTranslation[from] = section.RequiredAddress(from);
+    }
+  }
+
   void ReadTraffic()
   {
     const Json::Value* traffic = mRoot.Object("traffic", false);
