Add the callers' protocol, peer frames and messages, transaction ids

Purpose: typed requests from callers and between instances. Ruled out: the caller's own request id as internal id, because callers may repeat it; requests get a generated id and the caller's id is restored in the response. Idempotency keys are scoped to the client account, otherwise equal keys of two accounts would share an outcome. Unknown Snipewalk- fields are refused, because a misspelt one changes the consistency asked for. Conclusion: decoders are strict and bounded.

--- /dev/null
+++ b/include/snipewalk/connection/peer_messages.h
@@ -0,0 +1,83 @@
+// Messages between instances on the peer port, in msgpack. Deadlines travel as
+// remaining milliseconds, because clocks differ between instances.
+#ifndef SNIPEWALK_CONNECTION_PEER_MESSAGES_H_
+#define SNIPEWALK_CONNECTION_PEER_MESSAGES_H_
+
+#include "snipewalk/base/time.h"
+#include "snipewalk/request/statement.h"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include <absl/status/statusor.h>
+
+namespace snipewalk {
+
+// First message of the connecting side.
+struct peer_hello
+{
+  std::string mInstance;
+  std::string mNonce;
+};
+
+// The accepting side proves that it knows the fleet key.
+struct peer_challenge
+{
+  std::string mInstance;
+  std::string mNonce;
+  std::string mProof;
+};
+
+// The connecting side proves that it knows the fleet key.
+struct peer_proof
+{
+  std::string mProof;
+};
+
+struct peer_ping
+{};
+
+struct peer_pong
+{};
+
+using peer_message = std::variant<peer_hello,
+                                  peer_challenge,
+                                  peer_proof,
+                                  peer_ping,
+                                  peer_pong,
+                                  statement_request,
+                                  outcome_request,
+                                  statement_response>;
+
+// Payload of a frame; `aNow` turns deadlines into remaining time.
+std::string
+EncodePeerMessage(const peer_message& aMessage, time_point aNow);
+
+// Errors: InvalidArgument for bytes that are not exactly one valid message.
+absl::StatusOr<peer_message>
+DecodePeerMessage(std::string_view aPayload, time_point aNow);
+
+// Which side of the handshake a proof belongs to.
+enum class handshake_side
+{
+  Connecting,
+  Accepting
+};
+
+// Authentication code over both nonces and names. The side is part of it, so
+// that a proof cannot be sent back to its author.
+std::string
+HandshakeProof(std::string_view aFleetKey,
+               handshake_side aSide,
+               const peer_hello& aHello,
+               std::string_view aAcceptingInstance,
+               std::string_view aAcceptingNonce);
+
+// 16 random bytes from the system.
+std::string
+MakeNonce();
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_CONNECTION_PEER_MESSAGES_H_
--- a/src/connection/backend_adapter.cpp
+++ b/src/connection/backend_adapter.cpp
@@ -1,10 +1,11 @@
 // Implementation of the backend servers' HTTP protocol.
 #include "snipewalk/connection/backend_adapter.h"
 
+#include "snipewalk/base/text.h"
+
 #include <absl/strings/str_cat.h>
 #include <json/json.h>
 
-#include <algorithm>
 #include <exception>
 #include <memory>
 #include <type_traits>
@@ -142,16 +143,6 @@
   return Post("/v1/follow", body);
 }
 
-// Control characters would end the header field or the request line.
-bool
-IsHeaderSafe(std::string_view aValue)
-{
-  return std::none_of(aValue.begin(), aValue.end(), [](char aChar) {
-    const auto byte = static_cast<unsigned char>(aChar);
-    return byte < 0x20 || byte == 0x7f;
-  });
-}
-
 absl::StatusOr<Json::Value>
 ParseObject(const std::string& aText)
 {
@@ -322,6 +313,7 @@
 {
   const http_request request =
     std::visit([](const auto& aTyped) { return ToHttp(aTyped); }, aRequest);
+  // A control character would end the header field.
   for (const auto& [name, value] : request.mHeaders) {
     if (!IsHeaderSafe(value)) {
       return absl::InvalidArgumentError(
--- /dev/null
+++ b/src/connection/peer_limits.h
@@ -0,0 +1,40 @@
+// Limits and type codes shared by the encoder and decoder of peer messages.
+#ifndef SNIPEWALK_CONNECTION_PEER_LIMITS_H_
+#define SNIPEWALK_CONNECTION_PEER_LIMITS_H_
+
+#include "snipewalk/base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace snipewalk {
+
+inline constexpr std::size_t kNonceBytes = 16;
+// Fields of the longest message, and depth of the only array.
+inline constexpr std::size_t kFieldLimit = 16;
+inline constexpr std::size_t kDepthLimit = 2;
+inline constexpr std::size_t kInstanceLimitBytes = 64;
+// Ids grow by a suffix at each forwarding attempt.
+inline constexpr std::size_t kPeerIdLimitBytes = 256;
+inline constexpr std::size_t kTokenLimitBytes = 256;
+inline constexpr std::size_t kKeyLimitBytes = 512;
+inline constexpr std::size_t kMessageLimitBytes = 1024;
+// Ages and delays beyond a day are not meaningful.
+inline constexpr milliseconds kTimeLimit{ 24ll * 3600 * 1000 };
+
+// First element of each message; the order is that of peer_message.
+enum class peer_message_type : std::uint8_t
+{
+  Hello,
+  Challenge,
+  Proof,
+  Ping,
+  Pong,
+  Statement,
+  Outcome,
+  Response
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_CONNECTION_PEER_LIMITS_H_
