--- a/include/snipewalk/connection/event_loop.h
+++ b/include/snipewalk/connection/event_loop.h
@@ -48,6 +48,8 @@
            socket_handler* aHandler,
            bool aWantWrite);
   void SetWantWrite(const Poco::Net::Socket& aSocket, bool aWantWrite);
+  // Sockets are polled for reading until this is called with false.
+  void SetWantRead(const Poco::Net::Socket& aSocket, bool aWantRead);
   void Remove(const Poco::Net::Socket& aSocket);
 
   // Runs the task on the loop thread. Any thread; also before Run().
@@ -77,6 +79,7 @@
   {
     socket_handler* mHandler;
     bool mWantWrite;
+    bool mWantRead = true;
   };
 
   void RunPosted();
--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -64,6 +64,15 @@
   // Closes as soon as all output was written.
   void CloseAfterOutput();
 
+  // Stops or resumes reading, which bounds the input of a busy connection.
+  // Unread bytes stay with the system, whose flow control slows the sender.
+  void PauseInput();
+  void ResumeInput();
+
+  // Offers input that the handler left in the buffer once more, from the loop.
+  void PostInput();
+  bool HasInput() const { return !mInput.empty(); }
+
   bool IsOpen() const { return mState != state::Closed; }
   bool IsConnected() const { return mState == state::Connected; }
   std::size_t PendingOutput() const { return mOutput.size() - mOutputSent; }
--- /dev/null
+++ b/include/snipewalk/process/traffic_thread.h
@@ -0,0 +1,188 @@
+// One traffic thread: accepts callers and peers, owns the engines of its
+// services and moves statements between them.
+#ifndef SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
+#define SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
+
+#include "snipewalk/base/metrics.h"
+#include "snipewalk/base/time.h"
+#include "snipewalk/connection/caller_adapter.h"
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/process/caller_connection.h"
+#include "snipewalk/process/engine_host.h"
+#include "snipewalk/process/peer_hub.h"
+#include "snipewalk/request/forwarder.h"
+#include "snipewalk/version/service_view.h"
+
+#include <absl/status/status.h>
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace snipewalk {
+
+class listener;
+
+struct traffic_options
+{
+  std::string mInstance;
+  std::uint64_t mIncarnation = 0;
+  std::string mDataCentre;
+  // Authenticates peers; links are refused while it is empty.
+  std::string mFleetKey;
+  // "IP:port"; port 0 lets the system choose.
+  std::string mCallerAddress = "127.0.0.1:0";
+  std::string mPeerAddress = "127.0.0.1:0";
+  std::size_t mThreads = 1;
+  // Callers above the limit are disconnected at once, a thread.
+  std::size_t mCallerLimit = 10'000;
+  // Callers from elsewhere need TLS, which names their client account.
+  bool mOnlyLoopbackCallers = true;
+};
+
+// Called on the traffic threads; implementations pass the data on and return.
+struct traffic_callbacks
+{
+  std::function<void(const std::string& aService, const report_evidence&)>
+    mOnEvidence;
+  // Each half second for each engine.
+  std::function<void(const std::string& aService, const engine_status&)>
+    mOnStatus;
+};
+
+// Numbers that the shutdown and the admin port read from other threads.
+struct traffic_counts
+{
+  std::size_t mCallers = 0;
+  // Requests of callers and peers that were not answered yet.
+  std::size_t mInFlight = 0;
+  std::size_t mTransactions = 0;
+};
+
+struct thread_metrics
+{
+  std::vector<metric_summary> mDistributions;
+  std::map<std::string, std::uint64_t> mCounters;
+};
+
+class traffic_thread;
+
+// The threads of the instance; lets them find the owner of a service.
+class thread_directory
+{
+public:
+  virtual ~thread_directory() = default;
+  virtual traffic_thread& OwnerOf(const std::string& aService) = 0;
+};
+
+class traffic_thread : private caller_owner
+{
+public:
+  traffic_thread(const traffic_options& aOptions,
+                 const traffic_callbacks& aCallbacks,
+                 thread_directory& aDirectory);
+  ~traffic_thread() override;
+
+  // Binds both ports; before Run().
+  absl::Status Listen(const std::string& aCallerAddress,
+                      const std::string& aPeerAddress);
+  std::string CallerAddress() const;
+  std::string PeerAddress() const;
+
+  // Serves until Stop().
+  void Run();
+
+  // The functions below may be called from any thread.
+  void Stop() { mLoop.Stop(); }
+  void Post(event_loop::task aTask) { mLoop.Post(std::move(aTask)); }
+  traffic_counts Counts() const;
+  thread_metrics Metrics() const;
+
+  // The functions below are for tasks posted to this thread.
+  void SetSnapshot(std::shared_ptr<const routing_snapshot> aSnapshot);
+  void SetFleetKey(std::string aFleetKey);
+  void Observe(const std::string& aService, const status_observed& aStatus);
+  // Health turns to "shutting down".
+  void AnnounceShutdown() { mServing = false; }
+  // Stops accepting callers; responses tell the others to reconnect.
+  void CloseCallers();
+  // Closes callers without a request for `aFor` or longer.
+  void CloseIdleCallers(milliseconds aFor);
+  // Engines accept no new transactions.
+  void DrainEngines();
+  std::string Explain(const statement_request& aRequest) const;
+
+private:
+  struct caller_route
+  {
+    caller_id mCaller = 0;
+    std::string mCallerRequestId;
+    time_point mStart;
+    statement_kind mKind = statement_kind::Read;
+  };
+
+  caller_context Context(time_point aNow) override;
+  void OnCallerRequest(caller_id aCaller,
+                       caller_request aRequest,
+                       time_point aNow) override;
+  void OnCallerClosed(caller_id aCaller) override;
+  bool ClosesCallers() const override { return mClosing; }
+
+  peer_hub::handlers HubHandlers();
+  void AcceptCaller(const Poco::Net::StreamSocket& aSocket);
+  void Respond(caller_id aCaller, http_response aResponse, time_point aNow);
+  void Apply(std::vector<forwarder_action> aActions);
+  void FinishRequest(statement_response aResponse);
+  // Gives a request to the engine of this instance, on whichever thread it is.
+  void Serve(forwarded_request aRequest, responder aRespond);
+  void ServeHere(forwarded_request aRequest, responder aRespond);
+  void UpdateEngine(const std::string& aService,
+                    const std::shared_ptr<const service_view>& aView);
+  engine_host& EngineOf(const std::string& aService);
+  milliseconds TimeoutOf(const std::string& aService) const;
+  void AfterRound(time_point aNow);
+  void ArmForwarder();
+  void Sweep(time_point aNow);
+  void SweepCallers(time_point aNow);
+  void PublishMetrics();
+  void DropIdleEngines();
+
+  traffic_options mOptions;
+  const traffic_callbacks& mCallbacks;
+  thread_directory& mDirectory;
+  event_loop mLoop;
+  id_source mIds;
+  forwarder mForwarder;
+  peer_hub mHub;
+  std::unique_ptr<listener> mCallerListener;
+  std::unique_ptr<listener> mPeerListener;
+  std::shared_ptr<const routing_snapshot> mSnapshot;
+  std::map<std::string, std::unique_ptr<engine_host>> mEngines;
+  std::unordered_map<caller_id, std::unique_ptr<caller_connection>> mCallers;
+  // Where responses go, by request id.
+  std::unordered_map<std::string, caller_route> mRoutes;
+  caller_id mNextCaller = 1;
+  event_loop::timer_id mForwarderTimer = 0;
+  time_point mForwarderDue;
+  time_point mLastCallerSweep;
+  bool mServing = true;
+  bool mClosing = false;
+  bool mDraining = false;
+  metrics_registry mMetrics;
+  std::atomic<std::size_t> mCallerCount{ 0 };
+  std::atomic<std::size_t> mInFlight{ 0 };
+  std::atomic<std::size_t> mTransactions{ 0 };
+  mutable std::mutex mMutex;
+  // Guarded by mMutex.
+  thread_metrics mPublished;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
--- a/src/connection/event_loop.cpp
+++ b/src/connection/event_loop.cpp
@@ -25,10 +25,10 @@
 }
 
 int
-ModeOf(bool aWantWrite)
+ModeOf(bool aWantRead, bool aWantWrite)
 {
   using Poco::Net::PollSet;
-  return PollSet::POLL_READ | PollSet::POLL_ERROR |
+  return PollSet::POLL_ERROR | (aWantRead ? PollSet::POLL_READ : 0) |
          (aWantWrite ? PollSet::POLL_WRITE : 0);
 }
 
@@ -102,7 +102,7 @@
                 bool aWantWrite)
 {
   mHandlers[KeyOf(aSocket)] = { aHandler, aWantWrite };
-  mPollSet->add(aSocket, ModeOf(aWantWrite));
+  mPollSet->add(aSocket, ModeOf(true, aWantWrite));
 }
 
 void
@@ -113,7 +113,18 @@
     return;
   }
   found->second.mWantWrite = aWantWrite;
-  mPollSet->update(aSocket, ModeOf(aWantWrite));
+  mPollSet->update(aSocket, ModeOf(found->second.mWantRead, aWantWrite));
+}
+
+void
+event_loop::SetWantRead(const Poco::Net::Socket& aSocket, bool aWantRead)
+{
+  const auto found = mHandlers.find(KeyOf(aSocket));
+  if (found == mHandlers.end() || found->second.mWantRead == aWantRead) {
+    return;
+  }
+  found->second.mWantRead = aWantRead;
+  mPollSet->update(aSocket, ModeOf(aWantRead, found->second.mWantWrite));
 }
 
 void
--- /dev/null
+++ b/src/connection/listener.cpp
@@ -0,0 +1,107 @@
+// Implementation of the listener.
+#include "snipewalk/connection/listener.h"
+
+#include "snipewalk/base/log.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+// Without free descriptors the socket stays readable; a pause prevents the loop
+// from spinning.
+constexpr milliseconds kPauseAfterFailure{ 100 };
+
+} // namespace
+
+listener::listener(event_loop& aLoop, accept_handler aOnAccept)
+  : mLoop(aLoop)
+  , mOnAccept(std::move(aOnAccept))
+{
+}
+
+listener::~listener()
+{
+  if (mOpen) {
+    mLoop.Cancel(mResume);
+    mLoop.Remove(mSocket);
+  }
+}
+
+absl::StatusOr<std::unique_ptr<listener>>
+listener::Open(event_loop& aLoop,
+               const std::string& aAddress,
+               accept_handler aOnAccept)
+{
+  std::unique_ptr<listener> opened(new listener(aLoop, std::move(aOnAccept)));
+  try {
+    opened->mSocket.bind(Poco::Net::SocketAddress(aAddress), true, true);
+    opened->mSocket.listen(kBacklog);
+    opened->mSocket.setBlocking(false);
+    aLoop.Add(opened->mSocket, opened.get(), false);
+  } catch (const Poco::Exception& error) {
+    return absl::UnavailableError(
+      absl::StrCat("cannot listen on ", aAddress, ": ", error.displayText()));
+  }
+  opened->mOpen = true;
+  return opened;
+}
+
+std::string
+listener::Address() const
+{
+  return mSocket.address().toString();
+}
+
+bool
+listener::AcceptOne(time_point aNow)
+{
+  try {
+    const Poco::Net::StreamSocket accepted = mSocket.acceptConnection();
+    mOnAccept(accepted, aNow);
+    return true;
+  } catch (const Poco::Exception&) {
+    return false;
+  }
+}
+
+void
+listener::OnReadable(time_point aNow)
+{
+  // One connection an event: the socket stays readable while more wait.
+  if (!AcceptOne(aNow)) {
+    Pause(aNow);
+  }
+}
+
+void
+listener::Pause(time_point aNow)
+{
+  Log(log_level::Warning, "listener", "cannot accept a connection");
+  mLoop.SetWantRead(mSocket, false);
+  mResume = mLoop.RunAt(aNow + kPauseAfterFailure, [this](time_point) {
+    mLoop.SetWantRead(mSocket, true);
+  });
+}
+
+void
+listener::Close(time_point aNow)
+{
+  if (!mOpen) {
+    return;
+  }
+  while (AcceptOne(aNow)) {
+  }
+  mOpen = false;
+  mLoop.Cancel(mResume);
+  mLoop.Remove(mSocket);
+  mSocket.close();
+}
+
+} // namespace snipewalk
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -109,6 +109,33 @@
   }
 }
 
+void
+stream_connection::PauseInput()
+{
+  if (IsConnected()) {
+    mLoop.SetWantRead(mSocket, false);
+  }
+}
+
+void
+stream_connection::ResumeInput()
+{
+  if (IsConnected()) {
+    mLoop.SetWantRead(mSocket, true);
+  }
+}
+
+void
+stream_connection::PostInput()
+{
+  mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
+    if (!alive.expired() && IsConnected() && HasInput()) {
+      mHandlers.mOnInput(mInput, mLoop.Now());
+      ReleaseIfEmpty(mInput);
+    }
+  });
+}
+
 void
 stream_connection::Detach()
 {
