Make the traffic threads compile against the merged interfaces

Purpose: private bases are passed to members by reference, and a local variable no longer shadows the type of the handlers.

--- a/src/process/peer_hub.cpp
+++ b/src/process/peer_hub.cpp
@@ -48,19 +48,19 @@
 peer_hub::OpenLink(const std::string& aPeer, const std::string& aAddress)
 {
   const std::uint64_t number = mNextNumber++;
-  peer_link::handlers handlers;
-  handlers.mOnReady = [this, aPeer](time_point) { OnOutgoingReady(aPeer); };
-  handlers.mOnClosed = [this, aPeer, number](bool aWasReady, time_point aNow) {
+  peer_link::handlers link;
+  link.mOnReady = [this, aPeer](time_point) { OnOutgoingReady(aPeer); };
+  link.mOnClosed = [this, aPeer, number](bool aWasReady, time_point aNow) {
     OnOutgoingClosed(aPeer, number, aWasReady, aNow);
   };
-  handlers.mOnMessage = [this, aPeer](peer_message aMessage, time_point aNow) {
+  link.mOnMessage = [this, aPeer](peer_message aMessage, time_point aNow) {
     OnOutgoingMessage(aPeer, std::move(aMessage), aNow);
   };
   outgoing& entry = mOutgoing[aPeer];
   entry.mAddress = aAddress;
   entry.mNumber = number;
   entry.mLink =
-    peer_link::Connect(mLoop, mIdentity, aPeer, aAddress, std::move(handlers));
+    peer_link::Connect(mLoop, mIdentity, aPeer, aAddress, std::move(link));
 }
 
 void
@@ -114,18 +114,18 @@
 peer_hub::Adopt(const Poco::Net::StreamSocket& aSocket)
 {
   const std::uint64_t number = mNextNumber++;
-  peer_link::handlers handlers;
-  handlers.mOnClosed = [this, number](bool, time_point) {
+  peer_link::handlers link;
+  link.mOnClosed = [this, number](bool, time_point) {
     auto found = mIncoming.extract(number);
     if (!found.empty()) {
       Discard(std::move(found.mapped()));
     }
   };
-  handlers.mOnMessage = [this, number](peer_message aMessage, time_point aNow) {
+  link.mOnMessage = [this, number](peer_message aMessage, time_point aNow) {
     OnIncomingMessage(number, std::move(aMessage), aNow);
   };
   mIncoming[number] =
-    peer_link::Adopt(mLoop, mIdentity, aSocket, std::move(handlers));
+    peer_link::Adopt(mLoop, mIdentity, aSocket, std::move(link));
 }
 
 void
--- a/src/process/traffic_group.cpp
+++ b/src/process/traffic_group.cpp
@@ -25,8 +25,10 @@
 {
   mCallerAddress = mOptions.mCallerAddress;
   mPeerAddress = mOptions.mPeerAddress;
+  thread_directory& directory = *this;
   for (std::size_t i = 0; i < mOptions.mThreads; ++i) {
-    auto thread = std::make_unique<traffic_thread>(mOptions, mCallbacks, *this);
+    auto thread =
+      std::make_unique<traffic_thread>(mOptions, mCallbacks, directory);
     const absl::Status status = thread->Listen(mCallerAddress, mPeerAddress);
     if (!status.ok()) {
       mThreads.clear();
--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -129,9 +129,10 @@
     mMetrics.Count("callers_refused");
     return;
   }
+  caller_owner& owner = *this;
   const caller_id id = mNextCaller++;
   mCallers.emplace(
-    id, std::make_unique<caller_connection>(mLoop, aSocket, id, *this));
+    id, std::make_unique<caller_connection>(mLoop, aSocket, id, owner));
 }
 
 caller_context
