--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -34,7 +34,7 @@
   std::string mInstance;
   std::uint64_t mIncarnation = 0;
   std::string mDataCentre;
-  // Authenticates peers; links are refused while it is empty.
+  // Authenticates peers. Empty only where all addresses are loopback ones.
   std::string mFleetKey;
   // "IP:port"; port 0 lets the system choose.
   std::string mCallerAddress = "127.0.0.1:0";
--- a/include/snipewalk/request/transaction_id.h
+++ b/include/snipewalk/request/transaction_id.h
@@ -1,5 +1,5 @@
-// Identifies a transaction by the instance whose connection it is pinned to.
-// The id travels with the caller, so it is authenticated.
+// The id of a transaction travels with the caller. Any instance can read the
+// holder from it; only the instances of the fleet can make one.
 #ifndef SNIPEWALK_REQUEST_TRANSACTION_ID_H_
 #define SNIPEWALK_REQUEST_TRANSACTION_ID_H_
 
@@ -14,30 +14,29 @@
 
 namespace snipewalk {
 
-struct transaction_id
+struct transaction_identity
 {
-  // Name and incarnation of the instance that holds the connection.
+  // Instance whose connection the transaction is pinned to.
   std::string mHolder;
   std::uint64_t mIncarnation = 0;
-  // Unique in the holder's incarnation and service.
+  // Unique within the holder's incarnation and the service.
   std::uint64_t mNumber = 0;
-
-  bool operator==(const transaction_id&) const = default;
+  std::string mService;
+  std::string mAccount;
 };
 
-// Encodes and signs the id with the newest key whose mSignAfter is at or before
-// `aNow`; base64url. Errors: FailedPrecondition without a usable key,
-// InvalidArgument when the holder's name is too long.
+// Encodes and signs with the newest key whose mSignAfter is at or before
+// `aNow`, as base64url. Error: FailedPrecondition without a usable key.
 absl::StatusOr<std::string>
-EncodeTransactionId(const transaction_id& aId,
-                    const std::vector<session_key>& aKeys,
-                    wall_time aNow);
-
-// Verifies and decodes. Errors: InvalidArgument for malformed or forged ids,
-// NotFound for an unknown key.
-absl::StatusOr<transaction_id>
-DecodeTransactionId(const std::string& aText,
-                    const std::vector<session_key>& aKeys);
+EncodeTransaction(const transaction_identity& aIdentity,
+                  const std::vector<session_key>& aKeys,
+                  wall_time aNow);
+
+// Verifies and decodes an id. Errors: InvalidArgument for malformed or forged
+// ids, NotFound for an unknown key.
+absl::StatusOr<transaction_identity>
+DecodeTransaction(const std::string& aId,
+                  const std::vector<session_key>& aKeys);
 
 } // namespace snipewalk
 
--- a/src/connection/backend_adapter.cpp
+++ b/src/connection/backend_adapter.cpp
@@ -341,6 +341,16 @@
   if (!status.ok()) {
     return status;
   }
+  const bool orders = aCall == backend_call::Fence ||
+                      aCall == backend_call::Promote ||
+                      aCall == backend_call::Follow;
+  if (orders && reply.mError != backend_error::None) {
+    // A refusal may carry the status; it stays a refusal without.
+    auto state = ParseStatus(aResponse.mBody);
+    if (state.ok()) {
+      reply.mStatus = *std::move(state);
+    }
+  }
   return reply;
 }
 
--- a/src/connection/caller_adapter.cpp
+++ b/src/connection/caller_adapter.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::string_view kHeaderPrefix = "Snipewalk-";
 constexpr std::size_t kTokenLimitBytes = 256;
+constexpr std::size_t kTransactionLimitBytes = 1024;
 constexpr std::uint64_t kMaxAgeLimitMs = 24ull * 3600 * 1000;
 
 // Fields of the protocol. Other fields with the prefix are refused: a misspelt
@@ -136,7 +137,7 @@
     aChecker.Text("Snipewalk-Account", kAccountNameLimitBytes);
   statement.mSession = aChecker.Text("Snipewalk-Session", kTokenLimitBytes);
   statement.mTransaction =
-    aChecker.Text("Snipewalk-Transaction", kTokenLimitBytes);
+    aChecker.Text("Snipewalk-Transaction", kTransactionLimitBytes);
   const auto age = aChecker.Number("Snipewalk-Max-Age-Ms", kMaxAgeLimitMs);
   if (age) {
     statement.mMaxAge = milliseconds(*age);
--- a/src/connection/peer_decoding.cpp
+++ b/src/connection/peer_decoding.cpp
@@ -157,7 +157,7 @@
   aReader.Enumerator(aRequest.mKind, kStatementKindNames);
   aReader.Text(aRequest.mSession, kTokenLimitBytes);
   aReader.OptionalTime(aRequest.mMaxAge, kTimeLimit);
-  aReader.Text(aRequest.mTransaction, kTokenLimitBytes);
+  aReader.Text(aRequest.mTransaction, kTransactionLimitBytes);
   aReader.Text(aRequest.mIdempotencyKey, kKeyLimitBytes);
   aReader.Bytes(aRequest.mBody, kFrameLimitBytes);
   aReader.Deadline(aRequest.mDeadline);
@@ -185,7 +185,7 @@
   aReader.Text(aResponse.mSession, kTokenLimitBytes);
   aReader.Text(aResponse.mServer, kTokenLimitBytes);
   aReader.OptionalTime(aResponse.mDataAge, kTimeLimit);
-  aReader.Text(aResponse.mTransaction, kTokenLimitBytes);
+  aReader.Text(aResponse.mTransaction, kTransactionLimitBytes);
   aReader.Text(aResponse.mIdempotencyKey, kKeyLimitBytes);
   aReader.Flag(aResponse.mReplayed);
 }
--- a/src/connection/peer_limits.h
+++ b/src/connection/peer_limits.h
@@ -17,6 +17,7 @@
 // Ids grow by a suffix at each forwarding attempt.
 inline constexpr std::size_t kPeerIdLimitBytes = 256;
 inline constexpr std::size_t kTokenLimitBytes = 256;
+inline constexpr std::size_t kTransactionLimitBytes = 1024;
 inline constexpr std::size_t kKeyLimitBytes = 512;
 inline constexpr std::size_t kMessageLimitBytes = 1024;
 // Ages and delays beyond a day are not meaningful.
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -215,8 +215,7 @@
 void
 peer_link::OnHello(const peer_hello& aHello, time_point aNow)
 {
-  if (mConnects || mPhase != phase::Greeting || aHello.mNonce.empty() ||
-      mIdentity.mFleetKey.empty()) {
+  if (mConnects || mPhase != phase::Greeting || aHello.mNonce.empty()) {
     Fail("unexpected hello", aNow);
     return;
   }
@@ -241,7 +240,6 @@
                                               aChallenge.mInstance,
                                               aChallenge.mNonce);
   if (!mConnects || mPhase != phase::Greeting || aChallenge.mNonce.empty() ||
-      mIdentity.mFleetKey.empty() ||
       !EqualInConstantTime(expected, aChallenge.mProof)) {
     Fail("peer does not know the fleet key", aNow);
     return;
--- a/src/request/forwarder_choice.cpp
+++ b/src/request/forwarder_choice.cpp
@@ -51,7 +51,7 @@
 forwarder::ChooseForTransaction(const statement_request& aStatement) const
 {
   const auto id =
-    DecodeTransactionId(aStatement.mTransaction, mSnapshot->mSessionKeys);
+    DecodeTransaction(aStatement.mTransaction, mSnapshot->mSessionKeys);
   if (!id.ok()) {
     return { {}, refusal_reason::UnknownTransaction, false };
   }
--- a/src/request/transaction_id.cpp
+++ b/src/request/transaction_id.cpp
@@ -12,14 +12,13 @@
 
 namespace {
 
-constexpr std::uint8_t kIdVersion = 1;
-constexpr std::size_t kIdLimitChars = 256;
-// The code is cut to 128 bits to keep the id short (RFC 2104, section 5).
+// Differs from the version of session tokens, so that neither kind of token can
+// stand for the other.
+constexpr std::uint8_t kIdVersion = 101;
+constexpr std::size_t kIdLimitChars = 1'024;
+// The code is cut to 128 bits (RFC 2104, section 5).
 constexpr std::size_t kCodeBytes = 16;
-// Session keys also sign session tokens; the prefix separates the two uses.
-constexpr std::string_view kPurpose = "transaction:";
 
-// Fields of the id in their order.
 struct id_fields
 {
   std::uint8_t mVersion = kIdVersion;
@@ -27,28 +26,22 @@
   std::string mHolder;
   std::uint64_t mIncarnation = 0;
   std::uint64_t mNumber = 0;
+  std::string mService;
+  std::string mAccount;
 
-  MSGPACK_DEFINE_ARRAY(mVersion, mKeyId, mHolder, mIncarnation, mNumber)
+  MSGPACK_DEFINE_ARRAY(mVersion,
+                       mKeyId,
+                       mHolder,
+                       mIncarnation,
+                       mNumber,
+                       mService,
+                       mAccount)
 };
 
-const session_key*
-SigningKey(const std::vector<session_key>& aKeys, wall_time aNow)
-{
-  const session_key* newest = nullptr;
-  for (const auto& key : aKeys) {
-    const bool usable = key.mSignAfter <= aNow;
-    if (usable && (!newest || key.mSignAfter > newest->mSignAfter)) {
-      newest = &key;
-    }
-  }
-  return newest;
-}
-
 std::string
 CodeOf(const session_key& aKey, std::string_view aFields)
 {
-  return HmacSha256(aKey.mSecret, std::string(kPurpose) + std::string(aFields))
-    .substr(0, kCodeBytes);
+  return HmacSha256(aKey.mSecret, aFields).substr(0, kCodeBytes);
 }
 
 std::optional<id_fields>
@@ -60,7 +53,7 @@
                       aBytes.size(),
                       nullptr,
                       nullptr,
-                      msgpack::unpack_limit(8, 0, 256, 0, 0, 2));
+                      msgpack::unpack_limit(16, 0, 256, 0, 0, 2));
     id_fields fields;
     handle.get().convert(fields);
     return fields;
@@ -72,38 +65,36 @@
 } // namespace
 
 absl::StatusOr<std::string>
-EncodeTransactionId(const transaction_id& aId,
-                    const std::vector<session_key>& aKeys,
-                    wall_time aNow)
+EncodeTransaction(const transaction_identity& aIdentity,
+                  const std::vector<session_key>& aKeys,
+                  wall_time aNow)
 {
-  const session_key* key = SigningKey(aKeys, aNow);
-  if (!key) {
+  const session_key* signer = nullptr;
+  for (const auto& key : aKeys) {
+    if (key.mSignAfter <= aNow &&
+        (!signer || key.mSignAfter > signer->mSignAfter)) {
+      signer = &key;
+    }
+  }
+  if (!signer) {
     return absl::FailedPreconditionError("no session key may sign yet");
   }
-  id_fields fields;
-  fields.mKeyId = key->mId;
-  fields.mHolder = aId.mHolder;
-  fields.mIncarnation = aId.mIncarnation;
-  fields.mNumber = aId.mNumber;
+  const id_fields fields{ kIdVersion,        signer->mId,
+                          aIdentity.mHolder, aIdentity.mIncarnation,
+                          aIdentity.mNumber, aIdentity.mService,
+                          aIdentity.mAccount };
   msgpack::sbuffer packed;
   msgpack::pack(packed, fields);
   std::string bytes(packed.data(), packed.size());
-  bytes += CodeOf(*key, bytes);
-  std::string text = absl::WebSafeBase64Escape(bytes);
-  if (text.size() > kIdLimitChars) {
-    return absl::InvalidArgumentError(
-      "instance name is too long for a transaction id");
-  }
-  return text;
+  bytes += CodeOf(*signer, bytes);
+  return absl::WebSafeBase64Escape(bytes);
 }
 
-absl::StatusOr<transaction_id>
-DecodeTransactionId(const std::string& aText,
-                    const std::vector<session_key>& aKeys)
+absl::StatusOr<transaction_identity>
+DecodeTransaction(const std::string& aId, const std::vector<session_key>& aKeys)
 {
   std::string bytes;
-  if (aText.size() > kIdLimitChars ||
-      !absl::WebSafeBase64Unescape(aText, &bytes) ||
+  if (aId.size() > kIdLimitChars || !absl::WebSafeBase64Unescape(aId, &bytes) ||
       bytes.size() <= kCodeBytes) {
     return absl::InvalidArgumentError("malformed transaction id");
   }
@@ -120,9 +111,11 @@
     if (!EqualInConstantTime(CodeOf(key, body), all.substr(body.size()))) {
       return absl::InvalidArgumentError("transaction id has a wrong signature");
     }
-    return transaction_id{ fields->mHolder,
-                           fields->mIncarnation,
-                           fields->mNumber };
+    return transaction_identity{ fields->mHolder,
+                                 fields->mIncarnation,
+                                 fields->mNumber,
+                                 fields->mService,
+                                 fields->mAccount };
   }
   return absl::NotFoundError("transaction id is signed by an unknown key");
 }
