Add failure detector, drain planner, records, audit trail and store client

The detector takes evidence from traffic and from adaptive probes and reaches a verdict on the primary only with reports of other instances. The drain planner changes one server a term and only to caught-up servers. Store objects are read strictly. The store client reports a put as refused only when no byte was sent or the store said so; any other failure is unknown.

--- /dev/null
+++ b/include/snipewalk/process/store_http_client.h
@@ -0,0 +1,121 @@
+// Store client over the store's HTTP API (docs/design.md, section 2.1).
+#ifndef SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
+#define SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
+
+#include "snipewalk/base/time.h"
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/connection/http_codec.h"
+#include "snipewalk/connection/stream_connection.h"
+#include "snipewalk/process/store_client.h"
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+struct store_client_options
+{
+  // "IP:port", at least one; the next is tried when one fails.
+  std::vector<std::string> mAddresses;
+  milliseconds mCallTimeout{ 2'000 };
+  // Added to a watch's own waiting time.
+  milliseconds mWatchMargin{ 2'000 };
+  // Cap on this instance's calls; the store's limit is shared by the fleet.
+  int mCallsPerSecond = 50;
+  // Calls that wait for the cap or a connection; more are refused.
+  std::size_t mMaxWaiting = 1'000;
+  std::size_t mMaxConnections = 16;
+  std::uint64_t mSeed = 1;
+};
+
+class store_http_client : public store_client
+{
+public:
+  store_http_client(event_loop& aLoop, store_client_options aOptions);
+  ~store_http_client() override;
+  store_http_client(const store_http_client&) = delete;
+  store_http_client& operator=(const store_http_client&) = delete;
+
+  void Submit(store_request aRequest, reply_handler aOnReply) override;
+
+  // Since when no call was answered although calls were made; nothing while
+  // the store answers.
+  std::optional<time_point> UnreachableSince() const { return mFailingSince; }
+
+private:
+  struct call
+  {
+    store_request mRequest;
+    reply_handler mOnReply;
+    // Latest time to be sent.
+    time_point mSendBy;
+    // A read is repeated once when its connection breaks.
+    bool mRepeated = false;
+  };
+
+  struct connection
+  {
+    std::unique_ptr<stream_connection> mStream;
+    http_reader mReader;
+    std::optional<call> mCall;
+    // Set once bytes of the present call may have been sent.
+    bool mSent = false;
+    // The connection carried an answer before.
+    bool mUsed = false;
+    event_loop::timer_id mTimer = 0;
+    bool mClosed = false;
+  };
+
+  using connection_entry = std::list<connection>::iterator;
+
+  void Pump(time_point aNow);
+  void SchedulePump(time_point aWhen);
+  bool TakeToken(time_point aNow);
+  // An idle open connection, a new one, or the end when there can be none now.
+  connection_entry FindConnection(time_point aNow);
+  connection_entry OpenConnection();
+  void Start(connection_entry aConnection, call aCall, time_point aNow);
+  void Transmit(connection_entry aConnection);
+  void OnInput(connection_entry aConnection,
+               std::string& aInput,
+               time_point aNow);
+  void OnClosed(connection_entry aConnection, bool aRefused, time_point aNow);
+  void OnTimeout(connection_entry aConnection, time_point aNow);
+  void Deliver(connection_entry aConnection,
+               const http_response& aResponse,
+               time_point aNow);
+  // Ends the call without an answer.
+  void Fail(call aCall, bool aSent, time_point aNow);
+  void Release(connection_entry aConnection);
+  void NoteFailure(time_point aNow);
+  duration TimeoutOf(const call& aCall) const;
+  static void Reply(call& aCall, const store_reply& aReply, time_point aNow);
+
+  event_loop& mLoop;
+  store_client_options mOptions;
+  std::minstd_rand mRandom;
+  std::deque<call> mWaiting;
+  // List: handlers keep iterators.
+  std::list<connection> mConnections;
+  std::size_t mAddress = 0;
+  double mTokens = 0;
+  time_point mTokensAt;
+  // No connection is opened before; grows with failures in a row.
+  time_point mConnectAfter;
+  milliseconds mBackoff{ 0 };
+  std::optional<time_point> mFailingSince;
+  bool mPumpPosted = false;
+  event_loop::timer_id mPumpTimer = 0;
+  // Expires with the client; guards posted tasks.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
--- a/include/snipewalk/version/drain.h
+++ b/include/snipewalk/version/drain.h
@@ -1,13 +1,20 @@
 // Plans how the primary and the voters of a service move off its leaving
-// servers, and reports the progress. Questions 18 of the design.
+// servers, and reports the progress (question 18 of the design). Without
+// sockets, threads or clocks.
 #ifndef SNIPEWALK_VERSION_DRAIN_H_
 #define SNIPEWALK_VERSION_DRAIN_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
+#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/version/candidate_selection.h"
+#include "snipewalk/version/service_document.h"
+#include "snipewalk/version/service_view.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -37,6 +44,7 @@
   drain_state mState = drain_state::Running;
   bool mIsPrimary = false;
   bool mIsVoter = false;
+  // Open from the instance that reports.
   std::size_t mConnections = 0;
   // Time until the server is neither primary nor voter; nothing when unknown.
   std::optional<milliseconds> mRemaining;
@@ -45,6 +53,8 @@
   bool mBreach = false;
   // Texts for people, empty unless blocked or late.
   std::vector<std::string> mObstacles;
+
+  bool operator==(const server_drain&) const = default;
 };
 
 // The object `status/<service>`.
@@ -55,7 +65,75 @@
   std::string mInstance;
   std::uint64_t mTerm = 0;
   wall_time mUpdated;
+  // Leaving servers in the document's order; empty when none leaves.
   std::vector<server_drain> mServers;
+
+  bool operator==(const drain_status&) const = default;
+};
+
+// Time that one change of the term takes, from the order until the next may
+// start; for estimates.
+inline constexpr milliseconds kChangeTime{ 2'000 };
+// A replica is caught up when it holds what the primary held this long ago.
+// Waiting for the rest is then short against the gap of 200 ms.
+inline constexpr milliseconds kCaughtUpAge{ 500 };
+
+class drain
+{
+public:
+  void Configure(const service_document& aDocument);
+  // The record in force.
+  void OnTerm(const term_record& aTerm, time_point aNow);
+  // A status answer to a probe that was sent at `aSentAt`.
+  void OnStatus(const server_status& aStatus, time_point aSentAt);
+  void OnSuspected(std::vector<std::string> aSuspected);
+  void OnConnections(const std::string& aServer, std::size_t aConnections);
+
+  // Whether voters or primary differ from the document's staying servers.
+  bool IsNeeded() const;
+
+  // The next change of term that is possible now; nothing when none is needed
+  // or an obstacle stands in the way. One server changes at a time.
+  std::optional<planned_change> NextChange(time_point aNow) const;
+
+  drain_status Status(time_point aNow, wall_time aWallNow) const;
+
+private:
+  struct position
+  {
+    server_status mStatus;
+    time_point mSentAt;
+    // Entries a second received lately; zero when unknown.
+    double mRate = 0;
+  };
+
+  // Time since the primary's log had only what the server holds; nothing
+  // when the server does not replicate in the present term.
+  std::optional<duration> LagOf(const std::string& aServer,
+                                time_point aNow) const;
+  bool IsCaughtUp(const std::string& aServer, time_point aNow) const;
+  // Servers that should become voters, caught up or not.
+  std::vector<std::string> MissingVoters() const;
+  std::vector<std::string> ExcessVoters() const;
+  // A caught-up voter to become primary; empty when there is none.
+  std::string NextPrimary(time_point aNow) const;
+  std::vector<std::string> NextVoters(const std::string& aPrimary,
+                                      time_point aNow) const;
+  std::vector<std::string> Obstacles(time_point aNow) const;
+  std::optional<milliseconds> CatchUpTime(const std::string& aServer) const;
+  std::optional<milliseconds> Remaining(time_point aNow) const;
+  server_drain Describe(const server_entry& aServer,
+                        time_point aNow,
+                        wall_time aWallNow) const;
+
+  service_document mDocument;
+  std::optional<term_record> mTerm;
+  time_point mTermSince;
+  std::map<std::string, position> mPositions;
+  std::vector<std::string> mSuspected;
+  std::map<std::string, std::size_t> mConnections;
+  // Last index of the primary over time, oldest first.
+  std::deque<std::pair<time_point, std::uint64_t>> mPrimaryIndexes;
 };
 
 } // namespace snipewalk
--- /dev/null
+++ b/include/snipewalk/version/term_record.h
@@ -0,0 +1,53 @@
+// JSON of the store objects that the project writes: kinds `terms`, `slots`,
+// `keys` and `status`. Decoding is strict; errors are InvalidArgument.
+#ifndef SNIPEWALK_VERSION_TERM_RECORD_H_
+#define SNIPEWALK_VERSION_TERM_RECORD_H_
+
+#include "snipewalk/version/drain.h"
+#include "snipewalk/version/service_view.h"
+
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+namespace snipewalk {
+
+inline constexpr char kTermsKind[] = "terms";
+inline constexpr char kSlotsKind[] = "slots";
+inline constexpr char kKeysKind[] = "keys";
+inline constexpr char kAuditKind[] = "audit";
+inline constexpr char kStatusKind[] = "status";
+// The one object of kind `keys`.
+inline constexpr char kSessionKeysName[] = "session";
+
+// {"term", "primary", "voters", "phase", "operation", "by"}. The primary is
+// empty exactly while electing; otherwise it is a voter. Voters are unique and
+// at least one.
+std::string
+EncodeTermRecord(const term_record& aRecord);
+absl::StatusOr<term_record>
+DecodeTermRecord(const std::string& aText);
+
+// {"holders": [{"instance", "incarnation"}]}, one a slot.
+std::string
+EncodeSlotRecord(const slot_record& aRecord);
+absl::StatusOr<slot_record>
+DecodeSlotRecord(const std::string& aText);
+
+// {"keys": [{"id", "secret", "sign_after_ms"}]}: 1 to 4 keys; the secret is
+// base64, the time in milliseconds since 1970.
+std::string
+EncodeSessionKeys(const std::vector<session_key>& aKeys);
+absl::StatusOr<std::vector<session_key>>
+DecodeSessionKeys(const std::string& aText);
+
+// {"service", "instance", "term", "updated_ms", "servers": [...]}.
+std::string
+EncodeDrainStatus(const drain_status& aStatus);
+absl::StatusOr<drain_status>
+DecodeDrainStatus(const std::string& aText);
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_VERSION_TERM_RECORD_H_
--- /dev/null
+++ b/src/process/store_http_client.cpp
@@ -0,0 +1,321 @@
+// Implementation of the store client over HTTP.
+#include "snipewalk/process/store_http_client.h"
+
+#include "process/store_http_codec.h"
+#include "snipewalk/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Backoff of connections: doubled after each failure, of which a random half
+// to whole is waited.
+constexpr milliseconds kFirstBackoff{ 50 };
+constexpr milliseconds kLastBackoff{ 2'000 };
+// Between looks at calls that wait for the cap, a connection or their end.
+constexpr milliseconds kPumpInterval{ 20 };
+// A watch may answer with every object of a kind.
+constexpr http_limits kReplyLimits{ 16 * 1024, 64 * 1024 * 1024 };
+
+bool
+IsPut(const store_request& aRequest)
+{
+  return std::holds_alternative<store_put>(aRequest);
+}
+
+} // namespace
+
+store_http_client::store_http_client(event_loop& aLoop,
+                                     store_client_options aOptions)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mSeed))
+  , mTokens(mOptions.mCallsPerSecond)
+  , mTokensAt(aLoop.Now())
+{
+}
+
+store_http_client::~store_http_client()
+{
+  mLoop.Cancel(mPumpTimer);
+  for (auto& entry : mConnections) {
+    mLoop.Cancel(entry.mTimer);
+  }
+}
+
+void
+store_http_client::Submit(store_request aRequest, reply_handler aOnReply)
+{
+  call next{ std::move(aRequest),
+             std::move(aOnReply),
+             mLoop.Now() + mOptions.mCallTimeout,
+             false };
+  if (mWaiting.size() >= mOptions.mMaxWaiting || mOptions.mAddresses.empty()) {
+    mLoop.Post([this, next, alive = std::weak_ptr<bool>(mAlive)]() mutable {
+      if (!alive.expired()) {
+        Reply(next, { store_status::Refused, {}, 0, {} }, mLoop.Now());
+      }
+    });
+    return;
+  }
+  mWaiting.push_back(std::move(next));
+  if (!std::exchange(mPumpPosted, true)) {
+    mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
+      if (!alive.expired()) {
+        mPumpPosted = false;
+        Pump(mLoop.Now());
+      }
+    });
+  }
+}
+
+void
+store_http_client::Pump(time_point aNow)
+{
+  while (!mWaiting.empty()) {
+    if (aNow >= mWaiting.front().mSendBy) {
+      call late = std::move(mWaiting.front());
+      mWaiting.pop_front();
+      NoteFailure(aNow);
+      Reply(late, { store_status::Refused, {}, 0, {} }, aNow);
+      continue;
+    }
+    const auto free = FindConnection(aNow);
+    if (free == mConnections.end() || !TakeToken(aNow)) {
+      SchedulePump(aNow + kPumpInterval);
+      return;
+    }
+    call next = std::move(mWaiting.front());
+    mWaiting.pop_front();
+    Start(free, std::move(next), aNow);
+  }
+}
+
+void
+store_http_client::SchedulePump(time_point aWhen)
+{
+  mLoop.Cancel(mPumpTimer);
+  mPumpTimer = mLoop.RunAt(aWhen, [this](time_point aNow) { Pump(aNow); });
+}
+
+bool
+store_http_client::TakeToken(time_point aNow)
+{
+  const double elapsed =
+    std::chrono::duration<double>(aNow - mTokensAt).count();
+  const double rate = mOptions.mCallsPerSecond;
+  // A tenth of a second of calls may come at once, at least one.
+  const double burst = std::max(1.0, rate / 10);
+  mTokens = std::min(burst, mTokens + elapsed * rate);
+  mTokensAt = aNow;
+  if (mTokens < 1) {
+    return false;
+  }
+  mTokens -= 1;
+  return true;
+}
+
+store_http_client::connection_entry
+store_http_client::FindConnection(time_point aNow)
+{
+  const auto idle =
+    std::find_if(mConnections.begin(), mConnections.end(), [](const auto& aIt) {
+      return !aIt.mClosed && !aIt.mCall;
+    });
+  if (idle != mConnections.end()) {
+    return idle;
+  }
+  if (mConnections.size() >= mOptions.mMaxConnections || aNow < mConnectAfter) {
+    return mConnections.end();
+  }
+  return OpenConnection();
+}
+
+store_http_client::connection_entry
+store_http_client::OpenConnection()
+{
+  const auto entry = mConnections.emplace(mConnections.end());
+  entry->mReader = http_reader(kReplyLimits);
+  entry->mStream = stream_connection::Connect(
+    mLoop,
+    mOptions.mAddresses[mAddress % mOptions.mAddresses.size()],
+    { [this, entry](time_point) { Transmit(entry); },
+      [this, entry](std::string& aInput, time_point aNow) {
+        OnInput(entry, aInput, aNow);
+      },
+      [this, entry](close_cause aCause, time_point aNow) {
+        OnClosed(entry, aCause == close_cause::Refused, aNow);
+      } });
+  return entry;
+}
+
+void
+store_http_client::Start(connection_entry aConnection,
+                         call aCall,
+                         time_point aNow)
+{
+  aConnection->mCall = std::move(aCall);
+  aConnection->mSent = false;
+  aConnection->mTimer = mLoop.RunAt(
+    aNow + TimeoutOf(*aConnection->mCall),
+    [this, aConnection](time_point aThen) { OnTimeout(aConnection, aThen); });
+  if (aConnection->mStream->IsConnected()) {
+    Transmit(aConnection);
+  }
+}
+
+duration
+store_http_client::TimeoutOf(const call& aCall) const
+{
+  const auto* watch = std::get_if<store_watch>(&aCall.mRequest);
+  return watch != nullptr ? watch->mWait + mOptions.mWatchMargin
+                          : mOptions.mCallTimeout;
+}
+
+void
+store_http_client::Transmit(connection_entry aConnection)
+{
+  if (!aConnection->mCall || aConnection->mSent) {
+    return;
+  }
+  aConnection->mSent = true;
+  aConnection->mStream->Send(
+    WriteRequest(EncodeStoreRequest(aConnection->mCall->mRequest), "store"));
+}
+
+void
+store_http_client::OnInput(connection_entry aConnection,
+                           std::string& aInput,
+                           time_point aNow)
+{
+  const auto response = aConnection->mReader.ReadResponse(aInput);
+  if (response.ok() && !*response) {
+    return;
+  }
+  if (!response.ok() || !aConnection->mCall) {
+    // Malformed, or an answer without a call.
+    aConnection->mStream->Close();
+    OnClosed(aConnection, false, aNow);
+    return;
+  }
+  Deliver(aConnection, **response, aNow);
+}
+
+void
+store_http_client::Deliver(connection_entry aConnection,
+                           const http_response& aResponse,
+                           time_point aNow)
+{
+  call done = *std::exchange(aConnection->mCall, std::nullopt);
+  mLoop.Cancel(aConnection->mTimer);
+  aConnection->mUsed = true;
+  if (!aResponse.mKeepAlive) {
+    Release(aConnection);
+  }
+  const store_reply reply = DecodeStoreReply(done.mRequest, aResponse);
+  if (reply.mStatus == store_status::Unknown) {
+    NoteFailure(aNow);
+  } else {
+    mFailingSince.reset();
+    mBackoff = milliseconds(0);
+  }
+  Reply(done, reply, aNow);
+  Pump(aNow);
+}
+
+void
+store_http_client::OnTimeout(connection_entry aConnection, time_point aNow)
+{
+  if (!aConnection->mCall) {
+    return;
+  }
+  // Established connections can become silent: never reuse this one.
+  call failed = *std::exchange(aConnection->mCall, std::nullopt);
+  const bool sent = aConnection->mSent;
+  Release(aConnection);
+  ++mAddress;
+  Fail(std::move(failed), sent, aNow);
+}
+
+void
+store_http_client::OnClosed(connection_entry aConnection,
+                            bool aRefused,
+                            time_point aNow)
+{
+  std::optional<call> failed = std::exchange(aConnection->mCall, std::nullopt);
+  const bool sent = aConnection->mSent;
+  const bool used = aConnection->mUsed;
+  mLoop.Cancel(aConnection->mTimer);
+  Release(aConnection);
+  if (!failed) {
+    return;
+  }
+  const bool repeat = used && !failed->mRepeated && !IsPut(failed->mRequest);
+  if (repeat) {
+    // The store may close an idle connection at any time.
+    failed->mRepeated = true;
+    failed->mSendBy = aNow + mOptions.mCallTimeout;
+    mWaiting.push_front(*std::move(failed));
+    Pump(aNow);
+    return;
+  }
+  ++mAddress;
+  Fail(*std::move(failed), sent && !aRefused, aNow);
+}
+
+void
+store_http_client::Fail(call aCall, bool aSent, time_point aNow)
+{
+  NoteFailure(aNow);
+  store_reply reply;
+  reply.mStatus = aSent ? store_status::Unknown : store_status::Refused;
+  Reply(aCall, reply, aNow);
+  if (!mWaiting.empty()) {
+    SchedulePump(aNow + kPumpInterval);
+  }
+}
+
+void
+store_http_client::Release(connection_entry aConnection)
+{
+  if (std::exchange(aConnection->mClosed, true)) {
+    return;
+  }
+  aConnection->mStream->Close();
+  // A handler of the stream may be running.
+  mLoop.Post([this, aConnection, alive = std::weak_ptr<bool>(mAlive)] {
+    if (!alive.expired()) {
+      mConnections.erase(aConnection);
+    }
+  });
+}
+
+void
+store_http_client::NoteFailure(time_point aNow)
+{
+  if (!mFailingSince) {
+    mFailingSince = aNow;
+    Log(log_level::Warning, "store", "store does not answer");
+  }
+  mBackoff = std::clamp(2 * mBackoff, kFirstBackoff, kLastBackoff);
+  std::uniform_int_distribution<std::int64_t> wait(mBackoff.count() / 2,
+                                                   mBackoff.count());
+  mConnectAfter = aNow + milliseconds(wait(mRandom));
+}
+
+void
+store_http_client::Reply(call& aCall,
+                         const store_reply& aReply,
+                         time_point aNow)
+{
+  // Moved out: the handler may submit the next call.
+  const auto handler = std::move(aCall.mOnReply);
+  if (handler) {
+    handler(aReply, aNow);
+  }
+}
+
+} // namespace snipewalk
--- a/src/version/failover.cpp
+++ b/src/version/failover.cpp
@@ -173,8 +173,7 @@
 }
 
 void
-failover::OnFenced(const server_call& aCall,
-                   const backend_reply& aReply)
+failover::OnFenced(const server_call& aCall, const backend_reply& aReply)
 {
   if (!aReply.mStatus || aReply.mStatus->mTerm != aCall.mTerm ||
       mRecord->mPhase != term_phase::Electing) {
--- /dev/null
+++ b/src/version/failure_detector.cpp
@@ -0,0 +1,317 @@
+// Evidence and suspicion of the failure detector; queries of other instances
+// are in failure_detector_queries.cpp.
+#include "snipewalk/version/failure_detector.h"
+
+#include "snipewalk/version/failover.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Timeouts of successive probes without answer. The third tolerates a server
+// that answers slowly; together they stay within the 2 s that evidence counts.
+constexpr std::array<milliseconds, 4> kProbeTimeouts{ milliseconds(250),
+                                                      milliseconds(400),
+                                                      milliseconds(700),
+                                                      milliseconds(600) };
+// Between two probes of a server that refuses connections.
+constexpr milliseconds kProbeSoonGap{ 20 };
+// Between probes of a suspected server: the primary's return ends a failover,
+// that of a replica may wait.
+constexpr milliseconds kSuspectedPrimaryGap{ 200 };
+constexpr milliseconds kSuspectedGap{ 1'000 };
+// Positions and terms are refreshed this often while traffic is answered.
+constexpr milliseconds kStatusInterval{ 1'000 };
+// Observations handed over by traffic threads before a pause was noticed
+// arrive within this time.
+constexpr milliseconds kStaleHandOver{ 100 };
+
+} // namespace
+
+failure_detector::failure_detector(detector_options aOptions)
+  : mOptions(std::move(aOptions))
+{
+}
+
+void
+failure_detector::Handle(const detector_event& aEvent,
+                         time_point aNow,
+                         actions& aActions)
+{
+  if (mLastEvent && aNow - *mLastEvent > kPauseGap) {
+    ForgetEvidence(aNow, aActions);
+  }
+  mLastEvent = aNow;
+  std::visit([&](const auto& aTyped) { On(aTyped, aNow, aActions); }, aEvent);
+  for (auto& [name, state] : mServers) {
+    Evaluate(state, aNow, aActions);
+  }
+  SendProbes(aNow, aActions);
+  AdvanceQuery(aNow, aActions);
+}
+
+std::vector<std::string>
+failure_detector::Suspected() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, state] : mServers) {
+    if (state.mSuspected) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+void
+failure_detector::On(const detector_configured& aEvent,
+                     time_point aNow,
+                     actions& aOut)
+{
+  const bool sameTerm =
+    mConfig.mTerm == aEvent.mTerm && mConfig.mPrimary == aEvent.mPrimary;
+  if (!sameTerm || !aEvent.mIsHolder) {
+    SetVerdict(false, aNow, aOut);
+    mRound.reset();
+    mAskAll = false;
+  }
+  mConfig = aEvent;
+  std::erase_if(mServers, [&](const auto& aIt) {
+    const auto& names = mConfig.mServers;
+    return std::find(names.begin(), names.end(), aIt.first) == names.end();
+  });
+  if (!mConfig.mIsHolder) {
+    mServers.clear();
+    return;
+  }
+  for (const auto& name : mConfig.mServers) {
+    const auto [entry, fresh] = mServers.try_emplace(name);
+    if (fresh) {
+      entry->second.mLastAnswer = aNow;
+      entry->second.mProbeSoon = true;
+    }
+  }
+}
+
+void
+failure_detector::On(const report_evidence& aEvent,
+                     time_point aNow,
+                     actions& aOut)
+{
+  switch (aEvent.mEvidence) {
+    case server_evidence::Answered:
+      NoteAnswer(aEvent.mServer, aNow, aOut);
+      return;
+    case server_evidence::Refused:
+      NoteFailure(aEvent.mServer, { aNow, true, 0, true }, aNow, aOut);
+      return;
+    case server_evidence::Silent: {
+      // A statement may be slow without a fault; probes decide.
+      const auto found = mServers.find(aEvent.mServer);
+      if (found != mServers.end()) {
+        found->second.mProbeSoon = true;
+        found->second.mWantNew = true;
+      }
+      return;
+    }
+  }
+}
+
+void
+failure_detector::On(const probe_done& aEvent, time_point aNow, actions& aOut)
+{
+  const auto found = mProbes.find(aEvent.mProbe);
+  if (found == mProbes.end()) {
+    return;
+  }
+  const std::string name = found->second;
+  mProbes.erase(found);
+  const auto own = mServers.find(name);
+  const auto foreign = mForeign.find(name);
+  server* state = own != mServers.end()       ? &own->second
+                  : foreign != mForeign.end() ? &foreign->second
+                                              : nullptr;
+  if (state == nullptr || state->mProbe != aEvent.mProbe) {
+    return;
+  }
+  state->mProbe.reset();
+  if (aEvent.mResult == probe_result::Answered) {
+    NoteAnswer(name, aNow, aOut);
+    return;
+  }
+  ++state->mUnanswered;
+  const negative failure{ aNow,
+                          aEvent.mResult == probe_result::Refused,
+                          aEvent.mConnection,
+                          state->mProbeIsNew };
+  NoteFailure(name, failure, aNow, aOut);
+}
+
+void
+failure_detector::On(const detector_time_passed&, time_point aNow, actions&)
+{
+  for (auto& [name, state] : mServers) {
+    while (!state.mNegatives.empty() &&
+           aNow - state.mNegatives.front().mAt > kEvidenceAge) {
+      state.mNegatives.pop_front();
+    }
+  }
+}
+
+// What was observed before a pause says nothing about the present, and answers
+// that arrived during the pause may not have been read yet.
+void
+failure_detector::ForgetEvidence(time_point aNow, actions& aOut)
+{
+  for (auto& [name, state] : mServers) {
+    const bool suspected = state.mSuspected;
+    state = {};
+    state.mSuspected = suspected;
+    state.mLastAnswer = aNow;
+    state.mProbeSoon = true;
+  }
+  mForeign.clear();
+  mProbes.clear();
+  mPending.clear();
+  mRound.reset();
+  mIgnoreFailuresUntil = aNow + kStaleHandOver;
+  SetVerdict(false, aNow, aOut);
+}
+
+void
+failure_detector::NoteAnswer(const std::string& aServer,
+                             time_point aNow,
+                             actions& aOut)
+{
+  const auto found = mServers.find(aServer);
+  if (found != mServers.end()) {
+    server& state = found->second;
+    state.mLastAnswer = aNow;
+    state.mNegatives.clear();
+    state.mUnanswered = 0;
+    state.mProbeSoon = false;
+    state.mWantNew = false;
+    if (std::exchange(state.mSuspected, false)) {
+      aOut.emplace_back(suspicion_changed{});
+    }
+    if (aServer == mConfig.mPrimary) {
+      mRound.reset();
+      SetVerdict(false, aNow, aOut);
+    }
+  }
+  mForeign.erase(aServer);
+  SendReports(aServer, server_reachability::Reachable, aOut);
+}
+
+void
+failure_detector::NoteFailure(const std::string& aServer,
+                              negative aFailure,
+                              time_point aNow,
+                              actions& aOut)
+{
+  if (aNow < mIgnoreFailuresUntil) {
+    return;
+  }
+  const auto found = mServers.find(aServer);
+  if (found != mServers.end()) {
+    found->second.mNegatives.push_back(aFailure);
+    found->second.mProbeSoon = true;
+    Evaluate(found->second, aNow, aOut);
+    // Below a second of silence this instance does not know: no report.
+    const bool silent = aNow - found->second.mLastAnswer >= kSilenceLimit;
+    if (aFailure.mRefused || silent || found->second.mSuspected) {
+      SendReports(aServer, server_reachability::Unreachable, aOut);
+    }
+    return;
+  }
+  mForeign.erase(aServer);
+  SendReports(aServer, server_reachability::Unreachable, aOut);
+}
+
+bool
+failure_detector::HasEnoughEvidence(const server& aState, time_point aNow)
+{
+  std::size_t refused = 0;
+  std::size_t silent = 0;
+  bool anyNew = false;
+  std::set<std::uint64_t> connections;
+  for (const auto& failure : aState.mNegatives) {
+    if (aNow - failure.mAt > kEvidenceAge) {
+      continue;
+    }
+    refused += failure.mRefused ? 1 : 0;
+    silent += failure.mRefused ? 0 : 1;
+    connections.insert(failure.mConnection);
+    anyNew = anyNew || failure.mNewConnection;
+  }
+  return refused >= kRefusedLimit ||
+         (aNow - aState.mLastAnswer >= kSilenceLimit &&
+          silent >= kSilentProbes && connections.size() >= kSilentConnections &&
+          anyNew);
+}
+
+// A suspicion ends with an answer only; the verdict needs recent evidence.
+void
+failure_detector::Evaluate(server& aState, time_point aNow, actions& aOut)
+{
+  if (!aState.mSuspected && HasEnoughEvidence(aState, aNow)) {
+    aState.mSuspected = true;
+    aOut.emplace_back(suspicion_changed{});
+  }
+}
+
+duration
+failure_detector::ProbeGap(const std::string& aServer,
+                           const server& aState) const
+{
+  if (aState.mSuspected) {
+    return aServer == mConfig.mPrimary ? kSuspectedPrimaryGap : kSuspectedGap;
+  }
+  return aState.mProbeSoon ? kProbeSoonGap : mOptions.mProbeInterval;
+}
+
+void
+failure_detector::SendProbes(time_point aNow, actions& aOut)
+{
+  if (!mConfig.mIsHolder) {
+    return;
+  }
+  for (auto& [name, state] : mServers) {
+    const duration sinceProbe = aNow - state.mLastProbeSent;
+    if (state.mProbe || sinceProbe < ProbeGap(name, state)) {
+      continue;
+    }
+    const bool quiet = aNow - state.mLastAnswer >= mOptions.mProbeInterval;
+    if (quiet || state.mProbeSoon || state.mSuspected ||
+        mConfig.mWatchPositions || sinceProbe >= kStatusInterval) {
+      SendProbe(name, {}, state, aNow, aOut);
+    }
+  }
+}
+
+void
+failure_detector::SendProbe(const std::string& aServer,
+                            const std::string& aAddress,
+                            server& aState,
+                            time_point aNow,
+                            actions& aOut)
+{
+  const std::size_t row =
+    std::min(aState.mUnanswered, kProbeTimeouts.size() - 1);
+  aState.mProbe = mNextId++;
+  aState.mProbeIsNew =
+    std::exchange(aState.mWantNew, false) || !aState.mNegatives.empty();
+  aState.mLastProbeSent = aNow;
+  aState.mProbeSoon = false;
+  mProbes[*aState.mProbe] = aServer;
+  aOut.emplace_back(send_probe{ *aState.mProbe,
+                                aServer,
+                                aAddress,
+                                aState.mProbeIsNew,
+                                kProbeTimeouts.at(row) });
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/failure_detector_queries.cpp
@@ -0,0 +1,185 @@
+// Queries between instances and the verdict of the failure detector.
+#include "snipewalk/version/failure_detector.h"
+
+#include "snipewalk/version/failover.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Pause between two rounds of queries without a verdict.
+constexpr milliseconds kRoundGap{ 200 };
+// Instances without a slot that are asked when no other holder answers.
+constexpr std::size_t kMaxWitnesses = 3;
+// A query that could not be answered by then is dropped: the asker has stopped
+// waiting.
+constexpr milliseconds kReportDeadline{ 280 };
+
+} // namespace
+
+void
+failure_detector::On(const peer_message_received& aEvent,
+                     time_point aNow,
+                     actions& aOut)
+{
+  if (const auto* query = std::get_if<primary_report_query>(&aEvent.mMessage)) {
+    AnswerQuery(aEvent.mInstance, *query, aNow, aOut);
+    return;
+  }
+  const auto& report = std::get<primary_report>(aEvent.mMessage);
+  if (mRound && report.mQuery == mRound->mQuery &&
+      report.mTerm == mConfig.mTerm && report.mServer == mConfig.mPrimary &&
+      mRound->mAsked.count(aEvent.mInstance) > 0) {
+    mRound->mReports[aEvent.mInstance] = report.mReachability;
+  }
+}
+
+// A holder probes over a new connection before it reports; any other instance
+// connects only for this one probe.
+void
+failure_detector::AnswerQuery(const std::string& aInstance,
+                              const primary_report_query& aQuery,
+                              time_point aNow,
+                              actions& aOut)
+{
+  std::erase_if(mPending, [&](const auto& aPending) {
+    return aPending.mInstance == aInstance ||
+           aNow - aPending.mArrived > kReportDeadline;
+  });
+  mPending.push_back({ aInstance, aQuery, aNow });
+  const auto found = mServers.find(aQuery.mServer);
+  if (found != mServers.end() && mConfig.mIsHolder) {
+    server& state = found->second;
+    if (state.mSuspected && HasEnoughEvidence(state, aNow)) {
+      SendReports(aQuery.mServer, server_reachability::Unreachable, aOut);
+    } else if (!state.mProbe) {
+      state.mWantNew = true;
+      SendProbe(aQuery.mServer, {}, state, aNow, aOut);
+    }
+    return;
+  }
+  if (mForeign.count(aQuery.mServer) == 0) {
+    server& state = mForeign[aQuery.mServer];
+    state.mWantNew = true;
+    SendProbe(aQuery.mServer, aQuery.mAddress, state, aNow, aOut);
+  }
+}
+
+void
+failure_detector::SendReports(const std::string& aServer,
+                              server_reachability aReachability,
+                              actions& aOut)
+{
+  for (const auto& pending : mPending) {
+    if (pending.mQuery.mServer == aServer) {
+      aOut.emplace_back(send_peer_message{ pending.mInstance,
+                                           primary_report{
+                                             mOptions.mService,
+                                             aServer,
+                                             pending.mQuery.mTerm,
+                                             pending.mQuery.mQuery,
+                                             aReachability,
+                                           } });
+    }
+  }
+  std::erase_if(mPending, [&](const auto& aPending) {
+    return aPending.mQuery.mServer == aServer;
+  });
+}
+
+void
+failure_detector::AdvanceQuery(time_point aNow, actions& aOut)
+{
+  const auto primary = mServers.find(mConfig.mPrimary);
+  const bool suspected = mConfig.mIsHolder && primary != mServers.end() &&
+                         primary->second.mSuspected &&
+                         HasEnoughEvidence(primary->second, aNow);
+  if (!suspected) {
+    mRound.reset();
+    if (mVerdictAt && aNow - *mVerdictAt > kEvidenceAge) {
+      SetVerdict(false, aNow, aOut);
+    }
+    return;
+  }
+  if (mRound) {
+    const bool complete = mRound->mReports.size() == mRound->mAsked.size() ||
+                          aNow - mRound->mStarted >= kReportTime;
+    if (IsConfirmed()) {
+      mRound.reset();
+      mNextRound = aNow + kEvidenceAge / 2;
+      SetVerdict(true, aNow, aOut);
+    } else if (complete) {
+      mAskAll = mRound->mReports.empty();
+      mRound.reset();
+      mNextRound = aNow + kRoundGap;
+    }
+  } else if (aNow >= mNextRound) {
+    StartQuery(aNow, aOut);
+  }
+  if (mVerdictAt && aNow - *mVerdictAt > kEvidenceAge) {
+    SetVerdict(false, aNow, aOut);
+  }
+}
+
+void
+failure_detector::StartQuery(time_point aNow, actions& aOut)
+{
+  mRound.emplace();
+  mRound->mQuery = mNextId++;
+  mRound->mStarted = aNow;
+  mRound->mAsked.insert(mConfig.mOtherHolders.begin(),
+                        mConfig.mOtherHolders.end());
+  if (mAskAll || mRound->mAsked.empty()) {
+    const auto& others = mConfig.mOtherInstances;
+    const std::size_t count = std::min(others.size(), kMaxWitnesses);
+    mRound->mAsked.insert(others.begin(),
+                          others.begin() + static_cast<std::ptrdiff_t>(count));
+  }
+  for (const auto& instance : mRound->mAsked) {
+    aOut.emplace_back(
+      send_peer_message{ instance,
+                         primary_report_query{ mOptions.mService,
+                                               mConfig.mPrimary,
+                                               mConfig.mPrimaryAddress,
+                                               mConfig.mTerm,
+                                               mRound->mQuery } });
+  }
+}
+
+// A majority of all that were asked, this instance included, settles the round
+// at once; after kReportTime a majority of those that answered does.
+bool
+failure_detector::IsConfirmed() const
+{
+  if (mConfig.mOtherHolders.empty() && mConfig.mOtherInstances.empty()) {
+    return true;
+  }
+  std::size_t unreachable = 0;
+  for (const auto& [instance, reachability] : mRound->mReports) {
+    unreachable += reachability == server_reachability::Unreachable ? 1 : 0;
+  }
+  const bool timedOut =
+    mLastEvent && *mLastEvent - mRound->mStarted >= kReportTime;
+  const std::size_t votes =
+    1 + (timedOut ? mRound->mReports.size() : mRound->mAsked.size());
+  return unreachable >= 1 && 2 * (unreachable + 1) > votes;
+}
+
+void
+failure_detector::SetVerdict(bool aFailed, time_point aNow, actions& aOut)
+{
+  const bool had = mVerdictAt.has_value();
+  if (aFailed) {
+    mVerdictAt = aNow;
+  } else {
+    mVerdictAt.reset();
+  }
+  if (had != aFailed) {
+    aOut.emplace_back(verdict_changed{ mConfig.mTerm, aFailed });
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/record_json.cpp
@@ -0,0 +1,215 @@
+// Implementation of the strict JSON reader.
+#include "version/record_json.h"
+
+#include <absl/strings/str_cat.h>
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace snipewalk {
+
+absl::StatusOr<Json::Value>
+ParseRecord(const std::string& aText)
+{
+  Json::CharReaderBuilder builder;
+  Json::CharReaderBuilder::strictMode(&builder.settings_);
+  builder["allowTrailingCommas"] = false;
+  builder["stackLimit"] = 16;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  std::string faults;
+  bool parsed = false;
+  try {
+    parsed =
+      reader->parse(aText.data(), aText.data() + aText.size(), &value, &faults);
+  } catch (const Json::Exception& fault) {
+    faults = fault.what();
+  }
+  if (!parsed) {
+    return absl::InvalidArgumentError(absl::StrCat("not JSON: ", faults));
+  }
+  if (!value.isObject()) {
+    return absl::InvalidArgumentError("not a JSON object");
+  }
+  return value;
+}
+
+std::string
+WriteRecord(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  builder["emitUTF8"] = true;
+  return Json::writeString(builder, aValue);
+}
+
+record_reader::record_reader(const Json::Value& aValue)
+  : mValue(aValue)
+{
+  if (!aValue.isObject()) {
+    Fail("an object is missing");
+  }
+}
+
+const Json::Value*
+record_reader::Field(const char* aField, bool aRequired)
+{
+  mRead.emplace_back(aField);
+  if (!mValue.isObject() || !mValue.isMember(aField)) {
+    if (aRequired) {
+      Fail(absl::StrCat("field ", aField, " is missing"));
+    }
+    return nullptr;
+  }
+  return &mValue[aField];
+}
+
+std::string
+record_reader::Text(const char* aField)
+{
+  const Json::Value* value = Field(aField);
+  if (value == nullptr) {
+    return {};
+  }
+  if (!value->isString()) {
+    Fail(absl::StrCat("field ", aField, " is not a string"));
+    return {};
+  }
+  return value->asString();
+}
+
+std::uint64_t
+record_reader::Number(const char* aField)
+{
+  return Field(aField) != nullptr ? OptionalNumber(aField).value_or(0) : 0;
+}
+
+std::optional<std::uint64_t>
+record_reader::OptionalNumber(const char* aField)
+{
+  const Json::Value* value = Field(aField, false);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  // isUInt64() also accepts whole floating point numbers such as 1.0.
+  if (!value->isUInt64() || value->type() == Json::realValue) {
+    Fail(absl::StrCat("field ", aField, " is not a whole number"));
+    return std::nullopt;
+  }
+  return value->asUInt64();
+}
+
+bool
+record_reader::Flag(const char* aField)
+{
+  const Json::Value* value = Field(aField);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->isBool()) {
+    Fail(absl::StrCat("field ", aField, " is not true or false"));
+    return false;
+  }
+  return value->asBool();
+}
+
+wall_time
+record_reader::Time(const char* aField)
+{
+  return Field(aField) != nullptr ? OptionalTime(aField).value_or(wall_time())
+                                  : wall_time();
+}
+
+std::optional<wall_time>
+record_reader::OptionalTime(const char* aField)
+{
+  // Year 9999; also keeps the conversion to nanoseconds within its range.
+  constexpr std::uint64_t kLatestMs = 9'000'000'000'000;
+  const auto number = OptionalNumber(aField);
+  if (!number) {
+    return std::nullopt;
+  }
+  if (*number > kLatestMs) {
+    Fail(absl::StrCat("field ", aField, " is too far in the future"));
+    return std::nullopt;
+  }
+  return wall_time(milliseconds(static_cast<std::int64_t>(*number)));
+}
+
+std::vector<std::string>
+record_reader::Texts(const char* aField)
+{
+  std::vector<std::string> texts;
+  const Json::Value* value = Field(aField);
+  if (value == nullptr) {
+    return texts;
+  }
+  if (!value->isArray()) {
+    Fail(absl::StrCat("field ", aField, " is not an array"));
+    return texts;
+  }
+  for (const auto& element : *value) {
+    if (!element.isString()) {
+      Fail(absl::StrCat("field ", aField, " holds more than strings"));
+      return {};
+    }
+    texts.push_back(element.asString());
+  }
+  return texts;
+}
+
+void
+record_reader::Each(const char* aField,
+                    std::size_t aLimit,
+                    const std::function<void(record_reader&)>& aRead)
+{
+  const Json::Value* value = Field(aField);
+  if (value == nullptr) {
+    return;
+  }
+  if (!value->isArray() || value->size() > aLimit) {
+    Fail(absl::StrCat("field ", aField, " is not an array within its limit"));
+    return;
+  }
+  for (const auto& element : *value) {
+    record_reader reader(element);
+    aRead(reader);
+    const absl::Status status = reader.Finish();
+    if (!status.ok()) {
+      Fail(absl::StrCat(aField, ": ", status.message()));
+      return;
+    }
+  }
+}
+
+void
+record_reader::Fail(std::string_view aFault)
+{
+  if (mStatus.ok()) {
+    mStatus = absl::InvalidArgumentError(std::string(aFault));
+  }
+}
+
+absl::Status
+record_reader::Finish()
+{
+  if (mStatus.ok() && mValue.isObject()) {
+    for (const auto& name : mValue.getMemberNames()) {
+      if (std::find(mRead.begin(), mRead.end(), name) == mRead.end()) {
+        Fail(absl::StrCat("unknown field ", name));
+      }
+    }
+  }
+  return mStatus;
+}
+
+std::int64_t
+UnixMilliseconds(wall_time aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime.time_since_epoch())
+    .count();
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/term_record.cpp
@@ -0,0 +1,261 @@
+// Implementation of the store objects' JSON.
+#include "snipewalk/version/term_record.h"
+
+#include "version/record_json.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+
+#include <set>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr std::size_t kMaxKeys = 4;
+constexpr std::size_t kMaxSlots = 64;
+constexpr std::size_t kMaxServers = 64;
+
+Json::Value
+ArrayOf(const std::vector<std::string>& aTexts)
+{
+  Json::Value array(Json::arrayValue);
+  for (const auto& text : aTexts) {
+    array.append(text);
+  }
+  return array;
+}
+
+std::string
+NameOfValue(std::string_view aName)
+{
+  return std::string(aName);
+}
+
+void
+CheckTerm(const term_record& aRecord, record_reader& aReader)
+{
+  const std::set<std::string> unique(aRecord.mVoters.begin(),
+                                     aRecord.mVoters.end());
+  if (aRecord.mTerm == 0) {
+    aReader.Fail("term 0 does not exist");
+  }
+  if (aRecord.mVoters.empty() || unique.size() != aRecord.mVoters.size() ||
+      unique.count("") > 0) {
+    aReader.Fail("voters are missing or repeated");
+  }
+  const bool electing = aRecord.mPhase == term_phase::Electing;
+  if (electing != aRecord.mPrimary.empty() ||
+      (!electing && unique.count(aRecord.mPrimary) == 0)) {
+    aReader.Fail("the primary does not fit the phase or the voters");
+  }
+}
+
+server_drain
+ReadServerDrain(record_reader& aReader)
+{
+  server_drain progress;
+  progress.mServer = aReader.Text("server");
+  const auto state = ValueOf(kDrainStateNames, aReader.Text("state"));
+  if (!state) {
+    aReader.Fail("unknown drain state");
+  }
+  progress.mState = state.value_or(drain_state::Running);
+  progress.mIsPrimary = aReader.Flag("is_primary");
+  progress.mIsVoter = aReader.Flag("is_voter");
+  progress.mConnections = aReader.Number("connections");
+  const auto remaining = aReader.OptionalNumber("remaining_ms");
+  if (remaining) {
+    progress.mRemaining = milliseconds(static_cast<std::int64_t>(*remaining));
+  }
+  progress.mLeaveBy = aReader.OptionalTime("leave_by_ms");
+  progress.mBreach = aReader.Flag("breach");
+  progress.mObstacles = aReader.Texts("obstacles");
+  return progress;
+}
+
+Json::Value
+WriteServerDrain(const server_drain& aServer)
+{
+  Json::Value value;
+  value["server"] = aServer.mServer;
+  value["state"] = NameOfValue(NameOf(kDrainStateNames, aServer.mState));
+  value["is_primary"] = aServer.mIsPrimary;
+  value["is_voter"] = aServer.mIsVoter;
+  value["connections"] = Json::UInt64(aServer.mConnections);
+  if (aServer.mRemaining) {
+    value["remaining_ms"] = Json::Int64(aServer.mRemaining->count());
+  }
+  if (aServer.mLeaveBy) {
+    value["leave_by_ms"] = Json::Int64(UnixMilliseconds(*aServer.mLeaveBy));
+  }
+  value["breach"] = aServer.mBreach;
+  value["obstacles"] = ArrayOf(aServer.mObstacles);
+  return value;
+}
+
+} // namespace
+
+std::string
+EncodeTermRecord(const term_record& aRecord)
+{
+  Json::Value value;
+  value["term"] = Json::UInt64(aRecord.mTerm);
+  value["primary"] = aRecord.mPrimary;
+  value["voters"] = ArrayOf(aRecord.mVoters);
+  value["phase"] = NameOfValue(NameOf(kTermPhaseNames, aRecord.mPhase));
+  value["operation"] = aRecord.mOperation;
+  value["by"] = aRecord.mOrderedBy;
+  return WriteRecord(value);
+}
+
+absl::StatusOr<term_record>
+DecodeTermRecord(const std::string& aText)
+{
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  term_record record;
+  record.mTerm = reader.Number("term");
+  record.mPrimary = reader.Text("primary");
+  record.mVoters = reader.Texts("voters");
+  const auto phase = ValueOf(kTermPhaseNames, reader.Text("phase"));
+  if (!phase) {
+    reader.Fail("unknown phase");
+  }
+  record.mPhase = phase.value_or(term_phase::Stable);
+  record.mOperation = reader.Text("operation");
+  record.mOrderedBy = reader.Text("by");
+  CheckTerm(record, reader);
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return record;
+}
+
+std::string
+EncodeSlotRecord(const slot_record& aRecord)
+{
+  Json::Value value;
+  value["holders"] = Json::Value(Json::arrayValue);
+  for (const auto& holder : aRecord.mHolders) {
+    Json::Value entry;
+    entry["instance"] = holder.mInstance;
+    entry["incarnation"] = Json::UInt64(holder.mIncarnation);
+    value["holders"].append(entry);
+  }
+  return WriteRecord(value);
+}
+
+absl::StatusOr<slot_record>
+DecodeSlotRecord(const std::string& aText)
+{
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  slot_record record;
+  reader.Each("holders", kMaxSlots, [&](record_reader& aEntry) {
+    slot_record::holder holder;
+    holder.mInstance = aEntry.Text("instance");
+    holder.mIncarnation = aEntry.Number("incarnation");
+    record.mHolders.push_back(holder);
+  });
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return record;
+}
+
+std::string
+EncodeSessionKeys(const std::vector<session_key>& aKeys)
+{
+  Json::Value value;
+  value["keys"] = Json::Value(Json::arrayValue);
+  for (const auto& key : aKeys) {
+    Json::Value entry;
+    entry["id"] = key.mId;
+    entry["secret"] = absl::Base64Escape(key.mSecret);
+    entry["sign_after_ms"] = Json::Int64(UnixMilliseconds(key.mSignAfter));
+    value["keys"].append(entry);
+  }
+  return WriteRecord(value);
+}
+
+absl::StatusOr<std::vector<session_key>>
+DecodeSessionKeys(const std::string& aText)
+{
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  std::vector<session_key> keys;
+  std::set<std::string> ids;
+  reader.Each("keys", kMaxKeys, [&](record_reader& aEntry) {
+    session_key key;
+    key.mId = aEntry.Text("id");
+    if (!absl::Base64Unescape(aEntry.Text("secret"), &key.mSecret) ||
+        key.mSecret.empty()) {
+      aEntry.Fail("the secret is not base64");
+    }
+    key.mSignAfter = aEntry.Time("sign_after_ms");
+    if (key.mId.empty() || !ids.insert(key.mId).second) {
+      aEntry.Fail("the id is empty or repeated");
+    }
+    keys.push_back(key);
+  });
+  if (keys.empty()) {
+    reader.Fail("no key");
+  }
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return keys;
+}
+
+std::string
+EncodeDrainStatus(const drain_status& aStatus)
+{
+  Json::Value value;
+  value["service"] = aStatus.mService;
+  value["instance"] = aStatus.mInstance;
+  value["term"] = Json::UInt64(aStatus.mTerm);
+  value["updated_ms"] = Json::Int64(UnixMilliseconds(aStatus.mUpdated));
+  value["servers"] = Json::Value(Json::arrayValue);
+  for (const auto& server : aStatus.mServers) {
+    value["servers"].append(WriteServerDrain(server));
+  }
+  return WriteRecord(value);
+}
+
+absl::StatusOr<drain_status>
+DecodeDrainStatus(const std::string& aText)
+{
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  drain_status decoded;
+  decoded.mService = reader.Text("service");
+  decoded.mInstance = reader.Text("instance");
+  decoded.mTerm = reader.Number("term");
+  decoded.mUpdated = reader.Time("updated_ms");
+  reader.Each("servers", kMaxServers, [&](record_reader& aEntry) {
+    decoded.mServers.push_back(ReadServerDrain(aEntry));
+  });
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return decoded;
+}
+
+} // namespace snipewalk
--- a/tests/version/failover_model.cpp
+++ b/tests/version/failover_model.cpp
@@ -432,7 +432,11 @@
         return aWrite.mConfirmed.count(aVoter) > 0;
       });
     if (2 * static_cast<std::size_t>(confirmed) <= aWrite.mVoters.size()) {
-      return false;
+      // No voter will confirm it any more.
+      return std::all_of(
+        aWrite.mVoters.begin(), aWrite.mVoters.end(), [&](const auto& aVoter) {
+          return mServers[aVoter].mTerm > aWrite.mTerm;
+        });
     }
     mAcknowledged.emplace_back(aWrite.mIndex, aWrite.mEntry);
     return true;
