--- /dev/null
+++ b/src/process/membership.cpp
@@ -0,0 +1,423 @@
+// Implementation of the membership: events, probes and timers.
+#include "snipewalk/process/membership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+// Bounds the work that others can cause by indirect probes.
+constexpr std::size_t kMaxRelays = 256;
+constexpr milliseconds kRelayLifetime{ 1'500 };
+// Own suspects probed again in each interval.
+constexpr std::size_t kProbedSuspects = 3;
+// Members told directly of a departure.
+constexpr std::size_t kLeaveFanOut = 8;
+// Digests differ for some rounds after each change; only tables that differ
+// longer are fetched.
+constexpr milliseconds kQuietBeforeFetch{ 5'000 };
+constexpr milliseconds kFetchInterval{ 30'000 };
+constexpr milliseconds kFetchIntervalWhileChanging{ 120'000 };
+constexpr std::size_t kSeedsAtOnce = 3;
+
+} // namespace
+
+membership::membership(membership_options aOptions, time_point aNow)
+  : mOptions(std::move(aOptions))
+  , mSelf(mOptions.mSelf)
+  , mRandom(mOptions.mSeed)
+  , mNextRejoin(aNow)
+  , mLastTimer(aNow)
+  , mLastContact(aNow)
+  , mLastChange(aNow)
+  , mLastFetch(aNow - kFetchIntervalWhileChanging)
+{
+  mSelf.mState = member_state::Alive;
+  // A random phase spreads the probes of instances started together.
+  const auto interval = static_cast<std::uint64_t>(
+    std::max<std::int64_t>(1, mOptions.mProbeInterval.count()));
+  mNextProbe = aNow + milliseconds(mRandom() % interval);
+  mDigest =
+    XXH64(mSelf.mName.data(), mSelf.mName.size(), mSelf.mIncarnation);
+  Enqueue(mSelf.mName);
+}
+
+void
+membership::Handle(const membership_event& aEvent,
+                   time_point aNow,
+                   std::vector<membership_action>& aActions)
+{
+  std::visit([&](const auto& aKnown) { On(aKnown, aNow, aActions); }, aEvent);
+}
+
+time_point
+membership::NextTimer() const
+{
+  time_point next = std::min(mNextProbe, mNextRejoin);
+  if (mProbe && !mProbe->mIndirectSent) {
+    next = std::min(next, mProbe->mIndirectAt);
+  }
+  if (!mDeadlines.empty()) {
+    next = std::min(next, mDeadlines.begin()->first);
+  }
+  return next;
+}
+
+void
+membership::On(const membership_received& aEvent,
+               time_point aNow,
+               actions& aActions)
+{
+  const membership_message& message = aEvent.mMessage;
+  for (const auto& update : message.mUpdates) {
+    Apply(update, aNow, aActions);
+  }
+  NoteSender(aEvent, aNow, aActions);
+  switch (message.mKind) {
+    case membership_kind::Probe: {
+      // The answer tells a sender that is held dead or suspected about it, so
+      // that it refutes.
+      const known_member* sender = Find(message.mSender);
+      const member_info* about = sender == nullptr ? &mSelf : &sender->mInfo;
+      if (about->mState == member_state::Alive && about != &mSelf) {
+        about = nullptr;
+      }
+      SendTo(aEvent.mFrom,
+             Compose(membership_kind::Ack, message.mSequence),
+             about,
+             aActions);
+      break;
+    }
+    case membership_kind::Ack:
+      OnAck(aEvent, aNow, aActions);
+      break;
+    case membership_kind::IndirectProbe:
+      OnIndirect(aEvent, aNow, aActions);
+      break;
+    case membership_kind::Update:
+      break;
+  }
+}
+
+void
+membership::NoteSender(const membership_received& aEvent,
+                       time_point aNow,
+                       actions& aActions)
+{
+  const membership_message& message = aEvent.mMessage;
+  if (message.mSender == mSelf.mName) {
+    member_info other = mSelf;
+    other.mIncarnation = message.mIncarnation;
+    other.mControlAddress = aEvent.mFrom;
+    other.mState = member_state::Alive;
+    ApplyToSelf(other, aActions);
+    return;
+  }
+  mLastContact = aNow;
+  aActions.push_back(peer_seen{ message.mSender,
+                                aEvent.mFrom,
+                                message.mHeads,
+                                milliseconds(message.mWatchAgeMs) });
+  CompareDigest(aEvent, aNow, aActions);
+}
+
+void
+membership::CompareDigest(const membership_received& aEvent,
+                          time_point aNow,
+                          actions& aActions)
+{
+  const bool joining = !mJoined;
+  mJoined = true;
+  if (!joining) {
+    if (aEvent.mMessage.mMemberDigest == mDigest) {
+      return;
+    }
+    const auto interval = aNow - mLastChange >= kQuietBeforeFetch
+                            ? kFetchInterval
+                            : kFetchIntervalWhileChanging;
+    if (aNow - mLastFetch < interval) {
+      return;
+    }
+  }
+  mLastFetch = aNow;
+  aActions.push_back(fetch_members{ aEvent.mFrom });
+}
+
+void
+membership::OnAck(const membership_received& aEvent,
+                  time_point,
+                  actions& aActions)
+{
+  const std::uint64_t sequence = aEvent.mMessage.mSequence;
+  if (mProbe && mProbe->mSequence == sequence) {
+    mProbe.reset();
+    return;
+  }
+  const auto relayed = mRelays.find(sequence);
+  if (relayed != mRelays.end()) {
+    SendTo(relayed->second.mAddress,
+           Compose(membership_kind::Ack, relayed->second.mSequence),
+           nullptr,
+           aActions);
+    mRelays.erase(relayed);
+  }
+}
+
+void
+membership::OnIndirect(const membership_received& aEvent,
+                       time_point aNow,
+                       actions& aActions)
+{
+  if (mRelays.size() >= kMaxRelays) {
+    return;
+  }
+  const std::uint64_t sequence = mNextSequence++;
+  mRelays[sequence] = { aEvent.mMessage.mSequence,
+                        aEvent.mFrom,
+                        aNow + kRelayLifetime };
+  SendTo(aEvent.mMessage.mTarget,
+         Compose(membership_kind::Probe, sequence),
+         nullptr,
+         aActions);
+}
+
+void
+membership::On(const members_received& aEvent,
+               time_point aNow,
+               actions& aActions)
+{
+  for (const auto& member : aEvent.mMembers) {
+    Apply(member, aNow, aActions);
+  }
+}
+
+void
+membership::On(const platform_list_received& aEvent,
+               time_point aNow,
+               actions& aActions)
+{
+  absl::flat_hash_map<std::string, bool> listed;
+  for (const auto& instance : aEvent.mInstances) {
+    listed[instance.mName] = true;
+  }
+  for (auto& member : mMembers) {
+    const bool present = listed.contains(member.mInfo.mName);
+    // The list lags: only a process that it named before can be missing.
+    const bool unlisted = !present && (member.mListed || member.mUnlisted);
+    member.mListed = present;
+    if (unlisted != member.mUnlisted) {
+      member.mUnlisted = unlisted;
+      aActions.push_back(
+        member_changed{ member.mInfo.mName, member.mInfo.mState });
+    }
+  }
+  (void)aNow;
+}
+
+void
+membership::On(const leave_requested&, time_point, actions& aActions)
+{
+  if (mLeft) {
+    return;
+  }
+  mLeft = true;
+  mSelf.mState = member_state::Left;
+  Enqueue(mSelf.mName);
+  for (const auto* member : RandomLive(kLeaveFanOut, "")) {
+    SendTo(member->mInfo.mControlAddress,
+           Compose(membership_kind::Update, mNextSequence++),
+           &mSelf,
+           aActions);
+  }
+}
+
+void
+membership::On(const membership_timer&, time_point aNow, actions& aActions)
+{
+  HandlePause(aNow);
+  ExpireDeadlines(aNow, aActions);
+  if (mProbe && !mProbe->mIndirectSent && aNow >= mProbe->mIndirectAt) {
+    SendIndirectProbes(aActions);
+  }
+  if (aNow >= mNextProbe) {
+    FinishProbe(aNow, aActions);
+    std::erase_if(mRelays, [&](const auto& aEntry) {
+      return aEntry.second.mExpires <= aNow;
+    });
+    if (!mLeft) {
+      ProbeSuspects(aActions);
+      StartProbe(aNow, aActions);
+    }
+    mNextProbe = std::max(mNextProbe + mOptions.mProbeInterval,
+                          aNow + mOptions.mDirectTimeout);
+  }
+  if (aNow >= mNextRejoin) {
+    if (!mLeft) {
+      Rejoin(aNow, aActions);
+    }
+    // Without any peer the seeds are tried as often as a member is probed.
+    mNextRejoin =
+      aNow + (mLive == 0 ? mOptions.mProbeInterval : mOptions.mRejoinInterval);
+  }
+}
+
+void
+membership::HandlePause(time_point aNow)
+{
+  const duration late = aNow - std::max(NextTimer(), mLastTimer);
+  mLastTimer = aNow;
+  if (late <= mOptions.mPauseThreshold) {
+    return;
+  }
+  // Answers and refutations may have been missed during the pause: it does not
+  // count as time for anybody to answer.
+  mProbe.reset();
+  std::multimap<time_point, std::string> moved;
+  for (auto& [when, name] : mDeadlines) {
+    moved.emplace(when + late, name);
+    mDeadlineOf[name] = when + late;
+  }
+  mDeadlines = std::move(moved);
+}
+
+void
+membership::ExpireDeadlines(time_point aNow, actions& aActions)
+{
+  while (!mDeadlines.empty() && mDeadlines.begin()->first <= aNow) {
+    const std::string name = mDeadlines.begin()->second;
+    mDeadlineOf.erase(name);
+    mDeadlines.erase(mDeadlines.begin());
+    const known_member* member = Find(name);
+    if (member == nullptr) {
+      continue;
+    }
+    if (member->mInfo.mState == member_state::Suspect) {
+      member_info death = member->mInfo;
+      death.mState = member_state::Dead;
+      Apply(death, aNow, aActions);
+    } else if (member->mInfo.mState != member_state::Alive) {
+      Forget(name);
+    }
+  }
+}
+
+void
+membership::FinishProbe(time_point aNow, actions& aActions)
+{
+  if (!mProbe) {
+    return;
+  }
+  const known_member* target = Find(mProbe->mTarget);
+  mProbe.reset();
+  if (target == nullptr || target->mInfo.mState != member_state::Alive) {
+    return;
+  }
+  member_info suspicion = target->mInfo;
+  suspicion.mState = member_state::Suspect;
+  mOwnSuspects.push_back(suspicion.mName);
+  Apply(suspicion, aNow, aActions);
+}
+
+void
+membership::StartProbe(time_point aNow, actions& aActions)
+{
+  const known_member* target = NextTarget();
+  if (target == nullptr) {
+    return;
+  }
+  mProbe = probe{ mNextSequence++,
+                  target->mInfo.mName,
+                  target->mInfo.mControlAddress,
+                  aNow + mOptions.mDirectTimeout,
+                  false };
+  SendTo(mProbe->mAddress,
+         Compose(membership_kind::Probe, mProbe->mSequence),
+         target->mInfo.mState == member_state::Alive ? nullptr : &target->mInfo,
+         aActions);
+}
+
+const known_member*
+membership::NextTarget()
+{
+  // Each member is probed once a round, which bounds the time to detection.
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!mRound.empty()) {
+      const known_member* member = Find(mRound.back());
+      mRound.pop_back();
+      if (member != nullptr && (member->mInfo.mState == member_state::Alive ||
+                                member->mInfo.mState == member_state::Suspect)) {
+        return member;
+      }
+    }
+    for (const auto& member : mMembers) {
+      mRound.push_back(member.mInfo.mName);
+    }
+    std::shuffle(mRound.begin(), mRound.end(), mRandom);
+  }
+  return nullptr;
+}
+
+void
+membership::SendIndirectProbes(actions& aActions)
+{
+  mProbe->mIndirectSent = true;
+  for (const auto* helper :
+       RandomLive(mOptions.mIndirectProbes, mProbe->mTarget)) {
+    membership_message request =
+      Compose(membership_kind::IndirectProbe, mProbe->mSequence);
+    request.mTarget = mProbe->mAddress;
+    SendTo(
+      helper->mInfo.mControlAddress, std::move(request), nullptr, aActions);
+  }
+}
+
+void
+membership::ProbeSuspects(actions& aActions)
+{
+  std::erase_if(mOwnSuspects, [&](const std::string& aName) {
+    const known_member* member = Find(aName);
+    return member == nullptr || member->mInfo.mState != member_state::Suspect;
+  });
+  const std::size_t count = std::min(mOwnSuspects.size(), kProbedSuspects);
+  for (std::size_t i = 0; i < count; ++i) {
+    const known_member* member = Find(mOwnSuspects[i]);
+    SendTo(member->mInfo.mControlAddress,
+           Compose(membership_kind::Probe, mNextSequence++),
+           &member->mInfo,
+           aActions);
+  }
+}
+
+void
+membership::Rejoin(time_point, actions& aActions)
+{
+  // A dead member that answers refutes its death, which heals partitions.
+  if (!mMembers.empty()) {
+    const known_member& member = mMembers[mRandom() % mMembers.size()];
+    if (member.mInfo.mState == member_state::Dead && !member.mUnlisted) {
+      SendTo(member.mInfo.mControlAddress,
+             Compose(membership_kind::Probe, mNextSequence++),
+             &member.mInfo,
+             aActions);
+    }
+  }
+  std::vector<std::string> seeds;
+  for (const auto& seed : mOptions.mSeeds) {
+    if (seed != mSelf.mControlAddress) {
+      seeds.push_back(seed);
+    }
+  }
+  std::shuffle(seeds.begin(), seeds.end(), mRandom);
+  seeds.resize(std::min(seeds.size(), mLive == 0 ? kSeedsAtOnce : 1));
+  for (const auto& seed : seeds) {
+    SendTo(seed,
+           Compose(membership_kind::Probe, mNextSequence++),
+           &mSelf,
+           aActions);
+  }
+}
+
+} // namespace snipewalk
