Assign slots by conditional updates confirmed by the co-holders

Purpose: only holders of slots connect to backend servers, and the sum of their shares stays within the limit while membership views diverge. Ruled out: keeping a slot while any peer is in contact. A holder that is partitioned together with some peers would keep its connections while the other side replaces it.

--- a/include/snipewalk/process/fleet_messages.h
+++ b/include/snipewalk/process/fleet_messages.h
@@ -4,6 +4,7 @@
 #define SNIPEWALK_PROCESS_FLEET_MESSAGES_H_
 
 #include "snipewalk/process/store_client.h"
+#include "snipewalk/version/control_messages.h"
 #include "snipewalk/version/object_cache.h"
 #include "snipewalk/version/service_view.h"
 
@@ -119,22 +120,19 @@
   bool mMore = false;
 };
 
-// A message of one service between holders, encoded by its owner.
+// A question or answer about the primary of a service.
 struct service_message
 {
   std::string mSender;
-  std::string mService;
-  // Names the type of mBody, for example "primary_report_query".
-  std::string mType;
-  std::string mBody;
+  control_message mMessage;
 };
 
-using control_message = std::variant<change_push,
-                                     pull_query,
-                                     pull_reply,
-                                     member_query,
-                                     member_reply,
-                                     service_message>;
+using fleet_message = std::variant<change_push,
+                                   pull_query,
+                                   pull_reply,
+                                   member_query,
+                                   member_reply,
+                                   service_message>;
 
 } // namespace snipewalk
 
--- a/src/process/dissemination.cpp
+++ b/src/process/dissemination.cpp
@@ -142,11 +142,10 @@
   }
   // A store that refuses for its load is called ever less often; one that is
   // down is tried steadily, so that changes spread soon after its return.
-  aWatch.mBackoff = aStatus == store_status::RateLimited
-                      ? std::clamp(aWatch.mBackoff * 2,
-                                   mOptions.mWatchRetry,
-                                   kMaxBackoff)
-                      : mOptions.mWatchRetry;
+  aWatch.mBackoff =
+    aStatus == store_status::RateLimited
+      ? std::clamp(aWatch.mBackoff * 2, mOptions.mWatchRetry, kMaxBackoff)
+      : mOptions.mWatchRetry;
   const auto range = static_cast<std::uint64_t>(aWatch.mBackoff.count()) + 1;
   aWatch.mNotBefore = aNow + milliseconds(mRandom() % range);
   mNextChoice = std::min(mNextChoice, aWatch.mNotBefore);
@@ -229,14 +228,15 @@
     if (mAhead->mHeads[i] <= mCache.Heads()[i]) {
       continue;
     }
-    mPull = pull_state{ mNextSequence++,      mAhead->mAddress, i,
-                        mCache.Heads()[i],    {},
+    mPull = pull_state{ mNextSequence++,
+                        mAhead->mAddress,
+                        i,
+                        mCache.Heads()[i],
+                        {},
                         aNow + mOptions.mPullTimeout };
-    aActions.push_back(send_pull{ mPull->mFrom,
-                                  { mPull->mSequence,
-                                    std::string(kObjectKinds[i]),
-                                    mPull->mSince,
-                                    0 } });
+    aActions.push_back(send_pull{
+      mPull->mFrom,
+      { mPull->mSequence, std::string(kObjectKinds[i]), mPull->mSince, 0 } });
     return;
   }
   mAhead.reset();
@@ -267,9 +267,8 @@
   if (chunk.mMore) {
     mPull->mSequence = mNextSequence++;
     mPull->mDeadline = aNow + mOptions.mPullTimeout;
-    aActions.push_back(
-      send_pull{ mPull->mFrom,
-                 { mPull->mSequence, kind, mPull->mSince, chunk.mCursor } });
+    aActions.push_back(send_pull{
+      mPull->mFrom, { mPull->mSequence, kind, mPull->mSince, chunk.mCursor } });
     return;
   }
   objects_changed changed;
@@ -338,8 +337,7 @@
   const std::uint64_t own = WatcherHash(mMembership.Self().mName);
   std::size_t ahead = 0;
   for (const auto& member : mMembership.Members()) {
-    if (IsLive(member) &&
-        member.mInfo.mRegion == mMembership.Self().mRegion &&
+    if (IsLive(member) && member.mInfo.mRegion == mMembership.Self().mRegion &&
         WatcherHash(member.mInfo.mName) > own) {
       ++ahead;
     }
@@ -353,8 +351,8 @@
   if (!mIsWatcher) {
     return;
   }
-  const bool mayPull = mMembership.LiveCount() > 1 &&
-                       aNow - mStarted < mOptions.mSnapshotGrace;
+  const bool mayPull =
+    mMembership.LiveCount() > 1 && aNow - mStarted < mOptions.mSnapshotGrace;
   for (std::size_t i = 0; i < kObjectKinds.size(); ++i) {
     watch_state& watch = mWatches[i];
     const std::uint64_t head = mCache.Heads()[i];
--- a/src/process/fleet_codec.cpp
+++ b/src/process/fleet_codec.cpp
@@ -64,8 +64,16 @@
 using wire_member_query = std::tuple<std::uint64_t, std::string>;
 using wire_member_reply =
   std::tuple<std::uint64_t, std::vector<wire_member>, bool>;
-using wire_service =
-  std::tuple<std::string, std::string, std::string, std::string>;
+// Service, server, address, term, query, reachability; the flag tells a report
+// from a query.
+using wire_service = std::tuple<std::string,
+                                bool,
+                                std::string,
+                                std::string,
+                                std::string,
+                                std::uint64_t,
+                                std::uint64_t,
+                                int>;
 using wire_hello =
   std::tuple<std::string, std::string, std::string, std::string>;
 
@@ -86,18 +94,25 @@
 wire_member
 ToWire(const member_info& aMember)
 {
-  return { aMember.mName,       aMember.mIncarnation,
+  return { aMember.mName,
+           aMember.mIncarnation,
            static_cast<int>(aMember.mState),
-           aMember.mDataCentre, aMember.mRegion,
-           aMember.mPeerAddress, aMember.mControlAddress };
+           aMember.mDataCentre,
+           aMember.mRegion,
+           aMember.mPeerAddress,
+           aMember.mControlAddress };
 }
 
 member_info
 FromWire(wire_member&& aMember)
 {
   auto& [name, incarnation, state, dataCentre, region, peer, control] = aMember;
-  return { std::move(name),   incarnation,      std::move(dataCentre),
-           std::move(region), std::move(peer),  std::move(control),
+  return { std::move(name),
+           incarnation,
+           std::move(dataCentre),
+           std::move(region),
+           std::move(peer),
+           std::move(control),
            ToEnum(state, member_state::Left) };
 }
 
@@ -115,10 +130,9 @@
 FromWire(wire_object&& aObject)
 {
   auto& [kind, name, version, deleted, value] = aObject;
-  return { { std::move(kind), std::move(name) },
-           version,
-           deleted,
-           std::move(value) };
+  return {
+    { std::move(kind), std::move(name) }, version, deleted, std::move(value)
+  };
 }
 
 template<typename Wire, typename Type>
@@ -227,7 +241,7 @@
            ListToWire<wire_object>(aPush.mObjects) };
 }
 
-control_message
+fleet_message
 FromWire(wire_push&& aPush)
 {
   auto& [kind, since, head, objects] = aPush;
@@ -243,7 +257,7 @@
   return { aQuery.mSequence, aQuery.mKind, aQuery.mSince, aQuery.mCursor };
 }
 
-control_message
+fleet_message
 FromWire(wire_pull_query&& aQuery)
 {
   auto& [sequence, kind, since, cursor] = aQuery;
@@ -254,14 +268,14 @@
 ToWire(const pull_reply& aReply)
 {
   const object_chunk& chunk = aReply.mChunk;
-  return { aReply.mSequence, aReply.mKind,
-           ListToWire<wire_object>(chunk.mObjects),
-           chunk.mCursor,    chunk.mMore,
-           chunk.mSince,     chunk.mHead,
-           chunk.mFloor };
+  return {
+    aReply.mSequence, aReply.mKind, ListToWire<wire_object>(chunk.mObjects),
+    chunk.mCursor,    chunk.mMore,  chunk.mSince,
+    chunk.mHead,      chunk.mFloor
+  };
 }
 
-control_message
+fleet_message
 FromWire(wire_pull_reply&& aReply)
 {
   auto& [sequence, kind, objects, cursor, more, since, head, floor] = aReply;
@@ -281,7 +295,7 @@
   return { aQuery.mSequence, aQuery.mAfter };
 }
 
-control_message
+fleet_message
 FromWire(wire_member_query&& aQuery)
 {
   auto& [sequence, after] = aQuery;
@@ -296,7 +310,7 @@
            aReply.mMore };
 }
 
-control_message
+fleet_message
 FromWire(wire_member_reply&& aReply)
 {
   auto& [sequence, members, more] = aReply;
@@ -308,17 +322,41 @@
 wire_service
 ToWire(const service_message& aMessage)
 {
-  return {
-    aMessage.mSender, aMessage.mService, aMessage.mType, aMessage.mBody
-  };
-}
-
-control_message
+  if (const auto* query =
+        std::get_if<primary_report_query>(&aMessage.mMessage)) {
+    return { aMessage.mSender, false,        query->mService, query->mServer,
+             query->mAddress,  query->mTerm, query->mQuery,   0 };
+  }
+  const auto& report = std::get<primary_report>(aMessage.mMessage);
+  return { aMessage.mSender,
+           true,
+           report.mService,
+           report.mServer,
+           "",
+           report.mTerm,
+           report.mQuery,
+           static_cast<int>(report.mReachability) };
+}
+
+fleet_message
 FromWire(wire_service&& aMessage)
 {
-  auto& [sender, service, type, body] = aMessage;
+  auto& [sender, isReport, service, server, address, term, query, reachable] =
+    aMessage;
+  if (!isReport) {
+    return service_message{
+      std::move(sender),
+      primary_report_query{
+        std::move(service), std::move(server), std::move(address), term, query }
+    };
+  }
   return service_message{
-    std::move(sender), std::move(service), std::move(type), std::move(body)
+    std::move(sender),
+    primary_report{ std::move(service),
+                    std::move(server),
+                    term,
+                    query,
+                    ToEnum(reachable, server_reachability::Unreachable) }
   };
 }
 
@@ -381,8 +419,8 @@
   }
 }
 
-control_message
-ToControl(const msgpack::object& aObject)
+fleet_message
+ToFleetMessage(const msgpack::object& aObject)
 {
   const auto [index, body] = aObject.as<wire_variant>();
   switch (index) {
@@ -435,15 +473,15 @@
 }
 
 std::string
-EncodeControl(const control_message& aMessage)
+EncodeFleetMessage(const fleet_message& aMessage)
 {
   return PackVariant(aMessage);
 }
 
-std::optional<control_message>
-DecodeControl(std::string_view aBytes)
+std::optional<fleet_message>
+DecodeFleetMessage(std::string_view aBytes)
 {
-  return Unpack<control_message>(aBytes, ToControl);
+  return Unpack<fleet_message>(aBytes, ToFleetMessage);
 }
 
 std::string
--- a/src/process/fleet_codec.h
+++ b/src/process/fleet_codec.h
@@ -25,9 +25,9 @@
 DecodeDatagram(std::string_view aBytes, const std::vector<std::string>& aKeys);
 
 std::string
-EncodeControl(const control_message& aMessage);
-std::optional<control_message>
-DecodeControl(std::string_view aBytes);
+EncodeFleetMessage(const fleet_message& aMessage);
+std::optional<fleet_message>
+DecodeFleetMessage(std::string_view aBytes);
 
 // Client's first frame on a control connection; it answers the challenge.
 struct control_hello
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -40,8 +40,7 @@
   const auto interval = static_cast<std::uint64_t>(
     std::max<std::int64_t>(1, mOptions.mProbeInterval.count()));
   mNextProbe = aNow + milliseconds(mRandom() % interval);
-  mDigest =
-    XXH64(mSelf.mName.data(), mSelf.mName.size(), mSelf.mIncarnation);
+  mDigest = XXH64(mSelf.mName.data(), mSelf.mName.size(), mSelf.mIncarnation);
   Enqueue(mSelf.mName);
 }
 
@@ -347,8 +346,9 @@
     while (!mRound.empty()) {
       const known_member* member = Find(mRound.back());
       mRound.pop_back();
-      if (member != nullptr && (member->mInfo.mState == member_state::Alive ||
-                                member->mInfo.mState == member_state::Suspect)) {
+      if (member != nullptr &&
+          (member->mInfo.mState == member_state::Alive ||
+           member->mInfo.mState == member_state::Suspect)) {
         return member;
       }
     }
@@ -413,10 +413,8 @@
   std::shuffle(seeds.begin(), seeds.end(), mRandom);
   seeds.resize(std::min(seeds.size(), mLive == 0 ? kSeedsAtOnce : 1));
   for (const auto& seed : seeds) {
-    SendTo(seed,
-           Compose(membership_kind::Probe, mNextSequence++),
-           &mSelf,
-           aActions);
+    SendTo(
+      seed, Compose(membership_kind::Probe, mNextSequence++), &mSelf, aActions);
   }
 }
 
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -115,10 +115,9 @@
   const bool elsewhere = !aUpdate.mControlAddress.empty() &&
                          aUpdate.mControlAddress != mSelf.mControlAddress;
   if (aUpdate.mState == member_state::Alive && elsewhere) {
-    const bool otherWins =
-      aUpdate.mIncarnation != mSelf.mIncarnation
-        ? aUpdate.mIncarnation > mSelf.mIncarnation
-        : aUpdate.mControlAddress < mSelf.mControlAddress;
+    const bool otherWins = aUpdate.mIncarnation != mSelf.mIncarnation
+                             ? aUpdate.mIncarnation > mSelf.mIncarnation
+                             : aUpdate.mControlAddress < mSelf.mControlAddress;
     if (otherWins) {
       aActions.push_back(duplicate_name_found{ aUpdate.mControlAddress });
     } else {
@@ -265,9 +264,10 @@
   if (mSelf.mName > aAfter && !mLeft) {
     rest.push_back(&mSelf);
   }
-  std::sort(rest.begin(), rest.end(), [](const auto* aLeft, const auto* aRight) {
-    return aLeft->mName < aRight->mName;
-  });
+  std::sort(
+    rest.begin(), rest.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->mName < aRight->mName;
+    });
   std::vector<member_info> table;
   std::size_t bytes = 0;
   for (const auto* member : rest) {
--- a/src/version/object_cache.cpp
+++ b/src/version/object_cache.cpp
@@ -10,8 +10,7 @@
 std::optional<std::size_t>
 KindIndex(std::string_view aKind)
 {
-  const auto found =
-    std::find(kObjectKinds.begin(), kObjectKinds.end(), aKind);
+  const auto found = std::find(kObjectKinds.begin(), kObjectKinds.end(), aKind);
   if (found == kObjectKinds.end()) {
     return std::nullopt;
   }
@@ -95,8 +94,7 @@
     }
     next = state.mObjects.erase(next);
   }
-  state.mFloor =
-    std::max(state.mFloor, std::min(aRange.mFloor, aRange.mHead));
+  state.mFloor = std::max(state.mFloor, std::min(aRange.mFloor, aRange.mHead));
 }
 
 void
--- /dev/null
+++ b/src/version/slot_assignment.cpp
@@ -0,0 +1,491 @@
+// Implementation of slot assignment: records, holders and shares.
+#include "snipewalk/version/slot_assignment.h"
+
+#include "slot_service.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+// Services handled at one timer event; bounds the time of one round.
+constexpr std::size_t kServicesAtOnce = 64;
+// A holder asks the store when its authority ends within this time: half of it
+// leaves two store calls of 1.5 s.
+constexpr milliseconds kLowAuthority{ 3'200 };
+
+} // namespace
+
+int
+SlotShare(int aConnections, int aSlots, std::size_t aSlot)
+{
+  if (aSlots <= 0 || aSlot >= static_cast<std::size_t>(aSlots)) {
+    return 0;
+  }
+  const int remainder = aConnections % aSlots;
+  return aConnections / aSlots + (static_cast<int>(aSlot) < remainder ? 1 : 0);
+}
+
+slot_assignment::slot_assignment(slot_options aOptions,
+                                 const slot_fleet& aFleet)
+  : mOptions(std::move(aOptions))
+  , mFleet(aFleet)
+  , mRandom(mOptions.mSeed)
+{
+}
+
+slot_assignment::~slot_assignment() = default;
+
+void
+slot_assignment::Handle(const slot_event& aEvent,
+                        time_point aNow,
+                        std::vector<slot_action>& aActions)
+{
+  std::visit([&](const auto& aKnown) { On(aKnown, aNow, aActions); }, aEvent);
+}
+
+std::optional<time_point>
+slot_assignment::NextTimer() const
+{
+  if (mDue.empty()) {
+    return std::nullopt;
+  }
+  return mDue.begin()->first;
+}
+
+int
+slot_assignment::Share(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? 0 : found->second->mShare;
+}
+
+const slot_record*
+slot_assignment::Record(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? nullptr : &found->second->mRecord;
+}
+
+std::size_t
+slot_assignment::HeldCount() const
+{
+  const auto own = mByHolder.find(mOptions.mInstance);
+  if (own == mByHolder.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::count_if(
+    own->second.begin(), own->second.end(), [&](const std::string& aName) {
+      return mServices.at(aName)->mSlot.has_value();
+    }));
+}
+
+slot_service&
+slot_assignment::ServiceOf(const std::string& aName)
+{
+  auto& service = mServices[aName];
+  if (!service) {
+    service = std::make_unique<slot_service>();
+    service->mName = aName;
+  }
+  return *service;
+}
+
+slot_service*
+slot_assignment::FindService(const std::string& aName)
+{
+  const auto found = mServices.find(aName);
+  return found == mServices.end() ? nullptr : found->second.get();
+}
+
+void
+slot_assignment::Schedule(slot_service& aService, time_point aWhen)
+{
+  if (aService.mDue) {
+    if (*aService.mDue <= aWhen) {
+      return;
+    }
+    mDue.erase({ *aService.mDue, aService.mName });
+  }
+  aService.mDue = aWhen;
+  mDue.emplace(aWhen, aService.mName);
+}
+
+milliseconds
+slot_assignment::Random(milliseconds aBelow)
+{
+  const auto range = static_cast<std::uint64_t>(aBelow.count()) + 1;
+  return milliseconds(mRandom() % range);
+}
+
+void
+slot_assignment::On(const slots_configured& aEvent,
+                    time_point aNow,
+                    actions& aActions)
+{
+  slot_service& service = ServiceOf(aEvent.mService);
+  if (aEvent.mDocumentVersion <= service.mDocument) {
+    return;
+  }
+  service.mDocumentReplaced = service.mDocument != 0;
+  service.mDocument = aEvent.mDocumentVersion;
+  service.mSlots = aEvent.mSlots;
+  service.mConnections = aEvent.mConnections;
+  // Shrinks before anybody is told of the new version.
+  if (service.mSlot) {
+    SetShare(
+      service,
+      std::min(service.mShare,
+               SlotShare(service.mConnections, service.mSlots, *service.mSlot)),
+      aActions);
+    service.mNextQuery = aNow;
+  }
+  Schedule(service, aNow);
+}
+
+void
+slot_assignment::On(const slots_recorded& aEvent,
+                    time_point aNow,
+                    actions& aActions)
+{
+  Adopt(ServiceOf(aEvent.mObject.mKey.mName), aEvent.mObject, aNow, aActions);
+}
+
+void
+slot_assignment::On(const slot_member_changed& aEvent,
+                    time_point aNow,
+                    actions&)
+{
+  const auto held = mByHolder.find(aEvent.mName);
+  if (held == mByHolder.end()) {
+    return;
+  }
+  for (const auto& name : held->second) {
+    Schedule(*mServices.at(name), aNow);
+  }
+}
+
+void
+slot_assignment::On(const slot_store_recovered&, time_point aNow, actions&)
+{
+  for (auto& [name, service] : mServices) {
+    service->mBackoff = milliseconds(0);
+    // Holders that wait for the store ask it at once.
+    if (!service->mSlot) {
+      service->mNextStoreCall = aNow + Random(mOptions.mRecoveryJitter);
+    }
+  }
+}
+
+void
+slot_assignment::On(const slots_released&, time_point aNow, actions&)
+{
+  mReleasing = true;
+  for (auto& [name, service] : mServices) {
+    if (service->mSlot) {
+      Schedule(*service, aNow);
+    }
+  }
+}
+
+void
+slot_assignment::On(const slot_timer&, time_point aNow, actions& aActions)
+{
+  for (std::size_t i = 0;
+       i < kServicesAtOnce && !mDue.empty() && mDue.begin()->first <= aNow;
+       ++i) {
+    slot_service& service = *mServices.at(mDue.begin()->second);
+    mDue.erase(mDue.begin());
+    service.mDue.reset();
+    Step(service, aNow, aActions);
+  }
+}
+
+void
+slot_assignment::Index(const slot_service& aService, bool aAdd)
+{
+  for (const auto& holder : aService.mRecord.mHolders) {
+    if (holder.mInstance.empty()) {
+      continue;
+    }
+    if (aAdd) {
+      mByHolder[holder.mInstance].insert(aService.mName);
+      continue;
+    }
+    const auto held = mByHolder.find(holder.mInstance);
+    if (held != mByHolder.end()) {
+      held->second.erase(aService.mName);
+      if (held->second.empty()) {
+        mByHolder.erase(held);
+      }
+    }
+  }
+}
+
+void
+slot_assignment::Adopt(slot_service& aService,
+                       const stored_object& aObject,
+                       time_point aNow,
+                       actions& aActions)
+{
+  if (aObject.mVersion <= aService.mVersion) {
+    return;
+  }
+  std::optional<slot_record> next = slot_record{};
+  if (!aObject.mDeleted) {
+    next = DecodeSlots(aObject.mValue);
+  }
+  if (!next) {
+    return;
+  }
+  NoteReplaced(aService, *next, aNow);
+  Index(aService, false);
+  aService.mRecord = std::move(*next);
+  aService.mVersion = aObject.mVersion;
+  aService.mText = aObject.mValue;
+  aService.mExists = !aObject.mDeleted;
+  Index(aService, true);
+  aService.mPut.reset();
+  aService.mTakeOver.reset();
+  aService.mMustRead = false;
+
+  std::map<std::string, co_holder> others;
+  const bool held = aService.mSlot.has_value();
+  aService.mSlot.reset();
+  for (std::size_t i = 0; i < aService.mRecord.mHolders.size(); ++i) {
+    const auto& holder = aService.mRecord.mHolders[i];
+    if (holder.mInstance == mOptions.mInstance) {
+      if (holder.mIncarnation == mOptions.mLife) {
+        aService.mSlot = i;
+      }
+    } else if (!holder.mInstance.empty()) {
+      co_holder other{ holder.mIncarnation, 0, 0, {}, 0, false };
+      const auto known = aService.mOthers.find(holder.mInstance);
+      if (known != aService.mOthers.end() &&
+          known->second.mLife == holder.mIncarnation) {
+        other = known->second;
+        // The update to which this instance agreed can no longer succeed.
+        other.mGivenUp = false;
+      }
+      others.emplace(holder.mInstance, other);
+    }
+  }
+  if (held && aService.mOthers.empty() && !others.empty()) {
+    // Nobody can have agreed to a replacement yet: that takes a question from
+    // this instance, which knew no other holder until now.
+    aService.mAuthorityUntil =
+      std::max(aService.mAuthorityUntil, aNow + kAuthorityTime);
+  }
+  aService.mOthers = std::move(others);
+  if (!aService.mSlot) {
+    aService.mReleaseAt.reset();
+    SetShare(aService, 0, aActions);
+  } else {
+    if (!held) {
+      aService.mClaimVersion = aService.mVersion;
+    }
+    aService.mNextQuery = aNow;
+  }
+  Schedule(aService, aNow);
+}
+
+void
+slot_assignment::NoteReplaced(slot_service& aService,
+                              const slot_record& aNext,
+                              time_point aNow)
+{
+  const time_point until = aNow + kTakeOverWait;
+  if (aService.mVersion == 0) {
+    // Holders replaced before the first version seen here are unknown.
+    const bool anyHolder = std::any_of(
+      aNext.mHolders.begin(), aNext.mHolders.end(), [&](const auto& aHolder) {
+        return !aHolder.mInstance.empty() &&
+               aHolder.mInstance != mOptions.mInstance;
+      });
+    aService.mNoGrowBefore = anyHolder ? until : aService.mNoGrowBefore;
+    return;
+  }
+  for (std::size_t i = 0; i < aService.mRecord.mHolders.size(); ++i) {
+    const auto& before = aService.mRecord.mHolders[i];
+    const auto after =
+      i < aNext.mHolders.size() ? aNext.mHolders[i] : slot_record::holder{};
+    if (before.mInstance.empty() ||
+        (before.mInstance == after.mInstance &&
+         before.mIncarnation == after.mIncarnation)) {
+      continue;
+    }
+    if (after.mInstance.empty()) {
+      // A holder vacates its own slot after it closed its connections; only
+      // slots above the number of slots are vacated by others.
+      if (i >= static_cast<std::size_t>(std::max(0, aService.mSlots)) ||
+          aNext.mHolders.empty()) {
+        aService.mNoGrowBefore = until;
+      }
+      continue;
+    }
+    const bool ownAfterGone = after.mInstance == mOptions.mInstance &&
+                              after.mIncarnation == mOptions.mLife &&
+                              aService.mPut && aService.mPut->mSlot == i &&
+                              aService.mPut->mConfirmedGone;
+    if (!ownAfterGone) {
+      aService.mNoGrowBefore = until;
+    }
+  }
+}
+
+void
+slot_assignment::Step(slot_service& aService,
+                      time_point aNow,
+                      actions& aActions)
+{
+  if (!aService.mSlot) {
+    StepClaimant(aService, aNow, aActions);
+  } else if (mReleasing || *aService.mSlot >= static_cast<std::size_t>(
+                                                std::max(0, aService.mSlots))) {
+    StepRelease(aService, aNow, aActions);
+  } else {
+    aService.mReleaseAt.reset();
+    StepHolder(aService, aNow, aActions);
+  }
+}
+
+bool
+slot_assignment::HasAuthority(const slot_service& aService,
+                              time_point aNow) const
+{
+  return aService.mOthers.empty() || aNow < aService.mAuthorityUntil;
+}
+
+bool
+slot_assignment::MayGrow(const slot_service& aService, time_point aNow) const
+{
+  if (aNow < aService.mNoGrowBefore) {
+    return false;
+  }
+  const duration closing = aService.mDocumentReplaced
+                             ? duration(mOptions.mCloseTime)
+                             : duration::zero();
+  return std::all_of(
+    aService.mOthers.begin(), aService.mOthers.end(), [&](const auto& aOther) {
+      const co_holder& other = aOther.second;
+      return (other.mDocument >= aService.mDocument &&
+              aNow >= other.mDocumentAt + closing) ||
+             mFleet.Liveness({ aOther.first, other.mLife }) ==
+               holder_liveness::Gone;
+    });
+}
+
+void
+slot_assignment::SetShare(slot_service& aService, int aShare, actions& aActions)
+{
+  if (aService.mShare != aShare) {
+    aService.mShare = aShare;
+    aActions.push_back(share_changed{ aService.mName, aShare });
+  }
+}
+
+void
+slot_assignment::StepHolder(slot_service& aService,
+                            time_point aNow,
+                            actions& aActions)
+{
+  if (aNow >= aService.mNextQuery) {
+    AskHolders(aService, aNow, aActions);
+  }
+  const int target =
+    HasAuthority(aService, aNow)
+      ? SlotShare(aService.mConnections, aService.mSlots, *aService.mSlot)
+      : 0;
+  if (target < aService.mShare || MayGrow(aService, aNow)) {
+    SetShare(aService, target, aActions);
+  }
+  if (aService.mOthers.empty()) {
+    if (aService.mShare != target) {
+      Schedule(aService, std::max(aNow, aService.mNoGrowBefore));
+    }
+    return;
+  }
+  if (aService.mAuthorityUntil < aNow + kLowAuthority || aService.mMustRead) {
+    AskStore(aService, aNow, aActions);
+  }
+  Schedule(aService, aService.mNextQuery);
+  if (aService.mAuthorityUntil > aNow) {
+    Schedule(aService, aService.mAuthorityUntil);
+  }
+  if (aService.mShare != target && aService.mNoGrowBefore > aNow) {
+    Schedule(aService, aService.mNoGrowBefore);
+  }
+}
+
+void
+slot_assignment::StepRelease(slot_service& aService,
+                             time_point aNow,
+                             actions& aActions)
+{
+  SetShare(aService, 0, aActions);
+  if (!aService.mReleaseAt) {
+    // A vacant slot is claimed without waiting, so the connections of the
+    // holder before this one must be closed, too.
+    aService.mReleaseAt =
+      std::max(aNow + mOptions.mCloseTime, aService.mNoGrowBefore);
+  }
+  const time_point when =
+    std::max(*aService.mReleaseAt, aService.mNextStoreCall);
+  if (aNow < when) {
+    Schedule(aService, when);
+  } else if (aService.mMustRead) {
+    AskStore(aService, aNow, aActions);
+  } else if (!aService.mOperation) {
+    PutHolder(aService, *aService.mSlot, {}, true, aNow, aActions);
+  }
+}
+
+void
+slot_assignment::AskHolders(slot_service& aService,
+                            time_point aNow,
+                            actions& aActions)
+{
+  aService.mNextQuery = aNow + mOptions.mQueryInterval;
+  // The sequence is the time of the question, from which authority counts.
+  const auto sequence =
+    static_cast<std::uint64_t>(ToMilliseconds(aNow.time_since_epoch()));
+  for (const auto& [name, other] : aService.mOthers) {
+    const std::string address = mFleet.AddressOf(name);
+    if (address.empty()) {
+      continue;
+    }
+    slot_message query =
+      Compose(aService, slot_message_kind::HoldQuery, sequence);
+    query.mHolder = mOptions.mInstance;
+    query.mHolderLife = mOptions.mLife;
+    if (other.mVersion != 0 && other.mVersion < aService.mVersion) {
+      query.mRecord = aService.mText;
+    }
+    aActions.push_back(send_slot_message{ address, std::move(query) });
+  }
+}
+
+void
+slot_assignment::AskStore(slot_service& aService,
+                          time_point aNow,
+                          actions& aActions)
+{
+  if (aService.mOperation) {
+    return;
+  }
+  if (aNow < aService.mNextStoreCall) {
+    Schedule(aService, aService.mNextStoreCall);
+    return;
+  }
+  aService.mNextStoreCall = aNow + mOptions.mQueryInterval;
+  aService.mOperation = mNextOperation++;
+  aService.mOperationSent = aNow;
+  aService.mOperationIsPut = false;
+  mOperations[*aService.mOperation] = aService.mName;
+  aActions.push_back(slot_store_call{
+    *aService.mOperation,
+    store_get{ { std::string(kSlotsKind), aService.mName } } });
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/slot_claims.cpp
@@ -0,0 +1,467 @@
+// Implementation of slot assignment: claims, replies of the store and messages
+// between holders.
+#include "slot_service.h"
+
+#include "snipewalk/version/slot_assignment.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr milliseconds kMinBackoff{ 200 };
+constexpr milliseconds kMaxBackoff{ 8'000 };
+// Losers of a conditional update retry after a random share of this time.
+constexpr milliseconds kConflictJitter{ 300 };
+
+} // namespace
+
+std::vector<std::size_t>
+slot_assignment::Openings(const slot_service& aService) const
+{
+  const auto& holders = aService.mRecord.mHolders;
+  const std::size_t slots = static_cast<std::size_t>(aService.mSlots);
+  std::vector<std::size_t> vacant;
+  std::vector<std::size_t> gone;
+  std::vector<std::size_t> dead;
+  for (std::size_t i = 0; i < std::max(slots, holders.size()); ++i) {
+    if (i >= holders.size() || holders[i].mInstance.empty()) {
+      if (i < slots) {
+        vacant.push_back(i);
+      }
+      continue;
+    }
+    const holder_liveness liveness = mFleet.Liveness(holders[i]);
+    if (liveness == holder_liveness::Gone) {
+      gone.push_back(i);
+    } else if (liveness == holder_liveness::Dead) {
+      dead.push_back(i);
+    }
+  }
+  // The ones that open soonest come first.
+  vacant.insert(vacant.end(), gone.begin(), gone.end());
+  vacant.insert(vacant.end(), dead.begin(), dead.end());
+  return vacant;
+}
+
+bool
+slot_assignment::WaitForTurn(slot_service& aService,
+                             std::size_t aOpenings,
+                             time_point aNow)
+{
+  if (!aService.mOpeningSince) {
+    aService.mOpeningSince = aNow;
+    aService.mNextStoreCall =
+      std::max(aService.mNextStoreCall, aNow + Random(mOptions.mClaimJitter));
+  }
+  std::vector<std::string> holders;
+  for (const auto& holder : aService.mRecord.mHolders) {
+    holders.push_back(holder.mInstance);
+  }
+  const std::size_t rank = mFleet.Rank(aService.mName, holders);
+  time_point turn = aService.mNextStoreCall;
+  if (rank >= aOpenings) {
+    turn = std::max(turn,
+                    *aService.mOpeningSince +
+                      mOptions.mRankStep *
+                        static_cast<std::int64_t>(rank - aOpenings + 1));
+  }
+  if (aNow < turn) {
+    Schedule(aService, turn);
+    return true;
+  }
+  return false;
+}
+
+void
+slot_assignment::StepClaimant(slot_service& aService,
+                              time_point aNow,
+                              actions& aActions)
+{
+  if (mReleasing || aService.mSlots <= 0 || aService.mOperation) {
+    return;
+  }
+  const std::vector<std::size_t> openings = Openings(aService);
+  if (openings.empty()) {
+    aService.mOpeningSince.reset();
+    aService.mTakeOver.reset();
+    return;
+  }
+  if (WaitForTurn(aService, openings.size(), aNow)) {
+    return;
+  }
+  if (aService.mMustRead) {
+    AskStore(aService, aNow, aActions);
+    return;
+  }
+  const auto& holders = aService.mRecord.mHolders;
+  const std::size_t slot = openings.front();
+  const slot_record::holder own{ mOptions.mInstance, mOptions.mLife };
+  if (slot >= holders.size() || holders[slot].mInstance.empty()) {
+    PutHolder(aService, slot, own, true, aNow, aActions);
+  } else if (mFleet.Liveness(holders[slot]) == holder_liveness::Gone) {
+    const bool wanted = slot < static_cast<std::size_t>(aService.mSlots);
+    PutHolder(aService,
+              slot,
+              wanted ? own : slot_record::holder{},
+              true,
+              aNow,
+              aActions);
+  } else {
+    TakeOver(aService, slot, aNow, aActions);
+  }
+}
+
+void
+slot_assignment::TakeOver(slot_service& aService,
+                          std::size_t aSlot,
+                          time_point aNow,
+                          actions& aActions)
+{
+  const slot_record::holder target = aService.mRecord.mHolders[aSlot];
+  auto& takeOver = aService.mTakeOver;
+  if (!takeOver || takeOver->mSlot != aSlot ||
+      takeOver->mVersion != aService.mVersion) {
+    takeOver = take_over{ aSlot, target, aService.mVersion, {}, aNow };
+  }
+  bool agreed = !takeOver->mAgreed.empty();
+  for (const auto& [name, other] : aService.mOthers) {
+    if (name == target.mInstance || takeOver->mAgreed.contains(name) ||
+        mFleet.Liveness({ name, other.mLife }) == holder_liveness::Gone) {
+      continue;
+    }
+    agreed = false;
+    const std::string address = mFleet.AddressOf(name);
+    if (aNow >= takeOver->mNextAsk && !address.empty()) {
+      slot_message query =
+        Compose(aService, slot_message_kind::TakeOverQuery, 0);
+      query.mHolder = target.mInstance;
+      query.mHolderLife = target.mIncarnation;
+      query.mRecord = aService.mText;
+      aActions.push_back(send_slot_message{ address, std::move(query) });
+    }
+  }
+  if (agreed) {
+    const bool wanted = aSlot < static_cast<std::size_t>(aService.mSlots);
+    PutHolder(aService,
+              aSlot,
+              wanted ? slot_record::holder{ mOptions.mInstance, mOptions.mLife }
+                     : slot_record::holder{},
+              false,
+              aNow,
+              aActions);
+    return;
+  }
+  if (aNow >= takeOver->mNextAsk) {
+    takeOver->mNextAsk = aNow + mOptions.mQueryInterval;
+  }
+  Schedule(aService, takeOver->mNextAsk);
+}
+
+void
+slot_assignment::PutHolder(slot_service& aService,
+                           std::size_t aSlot,
+                           const slot_record::holder& aHolder,
+                           bool aConfirmedGone,
+                           time_point aNow,
+                           actions& aActions)
+{
+  slot_record next = aService.mRecord;
+  next.mHolders.resize(
+    std::max({ next.mHolders.size(),
+               aSlot + 1,
+               static_cast<std::size_t>(std::max(0, aService.mSlots)) }));
+  next.mHolders[aSlot] = aHolder;
+  while (next.mHolders.size() > static_cast<std::size_t>(aService.mSlots) &&
+         next.mHolders.back().mInstance.empty()) {
+    next.mHolders.pop_back();
+  }
+  aService.mPut = pending_put{ aSlot, aConfirmedGone };
+  aService.mOperation = mNextOperation++;
+  aService.mOperationSent = aNow;
+  aService.mOperationIsPut = true;
+  mOperations[*aService.mOperation] = aService.mName;
+  aActions.push_back(
+    slot_store_call{ *aService.mOperation,
+                     store_put{ { std::string(kSlotsKind), aService.mName },
+                                EncodeSlots(next),
+                                aService.mExists ? aService.mVersion : 0 } });
+}
+
+void
+slot_assignment::On(const slot_store_answered& aEvent,
+                    time_point aNow,
+                    actions& aActions)
+{
+  const auto found = mOperations.find(aEvent.mOperation);
+  if (found == mOperations.end()) {
+    return;
+  }
+  slot_service& service = *mServices.at(found->second);
+  mOperations.erase(found);
+  if (service.mOperation != aEvent.mOperation) {
+    return;
+  }
+  service.mOperation.reset();
+  if (service.mOperationIsPut) {
+    OnPutAnswered(service, aEvent.mReply, aNow, aActions);
+  } else {
+    OnReadAnswered(service, aEvent.mReply, aNow, aActions);
+  }
+  Schedule(service, aNow);
+}
+
+void
+slot_assignment::OnPutAnswered(slot_service& aService,
+                               const store_reply& aReply,
+                               time_point aNow,
+                               actions& aActions)
+{
+  switch (aReply.mStatus) {
+    case store_status::Ok:
+    case store_status::Conflict:
+      aService.mBackoff = milliseconds(0);
+      if (aReply.mObjects.empty()) {
+        aService.mMustRead = true;
+        break;
+      }
+      Adopt(aService, aReply.mObjects.front(), aNow, aActions);
+      aActions.push_back(record_learned{ aReply.mObjects.front() });
+      if (aReply.mStatus == store_status::Conflict) {
+        aService.mNextStoreCall = aNow + Random(kConflictJitter);
+      } else if (aService.mSlot) {
+        // The update took effect after it was sent.
+        aService.mAuthorityUntil = std::max(
+          aService.mAuthorityUntil, aService.mOperationSent + kAuthorityTime);
+      }
+      break;
+    case store_status::Unknown:
+      aService.mMustRead = true;
+      BackOff(aService, aNow);
+      break;
+    case store_status::NotFound:
+      // The object was deleted; a read tells since when.
+      aService.mMustRead = true;
+      break;
+    case store_status::RateLimited:
+    case store_status::Refused:
+      BackOff(aService, aNow);
+      break;
+  }
+}
+
+void
+slot_assignment::OnReadAnswered(slot_service& aService,
+                                const store_reply& aReply,
+                                time_point aNow,
+                                actions& aActions)
+{
+  if (aReply.mStatus == store_status::NotFound) {
+    aService.mMustRead = false;
+    aService.mBackoff = milliseconds(0);
+    if (aService.mExists) {
+      stored_object absent;
+      absent.mKey = { std::string(kSlotsKind), aService.mName };
+      absent.mVersion = std::max(aReply.mRevision, aService.mVersion + 1);
+      absent.mDeleted = true;
+      Adopt(aService, absent, aNow, aActions);
+    }
+    return;
+  }
+  if (aReply.mStatus != store_status::Ok || aReply.mObjects.empty()) {
+    BackOff(aService, aNow);
+    return;
+  }
+  aService.mMustRead = false;
+  aService.mBackoff = milliseconds(0);
+  const stored_object& object = aReply.mObjects.front();
+  Adopt(aService, object, aNow, aActions);
+  aActions.push_back(record_learned{ object });
+  if (object.mVersion == aService.mVersion && aService.mSlot) {
+    aService.mAuthorityUntil = std::max(
+      aService.mAuthorityUntil, aService.mOperationSent + kAuthorityTime);
+  }
+}
+
+void
+slot_assignment::BackOff(slot_service& aService, time_point aNow)
+{
+  // Holders keep a steady pace: their authority depends on the answer.
+  if (!aService.mSlot) {
+    aService.mBackoff =
+      std::clamp(aService.mBackoff * 2, kMinBackoff, kMaxBackoff);
+  } else {
+    aService.mBackoff = kMinBackoff;
+  }
+  aService.mNextStoreCall = aNow + kMinBackoff + Random(aService.mBackoff);
+}
+
+slot_message
+slot_assignment::Compose(const slot_service& aService,
+                         slot_message_kind aKind,
+                         std::uint64_t aSequence) const
+{
+  slot_message message;
+  message.mKind = aKind;
+  message.mService = aService.mName;
+  message.mSender = mOptions.mInstance;
+  message.mSenderLife = mOptions.mLife;
+  message.mRecordVersion = aService.mVersion;
+  message.mDocumentVersion = aService.mDocument;
+  message.mSequence = aSequence;
+  return message;
+}
+
+void
+slot_assignment::On(const slot_message_received& aEvent,
+                    time_point aNow,
+                    actions& aActions)
+{
+  const slot_message& message = aEvent.mMessage;
+  slot_service* service = FindService(message.mService);
+  if (service == nullptr) {
+    return;
+  }
+  if (!message.mRecord.empty() && message.mRecordVersion > service->mVersion) {
+    const stored_object object{ { std::string(kSlotsKind), message.mService },
+                                message.mRecordVersion,
+                                false,
+                                message.mRecord };
+    Adopt(*service, object, aNow, aActions);
+    aActions.push_back(record_learned{ object });
+  }
+  const auto other = service->mOthers.find(message.mSender);
+  if (other != service->mOthers.end() &&
+      other->second.mLife == message.mSenderLife) {
+    co_holder& known = other->second;
+    known.mVersion = std::max(known.mVersion, message.mRecordVersion);
+    if (message.mDocumentVersion > known.mDocument) {
+      known.mDocument = message.mDocumentVersion;
+      known.mDocumentAt = aNow;
+      Schedule(*service, aNow);
+    }
+  }
+  switch (message.mKind) {
+    case slot_message_kind::HoldQuery:
+      OnHoldQuery(*service, aEvent, aNow, aActions);
+      break;
+    case slot_message_kind::HoldReply:
+      OnHoldReply(*service, message, aNow, aActions);
+      break;
+    case slot_message_kind::TakeOverQuery:
+      OnTakeOverQuery(*service, aEvent, aNow, aActions);
+      break;
+    case slot_message_kind::TakeOverReply:
+      OnTakeOverReply(*service, message, aNow);
+      break;
+  }
+}
+
+void
+slot_assignment::OnHoldQuery(slot_service& aService,
+                             const slot_message_received& aEvent,
+                             time_point,
+                             actions& aActions)
+{
+  const slot_message& query = aEvent.mMessage;
+  slot_message reply =
+    Compose(aService, slot_message_kind::HoldReply, query.mSequence);
+  reply.mHolder = query.mSender;
+  reply.mHolderLife = query.mSenderLife;
+  const auto other = aService.mOthers.find(query.mSender);
+  if (aService.mSlot && other != aService.mOthers.end() &&
+      other->second.mLife == query.mSenderLife) {
+    other->second.mAskedAt =
+      std::max(other->second.mAskedAt, query.mRecordVersion);
+    reply.mGranted =
+      query.mRecordVersion == aService.mVersion && !other->second.mGivenUp;
+  }
+  if (query.mRecordVersion < aService.mVersion) {
+    reply.mRecord = aService.mText;
+  }
+  aActions.push_back(send_slot_message{ aEvent.mFrom, std::move(reply) });
+}
+
+void
+slot_assignment::OnHoldReply(slot_service& aService,
+                             const slot_message& aReply,
+                             time_point aNow,
+                             actions&)
+{
+  const auto other = aService.mOthers.find(aReply.mSender);
+  const bool mine = aReply.mHolder == mOptions.mInstance &&
+                    aReply.mHolderLife == mOptions.mLife;
+  if (!aReply.mGranted || !mine || !aService.mSlot ||
+      other == aService.mOthers.end() || other->second.mGivenUp ||
+      other->second.mLife != aReply.mSenderLife) {
+    return;
+  }
+  const time_point asked{ milliseconds(aReply.mSequence) };
+  if (asked > aNow) {
+    return;
+  }
+  aService.mAuthorityUntil =
+    std::max(aService.mAuthorityUntil, asked + kAuthorityTime);
+  if (aService.mShare == 0) {
+    Schedule(aService, aNow);
+  }
+}
+
+bool
+slot_assignment::MayAgree(const slot_service& aService,
+                          const slot_message& aQuery) const
+{
+  const auto target = aService.mOthers.find(aQuery.mHolder);
+  if (!aService.mSlot || aQuery.mRecordVersion != aService.mVersion ||
+      target == aService.mOthers.end() ||
+      target->second.mLife != aQuery.mHolderLife) {
+    return false;
+  }
+  // The target knows of this holder only if it asked it; otherwise it may
+  // believe to be the only one.
+  return target->second.mAskedAt >= aService.mClaimVersion &&
+         target->second.mAskedAt != 0 &&
+         mFleet.Liveness({ aQuery.mHolder, aQuery.mHolderLife }) !=
+           holder_liveness::Live;
+}
+
+void
+slot_assignment::OnTakeOverQuery(slot_service& aService,
+                                 const slot_message_received& aEvent,
+                                 time_point,
+                                 actions& aActions)
+{
+  const slot_message& query = aEvent.mMessage;
+  slot_message reply =
+    Compose(aService, slot_message_kind::TakeOverReply, query.mSequence);
+  reply.mHolder = query.mHolder;
+  reply.mHolderLife = query.mHolderLife;
+  reply.mGranted = MayAgree(aService, query);
+  if (reply.mGranted) {
+    aService.mOthers.at(query.mHolder).mGivenUp = true;
+  }
+  if (query.mRecordVersion < aService.mVersion) {
+    reply.mRecord = aService.mText;
+  }
+  aActions.push_back(send_slot_message{ aEvent.mFrom, std::move(reply) });
+}
+
+void
+slot_assignment::OnTakeOverReply(slot_service& aService,
+                                 const slot_message& aReply,
+                                 time_point aNow)
+{
+  auto& takeOver = aService.mTakeOver;
+  if (!takeOver || !aReply.mGranted ||
+      aReply.mRecordVersion != takeOver->mVersion ||
+      aReply.mHolder != takeOver->mHolder.mInstance ||
+      aReply.mHolderLife != takeOver->mHolder.mIncarnation ||
+      !aService.IsHolder(aReply.mSender, aReply.mSenderLife)) {
+    return;
+  }
+  takeOver->mAgreed.insert(aReply.mSender);
+  Schedule(aService, aNow);
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/slot_service.h
@@ -0,0 +1,100 @@
+// State of slot assignment for one service; private to slot_assignment.
+#ifndef SNIPEWALK_VERSION_SLOT_SERVICE_H_
+#define SNIPEWALK_VERSION_SLOT_SERVICE_H_
+
+#include "snipewalk/version/slot_assignment.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace snipewalk {
+
+// Another holder of the service.
+struct co_holder
+{
+  std::uint64_t mLife = 0;
+  // Highest versions that it is known to have.
+  std::uint64_t mVersion = 0;
+  std::uint64_t mDocument = 0;
+  // When mDocument was learned.
+  time_point mDocumentAt;
+  // Highest version of the record at which it asked this instance.
+  std::uint64_t mAskedAt = 0;
+  // This instance agreed to its replacement at the present version.
+  bool mGivenUp = false;
+};
+
+struct pending_put
+{
+  std::size_t mSlot = 0;
+  // The replaced holder, if any, certainly has no connections.
+  bool mConfirmedGone = false;
+};
+
+struct take_over
+{
+  std::size_t mSlot = 0;
+  slot_record::holder mHolder;
+  std::uint64_t mVersion = 0;
+  std::set<std::string> mAgreed;
+  time_point mNextAsk;
+};
+
+struct slot_service
+{
+  std::string mName;
+  int mSlots = 0;
+  int mConnections = 0;
+  std::uint64_t mDocument = 0;
+  // A share was computed from an earlier document version.
+  bool mDocumentReplaced = false;
+
+  slot_record mRecord;
+  std::uint64_t mVersion = 0;
+  std::string mText;
+  // False while the object is absent or deleted.
+  bool mExists = false;
+
+  // Slot held by this process, by the record.
+  std::optional<std::size_t> mSlot;
+  // Version at which this process became a holder.
+  std::uint64_t mClaimVersion = 0;
+  time_point mAuthorityUntil = time_point::min();
+  // Connections of replaced holders may be open until then.
+  time_point mNoGrowBefore = time_point::min();
+  int mShare = 0;
+  std::map<std::string, co_holder> mOthers;
+  time_point mNextQuery = time_point::min();
+  std::optional<time_point> mReleaseAt;
+
+  // At most one store call is outstanding.
+  std::optional<std::uint64_t> mOperation;
+  time_point mOperationSent;
+  bool mOperationIsPut = false;
+  // Kept until the next version of the record arrives.
+  std::optional<pending_put> mPut;
+  // A put may have taken effect: read back before the next one.
+  bool mMustRead = false;
+  time_point mNextStoreCall = time_point::min();
+  milliseconds mBackoff{ 0 };
+
+  std::optional<time_point> mOpeningSince;
+  std::optional<take_over> mTakeOver;
+  std::optional<time_point> mDue;
+
+  bool IsHolder(const std::string& aName, std::uint64_t aLife) const
+  {
+    for (const auto& holder : mRecord.mHolders) {
+      if (holder.mInstance == aName && holder.mIncarnation == aLife) {
+        return true;
+      }
+    }
+    return false;
+  }
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_VERSION_SLOT_SERVICE_H_
