--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/process/membership.h
@@ -57,6 +57,8 @@
   milliseconds mRejoinInterval{ 5'000 };
   // A longer gap between timer events means that the process was paused.
   milliseconds mPauseThreshold{ 500 };
+  // The platform's list names each live process after this time.
+  milliseconds mListLag{ 120'000 };
   std::uint64_t mSeed = 1;
 };
 
@@ -145,7 +147,10 @@
   member_info mInfo;
   // Since when it is in its state.
   time_point mSince;
-  // The platform's list named this process earlier and no longer does.
+  // When this life of it became known.
+  time_point mKnownSince;
+  // The platform's list named this process earlier, or must have, and no longer
+  // does.
   bool mUnlisted = false;
   bool mListed = false;
 };
--- /dev/null
+++ b/src/process/control_link.cpp
@@ -0,0 +1,224 @@
+// Implementation of a connection of the control port.
+#include "control_link.h"
+
+#include "fleet_codec.h"
+
+#include "snipewalk/base/hmac.h"
+#include "snipewalk/base/log.h"
+
+#include <openssl/rand.h>
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr std::size_t kNonceBytes = 32;
+// Larger frames before the end of the handshake are refused.
+constexpr std::size_t kHandshakeFrameBytes = 1'024;
+// Messages queued while a connection is being established.
+constexpr std::size_t kMaxWaitingBytes = 4 * 1024 * 1024;
+
+std::string
+NewNonce()
+{
+  std::string nonce(kNonceBytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
+             static_cast<int>(nonce.size()));
+  return nonce;
+}
+
+std::string
+ClientCode(const std::string& aKey,
+           const std::string& aServerNonce,
+           const control_hello& aHello)
+{
+  control_hello signedPart = aHello;
+  signedPart.mCode.clear();
+  return HmacSha256(aKey,
+                    "snipewalk control client 1\n" + aServerNonce +
+                      EncodeHello(signedPart));
+}
+
+std::string
+ServerCode(const std::string& aKey,
+           const std::string& aClientNonce,
+           const std::string& aServerNonce)
+{
+  return HmacSha256(
+    aKey, "snipewalk control server 1\n" + aClientNonce + aServerNonce);
+}
+
+} // namespace
+
+control_link::control_link(control_port& aPort,
+                           link_id aId,
+                           const std::string& aTo)
+  : mPort(aPort)
+  , mId(aId)
+  , mTo(aTo)
+  , mPeer(aTo)
+  , mState(state::AwaitNonce)
+  , mOwnNonce(NewNonce())
+  , mCreated(aPort.mLoop.Now())
+  , mLastUse(mCreated)
+  , mConnection(stream_connection::Connect(aPort.mLoop, aTo, Handlers()))
+{
+}
+
+control_link::control_link(control_port& aPort,
+                           link_id aId,
+                           const Poco::Net::StreamSocket& aSocket)
+  : mPort(aPort)
+  , mId(aId)
+  , mState(state::AwaitHello)
+  , mOwnNonce(NewNonce())
+  , mCreated(aPort.mLoop.Now())
+  , mLastUse(mCreated)
+  , mConnection(stream_connection::Adopt(aPort.mLoop, aSocket, Handlers()))
+{
+  Write(mOwnNonce);
+}
+
+stream_connection::handlers
+control_link::Handlers()
+{
+  return { {},
+           [this](std::string& aInput, time_point aNow) {
+             OnInput(aInput, aNow);
+           },
+           [this](close_cause, time_point) { Close(); } };
+}
+
+void
+control_link::Write(std::string_view aBody)
+{
+  const std::string frame = Frame(aBody);
+  mPort.mCounters.mBytesSent += frame.size();
+  mConnection->Send(frame);
+}
+
+void
+control_link::Send(std::string_view aMessage)
+{
+  mLastUse = mPort.mLoop.Now();
+  if (mState == state::Ready) {
+    Write(aMessage);
+  } else if (mWaiting.size() + aMessage.size() < kMaxWaitingBytes) {
+    mWaiting += Frame(aMessage);
+  }
+}
+
+void
+control_link::Close()
+{
+  if (mState != state::Closed) {
+    mState = state::Closed;
+    mConnection->Close();
+    mPort.Drop(mId);
+  }
+}
+
+void
+control_link::OnInput(std::string& aInput, time_point aNow)
+{
+  mLastUse = aNow;
+  std::string frame;
+  while (mState != state::Closed) {
+    const std::size_t limit =
+      mState == state::Ready ? kMaxFrameBytes : kHandshakeFrameBytes;
+    const frame_status status = TakeFrame(aInput, limit, frame);
+    if (status == frame_status::Incomplete) {
+      return;
+    }
+    if (status == frame_status::TooLarge || !OnFrame(frame, aNow)) {
+      ++mPort.mCounters.mConnectionsRejected;
+      Log(log_level::Warning,
+          "control_port",
+          "Closing a control connection that breaks the protocol",
+          { { "peer", std::string_view(mPeer) },
+            { "authenticated", mState == state::Ready } });
+      Close();
+      return;
+    }
+  }
+}
+
+bool
+control_link::OnFrame(const std::string& aFrame, time_point aNow)
+{
+  switch (mState) {
+    case state::AwaitNonce:
+      return OnNonce(aFrame);
+    case state::AwaitHello:
+      return OnHello(aFrame);
+    case state::AwaitProof:
+      return OnProof(aFrame);
+    case state::Ready:
+      return OnMessage(aFrame, aNow);
+    case state::Closed:
+      break;
+  }
+  return false;
+}
+
+bool
+control_link::OnNonce(const std::string& aFrame)
+{
+  if (aFrame.size() != kNonceBytes || mPort.mOptions.mKeys.empty()) {
+    return false;
+  }
+  mPeerNonce = aFrame;
+  control_hello hello{ mPort.mOptions.mName, mPort.mAddress, mOwnNonce, "" };
+  hello.mCode = ClientCode(mPort.mOptions.mKeys.front(), mPeerNonce, hello);
+  Write(EncodeHello(hello));
+  mState = state::AwaitProof;
+  return true;
+}
+
+bool
+control_link::OnHello(const std::string& aFrame)
+{
+  const auto hello = DecodeHello(aFrame);
+  if (!hello || hello->mNonce.size() != kNonceBytes) {
+    return false;
+  }
+  for (const auto& key : mPort.mOptions.mKeys) {
+    if (EqualInConstantTime(ClientCode(key, mOwnNonce, *hello), hello->mCode)) {
+      mPeer = hello->mAddress;
+      Write(ServerCode(key, hello->mNonce, mOwnNonce));
+      mState = state::Ready;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+control_link::OnProof(const std::string& aFrame)
+{
+  for (const auto& key : mPort.mOptions.mKeys) {
+    if (EqualInConstantTime(ServerCode(key, mOwnNonce, mPeerNonce), aFrame)) {
+      mState = state::Ready;
+      mPort.mCounters.mBytesSent += mWaiting.size();
+      mConnection->Send(mWaiting);
+      std::string().swap(mWaiting);
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+control_link::OnMessage(const std::string& aFrame, time_point aNow)
+{
+  auto message = DecodeFleetMessage(aFrame);
+  if (!message) {
+    return false;
+  }
+  mPort.mHandlers.mOnMessage(mId, mPeer, std::move(*message), aNow);
+  return true;
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/process/control_link.h
@@ -0,0 +1,82 @@
+// One TCP connection of the control port with its handshake:
+//
+//   server -> client   nonce of the server
+//   client -> server   hello: name, control address, nonce of the client and
+//                      HMAC(key, "client", server nonce, name, address,
+//                      client nonce)
+//   server -> client   HMAC(key, "server", client nonce, server nonce)
+//
+// Then both sides send messages. The direction is part of the code, so that a
+// server cannot be made to answer its own challenge.
+#ifndef SNIPEWALK_PROCESS_CONTROL_LINK_H_
+#define SNIPEWALK_PROCESS_CONTROL_LINK_H_
+
+#include "snipewalk/connection/stream_connection.h"
+#include "snipewalk/process/control_port.h"
+
+#include <memory>
+#include <string>
+
+namespace snipewalk {
+
+class control_link
+{
+public:
+  // Client side.
+  control_link(control_port& aPort, link_id aId, const std::string& aTo);
+  // Server side.
+  control_link(control_port& aPort,
+               link_id aId,
+               const Poco::Net::StreamSocket& aSocket);
+
+  void Send(std::string_view aMessage);
+
+  bool IsReady() const { return mState == state::Ready; }
+  bool IsOutgoing() const { return !mTo.empty(); }
+  const std::string& To() const { return mTo; }
+  // Sending does not keep a connection that never gets ready.
+  time_point LastUse() const { return IsReady() ? mLastUse : mCreated; }
+
+private:
+  enum class state
+  {
+    // Client: waits for the server's nonce.
+    AwaitNonce,
+    // Server: waits for the hello.
+    AwaitHello,
+    // Client: waits for the server's proof.
+    AwaitProof,
+    Ready,
+    Closed
+  };
+
+  stream_connection::handlers Handlers();
+  void OnInput(std::string& aInput, time_point aNow);
+  // False ends the connection.
+  bool OnFrame(const std::string& aFrame, time_point aNow);
+  bool OnNonce(const std::string& aFrame);
+  bool OnHello(const std::string& aFrame);
+  bool OnProof(const std::string& aFrame);
+  bool OnMessage(const std::string& aFrame, time_point aNow);
+  void Write(std::string_view aBody);
+  void Close();
+
+  control_port& mPort;
+  link_id mId;
+  // Empty on the server side.
+  std::string mTo;
+  // Control address of the other end.
+  std::string mPeer;
+  state mState;
+  std::string mOwnNonce;
+  std::string mPeerNonce;
+  // Frames waiting for the end of the handshake.
+  std::string mWaiting;
+  time_point mCreated;
+  time_point mLastUse;
+  std::unique_ptr<stream_connection> mConnection;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_CONTROL_LINK_H_
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -204,8 +204,10 @@
   }
   for (auto& member : mMembers) {
     const bool present = listed.contains(member.mInfo.mName);
-    // The list lags: only a process that it named before can be missing.
-    const bool unlisted = !present && (member.mListed || member.mUnlisted);
+    // The list lags: a process that it does not name yet is not gone.
+    const bool expected = member.mListed || member.mUnlisted ||
+                          aNow - member.mKnownSince >= mOptions.mListLag;
+    const bool unlisted = !present && expected;
     member.mListed = present;
     if (unlisted != member.mUnlisted) {
       member.mUnlisted = unlisted;
@@ -213,7 +215,6 @@
         member_changed{ member.mInfo.mName, member.mInfo.mState });
     }
   }
-  (void)aNow;
 }
 
 void
--- /dev/null
+++ b/src/process/membership_fleet.cpp
@@ -0,0 +1,76 @@
+// Implementation of the fleet as slot assignment sees it.
+#include "membership_fleet.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+std::uint64_t
+RendezvousHash(std::uint64_t aServiceHash, const std::string& aInstance)
+{
+  return XXH64(aInstance.data(), aInstance.size(), aServiceHash);
+}
+
+} // namespace
+
+holder_liveness
+membership_fleet::Liveness(const slot_record::holder& aHolder) const
+{
+  if (aHolder.mInstance == mMembership.Self().mName) {
+    // An earlier process of this instance; two at a time do not stay.
+    return aHolder.mIncarnation == mMembership.Life() ? holder_liveness::Live
+                                                      : holder_liveness::Gone;
+  }
+  const known_member* member = mMembership.Find(aHolder.mInstance);
+  if (member == nullptr) {
+    return holder_liveness::Dead;
+  }
+  const std::uint64_t life = LifeOf(member->mInfo.mIncarnation);
+  if (life != aHolder.mIncarnation) {
+    return life > aHolder.mIncarnation ? holder_liveness::Gone
+                                       : holder_liveness::Live;
+  }
+  switch (member->mInfo.mState) {
+    case member_state::Alive:
+    case member_state::Suspect:
+      return holder_liveness::Live;
+    case member_state::Left:
+      return holder_liveness::Gone;
+    case member_state::Dead:
+      break;
+  }
+  return member->mUnlisted ? holder_liveness::Gone : holder_liveness::Dead;
+}
+
+std::size_t
+membership_fleet::Rank(const std::string& aService,
+                       const std::vector<std::string>& aExcluded) const
+{
+  const std::uint64_t service = XXH64(aService.data(), aService.size(), 5);
+  const std::uint64_t own =
+    RendezvousHash(service, mMembership.Self().mName);
+  std::size_t rank = 0;
+  for (const auto& member : mMembership.Members()) {
+    const bool live = member.mInfo.mState == member_state::Alive ||
+                      member.mInfo.mState == member_state::Suspect;
+    if (live && RendezvousHash(service, member.mInfo.mName) > own &&
+        std::find(aExcluded.begin(), aExcluded.end(), member.mInfo.mName) ==
+          aExcluded.end()) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+std::string
+membership_fleet::AddressOf(const std::string& aInstance) const
+{
+  const known_member* member = mMembership.Find(aInstance);
+  return member == nullptr ? std::string() : member->mInfo.mControlAddress;
+}
+
+} // namespace snipewalk
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -173,6 +173,7 @@
   if (LifeOf(known.mIncarnation) != LifeOf(aUpdate.mIncarnation)) {
     aMember.mListed = false;
     aMember.mUnlisted = false;
+    aMember.mKnownSince = aNow;
   }
   if (aUpdate.mState == member_state::Alive) {
     known = aUpdate;
