--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/process/membership.h
@@ -29,6 +29,7 @@
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 namespace snipewalk {
 
@@ -58,7 +59,7 @@
   // A longer gap between timer events means that the process was paused.
   milliseconds mPauseThreshold{ 500 };
   // The platform's list names each live process after this time.
-  milliseconds mListLag{ 120'000 };
+  milliseconds mListLag{ 30'000 };
   std::uint64_t mSeed = 1;
 };
 
@@ -174,6 +175,9 @@
   const known_member* Find(const std::string& aName) const;
   // Members alive or suspected, this instance included.
   std::size_t LiveCount() const { return mLive + 1; }
+  // Whether the newest list of the platform named the instance; nothing before
+  // the first list.
+  std::optional<bool> IsListed(const std::string& aName) const;
   // When an answer or probe of any peer last arrived.
   time_point LastContact() const { return mLastContact; }
 
@@ -249,6 +253,7 @@
 
   std::vector<known_member> mMembers;
   absl::flat_hash_map<std::string, std::uint32_t> mIndex;
+  std::optional<absl::flat_hash_set<std::string>> mListed;
   // Number of entries in mMembers that are alive or suspected.
   std::size_t mLive = 0;
   // XOR over live members, this instance included.
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -228,6 +228,8 @@
   std::size_t HeldCount() const;
   // True once no slot is held; meaningful after slots_released.
   bool IsReleased() const { return HeldCount() == 0; }
+  // Whether the platform's list may decide about a holder believed dead.
+  bool WaitsForPlatform() const { return !mTakeOvers.empty(); }
 
 private:
   using actions = std::vector<slot_action>;
@@ -310,6 +312,8 @@
   std::map<std::string, std::unique_ptr<slot_service>> mServices;
   // Services by the instances that hold slots of them.
   std::map<std::string, std::set<std::string>> mByHolder;
+  // Services with a take-over in progress.
+  std::set<std::string> mTakeOvers;
   // Service of each outstanding store call.
   std::map<std::uint64_t, std::string> mOperations;
   // Exactly one entry for each service whose mDue is set.
--- /dev/null
+++ b/src/process/control_state.cpp
@@ -0,0 +1,543 @@
+// Implementation of the control thread: events, timers and actions.
+#include "control_state.h"
+
+#include "snipewalk/base/log.h"
+#include "snipewalk/version/session_keys.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// The controllers' clock; the other state machines are called when due.
+constexpr milliseconds kTickInterval{ 20 };
+constexpr milliseconds kSecond{ 1'000 };
+constexpr std::size_t kChunkBytes = 256 * 1024;
+// A list grows with the fleet, so that its interval does, too: a fleet of 100
+// is listed this often, and the bytes a second stay the same above.
+constexpr milliseconds kListInterval{ 30'000 };
+constexpr std::size_t kListScale = 100;
+constexpr milliseconds kListIntervalWhileWaiting{ 5'000 };
+// An outage shorter than this causes no stampede on the store's return.
+constexpr milliseconds kOutage{ 2'000 };
+
+membership_options
+MembershipOptions(const control_loop_options& aOptions)
+{
+  const instance_settings& settings = aOptions.mSettings;
+  membership_options options;
+  options.mSelf = { settings.mInstance,    aOptions.mStartMs << kRefutationBits,
+                    settings.mDataCentre,  settings.mRegion,
+                    settings.mPeerAddress, settings.mControlAddress,
+                    member_state::Alive };
+  options.mSeeds = settings.mSeeds;
+  options.mSeed = aOptions.mSeed;
+  return options;
+}
+
+dissemination_options
+DisseminationOptions(const control_loop_options& aOptions)
+{
+  dissemination_options options;
+  options.mSeed = aOptions.mSeed + 1;
+  return options;
+}
+
+slot_options
+SlotOptions(const control_loop_options& aOptions)
+{
+  slot_options options;
+  options.mInstance = aOptions.mSettings.mInstance;
+  options.mLife = aOptions.mStartMs;
+  options.mSeed = aOptions.mSeed + 2;
+  return options;
+}
+
+control_port_options
+PortOptions(const control_loop_options& aOptions)
+{
+  control_port_options options;
+  options.mName = aOptions.mSettings.mInstance;
+  options.mAddress = aOptions.mSettings.mControlAddress;
+  options.mKeys = aOptions.mFleetKeys;
+  return options;
+}
+
+controller_options
+ControllerOptions(const control_loop_options& aOptions)
+{
+  return { aOptions.mSettings.mInstance,
+           aOptions.mStartMs,
+           aOptions.mSettings.mDataCentre,
+           aOptions.mSettings.mProbeInterval,
+           aOptions.mSeed + 3 };
+}
+
+} // namespace
+
+control_state::control_state(event_loop& aLoop,
+                             control_loop_options aOptions,
+                             const control_loop_callbacks& aCallbacks,
+                             std::unique_ptr<store_client> aStore,
+                             status_handler aOnStatus)
+  : mLoop(aLoop)
+  , mOptions(std::move(aOptions))
+  , mCallbacks(aCallbacks)
+  , mStore(std::move(aStore))
+  , mOnStatus(std::move(aOnStatus))
+  , mPort(
+      aLoop,
+      PortOptions(mOptions),
+      { [this](const std::string& aFrom, datagram_body aBody, time_point aNow) {
+         OnDatagram(aFrom, std::move(aBody), aNow);
+       },
+        [this](link_id aLink,
+               const std::string& aFrom,
+               fleet_message aMessage,
+               time_point aNow) {
+          OnMessage(aLink, aFrom, std::move(aMessage), aNow);
+        } })
+  , mMembership(MembershipOptions(mOptions), aLoop.Now())
+  , mFleet(mMembership)
+  , mDissemination(DisseminationOptions(mOptions),
+                   mCache,
+                   mMembership,
+                   aLoop.Now())
+  , mSlots(SlotOptions(mOptions), mFleet)
+  , mControls(
+      aLoop,
+      *mStore,
+      ControllerOptions(mOptions),
+      { [this](const std::string& aService) { MarkChanged(aService); },
+        [this](const std::string& aInstance, const control_message& aMessage) {
+          const std::string address = mFleet.AddressOf(aInstance);
+          if (!address.empty()) {
+            mPort.Send(
+              address,
+              service_message{ mOptions.mSettings.mInstance, aMessage });
+          }
+        },
+        [this](const std::string& aService, const status_observed& aObserved) {
+          if (mCallbacks.mObserved) {
+            mCallbacks.mObserved(aService, aObserved);
+          }
+        },
+        [this](const stored_object& aObject) {
+          Do(record_learned{ aObject }, mLoop.Now());
+        } },
+      [this](const std::string& aService) {
+        service_objects objects;
+        const auto service = mServices.find(aService);
+        if (service != mServices.end() && service->second.mDocument) {
+          objects.mDocument = &*service->second.mDocument;
+        }
+        objects.mTerm = mCache.Find(kTermsKind, aService);
+        objects.mSlots = mSlots.Record(aService);
+        objects.mIsHeld = mSlots.Share(aService) > 0;
+        return objects;
+      })
+  , mRandom(mOptions.mSeed + 4)
+{
+}
+
+control_state::~control_state() = default;
+
+absl::Status
+control_state::Open()
+{
+  return mPort.Open();
+}
+
+void
+control_state::Begin()
+{
+  const time_point now = mLoop.Now();
+  mNextSecond = now;
+  // Spreads the first lists of instances that start together.
+  mNextList = now + milliseconds(mRandom() % kSecond.count());
+  Tick(now);
+}
+
+void
+control_state::Tick(time_point aNow)
+{
+  RunTimers(aNow);
+  mControls.Tick(aNow, std::chrono::system_clock::now());
+  if (aNow >= mNextSecond) {
+    mNextSecond = aNow + kSecond;
+    EverySecond(aNow);
+  }
+  if (mOnReleased && (mSlots.IsReleased() || aNow >= mReleaseUntil)) {
+    const auto done = std::exchange(mOnReleased, nullptr);
+    done();
+  }
+  PublishIfChanged(aNow);
+  mLoop.RunAt(aNow + kTickInterval,
+              [this, alive = std::weak_ptr<bool>(mAlive)](time_point aLater) {
+                if (!alive.expired()) {
+                  Tick(aLater);
+                }
+              });
+}
+
+void
+control_state::RunTimers(time_point aNow)
+{
+  if (aNow >= mMembership.NextTimer()) {
+    Give(membership_event(membership_timer{}), aNow);
+  }
+  if (aNow >= mDissemination.NextTimer()) {
+    Give(dissemination_event(dissemination_timer{}), aNow);
+  }
+  const auto slots = mSlots.NextTimer();
+  if (slots && aNow >= *slots) {
+    Give(slot_event(slot_timer{}), aNow);
+  }
+}
+
+void
+control_state::EverySecond(time_point aNow)
+{
+  mPort.Tick(aNow);
+  for (const auto& name : mFleet.Tick(aNow, membership_options{}.mListLag)) {
+    Give(slot_event(slot_member_changed{ name }), aNow);
+  }
+  if (aNow >= mNextList) {
+    AskPlatformList(aNow);
+  }
+  GiveMembersToControls(aNow);
+  PublishStatus(aNow);
+}
+
+milliseconds
+control_state::ListInterval() const
+{
+  const std::size_t size = std::max(kListScale, mMembership.LiveCount());
+  return kListInterval * static_cast<std::int64_t>(size) /
+         static_cast<std::int64_t>(kListScale);
+}
+
+void
+control_state::AskPlatformList(time_point aNow)
+{
+  if (mListOutstanding) {
+    return;
+  }
+  mListOutstanding = true;
+  mNextList = aNow + ListInterval();
+  Submit(store_list_instances{},
+         [this](const store_reply& aReply, time_point aLater) {
+           mListOutstanding = false;
+           if (aReply.mStatus != store_status::Ok) {
+             mNextList = aLater + kListIntervalWhileWaiting;
+             return;
+           }
+           mListedLive.clear();
+           for (const auto& instance : aReply.mInstances) {
+             if (instance.mState == platform_instance_state::Live) {
+               mListedLive.insert(instance.mName);
+             }
+           }
+           mControlMembersChanged = true;
+           Give(membership_event(platform_list_received{ aReply.mInstances }),
+                aLater);
+           if (mSlots.WaitsForPlatform()) {
+             mNextList = aLater + kListIntervalWhileWaiting;
+           }
+         });
+}
+
+void
+control_state::OnDatagram(const std::string& aFrom,
+                          datagram_body aBody,
+                          time_point aNow)
+{
+  if (auto* message = std::get_if<membership_message>(&aBody)) {
+    Give(membership_event(membership_received{ aFrom, std::move(*message) }),
+         aNow);
+  } else {
+    Give(slot_event(slot_message_received{
+           aFrom, std::move(std::get<slot_message>(aBody)) }),
+         aNow);
+  }
+}
+
+void
+control_state::OnMessage(link_id aLink,
+                         const std::string& aFrom,
+                         fleet_message aMessage,
+                         time_point aNow)
+{
+  std::visit([&](const auto& aKnown) { On(aLink, aFrom, aKnown, aNow); },
+             aMessage);
+}
+
+void
+control_state::On(link_id,
+                  const std::string& aFrom,
+                  const change_push& aPush,
+                  time_point aNow)
+{
+  Give(dissemination_event(push_received{ aFrom, "", aPush }), aNow);
+}
+
+void
+control_state::On(link_id aLink,
+                  const std::string&,
+                  const pull_query& aQuery,
+                  time_point)
+{
+  mPort.Reply(
+    aLink,
+    pull_reply{
+      aQuery.mSequence,
+      aQuery.mKind,
+      mCache.Delta(aQuery.mKind, aQuery.mSince, aQuery.mCursor, kChunkBytes) });
+}
+
+void
+control_state::On(link_id,
+                  const std::string&,
+                  const pull_reply& aReply,
+                  time_point aNow)
+{
+  Give(dissemination_event(pull_answered{ aReply }), aNow);
+}
+
+void
+control_state::On(link_id aLink,
+                  const std::string&,
+                  const member_query& aQuery,
+                  time_point)
+{
+  auto [members, more] = mMembership.Table(aQuery.mAfter, kChunkBytes);
+  mPort.Reply(aLink,
+              member_reply{ aQuery.mSequence, std::move(members), more });
+}
+
+void
+control_state::On(link_id aLink,
+                  const std::string&,
+                  const member_reply& aReply,
+                  time_point aNow)
+{
+  Give(membership_event(members_received{ aReply.mMembers }), aNow);
+  if (aReply.mMore && !aReply.mMembers.empty()) {
+    mPort.Reply(
+      aLink,
+      member_query{ aReply.mSequence + 1, aReply.mMembers.back().mName });
+  }
+}
+
+void
+control_state::On(link_id,
+                  const std::string&,
+                  const service_message& aMessage,
+                  time_point aNow)
+{
+  mControls.OnPeerMessage(aMessage.mSender, aMessage.mMessage, aNow);
+}
+
+void
+control_state::Give(const membership_event& aEvent, time_point aNow)
+{
+  mMembership.SetCarried(mDissemination.Carried(aNow));
+  std::vector<membership_action> actions;
+  mMembership.Handle(aEvent, aNow, actions);
+  for (const auto& action : actions) {
+    std::visit([&](const auto& aKnown) { Do(aKnown, aNow); }, action);
+  }
+}
+
+void
+control_state::Give(const dissemination_event& aEvent, time_point aNow)
+{
+  std::vector<dissemination_action> actions;
+  mDissemination.Handle(aEvent, aNow, actions);
+  for (const auto& action : actions) {
+    std::visit([&](const auto& aKnown) { Do(aKnown, aNow); }, action);
+  }
+}
+
+void
+control_state::Give(const slot_event& aEvent, time_point aNow)
+{
+  std::vector<slot_action> actions;
+  mSlots.Handle(aEvent, aNow, actions);
+  for (const auto& action : actions) {
+    std::visit([&](const auto& aKnown) { Do(aKnown, aNow); }, action);
+  }
+}
+
+void
+control_state::Do(const send_membership& aAction, time_point)
+{
+  mPort.SendDatagram(aAction.mTo, aAction.mMessage);
+}
+
+void
+control_state::Do(const member_changed& aAction, time_point aNow)
+{
+  mMembersChanged = true;
+  mControlMembersChanged = true;
+  mSnapshotChanged = true;
+  Give(dissemination_event(fleet_changed{}), aNow);
+  Give(slot_event(slot_member_changed{ aAction.mName }), aNow);
+  if (aAction.mState == member_state::Dead) {
+    // The list may say soon that the instance is gone.
+    mNextList = std::min(mNextList,
+                         aNow + kSecond +
+                           milliseconds(mRandom() % kListInterval.count()));
+  }
+}
+
+void
+control_state::Do(const fetch_members& aAction, time_point)
+{
+  mPort.Send(aAction.mFrom, member_query{ mNextSequence++, "" });
+}
+
+void
+control_state::Do(const peer_seen& aAction, time_point aNow)
+{
+  Give(dissemination_event(aAction), aNow);
+}
+
+void
+control_state::Do(const duplicate_name_found& aAction, time_point)
+{
+  Log(log_level::Error,
+      "membership",
+      "A newer instance has the name of this one",
+      { { "address", std::string_view(aAction.mAddress) } });
+  if (mCallbacks.mDuplicateName) {
+    mCallbacks.mDuplicateName(aAction.mAddress);
+  }
+}
+
+void
+control_state::Do(const start_watch& aAction, time_point)
+{
+  Submit(
+    aAction.mWatch,
+    [this, kind = aAction.mKind](const store_reply& aReply, time_point aNow) {
+      Give(dissemination_event(watch_answered{ kind, aReply }), aNow);
+    });
+}
+
+void
+control_state::Do(const send_push& aAction, time_point)
+{
+  mPort.Send(aAction.mTo, aAction.mPush);
+}
+
+void
+control_state::Do(const send_pull& aAction, time_point)
+{
+  mPort.Send(aAction.mTo, aAction.mQuery);
+}
+
+void
+control_state::Do(const objects_changed& aAction, time_point aNow)
+{
+  for (const auto& key : aAction.mKeys) {
+    OnObject(key, aNow);
+  }
+}
+
+void
+control_state::Do(const slot_store_call& aAction, time_point)
+{
+  Submit(aAction.mRequest,
+         [this, operation = aAction.mOperation](const store_reply& aReply,
+                                                time_point aNow) {
+           Give(slot_event(slot_store_answered{ operation, aReply }), aNow);
+         });
+}
+
+void
+control_state::Do(const send_slot_message& aAction, time_point)
+{
+  mPort.SendDatagram(aAction.mTo, aAction.mMessage);
+}
+
+void
+control_state::Do(const share_changed& aAction, time_point)
+{
+  MarkChanged(aAction.mService);
+}
+
+void
+control_state::Do(const record_learned& aAction, time_point aNow)
+{
+  if (mCache.Apply(aAction.mObject)) {
+    OnObject(aAction.mObject.mKey, aNow);
+  }
+}
+
+void
+control_state::Submit(store_request aRequest,
+                      store_client::reply_handler aOnReply)
+{
+  mStore->Submit(
+    std::move(aRequest),
+    [this, alive = std::weak_ptr<bool>(mAlive), reply = std::move(aOnReply)](
+      const store_reply& aReply, time_point aNow) {
+      if (!alive.expired()) {
+        NoteStore(aReply.mStatus, aNow);
+        reply(aReply, aNow);
+      }
+    });
+}
+
+void
+control_state::NoteStore(store_status aStatus, time_point aNow)
+{
+  if (aStatus == store_status::Refused || aStatus == store_status::Unknown) {
+    if (!mStoreFailedSince) {
+      mStoreFailedSince = aNow;
+      Log(log_level::Warning, "control_loop", "The store does not answer");
+    }
+    return;
+  }
+  if (mStoreFailedSince) {
+    Log(log_level::Info, "control_loop", "The store answers again");
+    if (aNow - *mStoreFailedSince >= kOutage) {
+      Give(slot_event(slot_store_recovered{}), aNow);
+    }
+    mStoreFailedSince.reset();
+  }
+}
+
+void
+control_state::OnEvidence(const std::string& aService,
+                          const report_evidence& aEvidence)
+{
+  mControls.OnEvidence(aService, aEvidence, mLoop.Now());
+}
+
+void
+control_state::OnConnections(const std::string& aService,
+                             const std::string& aServer,
+                             std::size_t aConnections)
+{
+  mControls.OnConnections(aService, aServer, aConnections, mLoop.Now());
+}
+
+void
+control_state::ReleaseSlots(milliseconds aLimit, std::function<void()> aDone)
+{
+  mOnReleased = std::move(aDone);
+  mReleaseUntil = mLoop.Now() + aLimit;
+  Give(slot_event(slots_released{}), mLoop.Now());
+}
+
+void
+control_state::Leave()
+{
+  Give(membership_event(leave_requested{}), mLoop.Now());
+}
+
+} // namespace snipewalk
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -198,12 +198,12 @@
                time_point aNow,
                actions& aActions)
 {
-  absl::flat_hash_map<std::string, bool> listed;
+  mListed.emplace();
   for (const auto& instance : aEvent.mInstances) {
-    listed[instance.mName] = true;
+    mListed->insert(instance.mName);
   }
   for (auto& member : mMembers) {
-    const bool present = listed.contains(member.mInfo.mName);
+    const bool present = mListed->contains(member.mInfo.mName);
     // The list lags: a process that it does not name yet is not gone.
     const bool expected = member.mListed || member.mUnlisted ||
                           aNow - member.mKnownSince >= mOptions.mListLag;
--- a/src/process/membership_fleet.cpp
+++ b/src/process/membership_fleet.cpp
@@ -27,7 +27,8 @@
   }
   const known_member* member = mMembership.Find(aHolder.mInstance);
   if (member == nullptr) {
-    return holder_liveness::Dead;
+    const auto& known = mStrangers[{ aHolder.mInstance, aHolder.mIncarnation }];
+    return known.mGone ? holder_liveness::Gone : holder_liveness::Dead;
   }
   const std::uint64_t life = LifeOf(member->mInfo.mIncarnation);
   if (life != aHolder.mIncarnation) {
@@ -46,13 +47,36 @@
   return member->mUnlisted ? holder_liveness::Gone : holder_liveness::Dead;
 }
 
+std::vector<std::string>
+membership_fleet::Tick(time_point aNow, milliseconds aLag)
+{
+  std::vector<std::string> changed;
+  for (auto next = mStrangers.begin(); next != mStrangers.end();) {
+    const std::string& name = next->first.first;
+    const auto listed = mMembership.IsListed(name);
+    stranger& known = next->second;
+    if (mMembership.Find(name) != nullptr || !listed || *listed) {
+      next = mStrangers.erase(next);
+      continue;
+    }
+    if (!known.mSince) {
+      known.mSince = aNow;
+    }
+    if (!known.mGone && aNow - *known.mSince >= aLag) {
+      known.mGone = true;
+      changed.push_back(name);
+    }
+    ++next;
+  }
+  return changed;
+}
+
 std::size_t
 membership_fleet::Rank(const std::string& aService,
                        const std::vector<std::string>& aExcluded) const
 {
   const std::uint64_t service = XXH64(aService.data(), aService.size(), 5);
-  const std::uint64_t own =
-    RendezvousHash(service, mMembership.Self().mName);
+  const std::uint64_t own = RendezvousHash(service, mMembership.Self().mName);
   std::size_t rank = 0;
   for (const auto& member : mMembership.Members()) {
     const bool live = member.mInfo.mState == member_state::Alive ||
--- a/src/process/membership_fleet.h
+++ b/src/process/membership_fleet.h
@@ -5,7 +5,11 @@
 #include "snipewalk/process/membership.h"
 #include "snipewalk/version/slot_assignment.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipewalk {
@@ -24,8 +28,22 @@
                    const std::vector<std::string>& aExcluded) const override;
   std::string AddressOf(const std::string& aInstance) const override;
 
+  // Call about once a second: holders that neither the membership nor the
+  // platform's list knows for `aLag` are gone. The names whose liveness changed
+  // by that are returned.
+  std::vector<std::string> Tick(time_point aNow, milliseconds aLag);
+
 private:
+  struct stranger
+  {
+    // Nothing until the next Tick().
+    std::optional<time_point> mSince;
+    bool mGone = false;
+  };
+
   const membership& mMembership;
+  // Holders asked about that the membership does not know.
+  mutable std::map<std::pair<std::string, std::uint64_t>, stranger> mStrangers;
 };
 
 } // namespace snipewalk
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -79,6 +79,15 @@
   return found == mIndex.end() ? nullptr : &mMembers[found->second];
 }
 
+std::optional<bool>
+membership::IsListed(const std::string& aName) const
+{
+  if (!mListed) {
+    return std::nullopt;
+  }
+  return mListed->contains(aName);
+}
+
 void
 membership::Apply(const member_info& aUpdate,
                   time_point aNow,
--- /dev/null
+++ b/src/process/service_controls.h
@@ -0,0 +1,73 @@
+// The service controllers of an instance: one for each service that it holds a
+// slot of or was asked about lately.
+#ifndef SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
+#define SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
+
+#include "snipewalk/base/time.h"
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/process/service_controller.h"
+#include "snipewalk/process/store_client.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+// Objects of a service, as a new controller needs them; each may be null.
+struct service_objects
+{
+  const service_document* mDocument = nullptr;
+  const stored_object* mTerm = nullptr;
+  const slot_record* mSlots = nullptr;
+  bool mIsHeld = false;
+};
+
+class service_controls
+{
+public:
+  using lookup = std::function<service_objects(const std::string& aService)>;
+
+  service_controls(event_loop& aLoop,
+                   store_client& aStore,
+                   controller_options aOptions,
+                   controller_callbacks aCallbacks,
+                   lookup aLookup);
+  ~service_controls();
+
+  // Creates, informs or removes the service's controller after any of its
+  // objects changed.
+  void Update(const std::string& aService, time_point aNow);
+  void SetMembers(std::vector<live_instance> aMembers, time_point aNow);
+  void OnEvidence(const std::string& aService,
+                  const report_evidence& aEvidence,
+                  time_point aNow);
+  void OnConnections(const std::string& aService,
+                     const std::string& aServer,
+                     std::size_t aConnections,
+                     time_point aNow);
+  void OnPeerMessage(const std::string& aInstance,
+                     const control_message& aMessage,
+                     time_point aNow);
+  void Tick(time_point aNow, wall_time aWallNow);
+
+  // Fills in the term and the suspected servers.
+  void Describe(const std::string& aService, service_view& aView) const;
+  // Nothing for a service without a controller.
+  std::optional<drain_status> DrainStatus(const std::string& aService) const;
+
+private:
+  event_loop& mLoop;
+  store_client& mStore;
+  controller_options mOptions;
+  controller_callbacks mCallbacks;
+  lookup mLookup;
+  std::vector<live_instance> mMembers;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -248,6 +248,7 @@
   Index(aService, true);
   aService.mPut.reset();
   aService.mTakeOver.reset();
+  mTakeOvers.erase(aService.mName);
   aService.mMustRead = false;
 
   std::map<std::string, co_holder> others;
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -86,6 +86,7 @@
   if (openings.empty()) {
     aService.mOpeningSince.reset();
     aService.mTakeOver.reset();
+    mTakeOvers.erase(aService.mName);
     return;
   }
   if (WaitForTurn(aService, openings.size(), aNow)) {
@@ -124,6 +125,7 @@
   if (!takeOver || takeOver->mSlot != aSlot ||
       takeOver->mVersion != aService.mVersion) {
     takeOver = take_over{ aSlot, target, aService.mVersion, {}, aNow };
+    mTakeOvers.insert(aService.mName);
   }
   bool agreed = !takeOver->mAgreed.empty();
   for (const auto& [name, other] : aService.mOthers) {
