Replace session keys by the instances that watch the store

Purpose: tokens need a key that nobody has to provide by hand; a new key signs two minutes after it was stored, so that every instance verifies it before. The codec of the keys stood twice; one is kept.

--- a/include/snipewalk/version/term_record.h
+++ b/include/snipewalk/version/term_record.h
@@ -1,5 +1,5 @@
-// JSON of the store objects that the project writes: kinds `terms`, `slots`,
-// `keys` and `status`. Decoding is strict; errors are InvalidArgument.
+// JSON of the store objects that the project writes: kinds `terms`, `slots`
+// and `status`. Decoding is strict; errors are InvalidArgument.
 #ifndef SNIPEWALK_VERSION_TERM_RECORD_H_
 #define SNIPEWALK_VERSION_TERM_RECORD_H_
 
@@ -18,8 +18,6 @@
 inline constexpr char kKeysKind[] = "keys";
 inline constexpr char kAuditKind[] = "audit";
 inline constexpr char kStatusKind[] = "status";
-// The one object of kind `keys`.
-inline constexpr char kSessionKeysName[] = "session";
 
 // {"term", "primary", "voters", "phase", "operation", "by"}. The primary is
 // empty exactly while electing; otherwise it is a voter. Voters are unique and
@@ -35,13 +33,6 @@
 absl::StatusOr<slot_record>
 DecodeSlotRecord(const std::string& aText);
 
-// {"keys": [{"id", "secret", "sign_after_ms"}]}: 1 to 4 keys; the secret is
-// base64, the time in milliseconds since 1970.
-std::string
-EncodeSessionKeys(const std::vector<session_key>& aKeys);
-absl::StatusOr<std::vector<session_key>>
-DecodeSessionKeys(const std::string& aText);
-
 // {"service", "instance", "term", "updated_ms", "servers": [...]}.
 std::string
 EncodeDrainStatus(const drain_status& aStatus);
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -18,9 +18,37 @@
 constexpr milliseconds kPublishInterval{ 20 };
 constexpr milliseconds kPublishIntervalLarge{ 200 };
 constexpr std::size_t kLargeFleet = 500;
+constexpr milliseconds kKeysInterval{ 1'000 };
 
 } // namespace
 
+void
+control_state::ReplaceKeysIfDue(time_point aNow)
+{
+  const bool mayStore = mDissemination.IsWatcher() && !mStoreFailedSince;
+  if (!mayStore || mKeysOutstanding || aNow < mNextKeys) {
+    return;
+  }
+  // Several watchers try; the conditional update lets one of them through.
+  mNextKeys = aNow + kKeysInterval;
+  const auto keys = ReplaceSessionKeys(
+    mSessionKeys, std::chrono::system_clock::now(), NewSecret());
+  if (!keys) {
+    return;
+  }
+  const object_key key{ std::string(kKeysKind), kSessionKeysName };
+  const stored_object* known = mCache.Find(kKeysKind, kSessionKeysName);
+  mKeysOutstanding = true;
+  Submit(
+    store_put{ key, EncodeSessionKeys(*keys), known ? known->mVersion : 0 },
+    [this](const store_reply& aReply, time_point aLater) {
+      mKeysOutstanding = false;
+      for (const auto& object : aReply.mObjects) {
+        Do(record_learned{ object }, aLater);
+      }
+    });
+}
+
 void
 control_state::MarkChanged(const std::string& aService)
 {
@@ -43,10 +71,9 @@
     MarkChanged(aKey.mName);
   } else if (aKey.mKind == kKeysKind && aKey.mName == kSessionKeysName) {
     const stored_object* object = mCache.Find(kKeysKind, aKey.mName);
-    auto keys =
-      object == nullptr ? std::nullopt : DecodeSessionKeys(object->mValue);
-    if (keys) {
-      mSessionKeys = std::move(*keys);
+    auto keys = DecodeSessionKeys(object ? object->mValue : std::string());
+    if (keys.ok()) {
+      mSessionKeys = *std::move(keys);
       mSnapshotChanged = true;
     } else {
       Log(
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -207,6 +207,7 @@
   if (aNow >= mNextList) {
     AskPlatformList(aNow);
   }
+  ReplaceKeysIfDue(aNow);
   GiveMembersToControls(aNow);
   PublishStatus(aNow);
 }
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -100,6 +100,8 @@
   void AskPlatformList(time_point aNow);
   milliseconds ListInterval() const;
 
+  // Stores new session keys when there are none or the newest is old.
+  void ReplaceKeysIfDue(time_point aNow);
   void OnObject(const object_key& aKey, time_point aNow);
   void OnServiceObject(const std::string& aName, time_point aNow);
   void MarkChanged(const std::string& aService);
@@ -137,6 +139,8 @@
   time_point mNextSecond;
   time_point mNextList;
   bool mListOutstanding = false;
+  time_point mNextKeys;
+  bool mKeysOutstanding = false;
   std::set<std::string> mListedLive;
   std::optional<time_point> mStoreFailedSince;
   std::uint64_t mNextSequence = 1;
--- a/src/version/session_keys.cpp
+++ b/src/version/session_keys.cpp
@@ -1,98 +1,117 @@
-// Implementation of the session keys' JSON.
+// Implementation of the session keys.
 #include "snipewalk/version/session_keys.h"
 
-#include "snipewalk/version/document_validation.h"
+#include "record_json.h"
 
-#include <absl/strings/ascii.h>
 #include <absl/strings/escaping.h>
-#include <json/reader.h>
+#include <absl/strings/str_cat.h>
 #include <json/value.h>
-#include <json/writer.h>
+#include <openssl/rand.h>
 
 #include <algorithm>
-#include <memory>
+#include <set>
+#include <utility>
 
 namespace snipewalk {
 
 namespace {
 
-constexpr std::size_t kMaxTextBytes = 64 * 1024;
-constexpr Json::ArrayIndex kMaxKeys = 4;
-constexpr std::size_t kMinSecretBytes = 32;
+constexpr std::size_t kMaxKeys = 4;
+constexpr std::size_t kSecretBytes = 32;
+// A token stays valid for at least three of these periods.
+constexpr std::chrono::hours kReplacePeriod{ 24 };
+// Configuration reaches every instance within 8 s; a paused one gets longer.
+constexpr seconds kSpreadDelay{ 120 };
 
-std::optional<session_key>
-DecodeKey(const Json::Value& aEntry)
+} // namespace
+
+std::string
+EncodeSessionKeys(const std::vector<session_key>& aKeys)
 {
-  if (!aEntry.isObject() || !aEntry["id"].isString() ||
-      !aEntry["secret"].isString() || !aEntry["sign_after"].isString()) {
-    return std::nullopt;
-  }
-  const std::string hex = aEntry["secret"].asString();
-  const bool isHex =
-    hex.size() % 2 == 0 && std::all_of(hex.begin(), hex.end(), [](char aChar) {
-      return absl::ascii_isxdigit(static_cast<unsigned char>(aChar));
-    });
-  const auto signAfter = ParseTimestamp(aEntry["sign_after"].asString());
-  if (!isHex || hex.size() / 2 < kMinSecretBytes || !signAfter ||
-      aEntry["id"].asString().empty()) {
-    return std::nullopt;
+  Json::Value value;
+  value["keys"] = Json::Value(Json::arrayValue);
+  for (const auto& key : aKeys) {
+    Json::Value entry;
+    entry["id"] = key.mId;
+    entry["secret"] = absl::Base64Escape(key.mSecret);
+    entry["sign_after_ms"] = Json::Int64(UnixMilliseconds(key.mSignAfter));
+    value["keys"].append(entry);
   }
-  return session_key{ aEntry["id"].asString(),
-                      absl::HexStringToBytes(hex),
-                      *signAfter };
+  return WriteRecord(value);
 }
 
-} // namespace
-
-std::optional<std::vector<session_key>>
+absl::StatusOr<std::vector<session_key>>
 DecodeSessionKeys(const std::string& aText)
 {
-  if (aText.size() > kMaxTextBytes) {
-    return std::nullopt;
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
   }
-  Json::CharReaderBuilder builder;
-  builder["stackLimit"] = 16;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value root;
-  try {
-    if (!reader->parse(
-          aText.data(), aText.data() + aText.size(), &root, nullptr)) {
-      return std::nullopt;
+  record_reader reader(*value);
+  std::vector<session_key> keys;
+  std::set<std::string> ids;
+  reader.Each("keys", kMaxKeys, [&](record_reader& aEntry) {
+    session_key key;
+    key.mId = aEntry.Text("id");
+    if (!absl::Base64Unescape(aEntry.Text("secret"), &key.mSecret) ||
+        key.mSecret.empty()) {
+      aEntry.Fail("the secret is not base64");
     }
-  } catch (const Json::Exception&) {
-    return std::nullopt;
+    key.mSignAfter = aEntry.Time("sign_after_ms");
+    if (key.mId.empty() || !ids.insert(key.mId).second) {
+      aEntry.Fail("the id is empty or repeated");
+    }
+    keys.push_back(key);
+  });
+  if (keys.empty()) {
+    reader.Fail("no key");
   }
-  if (!root.isObject() || !root["keys"].isArray() ||
-      root["keys"].size() > kMaxKeys) {
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return keys;
+}
+
+std::optional<std::vector<session_key>>
+ReplaceSessionKeys(const std::vector<session_key>& aCurrent,
+                   wall_time aNow,
+                   const std::string& aSecret)
+{
+  const auto newest =
+    std::max_element(aCurrent.begin(),
+                     aCurrent.end(),
+                     [](const session_key& aLeft, const session_key& aRight) {
+                       return aLeft.mSignAfter < aRight.mSignAfter;
+                     });
+  if (newest != aCurrent.end() && aNow < newest->mSignAfter + kReplacePeriod) {
     return std::nullopt;
   }
-  std::vector<session_key> keys;
-  for (const auto& entry : root["keys"]) {
-    auto key = DecodeKey(entry);
-    if (!key) {
-      return std::nullopt;
-    }
-    keys.push_back(std::move(*key));
+  const bool isFirst = aCurrent.empty();
+  session_key added;
+  added.mSecret = aSecret;
+  added.mSignAfter = isFirst ? aNow : aNow + kSpreadDelay;
+  added.mId = absl::StrCat("k", UnixMilliseconds(added.mSignAfter));
+  std::vector<session_key> keys = aCurrent;
+  keys.push_back(std::move(added));
+  std::sort(keys.begin(),
+            keys.end(),
+            [](const session_key& aLeft, const session_key& aRight) {
+              return aLeft.mSignAfter < aRight.mSignAfter;
+            });
+  if (keys.size() > kMaxKeys) {
+    keys.erase(keys.begin(), keys.end() - kMaxKeys);
   }
   return keys;
 }
 
 std::string
-EncodeSessionKeys(const std::vector<session_key>& aKeys)
+NewSecret()
 {
-  Json::Value keys(Json::arrayValue);
-  for (const auto& key : aKeys) {
-    Json::Value entry(Json::objectValue);
-    entry["id"] = key.mId;
-    entry["secret"] = absl::BytesToHexString(key.mSecret);
-    entry["sign_after"] = FormatTimestamp(key.mSignAfter);
-    keys.append(entry);
-  }
-  Json::Value root(Json::objectValue);
-  root["keys"] = keys;
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, root);
+  std::string secret(kSecretBytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(secret.data()),
+             static_cast<int>(secret.size()));
+  return secret;
 }
 
 } // namespace snipewalk
--- a/src/version/term_record.cpp
+++ b/src/version/term_record.cpp
@@ -3,7 +3,6 @@
 
 #include "version/record_json.h"
 
-#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 
 #include <set>
@@ -12,7 +11,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxKeys = 4;
 constexpr std::size_t kMaxSlots = 64;
 constexpr std::size_t kMaxServers = 64;
 
@@ -172,54 +170,6 @@
   return record;
 }
 
-std::string
-EncodeSessionKeys(const std::vector<session_key>& aKeys)
-{
-  Json::Value value;
-  value["keys"] = Json::Value(Json::arrayValue);
-  for (const auto& key : aKeys) {
-    Json::Value entry;
-    entry["id"] = key.mId;
-    entry["secret"] = absl::Base64Escape(key.mSecret);
-    entry["sign_after_ms"] = Json::Int64(UnixMilliseconds(key.mSignAfter));
-    value["keys"].append(entry);
-  }
-  return WriteRecord(value);
-}
-
-absl::StatusOr<std::vector<session_key>>
-DecodeSessionKeys(const std::string& aText)
-{
-  const auto value = ParseRecord(aText);
-  if (!value.ok()) {
-    return value.status();
-  }
-  record_reader reader(*value);
-  std::vector<session_key> keys;
-  std::set<std::string> ids;
-  reader.Each("keys", kMaxKeys, [&](record_reader& aEntry) {
-    session_key key;
-    key.mId = aEntry.Text("id");
-    if (!absl::Base64Unescape(aEntry.Text("secret"), &key.mSecret) ||
-        key.mSecret.empty()) {
-      aEntry.Fail("the secret is not base64");
-    }
-    key.mSignAfter = aEntry.Time("sign_after_ms");
-    if (key.mId.empty() || !ids.insert(key.mId).second) {
-      aEntry.Fail("the id is empty or repeated");
-    }
-    keys.push_back(key);
-  });
-  if (keys.empty()) {
-    reader.Fail("no key");
-  }
-  const absl::Status status = reader.Finish();
-  if (!status.ok()) {
-    return status;
-  }
-  return keys;
-}
-
 std::string
 EncodeDrainStatus(const drain_status& aStatus)
 {
--- /dev/null
+++ b/tests/version/session_keys_test.cpp
@@ -0,0 +1,47 @@
+// Tests of the session keys.
+#include "snipewalk/version/session_keys.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+const wall_time kNow{ seconds(1'800'000'000) };
+
+// Guards against a fleet without any key that can sign.
+TEST(SessionKeysTest, FirstKeySignsAtOnce)
+{
+  const auto keys = ReplaceSessionKeys({}, kNow, "secret");
+  ASSERT_TRUE(keys);
+  EXPECT_EQ(keys->front().mSignAfter, kNow);
+  EXPECT_FALSE(ReplaceSessionKeys(*keys, kNow + seconds(1), "other"));
+}
+
+// Guards against tokens that other instances cannot verify yet.
+TEST(SessionKeysTest, LaterKeySignsAfterItHasSpread)
+{
+  const auto first = ReplaceSessionKeys({}, kNow, "secret");
+  const wall_time later = kNow + std::chrono::hours(25);
+  const auto second = ReplaceSessionKeys(*first, later, "other");
+  ASSERT_TRUE(second);
+  ASSERT_EQ(second->size(), 2u);
+  EXPECT_GT(second->back().mSignAfter, later + seconds(8));
+}
+
+// Guards against an object that grows with each replacement.
+TEST(SessionKeysTest, KeepsAtMostFourKeys)
+{
+  std::vector<session_key> keys;
+  wall_time now = kNow;
+  for (int i = 0; i < 10; ++i) {
+    keys = *ReplaceSessionKeys(keys, now, "secret");
+    now += std::chrono::hours(48);
+  }
+  EXPECT_EQ(keys.size(), 4u);
+  const auto decoded = DecodeSessionKeys(EncodeSessionKeys(keys));
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->back().mId, keys.back().mId);
+}
+
+} // namespace
+} // namespace snipewalk
