--- a/src/request/transaction_id.cpp
+++ b/src/request/transaction_id.cpp
@@ -98,6 +98,10 @@
       bytes.size() <= kCodeBytes) {
     return absl::InvalidArgumentError("malformed transaction id");
   }
+  // Base64 may have several spellings of the same bytes; only one is an id.
+  if (absl::WebSafeBase64Escape(bytes) != aId) {
+    return absl::InvalidArgumentError("malformed transaction id");
+  }
   const std::string_view all(bytes);
   const std::string_view body = all.substr(0, all.size() - kCodeBytes);
   const auto fields = UnpackFields(body);
