--- /dev/null
+++ b/include/snipewalk/process/admin_server.h
@@ -0,0 +1,84 @@
+// The admin port: HTTP with few threads. Reads published data only.
+#ifndef SNIPEWALK_PROCESS_ADMIN_SERVER_H_
+#define SNIPEWALK_PROCESS_ADMIN_SERVER_H_
+
+#include "snipewalk/process/traffic_thread.h"
+#include "snipewalk/request/service_engine.h"
+#include "snipewalk/version/service_view.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+// What the other threads publish for the admin port. Any thread.
+class status_board
+{
+public:
+  void SetSnapshot(std::shared_ptr<const routing_snapshot> aSnapshot);
+  void SetEngine(const std::string& aService, const engine_status& aStatus);
+  // Named values for /v1/state, such as store_unreachable_for_ms.
+  void SetValue(const std::string& aName, std::string aValue);
+
+  // Null until the first snapshot is published.
+  std::shared_ptr<const routing_snapshot> Snapshot() const;
+  std::map<std::string, engine_status> Engines() const;
+  std::map<std::string, std::string> Values() const;
+
+private:
+  mutable std::mutex mMutex;
+  std::shared_ptr<const routing_snapshot> mSnapshot;
+  std::map<std::string, engine_status> mEngines;
+  std::map<std::string, std::string> mValues;
+};
+
+struct admin_options
+{
+  std::string mInstance;
+  // "IP:port"; port 0 lets the system choose.
+  std::string mAddress = "127.0.0.1:0";
+  int mThreads = 2;
+};
+
+// Called on the admin threads.
+struct admin_sources
+{
+  const status_board* mBoard = nullptr;
+  std::function<std::string()> mPhase;
+  std::function<traffic_counts()> mCounts;
+  std::function<std::vector<thread_metrics>()> mMetrics;
+  std::function<std::string(const statement_request&)> mExplain;
+  // Bearer token that all requests but /v1/health need; none when empty.
+  std::function<std::string()> mToken;
+};
+
+class admin_server
+{
+public:
+  admin_server(admin_options aOptions, admin_sources aSources);
+  ~admin_server();
+  admin_server(const admin_server&) = delete;
+  admin_server& operator=(const admin_server&) = delete;
+
+  // Errors: Unavailable when the address cannot be bound.
+  absl::Status Start();
+  void Stop();
+  std::string Address() const;
+
+private:
+  struct server;
+
+  admin_options mOptions;
+  admin_sources mSources;
+  std::unique_ptr<server> mServer;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_ADMIN_SERVER_H_
