--- a/src/apps/snipewalk_load.cpp
+++ b/src/apps/snipewalk_load.cpp
@@ -67,7 +67,7 @@
 std::string
 RunName()
 {
-  const std::string name = absl::GetFlag(FLAGS_run);
+  std::string name = absl::GetFlag(FLAGS_run);
   if (!name.empty()) {
     return name;
   }
@@ -168,6 +168,7 @@
   }
   auto workers = MakeWorkers(OptionsFromFlags(), history);
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   for (auto& worker : workers) {
     threads.emplace_back([&worker] { worker->Run(); });
   }
--- a/src/process/history.cpp
+++ b/src/process/history.cpp
@@ -165,10 +165,11 @@
   const absl::Status status =
     ForEachLine(aInput, [&](const Json::Value& aObject) {
       auto record = RecordOf(aObject);
-      if (record) {
-        records.push_back(*std::move(record));
+      if (!record) {
+        return false;
       }
-      return record.has_value();
+      records.push_back(*std::move(record));
+      return true;
     });
   if (!status.ok()) {
     return status;
--- a/src/process/load_links.cpp
+++ b/src/process/load_links.cpp
@@ -60,7 +60,7 @@
   if (!response->has_value()) {
     return;
   }
-  exchange done = *std::exchange(read.mExchange, std::nullopt);
+  const exchange done = *std::exchange(read.mExchange, std::nullopt);
   const std::size_t instance = read.mInstance;
   if ((*response)->mKeepAlive) {
     mIdleLinks[instance].push_back(aLink);
@@ -69,7 +69,7 @@
   }
   const load_answer answer =
     DecodeLoadAnswer(done.mRequest, **response, done.mRequestId);
-  Complete(std::move(done), instance, answer);
+  Complete(done, instance, answer);
 }
 
 void
@@ -79,7 +79,7 @@
   if (found == mLinks.end()) {
     return;
   }
-  auto lost = std::exchange(found->second.mExchange, std::nullopt);
+  const auto lost = std::exchange(found->second.mExchange, std::nullopt);
   const std::size_t instance = found->second.mInstance;
   CloseLink(aLink);
   if (!lost) {
@@ -90,7 +90,7 @@
   answer.mOutcome =
     refused ? statement_outcome::NotRun : statement_outcome::Unknown;
   answer.mReason = refused ? "caller_refused" : "caller_connection_lost";
-  Complete(*std::move(lost), instance, answer);
+  Complete(*lost, instance, answer);
 }
 
 void
@@ -100,12 +100,12 @@
   if (found == mLinks.end() || !found->second.mExchange) {
     return;
   }
-  exchange late = *std::exchange(found->second.mExchange, std::nullopt);
+  const exchange late = *std::exchange(found->second.mExchange, std::nullopt);
   const std::size_t instance = found->second.mInstance;
   CloseLink(aLink);
   load_answer answer;
   answer.mReason = "caller_timeout";
-  Complete(std::move(late), instance, answer);
+  Complete(late, instance, answer);
 }
 
 void
--- a/src/process/load_worker.cpp
+++ b/src/process/load_worker.cpp
@@ -150,7 +150,7 @@
 }
 
 void
-load_worker_state::Complete(exchange aExchange,
+load_worker_state::Complete(const exchange& aExchange,
                             std::size_t aInstance,
                             const load_answer& aAnswer)
 {
--- a/src/process/load_worker_state.h
+++ b/src/process/load_worker_state.h
@@ -63,7 +63,7 @@
   void OnClosed(link_number aLink, close_cause aCause);
   void OnTimeout(link_number aLink);
   // Gives the answer to the link's caller.
-  void Complete(exchange aExchange,
+  void Complete(const exchange& aExchange,
                 std::size_t aInstance,
                 const load_answer& aAnswer);
   void Record(const exchange& aExchange,
--- a/tests/standins/backend_group.cpp
+++ b/tests/standins/backend_group.cpp
@@ -31,8 +31,7 @@
     const std::string name = absl::StrCat(aPrefix, i);
     std::vector<std::string> arguments{ "--name=" + name };
     arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
-    const auto line =
-      aFleet.StartStandin(name, "standin-backend", std::move(arguments));
+    const auto line = aFleet.StartStandin(name, "standin-backend", arguments);
     if (!line.ok()) {
       return line.status();
     }
--- a/tests/standins/process_fleet.cpp
+++ b/tests/standins/process_fleet.cpp
@@ -274,7 +274,7 @@
 absl::StatusOr<Json::Value>
 process_fleet::StartStandin(const std::string& aName,
                             const std::string& aProgram,
-                            std::vector<std::string> aArguments)
+                            const std::vector<std::string>& aArguments)
 {
   const absl::Status started = Start(aName, aProgram, aArguments);
   if (!started.ok()) {
--- a/tests/standins/process_fleet.h
+++ b/tests/standins/process_fleet.h
@@ -102,7 +102,7 @@
   absl::StatusOr<Json::Value> StartStandin(
     const std::string& aName,
     const std::string& aProgram,
-    std::vector<std::string> aArguments = {});
+    const std::vector<std::string>& aArguments = {});
   // Starts a program that prints nothing.
   absl::Status Start(const std::string& aName,
                      const std::string& aProgram,
