Test slot assignment with diverging views and a lossy store

Property tests: 16 runs of 100,000 seeded steps in which instances crash, are partitioned together with some peers, and the store loses requests and answers.

--- /dev/null
+++ b/tests/version/slot_assignment_test.cpp
@@ -0,0 +1,103 @@
+// Tests of slot assignment.
+#include "snipewalk/version/slot_assignment.h"
+
+#include "version/slot_model.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+constexpr int kSteps = 100'000;
+constexpr int kCalmSteps = 6'000;
+
+void
+RunModel(slot_model_options aOptions)
+{
+  slot_model model(aOptions);
+  int fullSteps = 0;
+  for (int step = 0; step < kSteps; ++step) {
+    model.Step();
+    for (std::size_t i = 0; i < aOptions.mServices; ++i) {
+      ASSERT_LE(model.OpenConnections(i), model.Limit(i))
+        << "seed " << aOptions.mSeed << ", step " << step << ", service " << i;
+    }
+    fullSteps += model.IsFull() ? 1 : 0;
+  }
+  // The run must have exercised what it is about.
+  EXPECT_GT(model.Crashes(), 50U);
+  EXPECT_GT(model.TakeOvers(), 20U);
+  EXPECT_GT(model.Claims(), 10U);
+  EXPECT_GT(fullSteps, kSteps / 100);
+  model.SetChaos(false);
+  bool full = false;
+  for (int step = 0; step < kCalmSteps && !full; ++step) {
+    model.Step();
+    full = model.IsFull();
+  }
+  EXPECT_TRUE(full) << "slots stay vacant, seed " << aOptions.mSeed;
+}
+
+// Guards against more connections than the limit while views of the membership
+// diverge, the store loses answers and instances crash, and against slots that
+// are never filled again.
+TEST(SlotAssignmentTest, SumOfSharesNeverExceedsTheLimit)
+{
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    slot_model_options options;
+    options.mSeed = seed;
+    RunModel(options);
+  }
+}
+
+// Guards against shares of two document versions that add up to more than
+// either allows.
+TEST(SlotAssignmentTest, SumStaysWithinTheLimitWhileDocumentsChange)
+{
+  for (std::uint64_t seed = 11; seed <= 16; ++seed) {
+    slot_model_options options;
+    options.mSeed = seed;
+    options.mChangeDocuments = true;
+    RunModel(options);
+  }
+}
+
+// Guards against a sole holder that is replaced without a co-holder's word, and
+// against services of one or two slots that never get their slots back.
+TEST(SlotAssignmentTest, SmallServicesStayWithinTheLimit)
+{
+  for (std::uint64_t seed = 21; seed <= 24; ++seed) {
+    slot_model_options options;
+    options.mSeed = seed;
+    options.mSlots = static_cast<int>(1 + seed % 2);
+    options.mInstances = 4;
+    RunModel(options);
+  }
+}
+
+// Guards against shares that do not add up or favour the wrong slot.
+TEST(SlotAssignmentTest, GivesTheRemainderToLowerSlots)
+{
+  EXPECT_EQ(SlotShare(20, 3, 0), 7);
+  EXPECT_EQ(SlotShare(20, 3, 1), 7);
+  EXPECT_EQ(SlotShare(20, 3, 2), 6);
+  EXPECT_EQ(SlotShare(20, 3, 3), 0);
+  EXPECT_EQ(SlotShare(20, 0, 0), 0);
+}
+
+// Guards against a record that is taken from malformed text.
+TEST(SlotAssignmentTest, RejectsMalformedRecords)
+{
+  const slot_record record{ { { "a", 7 }, { "", 0 } } };
+  const auto decoded = DecodeSlots(EncodeSlots(record));
+  ASSERT_TRUE(decoded);
+  EXPECT_EQ(decoded->mHolders[0].mInstance, "a");
+  EXPECT_EQ(decoded->mHolders[0].mIncarnation, 7U);
+  EXPECT_FALSE(DecodeSlots(""));
+  EXPECT_FALSE(DecodeSlots("{\"holders\":[{\"instance\":1}]}"));
+  EXPECT_FALSE(DecodeSlots("[]"));
+  EXPECT_FALSE(DecodeSlots("{\"holders\":[]} x"));
+}
+
+} // namespace
+} // namespace snipewalk
