--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/process/service_controller.h
@@ -26,6 +26,8 @@
 struct controller_options
 {
   std::string mInstance;
+  // Identifies the life of the process, as in slot records: a slot claimed in
+  // an earlier life does not count.
   std::uint64_t mIncarnation = 0;
   std::string mDataCentre;
   // A server is probed when no answer was seen for this long.
--- /dev/null
+++ b/tests/process/service_controller_test.cpp
@@ -0,0 +1,235 @@
+// Tests of the service controller against stand-ins of the platform in the
+// same process.
+#include "snipewalk/process/audit_trail.h"
+#include "snipewalk/process/service_controller.h"
+#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/version/term_record.h"
+#include "standins/backend_service.h"
+#include "standins/store_service.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace snipewalk {
+namespace {
+
+constexpr milliseconds kTick{ 20 };
+
+std::string
+LocalAddress(std::uint16_t aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+// Three instances, each with a slot, three servers and the store on one loop.
+class ServiceControllerTest : public testing::Test
+{
+protected:
+  struct instance
+  {
+    std::unique_ptr<store_http_client> mStore;
+    std::unique_ptr<audit_trail> mAudit;
+    std::unique_ptr<service_controller> mController;
+  };
+
+  void SetUp() override
+  {
+    mStoreService = std::make_unique<standins::store_service>(
+      mLoop, standins::store_options{});
+    mDocument.mService = "ledger";
+    for (const std::string name : { "a", "b", "c" }) {
+      AddServer(name);
+    }
+    for (int i = 0; i < 3; ++i) {
+      mSlots.mHolders.push_back({ NameOfInstance(i), 7 });
+    }
+    for (int i = 0; i < 3; ++i) {
+      AddInstance(i);
+    }
+    Tick();
+  }
+
+  static std::string NameOfInstance(int aIndex)
+  {
+    return "instance-" + std::to_string(aIndex);
+  }
+
+  void AddServer(const std::string& aName)
+  {
+    standins::backend_options options;
+    options.mName = aName;
+    options.mSetUpDelay = milliseconds(1);
+    mServers[aName] =
+      std::make_unique<standins::backend_service>(mLoop, options);
+    mDocument.mServers.push_back({ aName,
+                                   LocalAddress(mServers[aName]->Port()),
+                                   "dc",
+                                   server_state::Active,
+                                   {} });
+  }
+
+  void AddInstance(int aIndex)
+  {
+    instance& added = mInstances[aIndex];
+    store_client_options store;
+    store.mAddresses = { LocalAddress(mStoreService->Port()) };
+    store.mSeed = static_cast<std::uint64_t>(aIndex) + 1;
+    added.mStore = std::make_unique<store_http_client>(mLoop, store);
+    added.mAudit = std::make_unique<audit_trail>(
+      *added.mStore, audit_options{ NameOfInstance(aIndex), 7, 1'000, 1 });
+    controller_options options;
+    options.mInstance = NameOfInstance(aIndex);
+    options.mIncarnation = 7;
+    options.mDataCentre = "dc";
+    options.mSeed = static_cast<std::uint64_t>(aIndex) + 1;
+    controller_callbacks callbacks;
+    callbacks.mSendPeer = [this, aIndex](const std::string& aTo,
+                                         const control_message& aMessage) {
+      SendPeer(aIndex, aTo, aMessage);
+    };
+    callbacks.mStored = [this](const stored_object& aObject) {
+      mLoop.Post([this, aObject] {
+        for (auto& [index, other] : mInstances) {
+          other.mController->OnTermObject(aObject, mLoop.Now());
+        }
+      });
+    };
+    added.mController = std::make_unique<service_controller>(
+      mLoop, *added.mStore, *added.mAudit, "ledger", options, callbacks);
+    const time_point now = mLoop.Now();
+    added.mController->OnDocument(mDocument, now);
+    added.mController->OnSlots(mSlots, now);
+    std::vector<live_instance> others;
+    for (int i = 0; i < 3; ++i) {
+      if (i != aIndex) {
+        others.push_back({ NameOfInstance(i), "dc" });
+      }
+    }
+    added.mController->OnMembers(others, now);
+  }
+
+  void SendPeer(int aFrom,
+                const std::string& aTo,
+                const control_message& aMessage)
+  {
+    mLoop.Post([this, aFrom, aTo, aMessage] {
+      for (auto& [index, other] : mInstances) {
+        if (NameOfInstance(index) == aTo) {
+          other.mController->OnPeerMessage(
+            NameOfInstance(aFrom), aMessage, mLoop.Now());
+        }
+      }
+    });
+  }
+
+  void Tick()
+  {
+    const auto wallNow = std::chrono::system_clock::now();
+    for (auto& [index, one] : mInstances) {
+      one.mController->Tick(mLoop.Now(), wallNow);
+      one.mAudit->Tick(mLoop.Now());
+    }
+    if (mUntil && (mUntil() || mLoop.Now() > mLimit)) {
+      mReached = mUntil();
+      mUntil = nullptr;
+      mLoop.Stop();
+    }
+    mLoop.RunAt(mLoop.Now() + kTick, [this](time_point) { Tick(); });
+  }
+
+  // Runs the loop until the condition holds; false after 20 s.
+  bool RunUntil(std::function<bool()> aCondition)
+  {
+    mUntil = std::move(aCondition);
+    mLimit = mLoop.Now() + seconds(20);
+    mReached = false;
+    mLoop.Run();
+    mLoop.Restart();
+    return mReached;
+  }
+
+  std::optional<term_record> Term(int aInstance)
+  {
+    return mInstances[aInstance].mController->Term();
+  }
+
+  // All instances agree on a serving primary of at least this term.
+  bool IsServing(std::uint64_t aTerm)
+  {
+    for (int i = 0; i < 3; ++i) {
+      const auto term = Term(i);
+      if (!term || term->mTerm < aTerm || term->mPhase != term_phase::Stable ||
+          mServers.count(term->mPrimary) == 0 ||
+          mServers[term->mPrimary]->Server().Status().mTerm != term->mTerm) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  void ChangeDocument()
+  {
+    for (auto& [index, one] : mInstances) {
+      one.mController->OnDocument(mDocument, mLoop.Now());
+    }
+  }
+
+  event_loop mLoop;
+  std::unique_ptr<standins::store_service> mStoreService;
+  std::map<std::string, std::unique_ptr<standins::backend_service>> mServers;
+  service_document mDocument;
+  slot_record mSlots;
+  std::map<int, instance> mInstances;
+  std::function<bool()> mUntil;
+  time_point mLimit;
+  bool mReached = false;
+};
+
+// Guards against a service that never gets its first primary.
+TEST_F(ServiceControllerTest, StartsTermOneWithAllStayingVoters)
+{
+  ASSERT_TRUE(RunUntil([this] { return IsServing(1); }));
+  EXPECT_EQ(Term(0)->mTerm, 1U);
+  EXPECT_EQ(Term(0)->mVoters.size(), 3U);
+}
+
+// Guards against a killed primary that nobody replaces, and against a returned
+// one that does not follow.
+TEST_F(ServiceControllerTest, ReplacesKilledPrimaryAndLetsItFollow)
+{
+  ASSERT_TRUE(RunUntil([this] { return IsServing(1); }));
+  const std::string killed = Term(0)->mPrimary;
+  const time_point before = mLoop.Now();
+  mServers.erase(killed);
+  ASSERT_TRUE(RunUntil([this] { return IsServing(2); }));
+  RecordProperty("gap_ms",
+                 static_cast<int>(ToMilliseconds(mLoop.Now() - before)));
+  EXPECT_NE(Term(0)->mPrimary, killed);
+}
+
+// Guards against a planned change that ends with a server the document wants
+// to leave, and against a drain that is never reported complete.
+TEST_F(ServiceControllerTest, DrainsLeavingPrimary)
+{
+  ASSERT_TRUE(RunUntil([this] { return IsServing(1); }));
+  const std::string leaving = Term(0)->mPrimary;
+  for (auto& server : mDocument.mServers) {
+    if (server.mName == leaving) {
+      server.mState = server_state::Leaving;
+    }
+  }
+  AddServer("d");
+  ChangeDocument();
+  ASSERT_TRUE(RunUntil([&] {
+    const auto status = mInstances[0].mController->DrainStatus();
+    return IsServing(2) && status.mServers.size() == 1 &&
+           status.mServers[0].mState == drain_state::Complete &&
+           Contains(Term(0)->mVoters, "d");
+  }));
+  EXPECT_NE(Term(0)->mPrimary, leaving);
+  EXPECT_FALSE(Contains(Term(0)->mVoters, leaving));
+}
+
+} // namespace
+} // namespace snipewalk
