--- a/include/snipewalk/connection/event_loop.h
+++ b/include/snipewalk/connection/event_loop.h
@@ -63,7 +63,7 @@
   // Used to hand over work collected during the round. Loop thread only.
   void SetAfterRound(timer_task aTask);
 
-  // Blocks until Stop(). Tasks still posted then are discarded.
+  // Blocks until Stop(). Tasks posted before Stop() still run.
   void Run();
 
   // Any thread.
--- /dev/null
+++ b/include/snipewalk/process/daemon.h
@@ -0,0 +1,64 @@
+// A whole instance: traffic threads, admin port and control thread, joined by
+// their callbacks.
+#ifndef SNIPEWALK_PROCESS_DAEMON_H_
+#define SNIPEWALK_PROCESS_DAEMON_H_
+
+#include "snipewalk/process/control_loop.h"
+#include "snipewalk/process/instance.h"
+#include "snipewalk/process/settings.h"
+
+#include <atomic>
+#include <memory>
+
+#include <absl/status/status.h>
+
+namespace snipewalk {
+
+struct daemon_secrets
+{
+  std::string mFleetKey;
+  std::string mAdminToken;
+};
+
+class daemon
+{
+public:
+  // `aStartMs` is the start time of the process in milliseconds since 1970.
+  daemon(const instance_settings& aSettings,
+         const daemon_secrets& aSecrets,
+         std::uint64_t aStartMs);
+  ~daemon();
+  daemon(const daemon&) = delete;
+  daemon& operator=(const daemon&) = delete;
+
+  // Opens all ports. Errors: Unavailable when one cannot be bound.
+  absl::Status Start();
+
+  // Serves until a shutdown is complete. False when another instance took over
+  // this instance's name.
+  bool Run();
+
+  // Any thread; also from a signal handler.
+  void RequestShutdown() { mInstance.RequestShutdown(); }
+
+private:
+  static instance_options OptionsOf(const instance_settings& aSettings,
+                                    const daemon_secrets& aSecrets,
+                                    std::uint64_t aStartMs);
+  static control_loop_options ControlOptionsOf(
+    const instance_settings& aSettings,
+    const daemon_secrets& aSecrets,
+    std::uint64_t aStartMs);
+  instance_hooks Hooks();
+  control_loop_callbacks ControlCallbacks();
+
+  instance_settings mSettings;
+  std::atomic<bool> mReplaced{ false };
+  instance mInstance;
+  // Declared last: it stops before the threads that it calls.
+  control_loop mControl;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_DAEMON_H_
--- a/include/snipewalk/process/engine_host.h
+++ b/include/snipewalk/process/engine_host.h
@@ -4,6 +4,7 @@
 #define SNIPEWALK_PROCESS_ENGINE_HOST_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/connection/address_translation.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/request/forwarder.h"
 #include "snipewalk/request/service_engine.h"
@@ -31,6 +32,7 @@
   engine_host(event_loop& aLoop,
               std::string aService,
               const engine_options& aOptions,
+              const address_translation& aTranslation,
               evidence_handler aOnEvidence);
   ~engine_host();
   engine_host(const engine_host&) = delete;
@@ -62,6 +64,7 @@
   event_loop& mLoop;
   std::string mService;
   service_engine mEngine;
+  const address_translation& mTranslation;
   evidence_handler mOnEvidence;
   std::unordered_map<connection_id, std::shared_ptr<backend_connection>>
     mConnections;
--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/process/service_controller.h
@@ -4,6 +4,7 @@
 #define SNIPEWALK_PROCESS_SERVICE_CONTROLLER_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/connection/address_translation.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/process/store_client.h"
 #include "snipewalk/request/service_engine.h"
@@ -34,6 +35,7 @@
   milliseconds mProbeInterval{ 100 };
   // Makes jitter reproducible in tests.
   std::uint64_t mSeed = 1;
+  address_translation mAddressTranslation;
 };
 
 // An instance that can be asked for its view of a primary.
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/base/metrics.h"
 #include "snipewalk/base/time.h"
+#include "snipewalk/connection/address_translation.h"
 #include "snipewalk/connection/caller_adapter.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/process/caller_connection.h"
@@ -40,6 +41,7 @@
   std::string mCallerAddress = "127.0.0.1:0";
   std::string mPeerAddress = "127.0.0.1:0";
   std::size_t mThreads = 1;
+  address_translation mAddressTranslation;
   // Callers above the limit are disconnected at once, a thread.
   std::size_t mCallerLimit = 10'000;
   // Callers from elsewhere need TLS, which names their client account.
--- a/src/apps/snipewalkd.cpp
+++ b/src/apps/snipewalkd.cpp
@@ -1,8 +1,7 @@
 // Program: an instance of snipewalk.
 #include "snipewalk/base/log.h"
-#include "snipewalk/process/instance.h"
+#include "snipewalk/process/daemon.h"
 #include "snipewalk/process/settings.h"
-#include "snipewalk/process/static_topology.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -19,28 +18,26 @@
 #include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of the instance");
-ABSL_FLAG(std::string,
-          static_topology,
-          "",
-          "file that replaces the store's configuration, for benchmarks");
-
 namespace {
 
 using namespace snipewalk;
 
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
 // Set once before the handler is installed.
-std::atomic<instance*> theInstance{ nullptr };
+std::atomic<snipewalk::daemon*> theDaemon{ nullptr };
 
 void
 OnTerminate(int)
 {
-  theInstance.load()->RequestShutdown();
+  theDaemon.load()->RequestShutdown();
 }
 
 void
-InstallSignals(instance& aInstance)
+InstallSignals(snipewalk::daemon& aDaemon)
 {
-  theInstance.store(&aInstance);
+  theDaemon.store(&aDaemon);
   std::signal(SIGTERM, OnTerminate);
   std::signal(SIGINT, OnTerminate);
   std::signal(SIGPIPE, SIG_IGN);
@@ -69,34 +66,19 @@
   return text;
 }
 
-instance_options
-OptionsFrom(const instance_settings& aSettings)
+int
+Fail(const std::string& aMessage, int aExitCode = kExitFailure)
 {
-  instance_options options;
-  auto& traffic = options.mTraffic;
-  traffic.mInstance = aSettings.mInstance;
-  // Later starts have higher incarnations.
-  traffic.mIncarnation = static_cast<std::uint64_t>(
-    std::chrono::duration_cast<milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-  traffic.mDataCentre = aSettings.mDataCentre;
-  traffic.mCallerAddress = aSettings.mCallerAddress;
-  traffic.mPeerAddress = aSettings.mPeerAddress;
-  traffic.mThreads = static_cast<std::size_t>(aSettings.mTrafficThreads);
-  traffic.mCallerLimit =
-    static_cast<std::size_t>(aSettings.mCallerConnectionLimit);
-  options.mAdmin = { aSettings.mInstance, aSettings.mAdminAddress };
-  options.mShutdown.mNotice = aSettings.mShutdownNotice;
-  options.mShutdown.mTransactions = aSettings.mShutdownTransactionLimit;
-  return options;
+  std::cerr << "snipewalkd: " << aMessage << "\n";
+  return aExitCode;
 }
 
-int
-Fail(const std::string& aMessage)
+std::uint64_t
+StartMs()
 {
-  std::cerr << "snipewalkd: " << aMessage << "\n";
-  return 1;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<milliseconds>(now).count());
 }
 
 int
@@ -107,28 +89,13 @@
   if (!fleetKey || !token) {
     return Fail("cannot read the fleet key or the admin token");
   }
-  instance_options options = OptionsFrom(aSettings);
-  options.mTraffic.mFleetKey = *fleetKey;
-  options.mAdminToken = *token;
-  instance server(options, {});
+  snipewalk::daemon server(aSettings, { *fleetKey, *token }, StartMs());
   const absl::Status started = server.Start();
   if (!started.ok()) {
     return Fail(std::string(started.message()));
   }
-  const std::string path = absl::GetFlag(FLAGS_static_topology);
-  if (!path.empty()) {
-    findings found;
-    const auto text = ReadFile(path);
-    const auto snapshot =
-      ParseStaticTopology(text.value_or(""), path, aSettings.mInstance, found);
-    if (!snapshot) {
-      return Fail("the topology is not valid:\n" + found.ToString());
-    }
-    server.Publish(snapshot);
-  }
   InstallSignals(server);
-  server.Run();
-  return 0;
+  return server.Run() ? 0 : Fail("another instance has the same name");
 }
 
 } // namespace
@@ -148,7 +115,8 @@
   const auto settings =
     snipewalk::LoadSettings(absl::GetFlag(FLAGS_settings), found);
   if (!settings) {
-    return Fail("the settings are not valid:\n" + found.ToString());
+    return Fail("the settings are not valid:\n" + found.ToString(),
+                kExitBadSettings);
   }
   log_settings logs = settings->mLogs;
   logs.mInstance = settings->mInstance;
--- a/src/connection/event_loop.cpp
+++ b/src/connection/event_loop.cpp
@@ -192,6 +192,8 @@
       mAfterRound(mNow);
     }
   }
+  // Tasks posted before Stop() run, such as a last message to the peers.
+  RunPosted();
 }
 
 void
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -72,7 +72,8 @@
            aOptions.mStartMs,
            aOptions.mSettings.mDataCentre,
            aOptions.mSettings.mProbeInterval,
-           aOptions.mSeed + 3 };
+           aOptions.mSeed + 3,
+           aOptions.mSettings.mAddressTranslation };
 }
 
 } // namespace
--- /dev/null
+++ b/src/process/daemon.cpp
@@ -0,0 +1,137 @@
+// Implementation of the whole instance.
+#include "snipewalk/process/daemon.h"
+
+#include "snipewalk/base/log.h"
+#include "snipewalk/process/store_http_client.h"
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Time for the other holders to confirm the release of slots.
+constexpr milliseconds kReleaseLimit{ 3'000 };
+
+} // namespace
+
+daemon::daemon(const instance_settings& aSettings,
+               const daemon_secrets& aSecrets,
+               std::uint64_t aStartMs)
+  : mSettings(aSettings)
+  , mInstance(OptionsOf(aSettings, aSecrets, aStartMs), Hooks())
+  , mControl(ControlOptionsOf(aSettings, aSecrets, aStartMs),
+             ControlCallbacks(),
+             [settings = aSettings, aStartMs](event_loop& aLoop) {
+               store_client_options options;
+               options.mAddresses = settings.mStoreAddresses;
+               options.mCallsPerSecond = settings.mStoreCallsPerSecond;
+               options.mSeed = aStartMs;
+               return std::make_unique<store_http_client>(aLoop, options);
+             })
+{
+}
+
+daemon::~daemon()
+{
+  mControl.Stop();
+}
+
+instance_options
+daemon::OptionsOf(const instance_settings& aSettings,
+                  const daemon_secrets& aSecrets,
+                  std::uint64_t aStartMs)
+{
+  instance_options options;
+  traffic_options& traffic = options.mTraffic;
+  traffic.mInstance = aSettings.mInstance;
+  traffic.mIncarnation = aStartMs;
+  traffic.mDataCentre = aSettings.mDataCentre;
+  traffic.mFleetKey = aSecrets.mFleetKey;
+  traffic.mCallerAddress = aSettings.mCallerAddress;
+  traffic.mPeerAddress = aSettings.mPeerAddress;
+  traffic.mThreads = static_cast<std::size_t>(aSettings.mTrafficThreads);
+  traffic.mCallerLimit =
+    static_cast<std::size_t>(aSettings.mCallerConnectionLimit);
+  traffic.mAddressTranslation = aSettings.mAddressTranslation;
+  options.mAdmin = { aSettings.mInstance, aSettings.mAdminAddress };
+  options.mAdminToken = aSecrets.mAdminToken;
+  options.mShutdown.mNotice = aSettings.mShutdownNotice;
+  options.mShutdown.mTransactions = aSettings.mShutdownTransactionLimit;
+  return options;
+}
+
+control_loop_options
+daemon::ControlOptionsOf(const instance_settings& aSettings,
+                         const daemon_secrets& aSecrets,
+                         std::uint64_t aStartMs)
+{
+  control_loop_options options;
+  options.mSettings = aSettings;
+  if (!aSecrets.mFleetKey.empty()) {
+    options.mFleetKeys = { aSecrets.mFleetKey };
+  }
+  options.mStartMs = aStartMs;
+  options.mSeed = aStartMs ^ std::hash<std::string>{}(aSettings.mInstance);
+  return options;
+}
+
+instance_hooks
+daemon::Hooks()
+{
+  instance_hooks hooks;
+  hooks.mTraffic.mOnEvidence = [this](const std::string& aService,
+                                      const report_evidence& aEvidence) {
+    mControl.ReportEvidence(aService, aEvidence);
+  };
+  hooks.mTraffic.mOnStatus = [this](const std::string& aService,
+                                    const engine_status& aStatus) {
+    for (const auto& server : aStatus.mServers) {
+      mControl.ReportConnections(aService, server.mName, server.mConnections);
+    }
+  };
+  hooks.mReleaseSlots = [this] {
+    mControl.ReleaseSlots(kReleaseLimit, [this] { mInstance.SlotsReleased(); });
+  };
+  hooks.mSendLeave = [this] { mControl.Leave(); };
+  return hooks;
+}
+
+control_loop_callbacks
+daemon::ControlCallbacks()
+{
+  control_loop_callbacks callbacks;
+  callbacks.mPublish =
+    [this](std::shared_ptr<const routing_snapshot> aSnapshot) {
+      mInstance.Publish(aSnapshot);
+    };
+  callbacks.mObserved = [this](const std::string& aService,
+                               const status_observed& aObserved) {
+    mInstance.Traffic().Observe(aService, aObserved);
+  };
+  callbacks.mDuplicateName = [this](const std::string& aAddress) {
+    Log(log_level::Error,
+        "daemon",
+        "a newer instance has this name; shutting down",
+        { { "address", std::string_view(aAddress) } });
+    mReplaced.store(true);
+    mInstance.RequestShutdown();
+  };
+  return callbacks;
+}
+
+absl::Status
+daemon::Start()
+{
+  const absl::Status traffic = mInstance.Start();
+  return traffic.ok() ? mControl.Start() : traffic;
+}
+
+bool
+daemon::Run()
+{
+  mInstance.Run();
+  return !mReplaced.load();
+}
+
+} // namespace snipewalk
--- a/src/process/engine_host.cpp
+++ b/src/process/engine_host.cpp
@@ -10,10 +10,12 @@
 engine_host::engine_host(event_loop& aLoop,
                          std::string aService,
                          const engine_options& aOptions,
+                         const address_translation& aTranslation,
                          evidence_handler aOnEvidence)
   : mLoop(aLoop)
   , mService(std::move(aService))
   , mEngine(mService, aOptions)
+  , mTranslation(aTranslation)
   , mOnEvidence(std::move(aOnEvidence))
 {
 }
@@ -98,7 +100,7 @@
     Handle(reply_received{ id, std::move(aReply) });
   };
   mConnections[id] = std::make_shared<backend_connection>(
-    mLoop, aAction.mServer, std::move(handlers));
+    mLoop, Translate(mTranslation, aAction.mServer), std::move(handlers));
 }
 
 void
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -217,13 +217,15 @@
 service_controller_state::LinkTo(const server_endpoint& aServer)
 {
   auto& link = mLinks[aServer.mName];
-  if (link && link->Server().mAddress != aServer.mAddress) {
+  const server_endpoint target =
+    Translate(mOptions.mAddressTranslation, aServer);
+  if (link && link->Server().mAddress != target.mAddress) {
     // One of its handlers may be running.
     mLoop.Post([old = std::shared_ptr<server_link>(std::move(link))] {});
   }
   if (!link) {
     link = std::make_unique<server_link>(
-      mLoop, aServer, [this, name = aServer.mName](time_point aNow) {
+      mLoop, target, [this, name = aServer.mName](time_point aNow) {
         // The detector probes again over a new connection.
         const report_evidence lost{ name, server_evidence::Silent, 0 };
         Feed(detector_event(lost), aNow);
--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
+#include "snipewalk/process/audit_trail.h"
 #include "snipewalk/process/service_controller.h"
 #include "snipewalk/process/store_client.h"
 
@@ -54,18 +55,36 @@
                      time_point aNow);
   void Tick(time_point aNow, wall_time aWallNow);
 
-  // Fills in the term and the suspected servers.
+  // Fills in the term and the suspected servers. Without a controller the term
+  // is the one that the store records.
   void Describe(const std::string& aService, service_view& aView) const;
   // Nothing for a service without a controller.
   std::optional<drain_status> DrainStatus(const std::string& aService) const;
 
 private:
+  struct entry
+  {
+    std::unique_ptr<service_controller> mController;
+    bool mIsHeld = false;
+    // A controller that only answers queries is removed after this time.
+    time_point mKeepUntil;
+  };
+
+  entry& Create(const std::string& aService, time_point aNow);
+  static void Inform(entry& aEntry,
+                     const service_objects& aObjects,
+                     time_point aNow);
+  void RemoveUnused(time_point aNow);
+  service_controller* Find(const std::string& aService) const;
+
   event_loop& mLoop;
   store_client& mStore;
   controller_options mOptions;
   controller_callbacks mCallbacks;
   lookup mLookup;
+  audit_trail mAudit;
   std::vector<live_instance> mMembers;
+  std::map<std::string, entry> mEntries;
 };
 
 } // namespace snipewalk
--- a/src/process/traffic_engines.cpp
+++ b/src/process/traffic_engines.cpp
@@ -86,7 +86,11 @@
     options.mDataCentre = mOptions.mDataCentre;
     options.mSeed = mOptions.mIncarnation + std::hash<std::string>()(aService);
     entry = std::make_unique<engine_host>(
-      mLoop, aService, options, [this, aService](const report_evidence& aWhat) {
+      mLoop,
+      aService,
+      options,
+      mOptions.mAddressTranslation,
+      [this, aService](const report_evidence& aWhat) {
         if (mCallbacks.mOnEvidence) {
           mCallbacks.mOnEvidence(aService, aWhat);
         }
