Let fleets on loopback addresses run without a fleet key

Cause: the control port dropped every datagram when no key was configured, so each instance saw only itself and never learned who holds a service. Settings already demand a key beyond loopback; an empty key now authenticates there. Ruled out: seeds and incarnations, which were right in the status.

--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -68,9 +68,8 @@
 {
   control_loop_options options;
   options.mSettings = aSettings;
-  if (!aSecrets.mFleetKey.empty()) {
-    options.mFleetKeys = { aSecrets.mFleetKey };
-  }
+  // The settings allow an empty key only where all addresses are loopback.
+  options.mFleetKeys = { aSecrets.mFleetKey };
   options.mStartMs = aStartMs;
   options.mSeed = aStartMs ^ std::hash<std::string>{}(aSettings.mInstance);
   return options;
