Test each failure of failover and detection

A planned candidate is chosen when it holds the longest log of a majority of the voters, so that a planned change does not fall back to the old primary for entries that were never acknowledged.

--- a/include/snipewalk/version/candidate_selection.h
+++ b/include/snipewalk/version/candidate_selection.h
@@ -59,8 +59,9 @@
 std::vector<std::string>
 StayingServers(const service_document& aDocument);
 
-// Highest (log term, received) first; among equals the planned candidate, a
-// staying server, any but the failed primary, and a server in its data centre.
+// A planned candidate is chosen when it holds the longest log of a majority of
+// the voters. Otherwise the highest (log term, received) decides; among equals
+// a staying server, any but the failed primary, and one in its data centre.
 // The planned voters are taken only when a majority of them holds the whole log
 // of the chosen server: a later majority of them then includes one that holds
 // all acknowledged entries of earlier terms. Nothing without a majority.
--- a/src/version/candidate_selection.cpp
+++ b/src/version/candidate_selection.cpp
@@ -22,16 +22,35 @@
 {
   const server_entry* entry = aInput.mDocument->Find(aStatus.mServer);
   const server_entry* old = aInput.mDocument->Find(aInput.mOldPrimary);
-  const bool planned =
-    aInput.mPlan && aInput.mPlan->mCandidate == aStatus.mServer;
   const bool staying =
     entry != nullptr && entry->mState == server_state::Active;
   const bool notFailed =
     aInput.mPlan.has_value() || aStatus.mServer != aInput.mOldPrimary;
   const bool near = entry != nullptr && old != nullptr &&
                     entry->mDataCentre == old->mDataCentre;
-  return std::make_tuple(
-    PositionOf(aStatus), planned, staying, notFailed, near);
+  return std::make_tuple(PositionOf(aStatus), staying, notFailed, near);
+}
+
+// The planned candidate, when it holds the longest log of some majority of the
+// voters: it then has every acknowledged entry. Entries that only the fenced
+// primary received were never acknowledged and are tried again.
+const server_status*
+PlannedCandidate(const selection_input& aInput, const fenced_servers& aFenced)
+{
+  if (!aInput.mPlan || !Contains(aInput.mVoters, aInput.mPlan->mCandidate)) {
+    return nullptr;
+  }
+  const auto candidate = aFenced.find(aInput.mPlan->mCandidate);
+  if (candidate == aFenced.end()) {
+    return nullptr;
+  }
+  fenced_servers behind;
+  for (const auto& [name, status] : aFenced) {
+    if (PositionOf(status) <= PositionOf(candidate->second)) {
+      behind.emplace(name, status);
+    }
+  }
+  return HasMajority(aInput.mVoters, behind) ? &candidate->second : nullptr;
 }
 
 std::vector<std::string>
@@ -93,6 +112,10 @@
   if (!HasMajority(aInput.mVoters, aFenced)) {
     return std::nullopt;
   }
+  const server_status* planned = PlannedCandidate(aInput, aFenced);
+  if (planned != nullptr) {
+    return selection{ planned->mServer, VotersFor(aInput, aFenced, *planned) };
+  }
   const server_status* best = nullptr;
   for (const auto& [name, status] : aFenced) {
     if (!aInput.mFirstStart && !Contains(aInput.mVoters, name)) {
--- a/src/version/failover_decisions.cpp
+++ b/src/version/failover_decisions.cpp
@@ -20,8 +20,10 @@
 constexpr milliseconds kPromoteInterval{ 200 };
 constexpr milliseconds kFollowInterval{ 300 };
 // A planned change gives up waiting for the last entries after this time; the
-// target for the gap of a planned change is 200 ms.
-constexpr milliseconds kCatchUpLimit{ 150 };
+// target for the gap of a planned change is 200 ms. The server answers a wait
+// before the request times out.
+constexpr milliseconds kCatchUpLimit{ 100 };
+constexpr milliseconds kCatchUpWait{ 80 };
 // Time after the majority was fenced for the remaining voters to answer.
 constexpr milliseconds kSettleTime{ 50 };
 // On a first start nothing is urgent, and a server outside the majority may
@@ -127,7 +129,7 @@
         Send(voter,
              purpose::CatchUp,
              backend_wait{
-               round.mPreviousTerm, old->second.mReceived, kCatchUpLimit },
+               round.mPreviousTerm, old->second.mReceived, kCatchUpWait },
              kCatchUpLimit,
              aNow,
              aOut);
--- /dev/null
+++ b/tests/version/failover_test.cpp
@@ -0,0 +1,244 @@
+// Tests of failover: one failure each, at each step of a promotion.
+#include "version/failover_model.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+class FailoverTest : public testing::Test
+{
+protected:
+  FailoverTest()
+    : mModel(11, { "a", "b", "c" }, 3)
+  {
+    Settle(seconds(3));
+    Write(10);
+  }
+
+  void Settle(milliseconds aTime)
+  {
+    for (milliseconds passed(0); passed < aTime; passed += milliseconds(20)) {
+      mModel.Detect();
+      mModel.Replicate();
+      mModel.Confirm();
+      mModel.Run(milliseconds(20));
+    }
+  }
+
+  void Write(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mModel.Write(0);
+      Settle(milliseconds(20));
+    }
+  }
+
+  std::string Primary() const { return mModel.mRecord->mPrimary; }
+  bool IsServing()
+  {
+    if (!mModel.mRecord || mModel.mRecord->mPhase != term_phase::Stable) {
+      return false;
+    }
+    const model_server& server = mModel.mServers[Primary()];
+    return server.mUp && server.mRole == server_role::Primary &&
+           server.mTerm == mModel.mRecord->mTerm;
+  }
+
+  // Kills the primary and returns its name.
+  std::string Kill()
+  {
+    const std::string killed = Primary();
+    mModel.mServers[killed].mUp = false;
+    return killed;
+  }
+
+  // Drops every store write of the phase.
+  void DropWrites(term_phase aPhase)
+  {
+    mModel.mBeforeWrite = [aPhase](const write_term& aWrite) {
+      return aWrite.mRecord.mPhase == aPhase;
+    };
+  }
+
+  failover_model mModel;
+};
+
+// Guards against a first start without a primary or with a term above one.
+TEST_F(FailoverTest, StartsTermOne)
+{
+  EXPECT_TRUE(IsServing());
+  EXPECT_EQ(mModel.mRecord->mTerm, 1U);
+  EXPECT_GE(mModel.mAcknowledged.size(), 8U);
+}
+
+// Guards against a gap above the target after a killed primary, the time of
+// detection not included.
+TEST_F(FailoverTest, ReplacesKilledPrimaryWithinHalfASecond)
+{
+  const std::string killed = Kill();
+  Settle(milliseconds(500));
+  EXPECT_TRUE(IsServing());
+  EXPECT_NE(Primary(), killed);
+  EXPECT_EQ(mModel.mRecord->mTerm, 2U);
+  EXPECT_TRUE(mModel.mViolations.empty());
+}
+
+// Guards against an old primary that returns and goes on as one.
+TEST_F(FailoverTest, MakesReturningPrimaryFollow)
+{
+  const std::string killed = Kill();
+  Settle(seconds(2));
+  mModel.mServers[killed].mUp = true;
+  Settle(seconds(3));
+  EXPECT_EQ(mModel.mServers[killed].mRole, server_role::Replica);
+  EXPECT_EQ(mModel.mServers[killed].mTerm, mModel.mRecord->mTerm);
+  EXPECT_NE(Primary(), killed);
+}
+
+// Guards against a change whose answer was lost being taken for refused.
+TEST_F(FailoverTest, SettlesLostAnswersByReadingBack)
+{
+  mModel.mLostAnswerPercent = 60;
+  Kill();
+  Settle(seconds(15));
+  mModel.mLostAnswerPercent = 0;
+  Settle(seconds(6));
+  EXPECT_TRUE(IsServing());
+  EXPECT_TRUE(mModel.mViolations.empty());
+}
+
+// Guards against a promotion that starts while the store is down, and against
+// orderers that give up once it is back.
+TEST_F(FailoverTest, WaitsForTheStore)
+{
+  mModel.mStoreUp = false;
+  Kill();
+  Settle(seconds(60));
+  EXPECT_EQ(mModel.mPromotions, 1U);
+  mModel.mStoreUp = true;
+  Settle(seconds(4));
+  EXPECT_TRUE(IsServing());
+}
+
+// Guards against a recorded promotion that waits for the store.
+TEST_F(FailoverTest, CompletesRecordedPromotionWhileTheStoreIsDown)
+{
+  mModel.mBeforeWrite = [this](const write_term& aWrite) {
+    if (aWrite.mRecord.mPhase == term_phase::Stable) {
+      mModel.mStoreUp = false;
+    }
+    return !mModel.mStoreUp;
+  };
+  Kill();
+  Settle(seconds(5));
+  EXPECT_FALSE(mModel.mStoreUp);
+  for (const auto& orderer : mModel.mOrderers) {
+    EXPECT_EQ(orderer->Term()->mPhase, term_phase::Stable);
+    EXPECT_EQ(orderer->Term()->mTerm, 2U);
+  }
+}
+
+// Guards against a stalled orderer that blocks the service after each step.
+TEST_F(FailoverTest, SupersedesStalledOrderer)
+{
+  for (const auto phase : { term_phase::Electing, term_phase::Promoting }) {
+    const std::string killed = Kill();
+    const std::uint64_t before = mModel.mRecord->mTerm;
+    while (mModel.mRecord->mPhase != phase) {
+      mModel.Detect();
+      mModel.Run(milliseconds(1));
+    }
+    const std::string by = mModel.mRecord->mOrderedBy;
+    const auto stalled = static_cast<std::size_t>(by.back() - '0');
+    mModel.mPaused[stalled] = true;
+    Settle(seconds(4));
+    EXPECT_TRUE(IsServing());
+    EXPECT_GT(mModel.mRecord->mTerm, before);
+    // The stalled orderer goes on later and must change nothing.
+    const std::uint64_t settled = mModel.mRecord->mTerm;
+    mModel.mPaused[stalled] = false;
+    mModel.mServers[killed].mUp = true;
+    Settle(seconds(5));
+    EXPECT_EQ(mModel.mRecord->mTerm, settled);
+    EXPECT_TRUE(mModel.mViolations.empty());
+  }
+}
+
+// Guards against a candidate that dies during its promotion.
+TEST_F(FailoverTest, ReplacesCandidateThatDiesDuringPromotion)
+{
+  const std::string killed = Kill();
+  while (mModel.mRecord->mPhase != term_phase::Promoting) {
+    mModel.Detect();
+    mModel.Run(milliseconds(1));
+  }
+  Kill();
+  mModel.mServers[killed].mUp = true;
+  Settle(seconds(5));
+  EXPECT_TRUE(IsServing());
+  EXPECT_TRUE(mModel.mViolations.empty());
+}
+
+// Guards against a promotion by an instance that reaches no majority.
+TEST_F(FailoverTest, DoesNotOrderWithoutReachableMajority)
+{
+  Kill();
+  for (std::size_t i = 0; i < 3; ++i) {
+    for (const auto& [name, server] : mModel.mServers) {
+      mModel.mCut.insert({ i, name });
+    }
+  }
+  // Answers to earlier probes have to age first.
+  mModel.Run(seconds(3));
+  Settle(seconds(10));
+  EXPECT_EQ(mModel.mRecord->mTerm, 1U);
+}
+
+// Guards against several orderers that all write at once.
+TEST_F(FailoverTest, OrdersInSlotOrder)
+{
+  std::set<std::string> writers;
+  mModel.mBeforeWrite = [&](const write_term& aWrite) {
+    if (aWrite.mRecord.mPhase == term_phase::Electing) {
+      writers.insert(aWrite.mRecord.mOrderedBy);
+    }
+    return false;
+  };
+  Kill();
+  Settle(seconds(2));
+  EXPECT_EQ(writers, std::set<std::string>{ "instance-0" });
+}
+
+// Guards against a primary that restarted without its role and serves nothing.
+TEST_F(FailoverTest, ReplacesPrimaryThatLostItsRole)
+{
+  mModel.mServers[Primary()].mRole = server_role::Fenced;
+  Settle(seconds(3));
+  EXPECT_TRUE(IsServing());
+  EXPECT_EQ(mModel.mRecord->mTerm, 2U);
+}
+
+// Guards against a planned change that takes longer than 200 ms or chooses
+// another server.
+TEST_F(FailoverTest, HandsOverToPlannedCandidateWithin200Milliseconds)
+{
+  const std::string old = Primary();
+  const std::string candidate = old == "b" ? "c" : "b";
+  mModel.Deliver(
+    0, change_planned{ 1, { candidate, mModel.mRecord->mVoters, "planned" } });
+  milliseconds gap(0);
+  for (int i = 0; i < 400 && mModel.mPromotions < 2; ++i) {
+    mModel.Replicate();
+    mModel.Run(milliseconds(1));
+    const bool fenced = mModel.mServers[old].mRole == server_role::Fenced;
+    gap += milliseconds(fenced ? 1 : 0);
+  }
+  Settle(seconds(1));
+  EXPECT_EQ(Primary(), candidate);
+  EXPECT_TRUE(IsServing());
+  EXPECT_LE(gap, milliseconds(200));
+}
+
+} // namespace
+} // namespace snipewalk
