--- a/tests/process/standin_server_test.cpp
+++ b/tests/process/standin_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <random>
 #include <string>
@@ -294,7 +295,11 @@
     if (choice < 40) {
       Replicate(other);
     } else if (choice < 95) {
-      const std::string key = "k" + std::to_string(step);
+      // A fifth repeats an earlier key: its entry may be of a former term.
+      const std::string key =
+        "k" + std::to_string(random() % 5 == 0 && step > 0
+                               ? step - random() % std::min(step, 200)
+                               : step);
       const auto wrote =
         Simple(primary, term, statement_kind::Write, "set a " + key, key);
       Replicate(random() % kServers);
