Confirm writes that execute while their instance loses the slot

Cause: when the connection share falls to zero, the engine released its idle confirmation connections although writes were executing on the primary; their replies then found no voter to confirm them and the callers got "unknown" after the statement timeout. Change: the confirmation connections stay until no request is in flight. Conclusion: FollowsTheSlotToAnotherInstance guards it.

--- a/src/request/engine_acknowledgement.cpp
+++ b/src/request/engine_acknowledgement.cpp
@@ -43,7 +43,9 @@
     mView->mDocument.mAcknowledge == acknowledge_policy::Replicated;
   const auto index = mAcknowledgement.NextIndex(aServer);
   // With a single connection reads use it while nothing has to be confirmed.
-  const bool keep = wanted && (index || mPool.Limit(aServer) > 1);
+  // Without the slot, writes that still execute need a confirmation.
+  const bool finishing = mPool.Limit(aServer) == 0 && !mRequests.empty();
+  const bool keep = wanted && (index || mPool.Limit(aServer) > 1 || finishing);
   auto* connection = link.mConnection ? mPool.Find(link.mConnection) : nullptr;
   if (!keep) {
     if (connection && !connection->mOutstanding) {
