--- /dev/null
+++ b/tests/process/fleet_codec_test.cpp
@@ -0,0 +1,102 @@
+// Tests of the codec of messages between instances.
+#include "process/fleet_codec.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+namespace snipewalk {
+namespace {
+
+membership_message
+Probe()
+{
+  membership_message message;
+  message.mSequence = 77;
+  message.mSender = "instance-1";
+  message.mIncarnation = 1ULL << 40;
+  message.mHeads = { 1, 2, 3, 4 };
+  message.mUpdates.push_back({ "instance-2",
+                               5,
+                               "munich",
+                               "bavaria",
+                               "10.0.0.1:1",
+                               "10.0.0.1:2",
+                               member_state::Suspect });
+  return message;
+}
+
+// Guards against fields that are lost or exchanged on the way.
+TEST(FleetCodecTest, DatagramKeepsItsFields)
+{
+  const auto decoded =
+    DecodeDatagram(EncodeDatagram(Probe(), "k2"), { "k1", "k2" });
+  ASSERT_TRUE(decoded);
+  const auto& message = std::get<membership_message>(*decoded);
+  EXPECT_EQ(message.mSequence, 77U);
+  EXPECT_EQ(message.mHeads, (object_heads{ 1, 2, 3, 4 }));
+  ASSERT_EQ(message.mUpdates.size(), 1U);
+  EXPECT_EQ(message.mUpdates[0].mControlAddress, "10.0.0.1:2");
+  EXPECT_EQ(message.mUpdates[0].mState, member_state::Suspect);
+}
+
+// Guards against a datagram that is taken without the fleet key or changed on
+// the way.
+TEST(FleetCodecTest, RejectsForeignAndChangedDatagrams)
+{
+  const std::string bytes = EncodeDatagram(Probe(), "key");
+  EXPECT_FALSE(DecodeDatagram(bytes, { "other" }));
+  EXPECT_FALSE(DecodeDatagram(bytes, {}));
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    std::string changed = bytes;
+    changed[i] = static_cast<char>(changed[i] ^ 1);
+    EXPECT_FALSE(DecodeDatagram(changed, { "key" })) << i;
+  }
+}
+
+// Guards against crashes and unbounded memory on malformed frames.
+TEST(FleetCodecTest, SurvivesMutatedFrames)
+{
+  const std::vector<fleet_message> messages{
+    change_push{ "services", 1, 2, { { { "services", "a" }, 2, false, "v" } } },
+    pull_query{ 1, "terms", 2, 3 },
+    pull_reply{
+      1, "slots", { { { { "slots", "a" }, 2, true, "" } }, 2, true } },
+    member_query{ 4, "n" },
+    member_reply{ 4, Probe().mUpdates, true },
+    service_message{ "i", primary_report_query{ "s", "a", "b", 1, 2 } },
+    service_message{ "i", primary_report{ "s", "a", 1, 2 } },
+  };
+  std::mt19937_64 random(16);
+  std::size_t accepted = 0;
+  for (int i = 0; i < 100'000; ++i) {
+    std::string bytes =
+      EncodeFleetMessage(messages[random() % messages.size()]);
+    for (std::uint64_t n = random() % 4; n > 0; --n) {
+      bytes[random() % bytes.size()] = static_cast<char>(random());
+    }
+    if (random() % 8 == 0) {
+      bytes.resize(random() % (bytes.size() + 1));
+    }
+    accepted += DecodeFleetMessage(bytes) ? 1 : 0;
+  }
+  EXPECT_GT(accepted, 10'000U);
+}
+
+// Guards against frames that are cut or joined wrongly and against lengths
+// above the limit.
+TEST(FleetCodecTest, TakesFramesOneByOne)
+{
+  std::string buffer = Frame("ab") + Frame("c") + std::string(1, '\0');
+  std::string body;
+  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Complete);
+  EXPECT_EQ(body, "ab");
+  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Complete);
+  EXPECT_EQ(body, "c");
+  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Incomplete);
+  buffer = Frame(std::string(11, 'x'));
+  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::TooLarge);
+}
+
+} // namespace
+} // namespace snipewalk
