--- /dev/null
+++ b/src/version/session_keys.cpp
@@ -0,0 +1,117 @@
+// Implementation of the session keys.
+#include "snipewalk/version/session_keys.h"
+
+#include "record_json.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
+#include <json/value.h>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr std::size_t kMaxKeys = 4;
+constexpr std::size_t kSecretBytes = 32;
+// A token stays valid for at least three of these periods.
+constexpr std::chrono::hours kReplacePeriod{ 24 };
+// Configuration reaches every instance within 8 s; a paused one gets longer.
+constexpr seconds kSpreadDelay{ 120 };
+
+} // namespace
+
+std::string
+EncodeSessionKeys(const std::vector<session_key>& aKeys)
+{
+  Json::Value value;
+  value["keys"] = Json::Value(Json::arrayValue);
+  for (const auto& key : aKeys) {
+    Json::Value entry;
+    entry["id"] = key.mId;
+    entry["secret"] = absl::Base64Escape(key.mSecret);
+    entry["sign_after_ms"] = Json::Int64(UnixMilliseconds(key.mSignAfter));
+    value["keys"].append(entry);
+  }
+  return WriteRecord(value);
+}
+
+absl::StatusOr<std::vector<session_key>>
+DecodeSessionKeys(const std::string& aText)
+{
+  const auto value = ParseRecord(aText);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  std::vector<session_key> keys;
+  std::set<std::string> ids;
+  reader.Each("keys", kMaxKeys, [&](record_reader& aEntry) {
+    session_key key;
+    key.mId = aEntry.Text("id");
+    if (!absl::Base64Unescape(aEntry.Text("secret"), &key.mSecret) ||
+        key.mSecret.empty()) {
+      aEntry.Fail("the secret is not base64");
+    }
+    key.mSignAfter = aEntry.Time("sign_after_ms");
+    if (key.mId.empty() || !ids.insert(key.mId).second) {
+      aEntry.Fail("the id is empty or repeated");
+    }
+    keys.push_back(key);
+  });
+  if (keys.empty()) {
+    reader.Fail("no key");
+  }
+  const absl::Status status = reader.Finish();
+  if (!status.ok()) {
+    return status;
+  }
+  return keys;
+}
+
+std::optional<std::vector<session_key>>
+ReplaceSessionKeys(const std::vector<session_key>& aCurrent,
+                   wall_time aNow,
+                   const std::string& aSecret)
+{
+  const auto newest =
+    std::max_element(aCurrent.begin(),
+                     aCurrent.end(),
+                     [](const session_key& aLeft, const session_key& aRight) {
+                       return aLeft.mSignAfter < aRight.mSignAfter;
+                     });
+  if (newest != aCurrent.end() && aNow < newest->mSignAfter + kReplacePeriod) {
+    return std::nullopt;
+  }
+  const bool isFirst = aCurrent.empty();
+  session_key added;
+  added.mSecret = aSecret;
+  added.mSignAfter = isFirst ? aNow : aNow + kSpreadDelay;
+  added.mId = absl::StrCat("k", UnixMilliseconds(added.mSignAfter));
+  std::vector<session_key> keys = aCurrent;
+  keys.push_back(std::move(added));
+  std::sort(keys.begin(),
+            keys.end(),
+            [](const session_key& aLeft, const session_key& aRight) {
+              return aLeft.mSignAfter < aRight.mSignAfter;
+            });
+  if (keys.size() > kMaxKeys) {
+    keys.erase(keys.begin(), keys.end() - kMaxKeys);
+  }
+  return keys;
+}
+
+std::string
+NewSecret()
+{
+  std::string secret(kSecretBytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(secret.data()),
+             static_cast<int>(secret.size()));
+  return secret;
+}
+
+} // namespace snipewalk
