--- a/tests/request/read_router_test.cpp
+++ b/tests/request/read_router_test.cpp
@@ -135,6 +135,7 @@
   EXPECT_FALSE(mRouter.PrimaryAge(kStart));
   Observe(1, 10, kStart + milliseconds(5));
   EXPECT_EQ(mRouter.AgeOf(10, kStart + milliseconds(20)), milliseconds(20));
+  EXPECT_EQ(mRouter.PrimaryAge(kStart + milliseconds(20)), milliseconds(20));
   Observe(0, 20, kStart + milliseconds(50));
   EXPECT_EQ(mRouter.AgeOf(20, kStart + milliseconds(90)), milliseconds(90));
 }
