--- a/tests/process/standin_process_test.cpp
+++ b/tests/process/standin_process_test.cpp
@@ -1,9 +1,14 @@
 // Tests of the stand-ins as processes: their HTTP form and the fault proxy.
 #include "standins/process_fleet.h"
 
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
 
+#include <array>
+
 namespace snipewalk::standins {
 namespace {
 
@@ -165,5 +170,35 @@
   }
 }
 
+// Guards against silenced or reset connections that go on, and new ones that
+// are hit as well.
+TEST_F(StandinProcessTest, FaultProxySilencesOnlyEstablishedConnections)
+{
+  const std::uint16_t store =
+    PortOf(mFleet.StartStandin("store", "standin-store"));
+  const auto line =
+    mFleet.StartStandin("faults",
+                        "standin-faults",
+                        { absl::StrCat("--links=a=127.0.0.1:", store) });
+  const std::uint16_t control = PortOf(line);
+  const auto port = static_cast<std::uint16_t>((*line)["links"]["a"].asUInt());
+  const std::string request = "GET /v1/instances HTTP/1.1\r\nHost: s\r\n\r\n";
+  const auto isAnswered = [&](Poco::Net::StreamSocket& aSocket) {
+    aSocket.sendBytes(request.data(), static_cast<int>(request.size()));
+    std::array<char, 1024> answer{};
+    return aSocket.receiveBytes(answer.data(), answer.size()) > 0;
+  };
+  for (const std::string fault : { "silence", "reset" }) {
+    Poco::Net::StreamSocket old(Poco::Net::SocketAddress("127.0.0.1", port));
+    old.setReceiveTimeout(Poco::Timespan(0, 100'000));
+    EXPECT_TRUE(isAnswered(old));
+    ASSERT_EQ(HttpCall(control, "POST", "/standin/" + fault, "{\"link\":\"a\"}")
+                ->mStatus,
+              200);
+    EXPECT_ANY_THROW(isAnswered(old)) << fault;
+    EXPECT_TRUE(HttpCall(port, "GET", "/v1/instances").ok()) << fault;
+  }
+}
+
 } // namespace
 } // namespace snipewalk::standins
