--- a/include/snipewalk/version/drain.h
+++ b/include/snipewalk/version/drain.h
@@ -93,8 +93,11 @@
   bool IsNeeded() const;
 
   // The next change of term that is possible now; nothing when none is needed
-  // or an obstacle stands in the way. One server changes at a time.
-  std::optional<planned_change> NextChange(time_point aNow) const;
+  // or an obstacle stands in the way. One server changes at a time. `aDelay` is
+  // waited in addition after the last change; holders differ in it.
+  std::optional<planned_change> NextChange(
+    time_point aNow,
+    milliseconds aDelay = milliseconds(0)) const;
 
   drain_status Status(time_point aNow, wall_time aWallNow) const;
 
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -214,7 +214,7 @@
     return;
   }
   mDrain.OnSuspected(mDetector.Suspected());
-  const auto change = mDrain.NextChange(aNow - *slot * 4 * kSlotStep);
+  const auto change = mDrain.NextChange(aNow, *slot * 4 * kSlotStep);
   if (change) {
     mFailoverEvents.emplace_back(change_planned{ term->mTerm, *change });
   }
--- a/src/version/drain.cpp
+++ b/src/version/drain.cpp
@@ -179,10 +179,11 @@
 }
 
 std::optional<planned_change>
-drain::NextChange(time_point aNow) const
+drain::NextChange(time_point aNow, milliseconds aDelay) const
 {
   if (!IsNeeded() || mTerm->mPhase != term_phase::Stable ||
-      aNow - mTermSince < kChangeGap || Contains(mSuspected, mTerm->mPrimary)) {
+      aNow - mTermSince < kChangeGap + aDelay ||
+      Contains(mSuspected, mTerm->mPrimary)) {
     return std::nullopt;
   }
   std::string primary = mTerm->mPrimary;
--- a/src/version/record_json.cpp
+++ b/src/version/record_json.cpp
@@ -10,6 +10,28 @@
 
 namespace snipewalk {
 
+namespace {
+
+// jsoncpp accepts comments between the members of an object also when they are
+// switched off.
+bool
+HasComment(const std::string& aText)
+{
+  bool inString = false;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    if (inString && aText[i] == '\\') {
+      ++i;
+    } else if (aText[i] == '"') {
+      inString = !inString;
+    } else if (!inString && aText[i] == '/') {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
 absl::StatusOr<Json::Value>
 ParseRecord(const std::string& aText)
 {
@@ -27,6 +49,10 @@
   } catch (const Json::Exception& fault) {
     faults = fault.what();
   }
+  if (parsed && HasComment(aText)) {
+    parsed = false;
+    faults = "comments are not allowed";
+  }
   if (!parsed) {
     return absl::InvalidArgumentError(absl::StrCat("not JSON: ", faults));
   }
--- /dev/null
+++ b/tests/process/store_http_client_test.cpp
@@ -0,0 +1,140 @@
+// Tests of the store client over sockets.
+#include "snipewalk/process/store_http_client.h"
+#include "standins/store_service.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+class StoreHttpClientTest : public testing::Test
+{
+protected:
+  store_client_options OptionsFor(std::vector<std::string> aAddresses)
+  {
+    store_client_options options;
+    options.mAddresses = std::move(aAddresses);
+    options.mCallTimeout = milliseconds(200);
+    return options;
+  }
+
+  std::string StoreAddress() const
+  {
+    return "127.0.0.1:" + std::to_string(mService.Port());
+  }
+
+  // Submits the next request once the one before was answered.
+  std::vector<store_reply> Run(store_client& aClient,
+                               std::vector<store_request> aRequests)
+  {
+    std::vector<store_reply> replies;
+    std::function<void()> next = [&] {
+      if (replies.size() == aRequests.size()) {
+        mLoop.Stop();
+        return;
+      }
+      aClient.Submit(aRequests[replies.size()],
+                     [&](const store_reply& aReply, time_point) {
+                       replies.push_back(aReply);
+                       next();
+                     });
+    };
+    mLoop.Post(next);
+    mLoop.Run();
+    return replies;
+  }
+
+  event_loop mLoop;
+  standins::store_service mService{ mLoop, {} };
+  const object_key mKey{ "terms", "ledger" };
+};
+
+// Guards against versions or values that change between put, get and watch,
+// and against conflicts without the current object.
+TEST_F(StoreHttpClientTest, CarriesConditionalUpdatesAndWatches)
+{
+  store_http_client client(mLoop, OptionsFor({ StoreAddress() }));
+  const auto replies = Run(client,
+                           { store_get{ mKey },
+                             store_put{ mKey, "{\"a\":1}", 0 },
+                             store_put{ mKey, "{\"b\":1}", 0 },
+                             store_get{ mKey },
+                             store_watch{ "terms", 0, milliseconds(100) },
+                             store_list_instances{} });
+  EXPECT_EQ(replies[0].mStatus, store_status::NotFound);
+  ASSERT_EQ(replies[1].mStatus, store_status::Ok);
+  const std::uint64_t version = replies[1].mObjects.at(0).mVersion;
+  EXPECT_GT(version, 0U);
+  ASSERT_EQ(replies[2].mStatus, store_status::Conflict);
+  EXPECT_EQ(replies[2].mObjects.at(0).mVersion, version);
+  EXPECT_EQ(replies[2].mObjects.at(0).mValue, "{\"a\":1}");
+  EXPECT_EQ(replies[3].mObjects.at(0).mVersion, version);
+  ASSERT_EQ(replies[4].mStatus, store_status::Ok);
+  EXPECT_EQ(replies[4].mObjects.at(0).mValue, "{\"a\":1}");
+  EXPECT_GE(replies[4].mRevision, version);
+  EXPECT_EQ(replies[5].mStatus, store_status::Ok);
+}
+
+// Guards against a put without an answer that is taken for refused.
+TEST_F(StoreHttpClientTest, ReportsSilentPutAsUnknown)
+{
+  // Connections are established by the system and never answered.
+  const Poco::Net::ServerSocket silent(
+    Poco::Net::SocketAddress("127.0.0.1", 0));
+  store_http_client client(mLoop, OptionsFor({ silent.address().toString() }));
+  const auto replies = Run(client, { store_put{ mKey, "{}", 0 } });
+  EXPECT_EQ(replies[0].mStatus, store_status::Unknown);
+  EXPECT_TRUE(client.UnreachableSince());
+}
+
+// Guards against a put that was never sent and is read back for nothing.
+TEST_F(StoreHttpClientTest, ReportsUnsentPutAsRefused)
+{
+  Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = closed.address().toString();
+  closed.close();
+  store_http_client client(mLoop, OptionsFor({ address }));
+  const auto replies = Run(client, { store_put{ mKey, "{}", 0 } });
+  EXPECT_EQ(replies[0].mStatus, store_status::Refused);
+}
+
+// Guards against a client that stays with an address that does not work.
+TEST_F(StoreHttpClientTest, TriesTheNextAddress)
+{
+  Poco::Net::ServerSocket closed(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const std::string address = closed.address().toString();
+  closed.close();
+  store_http_client client(mLoop, OptionsFor({ address, StoreAddress() }));
+  const auto replies =
+    Run(client, { store_get{ mKey }, store_get{ mKey }, store_get{ mKey } });
+  EXPECT_EQ(replies.back().mStatus, store_status::NotFound);
+  EXPECT_FALSE(client.UnreachableSince());
+}
+
+// Guards against calls above the cap, such as after the store's return.
+TEST_F(StoreHttpClientTest, KeepsTheCapOnCalls)
+{
+  store_client_options options = OptionsFor({ StoreAddress() });
+  options.mCallsPerSecond = 100;
+  options.mCallTimeout = seconds(2);
+  store_http_client client(mLoop, options);
+  int answered = 0;
+  for (int i = 0; i < 500; ++i) {
+    client.Submit(store_get{ mKey },
+                  [&](const store_reply& aReply, time_point) {
+                    answered += aReply.mStatus == store_status::NotFound;
+                  });
+  }
+  mLoop.RunAt(mLoop.Now() + milliseconds(500),
+              [&](time_point) { mLoop.Stop(); });
+  mLoop.Run();
+  // Half a second of 100 calls a second, and the burst of a tenth.
+  EXPECT_LE(answered, 61);
+  EXPECT_GE(answered, 1);
+}
+
+} // namespace
+} // namespace snipewalk
