--- a/include/snipewalk/version/object_cache.h
+++ b/include/snipewalk/version/object_cache.h
@@ -27,6 +27,7 @@
 #define SNIPEWALK_VERSION_OBJECT_CACHE_H_
 
 #include "snipewalk/process/store_client.h"
+#include "snipewalk/version/term_record.h"
 
 #include <array>
 #include <cstdint>
@@ -40,9 +41,6 @@
 namespace snipewalk {
 
 inline constexpr std::string_view kServicesKind = "services";
-inline constexpr std::string_view kTermsKind = "terms";
-inline constexpr std::string_view kSlotsKind = "slots";
-inline constexpr std::string_view kKeysKind = "keys";
 inline constexpr std::array<std::string_view, 4> kObjectKinds{ kServicesKind,
                                                                kTermsKind,
                                                                kSlotsKind,
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -198,12 +198,6 @@
 int
 SlotShare(int aConnections, int aSlots, std::size_t aSlot);
 
-// JSON of the object `slots/<service>`.
-std::string
-EncodeSlots(const slot_record& aRecord);
-std::optional<slot_record>
-DecodeSlots(const std::string& aText);
-
 struct slot_service;
 
 class slot_assignment
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -134,8 +134,16 @@
           objects.mDocument = &*service->second.mDocument;
         }
         objects.mTerm = mCache.Find(kTermsKind, aService);
-        objects.mSlots = mSlots.Record(aService);
         objects.mIsHeld = mSlots.Share(aService) > 0;
+        if (const slot_record* slots = mSlots.Record(aService)) {
+          objects.mSlots = *slots;
+        }
+        for (auto& holder : objects.mSlots.mHolders) {
+          if (!objects.mIsHeld &&
+              holder.mInstance == mOptions.mSettings.mInstance) {
+            holder = {};
+          }
+        }
         return objects;
       })
   , mRandom(mOptions.mSeed + 4)
--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
+#include "snipewalk/process/audit_trail.h"
 #include "snipewalk/process/service_controller.h"
 #include "snipewalk/process/store_client.h"
 
@@ -17,12 +18,14 @@
 
 namespace snipewalk {
 
-// Objects of a service, as a new controller needs them; each may be null.
+// Objects of a service, as its controller needs them; pointers may be null.
 struct service_objects
 {
   const service_document* mDocument = nullptr;
   const stored_object* mTerm = nullptr;
-  const slot_record* mSlots = nullptr;
+  // Names this process only while it may have connections open: its control
+  // connections are part of its share.
+  slot_record mSlots;
   bool mIsHeld = false;
 };
 
@@ -31,6 +34,7 @@
 public:
   using lookup = std::function<service_objects(const std::string& aService)>;
 
+  // The loop and the store outlive this object.
   service_controls(event_loop& aLoop,
                    store_client& aStore,
                    controller_options aOptions,
@@ -49,6 +53,8 @@
                      const std::string& aServer,
                      std::size_t aConnections,
                      time_point aNow);
+  // A question about a service that is not held creates a controller, too:
+  // other instances than the holders are witnesses of failures.
   void OnPeerMessage(const std::string& aInstance,
                      const control_message& aMessage,
                      time_point aNow);
@@ -60,11 +66,24 @@
   std::optional<drain_status> DrainStatus(const std::string& aService) const;
 
 private:
+  struct entry
+  {
+    std::unique_ptr<service_controller> mController;
+    bool mIsHeld = false;
+    // A service that is not held is dropped some time after this.
+    time_point mLastQuestion;
+  };
+
+  entry& Ensure(const std::string& aService, time_point aNow);
+  void Inform(entry& aEntry, const service_objects& aObjects, time_point aNow);
+
   event_loop& mLoop;
   store_client& mStore;
   controller_options mOptions;
   controller_callbacks mCallbacks;
   lookup mLookup;
+  audit_trail mAudit;
+  std::map<std::string, entry> mEntries;
   std::vector<live_instance> mMembers;
 };
 
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -3,6 +3,8 @@
 
 #include "slot_service.h"
 
+#include "snipewalk/version/term_record.h"
+
 #include <algorithm>
 
 namespace snipewalk {
@@ -232,11 +234,11 @@
   if (aObject.mVersion <= aService.mVersion) {
     return;
   }
-  std::optional<slot_record> next = slot_record{};
+  absl::StatusOr<slot_record> next = slot_record{};
   if (!aObject.mDeleted) {
-    next = DecodeSlots(aObject.mValue);
+    next = DecodeSlotRecord(aObject.mValue);
   }
-  if (!next) {
+  if (!next.ok()) {
     return;
   }
   NoteReplaced(aService, *next, aNow);
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -3,6 +3,7 @@
 #include "slot_service.h"
 
 #include "snipewalk/version/slot_assignment.h"
+#include "snipewalk/version/term_record.h"
 
 #include <algorithm>
 
@@ -187,7 +188,7 @@
   aActions.push_back(
     slot_store_call{ *aService.mOperation,
                      store_put{ { std::string(kSlotsKind), aService.mName },
-                                EncodeSlots(next),
+                                EncodeSlotRecord(next),
                                 aService.mExists ? aService.mVersion : 0 } });
 }
 
