--- a/src/process/service_controls.cpp
+++ b/src/process/service_controls.cpp
@@ -1,19 +1,28 @@
 // Implementation of the set of service controllers.
 #include "service_controls.h"
 
-#include "snipewalk/base/log.h"
 #include "snipewalk/version/term_record.h"
 
 #include <utility>
+#include <variant>
 
 namespace snipewalk {
 
 namespace {
 
-// A witness keeps its controller for the questions that usually follow.
-constexpr milliseconds kWitnessTime{ 30'000 };
-// Bounds the controllers that questions of others can create.
-constexpr std::size_t kMaxControllers = 256;
+// A witness keeps its control connections this long after the last query, so
+// that repeated queries about one failure need no new connections.
+constexpr seconds kKeepWitness{ 30 };
+// Witness controllers on one instance; further queries are left to others.
+constexpr std::size_t kMaxWitnessed = 64;
+
+const std::string&
+ServiceOf(const control_message& aMessage)
+{
+  return std::visit(
+    [](const auto& aKnown) -> const std::string& { return aKnown.mService; },
+    aMessage);
+}
 
 } // namespace
 
@@ -37,16 +46,23 @@
 
 service_controls::~service_controls() = default;
 
+service_controller*
+service_controls::Find(const std::string& aService) const
+{
+  const auto found = mEntries.find(aService);
+  return found == mEntries.end() ? nullptr : found->second.mController.get();
+}
+
 service_controls::entry&
-service_controls::Ensure(const std::string& aService, time_point aNow)
+service_controls::Create(const std::string& aService, time_point aNow)
 {
-  entry& found = mEntries[aService];
-  if (!found.mController) {
-    found.mController = std::make_unique<service_controller>(
+  entry& created = mEntries[aService];
+  if (!created.mController) {
+    created.mController = std::make_unique<service_controller>(
       mLoop, mStore, mAudit, aService, mOptions, mCallbacks);
-    found.mController->OnMembers(mMembers, aNow);
+    created.mController->OnMembers(mMembers, aNow);
   }
-  return found;
+  return created;
 }
 
 void
@@ -54,26 +70,32 @@
                          const service_objects& aObjects,
                          time_point aNow)
 {
-  aEntry.mIsHeld = aObjects.mIsHeld;
-  if (aObjects.mDocument != nullptr) {
-    aEntry.mController->OnDocument(*aObjects.mDocument, aNow);
+  service_controller& controller = *aEntry.mController;
+  if (aObjects.mTerm) {
+    controller.OnTermObject(*aObjects.mTerm, aNow);
   }
-  if (aObjects.mTerm != nullptr) {
-    aEntry.mController->OnTermObject(*aObjects.mTerm, aNow);
-  }
-  aEntry.mController->OnSlots(aObjects.mSlots, aNow);
+  controller.OnDocument(*aObjects.mDocument, aNow);
+  controller.OnSlots(aObjects.mSlots, aNow);
 }
 
 void
 service_controls::Update(const std::string& aService, time_point aNow)
 {
   const service_objects objects = mLookup(aService);
-  const bool known = mEntries.contains(aService);
-  if (objects.mDocument == nullptr) {
+  if (!objects.mDocument) {
     mEntries.erase(aService);
-  } else if (known || objects.mIsHeld) {
-    Inform(Ensure(aService, aNow), objects, aNow);
+    return;
   }
+  const auto found = mEntries.find(aService);
+  if (!objects.mIsHeld && found == mEntries.end()) {
+    return;
+  }
+  entry& updated = Create(aService, aNow);
+  if (updated.mIsHeld && !objects.mIsHeld) {
+    updated.mKeepUntil = aNow + kKeepWitness;
+  }
+  updated.mIsHeld = objects.mIsHeld;
+  Inform(updated, objects, aNow);
 }
 
 void
@@ -91,9 +113,8 @@
                              const report_evidence& aEvidence,
                              time_point aNow)
 {
-  const auto found = mEntries.find(aService);
-  if (found != mEntries.end()) {
-    found->second.mController->OnEvidence(aEvidence, aNow);
+  if (service_controller* controller = Find(aService)) {
+    controller->OnEvidence(aEvidence, aNow);
   }
 }
 
@@ -103,9 +124,8 @@
                                 std::size_t aConnections,
                                 time_point aNow)
 {
-  const auto found = mEntries.find(aService);
-  if (found != mEntries.end()) {
-    found->second.mController->OnConnections(aServer, aConnections, aNow);
+  if (service_controller* controller = Find(aService)) {
+    controller->OnConnections(aServer, aConnections, aNow);
   }
 }
 
@@ -114,72 +134,67 @@
                                 const control_message& aMessage,
                                 time_point aNow)
 {
-  const std::string service =
-    std::visit([](const auto& aKnown) { return aKnown.mService; }, aMessage);
-  auto found = mEntries.find(service);
-  if (found == mEntries.end()) {
+  const std::string& service = ServiceOf(aMessage);
+  const bool isQuery = std::holds_alternative<primary_report_query>(aMessage);
+  if (isQuery && !Find(service)) {
     const service_objects objects = mLookup(service);
-    if (objects.mDocument == nullptr || mEntries.size() >= kMaxControllers ||
-        !std::holds_alternative<primary_report_query>(aMessage)) {
+    if (!objects.mDocument || mEntries.size() >= kMaxWitnessed) {
       return;
     }
-    Inform(Ensure(service, aNow), objects, aNow);
-    found = mEntries.find(service);
+    Inform(Create(service, aNow), objects, aNow);
+  }
+  const auto found = mEntries.find(service);
+  if (found == mEntries.end()) {
+    return;
+  }
+  if (isQuery) {
+    found->second.mKeepUntil = aNow + kKeepWitness;
   }
-  found->second.mLastQuestion = aNow;
   found->second.mController->OnPeerMessage(aInstance, aMessage, aNow);
 }
 
+void
+service_controls::RemoveUnused(time_point aNow)
+{
+  std::erase_if(mEntries, [&](const auto& aEntry) {
+    return !aEntry.second.mIsHeld && aEntry.second.mKeepUntil <= aNow;
+  });
+}
+
 void
 service_controls::Tick(time_point aNow, wall_time aWallNow)
 {
-  mAudit.Tick(aNow);
-  for (auto next = mEntries.begin(); next != mEntries.end();) {
-    entry& each = next->second;
-    if (!each.mIsHeld && aNow - each.mLastQuestion >= kWitnessTime) {
-      next = mEntries.erase(next);
-      continue;
-    }
-    each.mController->Tick(aNow, aWallNow);
-    ++next;
+  RemoveUnused(aNow);
+  for (auto& [name, known] : mEntries) {
+    known.mController->Tick(aNow, aWallNow);
   }
+  mAudit.Tick(aNow);
 }
 
 void
 service_controls::Describe(const std::string& aService,
                            service_view& aView) const
 {
-  const auto found = mEntries.find(aService);
-  if (found != mEntries.end() && found->second.mIsHeld) {
-    aView.mSuspected = found->second.mController->Suspected();
-    if (auto term = found->second.mController->Term()) {
-      aView.mTerm = std::move(*term);
-      return;
-    }
+  std::optional<term_record> term;
+  if (const service_controller* controller = Find(aService)) {
+    term = controller->Term();
+    aView.mSuspected = controller->Suspected();
   }
   const service_objects objects = mLookup(aService);
-  if (objects.mTerm == nullptr) {
-    return;
+  if (!term && objects.mTerm) {
+    const auto recorded = DecodeTermRecord(objects.mTerm->mValue);
+    term = recorded.ok() ? std::optional(*recorded) : std::nullopt;
   }
-  auto term = DecodeTermRecord(objects.mTerm->mValue);
-  if (term.ok()) {
-    aView.mTerm = std::move(*term);
-  } else {
-    Log(log_level::Error,
-        "control_loop",
-        "The term record in the store is invalid",
-        { { "service", std::string_view(aService) } });
+  if (term) {
+    aView.mTerm = *std::move(term);
   }
 }
 
 std::optional<drain_status>
 service_controls::DrainStatus(const std::string& aService) const
 {
-  const auto found = mEntries.find(aService);
-  if (found == mEntries.end() || !found->second.mIsHeld) {
-    return std::nullopt;
-  }
-  return found->second.mController->DrainStatus();
+  const service_controller* controller = Find(aService);
+  return controller ? std::optional(controller->DrainStatus()) : std::nullopt;
 }
 
 } // namespace snipewalk
--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -18,7 +18,7 @@
 
 namespace snipewalk {
 
-// Objects of a service, as its controller needs them; pointers may be null.
+// Objects of a service, as a new controller needs them; each may be null.
 struct service_objects
 {
   const service_document* mDocument = nullptr;
@@ -34,7 +34,6 @@
 public:
   using lookup = std::function<service_objects(const std::string& aService)>;
 
-  // The loop and the store outlive this object.
   service_controls(event_loop& aLoop,
                    store_client& aStore,
                    controller_options aOptions,
@@ -53,14 +52,13 @@
                      const std::string& aServer,
                      std::size_t aConnections,
                      time_point aNow);
-  // A question about a service that is not held creates a controller, too:
-  // other instances than the holders are witnesses of failures.
   void OnPeerMessage(const std::string& aInstance,
                      const control_message& aMessage,
                      time_point aNow);
   void Tick(time_point aNow, wall_time aWallNow);
 
-  // Fills in the term and the suspected servers.
+  // Fills in the term and the suspected servers. Without a controller the term
+  // is the one that the store records.
   void Describe(const std::string& aService, service_view& aView) const;
   // Nothing for a service without a controller.
   std::optional<drain_status> DrainStatus(const std::string& aService) const;
@@ -70,12 +68,16 @@
   {
     std::unique_ptr<service_controller> mController;
     bool mIsHeld = false;
-    // A service that is not held is dropped some time after this.
-    time_point mLastQuestion;
+    // A controller that only answers queries is removed after this time.
+    time_point mKeepUntil;
   };
 
-  entry& Ensure(const std::string& aService, time_point aNow);
-  void Inform(entry& aEntry, const service_objects& aObjects, time_point aNow);
+  entry& Create(const std::string& aService, time_point aNow);
+  static void Inform(entry& aEntry,
+                     const service_objects& aObjects,
+                     time_point aNow);
+  void RemoveUnused(time_point aNow);
+  service_controller* Find(const std::string& aService) const;
 
   event_loop& mLoop;
   store_client& mStore;
@@ -83,8 +85,8 @@
   controller_callbacks mCallbacks;
   lookup mLookup;
   audit_trail mAudit;
-  std::map<std::string, entry> mEntries;
   std::vector<live_instance> mMembers;
+  std::map<std::string, entry> mEntries;
 };
 
 } // namespace snipewalk
