--- a/tests/integration/whole_path_test.cpp
+++ b/tests/integration/whole_path_test.cpp
@@ -41,7 +41,8 @@
   EXPECT_TRUE(WaitFor([&] {
     after = (*fleet)->Write(1, "set drum/3 cleaned");
     return after.Done();
-  })) << after.mStatus << after.mBody;
+  }))
+    << after.mStatus << after.mBody;
   EXPECT_NE((*fleet)->Primary(0), old);
   const auto read = (*fleet)->Read(2, "get drum/2", before.mSession);
   EXPECT_EQ(read.mBody, "cleaned") << read.mStatus << read.mReason;
--- a/tests/version/slot_model.cpp
+++ b/tests/version/slot_model.cpp
@@ -303,8 +303,9 @@
 {
   const auto after = DecodeSlotRecord(aValue);
   const auto found = mStore.find(aName);
-  const auto before =
-    found == mStore.end() ? slot_record{} : *DecodeSlotRecord(found->second.mValue);
+  const auto before = found == mStore.end()
+                        ? slot_record{}
+                        : *DecodeSlotRecord(found->second.mValue);
   for (std::size_t i = 0; i < after->mHolders.size(); ++i) {
     const auto& holder = after->mHolders[i];
     if (holder.mInstance.empty()) {
