--- a/include/snipewalk/process/instance.h
+++ b/include/snipewalk/process/instance.h
@@ -33,6 +33,8 @@
   // Starts to release the slots; SlotsReleased() reports the end.
   std::function<void()> mReleaseSlots;
   std::function<void()> mSendLeave;
+  // JSON for the admin page /v1/control; called by the admin threads.
+  std::function<std::string()> mControlPage;
 };
 
 class instance
@@ -50,6 +52,9 @@
   // it does not return.
   void Run();
 
+  // Ends the admin and traffic threads; no hook is called afterwards.
+  void Stop();
+
   // The functions below may be called from any thread; RequestShutdown() also
   // from a signal handler.
   void RequestShutdown() { mStopRequested.store(true); }
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -267,6 +267,9 @@
   if (page == "metrics") {
     return { 200, WriteJson(MetricsPage(aSources.mMetrics())) };
   }
+  if (page == "control" && aSources.mControl) {
+    return { 200, aSources.mControl() };
+  }
   if (page == "explain") {
     return { 200, WriteJson(ExplainPage(aSources, aTarget)) };
   }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -1,6 +1,8 @@
 // Implementation of the whole instance.
 #include "snipewalk/process/daemon.h"
 
+#include "control_page.h"
+
 #include "snipewalk/base/log.h"
 #include "snipewalk/process/store_http_client.h"
 
@@ -35,6 +37,8 @@
 daemon::~daemon()
 {
   mControl.Stop();
+  // The threads of the instance call the control loop until they end.
+  mInstance.Stop();
 }
 
 instance_options
@@ -92,6 +96,10 @@
   hooks.mReleaseSlots = [this] {
     mControl.ReleaseSlots(kReleaseLimit, [this] { mInstance.SlotsReleased(); });
   };
+  hooks.mControlPage = [this] {
+    const auto status = mControl.Status();
+    return status ? ControlPage(*status) : std::string("{}");
+  };
   hooks.mSendLeave = [this] { mControl.Leave(); };
   return hooks;
 }
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -27,6 +27,12 @@
 }
 
 instance::~instance()
+{
+  Stop();
+}
+
+void
+instance::Stop()
 {
   // The admin threads use the traffic threads.
   mAdmin.Stop();
@@ -61,6 +67,7 @@
   sources.mExplain = [this](const statement_request& aRequest) {
     return mTraffic.Explain(aRequest, kExplainTimeout);
   };
+  sources.mControl = mHooks.mControlPage;
   sources.mToken = [this] { return AdminToken(); };
   return sources;
 }
