--- a/src/process/server_link.cpp
+++ b/src/process/server_link.cpp
@@ -126,7 +126,7 @@
 // The next request is pumped from the loop: the handler that reports this
 // reply may not have returned yet.
 void
-server_link::Finish(link_reply aReply, time_point aNow)
+server_link::Finish(const link_reply& aReply, time_point aNow)
 {
   if (!mCurrent) {
     return;
--- a/src/process/server_link.h
+++ b/src/process/server_link.h
@@ -70,7 +70,7 @@
   void Drop();
   void OnOpened(time_point aNow);
   void OnClosed(bool aRefused, time_point aNow);
-  void Finish(link_reply aReply, time_point aNow);
+  void Finish(const link_reply& aReply, time_point aNow);
 
   event_loop& mLoop;
   server_endpoint mServer;
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -221,7 +221,8 @@
     Translate(mOptions.mAddressTranslation, aServer);
   if (link && link->Server().mAddress != target.mAddress) {
     // One of its handlers may be running.
-    mLoop.Post([old = std::shared_ptr<server_link>(std::move(link))] {});
+    const std::shared_ptr<server_link> old = std::exchange(link, nullptr);
+    mLoop.Post([old] {});
   }
   if (!link) {
     link = std::make_unique<server_link>(
--- a/src/version/failover.cpp
+++ b/src/version/failover.cpp
@@ -251,7 +251,7 @@
     mNextTry.clear();
   }
   if (mRecord && mRecord->mPhase == term_phase::Electing && IsMine()) {
-    mElection.emplace();
+    mElection = election{};
     if (mPlan && mPlan->mTerm + 1 == mRecord->mTerm) {
       mElection->mPlan = mPlan->mChange;
       mElection->mPreviousTerm = mPlan->mTerm;
--- a/src/version/failure_detector_queries.cpp
+++ b/src/version/failure_detector_queries.cpp
@@ -127,7 +127,7 @@
 void
 failure_detector::StartQuery(time_point aNow, actions& aOut)
 {
-  mRound.emplace();
+  mRound = query_round{};
   mRound->mQuery = mNextId++;
   mRound->mStarted = aNow;
   mRound->mAsked.insert(mConfig.mOtherHolders.begin(),
--- /dev/null
+++ b/tests/version/failover_model_steps.cpp
@@ -0,0 +1,209 @@
+// Disturbances and ordinary work of the failover model.
+#include "version/failover_model.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+void
+failover_model::Probe()
+{
+  for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+    for (const auto& [name, server] : mServers) {
+      if (server.mUp && mCut.count({ i, name }) == 0 && !Chance(mLossPercent)) {
+        const server_observed seen{ server.Status(name), mNow };
+        Later(Jittered(mDelay), [=, this] { Deliver(i, seen); });
+      }
+    }
+  }
+}
+
+void
+failover_model::Detect()
+{
+  for (std::size_t i = 0; i < mOrderers.size(); ++i) {
+    const auto record = mOrderers[i]->Term();
+    if (record && !record->mPrimary.empty()) {
+      const bool failed = !mServers[record->mPrimary].mUp ||
+                          mCut.count({ i, record->mPrimary }) > 0;
+      Deliver(i, primary_failed{ record->mTerm, failed });
+    }
+  }
+}
+
+void
+failover_model::Replicate()
+{
+  for (auto& [name, server] : mServers) {
+    const auto primary = mServers.find(server.mPrimary);
+    if (!server.mUp || server.mRole != server_role::Replica ||
+        primary == mServers.end() || !primary->second.mUp || Chance(30)) {
+      continue;
+    }
+    // A primary that was fenced for a later term still serves its log.
+    const auto& source = primary->second;
+    const bool serves =
+      (source.mRole == server_role::Primary && source.mTerm == server.mTerm) ||
+      (source.mRole == server_role::Fenced && source.mTerm > server.mTerm &&
+       server.mMatched && mPromoted[server.mTerm] == server.mPrimary);
+    if (serves) {
+      server.ReplicateFrom(source, 1 + Below(4));
+    }
+  }
+}
+
+void
+failover_model::Write(std::size_t aOrderer)
+{
+  const auto record = mOrderers[aOrderer]->Term();
+  if (!record || record->mPhase != term_phase::Stable) {
+    return;
+  }
+  model_server& primary = mServers[record->mPrimary];
+  if (!primary.mUp || primary.mTerm != record->mTerm ||
+      primary.mRole != server_role::Primary) {
+    return;
+  }
+  const model_entry entry{ record->mTerm, mNextId++ };
+  primary.mLog.push_back(entry);
+  mWrites.push_back({ aOrderer,
+                      record->mTerm,
+                      record->mPrimary,
+                      record->mVoters,
+                      primary.mLog.size(),
+                      entry,
+                      { record->mPrimary } });
+}
+
+void
+failover_model::Confirm()
+{
+  for (auto& write : mWrites) {
+    for (const auto& voter : write.mVoters) {
+      const model_server& server = mServers[voter];
+      if (server.mUp && server.mTerm == write.mTerm && server.mMatched &&
+          server.mRole == server_role::Replica &&
+          server.mLog.size() >= write.mIndex && Chance(50)) {
+        write.mConfirmed.insert(voter);
+      }
+    }
+  }
+  std::erase_if(mWrites, [this](const model_write& aWrite) {
+    const auto confirmed = std::count_if(
+      aWrite.mVoters.begin(), aWrite.mVoters.end(), [&](const auto& aVoter) {
+        return aWrite.mConfirmed.count(aVoter) > 0;
+      });
+    if (2 * static_cast<std::size_t>(confirmed) <= aWrite.mVoters.size()) {
+      // No voter will confirm it any more.
+      return std::all_of(
+        aWrite.mVoters.begin(), aWrite.mVoters.end(), [&](const auto& aVoter) {
+          return mServers[aVoter].mTerm > aWrite.mTerm;
+        });
+    }
+    mAcknowledged.emplace_back(aWrite.mIndex, aWrite.mEntry);
+    return true;
+  });
+}
+
+void
+failover_model::RandomServerStep()
+{
+  auto server = std::next(mServers.begin(),
+                          static_cast<std::ptrdiff_t>(Below(mServers.size())));
+  switch (Below(3)) {
+    case 0:
+      server->second.mUp = Chance(70);
+      return;
+    case 1:
+      if (Chance(40)) {
+        mCut.insert({ Below(mOrderers.size()), server->first });
+      } else if (!mCut.empty()) {
+        mCut.erase(mCut.begin());
+      }
+      return;
+    default:
+      mLossPercent = Chance(20) ? 20 : 0;
+      return;
+  }
+}
+
+void
+failover_model::RandomStoreStep()
+{
+  switch (Below(4)) {
+    case 0:
+      mStoreUp = Chance(75);
+      return;
+    case 1:
+      mLostAnswerPercent = Chance(30) ? 40 : 0;
+      return;
+    case 2:
+      mRefusedPercent = Chance(20) ? 40 : 0;
+      return;
+    default:
+      mStoreSilentToCache = Chance(20);
+      return;
+  }
+}
+
+void
+failover_model::RandomOrder()
+{
+  const std::size_t orderer = Below(mOrderers.size());
+  const auto record = mOrderers[orderer]->Term();
+  if (!record) {
+    return;
+  }
+  if (Chance(50)) {
+    // A wrong verdict must cost no more than a change of primary.
+    Deliver(orderer, primary_failed{ record->mTerm, true });
+    return;
+  }
+  std::vector<std::string> names;
+  for (const auto& [name, server] : mServers) {
+    names.push_back(name);
+  }
+  std::shuffle(names.begin(), names.end(), mRandom);
+  names.resize(std::min<std::size_t>(names.size(), 3));
+  Deliver(
+    orderer,
+    change_planned{ record->mTerm, { names.front(), names, "random change" } });
+}
+
+void
+failover_model::RandomStep()
+{
+  const std::size_t kind = Below(100);
+  if (kind < 4) {
+    RandomServerStep();
+  } else if (kind < 7) {
+    RandomStoreStep();
+  } else if (kind < 9) {
+    const std::size_t orderer = Below(mOrderers.size());
+    mPaused[orderer] = Chance(30);
+  } else if (kind < 10) {
+    RandomOrder();
+  } else if (kind < 30) {
+    Detect();
+  } else {
+    Write(Below(mOrderers.size()));
+    Replicate();
+    Confirm();
+  }
+  Run(milliseconds(1 + Below(20)));
+}
+
+void
+failover_model::Heal()
+{
+  for (auto& [name, server] : mServers) {
+    server.mUp = true;
+  }
+  std::fill(mPaused.begin(), mPaused.end(), false);
+  mCut.clear();
+  mStoreUp = true;
+  mStoreSilentToCache = false;
+  mLostAnswerPercent = mRefusedPercent = mLossPercent = 0;
+}
+
+} // namespace snipewalk
--- a/tests/version/term_record_test.cpp
+++ b/tests/version/term_record_test.cpp
@@ -63,24 +63,6 @@
   EXPECT_TRUE(decoded->mHolders[1].mInstance.empty());
 }
 
-// Guards against keys with bytes that JSON cannot carry, and too many keys.
-TEST(SessionKeysTest, KeepsBinarySecretsAndLimitsTheirNumber)
-{
-  std::vector<session_key> keys{ { "k1",
-                                   std::string("\0\xff\"x", 4),
-                                   wall_time(
-                                     milliseconds(1'800'000'000'123)) } };
-  const auto decoded = DecodeSessionKeys(EncodeSessionKeys(keys));
-  ASSERT_TRUE(decoded.ok()) << decoded.status();
-  EXPECT_EQ(decoded->at(0).mSecret, keys[0].mSecret);
-  EXPECT_EQ(decoded->at(0).mSignAfter, keys[0].mSignAfter);
-  for (int i = 2; i <= 5; ++i) {
-    keys.push_back({ "k" + std::to_string(i), "s", {} });
-  }
-  EXPECT_FALSE(DecodeSessionKeys(EncodeSessionKeys(keys)).ok());
-  EXPECT_FALSE(DecodeSessionKeys("{\"keys\":[]}").ok());
-}
-
 // Guards against progress that operators read differently from the planner.
 TEST(DrainStatusTest, KeepsAllFields)
 {
