--- a/tests/version/session_keys_test.cpp
+++ b/tests/version/session_keys_test.cpp
@@ -43,5 +43,23 @@
   EXPECT_EQ(decoded->back().mId, keys.back().mId);
 }
 
+// Guards against keys with bytes that JSON cannot carry, and too many keys.
+TEST(SessionKeysTest, KeepsBinarySecretsAndLimitsTheirNumber)
+{
+  std::vector<session_key> keys{ { "k1",
+                                   std::string("\0\xff\"x", 4),
+                                   wall_time(
+                                     milliseconds(1'800'000'000'123)) } };
+  const auto decoded = DecodeSessionKeys(EncodeSessionKeys(keys));
+  ASSERT_TRUE(decoded.ok()) << decoded.status();
+  EXPECT_EQ(decoded->at(0).mSecret, keys[0].mSecret);
+  EXPECT_EQ(decoded->at(0).mSignAfter, keys[0].mSignAfter);
+  for (int i = 2; i <= 5; ++i) {
+    keys.push_back({ "k" + std::to_string(i), "s", {} });
+  }
+  EXPECT_FALSE(DecodeSessionKeys(EncodeSessionKeys(keys)).ok());
+  EXPECT_FALSE(DecodeSessionKeys("{\"keys\":[]}").ok());
+}
+
 } // namespace
 } // namespace snipewalk
