--- a/src/process/service_controls.cpp
+++ b/src/process/service_controls.cpp
@@ -75,9 +75,7 @@
     controller.OnTermObject(*aObjects.mTerm, aNow);
   }
   controller.OnDocument(*aObjects.mDocument, aNow);
-  if (aObjects.mSlots) {
-    controller.OnSlots(*aObjects.mSlots, aNow);
-  }
+  controller.OnSlots(aObjects.mSlots, aNow);
 }
 
 void
