--- a/tests/process/audit_trail_test.cpp
+++ b/tests/process/audit_trail_test.cpp
@@ -67,7 +67,7 @@
     aTrail.Append(entry);
   }
 
-  void Run(std::vector<audit_trail*> aTrails, int aRounds)
+  void Run(const std::vector<audit_trail*>& aTrails, int aRounds)
   {
     for (int i = 0; i < aRounds; ++i) {
       mNow += milliseconds(100);
--- a/tests/version/failover_model.cpp
+++ b/tests/version/failover_model.cpp
@@ -101,7 +101,7 @@
 }
 
 failover_model::failover_model(std::uint64_t aSeed,
-                               std::vector<std::string> aServers,
+                               const std::vector<std::string>& aServers,
                                std::size_t aOrderers)
   : mRandom(aSeed)
 {
--- a/tests/version/failover_model.h
+++ b/tests/version/failover_model.h
@@ -60,7 +60,7 @@
 {
 public:
   failover_model(std::uint64_t aSeed,
-                 std::vector<std::string> aServers,
+                 const std::vector<std::string>& aServers,
                  std::size_t aOrderers);
 
   // Moves the time on and delivers what is due.
--- a/tests/version/failover_test.cpp
+++ b/tests/version/failover_test.cpp
@@ -48,7 +48,7 @@
   // Kills the primary and returns its name.
   std::string Kill()
   {
-    const std::string killed = Primary();
+    std::string killed = Primary();
     mModel.mServers[killed].mUp = false;
     return killed;
   }
