Refuse HTTP status codes that POCO cannot represent

Cause: the fuzz test under UBSan found that a status above 511 from a backend server is an invalid value of POCO's enumeration, which is undefined behaviour. Change: the status line is checked before POCO parses the head; three findings of clang-tidy in the traffic threads are fixed. Conclusion: HttpCodecTest.RefusesUnknownStatusCodes guards it.

--- a/include/snipewalk/process/engine_host.h
+++ b/include/snipewalk/process/engine_host.h
@@ -41,7 +41,7 @@
   void Handle(engine_event aEvent);
 
   // A request whose id is in flight already is refused as not run.
-  void Submit(forwarded_request aRequest, responder aRespond);
+  void Submit(forwarded_request aRequest, const responder& aRespond);
 
   // Sets the loop's timer for the engine. Called after each round.
   void ArmTimer();
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -140,10 +140,10 @@
   void AcceptCaller(const Poco::Net::StreamSocket& aSocket);
   void Respond(caller_id aCaller, http_response aResponse, time_point aNow);
   void Apply(std::vector<forwarder_action> aActions);
-  void FinishRequest(statement_response aResponse);
+  void FinishRequest(const statement_response& aResponse);
   // Gives a request to the engine of this instance, on whichever thread it is.
   void Serve(forwarded_request aRequest, responder aRespond);
-  void ServeHere(forwarded_request aRequest, responder aRespond);
+  void ServeHere(forwarded_request aRequest, const responder& aRespond);
   void UpdateEngine(const std::string& aService,
                     const std::shared_ptr<const service_view>& aView);
   engine_host& EngineOf(const std::string& aService);
--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -69,6 +69,24 @@
   }
 }
 
+// Whether the status line has a code that POCO's enumeration can hold; others
+// would be undefined behaviour there. Codes above 511 are not assigned.
+bool
+HasKnownStatus(std::string_view aHead)
+{
+  constexpr int kLowest = 100;
+  constexpr int kHighest = 511;
+  const std::size_t space = aHead.find(' ');
+  if (space == std::string_view::npos || space + 4 > aHead.size()) {
+    return false;
+  }
+  int status = 0;
+  const std::string_view code = aHead.substr(space + 1, 3);
+  const char next = aHead[space + 4 < aHead.size() ? space + 4 : space + 3];
+  return absl::SimpleAtoi(Absl(code), &status) && status >= kLowest &&
+         status <= kHighest && (next == ' ' || next == '\r');
+}
+
 int
 HexValue(char aDigit)
 {
@@ -227,7 +245,9 @@
                         : found.status();
     }
     Poco::Net::HTTPResponse parsed;
-    if (!ParseHead(aBuffer, mHeadLength, parsed)) {
+    const std::string_view head =
+      std::string_view(aBuffer).substr(0, mHeadLength);
+    if (!HasKnownStatus(head) || !ParseHead(aBuffer, mHeadLength, parsed)) {
       return absl::InvalidArgumentError("malformed response head");
     }
     http_response response;
--- a/src/process/engine_host.cpp
+++ b/src/process/engine_host.cpp
@@ -50,7 +50,7 @@
 }
 
 void
-engine_host::Submit(forwarded_request aRequest, responder aRespond)
+engine_host::Submit(forwarded_request aRequest, const responder& aRespond)
 {
   const std::string id = RequestIdOf(aRequest);
   const auto [entry, added] = mResponders.emplace(id, aRespond);
--- a/src/process/traffic_engines.cpp
+++ b/src/process/traffic_engines.cpp
@@ -37,7 +37,7 @@
 {
   traffic_thread& owner = mDirectory.OwnerOf(ServiceOf(aRequest));
   if (&owner == this) {
-    ServeHere(std::move(aRequest), std::move(aRespond));
+    ServeHere(std::move(aRequest), aRespond);
     return;
   }
   // The response returns to this thread, which owns the route.
@@ -50,12 +50,12 @@
   owner.Post([&owner,
               request = std::move(aRequest),
               respond = std::move(respond)]() mutable {
-    owner.ServeHere(std::move(request), std::move(respond));
+    owner.ServeHere(std::move(request), respond);
   });
 }
 
 void
-traffic_thread::ServeHere(forwarded_request aRequest, responder aRespond)
+traffic_thread::ServeHere(forwarded_request aRequest, const responder& aRespond)
 {
   const auto engine = mEngines.find(ServiceOf(aRequest));
   if (engine == mEngines.end()) {
@@ -72,7 +72,7 @@
     aRespond(NoHolderResponse(aRequest), mLoop.Now());
     return;
   }
-  engine->second->Submit(std::move(aRequest), std::move(aRespond));
+  engine->second->Submit(std::move(aRequest), aRespond);
 }
 
 engine_host&
--- a/src/process/traffic_group.cpp
+++ b/src/process/traffic_group.cpp
@@ -29,7 +29,7 @@
   for (std::size_t i = 0; i < mOptions.mThreads; ++i) {
     auto thread =
       std::make_unique<traffic_thread>(mOptions, mCallbacks, directory);
-    const absl::Status status = thread->Listen(mCallerAddress, mPeerAddress);
+    absl::Status status = thread->Listen(mCallerAddress, mPeerAddress);
     if (!status.ok()) {
       mThreads.clear();
       return status;
--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -217,13 +217,13 @@
       mMetrics.Count("requests_to_peers");
       mHub.Send(send->mPeer, send->mAddress, std::move(send->mRequest));
     } else {
-      FinishRequest(std::get<finish_request>(std::move(action)).mResponse);
+      FinishRequest(std::get<finish_request>(action).mResponse);
     }
   }
 }
 
 void
-traffic_thread::FinishRequest(statement_response aResponse)
+traffic_thread::FinishRequest(const statement_response& aResponse)
 {
   auto found = mRoutes.extract(aResponse.mRequestId);
   if (found.empty()) {
--- a/tests/connection/http_codec_test.cpp
+++ b/tests/connection/http_codec_test.cpp
@@ -55,5 +55,22 @@
   EXPECT_FALSE(DecodePercent("%zz").ok());
 }
 
+// Guards against status codes outside POCO's enumeration, whose use would be
+// undefined behaviour.
+TEST(HttpCodecTest, RefusesUnknownStatusCodes)
+{
+  for (const char* line : { "HTTP/1.1 512 Odd",
+                            "HTTP/1.1 99 Odd",
+                            "HTTP/1.1 2000 Odd",
+                            "HTTP/1.1 +20 Odd",
+                            "HTTP/1.1",
+                            "HTTP/1.1 " }) {
+    std::string bytes = std::string(line) + "\r\n\r\n";
+    EXPECT_FALSE(http_reader().ReadResponse(bytes).ok()) << line;
+  }
+  std::string bytes = "HTTP/1.1 503\r\n\r\n";
+  EXPECT_TRUE(http_reader().ReadResponse(bytes).ok());
+}
+
 } // namespace
 } // namespace snipewalk
