--- a/tests/connection/backend_connection_test.cpp
+++ b/tests/connection/backend_connection_test.cpp
@@ -14,12 +14,12 @@
 
 http_response
 Response(int aStatus,
-         std::vector<std::pair<std::string, std::string>> aHeaders,
+         const std::vector<std::pair<std::string, std::string>>& aHeaders,
          std::string aBody = {})
 {
   http_response response;
   response.mStatus = aStatus;
-  for (auto& [name, value] : aHeaders) {
+  for (const auto& [name, value] : aHeaders) {
     response.mHeaders.Add(name, value);
   }
   response.mBody = std::move(aBody);
@@ -93,12 +93,12 @@
   EXPECT_EQ(reply->mStatus->mLogTerm, 2u);
   EXPECT_EQ(reply->mStatus->mReceived, 9u);
   EXPECT_EQ(reply->mStatus->mApplied, 8u);
-  for (const char* body : { "",
-                            "[]",
-                            R"({"server":"s1","term":3})",
-                            R"({"server":"s1","term":-3,"role":"replica",)"
-                            R"("log_term":2,"received":9,"applied":8})",
-                            "[[[[[[[[[[" }) {
+  const std::string negative = R"({"server":"s1","term":-3,"role":"replica",)"
+                               R"("log_term":2,"received":9,"applied":8})";
+  const std::string partial = R"({"server":"s1","term":3})";
+  const std::string deep(100, '[');
+  for (const auto& body :
+       { std::string(), std::string("[]"), partial, negative, deep }) {
     EXPECT_FALSE(
       DecodeBackendReply(backend_call::Status, Response(200, {}, body)).ok());
   }
@@ -165,7 +165,7 @@
     EXPECT_TRUE(connection->Send(statement));
     EXPECT_FALSE(connection->Send(statement));
   };
-  handlers.mOnReply = [&](backend_reply aReply, time_point) {
+  handlers.mOnReply = [&](const backend_reply& aReply, time_point) {
     ++seen.mReplies;
     seen.mBody = aReply.mBody;
     loop.Stop();
