--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -23,7 +23,9 @@
 {
   const service_document* mDocument = nullptr;
   const stored_object* mTerm = nullptr;
-  const slot_record* mSlots = nullptr;
+  // Names this process only while it may have connections open: its control
+  // connections are part of its share.
+  slot_record mSlots;
   bool mIsHeld = false;
 };
 
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -13,6 +13,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <absl/container/btree_set.h>
@@ -115,7 +116,11 @@
   timer_kind mKind = timer_kind::Wakeup;
   std::uint64_t mId = 0;
 
-  auto operator<=>(const timer_key&) const = default;
+  bool operator<(const timer_key& aOther) const
+  {
+    return std::tie(mAt, mKind, mId) <
+           std::tie(aOther.mAt, aOther.mKind, aOther.mId);
+  }
 };
 
 // Acknowledgement connection to one voter.
@@ -169,6 +174,10 @@
   void DispatchLookups();
   void DispatchPrimaryLane(queue_lane aLane, connection_use aUse);
   void DispatchReads(queue_lane aLane);
+  read_route RouteOf(const statement_request& aRequest,
+                     const log_position& aPosition,
+                     std::uint64_t aTried,
+                     time_point aNow) const;
   bool DispatchRead(request_entry& aEntry);
   bool PrimaryReady() const;
   void MoveToPrimaryLane(request_entry& aEntry);
@@ -198,6 +207,8 @@
   void OnLost(const pooled_connection& aConnection);
   void OnAttemptLost(request_entry& aEntry);
   void OnOverdue(connection_id aId, time_point aTimerAt);
+  void OnStatementOverdue(pooled_connection& aConnection);
+  void GiveUpOverdue(std::size_t aServer, bool aAnswered);
   void ReportEvidence(std::size_t aServer,
                       server_evidence aEvidence,
                       std::uint64_t aTerm);
@@ -245,6 +256,8 @@
   void ApplyServers();
   void AbandonServer(std::size_t aServer);
   void RefuseWithoutShare();
+  std::string ExplainServers() const;
+  std::string ExplainVerdict(const read_route& aRoute) const;
   std::size_t LimitOf(const server_entry& aEntry, std::size_t aServer) const;
 
   request_entry* FindRequest(std::uint64_t aNumber);
--- a/tests/request/read_router_test.cpp
+++ b/tests/request/read_router_test.cpp
@@ -135,6 +135,7 @@
   EXPECT_FALSE(mRouter.PrimaryAge(kStart));
   Observe(1, 10, kStart + milliseconds(5));
   EXPECT_EQ(mRouter.AgeOf(10, kStart + milliseconds(20)), milliseconds(20));
+  EXPECT_EQ(mRouter.PrimaryAge(kStart + milliseconds(20)), milliseconds(20));
   Observe(0, 20, kStart + milliseconds(50));
   EXPECT_EQ(mRouter.AgeOf(20, kStart + milliseconds(90)), milliseconds(90));
 }
@@ -157,9 +158,9 @@
 // Guards against data counted as fresh at a replica that lacks a later write.
 TEST_F(ReadRouterTest, TakesTheAgeOfTheSampleThatTheReplicaReached)
 {
-  for (int i = 0; i < 5; ++i) {
+  for (unsigned i = 0; i < 5; ++i) {
     const auto sentAt = kStart + milliseconds(10 * i);
-    Observe(0, static_cast<std::uint64_t>(10 + i), sentAt);
+    Observe(0, 10U + i, sentAt);
     Observe(1, 10, sentAt);
   }
   EXPECT_EQ(mRouter.AgeOf(12, kStart + milliseconds(60)), milliseconds(40));
