--- a/tests/version/slot_assignment_test.cpp
+++ b/tests/version/slot_assignment_test.cpp
@@ -71,6 +71,7 @@
     options.mSeed = seed;
     options.mSlots = static_cast<int>(1 + seed % 2);
     options.mInstances = 4;
+    options.mServices = 4;
     RunModel(options);
   }
 }
--- a/tests/version/slot_model.cpp
+++ b/tests/version/slot_model.cpp
@@ -303,8 +303,9 @@
 {
   const auto after = DecodeSlotRecord(aValue);
   const auto found = mStore.find(aName);
-  const auto before =
-    found == mStore.end() ? slot_record{} : *DecodeSlotRecord(found->second.mValue);
+  const auto before = found == mStore.end()
+                        ? slot_record{}
+                        : *DecodeSlotRecord(found->second.mValue);
   for (std::size_t i = 0; i < after->mHolders.size(); ++i) {
     const auto& holder = after->mHolders[i];
     if (holder.mInstance.empty()) {
@@ -356,6 +357,10 @@
       }
     }
   }
+  if (Chance(0.003)) {
+    mRumoured = mRandom() % mNodes.size();
+    mRumourUntil = mNow + seconds(20);
+  }
   const std::size_t victim = mRandom() % mNodes.size();
   if (mNodes[victim]->mRunning) {
     if (Chance(0.002)) {
@@ -387,7 +392,9 @@
   auto& dead = mNodes[i]->mView->mBelievedDead;
   const bool reachable = mNodes[j]->mRunning && Connected(i, j);
   // A reachable member is suspected wrongly now and then.
-  const bool believedDead = !reachable || (mChaos && Chance(0.03));
+  const bool rumoured = j == mRumoured && mNow < mRumourUntil;
+  const bool believedDead =
+    !reachable || (mChaos && i != j && (rumoured || Chance(0.03)));
   if (believedDead ? dead.insert(j).second : dead.erase(j) > 0) {
     Give(i, slot_member_changed{ NodeName(j) });
   }
--- a/tests/version/slot_model.h
+++ b/tests/version/slot_model.h
@@ -80,6 +80,9 @@
   std::vector<int> mGroups;
   int mStoreGroup = 0;
   bool mStoreDown = false;
+  // A running instance that all others believe dead until the time is over.
+  std::size_t mRumoured = 0;
+  time_point mRumourUntil{};
   std::map<std::string, stored_object> mStore;
   std::uint64_t mRevision = 100;
   std::uint64_t mNextLife = 1;
