--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -156,7 +156,7 @@
 absl::Status
 control_state::Open()
 {
-  const absl::Status opened = mPort.Open();
+  absl::Status opened = mPort.Open();
   if (opened.ok()) {
     mMembership.SetControlAddress(mPort.Address());
   }
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -55,7 +55,10 @@
   void OnConnections(const std::string& aService,
                      const std::string& aServer,
                      std::size_t aConnections);
-  void SetKeys(std::vector<std::string> aKeys) { mPort.SetKeys(aKeys); }
+  void SetKeys(std::vector<std::string> aKeys)
+  {
+    mPort.SetKeys(std::move(aKeys));
+  }
   void ReleaseSlots(milliseconds aLimit, std::function<void()> aDone);
   void Leave();
 
