--- /dev/null
+++ b/tests/integration/failover_test.cpp
@@ -0,0 +1,257 @@
+// Changes of primary with real processes under network, process and store
+// failures.
+#include "integration/concurrent_writers.h"
+
+#include <algorithm>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+namespace snipewalk::standins {
+namespace {
+
+constexpr milliseconds kObservation{ 4'000 };
+constexpr milliseconds kPauseOfInstance{ 2'000 };
+constexpr milliseconds kWarmUp{ 300 };
+
+system_options
+WithFaultLinks()
+{
+  system_options options;
+  options.mFaultLinks = true;
+  return options;
+}
+
+std::size_t
+IndexOf(const system_fleet& aFleet, const std::string& aServer)
+{
+  const auto& servers = aFleet.Group(0).Servers();
+  return static_cast<std::size_t>(
+    std::find_if(servers.begin(),
+                 servers.end(),
+                 [&](const auto& aEntry) { return aEntry.mName == aServer; }) -
+    servers.begin());
+}
+
+// Writes through all instances in turn until one is acknowledged.
+testing::AssertionResult
+WritesResume(const system_fleet& aFleet)
+{
+  caller_answer last;
+  int instance = 0;
+  const bool resumed = WaitFor([&] {
+    last = aFleet.Write(instance++ % aFleet.Instances(), "set resumed yes");
+    return last.Done();
+  });
+  return resumed
+           ? testing::AssertionSuccess()
+           : testing::AssertionFailure() << last.mStatus << " " << last.mBody;
+}
+
+// Expects that callers of all instances are served and the term stays.
+void
+ExpectServedInTerm(const system_fleet& aFleet, std::uint64_t aTerm)
+{
+  const auto end = std::chrono::steady_clock::now() + kObservation;
+  int number = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    const int instance = number++ % aFleet.Instances();
+    const auto written = aFleet.Write(instance, "set drum/1 cleaned");
+    EXPECT_TRUE(written.Done())
+      << instance << ": " << written.mStatus << written.mBody;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  EXPECT_EQ(aFleet.Term(0), aTerm);
+}
+
+// Guards against a service that stays without writes when the primary is
+// silent but its host still accepts connections.
+TEST(FailoverTest, WritesResumeAfterASilentCutOfThePrimary)
+{
+  const auto fleet = system_fleet::Start(WithFaultLinks());
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string old = (*fleet)->Primary(0);
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  for (int i = 0; i < 3; ++i) {
+    ASSERT_TRUE((*fleet)
+                  ->SetFaults(system_fleet::InstanceName(i) + "/" + old,
+                              "\"cut\":\"both\"")
+                  .ok());
+  }
+  EXPECT_TRUE(WaitFor([&] { return (*fleet)->Primary(0) != old; }));
+  EXPECT_TRUE(WritesResume(**fleet));
+  writers.Stop();
+  writers.ExpectTruthful();
+}
+
+// Guards against a change of primary for the broken link of one instance.
+TEST(FailoverTest, OneInstanceCutOffChangesNoPrimary)
+{
+  const auto fleet = system_fleet::Start(WithFaultLinks());
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::uint64_t term = (*fleet)->Term(0);
+  ASSERT_TRUE(
+    (*fleet)
+      ->SetFaults("instance1/" + (*fleet)->Primary(0), "\"cut\":\"both\"")
+      .ok());
+  ExpectServedInTerm(**fleet, term);
+}
+
+// Guards against a change of primary by an instance that takes its own pause
+// for silence of the servers.
+TEST(FailoverTest, APausedInstanceChangesNoPrimary)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::uint64_t term = (*fleet)->Term(0);
+  child_process& paused =
+    (*fleet)->Processes().At(system_fleet::InstanceName(1));
+  paused.Pause();
+  std::this_thread::sleep_for(kPauseOfInstance);
+  paused.Resume();
+  ExpectServedInTerm(**fleet, term);
+}
+
+// Guards against an acknowledged write that is lost, or a refused one that
+// runs, when an instance sleeps through the change of primary.
+TEST(FailoverTest, KeepsAcknowledgedWritesOfAPausedInstance)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string old = (*fleet)->Primary(0);
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  child_process& paused =
+    (*fleet)->Processes().At(system_fleet::InstanceName(1));
+  paused.Pause();
+  (*fleet)->Server(old).Kill();
+  EXPECT_TRUE(WaitFor([&] { return (*fleet)->Primary(0) != old; }));
+  paused.Resume();
+  EXPECT_TRUE(WritesResume(**fleet));
+  writers.Stop();
+  EXPECT_GT(writers.Acknowledged(), 0);
+  writers.ExpectTruthful();
+}
+
+// Guards against a replaced primary that wakes up and still acknowledges.
+TEST(FailoverTest, AResumedOldPrimaryAcknowledgesNothingAndFollows)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string old = (*fleet)->Primary(0);
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  (*fleet)->Server(old).Pause();
+  EXPECT_TRUE(WaitFor([&] { return (*fleet)->Primary(0) != old; }));
+  EXPECT_TRUE(WritesResume(**fleet));
+  (*fleet)->Server(old).Resume();
+  for (int i = 0; i < 30; ++i) {
+    const auto written = (*fleet)->Write(i % 3, "set drum/2 cleaned");
+    EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
+    EXPECT_NE(written.mServer, old);
+  }
+  writers.Stop();
+  EXPECT_TRUE(WaitFor([&] {
+    const Json::Value stats = (*fleet)->Group(0).Stats(IndexOf(**fleet, old));
+    return stats["role"] == "replica" &&
+           stats["term"].asUInt64() == (*fleet)->Term(0);
+  }));
+  writers.ExpectTruthful();
+}
+
+// Guards against a promotion that stops, or two of them, when the store makes
+// a change but its answer is lost.
+TEST(FailoverTest, PromotesWhileTheStoreLosesAnswers)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string old = (*fleet)->Primary(0);
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  ASSERT_TRUE((*fleet)->SetStoreFaults("{\"lose_answers\":6}").ok());
+  (*fleet)->Server(old).Kill();
+  EXPECT_TRUE(WritesResume(**fleet));
+  writers.Stop();
+  EXPECT_NE((*fleet)->Primary(0), old);
+  writers.ExpectTruthful();
+}
+
+// Guards against a promotion that the store does not know of, and against a
+// service that does not recover with the store.
+TEST(FailoverTest, PromotesOnlyAfterTheStoreIsBack)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const auto written = (*fleet)->Write(0, "set drum/3 cleaned");
+  ASSERT_TRUE(written.Done());
+  const std::string old = (*fleet)->Primary(0);
+  const std::uint64_t term = (*fleet)->Term(0);
+  ASSERT_TRUE((*fleet)->SetStoreFaults("{\"outage\":\"refuse\"}").ok());
+  (*fleet)->Server(old).Kill();
+  const auto end = std::chrono::steady_clock::now() + kObservation;
+  while (std::chrono::steady_clock::now() < end) {
+    for (std::size_t i = 0; i < 3; ++i) {
+      if (i != IndexOf(**fleet, old)) {
+        const Json::Value stats = (*fleet)->Group(0).Stats(i);
+        EXPECT_EQ(stats["term"].asUInt64(), term);
+        EXPECT_NE(stats["role"].asString(), "primary");
+      }
+    }
+    const auto read = (*fleet)->Read(1, "get drum/3", written.mSession);
+    EXPECT_EQ(read.mBody, "cleaned") << read.mStatus << read.mReason;
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  ASSERT_TRUE((*fleet)->SetStoreFaults("{\"outage\":\"none\"}").ok());
+  EXPECT_TRUE(WritesResume(**fleet));
+  EXPECT_GT((*fleet)->Term(0), term);
+}
+
+// Guards against a promotion that never ends because its candidate dies.
+TEST(FailoverTest, SurvivesASecondFailureDuringThePromotion)
+{
+  system_options options;
+  options.mServersPerService = 5;
+  const auto fleet = system_fleet::Start(options);
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string first = (*fleet)->Primary(0);
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  (*fleet)->Server(first).Kill();
+  std::string second;
+  EXPECT_TRUE(WaitFor([&] {
+    second = (*fleet)->Primary(0);
+    return !second.empty() && second != first;
+  }));
+  ASSERT_FALSE(second.empty());
+  (*fleet)->Server(second).Kill();
+  EXPECT_TRUE(WritesResume(**fleet));
+  writers.Stop();
+  EXPECT_NE((*fleet)->Primary(0), first);
+  EXPECT_NE((*fleet)->Primary(0), second);
+  writers.ExpectTruthful();
+}
+
+// Guards against requests that wait for ever on connections that went silent,
+// and against wrong answers to them.
+TEST(FailoverTest, SettlesRequestsOnSilencedConnections)
+{
+  const auto fleet = system_fleet::Start(WithFaultLinks());
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  ASSERT_TRUE((*fleet)->SilenceConnections("*").ok());
+  const int before = writers.Acknowledged();
+  EXPECT_TRUE(WaitFor([&] { return writers.Acknowledged() > before + 10; }));
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_TRUE(
+      WaitFor([&] { return (*fleet)->Write(i, "set drum/4 yes").Done(); }));
+    EXPECT_TRUE(
+      WaitFor([&] { return (*fleet)->Read(i, "get drum/4").Done(); }));
+  }
+  writers.Stop();
+  writers.ExpectTruthful();
+}
+
+} // namespace
+} // namespace snipewalk::standins
