--- a/tests/integration/failover_test.cpp
+++ b/tests/integration/failover_test.cpp
@@ -120,6 +120,11 @@
   const auto fleet = system_fleet::Start({});
   ASSERT_TRUE(fleet.ok()) << fleet.status();
   const std::string old = (*fleet)->Primary(0);
+  // An acknowledgement before a replica has the write would lose it.
+  for (std::size_t i = 0; i < 3; ++i) {
+    const auto set = (*fleet)->Group(0).SetFaults(i, "{\"receive_lag_ms\":30}");
+    ASSERT_TRUE(set.ok() && set->mStatus == 200);
+  }
   concurrent_writers writers(**fleet);
   std::this_thread::sleep_for(kWarmUp);
   child_process& paused =
