Open connections at once at the first start of a service

Cause: of three holders only the first got a share; the others waited 6 s. An instance that sees its first version of the slots object assumes that a holder may have been replaced just before and waits until that holder's authority has ended. At a first start no former holder exists. Ruled out: removing the wait, since an instance that starts during a take-over cannot know the replaced holder. Change: the record states with "initial" that no holder was ever replaced or removed by another; the wait is skipped only then. A record without the field is treated as before. Because that wait also covered the closing of connections after a document change, a share now always waits until a co-holder's close time has passed since it reported the document (1 s). The admin port's /v1/state shows document versions, findings of an invalid document, the share and the drain of each service, and the store's outage.

--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -36,6 +36,8 @@
   std::uint64_t mSeed = 1;
 };
 
+struct control_status;
+
 struct control_loop_callbacks
 {
   // Called on the control thread.
@@ -44,6 +46,8 @@
     mObserved;
   // A newer instance of this name is in the fleet: exit with an error.
   std::function<void(const std::string& aAddress)> mDuplicateName;
+  // The state of the control thread, once in a while.
+  std::function<void(std::shared_ptr<const control_status>)> mStatus;
 };
 
 struct service_status
--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/version/service_view.h
@@ -53,6 +53,9 @@
     std::uint64_t mIncarnation = 0;
   };
   std::vector<holder> mHolders;
+  // No holder was ever replaced or removed by another instance, so only the
+  // holders named here can have connections open.
+  bool mInitial = false;
 };
 
 // Immutable once published.
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -3,6 +3,8 @@
 
 #include "snipewalk/base/hmac.h"
 #include "snipewalk/connection/http_codec.h"
+#include "snipewalk/process/control_loop.h"
+#include "snipewalk/version/term_record.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
@@ -98,6 +100,38 @@
   return value;
 }
 
+// State of the control thread: versions in force, findings of documents that
+// were not taken over, and drains.
+void
+AddControl(const control_status& aControl, Json::Value& aValue)
+{
+  aValue["live_members"] = Json::UInt64(aControl.mLiveMembers);
+  aValue["slots_held"] = Json::UInt64(aControl.mSlotsHeld);
+  aValue["is_watcher"] = aControl.mIsWatcher;
+  aValue["watch_age_ms"] = Json::Int64(aControl.mWatchAge.count());
+  aValue["store_unreachable_for_ms"] = Json::Int64(
+    aControl.mStoreUnreachableFor.value_or(milliseconds(0)).count());
+  aValue["services"] = Json::Value(Json::arrayValue);
+  for (const auto& service : aControl.mServices) {
+    Json::Value entry(Json::objectValue);
+    entry["service"] = service.mService;
+    entry["document_version"] = Json::UInt64(service.mDocumentVersion);
+    entry["invalid_document"] = service.mInvalidDocument;
+    entry["share"] = service.mShare;
+    if (service.mDrain) {
+      Json::Value drain;
+      const std::string text = EncodeDrainStatus(*service.mDrain);
+      const std::unique_ptr<Json::CharReader> reader(
+        Json::CharReaderBuilder().newCharReader());
+      if (reader->parse(
+            text.data(), text.data() + text.size(), &drain, nullptr)) {
+        entry["drain"] = drain;
+      }
+    }
+    aValue["services"].append(entry);
+  }
+}
+
 Json::Value
 StatePage(const admin_sources& aSources, const std::string& aInstance)
 {
@@ -110,6 +144,9 @@
   value["callers"] = Json::UInt64(counts.mCallers);
   value["in_flight"] = Json::UInt64(counts.mInFlight);
   value["transactions"] = Json::UInt64(counts.mTransactions);
+  if (const auto control = aSources.mBoard->Control()) {
+    AddControl(*control, value);
+  }
   for (const auto& [name, text] : aSources.mBoard->Values()) {
     value[name] = text;
   }
--- a/src/process/admin_server.cpp
+++ b/src/process/admin_server.cpp
@@ -168,6 +168,20 @@
   mValues[aName] = std::move(aValue);
 }
 
+void
+status_board::SetControl(std::shared_ptr<const control_status> aStatus)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  mControl = std::move(aStatus);
+}
+
+std::shared_ptr<const control_status>
+status_board::Control() const
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return mControl;
+}
+
 std::shared_ptr<const routing_snapshot>
 status_board::Snapshot() const
 {
--- a/src/process/control_loop.cpp
+++ b/src/process/control_loop.cpp
@@ -103,6 +103,9 @@
 void
 control_loop::PublishStatus(std::shared_ptr<const control_status> aStatus)
 {
+  if (mCallbacks.mStatus) {
+    mCallbacks.mStatus(aStatus);
+  }
   const std::lock_guard<std::mutex> lock(mMutex);
   mStatus = std::move(aStatus);
 }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -108,6 +108,9 @@
                                const status_observed& aObserved) {
     mInstance.Traffic().Observe(aService, aObserved);
   };
+  callbacks.mStatus = [this](std::shared_ptr<const control_status> aStatus) {
+    mInstance.Board().SetControl(std::move(aStatus));
+  };
   callbacks.mDuplicateName = [this](const std::string& aAddress) {
     Log(log_level::Error,
         "daemon",
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -130,7 +130,6 @@
   if (aEvent.mDocumentVersion <= service.mDocument) {
     return;
   }
-  service.mDocumentReplaced = service.mDocument != 0;
   service.mDocument = aEvent.mDocumentVersion;
   service.mSlots = aEvent.mSlots;
   service.mConnections = aEvent.mConnections;
@@ -301,11 +300,13 @@
   const time_point until = aNow + kTakeOverWait;
   if (aService.mVersion == 0) {
     // Holders replaced before the first version seen here are unknown.
-    const bool anyHolder = std::any_of(
-      aNext.mHolders.begin(), aNext.mHolders.end(), [&](const auto& aHolder) {
-        return !aHolder.mInstance.empty() &&
-               aHolder.mInstance != mOptions.mInstance;
-      });
+    const bool anyHolder =
+      !aNext.mInitial &&
+      std::any_of(
+        aNext.mHolders.begin(), aNext.mHolders.end(), [&](const auto& aHolder) {
+          return !aHolder.mInstance.empty() &&
+                 aHolder.mInstance != mOptions.mInstance;
+        });
     aService.mNoGrowBefore = anyHolder ? until : aService.mNoGrowBefore;
     return;
   }
@@ -366,14 +367,13 @@
   if (aNow < aService.mNoGrowBefore) {
     return false;
   }
-  const duration closing = aService.mDocumentReplaced
-                             ? duration(mOptions.mCloseTime)
-                             : duration::zero();
   return std::all_of(
     aService.mOthers.begin(), aService.mOthers.end(), [&](const auto& aOther) {
       const co_holder& other = aOther.second;
+      // A holder that shrinks its share for a document reports the version at
+      // once but takes some time to close connections.
       return (other.mDocument >= aService.mDocument &&
-              aNow >= other.mDocumentAt + closing) ||
+              aNow >= other.mDocumentAt + mOptions.mCloseTime) ||
              mFleet.Liveness({ aOther.first, other.mLife }) ==
                holder_liveness::Gone;
     });
@@ -419,6 +419,12 @@
   if (aService.mShare != target && aService.mNoGrowBefore > aNow) {
     Schedule(aService, aService.mNoGrowBefore);
   }
+  for (const auto& [name, other] : aService.mOthers) {
+    const time_point closed = other.mDocumentAt + mOptions.mCloseTime;
+    if (aService.mShare != target && closed > aNow) {
+      Schedule(aService, closed);
+    }
+  }
 }
 
 void
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -175,6 +175,11 @@
     std::max({ next.mHolders.size(),
                aSlot + 1,
                static_cast<std::size_t>(std::max(0, aService.mSlots)) }));
+  const slot_record::holder before = next.mHolders[aSlot];
+  const bool closedItself =
+    before.mInstance.empty() || (before.mInstance == mOptions.mInstance &&
+                                 before.mIncarnation == mOptions.mLife);
+  next.mInitial = (aService.mVersion == 0 || next.mInitial) && closedItself;
   next.mHolders[aSlot] = aHolder;
   while (next.mHolders.size() > static_cast<std::size_t>(aService.mSlots) &&
          next.mHolders.back().mInstance.empty()) {
--- a/src/version/slot_service.h
+++ b/src/version/slot_service.h
@@ -48,8 +48,6 @@
   int mSlots = 0;
   int mConnections = 0;
   std::uint64_t mDocument = 0;
-  // A share was computed from an earlier document version.
-  bool mDocumentReplaced = false;
 
   slot_record mRecord;
   std::uint64_t mVersion = 0;
--- a/src/version/term_record.cpp
+++ b/src/version/term_record.cpp
@@ -145,6 +145,9 @@
     entry["incarnation"] = Json::UInt64(holder.mIncarnation);
     value["holders"].append(entry);
   }
+  if (aRecord.mInitial) {
+    value["initial"] = 1;
+  }
   return WriteRecord(value);
 }
 
@@ -163,6 +166,8 @@
     holder.mIncarnation = aEntry.Number("incarnation");
     record.mHolders.push_back(holder);
   });
+  // Absent in records whose holders may have been replaced.
+  record.mInitial = reader.OptionalNumber("initial").value_or(0) == 1;
   const absl::Status status = reader.Finish();
   if (!status.ok()) {
     return status;
--- a/tests/version/slot_assignment_test.cpp
+++ b/tests/version/slot_assignment_test.cpp
@@ -1,6 +1,7 @@
 // Tests of slot assignment.
 #include "snipewalk/version/slot_assignment.h"
 
+#include "snipewalk/version/term_record.h"
 #include "version/slot_model.h"
 
 #include <gtest/gtest.h>
@@ -75,6 +76,74 @@
   }
 }
 
+// A fleet in which the instances "a" and "b" are alive.
+class live_fleet : public slot_fleet
+{
+public:
+  holder_liveness Liveness(const slot_record::holder&) const override
+  {
+    return holder_liveness::Live;
+  }
+  std::size_t Rank(const std::string&,
+                   const std::vector<std::string>&) const override
+  {
+    return 0;
+  }
+  std::string AddressOf(const std::string& aInstance) const override
+  {
+    return aInstance;
+  }
+};
+
+// Time until "b" opens connections after it first sees a record of "a" and
+// itself, while "a" answers each question at once.
+milliseconds
+TimeUntilShare(bool aInitial)
+{
+  const live_fleet fleet;
+  slot_options options;
+  options.mInstance = "b";
+  options.mLife = 1;
+  slot_assignment assignment(options, fleet);
+  std::vector<slot_action> actions;
+  const time_point start{ seconds(100) };
+  assignment.Handle(slots_configured{ "ledger", 2, 20, 5 }, start, actions);
+  slot_record record;
+  record.mHolders = { { "a", 1 }, { "b", 1 } };
+  record.mInitial = aInitial;
+  assignment.Handle(
+    slots_recorded{
+      { { "slots", "ledger" }, 7, false, EncodeSlotRecord(record) } },
+    start,
+    actions);
+  time_point now = start;
+  while (assignment.Share("ledger") == 0 && now < start + seconds(20)) {
+    actions.clear();
+    assignment.Handle(slot_timer{}, now, actions);
+    for (const auto& action : std::vector<slot_action>(actions)) {
+      if (const auto* sent = std::get_if<send_slot_message>(&action)) {
+        slot_message reply = sent->mMessage;
+        reply.mKind = slot_message_kind::HoldReply;
+        reply.mSender = "a";
+        reply.mSenderLife = 1;
+        reply.mGranted = true;
+        assignment.Handle(slot_message_received{ "a", reply }, now, actions);
+      }
+    }
+    now += milliseconds(100);
+  }
+  return milliseconds(ToMilliseconds(now - start));
+}
+
+// Guards against a first start at which all holders but one wait for former
+// holders that never existed, and against a holder that does not wait for
+// former ones that it cannot know.
+TEST(SlotAssignmentTest, WaitsOnlyWhenFormerHoldersMayExist)
+{
+  EXPECT_LE(TimeUntilShare(true), milliseconds(1'200));
+  EXPECT_GE(TimeUntilShare(false), kTakeOverWait);
+}
+
 // Guards against shares that do not add up or favour the wrong slot.
 TEST(SlotAssignmentTest, GivesTheRemainderToLowerSlots)
 {
--- a/tests/version/term_record_test.cpp
+++ b/tests/version/term_record_test.cpp
@@ -61,6 +61,9 @@
   ASSERT_EQ(decoded->mHolders.size(), 2U);
   EXPECT_EQ(decoded->mHolders[0].mIncarnation, 1'764'826'000'123U);
   EXPECT_TRUE(decoded->mHolders[1].mInstance.empty());
+  EXPECT_FALSE(decoded->mInitial);
+  record.mInitial = true;
+  EXPECT_TRUE(DecodeSlotRecord(EncodeSlotRecord(record))->mInitial);
 }
 
 // Guards against progress that operators read differently from the planner.
