--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -4,11 +4,13 @@
 #define SNIPEWALK_STANDINS_SYSTEM_FLEET_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/process/history.h"
 #include "standins/process_fleet.h"
 
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +46,7 @@
   std::string mTransaction;
   std::string mServer;
   std::string mBody;
+  std::string mRetryAfter;
   // Nothing when the answer states no age.
   std::optional<std::uint64_t> mDataAgeMs;
 
@@ -103,6 +106,32 @@
   // Answer of an instance's admin port.
   Json::Value Admin(int aInstance, const std::string& aTarget) const;
 
+  // Conditional update of a document from the ETag `aVersion`; the status.
+  int PutText(int aService,
+              const std::string& aText,
+              const std::string& aVersion);
+  // ETag of the stored document.
+  std::string DocumentVersion(int aService) const;
+  std::string DocumentOf(int aService,
+                         const std::vector<std::string>& aLeaving) const;
+  // What an instance's /v1/state says of a service; an empty object when it
+  // does not know the service or does not answer.
+  Json::Value ServiceState(int aInstance, int aService) const;
+  std::uint64_t VersionAt(int aInstance, int aService) const;
+  // Instances that may have connections open.
+  int SlotsInUse(int aService) const;
+  // /standin/stats of a server.
+  Json::Value ServerStats(const std::string& aServer) const;
+  // All statements that a server executed.
+  std::uint64_t Statements(const std::string& aServer) const;
+
+  // Starts snipewalk-load against all instances and services.
+  absl::Status StartLoad(const std::vector<std::string>& aArguments);
+  // Waits for the end of the load; its history, empty when unreadable.
+  std::vector<history_record> FinishLoad(milliseconds aTimeout);
+  // Gives an instance that does not run new ports.
+  void MoveInstance(int aInstance);
+
   // Starts an instance (again) under its name and ports.
   absl::Status StartInstance(int aInstance);
   static std::string InstanceName(int aInstance);
@@ -113,6 +142,7 @@
   // Services and instances count from 0.
   const backend_group& Group(int aService) const { return mGroups[aService]; }
   std::uint16_t CallerPort(int aInstance) const;
+  std::string ControlAddress(int aInstance) const;
   std::uint16_t StorePort() const { return mStorePort; }
   int Instances() const { return mOptions.mInstances; }
   static std::string ServiceName(int aService);
@@ -132,8 +162,6 @@
   absl::Status StartGroups();
   absl::Status StartFaultLinks();
   std::string SettingsOf(int aInstance) const;
-  std::string DocumentOf(int aService,
-                         const std::vector<std::string>& aLeaving) const;
   absl::Status WaitUntilServing() const;
 
   system_options mOptions;
