Refuse waiting writes that cannot end before their deadline

Cause: a write was sent as long as any time was left, so under overload its deadline cut it while the server executed it, and its outcome was unknown. Change: a write that waited in the queue is refused as not run, with a time to come back, when less than twice the mean duration remains. Writes that find a free connection are sent at once, so that the mean is measured again. Ruled out: the store and the change of primary; all but two of the cut writes had the reason deadline_exceeded.

--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -15,6 +15,10 @@
 constexpr milliseconds kAgedHold{ 100 };
 // Spacing of status requests that refresh positions for aged reads.
 constexpr milliseconds kAgedRefreshInterval{ 10 };
+// A statement that waited is sent only if this many times its mean duration
+// remains; durations vary, and what is cut by its deadline ends as unknown.
+constexpr double kDurationMargin = 2;
+constexpr milliseconds kRetryAfterLate{ 50 };
 
 request_entry&
 EntryOf(admission_node& aNode)
@@ -62,6 +66,16 @@
   }
 }
 
+// Only statements that waited: an idle service sends at once, so that the mean
+// duration is measured again after a slow time.
+bool
+service_engine_state::IsTooLate(const request_entry& aEntry) const
+{
+  const std::chrono::duration<double> needed(kDurationMargin * mWriteSeconds);
+  return aEntry.mHasEffect && aEntry.mAttempts == 0 && aEntry.mDoubtTerm == 0 &&
+         mNow > aEntry.mQueuedAt && aEntry.mRequest.mDeadline - mNow < needed;
+}
+
 void
 service_engine_state::DispatchPrimaryLane(queue_lane aLane, connection_use aUse)
 {
@@ -81,6 +95,14 @@
       Delay(entry, false);
       continue;
     }
+    if (IsTooLate(entry)) {
+      mQueue.Pop(aLane);
+      AnswerFailed(entry,
+                   refusal_reason::Overloaded,
+                   "the remaining time is too short for the statement",
+                   std::max(ExpectedWait(aLane), kRetryAfterLate));
+      continue;
+    }
     auto* connection = mPool.Acquire(primary, aUse, entry.mNumber, mNow);
     if (!connection) {
       CheckIdle(primary, mQueue.Size(aLane));
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -179,6 +179,7 @@
                      std::uint64_t aTried,
                      time_point aNow) const;
   bool DispatchRead(request_entry& aEntry);
+  bool IsTooLate(const request_entry& aEntry) const;
   bool PrimaryReady() const;
   void MoveToPrimaryLane(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -138,6 +138,46 @@
   EXPECT_GT(driver.mAnswers[0].mRetryAfter, milliseconds(0));
 }
 
+// Guards against a write that is sent so late that its deadline cuts it, and
+// whose outcome is unknown although a refusal would have been true.
+TEST(ServiceEngineTest, RefusesWaitingWritesThatCannotEndInTime)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mAcknowledge = acknowledge_policy::Primary;
+  driver.Start();
+  for (int i = 0; i < 100; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+    const auto write = driver.Take<backend_statement>("a");
+    ASSERT_TRUE(write);
+    driver.Advance(milliseconds(400));
+    driver.Execute(*write, 1);
+    driver.Settle();
+  }
+  driver.mAnswers.clear();
+  std::optional<std::pair<engine_driver::sent, backend_statement>> first;
+  for (bool queued = false; !queued;) {
+    auto request = driver.Request(statement_kind::Write);
+    request.mDeadline = driver.mNow + milliseconds(600);
+    driver.Submit(request);
+    auto write = driver.Take<backend_statement>("a");
+    queued = !write;
+    first = first ? first : write;
+  }
+  ASSERT_TRUE(first);
+  ASSERT_TRUE(driver.mAnswers.empty());
+  driver.Advance(milliseconds(300));
+  driver.Execute(*first, 1);
+  EXPECT_FALSE(driver.Take<backend_statement>("a"));
+  ASSERT_EQ(driver.mAnswers.size(), 2U);
+  const auto refused = std::find_if(
+    driver.mAnswers.begin(), driver.mAnswers.end(), [](const auto& aAnswer) {
+      return aAnswer.mOutcome == statement_outcome::NotRun;
+    });
+  ASSERT_NE(refused, driver.mAnswers.end());
+  EXPECT_EQ(refused->mReason, refusal_reason::Overloaded);
+  EXPECT_GT(refused->mRetryAfter, milliseconds(0));
+}
+
 // Guards against statements of two transactions on one connection, and against
 // a connection with an open transaction that serves others.
 TEST(ServiceEngineTest, PinsEachTransactionToItsConnection)
