Keep control links to translated addresses, complete retired requests

Cause: the controller compared the document's address with the translated one of its link, so with address_translation each change of its inputs ended all links, and a link that ended with a probe outstanding never reported it. The detector then never probed that server again: a silently cut primary stayed. Ruled out: the evidence rules (no failure reached the detector) and the fault link (a paused server was detected). Change: compare the translated address; requests of a retired link are reported as lost.

--- a/src/process/server_link.cpp
+++ b/src/process/server_link.cpp
@@ -1,6 +1,7 @@
 // Implementation of the control connection to a backend server.
 #include "process/server_link.h"
 
+#include <iterator>
 #include <utility>
 
 namespace snipewalk {
@@ -46,6 +47,21 @@
   Pump(aNow);
 }
 
+std::vector<link_request>
+server_link::TakeRequests()
+{
+  mLoop.Cancel(mTimer);
+  std::vector<link_request> requests;
+  if (mCurrent) {
+    requests.push_back(*std::exchange(mCurrent, std::nullopt));
+  }
+  requests.insert(requests.end(),
+                  std::make_move_iterator(mWaiting.begin()),
+                  std::make_move_iterator(mWaiting.end()));
+  mWaiting.clear();
+  return requests;
+}
+
 void
 server_link::Pump(time_point aNow)
 {
--- a/src/process/server_link.h
+++ b/src/process/server_link.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace snipewalk {
 
@@ -62,6 +63,8 @@
   server_link& operator=(const server_link&) = delete;
 
   void Submit(link_request aRequest, time_point aNow);
+  // Ends the link and hands over the requests that were not completed.
+  std::vector<link_request> TakeRequests();
   const server_endpoint& Server() const { return mServer; }
 
 private:
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -220,8 +220,7 @@
   const server_endpoint target =
     Translate(mOptions.mAddressTranslation, aServer);
   if (link && link->Server().mAddress != target.mAddress) {
-    // One of its handlers may be running.
-    mLoop.Post([old = std::shared_ptr<server_link>(std::move(link))] {});
+    Retire(std::move(link));
   }
   if (!link) {
     link = std::make_unique<server_link>(
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -161,12 +161,36 @@
 service_controller_state::CloseUnusedLinks()
 {
   const bool holds = OwnSlot().has_value();
-  std::erase_if(mLinks, [&](const auto& aIt) {
+  for (auto it = mLinks.begin(); it != mLinks.end();) {
     const server_entry* entry =
-      mDocument ? mDocument->Find(aIt.first) : nullptr;
-    const bool used = holds && entry != nullptr &&
-                      entry->mAddress == aIt.second->Server().mAddress;
-    return !used && mForeignLinks.count(aIt.first) == 0;
+      mDocument ? mDocument->Find(it->first) : nullptr;
+    const bool used =
+      holds && entry != nullptr &&
+      Translate(mOptions.mAddressTranslation, { entry->mName, entry->mAddress })
+          .mAddress == it->second->Server().mAddress;
+    if (used || mForeignLinks.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    Retire(std::move(it->second));
+    it = mLinks.erase(it);
+  }
+}
+
+void
+service_controller_state::Retire(std::unique_ptr<server_link> aLink)
+{
+  auto requests = aLink->TakeRequests();
+  // Posted: one of the link's handlers may be running.
+  mLoop.Post([this,
+              old = std::shared_ptr<server_link>(std::move(aLink)),
+              requests = std::move(requests),
+              alive = std::weak_ptr<bool>(mAlive)] {
+    for (const auto& request : requests) {
+      if (!alive.expired()) {
+        request.mOnDone({ link_result::Lost, {}, 0, mLoop.Now() }, mLoop.Now());
+      }
+    }
   });
 }
 
--- a/src/process/service_controller_state.h
+++ b/src/process/service_controller_state.h
@@ -72,6 +72,9 @@
   server_link& LinkTo(const server_endpoint& aServer);
   // Closes links to servers that left the document, or all without a slot.
   void CloseUnusedLinks();
+  // Ends a link; its requests are reported as lost, since the detector and the
+  // failover wait for each of them.
+  void Retire(std::unique_ptr<server_link> aLink);
   std::optional<int> OwnSlot() const;
   detector_configured DetectorConfig() const;
   void AdvanceDrain(time_point aNow);
