--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -220,9 +220,7 @@
   const server_endpoint target =
     Translate(mOptions.mAddressTranslation, aServer);
   if (link && link->Server().mAddress != target.mAddress) {
-    // One of its handlers may be running.
-    const std::shared_ptr<server_link> old = std::exchange(link, nullptr);
-    mLoop.Post([old] {});
+    Retire(std::move(link));
   }
   if (!link) {
     link = std::make_unique<server_link>(
