Split the membership by purpose

Change: probes and the contact with seeds move to membership_probes.cpp; the functions are unchanged.

--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -1,4 +1,4 @@
-// Implementation of the membership: events, probes and timers.
+// Implementation of the membership: events and timers.
 #include "snipewalk/process/membership.h"
 
 #include <xxhash.h>
@@ -12,8 +12,6 @@
 // Bounds the work that others can cause by indirect probes.
 constexpr std::size_t kMaxRelays = 256;
 constexpr milliseconds kRelayLifetime{ 1'500 };
-// Own suspects probed again in each interval.
-constexpr std::size_t kProbedSuspects = 3;
 // Members told directly of a departure.
 constexpr std::size_t kLeaveFanOut = 8;
 // Digests differ for some rounds after each change; only tables that differ
@@ -21,7 +19,6 @@
 constexpr milliseconds kQuietBeforeFetch{ 5'000 };
 constexpr milliseconds kFetchInterval{ 30'000 };
 constexpr milliseconds kFetchIntervalWhileChanging{ 120'000 };
-constexpr std::size_t kSeedsAtOnce = 3;
 
 } // namespace
 
@@ -304,119 +301,4 @@
   }
 }
 
-void
-membership::FinishProbe(time_point aNow, actions& aActions)
-{
-  if (!mProbe) {
-    return;
-  }
-  const known_member* target = Find(mProbe->mTarget);
-  mProbe.reset();
-  if (target == nullptr || target->mInfo.mState != member_state::Alive) {
-    return;
-  }
-  member_info suspicion = target->mInfo;
-  suspicion.mState = member_state::Suspect;
-  mOwnSuspects.push_back(suspicion.mName);
-  Apply(suspicion, aNow, aActions);
-}
-
-void
-membership::StartProbe(time_point aNow, actions& aActions)
-{
-  const known_member* target = NextTarget();
-  if (target == nullptr) {
-    return;
-  }
-  mProbe = probe{ mNextSequence++,
-                  target->mInfo.mName,
-                  target->mInfo.mControlAddress,
-                  aNow + mOptions.mDirectTimeout,
-                  false };
-  SendTo(mProbe->mAddress,
-         Compose(membership_kind::Probe, mProbe->mSequence),
-         target->mInfo.mState == member_state::Alive ? nullptr : &target->mInfo,
-         aActions);
-}
-
-const known_member*
-membership::NextTarget()
-{
-  // Each member is probed once a round, which bounds the time to detection.
-  for (int attempt = 0; attempt < 2; ++attempt) {
-    while (!mRound.empty()) {
-      const known_member* member = Find(mRound.back());
-      mRound.pop_back();
-      if (member != nullptr &&
-          (member->mInfo.mState == member_state::Alive ||
-           member->mInfo.mState == member_state::Suspect)) {
-        return member;
-      }
-    }
-    for (const auto& member : mMembers) {
-      mRound.push_back(member.mInfo.mName);
-    }
-    std::shuffle(mRound.begin(), mRound.end(), mRandom);
-  }
-  return nullptr;
-}
-
-void
-membership::SendIndirectProbes(actions& aActions)
-{
-  mProbe->mIndirectSent = true;
-  for (const auto* helper :
-       RandomLive(mOptions.mIndirectProbes, mProbe->mTarget)) {
-    membership_message request =
-      Compose(membership_kind::IndirectProbe, mProbe->mSequence);
-    request.mTarget = mProbe->mAddress;
-    SendTo(
-      helper->mInfo.mControlAddress, std::move(request), nullptr, aActions);
-  }
-}
-
-void
-membership::ProbeSuspects(actions& aActions)
-{
-  std::erase_if(mOwnSuspects, [&](const std::string& aName) {
-    const known_member* member = Find(aName);
-    return member == nullptr || member->mInfo.mState != member_state::Suspect;
-  });
-  const std::size_t count = std::min(mOwnSuspects.size(), kProbedSuspects);
-  for (std::size_t i = 0; i < count; ++i) {
-    const known_member* member = Find(mOwnSuspects[i]);
-    SendTo(member->mInfo.mControlAddress,
-           Compose(membership_kind::Probe, mNextSequence++),
-           &member->mInfo,
-           aActions);
-  }
-}
-
-void
-membership::Rejoin(time_point, actions& aActions)
-{
-  // A dead member that answers refutes its death, which heals partitions.
-  if (!mMembers.empty()) {
-    const known_member& member = mMembers[mRandom() % mMembers.size()];
-    if (member.mInfo.mState == member_state::Dead && !member.mUnlisted) {
-      SendTo(member.mInfo.mControlAddress,
-             Compose(membership_kind::Probe, mNextSequence++),
-             &member.mInfo,
-             aActions);
-    }
-  }
-  std::vector<std::string> seeds;
-  for (const auto& seed : mOptions.mSeeds) {
-    if (seed != mSelf.mControlAddress) {
-      seeds.push_back(seed);
-    }
-  }
-  std::shuffle(seeds.begin(), seeds.end(), mRandom);
-  seeds.resize(std::min(seeds.size(), mLive == 0 ? kSeedsAtOnce : 1));
-  for (const auto& seed : seeds) {
-    SendTo(
-      seed, Compose(membership_kind::Probe, mNextSequence++), &mSelf, aActions);
-  }
-}
-
 } // namespace snipewalk
