Split slot assignment by purpose

Change: new versions of the slots object move to slot_records.cpp, messages between holders to slot_messages.cpp; the functions are unchanged.

--- /dev/null
+++ b/src/version/slot_messages.cpp
@@ -0,0 +1,177 @@
+// Implementation of slot assignment: messages between holders.
+#include "slot_service.h"
+
+#include "snipewalk/version/slot_assignment.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+slot_message
+slot_assignment::Compose(const slot_service& aService,
+                         slot_message_kind aKind,
+                         std::uint64_t aSequence) const
+{
+  slot_message message;
+  message.mKind = aKind;
+  message.mService = aService.mName;
+  message.mSender = mOptions.mInstance;
+  message.mSenderLife = mOptions.mLife;
+  message.mRecordVersion = aService.mVersion;
+  message.mDocumentVersion = aService.mDocument;
+  message.mSequence = aSequence;
+  return message;
+}
+
+void
+slot_assignment::On(const slot_message_received& aEvent,
+                    time_point aNow,
+                    actions& aActions)
+{
+  const slot_message& message = aEvent.mMessage;
+  slot_service* service = FindService(message.mService);
+  if (service == nullptr) {
+    return;
+  }
+  if (!message.mRecord.empty() && message.mRecordVersion > service->mVersion) {
+    const stored_object object{ { std::string(kSlotsKind), message.mService },
+                                message.mRecordVersion,
+                                false,
+                                message.mRecord };
+    Adopt(*service, object, aNow, aActions);
+    aActions.push_back(record_learned{ object });
+  }
+  const auto other = service->mOthers.find(message.mSender);
+  if (other != service->mOthers.end() &&
+      other->second.mLife == message.mSenderLife) {
+    co_holder& known = other->second;
+    known.mVersion = std::max(known.mVersion, message.mRecordVersion);
+    if (message.mDocumentVersion > known.mDocument) {
+      known.mDocument = message.mDocumentVersion;
+      known.mDocumentAt = aNow;
+      Schedule(*service, aNow);
+    }
+  }
+  switch (message.mKind) {
+    case slot_message_kind::HoldQuery:
+      OnHoldQuery(*service, aEvent, aNow, aActions);
+      break;
+    case slot_message_kind::HoldReply:
+      OnHoldReply(*service, message, aNow, aActions);
+      break;
+    case slot_message_kind::TakeOverQuery:
+      OnTakeOverQuery(*service, aEvent, aNow, aActions);
+      break;
+    case slot_message_kind::TakeOverReply:
+      OnTakeOverReply(*service, message, aNow);
+      break;
+  }
+}
+
+void
+slot_assignment::OnHoldQuery(slot_service& aService,
+                             const slot_message_received& aEvent,
+                             time_point,
+                             actions& aActions)
+{
+  const slot_message& query = aEvent.mMessage;
+  slot_message reply =
+    Compose(aService, slot_message_kind::HoldReply, query.mSequence);
+  reply.mHolder = query.mSender;
+  reply.mHolderLife = query.mSenderLife;
+  const auto other = aService.mOthers.find(query.mSender);
+  if (aService.mSlot && other != aService.mOthers.end() &&
+      other->second.mLife == query.mSenderLife) {
+    other->second.mAskedAt =
+      std::max(other->second.mAskedAt, query.mRecordVersion);
+    reply.mGranted =
+      query.mRecordVersion == aService.mVersion && !other->second.mGivenUp;
+  }
+  if (query.mRecordVersion < aService.mVersion) {
+    reply.mRecord = aService.mText;
+  }
+  aActions.push_back(send_slot_message{ aEvent.mFrom, std::move(reply) });
+}
+
+void
+slot_assignment::OnHoldReply(slot_service& aService,
+                             const slot_message& aReply,
+                             time_point aNow,
+                             actions&)
+{
+  const auto other = aService.mOthers.find(aReply.mSender);
+  const bool mine = aReply.mHolder == mOptions.mInstance &&
+                    aReply.mHolderLife == mOptions.mLife;
+  if (!aReply.mGranted || !mine || !aService.mSlot ||
+      other == aService.mOthers.end() || other->second.mGivenUp ||
+      other->second.mLife != aReply.mSenderLife) {
+    return;
+  }
+  const time_point asked{ milliseconds(aReply.mSequence) };
+  if (asked > aNow) {
+    return;
+  }
+  aService.mAuthorityUntil =
+    std::max(aService.mAuthorityUntil, asked + kAuthorityTime);
+  if (aService.mShare == 0) {
+    Schedule(aService, aNow);
+  }
+}
+
+bool
+slot_assignment::MayAgree(const slot_service& aService,
+                          const slot_message& aQuery) const
+{
+  const auto target = aService.mOthers.find(aQuery.mHolder);
+  if (!aService.mSlot || aQuery.mRecordVersion != aService.mVersion ||
+      target == aService.mOthers.end() ||
+      target->second.mLife != aQuery.mHolderLife) {
+    return false;
+  }
+  // The target knows of this holder only if it asked it; otherwise it may
+  // believe to be the only one.
+  return target->second.mAskedAt >= aService.mClaimVersion &&
+         target->second.mAskedAt != 0 &&
+         mFleet.Liveness({ aQuery.mHolder, aQuery.mHolderLife }) !=
+           holder_liveness::Live;
+}
+
+void
+slot_assignment::OnTakeOverQuery(slot_service& aService,
+                                 const slot_message_received& aEvent,
+                                 time_point,
+                                 actions& aActions)
+{
+  const slot_message& query = aEvent.mMessage;
+  slot_message reply =
+    Compose(aService, slot_message_kind::TakeOverReply, query.mSequence);
+  reply.mHolder = query.mHolder;
+  reply.mHolderLife = query.mHolderLife;
+  reply.mGranted = MayAgree(aService, query);
+  if (reply.mGranted) {
+    aService.mOthers.at(query.mHolder).mGivenUp = true;
+  }
+  if (query.mRecordVersion < aService.mVersion) {
+    reply.mRecord = aService.mText;
+  }
+  aActions.push_back(send_slot_message{ aEvent.mFrom, std::move(reply) });
+}
+
+void
+slot_assignment::OnTakeOverReply(slot_service& aService,
+                                 const slot_message& aReply,
+                                 time_point aNow)
+{
+  auto& takeOver = aService.mTakeOver;
+  if (!takeOver || !aReply.mGranted ||
+      aReply.mRecordVersion != takeOver->mVersion ||
+      aReply.mHolder != takeOver->mHolder.mInstance ||
+      aReply.mHolderLife != takeOver->mHolder.mIncarnation ||
+      !aService.IsHolder(aReply.mSender, aReply.mSenderLife)) {
+    return;
+  }
+  takeOver->mAgreed.insert(aReply.mSender);
+  Schedule(aService, aNow);
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/version/slot_records.cpp
@@ -0,0 +1,144 @@
+// Implementation of slot assignment: new versions of the slots object.
+#include "slot_service.h"
+
+#include "snipewalk/version/slot_assignment.h"
+#include "snipewalk/version/term_record.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+void
+slot_assignment::Index(const slot_service& aService, bool aAdd)
+{
+  for (const auto& holder : aService.mRecord.mHolders) {
+    if (holder.mInstance.empty()) {
+      continue;
+    }
+    if (aAdd) {
+      mByHolder[holder.mInstance].insert(aService.mName);
+      continue;
+    }
+    const auto held = mByHolder.find(holder.mInstance);
+    if (held != mByHolder.end()) {
+      held->second.erase(aService.mName);
+      if (held->second.empty()) {
+        mByHolder.erase(held);
+      }
+    }
+  }
+}
+
+void
+slot_assignment::Adopt(slot_service& aService,
+                       const stored_object& aObject,
+                       time_point aNow,
+                       actions& aActions)
+{
+  if (aObject.mVersion <= aService.mVersion) {
+    return;
+  }
+  absl::StatusOr<slot_record> next = slot_record{};
+  if (!aObject.mDeleted) {
+    next = DecodeSlotRecord(aObject.mValue);
+  }
+  if (!next.ok()) {
+    return;
+  }
+  NoteReplaced(aService, *next, aNow);
+  Index(aService, false);
+  aService.mRecord = std::move(*next);
+  aService.mVersion = aObject.mVersion;
+  aService.mText = aObject.mValue;
+  aService.mExists = !aObject.mDeleted;
+  Index(aService, true);
+  aService.mPut.reset();
+  aService.mTakeOver.reset();
+  mTakeOvers.erase(aService.mName);
+  aService.mMustRead = false;
+
+  std::map<std::string, co_holder> others;
+  const bool held = aService.mSlot.has_value();
+  aService.mSlot.reset();
+  for (std::size_t i = 0; i < aService.mRecord.mHolders.size(); ++i) {
+    const auto& holder = aService.mRecord.mHolders[i];
+    if (holder.mInstance == mOptions.mInstance) {
+      if (holder.mIncarnation == mOptions.mLife) {
+        aService.mSlot = i;
+      }
+    } else if (!holder.mInstance.empty()) {
+      co_holder other{ holder.mIncarnation, 0, 0, {}, 0, false };
+      const auto known = aService.mOthers.find(holder.mInstance);
+      if (known != aService.mOthers.end() &&
+          known->second.mLife == holder.mIncarnation) {
+        other = known->second;
+        // The update to which this instance agreed can no longer succeed.
+        other.mGivenUp = false;
+      }
+      others.emplace(holder.mInstance, other);
+    }
+  }
+  if (held && aService.mOthers.empty() && !others.empty()) {
+    // Nobody can have agreed to a replacement yet: that takes a question from
+    // this instance, which knew no other holder until now.
+    aService.mAuthorityUntil =
+      std::max(aService.mAuthorityUntil, aNow + kAuthorityTime);
+  }
+  aService.mOthers = std::move(others);
+  if (!aService.mSlot) {
+    aService.mReleaseAt.reset();
+    SetShare(aService, 0, aActions);
+  } else {
+    if (!held) {
+      aService.mClaimVersion = aService.mVersion;
+    }
+    aService.mNextQuery = aNow;
+  }
+  Schedule(aService, aNow);
+}
+
+void
+slot_assignment::NoteReplaced(slot_service& aService,
+                              const slot_record& aNext,
+                              time_point aNow)
+{
+  const time_point until = aNow + kTakeOverWait;
+  if (aService.mVersion == 0) {
+    // Holders replaced before the first version seen here are unknown.
+    const bool anyHolder = std::any_of(
+      aNext.mHolders.begin(), aNext.mHolders.end(), [&](const auto& aHolder) {
+        return !aHolder.mInstance.empty() &&
+               aHolder.mInstance != mOptions.mInstance;
+      });
+    aService.mNoGrowBefore = anyHolder ? until : aService.mNoGrowBefore;
+    return;
+  }
+  for (std::size_t i = 0; i < aService.mRecord.mHolders.size(); ++i) {
+    const auto& before = aService.mRecord.mHolders[i];
+    const auto after =
+      i < aNext.mHolders.size() ? aNext.mHolders[i] : slot_record::holder{};
+    if (before.mInstance.empty() ||
+        (before.mInstance == after.mInstance &&
+         before.mIncarnation == after.mIncarnation)) {
+      continue;
+    }
+    if (after.mInstance.empty()) {
+      // A holder vacates its own slot after it closed its connections; only
+      // slots above the number of slots are vacated by others.
+      if (i >= static_cast<std::size_t>(std::max(0, aService.mSlots)) ||
+          aNext.mHolders.empty()) {
+        aService.mNoGrowBefore = until;
+      }
+      continue;
+    }
+    const bool ownAfterGone = after.mInstance == mOptions.mInstance &&
+                              after.mIncarnation == mOptions.mLife &&
+                              aService.mPut && aService.mPut->mSlot == i &&
+                              aService.mPut->mConfirmedGone;
+    if (!ownAfterGone) {
+      aService.mNoGrowBefore = until;
+    }
+  }
+}
+
+} // namespace snipewalk
