--- /dev/null
+++ b/tests/version/slot_model_faults.cpp
@@ -0,0 +1,141 @@
+// Implementation of the model of slots: faults and diverging views.
+#include "version/slot_model.h"
+
+#include "version/slot_model_nodes.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+holder_liveness
+slot_model::view::Liveness(const slot_record::holder& aHolder) const
+{
+  if (mEnded.contains(aHolder.mIncarnation)) {
+    return holder_liveness::Gone;
+  }
+  const std::size_t other = NodeOf(aHolder.mInstance);
+  if (other == mSelf) {
+    return aHolder.mIncarnation == mModel.mNodes[mSelf]->mLife
+             ? holder_liveness::Live
+             : holder_liveness::Gone;
+  }
+  return mBelievedDead.contains(other) ? holder_liveness::Dead
+                                       : holder_liveness::Live;
+}
+
+std::size_t
+slot_model::view::Rank(const std::string& aService,
+                       const std::vector<std::string>& aExcluded) const
+{
+  const auto hash = [&](std::size_t aNode) {
+    return std::hash<std::string>{}(aService + NodeName(aNode));
+  };
+  std::size_t rank = 0;
+  for (std::size_t i = 0; i < mModel.mNodes.size(); ++i) {
+    if (i != mSelf && !mBelievedDead.contains(i) && hash(i) > hash(mSelf) &&
+        std::find(aExcluded.begin(), aExcluded.end(), NodeName(i)) ==
+          aExcluded.end()) {
+      ++rank;
+    }
+  }
+  return rank;
+}
+
+void
+slot_model::InjectFaults()
+{
+  if (Chance(0.002)) {
+    // Partition into up to three groups, or heal.
+    const int groups = static_cast<int>(1 + mRandom() % 3);
+    for (auto& group : mGroups) {
+      group = static_cast<int>(mRandom() % static_cast<unsigned>(groups));
+    }
+    mStoreGroup = static_cast<int>(mRandom() % static_cast<unsigned>(groups));
+  }
+  if (Chance(0.001)) {
+    mStoreDown = !mStoreDown;
+    if (!mStoreDown) {
+      for (std::size_t i = 0; i < mNodes.size(); ++i) {
+        Give(i, slot_store_recovered{});
+      }
+    }
+  }
+  if (Chance(0.003)) {
+    mRumoured = mRandom() % mNodes.size();
+    mRumourUntil = mNow + seconds(20);
+  }
+  const std::size_t victim = mRandom() % mNodes.size();
+  if (mNodes[victim]->mRunning) {
+    if (Chance(0.002)) {
+      End(victim);
+    } else if (Chance(0.001)) {
+      Give(victim, slots_released{});
+      Later(milliseconds(8'000) + Below(8'000), [this, victim] {
+        if (mNodes[victim]->mRunning) {
+          End(victim);
+        }
+      });
+    }
+  } else if (Chance(0.02)) {
+    Start(victim);
+  }
+  if (mOptions.mChangeDocuments && Chance(0.003)) {
+    document& changed = mDocuments[mRandom() % mDocuments.size()];
+    changed = { static_cast<int>(1 + mRandom() % 4),
+                static_cast<int>(4 + mRandom() % 30),
+                ++mRevision };
+  }
+}
+
+void
+slot_model::ChangeViews()
+{
+  const std::size_t i = mRandom() % mNodes.size();
+  const std::size_t j = mRandom() % mNodes.size();
+  auto& dead = mNodes[i]->mView->mBelievedDead;
+  const bool reachable = mNodes[j]->mRunning && Connected(i, j);
+  // A reachable member is suspected wrongly now and then.
+  const bool rumoured = j == mRumoured && mNow < mRumourUntil;
+  const bool believedDead =
+    !reachable || (mChaos && i != j && (rumoured || Chance(0.03)));
+  if (believedDead ? dead.insert(j).second : dead.erase(j) > 0) {
+    Give(i, slot_member_changed{ NodeName(j) });
+  }
+}
+
+void
+slot_model::Spread()
+{
+  const std::size_t i = mRandom() % mNodes.size();
+  const std::size_t from = mRandom() % mNodes.size();
+  const bool hasStore = mGroups[i] == mStoreGroup && !mStoreDown;
+  node& receiver = *mNodes[i];
+  if (!receiver.mRunning) {
+    return;
+  }
+  for (std::size_t service = 0; service < mDocuments.size(); ++service) {
+    document next = mDocuments[service];
+    if (!hasStore) {
+      if (!Connected(i, from) || !mNodes[from]->mRunning) {
+        return;
+      }
+      next = mNodes[from]->mDocuments[service];
+    }
+    if (next.mVersion > receiver.mDocuments[service].mVersion) {
+      receiver.mDocuments[service] = next;
+      Give(i,
+           slots_configured{ ServiceName(service),
+                             next.mSlots,
+                             next.mConnections,
+                             next.mVersion });
+    }
+    const auto object = mStore.find(ServiceName(service));
+    if (hasStore && object != mStore.end() &&
+        object->second.mVersion > receiver.mRecords[object->first]) {
+      receiver.mRecords[object->first] = object->second.mVersion;
+      Give(i, slots_recorded{ object->second });
+    }
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/tests/version/slot_model_nodes.h
@@ -0,0 +1,70 @@
+// Instances of the model of slots and their views of the fleet; private to
+// slot_model.
+#ifndef SNIPEWALK_VERSION_SLOT_MODEL_NODES_H_
+#define SNIPEWALK_VERSION_SLOT_MODEL_NODES_H_
+
+#include "version/slot_model.h"
+
+#include <set>
+
+namespace snipewalk {
+
+inline std::string
+ServiceName(std::size_t aService)
+{
+  return "service" + std::to_string(aService);
+}
+
+inline std::string
+NodeName(std::size_t aNode)
+{
+  return "instance" + std::to_string(aNode);
+}
+
+inline std::size_t
+NodeOf(const std::string& aName)
+{
+  return static_cast<std::size_t>(
+    std::stoul(aName.substr(std::string("instance").size())));
+}
+
+class slot_model::view : public slot_fleet
+{
+public:
+  view(const slot_model& aModel, std::size_t aSelf)
+    : mModel(aModel)
+    , mSelf(aSelf)
+  {
+  }
+  holder_liveness Liveness(const slot_record::holder& aHolder) const override;
+  std::size_t Rank(const std::string& aService,
+                   const std::vector<std::string>& aExcluded) const override;
+  std::string AddressOf(const std::string& aInstance) const override
+  {
+    return aInstance;
+  }
+
+  // Beliefs that may be wrong.
+  std::set<std::size_t> mBelievedDead;
+  // Lives known to have ended; always true.
+  std::set<std::uint64_t> mEnded;
+
+private:
+  const slot_model& mModel;
+  std::size_t mSelf;
+};
+
+struct slot_model::node
+{
+  std::uint64_t mLife = 0;
+  bool mRunning = false;
+  std::unique_ptr<view> mView;
+  std::unique_ptr<slot_assignment> mSlots;
+  // Version of each service's document and record that it was given.
+  std::map<std::size_t, document> mDocuments;
+  std::map<std::string, std::uint64_t> mRecords;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_VERSION_SLOT_MODEL_NODES_H_
