--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -23,6 +23,11 @@
 
 namespace snipewalk {
 
+inline constexpr milliseconds kSecond{ 1'000 };
+// A list grows with the fleet, so that its interval does, too: a fleet of 100
+// is listed this often, and the bytes a second stay the same above.
+inline constexpr milliseconds kListInterval{ 30'000 };
+
 // A service document in force.
 struct service_in_force
 {
