Use one codec of frames between instances

Change: the control connections use frame_codec; the msgpack form of the messages moves to fleet_wire.

--- a/include/snipewalk/connection/frame_codec.h
+++ b/include/snipewalk/connection/frame_codec.h
@@ -1,5 +1,5 @@
 // Frames between instances: a 4-byte big-endian length, then that many bytes of
-// msgpack (peer_messages.h).
+// msgpack (peer_messages.h, fleet_codec.h).
 #ifndef SNIPEWALK_CONNECTION_FRAME_CODEC_H_
 #define SNIPEWALK_CONNECTION_FRAME_CODEC_H_
 
@@ -18,7 +18,8 @@
 // Limit before the other end proved that it knows the fleet key.
 inline constexpr std::size_t kHandshakeFrameLimitBytes = 1024;
 
-// Appends a frame to `aOut`. `aPayload` has at most kFrameLimitBytes.
+// Appends a frame to `aOut`. `aPayload` has at most the limit that the receiver
+// gives to TakeFrame().
 void
 AppendFrame(std::string& aOut, std::string_view aPayload);
 
--- a/src/process/control_link.cpp
+++ b/src/process/control_link.cpp
@@ -5,6 +5,7 @@
 
 #include "snipewalk/base/hmac.h"
 #include "snipewalk/base/log.h"
+#include "snipewalk/connection/frame_codec.h"
 
 #include <openssl/rand.h>
 
@@ -15,8 +16,6 @@
 namespace {
 
 constexpr std::size_t kNonceBytes = 32;
-// Larger frames before the end of the handshake are refused.
-constexpr std::size_t kHandshakeFrameBytes = 1'024;
 // Messages queued while a connection is being established.
 constexpr std::size_t kMaxWaitingBytes = 4 * 1024 * 1024;
 
@@ -94,7 +93,8 @@
 void
 control_link::Write(std::string_view aBody)
 {
-  const std::string frame = Frame(aBody);
+  std::string frame;
+  AppendFrame(frame, aBody);
   mPort.mCounters.mBytesSent += frame.size();
   mConnection->Send(frame);
 }
@@ -106,7 +106,7 @@
   if (mState == state::Ready) {
     Write(aMessage);
   } else if (mWaiting.size() + aMessage.size() < kMaxWaitingBytes) {
-    mWaiting += Frame(aMessage);
+    AppendFrame(mWaiting, aMessage);
   }
 }
 
@@ -124,15 +124,21 @@
 control_link::OnInput(std::string& aInput, time_point aNow)
 {
   mLastUse = aNow;
-  std::string frame;
   while (mState != state::Closed) {
     const std::size_t limit =
-      mState == state::Ready ? kMaxFrameBytes : kHandshakeFrameBytes;
-    const frame_status status = TakeFrame(aInput, limit, frame);
-    if (status == frame_status::Incomplete) {
+      mState == state::Ready ? kMaxFrameBytes : kHandshakeFrameLimitBytes;
+    std::string_view rest = aInput;
+    const auto payload = TakeFrame(rest, limit);
+    if (payload.ok() && !*payload) {
       return;
     }
-    if (status == frame_status::TooLarge || !OnFrame(frame, aNow)) {
+    std::string frame;
+    if (payload.ok()) {
+      // Handling the frame may close the connection and its buffer.
+      frame = **payload;
+      aInput.erase(0, aInput.size() - rest.size());
+    }
+    if (!payload.ok() || !OnFrame(frame, aNow)) {
       ++mPort.mCounters.mConnectionsRejected;
       Log(log_level::Warning,
           "control_port",
--- a/src/process/fleet_codec.h
+++ b/src/process/fleet_codec.h
@@ -44,21 +44,6 @@
 std::optional<control_hello>
 DecodeHello(std::string_view aBytes);
 
-// Prefixes the 4-byte big-endian length.
-std::string
-Frame(std::string_view aBody);
-
-enum class frame_status
-{
-  Complete,
-  Incomplete,
-  TooLarge
-};
-
-// Moves one frame's body off the front of `aBuffer`.
-frame_status
-TakeFrame(std::string& aBuffer, std::size_t aLimit, std::string& aBody);
-
 } // namespace snipewalk
 
 #endif // SNIPEWALK_PROCESS_FLEET_CODEC_H_
--- /dev/null
+++ b/src/process/fleet_wire.cpp
@@ -0,0 +1,291 @@
+// Implementation of the conversions between messages and their msgpack form.
+#include "fleet_wire.h"
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+template<typename Enum>
+Enum
+ToEnum(int aValue, Enum aLast)
+{
+  if (aValue < 0 || aValue > static_cast<int>(aLast)) {
+    throw bad_value();
+  }
+  return static_cast<Enum>(aValue);
+}
+
+wire_member
+ToWire(const member_info& aMember)
+{
+  return { aMember.mName,
+           aMember.mIncarnation,
+           static_cast<int>(aMember.mState),
+           aMember.mDataCentre,
+           aMember.mRegion,
+           aMember.mPeerAddress,
+           aMember.mControlAddress };
+}
+
+member_info
+FromWire(wire_member&& aMember)
+{
+  auto& [name, incarnation, state, dataCentre, region, peer, control] = aMember;
+  return { std::move(name),
+           incarnation,
+           std::move(dataCentre),
+           std::move(region),
+           std::move(peer),
+           std::move(control),
+           ToEnum(state, member_state::Left) };
+}
+
+wire_object
+ToWire(const stored_object& aObject)
+{
+  return { aObject.mKey.mKind,
+           aObject.mKey.mName,
+           aObject.mVersion,
+           aObject.mDeleted,
+           aObject.mValue };
+}
+
+stored_object
+FromWire(wire_object&& aObject)
+{
+  auto& [kind, name, version, deleted, value] = aObject;
+  return {
+    { std::move(kind), std::move(name) }, version, deleted, std::move(value)
+  };
+}
+
+template<typename Wire, typename Type>
+std::vector<Wire>
+ListToWire(const std::vector<Type>& aList)
+{
+  std::vector<Wire> list;
+  list.reserve(aList.size());
+  for (const auto& item : aList) {
+    list.push_back(ToWire(item));
+  }
+  return list;
+}
+
+template<typename Type, typename Wire>
+std::vector<Type>
+ListFromWire(std::vector<Wire>&& aList)
+{
+  std::vector<Type> list;
+  list.reserve(aList.size());
+  for (auto& item : aList) {
+    list.push_back(FromWire(std::move(item)));
+  }
+  return list;
+}
+
+} // namespace
+
+wire_membership
+ToWire(const membership_message& aMessage)
+{
+  return { static_cast<int>(aMessage.mKind),
+           aMessage.mSequence,
+           aMessage.mSender,
+           aMessage.mIncarnation,
+           aMessage.mTarget,
+           aMessage.mHeads,
+           aMessage.mMemberDigest,
+           aMessage.mWatchAgeMs,
+           ListToWire<wire_member>(aMessage.mUpdates) };
+}
+
+datagram_body
+FromWire(wire_membership&& aMessage)
+{
+  auto& [kind, sequence, sender, life, target, heads, digest, age, updates] =
+    aMessage;
+  return membership_message{ ToEnum(kind, membership_kind::Update),
+                             sequence,
+                             std::move(sender),
+                             life,
+                             std::move(target),
+                             heads,
+                             digest,
+                             age,
+                             ListFromWire<member_info>(std::move(updates)) };
+}
+
+wire_slot
+ToWire(const slot_message& aMessage)
+{
+  return { static_cast<int>(aMessage.mKind),
+           aMessage.mService,
+           aMessage.mSender,
+           aMessage.mSenderLife,
+           aMessage.mHolder,
+           aMessage.mHolderLife,
+           aMessage.mRecordVersion,
+           aMessage.mDocumentVersion,
+           aMessage.mSequence,
+           aMessage.mGranted,
+           aMessage.mRecord };
+}
+
+datagram_body
+FromWire(wire_slot&& aMessage)
+{
+  auto& [kind,
+         service,
+         sender,
+         senderLife,
+         holder,
+         holderLife,
+         record,
+         document,
+         sequence,
+         granted,
+         text] = aMessage;
+  return slot_message{ ToEnum(kind, slot_message_kind::TakeOverReply),
+                       std::move(service),
+                       std::move(sender),
+                       senderLife,
+                       std::move(holder),
+                       holderLife,
+                       record,
+                       document,
+                       sequence,
+                       granted,
+                       std::move(text) };
+}
+
+wire_push
+ToWire(const change_push& aPush)
+{
+  return { aPush.mKind,
+           aPush.mSince,
+           aPush.mHead,
+           ListToWire<wire_object>(aPush.mObjects) };
+}
+
+fleet_message
+FromWire(wire_push&& aPush)
+{
+  auto& [kind, since, head, objects] = aPush;
+  return change_push{ std::move(kind),
+                      since,
+                      head,
+                      ListFromWire<stored_object>(std::move(objects)) };
+}
+
+wire_pull_query
+ToWire(const pull_query& aQuery)
+{
+  return { aQuery.mSequence, aQuery.mKind, aQuery.mSince, aQuery.mCursor };
+}
+
+fleet_message
+FromWire(wire_pull_query&& aQuery)
+{
+  auto& [sequence, kind, since, cursor] = aQuery;
+  return pull_query{ sequence, std::move(kind), since, cursor };
+}
+
+wire_pull_reply
+ToWire(const pull_reply& aReply)
+{
+  const object_chunk& chunk = aReply.mChunk;
+  return {
+    aReply.mSequence, aReply.mKind, ListToWire<wire_object>(chunk.mObjects),
+    chunk.mCursor,    chunk.mMore,  chunk.mSince,
+    chunk.mHead,      chunk.mFloor
+  };
+}
+
+fleet_message
+FromWire(wire_pull_reply&& aReply)
+{
+  auto& [sequence, kind, objects, cursor, more, since, head, floor] = aReply;
+  return pull_reply{ sequence,
+                     std::move(kind),
+                     { ListFromWire<stored_object>(std::move(objects)),
+                       cursor,
+                       more,
+                       since,
+                       head,
+                       floor } };
+}
+
+wire_member_query
+ToWire(const member_query& aQuery)
+{
+  return { aQuery.mSequence, aQuery.mAfter };
+}
+
+fleet_message
+FromWire(wire_member_query&& aQuery)
+{
+  auto& [sequence, after] = aQuery;
+  return member_query{ sequence, std::move(after) };
+}
+
+wire_member_reply
+ToWire(const member_reply& aReply)
+{
+  return { aReply.mSequence,
+           ListToWire<wire_member>(aReply.mMembers),
+           aReply.mMore };
+}
+
+fleet_message
+FromWire(wire_member_reply&& aReply)
+{
+  auto& [sequence, members, more] = aReply;
+  return member_reply{ sequence,
+                       ListFromWire<member_info>(std::move(members)),
+                       more };
+}
+
+wire_service
+ToWire(const service_message& aMessage)
+{
+  if (const auto* query =
+        std::get_if<primary_report_query>(&aMessage.mMessage)) {
+    return { aMessage.mSender, false,        query->mService, query->mServer,
+             query->mAddress,  query->mTerm, query->mQuery,   0 };
+  }
+  const auto& report = std::get<primary_report>(aMessage.mMessage);
+  return { aMessage.mSender,
+           true,
+           report.mService,
+           report.mServer,
+           "",
+           report.mTerm,
+           report.mQuery,
+           static_cast<int>(report.mReachability) };
+}
+
+fleet_message
+FromWire(wire_service&& aMessage)
+{
+  auto& [sender, isReport, service, server, address, term, query, reachable] =
+    aMessage;
+  if (!isReport) {
+    return service_message{
+      std::move(sender),
+      primary_report_query{
+        std::move(service), std::move(server), std::move(address), term, query }
+    };
+  }
+  return service_message{
+    std::move(sender),
+    primary_report{ std::move(service),
+                    std::move(server),
+                    term,
+                    query,
+                    ToEnum(reachable, server_reachability::Unreachable) }
+  };
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/process/fleet_wire.h
@@ -0,0 +1,123 @@
+// The msgpack form of the messages between instances: arrays of fields in a
+// fixed order. Private to fleet_codec.
+#ifndef SNIPEWALK_PROCESS_FLEET_WIRE_H_
+#define SNIPEWALK_PROCESS_FLEET_WIRE_H_
+
+#include "snipewalk/process/fleet_messages.h"
+
+#include <msgpack.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace snipewalk {
+
+using wire_member = std::tuple<std::string,
+                               std::uint64_t,
+                               int,
+                               std::string,
+                               std::string,
+                               std::string,
+                               std::string>;
+using wire_object =
+  std::tuple<std::string, std::string, std::uint64_t, bool, std::string>;
+using wire_heads = std::array<std::uint64_t, kObjectKinds.size()>;
+using wire_membership = std::tuple<int,
+                                   std::uint64_t,
+                                   std::string,
+                                   std::uint64_t,
+                                   std::string,
+                                   wire_heads,
+                                   std::uint64_t,
+                                   std::uint64_t,
+                                   std::vector<wire_member>>;
+using wire_slot = std::tuple<int,
+                             std::string,
+                             std::string,
+                             std::uint64_t,
+                             std::string,
+                             std::uint64_t,
+                             std::uint64_t,
+                             std::uint64_t,
+                             std::uint64_t,
+                             bool,
+                             std::string>;
+using wire_push = std::
+  tuple<std::string, std::uint64_t, std::uint64_t, std::vector<wire_object>>;
+using wire_pull_query =
+  std::tuple<std::uint64_t, std::string, std::uint64_t, std::uint64_t>;
+using wire_pull_reply = std::tuple<std::uint64_t,
+                                   std::string,
+                                   std::vector<wire_object>,
+                                   std::uint64_t,
+                                   bool,
+                                   std::uint64_t,
+                                   std::uint64_t,
+                                   std::uint64_t>;
+using wire_member_query = std::tuple<std::uint64_t, std::string>;
+using wire_member_reply =
+  std::tuple<std::uint64_t, std::vector<wire_member>, bool>;
+// Service, server, address, term, query, reachability; the flag tells a report
+// from a query.
+using wire_service = std::tuple<std::string,
+                                bool,
+                                std::string,
+                                std::string,
+                                std::string,
+                                std::uint64_t,
+                                std::uint64_t,
+                                int>;
+using wire_hello =
+  std::tuple<std::string, std::string, std::string, std::string>;
+
+// Thrown for a value that its type does not have.
+struct bad_value : msgpack::type_error
+{};
+
+// Conversions; FromWire() throws bad_value.
+wire_membership
+ToWire(const membership_message& aMessage);
+datagram_body
+FromWire(wire_membership&& aMessage);
+
+wire_slot
+ToWire(const slot_message& aMessage);
+datagram_body
+FromWire(wire_slot&& aMessage);
+
+wire_push
+ToWire(const change_push& aMessage);
+fleet_message
+FromWire(wire_push&& aMessage);
+
+wire_pull_query
+ToWire(const pull_query& aMessage);
+fleet_message
+FromWire(wire_pull_query&& aMessage);
+
+wire_pull_reply
+ToWire(const pull_reply& aMessage);
+fleet_message
+FromWire(wire_pull_reply&& aMessage);
+
+wire_member_query
+ToWire(const member_query& aMessage);
+fleet_message
+FromWire(wire_member_query&& aMessage);
+
+wire_member_reply
+ToWire(const member_reply& aMessage);
+fleet_message
+FromWire(wire_member_reply&& aMessage);
+
+wire_service
+ToWire(const service_message& aMessage);
+fleet_message
+FromWire(wire_service&& aMessage);
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_FLEET_WIRE_H_
--- a/tests/process/fleet_codec_test.cpp
+++ b/tests/process/fleet_codec_test.cpp
@@ -83,20 +83,5 @@
   EXPECT_GT(accepted, 10'000U);
 }
 
-// Guards against frames that are cut or joined wrongly and against lengths
-// above the limit.
-TEST(FleetCodecTest, TakesFramesOneByOne)
-{
-  std::string buffer = Frame("ab") + Frame("c") + std::string(1, '\0');
-  std::string body;
-  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Complete);
-  EXPECT_EQ(body, "ab");
-  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Complete);
-  EXPECT_EQ(body, "c");
-  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::Incomplete);
-  buffer = Frame(std::string(11, 'x'));
-  EXPECT_EQ(TakeFrame(buffer, 10, body), frame_status::TooLarge);
-}
-
 } // namespace
 } // namespace snipewalk
