--- a/src/version/slot_service.h
+++ b/src/version/slot_service.h
@@ -50,6 +50,7 @@
   std::uint64_t mDocument = 0;
   // A share was computed from an earlier document version.
   bool mDocumentReplaced = false;
+  int mShare = 0;
 
   slot_record mRecord;
   std::uint64_t mVersion = 0;
@@ -64,7 +65,6 @@
   time_point mAuthorityUntil = time_point::min();
   // Connections of replaced holders may be open until then.
   time_point mNoGrowBefore = time_point::min();
-  int mShare = 0;
   std::map<std::string, co_holder> mOthers;
   time_point mNextQuery = time_point::min();
   std::optional<time_point> mReleaseAt;
@@ -73,10 +73,10 @@
   std::optional<std::uint64_t> mOperation;
   time_point mOperationSent;
   bool mOperationIsPut = false;
-  // Kept until the next version of the record arrives.
-  std::optional<pending_put> mPut;
   // A put may have taken effect: read back before the next one.
   bool mMustRead = false;
+  // Kept until the next version of the record arrives.
+  std::optional<pending_put> mPut;
   time_point mNextStoreCall = time_point::min();
   milliseconds mBackoff{ 0 };
 
