End unused control links at once again

Cause: links that were kept in the loop's queue ended after the loop, and WholePathTest.ShutsDownGracefully failed in the whole run. Change: only their requests are posted. It passes after the change, as does the silent cut; each was run once.

--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -220,7 +220,9 @@
   const server_endpoint target =
     Translate(mOptions.mAddressTranslation, aServer);
   if (link && link->Server().mAddress != target.mAddress) {
-    Retire(std::move(link));
+    Retire(*link);
+    // One of its handlers may be running.
+    mLoop.Post([old = std::shared_ptr<server_link>(std::move(link))] {});
   }
   if (!link) {
     link = std::make_unique<server_link>(
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -172,19 +172,16 @@
       ++it;
       continue;
     }
-    Retire(std::move(it->second));
+    Retire(*it->second);
     it = mLinks.erase(it);
   }
 }
 
 void
-service_controller_state::Retire(std::unique_ptr<server_link> aLink)
+service_controller_state::Retire(server_link& aLink)
 {
-  auto requests = aLink->TakeRequests();
-  // Posted: one of the link's handlers may be running.
   mLoop.Post([this,
-              old = std::shared_ptr<server_link>(std::move(aLink)),
-              requests = std::move(requests),
+              requests = aLink.TakeRequests(),
               alive = std::weak_ptr<bool>(mAlive)] {
     for (const auto& request : requests) {
       if (!alive.expired()) {
--- a/src/process/service_controller_state.h
+++ b/src/process/service_controller_state.h
@@ -74,7 +74,7 @@
   void CloseUnusedLinks();
   // Ends a link; its requests are reported as lost, since the detector and the
   // failover wait for each of them.
-  void Retire(std::unique_ptr<server_link> aLink);
+  void Retire(server_link& aLink);
   std::optional<int> OwnSlot() const;
   detector_configured DetectorConfig() const;
   void AdvanceDrain(time_point aNow);
