--- a/tests/version/slot_model_store.cpp
+++ b/tests/version/slot_model_store.cpp
@@ -19,7 +19,7 @@
 {
   const std::uint64_t life = mNodes[aNode]->mLife;
   const auto answer = [this, aNode, life, operation = aCall.mOperation](
-                        milliseconds aDelay, store_reply aReply) {
+                        milliseconds aDelay, const store_reply& aReply) {
     Later(aDelay, [this, aNode, life, operation, aReply] {
       if (mNodes[aNode]->mLife == life) {
         Give(aNode, slot_store_answered{ operation, aReply });
