Re-read the fleet key and the admin token when their files change

Change: the thread of Run() reads both files every 5 s. secret_rotation decides from contents and time: a new fleet key verifies at once and signs after 60 s; a replaced one verifies for 300 s more. Empty or unreadable files change nothing. peer_link verifies with all keys; the connecting side answers with the key that the peer has proven.

--- a/include/snipewalk/connection/peer_link.h
+++ b/include/snipewalk/connection/peer_link.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Poco::Net {
 class StreamSocket;
@@ -26,7 +27,8 @@
 struct peer_identity
 {
   std::string mInstance;
-  std::string mFleetKey;
+  // All verify, the first signs. At least one.
+  std::vector<std::string> mFleetKeys;
 };
 
 // Loop thread only. A handler must not destroy the link before it returned:
@@ -94,6 +96,11 @@
   void OnConnected();
   void OnInput(std::string& aInput, time_point aNow);
   void OnMessage(peer_message aMessage, time_point aNow);
+  // The fleet key that the proof was made with; null when it is none.
+  const std::string* KeyOfProof(handshake_side aSide,
+                                const std::string& aInstance,
+                                const std::string& aNonce,
+                                const std::string& aProof) const;
   void OnHello(const peer_hello& aHello, time_point aNow);
   void OnChallenge(const peer_challenge& aChallenge, time_point aNow);
   void OnProof(const peer_proof& aProof, time_point aNow);
--- a/include/snipewalk/process/daemon.h
+++ b/include/snipewalk/process/daemon.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/process/control_loop.h"
 #include "snipewalk/process/instance.h"
+#include "snipewalk/process/secret_files.h"
 #include "snipewalk/process/settings.h"
 
 #include <atomic>
@@ -51,8 +52,13 @@
     std::uint64_t aStartMs);
   instance_hooks Hooks();
   control_loop_callbacks ControlCallbacks();
+  // Reads the files of secrets again when a check is due.
+  void CheckSecrets(time_point aNow);
 
   instance_settings mSettings;
+  // Used by the thread that runs Run() only.
+  secret_rotation mSecrets;
+  time_point mNextSecretCheck;
   std::atomic<bool> mReplaced{ false };
   instance mInstance;
   // Declared last: it stops before the threads that it calls.
--- a/include/snipewalk/process/instance.h
+++ b/include/snipewalk/process/instance.h
@@ -33,6 +33,8 @@
   // Starts to release the slots; SlotsReleased() reports the end.
   std::function<void()> mReleaseSlots;
   std::function<void()> mSendLeave;
+  // Periodic work; called about every 50 ms.
+  std::function<void(time_point aNow)> mTick;
   // JSON for the admin page /v1/control; called by the admin threads.
   std::function<std::string()> mControlPage;
 };
--- a/include/snipewalk/process/peer_hub.h
+++ b/include/snipewalk/process/peer_hub.h
@@ -38,8 +38,8 @@
 
   peer_hub(event_loop& aLoop, peer_identity aIdentity, handlers aHandlers);
 
-  // Used by links that are opened from now on.
-  void SetFleetKey(std::string aFleetKey);
+  // Used by links that are opened from now on. All verify, the first signs.
+  void SetFleetKeys(std::vector<std::string> aFleetKeys);
 
   // Sends the request once a link is ready; opens one if there is none. When
   // the link fails first, mOnClosed reports it as not ready.
--- a/include/snipewalk/process/traffic_group.h
+++ b/include/snipewalk/process/traffic_group.h
@@ -34,7 +34,8 @@
 
   void Publish(const std::shared_ptr<const routing_snapshot>& aSnapshot);
   void Observe(const std::string& aService, const status_observed& aStatus);
-  void SetFleetKey(const std::string& aFleetKey);
+  // All keys verify, the first signs. Links that are open remain.
+  void SetFleetKeys(const std::vector<std::string>& aFleetKeys);
 
   // Steps of the shutdown, see shutdown.h.
   void AnnounceShutdown();
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -35,8 +35,9 @@
   std::string mInstance;
   std::uint64_t mIncarnation = 0;
   std::string mDataCentre;
-  // Authenticates peers. Empty only where all addresses are loopback ones.
-  std::string mFleetKey;
+  // Authenticate peers: all verify, the first signs. An empty key is allowed
+  // only where all addresses are loopback ones.
+  std::vector<std::string> mFleetKeys{ "" };
   // "IP:port"; port 0 lets the system choose.
   std::string mCallerAddress = "127.0.0.1:0";
   std::string mPeerAddress = "127.0.0.1:0";
@@ -108,7 +109,7 @@
 
   // The functions below are for tasks posted to this thread.
   void SetSnapshot(std::shared_ptr<const routing_snapshot> aSnapshot);
-  void SetFleetKey(std::string aFleetKey);
+  void SetFleetKeys(std::vector<std::string> aFleetKeys);
   void Observe(const std::string& aService, const status_observed& aStatus);
   // Health turns to "shutting down".
   void AnnounceShutdown() { mServing = false; }
--- a/src/apps/snipewalkd.cpp
+++ b/src/apps/snipewalkd.cpp
@@ -1,21 +1,18 @@
 // Program: an instance of snipewalk.
 #include "snipewalk/base/log.h"
 #include "snipewalk/process/daemon.h"
+#include "snipewalk/process/secret_files.h"
 #include "snipewalk/process/settings.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
-#include <absl/strings/ascii.h>
 
 #include <atomic>
 #include <chrono>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <optional>
-#include <sstream>
 
 ABSL_FLAG(std::string, settings, "", "file with the settings of the instance");
 namespace {
@@ -43,29 +40,6 @@
   std::signal(SIGPIPE, SIG_IGN);
 }
 
-std::optional<std::string>
-ReadFile(const std::string& aPath)
-{
-  std::ifstream file(aPath);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return file ? std::optional<std::string>(text.str()) : std::nullopt;
-}
-
-// Contents of a file of secrets without the line end; empty without a path.
-std::optional<std::string>
-ReadSecret(const std::string& aPath)
-{
-  if (aPath.empty()) {
-    return std::string();
-  }
-  auto text = ReadFile(aPath);
-  if (text) {
-    absl::StripTrailingAsciiWhitespace(&*text);
-  }
-  return text;
-}
-
 int
 Fail(const std::string& aMessage, int aExitCode = kExitFailure)
 {
@@ -84,8 +58,8 @@
 int
 Serve(const instance_settings& aSettings)
 {
-  const auto fleetKey = ReadSecret(aSettings.mFleetKeyFile);
-  const auto token = ReadSecret(aSettings.mAdminTokenFile);
+  const auto fleetKey = snipewalk::ReadSecretFile(aSettings.mFleetKeyFile);
+  const auto token = snipewalk::ReadSecretFile(aSettings.mAdminTokenFile);
   if (!fleetKey || !token) {
     return Fail("cannot read the fleet key or the admin token");
   }
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -212,6 +212,21 @@
   }
 }
 
+const std::string*
+peer_link::KeyOfProof(handshake_side aSide,
+                      const std::string& aInstance,
+                      const std::string& aNonce,
+                      const std::string& aProof) const
+{
+  for (const auto& key : mIdentity.mFleetKeys) {
+    if (EqualInConstantTime(
+          HandshakeProof(key, aSide, mHello, aInstance, aNonce), aProof)) {
+      return &key;
+    }
+  }
+  return nullptr;
+}
+
 void
 peer_link::OnHello(const peer_hello& aHello, time_point aNow)
 {
@@ -224,7 +239,7 @@
   mPhase = phase::Challenged;
   SendNow(peer_challenge{ mIdentity.mInstance,
                           mNonce,
-                          HandshakeProof(mIdentity.mFleetKey,
+                          HandshakeProof(mIdentity.mFleetKeys.front(),
                                          handshake_side::Accepting,
                                          mHello,
                                          mIdentity.mInstance,
@@ -234,13 +249,12 @@
 void
 peer_link::OnChallenge(const peer_challenge& aChallenge, time_point aNow)
 {
-  const std::string expected = HandshakeProof(mIdentity.mFleetKey,
-                                              handshake_side::Accepting,
-                                              mHello,
-                                              aChallenge.mInstance,
-                                              aChallenge.mNonce);
+  const std::string* key = KeyOfProof(handshake_side::Accepting,
+                                      aChallenge.mInstance,
+                                      aChallenge.mNonce,
+                                      aChallenge.mProof);
   if (!mConnects || mPhase != phase::Greeting || aChallenge.mNonce.empty() ||
-      !EqualInConstantTime(expected, aChallenge.mProof)) {
+      key == nullptr) {
     Fail("peer does not know the fleet key", aNow);
     return;
   }
@@ -248,7 +262,8 @@
     Fail("another instance answers at this address", aNow);
     return;
   }
-  SendNow(peer_proof{ HandshakeProof(mIdentity.mFleetKey,
+  // The peer is known to have this key, whichever one signs here.
+  SendNow(peer_proof{ HandshakeProof(*key,
                                      handshake_side::Connecting,
                                      mHello,
                                      aChallenge.mInstance,
@@ -260,13 +275,11 @@
 void
 peer_link::OnProof(const peer_proof& aProof, time_point aNow)
 {
-  const std::string expected = HandshakeProof(mIdentity.mFleetKey,
-                                              handshake_side::Connecting,
-                                              mHello,
-                                              mIdentity.mInstance,
-                                              mNonce);
   if (mConnects || mPhase != phase::Challenged ||
-      !EqualInConstantTime(expected, aProof.mProof)) {
+      KeyOfProof(handshake_side::Connecting,
+                 mIdentity.mInstance,
+                 mNonce,
+                 aProof.mProof) == nullptr) {
     Fail("peer does not know the fleet key", aNow);
     return;
   }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -21,6 +21,7 @@
                const daemon_secrets& aSecrets,
                std::uint64_t aStartMs)
   : mSettings(aSettings)
+  , mSecrets(aSecrets.mFleetKey, aSecrets.mAdminToken)
   , mInstance(OptionsOf(aSettings, aSecrets, aStartMs), Hooks())
   , mControl(ControlOptionsOf(aSettings, aSecrets, aStartMs),
              ControlCallbacks(),
@@ -51,7 +52,7 @@
   traffic.mInstance = aSettings.mInstance;
   traffic.mIncarnation = aStartMs;
   traffic.mDataCentre = aSettings.mDataCentre;
-  traffic.mFleetKey = aSecrets.mFleetKey;
+  traffic.mFleetKeys = { aSecrets.mFleetKey };
   traffic.mCallerAddress = aSettings.mCallerAddress;
   traffic.mPeerAddress = aSettings.mPeerAddress;
   traffic.mThreads = static_cast<std::size_t>(aSettings.mTrafficThreads);
@@ -100,6 +101,7 @@
     const auto status = mControl.Status();
     return status ? ControlPage(*status) : std::string("{}");
   };
+  hooks.mTick = [this](time_point aNow) { CheckSecrets(aNow); };
   hooks.mSendLeave = [this] { mControl.Leave(); };
   return hooks;
 }
@@ -127,6 +129,35 @@
   return callbacks;
 }
 
+void
+daemon::CheckSecrets(time_point aNow)
+{
+  if (aNow < mNextSecretCheck) {
+    return;
+  }
+  mNextSecretCheck = aNow + kSecretCheckInterval;
+  const secret_contents contents{ ReadSecretFile(mSettings.mFleetKeyFile),
+                                  ReadSecretFile(mSettings.mAdminTokenFile) };
+  if (!contents.mFleetKey || !contents.mAdminToken) {
+    Log(log_level::Warning,
+        "daemon",
+        "cannot read a file of secrets; the present ones stay in force");
+  }
+  const secret_changes changes = mSecrets.Update(contents, aNow);
+  if (changes.mFleetKeys) {
+    mControl.SetFleetKeys(*changes.mFleetKeys);
+    mInstance.Traffic().SetFleetKeys(*changes.mFleetKeys);
+    Log(log_level::Info,
+        "daemon",
+        "fleet keys changed",
+        { { "keys", static_cast<std::int64_t>(changes.mFleetKeys->size()) } });
+  }
+  if (changes.mAdminToken) {
+    mInstance.SetAdminToken(*changes.mAdminToken);
+    Log(log_level::Info, "daemon", "admin token changed");
+  }
+}
+
 absl::Status
 daemon::Start()
 {
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -113,6 +113,9 @@
 instance::Step()
 {
   const time_point now = std::chrono::steady_clock::now();
+  if (mHooks.mTick) {
+    mHooks.mTick(now);
+  }
   std::vector<shutdown_action> actions;
   if (mStopRequested.load()) {
     mShutdown.Request(now, actions);
--- a/src/process/peer_hub.cpp
+++ b/src/process/peer_hub.cpp
@@ -17,9 +17,9 @@
 }
 
 void
-peer_hub::SetFleetKey(std::string aFleetKey)
+peer_hub::SetFleetKeys(std::vector<std::string> aFleetKeys)
 {
-  mIdentity.mFleetKey = std::move(aFleetKey);
+  mIdentity.mFleetKeys = std::move(aFleetKeys);
 }
 
 void
--- a/src/process/traffic_engines.cpp
+++ b/src/process/traffic_engines.cpp
@@ -141,9 +141,9 @@
 }
 
 void
-traffic_thread::SetFleetKey(std::string aFleetKey)
+traffic_thread::SetFleetKeys(std::vector<std::string> aFleetKeys)
 {
-  mHub.SetFleetKey(std::move(aFleetKey));
+  mHub.SetFleetKeys(std::move(aFleetKeys));
 }
 
 void
--- a/src/process/traffic_group.cpp
+++ b/src/process/traffic_group.cpp
@@ -89,10 +89,11 @@
 }
 
 void
-traffic_group::SetFleetKey(const std::string& aFleetKey)
+traffic_group::SetFleetKeys(const std::vector<std::string>& aFleetKeys)
 {
-  ForEach(
-    [aFleetKey](traffic_thread& aThread) { aThread.SetFleetKey(aFleetKey); });
+  ForEach([aFleetKeys](traffic_thread& aThread) {
+    aThread.SetFleetKeys(aFleetKeys);
+  });
 }
 
 void
--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -44,7 +44,7 @@
   , mCallbacks(aCallbacks)
   , mDirectory(aDirectory)
   , mForwarder({ aOptions.mInstance, aOptions.mDataCentre })
-  , mHub(mLoop, { aOptions.mInstance, aOptions.mFleetKey }, HubHandlers())
+  , mHub(mLoop, { aOptions.mInstance, aOptions.mFleetKeys }, HubHandlers())
 {
   mLoop.SetAfterRound([this](time_point aNow) { AfterRound(aNow); });
   mLoop.RunAt(mLoop.Now() + kSweepInterval,
--- a/tests/connection/peer_link_test.cpp
+++ b/tests/connection/peer_link_test.cpp
@@ -11,20 +11,20 @@
 class link_pair
 {
 public:
-  link_pair(const std::string& aConnectingKey,
-            const std::string& aAcceptingKey,
+  link_pair(const std::vector<std::string>& aConnectingKeys,
+            const std::vector<std::string>& aAcceptingKeys,
             const std::string& aExpectedPeer = "b")
   {
     mListener = *listener::Open(
       mLoop,
       "127.0.0.1:0",
-      [this, aAcceptingKey](const Poco::Net::StreamSocket& aSocket,
-                            time_point) {
+      [this, aAcceptingKeys](const Poco::Net::StreamSocket& aSocket,
+                             time_point) {
         mAccepted = peer_link::Adopt(
-          mLoop, { "b", aAcceptingKey }, aSocket, Handlers(mAcceptedReady));
+          mLoop, { "b", aAcceptingKeys }, aSocket, Handlers(mAcceptedReady));
       });
     mConnected = peer_link::Connect(mLoop,
-                                    { "a", aConnectingKey },
+                                    { "a", aConnectingKeys },
                                     aExpectedPeer,
                                     mListener->Address(),
                                     Handlers(mConnectedReady));
@@ -81,7 +81,7 @@
 // Guards against pipelined requests and responses that are lost or mixed up.
 TEST(PeerLinkTest, PipelinesRequestsAndResponses)
 {
-  link_pair link("key", "key");
+  link_pair link({ "key" }, { "key" });
   link.mOnReady = [&] {
     for (int i = 0; i < 50 && link.mConnectedReady; ++i) {
       link.mConnected->Send(Request("r" + std::to_string(i)));
@@ -111,7 +111,7 @@
 // Guards against an instance without the fleet key that sends statements.
 TEST(PeerLinkTest, RefusesPeerWithoutFleetKey)
 {
-  link_pair link("other", "key");
+  link_pair link({ "other" }, { "key" });
   link.mLoop.Run();
   EXPECT_EQ(link.mClosed, 1);
   EXPECT_FALSE(link.mClosedWhenReady);
@@ -120,10 +120,33 @@
   EXPECT_FALSE(link.mConnected->Send(Request("r")));
 }
 
+// Guards against a rotation of the fleet key that separates instances which
+// sign with different keys but know both.
+TEST(PeerLinkTest, AcceptsAnyKnownFleetKey)
+{
+  using keys = std::vector<std::string>;
+  const keys before{ "old", "new" };
+  const keys after{ "new", "old" };
+  for (const auto& [connecting, accepting] :
+       { std::pair(before, after),
+         std::pair(after, before),
+         std::pair(keys{ "old" }, before),
+         std::pair(before, keys{ "new" }) }) {
+    link_pair link(connecting, accepting);
+    link.mOnReady = [&] {
+      if (link.mConnectedReady && link.mAcceptedReady) {
+        link.mLoop.Stop();
+      }
+    };
+    link.mLoop.Run();
+    EXPECT_TRUE(link.mConnectedReady && link.mAcceptedReady);
+  }
+}
+
 // Guards against requests that reach another instance at a reused address.
 TEST(PeerLinkTest, RefusesAnotherInstance)
 {
-  link_pair link("key", "key", "c");
+  link_pair link({ "key" }, { "key" }, "c");
   link.mLoop.Run();
   EXPECT_FALSE(link.mConnectedReady);
 }
@@ -148,7 +171,7 @@
     loop.Stop();
   };
   const auto link = peer_link::Connect(loop,
-                                       { "a", "key" },
+                                       { "a", { "key" } },
                                        "b",
                                        silent.address().toString(),
                                        std::move(handlers));
--- a/tests/process/traffic_fixture.h
+++ b/tests/process/traffic_fixture.h
@@ -193,7 +193,7 @@
     options.mInstance = aName;
     options.mIncarnation = 1;
     options.mDataCentre = "munich";
-    options.mFleetKey = aFleetKey;
+    options.mFleetKeys = { aFleetKey };
     options.mThreads = aThreads;
     return options;
   }
