--- a/include/snipewalk/process/instance.h
+++ b/include/snipewalk/process/instance.h
@@ -1,5 +1,5 @@
 // An instance: traffic threads, admin port and shutdown. The source of routing
-// snapshots (control thread or a static topology) is attached by hooks.
+// snapshots, the control thread, is attached by hooks.
 #ifndef SNIPEWALK_PROCESS_INSTANCE_H_
 #define SNIPEWALK_PROCESS_INSTANCE_H_
 
