Write edits of service documents to the audit trail

Cause: snipewalkctl put took the operator's name and did not use it.

Change: after a put, an entry with operator, versions and the description of the edit is appended to audit/<service> by conditional update in up to five attempts. The entry is named after the stored version, so that an attempt whose answer was lost is not repeated. A failure is a warning only. An unreadable ring is reported, not replaced.

A lost answer is not tested here.

--- a/src/process/operator_commands.cpp
+++ b/src/process/operator_commands.cpp
@@ -2,12 +2,14 @@
 #include "snipewalk/process/operator_commands.h"
 
 #include "snipewalk/base/findings.h"
+#include "snipewalk/process/audit_trail.h"
 #include "snipewalk/process/http_fetch.h"
 #include "snipewalk/version/document_validation.h"
 #include "snipewalk/version/term_record.h"
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <fstream>
 #include <sstream>
 
@@ -120,6 +122,76 @@
                                          ": get it and edit again"));
 }
 
+// Instances append to the same object, so that a conflict is likely.
+constexpr int kAuditAttempts = 5;
+
+absl::Status
+TryAppendAudit(operator_store& aStore, const audit_entry& aEntry)
+{
+  const object_key key{ kAuditKind, aEntry.mService };
+  const auto object = aStore.Get(key);
+  if (!object.ok()) {
+    return object.status();
+  }
+  std::vector<audit_entry> entries;
+  if (object->has_value()) {
+    auto ring = DecodeAuditRing((*object)->mValue);
+    if (!ring.ok()) {
+      return ring.status();
+    }
+    entries = *std::move(ring);
+  }
+  // An attempt whose answer was lost may have written the entry.
+  if (std::any_of(entries.begin(), entries.end(), [&](const auto& aOther) {
+        return aOther.mId == aEntry.mId;
+      })) {
+    return absl::OkStatus();
+  }
+  entries.push_back(aEntry);
+  return aStore
+    .Put(key,
+         EncodeAuditRing(entries),
+         object->has_value() ? (*object)->mVersion : 0)
+    .status();
+}
+
+// The document is stored already: a failure is reported and changes nothing.
+void
+AppendAudit(operator_store& aStore,
+            const audit_entry& aEntry,
+            std::ostream& aOut)
+{
+  absl::Status status;
+  for (int i = 0; i < kAuditAttempts; ++i) {
+    status = TryAppendAudit(aStore, aEntry);
+    if (status.ok()) {
+      return;
+    }
+  }
+  aOut << "warning: the audit trail lacks this edit: " << status.message()
+       << "\n";
+}
+
+audit_entry
+AuditOfPut(const put_options& aOptions,
+           const std::string& aService,
+           std::uint64_t aFrom,
+           std::uint64_t aTo,
+           wall_time aNow)
+{
+  audit_entry entry;
+  // Versions are unique within a store.
+  entry.mId = absl::StrCat("put/", aTo);
+  entry.mWhen = aNow;
+  entry.mWho = aOptions.mOperator.empty() ? "unnamed" : aOptions.mOperator;
+  entry.mInstance = "snipewalkctl";
+  entry.mService = aService;
+  entry.mAction = "document_put";
+  entry.mFrom = absl::StrCat(aFrom);
+  entry.mTo = absl::StrCat(aTo);
+  return entry;
+}
+
 } // namespace
 
 int
@@ -163,7 +235,8 @@
   const edit_context context{ current->mDocument ? &*current->mDocument
                                                  : nullptr,
                               current->mTerm ? &*current->mTerm : nullptr };
-  aOut << DescribeEdit(*document, context);
+  const std::string description = DescribeEdit(*document, context);
+  aOut << description;
   const absl::Status expected = CheckExpectedVersion(aOptions, *current);
   if (!expected.ok()) {
     return Fail(expected, aOut);
@@ -184,6 +257,10 @@
     return Fail(version.status(), aOut);
   }
   aOut << "stored as version " << *version << "\n";
+  audit_entry entry =
+    AuditOfPut(aOptions, document->mService, current->mVersion, *version, aNow);
+  entry.mReason = description;
+  AppendAudit(aStore, entry, aOut);
   return kExitDone;
 }
 
