--- a/include/snipewalk/process/admin_server.h
+++ b/include/snipewalk/process/admin_server.h
@@ -60,8 +60,6 @@
   std::function<traffic_counts()> mCounts;
   std::function<std::vector<thread_metrics>()> mMetrics;
   std::function<std::string(const statement_request&)> mExplain;
-  // JSON of /v1/control; empty without a control thread.
-  std::function<std::string()> mControl;
   // Bearer token that all requests but /v1/health need; none when empty.
   std::function<std::string()> mToken;
 };
--- a/include/snipewalk/process/instance.h
+++ b/include/snipewalk/process/instance.h
@@ -35,8 +35,6 @@
   std::function<void()> mSendLeave;
   // Periodic work; called about every 50 ms.
   std::function<void(time_point aNow)> mTick;
-  // JSON for the admin page /v1/control; called by the admin threads.
-  std::function<std::string()> mControlPage;
 };
 
 class instance
--- a/src/apps/snipewalkctl.cpp
+++ b/src/apps/snipewalkctl.cpp
@@ -144,7 +144,7 @@
         1,
         [](const arguments& aArguments) {
           return Ask(aArguments.empty()
-                       ? "/v1/control"
+                       ? "/v1/state"
                        : "/v1/services/" + EncodePercent(aArguments[0]));
         } } },
     { "members",
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -107,6 +107,7 @@
 {
   aValue["live_members"] = Json::UInt64(aControl.mLiveMembers);
   aValue["slots_held"] = Json::UInt64(aControl.mSlotsHeld);
+  aValue["control_bytes_sent"] = Json::UInt64(aControl.mControlBytesSent);
   aValue["is_watcher"] = aControl.mIsWatcher;
   aValue["watch_age_ms"] = Json::Int64(aControl.mWatchAge.count());
   aValue["store_unreachable_for_ms"] = Json::Int64(
@@ -304,9 +305,6 @@
   if (page == "metrics") {
     return { 200, WriteJson(MetricsPage(aSources.mMetrics())) };
   }
-  if (page == "control" && aSources.mControl) {
-    return { 200, aSources.mControl() };
-  }
   if (page == "explain") {
     return { 200, WriteJson(ExplainPage(aSources, aTarget)) };
   }
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -1,8 +1,6 @@
 // Implementation of the whole instance.
 #include "snipewalk/process/daemon.h"
 
-#include "control_page.h"
-
 #include "snipewalk/base/log.h"
 #include "snipewalk/process/store_http_client.h"
 
@@ -97,11 +95,6 @@
   hooks.mReleaseSlots = [this] {
     mControl.ReleaseSlots(kReleaseLimit, [this] { mInstance.SlotsReleased(); });
   };
-  hooks.mControlPage = [this] {
-    const auto status = mControl.Status();
-    return status ? ControlPage(*status) : std::string("{}");
-  };
-  hooks.mTick = [this](time_point aNow) { CheckSecrets(aNow); };
   hooks.mSendLeave = [this] { mControl.Leave(); };
   return hooks;
 }
--- a/src/process/instance.cpp
+++ b/src/process/instance.cpp
@@ -67,7 +67,6 @@
   sources.mExplain = [this](const statement_request& aRequest) {
     return mTraffic.Explain(aRequest, kExplainTimeout);
   };
-  sources.mControl = mHooks.mControlPage;
   sources.mToken = [this] { return AdminToken(); };
   return sources;
 }
