--- a/include/snipewalk/process/dissemination.h
+++ b/include/snipewalk/process/dissemination.h
@@ -126,7 +126,7 @@
 {
 public:
   // The cache and the membership outlive this object.
-  dissemination(dissemination_options aOptions,
+  dissemination(const dissemination_options& aOptions,
                 object_cache& aCache,
                 membership& aMembership,
                 time_point aNow);
--- a/src/process/dissemination.cpp
+++ b/src/process/dissemination.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-dissemination::dissemination(dissemination_options aOptions,
+dissemination::dissemination(const dissemination_options& aOptions,
                              object_cache& aCache,
                              membership& aMembership,
                              time_point aNow)
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -25,12 +25,12 @@
 request_entry&
 service_engine_state::Insert(std::unique_ptr<request_entry> aEntry)
 {
-  auto& entry = *aEntry;
-  entry.mNumber = ++mLastNumber;
-  entry.mQueuedAt = mNow;
-  mRequests.emplace(entry.mNumber, std::move(aEntry));
-  SetTimer(entry.mRequest.mDeadline, timer_kind::Deadline, entry.mNumber);
-  return entry;
+  const auto number = ++mLastNumber;
+  aEntry->mNumber = number;
+  aEntry->mQueuedAt = mNow;
+  const auto added = mRequests.emplace(number, std::move(aEntry)).first;
+  SetTimer(added->second->mRequest.mDeadline, timer_kind::Deadline, number);
+  return *added->second;
 }
 
 void
--- a/tests/version/drain_test.cpp
+++ b/tests/version/drain_test.cpp
@@ -9,11 +9,7 @@
 class DrainTest : public testing::Test
 {
 protected:
-  DrainTest()
-  {
-    mDocument.mService = "ledger";
-    mTerm = { 4, "a", { "a", "b", "c" }, term_phase::Stable, "x/1/1", "x" };
-  }
+  DrainTest() { mDocument.mService = "ledger"; }
 
   void Add(const std::string& aName, server_state aState)
   {
@@ -37,7 +33,9 @@
   }
 
   service_document mDocument;
-  term_record mTerm;
+  term_record mTerm{
+    4, "a", { "a", "b", "c" }, term_phase::Stable, "x/1/1", "x"
+  };
   drain mDrain;
   time_point mNow = time_point(seconds(100));
   wall_time mWall = wall_time(seconds(1'800'000'000));
--- a/tests/version/slot_model.cpp
+++ b/tests/version/slot_model.cpp
@@ -7,7 +7,7 @@
 
 namespace snipewalk {
 
-slot_model::slot_model(slot_model_options aOptions)
+slot_model::slot_model(const slot_model_options& aOptions)
   : mOptions(aOptions)
   , mRandom(aOptions.mSeed)
   , mNow(std::chrono::hours(1))
--- a/tests/version/slot_model.h
+++ b/tests/version/slot_model.h
@@ -29,7 +29,7 @@
 class slot_model
 {
 public:
-  explicit slot_model(slot_model_options aOptions);
+  explicit slot_model(const slot_model_options& aOptions);
   ~slot_model();
 
   // Advances the time by up to 100 ms, with faults while chaos is on.
