Show the flags of each program and let a load run end early

A load run could not be ended early without losing its figures. Ruled out: renaming the main files; the programs' names are fixed by the docs. Change: DescribeProgram sets the filter, the file names and the version of all programs. SIGINT and SIGTERM end snipewalk-load as if its duration were over.

--- a/include/snipewalk/process/load_worker.h
+++ b/include/snipewalk/process/load_worker.h
@@ -52,6 +52,10 @@
   // Blocks for at most mDuration and mSettle together.
   void Run();
 
+  // Ends the load early, as if mDuration were over. Any thread and signal
+  // handlers; also before Run().
+  void RequestStop();
+
   // Of the requests begun before StoppedAt(). Call after Run().
   const load_statistics& Statistics() const;
   // Microseconds on the records' clock. Call after Run().
--- a/src/apps/snipewalk_check.cpp
+++ b/src/apps/snipewalk_check.cpp
@@ -1,10 +1,10 @@
 // Program: checks the history of a load run. Exit code 0 when it is correct, 1
 // on a violation, 2 on bad input.
+#include "snipewalk/base/command_line.h"
 #include "snipewalk/process/history_check.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/strings/str_split.h>
 
 #include <fstream>
@@ -80,7 +80,8 @@
 int
 main(int argc, char** argv)
 {
-  absl::SetProgramUsageMessage("checks the history of a load run");
+  snipewalk::DescribeProgram("snipewalk-check",
+                             "checks the history of a load run");
   absl::ParseCommandLine(argc, argv);
   std::ifstream file(absl::GetFlag(FLAGS_history));
   const auto history =
--- a/src/apps/snipewalk_load.cpp
+++ b/src/apps/snipewalk_load.cpp
@@ -1,12 +1,13 @@
 // Program: load generator. Drives callers against a list of instances, records
 // the history and prints the figures.
+#include "snipewalk/base/command_line.h"
 #include "snipewalk/process/load_worker.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <algorithm>
+#include <csignal>
 #include <iostream>
 #include <thread>
 
@@ -151,12 +152,34 @@
   return workers;
 }
 
+// Set once before the handlers are installed.
+const std::vector<std::unique_ptr<load_worker>>* theWorkers = nullptr;
+
+void
+OnTerminate(int)
+{
+  for (const auto& worker : *theWorkers) {
+    worker->RequestStop();
+  }
+}
+
+void
+InstallSignals(const std::vector<std::unique_ptr<load_worker>>& aWorkers)
+{
+  theWorkers = &aWorkers;
+  std::signal(SIGTERM, OnTerminate);
+  std::signal(SIGINT, OnTerminate);
+}
+
 } // namespace
 
 int
 main(int argc, char** argv)
 {
-  absl::SetProgramUsageMessage("drives callers against snipewalk instances");
+  snipewalk::DescribeProgram(
+    "snipewalk-load",
+    "drives callers against snipewalk instances; SIGINT "
+    "and SIGTERM end the load early");
   absl::ParseCommandLine(argc, argv);
   const auto faults = FindFaults();
   for (const std::string& fault : faults) {
@@ -167,6 +190,7 @@
     return kExitBadInput;
   }
   auto workers = MakeWorkers(OptionsFromFlags(), history);
+  InstallSignals(workers);
   std::vector<std::thread> threads;
   threads.reserve(workers.size());
   for (auto& worker : workers) {
--- a/src/apps/snipewalkctl.cpp
+++ b/src/apps/snipewalkctl.cpp
@@ -1,11 +1,10 @@
 // The operators' tool.
+#include "snipewalk/base/command_line.h"
 #include "snipewalk/connection/http_codec.h"
 #include "snipewalk/process/operator_commands.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <chrono>
 #include <functional>
@@ -198,12 +197,7 @@
 int
 main(int argc, char** argv)
 {
-  absl::SetProgramUsageMessage(snipewalk::kUsage);
-  absl::FlagsUsageConfig config;
-  config.version_string = [] {
-    return std::string("snipewalkctl " SNIPEWALK_VERSION "\n");
-  };
-  absl::SetFlagsUsageConfig(config);
+  snipewalk::DescribeProgram("snipewalkctl", snipewalk::kUsage);
   const std::vector<char*> left = absl::ParseCommandLine(argc, argv);
   return snipewalk::Run({ left.begin() + 1, left.end() });
 }
--- a/src/apps/snipewalkd.cpp
+++ b/src/apps/snipewalkd.cpp
@@ -1,4 +1,5 @@
 // Program: an instance of snipewalk.
+#include "snipewalk/base/command_line.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/process/daemon.h"
 #include "snipewalk/process/secret_files.h"
@@ -6,8 +7,6 @@
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 
 #include <atomic>
 #include <chrono>
@@ -77,13 +76,9 @@
 int
 main(int argc, char** argv)
 {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] {
-    return std::string("snipewalkd ") + SNIPEWALK_VERSION + "\n";
-  };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage("an instance of the snipewalk database proxy\n"
-                               "usage: snipewalkd --settings=FILE");
+  snipewalk::DescribeProgram("snipewalkd",
+                             "an instance of the snipewalk database proxy\n"
+                             "usage: snipewalkd --settings=FILE");
   absl::ParseCommandLine(argc, argv);
   findings found;
   const auto settings =
--- a/src/process/load_worker.cpp
+++ b/src/process/load_worker.cpp
@@ -22,6 +22,7 @@
 constexpr int kSettleSpeed = 4;
 // Requests of a round of the patterns `drums` and `month_end`.
 constexpr int kRoundRequests = 10;
+constexpr milliseconds kStopCheckInterval{ 100 };
 constexpr std::size_t kHistoryBufferBytes = 256 * 1024;
 
 std::int64_t
@@ -90,12 +91,22 @@
   }
   mLoop.RunAt(start + mOptions.mDuration,
               [this](time_point) { FinishCallers(); });
-  mLoop.RunAt(start + mOptions.mDuration + mOptions.mSettle,
-              [this](time_point) { mLoop.Stop(); });
+  WatchStopRequest(start);
   mLoop.Run();
   FlushHistory();
 }
 
+void
+load_worker_state::WatchStopRequest(time_point aNow)
+{
+  if (mStopRequested.load()) {
+    FinishCallers();
+  } else if (!mFinishing) {
+    mLoop.RunAt(aNow + kStopCheckInterval,
+                [this](time_point aThen) { WatchStopRequest(aThen); });
+  }
+}
+
 void
 load_worker_state::FinishCallers()
 {
@@ -103,7 +114,9 @@
     return;
   }
   mFinishing = true;
-  mStoppedAt = Micros(ClockNow());
+  const time_point now = ClockNow();
+  mStoppedAt = Micros(now);
+  mLoop.RunAt(now + mOptions.mSettle, [this](time_point) { mLoop.Stop(); });
   mInterval /= kSettleSpeed;
   for (caller& finishing : mCallers) {
     finishing.mSession->Finish();
@@ -227,6 +240,12 @@
   mState->Run();
 }
 
+void
+load_worker::RequestStop()
+{
+  mState->mStopRequested.store(true);
+}
+
 const load_statistics&
 load_worker::Statistics() const
 {
--- a/src/process/load_worker_state.h
+++ b/src/process/load_worker_state.h
@@ -7,6 +7,7 @@
 #include "snipewalk/connection/stream_connection.h"
 #include "snipewalk/process/load_worker.h"
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +26,7 @@
   load_statistics mStatistics;
   std::int64_t mStartedAt = 0;
   std::int64_t mStoppedAt = 0;
+  std::atomic<bool> mStopRequested{ false };
 
 private:
   using link_number = std::uint64_t;
@@ -73,6 +75,7 @@
   void CloseLink(link_number aLink);
   // Ends the load; what is unknown is still settled.
   void FinishCallers();
+  void WatchStopRequest(time_point aNow);
   void FlushHistory();
 
   load_options mOptions;
--- a/tests/process/load_worker_test.cpp
+++ b/tests/process/load_worker_test.cpp
@@ -50,6 +50,25 @@
   load_report mReport;
 };
 
+// Guards against a load that cannot be ended early without losing its history
+// and figures.
+TEST_F(LoadWorkerTest, EndsEarlyOnRequest)
+{
+  fake_instance instance(fault::None);
+  load_options options;
+  options.mInstances = { instance.Address() };
+  options.mServices = { "drums" };
+  options.mAccounts = { "workshop" };
+  options.mDuration = std::chrono::hours(1);
+  history_file file("");
+  load_worker worker(options, file);
+  worker.RequestStop();
+  worker.Run();
+  const auto length = worker.StoppedAt() - worker.StartedAt();
+  EXPECT_GE(length, 0);
+  EXPECT_LT(length, 3'600'000'000);
+}
+
 // Guards against false findings, and sessions that stop without an error.
 TEST_F(LoadWorkerTest, ProducesCorrectHistoryOfCorrectInstance)
 {
--- a/tests/standins/standin_backend.cpp
+++ b/tests/standins/standin_backend.cpp
@@ -1,9 +1,9 @@
 // Program: a stand-in for one backend server of a database group.
+#include "snipewalk/base/command_line.h"
 #include "standins/backend_service.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <iostream>
 
@@ -23,7 +23,7 @@
 main(int argc, char** argv)
 {
   using namespace snipewalk;
-  absl::SetProgramUsageMessage("stand-in backend server");
+  DescribeProgram("standin-backend", "stand-in backend server");
   absl::ParseCommandLine(argc, argv);
   event_loop loop;
   standins::backend_options options;
--- a/tests/standins/standin_demo.cpp
+++ b/tests/standins/standin_demo.cpp
@@ -1,8 +1,8 @@
 // Program: walks through the main job on stand-ins and prints what happened.
+#include "snipewalk/base/command_line.h"
 #include "standins/system_fleet.h"
 
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <chrono>
 #include <iostream>
@@ -126,7 +126,8 @@
 int
 main(int argc, char** argv)
 {
-  absl::SetProgramUsageMessage("demonstrates snipewalk on stand-ins");
+  snipewalk::DescribeProgram("standin-demo",
+                             "demonstrates snipewalk on stand-ins");
   absl::ParseCommandLine(argc, argv);
   try {
     Run();
--- a/tests/standins/standin_faults.cpp
+++ b/tests/standins/standin_faults.cpp
@@ -1,9 +1,9 @@
 // Program: fault-injecting TCP proxy between processes of a test.
+#include "snipewalk/base/command_line.h"
 #include "standins/fault_service.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/strings/str_split.h>
 
 #include <iostream>
@@ -21,7 +21,7 @@
 main(int argc, char** argv)
 {
   using namespace snipewalk;
-  absl::SetProgramUsageMessage("fault-injecting TCP proxy");
+  DescribeProgram("standin-faults", "fault-injecting TCP proxy");
   absl::ParseCommandLine(argc, argv);
   event_loop loop;
   standins::fault_service service(
--- a/tests/standins/standin_store.cpp
+++ b/tests/standins/standin_store.cpp
@@ -1,9 +1,9 @@
 // Program: a stand-in for the platform's object store and instance list.
+#include "snipewalk/base/command_line.h"
 #include "standins/store_service.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 
 #include <iostream>
 
@@ -17,7 +17,7 @@
 main(int argc, char** argv)
 {
   using namespace snipewalk;
-  absl::SetProgramUsageMessage("stand-in object store");
+  DescribeProgram("standin-store", "stand-in object store");
   absl::ParseCommandLine(argc, argv);
   event_loop loop;
   standins::store_service service(
