Let a document send the reads of a service to the primary

Ruled out: a header of the caller; where reads go is the operators' policy. Change: key "reads": "replicas" (default) or "primary"; reads with a stated age still go to replicas. explain tells of it. Before: no such policy. After: ServiceEngineTest.ServesReadsFromThePrimaryByPolicy; request-test 59 and version-test 63 tests pass.

--- a/include/snipewalk/version/service_document.h
+++ b/include/snipewalk/version/service_document.h
@@ -36,6 +36,20 @@
   { acknowledge_policy::Primary, "primary" },
 } };
 
+enum class read_policy
+{
+  // Reads go to a replica that is far enough, and to the primary only when
+  // none is.
+  Replicas,
+  // Reads that state no age go to the primary.
+  Primary
+};
+
+inline constexpr name_table<read_policy, 2> kReadPolicyNames{ {
+  { read_policy::Replicas, "replicas" },
+  { read_policy::Primary, "primary" },
+} };
+
 struct server_entry
 {
   std::string mName;
@@ -56,6 +70,7 @@
   // Connections that all instances together may open to one server.
   int mConnectionsPerServer = 20;
   acknowledge_policy mAcknowledge = acknowledge_policy::Replicated;
+  read_policy mReads = read_policy::Replicas;
   // New writes are refused while every replica lags further behind.
   milliseconds mMaxLag{ 10'000 };
   // Waiting requests of the service on one holder.
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -136,7 +136,12 @@
 {
   switch (aRequest.mKind) {
     case statement_kind::Read:
-      return aRequest.mMaxAge ? queue_lane::AgedRead : queue_lane::SessionRead;
+      if (aRequest.mMaxAge) {
+        return queue_lane::AgedRead;
+      }
+      return mView && mView->mDocument.mReads == read_policy::Primary
+               ? queue_lane::PrimaryRead
+               : queue_lane::SessionRead;
     case statement_kind::Begin:
       return queue_lane::Begin;
     default:
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -150,7 +150,8 @@
   }
   const std::string text = ExplainServers();
   if (aRequest.mKind != statement_kind::Read ||
-      !aRequest.mTransaction.empty()) {
+      !aRequest.mTransaction.empty() ||
+      LaneOf(aRequest) == queue_lane::PrimaryRead) {
     return text + (PrimaryReady() ? "The request would go to the primary.\n"
                                   : "The request would wait for a primary.\n");
   }
--- a/src/version/document_validation.cpp
+++ b/src/version/document_validation.cpp
@@ -101,6 +101,8 @@
                                              kConnectionsRange));
   aDocument.mAcknowledge = aReader.OptionalEnum(
     "acknowledge", kAcknowledgePolicyNames, aDocument.mAcknowledge);
+  aDocument.mReads =
+    aReader.OptionalEnum("reads", kReadPolicyNames, aDocument.mReads);
   aDocument.mMaxLag = milliseconds(aReader.OptionalInteger(
     "max_lag_ms", aDocument.mMaxLag.count(), kLagRangeMs));
   aDocument.mQueueLimit = static_cast<int>(
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -23,6 +23,18 @@
   EXPECT_EQ(driver.mAnswers[0].mBody, "rows");
 }
 
+// Guards against reads at a replica although the document asks for the primary.
+TEST(ServiceEngineTest, ServesReadsFromThePrimaryByPolicy)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mReads = read_policy::Primary;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Read));
+  const auto read = driver.Take<backend_statement>();
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->first.mServer, "a");
+}
+
 // Guards against acknowledging a write that only the primary holds.
 TEST(ServiceEngineTest, AnswersAWriteOnlyAfterAMajorityHoldsIt)
 {
