Bound the probes of idle servers and apply the silence limit

Reading the detector for it showed that the setting silence_limit_ms was checked but never reached the detector. Ruled out: a longer fixed interval, which would delay detection where few services are held. Change: failure_detection.probes_per_second (40) bounds the probes of all idle servers of an instance; servers without answers and those of a drain are probed as before. The silence limit is passed on.

--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/process/service_controller.h
@@ -33,6 +33,11 @@
   std::string mDataCentre;
   // A server is probed when no answer was seen for this long.
   milliseconds mProbeInterval{ 100 };
+  // Silence after which a server can be suspected.
+  milliseconds mSilenceLimit{ 1'000 };
+  // Bound for the probes a second of all services' servers that are idle and
+  // without a fault.
+  int mProbesPerSecond = 40;
   // Makes jitter reproducible in tests.
   std::uint64_t mSeed = 1;
   address_translation mAddressTranslation;
@@ -95,6 +100,9 @@
   // others must not take itself for the only one. Without this instance.
   void OnMembers(const std::vector<live_instance>& aMembers, time_point aNow);
 
+  // See failure_detector::SetProbeSpacing().
+  void SetProbeSpacing(milliseconds aSpacing);
+
   // Observation of a traffic thread.
   void OnEvidence(const report_evidence& aEvidence, time_point aNow);
 
--- a/include/snipewalk/process/settings.h
+++ b/include/snipewalk/process/settings.h
@@ -52,6 +52,8 @@
   milliseconds mProbeInterval{ 100 };
   // Silence after which a backend server can be suspected.
   milliseconds mSilenceLimit{ 1'000 };
+  // Probes a second of all servers that are idle and without a fault.
+  int mProbesPerSecond = 40;
 
   // How long a stopping instance still serves new connections while its health
   // answer is negative.
--- a/include/snipewalk/version/failure_detector.h
+++ b/include/snipewalk/version/failure_detector.h
@@ -113,10 +113,10 @@
   std::string mService;
   // A server is probed when no answer was seen for this long.
   milliseconds mProbeInterval{ 100 };
+  // Silence after which a server can be suspected.
+  milliseconds mSilenceLimit{ 1'000 };
 };
 
-// Silence after which a server is suspected.
-inline constexpr milliseconds kSilenceLimit{ 1'000 };
 inline constexpr std::size_t kSilentProbes = 3;
 inline constexpr std::size_t kSilentConnections = 2;
 inline constexpr std::size_t kRefusedLimit = 2;
@@ -130,6 +130,11 @@
 
   explicit failure_detector(detector_options aOptions);
 
+  // Least time between two probes of a server that gives no cause for concern,
+  // where it is longer than the probe interval. Servers that fail to answer and
+  // those of a drain are probed as often as before.
+  void SetProbeSpacing(milliseconds aSpacing);
+
   // Applies one event and appends the actions that follow. Deliver
   // detector_time_passed every 20 ms; a gap above kPauseGap between two events
   // is a pause of the instance's own loop. `aNow` never goes back.
@@ -202,8 +207,8 @@
                    negative aFailure,
                    time_point aNow,
                    actions& aOut);
-  static void Evaluate(server& aState, time_point aNow, actions& aOut);
-  static bool HasEnoughEvidence(const server& aState, time_point aNow);
+  void Evaluate(server& aState, time_point aNow, actions& aOut);
+  bool HasEnoughEvidence(const server& aState, time_point aNow) const;
 
   void SendProbes(time_point aNow, actions& aOut);
   void SendProbe(const std::string& aServer,
@@ -227,6 +232,7 @@
   void SetVerdict(bool aFailed, time_point aNow, actions& aOut);
 
   detector_options mOptions;
+  milliseconds mProbeSpacing{ 0 };
   detector_configured mConfig;
   std::map<std::string, server> mServers;
   // Servers probed only because another instance asked.
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -67,6 +67,8 @@
            aOptions.mStartMs,
            aOptions.mSettings.mDataCentre,
            aOptions.mSettings.mProbeInterval,
+           aOptions.mSettings.mSilenceLimit,
+           aOptions.mSettings.mProbesPerSecond,
            aOptions.mSeed + 3,
            aOptions.mSettings.mAddressTranslation };
 }
--- a/src/process/service_controller.cpp
+++ b/src/process/service_controller.cpp
@@ -72,6 +72,12 @@
   mState->Configure(aNow);
 }
 
+void
+service_controller::SetProbeSpacing(milliseconds aSpacing)
+{
+  mState->mDetector.SetProbeSpacing(aSpacing);
+}
+
 void
 service_controller::OnEvidence(const report_evidence& aEvidence,
                                time_point aNow)
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -52,7 +52,7 @@
   , mOptions(std::move(aOptions))
   , mCallbacks(std::move(aCallbacks))
   , mFailover({ mOptions.mInstance, mOptions.mIncarnation, mOptions.mSeed })
-  , mDetector({ mService, mOptions.mProbeInterval })
+  , mDetector({ mService, mOptions.mProbeInterval, mOptions.mSilenceLimit })
 {
 }
 
--- a/src/process/service_controls.cpp
+++ b/src/process/service_controls.cpp
@@ -70,6 +70,7 @@
                          const service_objects& aObjects,
                          time_point aNow)
 {
+  aEntry.mServers = aObjects.mDocument->mServers.size();
   service_controller& controller = *aEntry.mController;
   if (aObjects.mTerm) {
     controller.OnTermObject(*aObjects.mTerm, aNow);
@@ -84,6 +85,7 @@
   const service_objects objects = mLookup(aService);
   if (!objects.mDocument) {
     mEntries.erase(aService);
+    SpreadProbes();
     return;
   }
   const auto found = mEntries.find(aService);
@@ -96,6 +98,21 @@
   }
   updated.mIsHeld = objects.mIsHeld;
   Inform(updated, objects, aNow);
+  SpreadProbes();
+}
+
+void
+service_controls::SpreadProbes()
+{
+  std::size_t servers = 0;
+  for (const auto& [name, known] : mEntries) {
+    servers += known.mIsHeld ? known.mServers : 0;
+  }
+  const milliseconds spacing(1'000 * static_cast<std::int64_t>(servers) /
+                             mOptions.mProbesPerSecond);
+  for (auto& [name, known] : mEntries) {
+    known.mController->SetProbeSpacing(spacing);
+  }
 }
 
 void
--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -68,6 +68,8 @@
   {
     std::unique_ptr<service_controller> mController;
     bool mIsHeld = false;
+    // Of the document.
+    std::size_t mServers = 0;
     // A controller that only answers queries is removed after this time.
     time_point mKeepUntil;
   };
@@ -76,6 +78,8 @@
   static void Inform(entry& aEntry,
                      const service_objects& aObjects,
                      time_point aNow);
+  // Divides the probes a second among the servers of the services held.
+  void SpreadProbes();
   void RemoveUnused(time_point aNow);
   service_controller* Find(const std::string& aService) const;
 
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -20,6 +20,7 @@
 constexpr integer_range kCallsRange{ 1, 10'000 };
 constexpr integer_range kProbeRangeMs{ 10, 60'000 };
 constexpr integer_range kSilenceRangeMs{ 100, 60'000 };
+constexpr integer_range kProbeRateRange{ 1, 10'000 };
 constexpr integer_range kShutdownRangeMs{ 0, 600'000 };
 // Suspicion needs three unanswered probes within the silence limit.
 constexpr int kProbesInSilence = 3;
@@ -180,6 +181,8 @@
       "probe_interval_ms", mSettings.mProbeInterval.count(), kProbeRangeMs));
     mSettings.mSilenceLimit = milliseconds(section.OptionalInteger(
       "silence_limit_ms", mSettings.mSilenceLimit.count(), kSilenceRangeMs));
+    mSettings.mProbesPerSecond = static_cast<int>(section.OptionalInteger(
+      "probes_per_second", mSettings.mProbesPerSecond, kProbeRateRange));
     if (mSettings.mSilenceLimit < mSettings.mProbeInterval * kProbesInSilence) {
       section.ReportHere("silence_limit_ms",
                          "contradiction",
--- a/src/version/failure_detector.cpp
+++ b/src/version/failure_detector.cpp
@@ -54,6 +54,12 @@
   AdvanceQuery(aNow, aActions);
 }
 
+void
+failure_detector::SetProbeSpacing(milliseconds aSpacing)
+{
+  mProbeSpacing = aSpacing;
+}
+
 std::vector<std::string>
 failure_detector::Suspected() const
 {
@@ -221,7 +227,8 @@
     found->second.mProbeSoon = true;
     Evaluate(found->second, aNow, aOut);
     // Below a second of silence this instance does not know: no report.
-    const bool silent = aNow - found->second.mLastAnswer >= kSilenceLimit;
+    const bool silent =
+      aNow - found->second.mLastAnswer >= mOptions.mSilenceLimit;
     if (aFailure.mRefused || silent || found->second.mSuspected) {
       SendReports(aServer, server_reachability::Unreachable, aOut);
     }
@@ -232,7 +239,7 @@
 }
 
 bool
-failure_detector::HasEnoughEvidence(const server& aState, time_point aNow)
+failure_detector::HasEnoughEvidence(const server& aState, time_point aNow) const
 {
   std::size_t refused = 0;
   std::size_t silent = 0;
@@ -248,7 +255,7 @@
     anyNew = anyNew || failure.mNewConnection;
   }
   return refused >= kRefusedLimit ||
-         (aNow - aState.mLastAnswer >= kSilenceLimit &&
+         (aNow - aState.mLastAnswer >= mOptions.mSilenceLimit &&
           silent >= kSilentProbes && connections.size() >= kSilentConnections &&
           anyNew);
 }
@@ -284,9 +291,12 @@
     if (state.mProbe || sinceProbe < ProbeGap(name, state)) {
       continue;
     }
-    const bool quiet = aNow - state.mLastAnswer >= mOptions.mProbeInterval;
+    const duration sinceAnswer = aNow - state.mLastAnswer;
+    const bool quiet =
+      sinceAnswer >= std::max(mOptions.mProbeInterval, mProbeSpacing);
     if (quiet || state.mProbeSoon || state.mSuspected ||
-        mConfig.mWatchPositions || sinceProbe >= kStatusInterval) {
+        mConfig.mWatchPositions ||
+        sinceProbe >= std::max(kStatusInterval, mProbeSpacing)) {
       SendProbe(name, {}, state, aNow, aOut);
     }
   }
--- a/tests/version/failure_detector_test.cpp
+++ b/tests/version/failure_detector_test.cpp
@@ -17,11 +17,13 @@
 class detector_model
 {
 public:
-  explicit detector_model(std::size_t aInstances, std::size_t aHolders)
+  detector_model(std::size_t aInstances,
+                 std::size_t aHolders,
+                 const detector_options& aOptions = { "ledger" })
     : mHolders(aHolders)
   {
     for (std::size_t i = 0; i < aInstances; ++i) {
-      mDetectors.emplace_back(detector_options{ "ledger" });
+      mDetectors.emplace_back(aOptions);
       mPaused.push_back(false);
     }
     for (std::size_t i = 0; i < aInstances; ++i) {
@@ -169,6 +171,49 @@
   EXPECT_LE(model.mLastVerdict - killed, milliseconds(500));
 }
 
+// Guards against probes of many idle services that exceed the budget of the
+// control traffic.
+TEST(FailureDetectorTest, ProbesIdleServersAtTheGivenSpacing)
+{
+  detector_model model(1, 1);
+  model.mDetectors[0].SetProbeSpacing(milliseconds(300));
+  model.Run(seconds(1));
+  const int before = model.mProbes;
+  model.Run(seconds(30));
+  // Three servers, 100 times each.
+  EXPECT_LE(model.mProbes - before, 300);
+  EXPECT_GT(model.mProbes - before, 250);
+}
+
+// Guards against a spacing of probes that delays the verdict on a silent
+// primary beyond the gap of three seconds.
+TEST(FailureDetectorTest, ReachesVerdictDespiteTheSpacingOfProbes)
+{
+  detector_model model(3, 3);
+  for (auto& detector : model.mDetectors) {
+    detector.SetProbeSpacing(milliseconds(300));
+  }
+  model.Run(seconds(3));
+  model.mSilent.insert("a");
+  const time_point cut = model.mNow;
+  model.Run(milliseconds(2'500));
+  EXPECT_GT(model.mVerdicts, 0);
+  EXPECT_LE(model.mLastVerdict - cut, milliseconds(2'500));
+}
+
+// Guards against a silence limit of the settings that has no effect.
+TEST(FailureDetectorTest, SuspectsAfterTheSilenceLimitOnly)
+{
+  detector_model model(
+    3, 3, { "ledger", milliseconds(100), milliseconds(4'000) });
+  model.Run(seconds(3));
+  model.mSilent.insert("a");
+  model.Run(milliseconds(3'900));
+  EXPECT_TRUE(model.mDetectors[0].Suspected().empty());
+  model.Run(seconds(3));
+  EXPECT_EQ(model.mDetectors[0].Suspected(), std::vector<std::string>{ "a" });
+}
+
 // Guards against a silent network cut that is noticed too late for a gap of
 // three seconds.
 TEST(FailureDetectorTest, ReachesVerdictOnSilentPrimaryWithinTwoSeconds)
