Estimate the time of a write by a window of recent ones

They had waited 450 to 459 ms of 500 ms and were sent with 42 to 51 ms left, because the mean statement time had only reached 21 to 23 ms of the 50 ms that the servers took. With a weight of 0.02 the mean follows a slower server after about 35 statements, and the first 27 of a full queue decide.

Ruled out by the same trace: look-ups (none), waits for an acknowledgement by a voter (none in that stage), repeated attempts (none), time lost in forwarding (the deadline at the holder was 500 to 503 ms away; every instance is a holder).

A write that waited is sent only if 1.5 times the second longest time to its confirmation remains, so two slow replies suffice, and the wait for the acknowledgement counts. The mean is over plain statements; refusals, replays, commits and statements of transactions no longer enter it. A new term starts afresh.

Both new engine tests fail on the code before.

--- a/src/request/engine_acknowledgement.cpp
+++ b/src/request/engine_acknowledgement.cpp
@@ -130,6 +130,9 @@
                              voters,
                              mView->mDocument.mAcknowledge ==
                                acknowledge_policy::Replicated);
+  // The times of the replaced primary say nothing about the new one.
+  mWriteHeld.Clear();
+  mWriteConfirmed.Clear();
   std::vector<std::uint64_t> open;
   for (const auto& [number, entry] : mRequests) {
     if (entry->mStage == request_stage::Acknowledging) {
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -15,9 +15,10 @@
 constexpr milliseconds kAgedHold{ 100 };
 // Spacing of status requests that refresh positions for aged reads.
 constexpr milliseconds kAgedRefreshInterval{ 10 };
-// A statement that waited is sent only if this many times its mean duration
-// remains; durations vary, and what is cut by its deadline ends as unknown.
-constexpr double kDurationMargin = 2;
+// A write that waited is sent only if this many times the high quantile of the
+// time to its confirmation remains. What is cut by its deadline ends as unknown
+// and costs its connection, and a stalled process adds to each duration.
+constexpr double kDurationMargin = 1.5;
 constexpr milliseconds kRetryAfterLate{ 50 };
 
 request_entry&
@@ -66,14 +67,15 @@
   }
 }
 
-// Only statements that waited: an idle service sends at once, so that the mean
-// duration is measured again after a slow time.
+// Only writes that waited: an idle service sends at once, so that the durations
+// are measured again after a slow time.
 bool
 service_engine_state::IsTooLate(const request_entry& aEntry) const
 {
-  const std::chrono::duration<double> needed(kDurationMargin * mWriteSeconds);
-  return aEntry.mHasEffect && aEntry.mAttempts == 0 && aEntry.mDoubtTerm == 0 &&
-         mNow > aEntry.mQueuedAt && aEntry.mRequest.mDeadline - mNow < needed;
+  return aEntry.mHasEffect && aEntry.mDoubtTerm == 0 &&
+         mNow > aEntry.mQueuedAt &&
+         aEntry.mRequest.mDeadline - mNow <
+           kDurationMargin * mWriteConfirmed.High();
 }
 
 void
@@ -233,6 +235,7 @@
   aEntry.mAttempts =
     aEntry.mSentTerm == mRouter.Term() ? aEntry.mAttempts + 1 : 1;
   aEntry.mSentTerm = mRouter.Term();
+  aEntry.mSentAt = mNow;
   aEntry.mAttemptId =
     absl::StrCat(aEntry.mRequest.mRequestId, ".", ++mLastAttempt);
   backend_statement statement;
--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -7,20 +7,11 @@
 
 namespace {
 
-// Weight of the newest statement in the mean service time.
-constexpr double kServiceTimeWeight = 0.02;
 constexpr milliseconds kAnsweredInterval{ 100 };
 // Writes are held this long after the primary refused its role or term, unless
 // a new view comes first.
 constexpr milliseconds kHoldWrites{ 10 };
 
-void
-Average(double& aMean, duration aValue)
-{
-  const double value = std::chrono::duration<double>(aValue).count();
-  aMean += kServiceTimeWeight * (value - aMean);
-}
-
 bool
 IsStatement(connection_use aUse)
 {
@@ -30,6 +21,24 @@
 
 } // namespace
 
+// Refusals and replays are answered without the work of a statement, and
+// statements of transactions do not wait for a connection.
+void
+service_engine_state::NoteHeld(const request_entry& aEntry,
+                               duration aHeld,
+                               const backend_reply& aReply)
+{
+  if (aReply.mError != backend_error::None || aReply.mReplayed ||
+      aEntry.mTransaction != 0) {
+    return;
+  }
+  if (aEntry.mRequest.mKind == statement_kind::Read) {
+    mReadHeld.Add(aHeld);
+  } else if (aEntry.mRequest.mKind == statement_kind::Write) {
+    mWriteHeld.Add(aHeld);
+  }
+}
+
 void
 service_engine_state::OnStatementReply(pooled_connection& aConnection,
                                        const backend_reply& aReply)
@@ -50,9 +59,7 @@
     return;
   }
   aConnection.mOutstanding = false;
-  Average(entry->mRequest.mKind == statement_kind::Read ? mReadSeconds
-                                                        : mWriteSeconds,
-          mNow - aConnection.mSentAt);
+  NoteHeld(*entry, mNow - aConnection.mSentAt, aReply);
   if (transaction) {
     OnTransactionReply(*transaction, *entry, aReply);
     return;
--- a/src/request/engine_settlement.cpp
+++ b/src/request/engine_settlement.cpp
@@ -124,6 +124,27 @@
   }
 }
 
+// An attempt that is cut by its deadline tells that statements take longer.
+void
+service_engine_state::NoteCut(const request_entry& aEntry)
+{
+  const bool sent = aEntry.mStage == request_stage::Sent;
+  const bool executed =
+    aEntry.mStage == request_stage::Acknowledging && !aEntry.mReplayed;
+  if ((!sent && !executed) || aEntry.mTransaction != 0) {
+    return;
+  }
+  const duration taken = mNow - aEntry.mSentAt;
+  if (aEntry.mRequest.mKind == statement_kind::Read) {
+    mReadHeld.AddCut(taken);
+  } else if (aEntry.mRequest.mKind == statement_kind::Write) {
+    mWriteConfirmed.AddCut(taken);
+    if (sent) {
+      mWriteHeld.AddCut(taken);
+    }
+  }
+}
+
 void
 service_engine_state::OnDeadline(request_entry& aEntry)
 {
@@ -131,6 +152,7 @@
     LoseTransaction(aEntry.mTransaction, refusal_reason::DeadlineExceeded);
     return;
   }
+  NoteCut(aEntry);
   if (aEntry.mConnection != 0) {
     // The reply would come later: the connection cannot be used again.
     if (aEntry.mStage == request_stage::Sent && aEntry.mHasEffect) {
@@ -164,6 +186,9 @@
 service_engine_state::Confirmed(request_entry& aEntry)
 {
   mCounters.mWritesDone += aEntry.mOutcomeOnly ? 0 : 1;
+  if (!aEntry.mReplayed && aEntry.mRequest.mKind == statement_kind::Write) {
+    mWriteConfirmed.Add(mNow - aEntry.mSentAt);
+  }
   AnswerDone(aEntry);
 }
 
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -150,12 +150,12 @@
 {
   std::size_t connections = 0;
   double waiting = 0;
-  double each = mReadSeconds;
+  duration each = mReadHeld.Mean();
   if (aLane == queue_lane::Write || aLane == queue_lane::Begin) {
     if (!PrimaryReady()) {
       return milliseconds(0);
     }
-    each = mWriteSeconds;
+    each = mWriteHeld.Mean();
     connections = mPool.OpenCount(*mRouter.Primary());
     waiting = static_cast<double>(mQueue.Size(queue_lane::Write));
     if (aLane == queue_lane::Begin) {
@@ -173,8 +173,8 @@
   if (connections == 0) {
     return milliseconds(0);
   }
-  return milliseconds(static_cast<std::int64_t>(
-    1'000 * waiting * each / static_cast<double>(connections)));
+  return std::chrono::duration_cast<milliseconds>(
+    each * (waiting / static_cast<double>(connections)));
 }
 
 void
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_REQUEST_SERVICE_ENGINE_STATE_H_
 #define SNIPEWALK_REQUEST_SERVICE_ENGINE_STATE_H_
 
+#include "request/service_time.h"
 #include "snipewalk/connection/connection_pool.h"
 #include "snipewalk/request/admission_queue.h"
 #include "snipewalk/request/read_router.h"
@@ -69,6 +70,8 @@
   std::string mAttemptId;
   std::uint64_t mSentTerm = 0;
   time_point mQueuedAt;
+  // When the last attempt was sent.
+  time_point mSentAt;
   // Highest term in which an attempt was sent whose outcome is not known; zero
   // when "not run" may be said.
   std::uint64_t mDoubtTerm = 0;
@@ -194,6 +197,9 @@
   void ArmNewConnections(std::size_t aFirstAction);
 
   // engine_replies.cpp: replies and lost connections.
+  void NoteHeld(const request_entry& aEntry,
+                duration aHeld,
+                const backend_reply& aReply);
   void OnStatementReply(pooled_connection& aConnection,
                         const backend_reply& aReply);
   void OnExecuted(request_entry& aEntry,
@@ -221,6 +227,7 @@
                      const backend_reply& aReply);
   void OnKeyAbsent(request_entry& aEntry, std::uint64_t aTerm);
   void OnDeadline(request_entry& aEntry);
+  void NoteCut(const request_entry& aEntry);
   void Confirmed(request_entry& aEntry);
   void AnswerDone(request_entry& aEntry);
   void AnswerFailed(request_entry& aEntry,
@@ -299,9 +306,11 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
-  // Mean time that a statement occupies a connection, by writes and reads.
-  double mWriteSeconds = 0.001;
-  double mReadSeconds = 0.001;
+  // Times that writes and reads outside transactions occupy a connection.
+  service_time mWriteHeld;
+  service_time mReadHeld;
+  // Times of writes from the sending to the confirmation by a majority.
+  service_time mWriteConfirmed;
   engine_status mCounters;
 };
 
--- /dev/null
+++ b/tests/request/service_engine_overload_test.cpp
@@ -0,0 +1,86 @@
+// The service engine under more load than its connections can take.
+#include "engine_driver.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+using sent_statement = std::pair<engine_driver::sent, backend_statement>;
+
+// Submits writes with `aTimeout` until all connections of the primary are busy
+// and the last write waits. Returns those that were sent.
+std::vector<sent_statement>
+FillConnections(engine_driver& aDriver, milliseconds aTimeout)
+{
+  std::vector<sent_statement> sent;
+  for (;;) {
+    auto request = aDriver.Request(statement_kind::Write);
+    request.mDeadline = aDriver.mNow + aTimeout;
+    aDriver.Submit(request);
+    const auto write = aDriver.Take<backend_statement>("a");
+    if (!write) {
+      return sent;
+    }
+    sent.push_back(*write);
+  }
+}
+
+// Guards against writes that are sent too late because the estimate still
+// comes from the time when the server was fast.
+TEST(ServiceEngineOverloadTest, FollowsAServerThatBecomesSlower)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mAcknowledge = acknowledge_policy::Primary;
+  driver.Start();
+  for (int i = 0; i < 100; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+    driver.Advance(milliseconds(1));
+    driver.Execute(*driver.Take<backend_statement>("a"), 1);
+  }
+  const auto slow = FillConnections(driver, milliseconds(600));
+  ASSERT_GE(slow.size(), 2U);
+  driver.mAnswers.clear();
+  driver.Advance(milliseconds(400));
+  driver.Execute(slow[0], 2);
+  // The first slow reply makes room for the write that waits: a fresh one.
+  const auto next = driver.Take<backend_statement>("a");
+  ASSERT_TRUE(next);
+  auto late = driver.Request(statement_kind::Write);
+  late.mDeadline = driver.mNow + milliseconds(300);
+  driver.Submit(late);
+  driver.Advance(milliseconds(1));
+  driver.Execute(slow[1], 3);
+  EXPECT_FALSE(driver.Take<backend_statement>("a"));
+  ASSERT_FALSE(driver.mAnswers.empty());
+  const auto& refused = driver.mAnswers.back();
+  EXPECT_EQ(refused.mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(refused.mReason, refusal_reason::Overloaded);
+}
+
+// Guards against writes that are executed in time but confirmed too late,
+// because only the execution was measured.
+TEST(ServiceEngineOverloadTest, CountsTheConfirmationAsTimeOfAWrite)
+{
+  engine_driver driver;
+  driver.Start();
+  std::uint64_t index = 0;
+  for (int i = 0; i < 3; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+    driver.Execute(*driver.Take<backend_statement>("a"), ++index);
+    driver.Advance(milliseconds(150));
+    ASSERT_TRUE(driver.Acknowledge("b", index));
+  }
+  ASSERT_EQ(driver.mAnswers.size(), 3U);
+  const auto sent = FillConnections(driver, milliseconds(200));
+  ASSERT_FALSE(sent.empty());
+  driver.Advance(milliseconds(10));
+  driver.Execute(sent[0], ++index);
+  EXPECT_FALSE(driver.Take<backend_statement>("a"));
+  ASSERT_EQ(driver.mAnswers.size(), 4U);
+  EXPECT_EQ(driver.mAnswers[3].mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(driver.mAnswers[3].mReason, refusal_reason::Overloaded);
+}
+
+} // namespace
+} // namespace snipewalk
