Refuse reads that cannot end within their deadline

Cause: a read that waited was sent with any remaining time.

Change: reads follow the rule of writes and are refused before they are sent.

The new test fails on the code before.

--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -15,9 +15,10 @@
 constexpr milliseconds kAgedHold{ 100 };
 // Spacing of status requests that refresh positions for aged reads.
 constexpr milliseconds kAgedRefreshInterval{ 10 };
-// A write that waited is sent only if this many times the high quantile of the
-// time to its confirmation remains. What is cut by its deadline ends as unknown
-// and costs its connection, and a stalled process adds to each duration.
+// A statement that waited is sent only if this many times the high quantile of
+// its time remains. What is cut by its deadline was work for nothing, costs its
+// connection and, as a write, ends as unknown; and a stalled process adds to
+// each duration.
 constexpr double kDurationMargin = 1.5;
 constexpr milliseconds kRetryAfterLate{ 50 };
 
@@ -67,15 +68,37 @@
   }
 }
 
-// Only writes that waited: an idle service sends at once, so that the durations
-// are measured again after a slow time.
+duration
+service_engine_state::NeededTime(statement_kind aKind) const
+{
+  switch (aKind) {
+    case statement_kind::Read:
+      return std::chrono::duration_cast<duration>(kDurationMargin *
+                                                  mReadHeld.High());
+    case statement_kind::Write:
+      return std::chrono::duration_cast<duration>(kDurationMargin *
+                                                  mWriteConfirmed.High());
+    default:
+      return duration{ 0 };
+  }
+}
+
+// Only statements that waited: an idle service sends at once, so that the
+// durations are measured again after a slow time.
 bool
 service_engine_state::IsTooLate(const request_entry& aEntry) const
 {
-  return aEntry.mHasEffect && aEntry.mDoubtTerm == 0 &&
-         mNow > aEntry.mQueuedAt &&
-         aEntry.mRequest.mDeadline - mNow <
-           kDurationMargin * mWriteConfirmed.High();
+  return aEntry.mDoubtTerm == 0 && mNow > aEntry.mQueuedAt &&
+         aEntry.mRequest.mDeadline - mNow < NeededTime(aEntry.mRequest.mKind);
+}
+
+void
+service_engine_state::RefuseLate(request_entry& aEntry)
+{
+  AnswerFailed(aEntry,
+               refusal_reason::Overloaded,
+               "the remaining time is too short for the statement",
+               std::max(ExpectedWait(aEntry.mLane), kRetryAfterLate));
 }
 
 void
@@ -99,10 +122,7 @@
     }
     if (IsTooLate(entry)) {
       mQueue.Pop(aLane);
-      AnswerFailed(entry,
-                   refusal_reason::Overloaded,
-                   "the remaining time is too short for the statement",
-                   std::max(ExpectedWait(aLane), kRetryAfterLate));
+      RefuseLate(entry);
       continue;
     }
     auto* connection = mPool.Acquire(primary, aUse, entry.mNumber, mNow);
@@ -119,7 +139,11 @@
 service_engine_state::DispatchReads(queue_lane aLane)
 {
   while (auto* node = mQueue.Front(aLane)) {
-    if (!DispatchRead(EntryOf(*node))) {
+    auto& entry = EntryOf(*node);
+    if (IsTooLate(entry)) {
+      mQueue.Pop(aLane);
+      RefuseLate(entry);
+    } else if (!DispatchRead(entry)) {
       return;
     }
   }
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -182,7 +182,9 @@
                      std::uint64_t aTried,
                      time_point aNow) const;
   bool DispatchRead(request_entry& aEntry);
+  duration NeededTime(statement_kind aKind) const;
   bool IsTooLate(const request_entry& aEntry) const;
+  void RefuseLate(request_entry& aEntry);
   bool PrimaryReady() const;
   void MoveToPrimaryLane(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
--- a/tests/request/service_engine_overload_test.cpp
+++ b/tests/request/service_engine_overload_test.cpp
@@ -82,5 +82,34 @@
   EXPECT_EQ(driver.mAnswers[3].mReason, refusal_reason::Overloaded);
 }
 
+// Guards against reads that are sent although their deadline cuts them: each
+// costs its connection, so that the throughput falls under overload.
+TEST(ServiceEngineOverloadTest, RefusesWaitingReadsThatCannotEndInTime)
+{
+  engine_driver driver;
+  driver.Start();
+  std::vector<sent_statement> sent;
+  for (bool waits = false; !waits;) {
+    auto request = driver.Request(statement_kind::Read);
+    request.mDeadline = driver.mNow + milliseconds(600);
+    driver.Submit(request);
+    const auto read = driver.Take<backend_statement>();
+    waits = !read;
+    if (read) {
+      sent.push_back(*read);
+    }
+  }
+  ASSERT_GE(sent.size(), 2U);
+  driver.Advance(milliseconds(400));
+  driver.mAnswers.clear();
+  driver.Execute(sent[0], 1);
+  EXPECT_FALSE(driver.Take<backend_statement>());
+  ASSERT_EQ(driver.mAnswers.size(), 2U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::Done);
+  EXPECT_EQ(driver.mAnswers[1].mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(driver.mAnswers[1].mReason, refusal_reason::Overloaded);
+  EXPECT_GT(driver.mAnswers[1].mRetryAfter, milliseconds(0));
+}
+
 } // namespace
 } // namespace snipewalk
