Refuse at admission what would wait for most of its time

Cause: a request was admitted if its expected wait, a mean, was shorter than its remaining time. Under overload the queue therefore stood at the deadline: most requests waited for 450 of 500 ms, whether they were served or refused. The estimate also counted connections that waiting statements cannot get (acknowledgement links at replicas, open transactions).

Change: twice the expected wait and the time that the statement may need have to fit; the refusal comes at once. Connections in such use are left out.

The new test fails with the margin of 1 that applied before.

--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -20,7 +20,6 @@
 // connection and, as a write, ends as unknown; and a stalled process adds to
 // each duration.
 constexpr double kDurationMargin = 1.5;
-constexpr milliseconds kRetryAfterLate{ 50 };
 
 request_entry&
 EntryOf(admission_node& aNode)
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -14,6 +14,12 @@
 // Told to callers that are refused until a term or a view arrives.
 constexpr milliseconds kRetryAfterChange{ 200 };
 
+// The expected wait is a mean and can be exceeded: a request is admitted only
+// if this many times it and the statement itself fit into the remaining time.
+// At 1, most requests of an overloaded service are refused only after they
+// waited.
+constexpr double kWaitMargin = 2;
+
 bool
 EndsTransaction(statement_kind aKind)
 {
@@ -69,11 +75,13 @@
     return;
   }
   const auto wait = ExpectedWait(entry.mLane);
-  if (mNow + wait > request.mDeadline) {
+  if (wait > milliseconds(0) &&
+      mNow + kWaitMargin * wait + NeededTime(request.mKind) >
+        request.mDeadline) {
     AnswerFailed(entry,
                  refusal_reason::Overloaded,
                  "the expected wait exceeds the remaining time",
-                 wait);
+                 std::max(wait, kRetryAfterLate));
     return;
   }
   Enqueue(entry, false);
@@ -144,6 +152,16 @@
   }
 }
 
+// Connections of a server that waiting statements can get.
+std::size_t
+service_engine_state::SharedConnections(std::size_t aServer) const
+{
+  const std::size_t bound =
+    mPool.InUse(aServer, connection_use::Acknowledgement) +
+    mPool.InUse(aServer, connection_use::Transaction);
+  return mPool.OpenCount(aServer) - std::min(mPool.OpenCount(aServer), bound);
+}
+
 // Zero while nothing can be estimated, as during a change of primary.
 milliseconds
 service_engine_state::ExpectedWait(queue_lane aLane) const
@@ -156,14 +174,14 @@
       return milliseconds(0);
     }
     each = mWriteHeld.Mean();
-    connections = mPool.OpenCount(*mRouter.Primary());
+    connections = SharedConnections(*mRouter.Primary());
     waiting = static_cast<double>(mQueue.Size(queue_lane::Write));
     if (aLane == queue_lane::Begin) {
       waiting += static_cast<double>(mQueue.Size(queue_lane::Begin));
     }
   } else {
     for (std::size_t i = 0; i < mRouter.Servers().size(); ++i) {
-      connections += mRouter.Primary() == i ? 0 : mPool.OpenCount(i);
+      connections += mRouter.Primary() == i ? 0 : SharedConnections(i);
     }
     waiting = static_cast<double>(mQueue.Size(queue_lane::SessionRead));
     if (aLane == queue_lane::AgedRead) {
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -33,6 +33,9 @@
 // Servers whose role in the present term is unknown are asked this often.
 inline constexpr milliseconds kUnknownRefreshInterval{ 50 };
 
+// Told to callers whose request does not fit into its remaining time.
+inline constexpr milliseconds kRetryAfterLate{ 50 };
+
 // A statement is sent at most this often in one term.
 inline constexpr int kAttemptsMax = 4;
 
@@ -169,6 +172,7 @@
   // engine_submission.cpp: admission.
   bool Admit(request_entry& aEntry);
   queue_lane LaneOf(const statement_request& aRequest) const;
+  std::size_t SharedConnections(std::size_t aServer) const;
   milliseconds ExpectedWait(queue_lane aLane) const;
   void Enqueue(request_entry& aEntry, bool aFront);
   request_entry& Insert(std::unique_ptr<request_entry> aEntry);
--- a/tests/request/service_engine_overload_test.cpp
+++ b/tests/request/service_engine_overload_test.cpp
@@ -1,5 +1,6 @@
 // The service engine under more load than its connections can take.
 #include "engine_driver.h"
+#include "request/service_time.h"
 
 #include <gtest/gtest.h>
 
@@ -111,5 +112,46 @@
   EXPECT_GT(driver.mAnswers[1].mRetryAfter, milliseconds(0));
 }
 
+// Guards against requests that wait in vain: admitted although a wait somewhat
+// longer than expected leaves too little time for the statement.
+TEST(ServiceEngineOverloadTest, DecidesAtAdmission)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mAcknowledge = acknowledge_policy::Primary;
+  driver.Start();
+  for (std::size_t i = 0; i < kServiceTimeWindow; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+    driver.Advance(milliseconds(100));
+    driver.Execute(*driver.Take<backend_statement>("a"), 1);
+    driver.Settle();
+  }
+  driver.mAnswers.clear();
+  for (int i = 0; i < 100; ++i) {
+    auto request = driver.Request(statement_kind::Write);
+    request.mDeadline = driver.mNow + milliseconds(1'000);
+    driver.Submit(request);
+    driver.Settle();
+  }
+  const std::size_t refused = driver.mAnswers.size();
+  EXPECT_GT(refused, 50U);
+  EXPECT_LT(refused, 90U);
+  for (int i = 0; i < 10; ++i) {
+    driver.Advance(milliseconds(150));
+    std::vector<sent_statement> running;
+    while (const auto write = driver.Take<backend_statement>("a")) {
+      running.push_back(*write);
+    }
+    for (const auto& write : running) {
+      driver.Execute(write, 1);
+    }
+  }
+  ASSERT_EQ(driver.mAnswers.size(), 100U);
+  for (std::size_t i = 0; i < driver.mAnswers.size(); ++i) {
+    EXPECT_EQ(driver.mAnswers[i].mOutcome,
+              i < refused ? statement_outcome::NotRun : statement_outcome::Done)
+      << i;
+  }
+}
+
 } // namespace
 } // namespace snipewalk
