Admit requests by the turns of their account

Cause: the queue serves client accounts in turn, but the admission before it did not: the expected wait was that of the whole lane, and a queue that one account had filled was full for all. An account whose request would have been next was refused like the account that caused the load.

Change: the expected wait counts the requests that are served before this one (the account's own, and of each other account at most as many turns). In a full queue a request displaces the newest one of the account with the most waiting, which is refused as not run, as long as that account keeps no less.

OverloadTest: the 60 probes used another account than the load and are no longer refused, which is right. They now use the load's account, so that the test still sees refusals; nothing else in it changed. Both new engine tests fail on the code before.

Remaining: the limit of the queue spans the lanes. A queue full of reads with a stated age still refuses a write.

--- a/include/snipewalk/request/admission_queue.h
+++ b/include/snipewalk/request/admission_queue.h
@@ -51,6 +51,16 @@
   std::size_t Size() const { return mSize; }
   std::size_t Size(queue_lane aLane) const;
 
+  // Requests of the lane that are served before a new one of the account, at
+  // most: other accounts take their turns meanwhile, but no more than that.
+  std::size_t Ahead(queue_lane aLane, const std::string& aAccount) const;
+
+  // What a new request of the account may displace from the lane: the newest
+  // request of the account that has the most waiting there. Null when no
+  // account would keep at least as many as `aAccount` has then.
+  admission_node* Displaceable(queue_lane aLane,
+                               const std::string& aAccount) const;
+
   // Requests that an account may take in a row; 1 by default.
   void SetWeight(const std::string& aAccount, int aWeight);
 
@@ -80,6 +90,9 @@
     std::size_t mSize = 0;
   };
 
+  const account_queue* Find(queue_lane aLane,
+                            const std::string& aAccount) const;
+  int WeightOf(const std::string& aAccount) const;
   void Unlink(admission_node& aNode);
 
   std::array<lane_state, kQueueLanes> mLanes;
--- a/src/request/admission_queue.cpp
+++ b/src/request/admission_queue.cpp
@@ -1,6 +1,8 @@
 // Implementation of the admission queues.
 #include "snipewalk/request/admission_queue.h"
 
+#include <algorithm>
+
 namespace snipewalk {
 
 // Waiting requests of one account in one lane. It stands in the lane's turns
@@ -11,6 +13,7 @@
   int mWeight = 1;
   // Requests that the account may still take in this turn.
   int mCredit = 1;
+  std::size_t mSize = 0;
   admission_node* mFirst = nullptr;
   admission_node* mLast = nullptr;
   std::list<account_queue*>::iterator mTurn;
@@ -33,6 +36,56 @@
   return mLanes[static_cast<std::size_t>(aLane)].mSize;
 }
 
+int
+admission_queue::WeightOf(const std::string& aAccount) const
+{
+  const auto found = mWeights.find(aAccount);
+  return found == mWeights.end() ? 1 : found->second;
+}
+
+const account_queue*
+admission_queue::Find(queue_lane aLane, const std::string& aAccount) const
+{
+  const auto& accounts = mLanes[static_cast<std::size_t>(aLane)].mAccounts;
+  const auto found = accounts.find(aAccount);
+  return found == accounts.end() ? nullptr : found->second.get();
+}
+
+std::size_t
+admission_queue::Ahead(queue_lane aLane, const std::string& aAccount) const
+{
+  const auto& lane = mLanes[static_cast<std::size_t>(aLane)];
+  if (lane.mSize == 0) {
+    return 0;
+  }
+  const account_queue* own = Find(aLane, aAccount);
+  const std::size_t before = own ? own->mSize : 0;
+  const std::size_t turns =
+    before / static_cast<std::size_t>(std::max(1, WeightOf(aAccount))) + 1;
+  std::size_t ahead = before;
+  for (const account_queue* queue : lane.mTurns) {
+    const auto weight = static_cast<std::size_t>(std::max(1, queue->mWeight));
+    ahead += queue == own ? 0 : std::min(queue->mSize, turns * weight);
+  }
+  return ahead;
+}
+
+admission_node*
+admission_queue::Displaceable(queue_lane aLane,
+                              const std::string& aAccount) const
+{
+  const account_queue* own = Find(aLane, aAccount);
+  const std::size_t before = own ? own->mSize : 0;
+  const account_queue* most = nullptr;
+  for (const account_queue* queue :
+       mLanes[static_cast<std::size_t>(aLane)].mTurns) {
+    if (!most || queue->mSize > most->mSize) {
+      most = queue;
+    }
+  }
+  return most && most->mSize > before + 1 ? most->mLast : nullptr;
+}
+
 void
 admission_queue::SetWeight(const std::string& aAccount, int aWeight)
 {
@@ -57,8 +110,7 @@
   if (!queue) {
     queue = std::make_unique<account_queue>();
     queue->mLane = index;
-    const auto weight = mWeights.find(aAccount);
-    queue->mWeight = weight == mWeights.end() ? 1 : weight->second;
+    queue->mWeight = WeightOf(aAccount);
   }
   if (!queue->mFirst) {
     queue->mCredit = queue->mWeight;
@@ -69,6 +121,7 @@
   aNode.mNext = aFront ? queue->mFirst : nullptr;
   (aNode.mPrevious ? aNode.mPrevious->mNext : queue->mFirst) = &aNode;
   (aNode.mNext ? aNode.mNext->mPrevious : queue->mLast) = &aNode;
+  ++queue->mSize;
   ++lane.mSize;
   ++mSize;
 }
@@ -112,6 +165,7 @@
   (aNode.mPrevious ? aNode.mPrevious->mNext : queue->mFirst) = aNode.mNext;
   (aNode.mNext ? aNode.mNext->mPrevious : queue->mLast) = aNode.mPrevious;
   aNode = admission_node{};
+  --queue->mSize;
   --lane.mSize;
   --mSize;
   if (!queue->mFirst) {
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -97,7 +97,8 @@
   AnswerFailed(aEntry,
                refusal_reason::Overloaded,
                "the remaining time is too short for the statement",
-               std::max(ExpectedWait(aEntry.mLane), kRetryAfterLate));
+               std::max(ExpectedWait(aEntry.mLane, aEntry.mRequest.mAccount),
+                        kRetryAfterLate));
 }
 
 void
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -67,14 +67,11 @@
     return;
   }
   entry.mLane = LaneOf(request);
-  if (mQueue.Full()) {
-    AnswerFailed(entry,
-                 refusal_reason::Overloaded,
-                 "too many requests are waiting",
-                 std::max(ExpectedWait(entry.mLane), kRetryAfterChange));
+  if (mQueue.Full() && !Displace(entry)) {
+    RefuseFull(entry);
     return;
   }
-  const auto wait = ExpectedWait(entry.mLane);
+  const auto wait = ExpectedWait(entry.mLane, request.mAccount);
   if (wait > milliseconds(0) &&
       mNow + kWaitMargin * wait + NeededTime(request.mKind) >
         request.mDeadline) {
@@ -152,6 +149,30 @@
   }
 }
 
+void
+service_engine_state::RefuseFull(request_entry& aEntry)
+{
+  AnswerFailed(aEntry,
+               refusal_reason::Overloaded,
+               "too many requests are waiting",
+               std::max(ExpectedWait(aEntry.mLane, aEntry.mRequest.mAccount),
+                        kRetryAfterChange));
+}
+
+// Makes room in a full queue at the expense of an account that has more
+// requests waiting, so that one account cannot keep the others out.
+bool
+service_engine_state::Displace(const request_entry& aEntry)
+{
+  auto* node = mQueue.Displaceable(aEntry.mLane, aEntry.mRequest.mAccount);
+  auto* displaced = static_cast<request_entry*>(node);
+  if (!displaced || displaced->mDoubtTerm != 0) {
+    return false;
+  }
+  RefuseFull(*displaced);
+  return true;
+}
+
 // Connections of a server that waiting statements can get.
 std::size_t
 service_engine_state::SharedConnections(std::size_t aServer) const
@@ -164,10 +185,11 @@
 
 // Zero while nothing can be estimated, as during a change of primary.
 milliseconds
-service_engine_state::ExpectedWait(queue_lane aLane) const
+service_engine_state::ExpectedWait(queue_lane aLane,
+                                   const std::string& aAccount) const
 {
   std::size_t connections = 0;
-  double waiting = 0;
+  std::size_t waiting = 0;
   duration each = mReadHeld.Mean();
   if (aLane == queue_lane::Write || aLane == queue_lane::Begin) {
     if (!PrimaryReady()) {
@@ -175,24 +197,20 @@
     }
     each = mWriteHeld.Mean();
     connections = SharedConnections(*mRouter.Primary());
-    waiting = static_cast<double>(mQueue.Size(queue_lane::Write));
-    if (aLane == queue_lane::Begin) {
-      waiting += static_cast<double>(mQueue.Size(queue_lane::Begin));
-    }
+    waiting = aLane == queue_lane::Begin ? mQueue.Size(queue_lane::Write) : 0;
   } else {
     for (std::size_t i = 0; i < mRouter.Servers().size(); ++i) {
       connections += mRouter.Primary() == i ? 0 : SharedConnections(i);
     }
-    waiting = static_cast<double>(mQueue.Size(queue_lane::SessionRead));
-    if (aLane == queue_lane::AgedRead) {
-      waiting += static_cast<double>(mQueue.Size(queue_lane::AgedRead));
-    }
+    waiting =
+      aLane == queue_lane::AgedRead ? mQueue.Size(queue_lane::SessionRead) : 0;
   }
   if (connections == 0) {
     return milliseconds(0);
   }
+  waiting += mQueue.Ahead(aLane, aAccount);
   return std::chrono::duration_cast<milliseconds>(
-    each * (waiting / static_cast<double>(connections)));
+    each * (static_cast<double>(waiting) / static_cast<double>(connections)));
 }
 
 void
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -173,7 +173,10 @@
   bool Admit(request_entry& aEntry);
   queue_lane LaneOf(const statement_request& aRequest) const;
   std::size_t SharedConnections(std::size_t aServer) const;
-  milliseconds ExpectedWait(queue_lane aLane) const;
+  milliseconds ExpectedWait(queue_lane aLane,
+                            const std::string& aAccount) const;
+  void RefuseFull(request_entry& aEntry);
+  bool Displace(const request_entry& aEntry);
   void Enqueue(request_entry& aEntry, bool aFront);
   request_entry& Insert(std::unique_ptr<request_entry> aEntry);
 
--- a/tests/integration/overload_test.cpp
+++ b/tests/integration/overload_test.cpp
@@ -34,6 +34,8 @@
   int refused = 0;
   for (int i = 0; i < 60; ++i) {
     caller_statement statement;
+    // The account of the load: another one would get its turn beside it.
+    statement.mAccount = "load";
     statement.mKind = i % 2 == 0 ? "write" : "read";
     statement.mBody = i % 2 == 0 ? "set drum/1 cleaned" : "get drum/1";
     statement.mTimeoutMs = 500;
--- a/tests/request/admission_queue_test.cpp
+++ b/tests/request/admission_queue_test.cpp
@@ -49,6 +49,37 @@
   EXPECT_EQ(PopAll(), "041523");
 }
 
+// Guards against an account that is refused for the requests of another.
+TEST_F(AdmissionQueueTest, CountsOnlyWhatIsServedBefore)
+{
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "quiet"), 0U);
+  for (const int i : { 0, 1, 2, 3, 4 }) {
+    Push(i, "busy");
+  }
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "quiet"), 1U);
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "busy"), 5U);
+  Push(5, "quiet");
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "quiet"), 3U);
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "busy"), 6U);
+  mQueue.SetWeight("busy", 2);
+  EXPECT_EQ(mQueue.Ahead(queue_lane::Write, "other"), 3U);
+}
+
+// Guards against a full queue that belongs to one account, and against accounts
+// that displace each other in turn.
+TEST_F(AdmissionQueueTest, DisplacesTheNewestOfTheLongestQueue)
+{
+  EXPECT_EQ(mQueue.Displaceable(queue_lane::Write, "quiet"), nullptr);
+  for (const int i : { 0, 1, 2 }) {
+    Push(i, "busy");
+  }
+  EXPECT_EQ(mQueue.Displaceable(queue_lane::Write, "quiet"), &mNodes[2]);
+  EXPECT_EQ(mQueue.Displaceable(queue_lane::Write, "busy"), nullptr);
+  mQueue.Remove(mNodes[2]);
+  Push(3, "quiet");
+  EXPECT_EQ(mQueue.Displaceable(queue_lane::Write, "quiet"), nullptr);
+}
+
 // Guards against weights without effect.
 TEST_F(AdmissionQueueTest, GivesAnAccountItsWeightInARow)
 {
--- a/tests/request/service_engine_overload_test.cpp
+++ b/tests/request/service_engine_overload_test.cpp
@@ -27,6 +27,26 @@
   }
 }
 
+// Lets the window of service times fill with 100 ms and submits 100 writes with
+// a time limit of 1 s: more than the connections can take.
+void
+OverloadWithWrites(engine_driver& aDriver)
+{
+  for (std::size_t i = 0; i < kServiceTimeWindow; ++i) {
+    aDriver.Submit(aDriver.Request(statement_kind::Write));
+    aDriver.Advance(milliseconds(100));
+    aDriver.Execute(*aDriver.Take<backend_statement>("a"), 1);
+    aDriver.Settle();
+  }
+  aDriver.mAnswers.clear();
+  for (int i = 0; i < 100; ++i) {
+    auto request = aDriver.Request(statement_kind::Write);
+    request.mDeadline = aDriver.mNow + milliseconds(1'000);
+    aDriver.Submit(request);
+    aDriver.Settle();
+  }
+}
+
 // Guards against writes that are sent too late because the estimate still
 // comes from the time when the server was fast.
 TEST(ServiceEngineOverloadTest, FollowsAServerThatBecomesSlower)
@@ -119,19 +139,7 @@
   engine_driver driver;
   driver.mView.mDocument.mAcknowledge = acknowledge_policy::Primary;
   driver.Start();
-  for (std::size_t i = 0; i < kServiceTimeWindow; ++i) {
-    driver.Submit(driver.Request(statement_kind::Write));
-    driver.Advance(milliseconds(100));
-    driver.Execute(*driver.Take<backend_statement>("a"), 1);
-    driver.Settle();
-  }
-  driver.mAnswers.clear();
-  for (int i = 0; i < 100; ++i) {
-    auto request = driver.Request(statement_kind::Write);
-    request.mDeadline = driver.mNow + milliseconds(1'000);
-    driver.Submit(request);
-    driver.Settle();
-  }
+  OverloadWithWrites(driver);
   const std::size_t refused = driver.mAnswers.size();
   EXPECT_GT(refused, 50U);
   EXPECT_LT(refused, 90U);
@@ -153,5 +161,52 @@
   }
 }
 
+// Guards against one account that fills the queue and keeps the others out.
+TEST(ServiceEngineOverloadTest, AdmitsAQuietAccountBesideABusyOne)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mQueueLimit = 20;
+  driver.Start();
+  for (int i = 0; i < 40; ++i) {
+    driver.Submit(driver.Request(statement_kind::Write));
+  }
+  const std::size_t refused = driver.mAnswers.size();
+  EXPECT_GT(refused, 0U);
+  auto quiet = driver.Request(statement_kind::Write);
+  quiet.mAccount = "quiet";
+  driver.Submit(quiet);
+  ASSERT_EQ(driver.mAnswers.size(), refused + 1);
+  EXPECT_NE(driver.mAnswers.back().mRequestId, quiet.mRequestId);
+  EXPECT_EQ(driver.mAnswers.back().mOutcome, statement_outcome::NotRun);
+  EXPECT_GT(driver.mAnswers.back().mRetryAfter, milliseconds(0));
+  // After the one request of the busy account that has the turn.
+  for (int i = 0; i < 2; ++i) {
+    const auto running = driver.Take<backend_statement>("a");
+    ASSERT_TRUE(running);
+    driver.Execute(*running, 1);
+  }
+  bool sent = false;
+  while (const auto write = driver.Take<backend_statement>("a")) {
+    sent = sent || write->second.mIdempotencyKey == quiet.mIdempotencyKey;
+  }
+  EXPECT_TRUE(sent);
+}
+
+// Guards against refusals of an account whose own request would come soon.
+TEST(ServiceEngineOverloadTest, ExpectsAWaitByTheTurnsOfTheAccount)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mAcknowledge = acknowledge_policy::Primary;
+  driver.Start();
+  OverloadWithWrites(driver);
+  const std::size_t refused = driver.mAnswers.size();
+  EXPECT_GT(refused, 0U);
+  auto quiet = driver.Request(statement_kind::Write);
+  quiet.mAccount = "quiet";
+  quiet.mDeadline = driver.mNow + milliseconds(1'000);
+  driver.Submit(quiet);
+  EXPECT_EQ(driver.mAnswers.size(), refused);
+}
+
 } // namespace
 } // namespace snipewalk
