Name a time to come back when a deadline passes

It was refused as not run without Retry-After, unlike all other refusals for load. The new test fails on the code before.

--- a/src/request/engine_settlement.cpp
+++ b/src/request/engine_settlement.cpp
@@ -177,8 +177,11 @@
                  milliseconds(200));
     return;
   }
-  AnswerFailed(
-    aEntry, refusal_reason::DeadlineExceeded, "the deadline has passed");
+  // The deadline says nothing about the next attempt of what did not run.
+  AnswerFailed(aEntry,
+               refusal_reason::DeadlineExceeded,
+               "the deadline has passed",
+               aEntry.mDoubtTerm == 0 ? kRetryAfterLate : milliseconds(0));
 }
 
 // A majority holds the write.
--- a/tests/request/service_engine_overload_test.cpp
+++ b/tests/request/service_engine_overload_test.cpp
@@ -208,5 +208,21 @@
   EXPECT_EQ(driver.mAnswers.size(), refused);
 }
 
+// Guards against refusals without a time to come back: a request that waits
+// behind another account's turn can reach its deadline in the queue.
+TEST(ServiceEngineOverloadTest, NamesATimeToComeBackAtTheDeadline)
+{
+  engine_driver driver;
+  driver.Start();
+  FillConnections(driver, milliseconds(5'000));
+  auto request = driver.Request(statement_kind::Write);
+  request.mDeadline = driver.mNow + milliseconds(50);
+  driver.Submit(request);
+  driver.Advance(milliseconds(60));
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+  EXPECT_GT(driver.mAnswers[0].mRetryAfter, milliseconds(0));
+}
+
 } // namespace
 } // namespace snipewalk
