--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_REQUEST_SERVICE_ENGINE_STATE_H_
 #define SNIPEWALK_REQUEST_SERVICE_ENGINE_STATE_H_
 
+#include "request/service_time.h"
 #include "snipewalk/connection/connection_pool.h"
 #include "snipewalk/request/admission_queue.h"
 #include "snipewalk/request/read_router.h"
@@ -32,6 +33,9 @@
 // Servers whose role in the present term is unknown are asked this often.
 inline constexpr milliseconds kUnknownRefreshInterval{ 50 };
 
+// Told to callers whose request does not fit into its remaining time.
+inline constexpr milliseconds kRetryAfterLate{ 50 };
+
 // A statement is sent at most this often in one term.
 inline constexpr int kAttemptsMax = 4;
 
@@ -69,6 +73,8 @@
   std::string mAttemptId;
   std::uint64_t mSentTerm = 0;
   time_point mQueuedAt;
+  // When the last attempt was sent.
+  time_point mSentAt;
   // Highest term in which an attempt was sent whose outcome is not known; zero
   // when "not run" may be said.
   std::uint64_t mDoubtTerm = 0;
@@ -166,7 +172,11 @@
   // engine_submission.cpp: admission.
   bool Admit(request_entry& aEntry);
   queue_lane LaneOf(const statement_request& aRequest) const;
-  milliseconds ExpectedWait(queue_lane aLane) const;
+  std::size_t SharedConnections(std::size_t aServer) const;
+  milliseconds ExpectedWait(queue_lane aLane,
+                            const std::string& aAccount) const;
+  void RefuseFull(request_entry& aEntry);
+  bool Displace(const request_entry& aEntry);
   void Enqueue(request_entry& aEntry, bool aFront);
   request_entry& Insert(std::unique_ptr<request_entry> aEntry);
 
@@ -179,7 +189,9 @@
                      std::uint64_t aTried,
                      time_point aNow) const;
   bool DispatchRead(request_entry& aEntry);
+  duration NeededTime(statement_kind aKind) const;
   bool IsTooLate(const request_entry& aEntry) const;
+  void RefuseLate(request_entry& aEntry);
   bool PrimaryReady() const;
   void MoveToPrimaryLane(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
@@ -194,6 +206,9 @@
   void ArmNewConnections(std::size_t aFirstAction);
 
   // engine_replies.cpp: replies and lost connections.
+  void NoteHeld(const request_entry& aEntry,
+                duration aHeld,
+                const backend_reply& aReply);
   void OnStatementReply(pooled_connection& aConnection,
                         const backend_reply& aReply);
   void OnExecuted(request_entry& aEntry,
@@ -221,6 +236,7 @@
                      const backend_reply& aReply);
   void OnKeyAbsent(request_entry& aEntry, std::uint64_t aTerm);
   void OnDeadline(request_entry& aEntry);
+  void NoteCut(const request_entry& aEntry);
   void Confirmed(request_entry& aEntry);
   void AnswerDone(request_entry& aEntry);
   void AnswerFailed(request_entry& aEntry,
@@ -299,9 +315,11 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
-  // Mean time that a statement occupies a connection, by writes and reads.
-  double mWriteSeconds = 0.001;
-  double mReadSeconds = 0.001;
+  // Times that writes and reads outside transactions occupy a connection.
+  service_time mWriteHeld;
+  service_time mReadHeld;
+  // Times of writes from the sending to the confirmation by a majority.
+  service_time mWriteConfirmed;
   engine_status mCounters;
 };
 
