Serve writes elsewhere when one holder loses the primary

Cause: a write sent by a holder whose route to a healthy primary is lost stayed on its silent connection. The probe over a new connection went unanswered, which moves reads only, and the look-up needs the primary, too.

Ruled out: a wrong change of primary; the witnesses already told the cut-off instance that they reach the primary, but nobody used the report. Giving up on each holder's own overdue reply was not chosen, since it moves requests between the holders in each real failover.

Change: the failure detector keeps the holders that reported the primary as reachable while this instance suspects it, and the view carries them. The engine then answers what waits for the primary as no_holder and what was sent as unknown, connection_lost. The forwarder repeats the latter with its key within a retry budget, never turns a later "not run" into the verdict, and prefers the holders named until the route is back.

--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/process/service_controller.h
@@ -117,6 +117,10 @@
   // Names of servers that are suspected now, sorted.
   std::vector<std::string> Suspected() const;
 
+  // Other holders that reach the primary while this instance suspects it,
+  // sorted.
+  std::vector<std::string> PrimaryReachedBy() const;
+
   drain_status DrainStatus() const;
 
 private:
--- a/include/snipewalk/request/forwarder.h
+++ b/include/snipewalk/request/forwarder.h
@@ -4,6 +4,7 @@
 #define SNIPEWALK_REQUEST_FORWARDER_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/request/retry_budget.h"
 #include "snipewalk/request/statement.h"
 #include "snipewalk/version/service_view.h"
 
@@ -111,6 +112,8 @@
     int mTries = 0;
     // An attempt whose effect is unknown was sent: the request may have run.
     bool mMayHaveRun = false;
+    // The next attempt repeats one that may have run, and needs the budget.
+    bool mIsRetry = false;
     // Holders that failed or refused this request.
     std::vector<std::string> mTried;
     // The last refusal; returned when no further attempt is possible.
@@ -142,11 +145,12 @@
                       const service_view& aView,
                       time_point aNow) const;
   bool IsUsable(const std::string& aInstance, time_point aNow) const;
-  // Lower is better: suspicion, distance, outstanding attempts, then a hash
-  // that spreads equal candidates.
-  std::tuple<int, int, std::size_t, std::size_t> RankOf(
+  // Lower is better: a lost route to the primary, suspicion, distance,
+  // outstanding attempts, then a hash that spreads equal candidates.
+  std::tuple<int, int, int, std::size_t, std::size_t> RankOf(
     const pending& aPending,
-    const member_info& aMember) const;
+    const member_info& aMember,
+    const service_view& aView) const;
   int DistanceTo(const member_info& aMember) const;
   void Dispatch(pending aPending,
                 time_point aNow,
@@ -159,6 +163,8 @@
                     const choice& aChoice,
                     time_point aNow,
                     std::vector<forwarder_action>& aActions);
+  // Keeps the request until the next look at the holders or the budget.
+  void Wait(pending aPending, time_point aUntil, time_point aNow);
   void SettleLost(pending aPending,
                   bool aSent,
                   time_point aNow,
@@ -182,6 +188,7 @@
   // Attempt ids by the time after which the holder is not waited for.
   std::multimap<time_point, std::string> mOverdue;
   std::map<std::string, peer_record> mPeers;
+  retry_budget mBudget;
   std::mt19937_64 mRandom;
 };
 
--- a/include/snipewalk/version/failure_detector.h
+++ b/include/snipewalk/version/failure_detector.h
@@ -94,7 +94,7 @@
   control_message mMessage;
 };
 
-// Suspected() changed.
+// Suspected() or PrimaryReachedBy() changed.
 struct suspicion_changed
 {};
 
@@ -138,6 +138,10 @@
   // Sorted by name.
   std::vector<std::string> Suspected() const;
 
+  // Other holders that reported the primary as reachable while this instance
+  // suspects it: its own route is broken, not the primary. Empty otherwise.
+  const std::set<std::string>& PrimaryReachedBy() const { return mReachedBy; }
+
   // Whether the primary of the present term is held to have failed.
   bool HasVerdict() const { return mVerdictAt.has_value(); }
 
@@ -225,6 +229,9 @@
   // Whether the reports so far, and this instance's own view, are a majority.
   bool IsConfirmed() const;
   void SetVerdict(bool aFailed, time_point aNow, actions& aOut);
+  void SetReachedBy(std::set<std::string> aHolders, actions& aOut);
+  // Other holders that reported the primary as reachable in this round.
+  std::set<std::string> ReachingHolders() const;
 
   detector_options mOptions;
   detector_configured mConfig;
@@ -237,6 +244,8 @@
   time_point mNextRound;
   // The last round got no report at all: ask instances without a slot, too.
   bool mAskAll = false;
+  // Empty while the primary is not suspected or a verdict holds.
+  std::set<std::string> mReachedBy;
   std::optional<time_point> mVerdictAt;
   std::optional<time_point> mLastEvent;
   // Failures that are reported until then may date from before a pause.
--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/version/service_view.h
@@ -66,6 +66,9 @@
   slot_record mSlots;
   // Names of servers that the failure detector suspects.
   std::vector<std::string> mSuspected;
+  // Other holders that reach the primary while this instance suspects it:
+  // requests that need the primary go to them. Empty otherwise.
+  std::vector<std::string> mPrimaryReachedBy;
   // Connections that this instance may open to each server, the control
   // connection not included; zero when it holds no slot.
   int mConnectionShare = 0;
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -46,6 +46,10 @@
   for (const auto& name : aView.mSuspected) {
     value["suspected"].append(name);
   }
+  value["primary_reached_by"] = Json::Value(Json::arrayValue);
+  for (const auto& name : aView.mPrimaryReachedBy) {
+    value["primary_reached_by"].append(name);
+  }
   return value;
 }
 
--- a/src/process/service_controller.cpp
+++ b/src/process/service_controller.cpp
@@ -114,6 +114,13 @@
   return mState->mDetector.Suspected();
 }
 
+std::vector<std::string>
+service_controller::PrimaryReachedBy() const
+{
+  const auto& holders = mState->mDetector.PrimaryReachedBy();
+  return { holders.begin(), holders.end() };
+}
+
 drain_status
 service_controller::DrainStatus() const
 {
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -200,10 +200,16 @@
   for (const auto& name : suspected) {
     absl::StrAppend(&names, names.empty() ? "" : ",", name);
   }
+  std::string reachedBy;
+  for (const auto& name : mDetector.PrimaryReachedBy()) {
+    absl::StrAppend(&reachedBy, reachedBy.empty() ? "" : ",", name);
+  }
   Log(log_level::Info,
       "detector",
       "suspected servers changed",
-      { { "service", mService }, { "suspected", names } });
+      { { "service", mService },
+        { "suspected", names },
+        { "primary_reached_by", reachedBy } });
 }
 
 void
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -199,12 +199,14 @@
   drain_status progress = mDrain.Status(mLoop.Now(), mWallNow);
   const bool same = SameTerm(term, mPublishedTerm) &&
                     suspected == mPublishedSuspected &&
+                    mDetector.PrimaryReachedBy() == mPublishedReachedBy &&
                     SameProgress(progress, mPublishedDrain);
   if (same) {
     return;
   }
   mPublishedTerm = term;
   mPublishedSuspected = std::move(suspected);
+  mPublishedReachedBy = mDetector.PrimaryReachedBy();
   mPublishedDrain = std::move(progress);
   if (mCallbacks.mPublish) {
     mCallbacks.mPublish(mService);
--- a/src/process/service_controller_state.h
+++ b/src/process/service_controller_state.h
@@ -87,6 +87,7 @@
   // What was published last.
   std::optional<term_record> mPublishedTerm;
   std::vector<std::string> mPublishedSuspected;
+  std::set<std::string> mPublishedReachedBy;
   drain_status mPublishedDrain;
   // The object status/<service>.
   bool mStatusCalling = false;
--- a/src/process/service_controls.cpp
+++ b/src/process/service_controls.cpp
@@ -179,6 +179,7 @@
   if (const service_controller* controller = Find(aService)) {
     term = controller->Term();
     aView.mSuspected = controller->Suspected();
+    aView.mPrimaryReachedBy = controller->PrimaryReachedBy();
   }
   const service_objects objects = mLookup(aService);
   if (!term && objects.mTerm) {
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -47,6 +47,11 @@
       mLookups.pop_front();
       continue;
     }
+    if (PrimaryReachedElsewhere() && IsStuckAtPrimary(*entry)) {
+      mLookups.pop_front();
+      Relocate(*entry);
+      continue;
+    }
     if (!PrimaryReady()) {
       return;
     }
@@ -80,6 +85,10 @@
 service_engine_state::DispatchPrimaryLane(queue_lane aLane, connection_use aUse)
 {
   while (auto* node = mQueue.Front(aLane)) {
+    if (PrimaryReachedElsewhere()) {
+      Relocate(EntryOf(*node));
+      continue;
+    }
     if (!PrimaryReady()) {
       return;
     }
@@ -201,6 +210,11 @@
 bool
 service_engine_state::HoldAgedRead(request_entry& aEntry)
 {
+  if (PrimaryReachedElsewhere()) {
+    // The ages known here only grow without the primary's positions.
+    Relocate(aEntry);
+    return true;
+  }
   RefreshPositions(kAgedRefreshInterval, false);
   const auto held = mNow - aEntry.mQueuedAt;
   const auto age = mRouter.PrimaryAge(mNow);
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -32,6 +32,9 @@
   if (mView->mConnectionShare <= 0) {
     RefuseWithoutShare();
   }
+  if (PrimaryReachedElsewhere()) {
+    RelocateStuck();
+  }
 }
 
 void
@@ -151,6 +154,10 @@
   const std::string text = ExplainServers();
   if (aRequest.mKind != statement_kind::Read ||
       !aRequest.mTransaction.empty()) {
+    if (PrimaryReachedElsewhere()) {
+      return text + "This instance does not reach the primary; the request "
+                    "would be forwarded to a holder that does.\n";
+    }
     return text + (PrimaryReady() ? "The request would go to the primary.\n"
                                   : "The request would wait for a primary.\n");
   }
--- a/src/request/forwarder.cpp
+++ b/src/request/forwarder.cpp
@@ -102,6 +102,7 @@
 
 forwarder::forwarder(forwarder_options aOptions)
   : mOptions(std::move(aOptions))
+  , mBudget(mOptions.mSeed)
   , mRandom(mOptions.mSeed)
 {
 }
@@ -120,6 +121,7 @@
                   time_point aNow,
                   std::vector<forwarder_action>& aActions)
 {
+  mBudget.CountRequest();
   pending entry;
   entry.mOriginalId = RequestIdOf(aRequest);
   entry.mRequest = std::move(aRequest);
@@ -154,9 +156,28 @@
     WaitOrFinish(std::move(aPending), chosen, aNow, aActions);
     return;
   }
+  if (aPending.mIsRetry) {
+    if (!mBudget.TryRetry(aNow)) {
+      if (mWaiting.size() < mOptions.mWaitLimit) {
+        const time_point until = DeadlineOf(aPending.mRequest);
+        Wait(std::move(aPending), until, aNow);
+      } else {
+        Finish(aPending, *aPending.mRefusal, aActions);
+      }
+      return;
+    }
+    aPending.mIsRetry = false;
+  }
   Attempt(std::move(aPending), chosen.mHolder, aNow, aActions);
 }
 
+void
+forwarder::Wait(pending aPending, time_point aUntil, time_point aNow)
+{
+  const time_point due = std::min(aNow + kHolderRecheck, aUntil);
+  mWaiting.emplace(due, std::move(aPending));
+}
+
 void
 forwarder::Attempt(pending aPending,
                    const std::string& aHolder,
@@ -197,8 +218,8 @@
       mWaiting.size() < mOptions.mWaitLimit) {
     // Holders that refused a moment ago may serve again by then.
     aPending.mTried.clear();
-    const time_point due = std::min(aNow + kHolderRecheck, aPending.mGiveUpAt);
-    mWaiting.emplace(due, std::move(aPending));
+    const time_point until = aPending.mGiveUpAt;
+    Wait(std::move(aPending), until, aNow);
     return;
   }
   auto refusal =
@@ -217,8 +238,8 @@
     // The refusal is true for the last attempt only.
     aResponse.mOutcome = statement_outcome::Unknown;
     aResponse.mReason = refusal_reason::ConnectionLost;
-    aResponse.mMessage = "the link to the instance that served the request "
-                         "failed before it answered";
+    aResponse.mMessage = "an earlier attempt at another instance got no "
+                         "answer and may have run";
   }
   aResponse.mRequestId = aPending.mOriginalId;
   if (aResponse.mIdempotencyKey.empty()) {
@@ -264,6 +285,18 @@
     Dispatch(*std::move(entry), aNow, aActions);
     return;
   }
+  // The holder lost its route after it sent the request: another one settles
+  // it by its key. There is time until the deadline, as the outcome is open.
+  const bool unsettled = aResponse.mOutcome == statement_outcome::Unknown &&
+                         aResponse.mReason == refusal_reason::ConnectionLost;
+  if (unsettled && IsRepeatable(entry->mRequest)) {
+    entry->mTried.push_back(entry->mHolder);
+    entry->mMayHaveRun = entry->mIsRetry = true;
+    entry->mGiveUpAt = DeadlineOf(entry->mRequest);
+    entry->mRefusal = std::move(aResponse);
+    Dispatch(*std::move(entry), aNow, aActions);
+    return;
+  }
   Finish(*entry, std::move(aResponse), aActions);
 }
 
--- a/src/request/forwarder_choice.cpp
+++ b/src/request/forwarder_choice.cpp
@@ -35,13 +35,22 @@
   return sameRegion ? 1 : 2;
 }
 
-std::tuple<int, int, std::size_t, std::size_t>
-forwarder::RankOf(const pending& aPending, const member_info& aMember) const
+std::tuple<int, int, int, std::size_t, std::size_t>
+forwarder::RankOf(const pending& aPending,
+                  const member_info& aMember,
+                  const service_view& aView) const
 {
+  // Empty unless this instance lost its own route to the primary.
+  const auto& reachedBy = aView.mPrimaryReachedBy;
+  const bool reaches =
+    reachedBy.empty() ||
+    std::find(reachedBy.begin(), reachedBy.end(), aMember.mName) !=
+      reachedBy.end();
   const auto record = mPeers.find(aMember.mName);
   const std::size_t outstanding =
     record == mPeers.end() ? 0 : record->second.mOutstanding;
-  return { aMember.mState == member_state::Suspect ? 1 : 0,
+  return { reaches ? 0 : 1,
+           aMember.mState == member_state::Suspect ? 1 : 0,
            DistanceTo(aMember),
            outstanding,
            std::hash<std::string>()(aPending.mOriginalId + aMember.mName) };
@@ -70,7 +79,10 @@
                         const service_view& aView,
                         time_point aNow) const
 {
+  const bool detour =
+    NeedsPrimary(aPending.mRequest) && !aView.mPrimaryReachedBy.empty();
   const member_info* best = nullptr;
+  bool ownIsLast = false;
   for (const auto& holder : aView.mSlots.mHolders) {
     const auto& name = holder.mInstance;
     const auto& tried = aPending.mTried;
@@ -78,21 +90,26 @@
       continue;
     }
     if (name == mOptions.mInstance) {
-      if (aView.mConnectionShare > 0) {
+      if (aView.mConnectionShare > 0 && !detour) {
         return { name, refusal_reason::None, false };
       }
+      ownIsLast = aView.mConnectionShare > 0;
       continue;
     }
     if (!IsUsable(name, aNow)) {
       continue;
     }
     const auto& member = mSnapshot->mMembers.at(name);
-    if (!best || RankOf(aPending, member) < RankOf(aPending, *best)) {
+    if (!best ||
+        RankOf(aPending, member, aView) < RankOf(aPending, *best, aView)) {
       best = &member;
     }
   }
-  return best ? choice{ best->mName, refusal_reason::None, false }
-              : choice{ {}, refusal_reason::NoHolder, true };
+  if (best) {
+    return { best->mName, refusal_reason::None, false };
+  }
+  return ownIsLast ? choice{ mOptions.mInstance, refusal_reason::None, false }
+                   : choice{ {}, refusal_reason::NoHolder, true };
 }
 
 forwarder::choice
--- a/src/request/forwarder_requests.h
+++ b/src/request/forwarder_requests.h
@@ -20,6 +20,15 @@
   return statement && !statement->mTransaction.empty();
 }
 
+// Whether no replica can serve it. Reads may need the primary, too: the engine
+// finds that out.
+inline bool
+NeedsPrimary(const forwarded_request& aRequest)
+{
+  const auto* statement = StatementOf(aRequest);
+  return !statement || statement->mKind != statement_kind::Read;
+}
+
 } // namespace snipewalk
 
 #endif // SNIPEWALK_REQUEST_FORWARDER_REQUESTS_H_
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -230,6 +230,12 @@
   std::string SessionAfter(const request_entry& aEntry) const;
   void Finish(request_entry& aEntry, statement_response aResponse);
 
+  // engine_relocation.cpp: requests that another holder has to serve.
+  bool PrimaryReachedElsewhere() const;
+  bool IsStuckAtPrimary(const request_entry& aEntry);
+  void RelocateStuck();
+  void Relocate(request_entry& aEntry);
+
   // engine_acknowledgement.cpp: confirmation of writes by voters.
   void AwaitAcknowledgement(request_entry& aEntry);
   void StartTerm();
--- a/src/version/failure_detector.cpp
+++ b/src/version/failure_detector.cpp
@@ -75,6 +75,7 @@
     mConfig.mTerm == aEvent.mTerm && mConfig.mPrimary == aEvent.mPrimary;
   if (!sameTerm || !aEvent.mIsHolder) {
     SetVerdict(false, aNow, aOut);
+    SetReachedBy({}, aOut);
     mRound.reset();
     mAskAll = false;
   }
@@ -179,6 +180,7 @@
   mRound.reset();
   mIgnoreFailuresUntil = aNow + kStaleHandOver;
   SetVerdict(false, aNow, aOut);
+  SetReachedBy({}, aOut);
 }
 
 void
@@ -200,6 +202,7 @@
     if (aServer == mConfig.mPrimary) {
       mRound.reset();
       SetVerdict(false, aNow, aOut);
+      SetReachedBy({}, aOut);
     }
   }
   mForeign.erase(aServer);
--- a/src/version/failure_detector_queries.cpp
+++ b/src/version/failure_detector_queries.cpp
@@ -34,6 +34,14 @@
       report.mTerm == mConfig.mTerm && report.mServer == mConfig.mPrimary &&
       mRound->mAsked.count(aEvent.mInstance) > 0) {
     mRound->mReports[aEvent.mInstance] = report.mReachability;
+    // One report is enough to move requests; the end of the round, with the
+    // reports of all, decides who no longer reaches the primary.
+    auto reaching = ReachingHolders();
+    reaching.insert(mReachedBy.begin(), mReachedBy.end());
+    if (report.mReachability == server_reachability::Unreachable) {
+      reaching.erase(aEvent.mInstance);
+    }
+    SetReachedBy(std::move(reaching), aOut);
   }
 }
 
@@ -113,6 +121,7 @@
       SetVerdict(true, aNow, aOut);
     } else if (complete) {
       mAskAll = mRound->mReports.empty();
+      SetReachedBy(ReachingHolders(), aOut);
       mRound.reset();
       mNextRound = aNow + kRoundGap;
     }
@@ -174,6 +183,7 @@
   const bool had = mVerdictAt.has_value();
   if (aFailed) {
     mVerdictAt = aNow;
+    SetReachedBy({}, aOut);
   } else {
     mVerdictAt.reset();
   }
@@ -182,4 +192,27 @@
   }
 }
 
+void
+failure_detector::SetReachedBy(std::set<std::string> aHolders, actions& aOut)
+{
+  if (mReachedBy != aHolders) {
+    mReachedBy = std::move(aHolders);
+    aOut.emplace_back(suspicion_changed{});
+  }
+}
+
+std::set<std::string>
+failure_detector::ReachingHolders() const
+{
+  std::set<std::string> holders;
+  for (const auto& name : mConfig.mOtherHolders) {
+    const auto report = mRound->mReports.find(name);
+    if (report != mRound->mReports.end() &&
+        report->second == server_reachability::Reachable) {
+      holders.insert(name);
+    }
+  }
+  return holders;
+}
+
 } // namespace snipewalk
--- a/tests/request/forwarder_property_test.cpp
+++ b/tests/request/forwarder_property_test.cpp
@@ -15,6 +15,7 @@
 {
   bool mSent = false;
   bool mFinished = false;
+  int mAttempts = 0;
 };
 
 // Steps the forwarder with random events and checks each action.
@@ -90,12 +91,22 @@
     auto attempt =
       std::next(chosen.begin(), static_cast<long>(mRandom() % chosen.size()));
     const bool refuse = mRandom() % 4 == 0;
+    const bool unsettled = !refuse && mRandom() % 4 == 0;
     const forwarded_request request = attempt->second.second;
-    mOutstanding.erase(RequestIdOf(request));
+    const bool open = mOutstanding.erase(RequestIdOf(request)) > 0 ||
+                      mOpenHere.erase(RequestIdOf(request)) > 0;
+    if (unsettled && open) {
+      mRequests[Original(RequestIdOf(request))].mSent = true;
+    }
     // One in eight responses arrives twice.
     if (mRandom() % 8 != 0) {
       chosen.erase(attempt);
     }
+    if (unsettled) {
+      mSteps.Respond(
+        request, statement_outcome::Unknown, refusal_reason::ConnectionLost);
+      return;
+    }
     mSteps.Respond(request,
                    refuse ? statement_outcome::NotRun : statement_outcome::Done,
                    refuse ? refusal_reason::NoHolder : refusal_reason::None);
@@ -126,8 +137,14 @@
         holders.push_back(ForwarderInstance(i));
       }
     }
-    mSteps.mForwarder.SetSnapshot(
-      ForwarderSnapshot(holders), mSteps.mNow, mSteps.mActions);
+    const auto snapshot = ForwarderSnapshot(holders);
+    if (mRandom() % 2 == 0) {
+      auto view =
+        std::make_shared<service_view>(*snapshot->mServices["register"]);
+      view->mPrimaryReachedBy = { ForwarderInstance(1 + mRandom() % 4) };
+      snapshot->mServices["register"] = view;
+    }
+    mSteps.mForwarder.SetSnapshot(snapshot, mSteps.mNow, mSteps.mActions);
   }
 
   static std::string Original(const std::string& aAttempt)
@@ -140,11 +157,14 @@
     for (auto& action : mSteps.mActions) {
       if (auto* here = std::get_if<serve_here>(&action)) {
         mHere[RequestIdOf(here->mRequest)] = { "i0", here->mRequest };
+        mOpenHere.insert(RequestIdOf(here->mRequest));
+        CountAttempt(RequestIdOf(here->mRequest));
       } else if (auto* send = std::get_if<send_to_peer>(&action)) {
         EXPECT_NE(send->mPeer, "i0");
         const std::string id = RequestIdOf(send->mRequest);
         EXPECT_EQ(mThere.count(id), 0U) << "attempt id used twice";
         mOutstanding.insert(id);
+        CountAttempt(id);
         mThere[id] = { send->mPeer, send->mRequest };
       } else {
         CheckFinish(std::get<finish_request>(action).mResponse);
@@ -153,6 +173,12 @@
     mSteps.mActions.clear();
   }
 
+  void CountAttempt(const std::string& aAttempt)
+  {
+    EXPECT_LE(++mRequests[Original(aAttempt)].mAttempts,
+              forwarder_options{}.mMaxTries);
+  }
+
   void CheckFinish(const statement_response& aResponse)
   {
     ASSERT_EQ(mRequests.count(aResponse.mRequestId), 1U);
@@ -175,6 +201,8 @@
   attempts mThere;
   // Attempts at peers that got no response and whose link did not end.
   std::set<std::string> mOutstanding;
+  // Attempts at the own engine that got no response.
+  std::set<std::string> mOpenHere;
 };
 
 // Guards against requests that are lost, answered twice or falsely called "not
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -297,12 +297,27 @@
       case 7:
         server.mUp = server.mReachable = true;
         break;
+      case 8:
+        CutOff(Random(2));
+        break;
       default:
         LoseLink();
         break;
     }
   }
 
+  // An engine learns that only another holder reaches the primary, and later
+  // that the route works again.
+  void CutOff(std::size_t aEngine)
+  {
+    auto view = mView;
+    view.mSuspected = { view.mTerm.mPrimary };
+    view.mPrimaryReachedBy = { "k" };
+    Handle(aEngine,
+           view_changed{ std::make_shared<service_view>(view), Keys() });
+    mPublishAt[aEngine] = mNow + milliseconds(1 + Random(500));
+  }
+
   void LoseLink()
   {
     if (mModel.mLinks.empty()) {
--- a/tests/version/failure_detector_test.cpp
+++ b/tests/version/failure_detector_test.cpp
@@ -194,6 +194,48 @@
   EXPECT_TRUE(model.mDetectors[0].Suspected().empty());
 }
 
+// Guards against requests that wait at the instance that is cut off although
+// others could serve them, and against a detour after the route is back.
+TEST(FailureDetectorTest, NamesTheHoldersThatReachThePrimary)
+{
+  detector_model model(4, 3);
+  model.Run(seconds(1));
+  model.mCut.insert({ 1, "a" });
+  model.Run(seconds(2));
+  const std::set<std::string> others{ "i0", "i2" };
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(model.mDetectors[1].PrimaryReachedBy(), others);
+    EXPECT_TRUE(model.mDetectors[0].PrimaryReachedBy().empty());
+    model.Run(milliseconds(100));
+  }
+  model.mCut.clear();
+  model.Run(seconds(2));
+  EXPECT_TRUE(model.mDetectors[1].PrimaryReachedBy().empty());
+}
+
+// Guards against requests that holders pass to each other while the primary is
+// silent for all of them, also when one was cut off before.
+TEST(FailureDetectorTest, NamesNoHolderWhenThePrimaryFailed)
+{
+  for (const bool cutBefore : { false, true }) {
+    detector_model model(3, 3);
+    model.Run(seconds(1));
+    if (cutBefore) {
+      model.mCut.insert({ 1, "a" });
+      model.Run(seconds(5));
+    }
+    model.mSilent.insert("a");
+    // A round that began before the failure ends first.
+    model.Run(cutBefore ? milliseconds(1'000) : milliseconds(0));
+    for (int i = 0; i < 300; ++i) {
+      for (const auto& detector : model.mDetectors) {
+        EXPECT_TRUE(detector.PrimaryReachedBy().empty()) << cutBefore;
+      }
+      model.Run(milliseconds(20));
+    }
+  }
+}
+
 // Guards against an instance that is cut off from everything and takes itself
 // for the only one.
 TEST(FailureDetectorTest, ReachesNoVerdictWithoutAnyWitness)
