Lose the set-up of connections in a one-way cut of the stand-in

Cause: the fault proxy connected to the target also while one direction was cut. A real TCP connection is not established then, since the set-up needs both.

Change: new connections carry nothing during a cut of either direction, as in a cut of both; established ones still lose only the direction that is cut. FaultProxyCutsAnswersOnly checks both and fails without the change.

Conclusion: the stand-in was stricter than TCP in one point.

--- a/tests/process/standin_process_test.cpp
+++ b/tests/process/standin_process_test.cpp
@@ -170,6 +170,41 @@
   }
 }
 
+// Guards against a one-way cut that loses requests although only answers are
+// cut, and against new connections that a target could not have accepted.
+TEST_F(StandinProcessTest, FaultProxyCutsAnswersOnly)
+{
+  const std::uint16_t store =
+    PortOf(mFleet.StartStandin("store", "standin-store"));
+  const auto line =
+    mFleet.StartStandin("faults",
+                        "standin-faults",
+                        { absl::StrCat("--links=a=127.0.0.1:", store) });
+  const auto port = static_cast<std::uint16_t>((*line)["links"]["a"].asUInt());
+  const Poco::Net::SocketAddress address("127.0.0.1", port);
+  const auto put = [](Poco::Net::StreamSocket& aSocket, const char* aName) {
+    const std::string request = absl::StrCat(
+      "PUT /v1/objects/k/", aName, " HTTP/1.1\r\nContent-Length: 1\r\n\r\n1");
+    aSocket.sendBytes(request.data(), static_cast<int>(request.size()));
+    aSocket.setReceiveTimeout(Poco::Timespan(0, 200'000));
+    std::array<char, 1024> answer{};
+    return aSocket.receiveBytes(answer.data(), answer.size()) > 0;
+  };
+  Poco::Net::StreamSocket old(address);
+  ASSERT_TRUE(put(old, "first"));
+  ASSERT_EQ(HttpCall(PortOf(line),
+                     "POST",
+                     "/standin/faults",
+                     "{\"link\":\"a\",\"cut\":\"to_client\"}")
+              ->mStatus,
+            200);
+  EXPECT_ANY_THROW(put(old, "old"));
+  Poco::Net::StreamSocket fresh(address);
+  EXPECT_ANY_THROW(put(fresh, "fresh"));
+  EXPECT_EQ(HttpCall(store, "GET", "/v1/objects/k/old")->mStatus, 200);
+  EXPECT_EQ(HttpCall(store, "GET", "/v1/objects/k/fresh")->mStatus, 404);
+}
+
 // Guards against silenced or reset connections that go on, and new ones that
 // are hit as well.
 TEST_F(StandinProcessTest, FaultProxySilencesOnlyEstablishedConnections)
--- a/tests/standins/fault_link.cpp
+++ b/tests/standins/fault_link.cpp
@@ -94,8 +94,9 @@
   opened.mClientSocket = aSocket;
   opened.mEnds[ToClient].mStream =
     stream_connection::Adopt(mLoop, aSocket, HandlersOf(number, ToTarget));
-  if (mFaults.mCut == link_cut::Both) {
-    // The set-up itself is lost; the kernel already accepted for the target.
+  if (mFaults.mCut != link_cut::None) {
+    // The set-up needs both directions and is lost; the kernel already accepted
+    // for the target.
     opened.mSilent = true;
     return;
   }
