Test a one-way cut between one instance and the primary

Cause: the other integration tests cut both directions, so no write ran whose answer alone was lost by a cut of the network.

Change: OneWayCutOfOneInstanceRunsEachWriteOnce writes through all instances while requests, then answers, of one of them are cut. Each write has to be done, the counter has to equal the number of writes, the term has to stay, and the detour has to begin and to end with the fault. A first version ended the cut before the writers and passed without the mechanism: the end of the cut resets the connections and so settles what waits.

On a scratch copy in which holders pass requests on neither in the engine nor in the forwarder, it fails at a write through the cut-off instance (504, deadline_exceeded) in both directions.

--- a/tests/integration/failover_test.cpp
+++ b/tests/integration/failover_test.cpp
@@ -3,7 +3,9 @@
 #include "integration/concurrent_writers.h"
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -48,6 +50,16 @@
            : testing::AssertionFailure() << last.mStatus << " " << last.mBody;
 }
 
+// How many holders serve for an instance that lost its route to the primary;
+// -1 when its admin page does not tell.
+int
+HoldersReaching(const system_fleet& aFleet, int aInstance)
+{
+  const Json::Value page = aFleet.Admin(aInstance, "/v1/services/service1");
+  const bool known = page.isObject() && page.isMember("primary_reached_by");
+  return known ? static_cast<int>(page["primary_reached_by"].size()) : -1;
+}
+
 // Expects that callers of all instances are served and the term stays.
 void
 ExpectServedInTerm(const system_fleet& aFleet, std::uint64_t aTerm)
@@ -64,6 +76,48 @@
   EXPECT_EQ(aFleet.Term(0), aTerm);
 }
 
+// One thread per instance; each adds 1 to a counter with keys of its own and
+// expects that each write is done.
+class counting_writers
+{
+public:
+  explicit counting_writers(const system_fleet& aFleet)
+  {
+    for (int i = 0; i < aFleet.Instances(); ++i) {
+      mThreads.emplace_back([this, &aFleet, i] {
+        for (int number = 0; !mStopped; ++number) {
+          const auto written = aFleet.Write(i,
+                                            "add counter 1",
+                                            "count-" + std::to_string(i) + "-" +
+                                              std::to_string(number));
+          EXPECT_TRUE(written.Done())
+            << i << ": " << written.mStatus << written.mBody;
+          ++mWritten;
+          std::this_thread::sleep_for(milliseconds(5));
+        }
+      });
+    }
+  }
+
+  ~counting_writers() { Stop(); }
+
+  // Returns how many writes were sent.
+  int Stop()
+  {
+    mStopped = true;
+    for (auto& thread : mThreads) {
+      thread.join();
+    }
+    mThreads.clear();
+    return mWritten;
+  }
+
+private:
+  std::atomic<bool> mStopped{ false };
+  std::atomic<int> mWritten{ 0 };
+  std::vector<std::thread> mThreads;
+};
+
 // Guards against a service that stays without writes when the primary is
 // silent but its host still accepts connections.
 TEST(FailoverTest, WritesResumeAfterASilentCutOfThePrimary)
@@ -98,6 +152,34 @@
   ExpectServedInTerm(**fleet, term);
 }
 
+// Guards against a change of primary for a link that fails in one direction,
+// and against a second effect when a write ran but its answer was lost.
+TEST(FailoverTest, OneWayCutOfOneInstanceRunsEachWriteOnce)
+{
+  for (const std::string cut : { "to_target", "to_client" }) {
+    SCOPED_TRACE(cut);
+    const auto fleet = system_fleet::Start(WithFaultLinks());
+    ASSERT_TRUE(fleet.ok()) << fleet.status();
+    ASSERT_TRUE(WaitFor([&] { return (*fleet)->SlotsInUse(0) == 3; }));
+    const std::uint64_t term = (*fleet)->Term(0);
+    const std::string link = "instance1/" + (*fleet)->Primary(0);
+    counting_writers writers(**fleet);
+    std::this_thread::sleep_for(kWarmUp);
+    ASSERT_TRUE((*fleet)->SetFaults(link, "\"cut\":\"" + cut + "\"").ok());
+    std::this_thread::sleep_for(kObservation);
+    // The cut lasts until the writers have ended: its end settles what waits.
+    const int written = writers.Stop();
+    EXPECT_GT(written, 100);
+    EXPECT_EQ((*fleet)->Term(0), term);
+    EXPECT_TRUE(WaitFor([&] { return HoldersReaching(**fleet, 0) == 2; }));
+    ASSERT_TRUE((*fleet)->SetFaults(link, "\"cut\":\"none\"").ok());
+    EXPECT_TRUE(WaitFor([&] { return HoldersReaching(**fleet, 0) == 0; }));
+    EXPECT_EQ((*fleet)->Write(0, "add counter 0").mBody,
+              std::to_string(written));
+    EXPECT_EQ((*fleet)->Term(0), term);
+  }
+}
+
 // Guards against a change of primary by an instance that takes its own pause
 // for silence of the servers.
 TEST(FailoverTest, APausedInstanceChangesNoPrimary)
