Let open transactions finish before a planned change of term

Cause: the planned change fenced the leaving primary at once, which rolled back what was open there. A change of voters is a new term that fences the primary as well: a transaction was lost, too, when only a replica left.

Ruled out: counts that holders announce all the time (a standing cost), and holding new transactions by the document alone (a change of voters is not in it).

A query also holds new ones of that term for 2 s. A report states the document version in force at the holder; a zero from an older one does not count. Held `begin` requests take at most a quarter of the queue and are refused as not run with a Retry-After at their deadline.

--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -9,6 +9,7 @@
 #include "snipewalk/process/settings.h"
 #include "snipewalk/process/store_client.h"
 #include "snipewalk/request/service_engine.h"
+#include "snipewalk/version/control_messages.h"
 #include "snipewalk/version/drain.h"
 #include "snipewalk/version/object_cache.h"
 #include "snipewalk/version/service_view.h"
@@ -44,6 +45,11 @@
   std::function<void(std::shared_ptr<const routing_snapshot>)> mPublish;
   std::function<void(const std::string& aService, const status_observed&)>
     mObserved;
+  // Holds new transactions and counts the open ones; the answer goes to
+  // ReportTransactions(), for the instance that asks.
+  std::function<void(const std::string& aAsker,
+                     const transactions_query& aQuery)>
+    mHoldBegins;
   // A newer instance of this name is in the fleet: exit with an error.
   std::function<void(const std::string& aAddress)> mDuplicateName;
   // The state of the control thread, once in a while.
@@ -119,6 +125,10 @@
   void ReportConnections(const std::string& aService,
                          const std::string& aServer,
                          std::size_t aConnections);
+  // Answers mHoldBegins.
+  void ReportTransactions(const std::string& aAsker,
+                          const transactions_query& aQuery,
+                          std::size_t aOpen);
   void SetFleetKeys(std::vector<std::string> aKeys);
 
   // Closes the shares and gives up all slots; calls back on the control thread
--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/process/service_controller.h
@@ -43,6 +43,8 @@
 {
   std::string mName;
   std::string mDataCentre;
+  // False when only the platform's list still names it.
+  bool mIsMember = true;
 };
 
 struct controller_callbacks
@@ -61,6 +63,12 @@
   // An object that this instance wrote to the store, for the object cache and
   // the other instances.
   std::function<void(const stored_object& aObject)> mStored;
+  // Asks the engine of this instance to begin no transactions and for the
+  // number of open ones, on behalf of the instance given, perhaps this one.
+  // Without it, planned changes do not wait for transactions.
+  std::function<void(const std::string& aAsker,
+                     const transactions_query& aQuery)>
+    mHoldBegins;
 };
 
 class service_controller_state;
@@ -80,7 +88,10 @@
   service_controller(const service_controller&) = delete;
   service_controller& operator=(const service_controller&) = delete;
 
-  void OnDocument(const service_document& aDocument, time_point aNow);
+  // `aVersion` is the store's version of the document.
+  void OnDocument(const service_document& aDocument,
+                  std::uint64_t aVersion,
+                  time_point aNow);
 
   // The object `terms/<service>` as the object cache has it; call it for each
   // version that arrives, older ones are ignored. A value that cannot be
@@ -103,6 +114,7 @@
                      std::size_t aConnections,
                      time_point aNow);
 
+  // Of another instance, or a transactions_report of this one.
   void OnPeerMessage(const std::string& aInstance,
                      const control_message& aMessage,
                      time_point aNow);
--- a/include/snipewalk/process/traffic_group.h
+++ b/include/snipewalk/process/traffic_group.h
@@ -4,9 +4,12 @@
 #define SNIPEWALK_PROCESS_TRAFFIC_GROUP_H_
 
 #include "snipewalk/process/traffic_thread.h"
+#include "snipewalk/version/control_messages.h"
 
 #include <absl/status/status.h>
 
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <string>
 #include <thread>
@@ -34,6 +37,9 @@
 
   void Publish(const std::shared_ptr<const routing_snapshot>& aSnapshot);
   void Observe(const std::string& aService, const status_observed& aStatus);
+  // See traffic_thread::HoldBegins(); calls back on the service's thread.
+  void HoldBegins(const transactions_query& aQuery,
+                  std::function<void(std::size_t aOpen)> aDone);
   // All keys verify, the first signs. Links that are open remain.
   void SetFleetKeys(const std::vector<std::string>& aFleetKeys);
 
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -111,6 +111,11 @@
   void SetSnapshot(std::shared_ptr<const routing_snapshot> aSnapshot);
   void SetFleetKeys(std::vector<std::string> aFleetKeys);
   void Observe(const std::string& aService, const status_observed& aStatus);
+  // Begins no transactions of the service in this term for kBeginHold; returns
+  // how many are open on the server.
+  std::size_t HoldBegins(const std::string& aService,
+                         const std::string& aServer,
+                         std::uint64_t aTerm);
   // Health turns to "shutting down".
   void AnnounceShutdown() { mServing = false; }
   // Stops accepting callers; responses tell the others to reconnect.
--- a/include/snipewalk/request/service_engine.h
+++ b/include/snipewalk/request/service_engine.h
@@ -74,6 +74,16 @@
 struct drain_requested
 {};
 
+// A change of the primary or the voters is planned: no transaction begins in
+// this term for kBeginHold.
+struct begins_held
+{
+  std::uint64_t mTerm = 0;
+};
+
+// Longer than the age at which a count of open transactions permits the change.
+inline constexpr milliseconds kBeginHold{ 2'000 };
+
 struct timer_expired
 {};
 
@@ -85,6 +95,7 @@
                                   status_observed,
                                   view_changed,
                                   drain_requested,
+                                  begins_held,
                                   timer_expired>;
 
 // Actions ------------------------------------------------------------------
--- a/include/snipewalk/version/control_messages.h
+++ b/include/snipewalk/version/control_messages.h
@@ -1,5 +1,5 @@
 // Typed messages that the control threads of different instances exchange
-// about the primary of a service.
+// about the primary of a service and the transactions open there.
 #ifndef SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
 #define SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
 
@@ -48,7 +48,37 @@
   server_reachability mReachability = server_reachability::Reachable;
 };
 
-using control_message = std::variant<primary_report_query, primary_report>;
+// Asks a holder to begin no transactions in this term for kBeginHold, and for
+// the number that its engine has open on the primary. Sent only while a planned
+// change waits for open transactions.
+struct transactions_query
+{
+  std::string mService;
+  // The primary of mTerm.
+  std::string mServer;
+  std::uint64_t mTerm = 0;
+  // Chosen by the sender; echoed in the report.
+  std::uint64_t mQuery = 0;
+};
+
+// Answer to a transactions_query: while it is repeated, the number does not
+// grow.
+struct transactions_report
+{
+  std::string mService;
+  std::string mServer;
+  std::uint64_t mTerm = 0;
+  std::uint64_t mQuery = 0;
+  // Document in force at the holder: from this version on it begins no
+  // transactions on a server that leaves.
+  std::uint64_t mDocumentVersion = 0;
+  std::uint64_t mTransactions = 0;
+};
+
+using control_message = std::variant<primary_report_query,
+                                     primary_report,
+                                     transactions_query,
+                                     transactions_report>;
 
 } // namespace snipewalk
 
--- a/src/process/control_loop.cpp
+++ b/src/process/control_loop.cpp
@@ -73,6 +73,16 @@
   });
 }
 
+void
+control_loop::ReportTransactions(const std::string& aAsker,
+                                 const transactions_query& aQuery,
+                                 std::size_t aOpen)
+{
+  mLoop->Post([this, aAsker, aQuery, aOpen] {
+    mState->OnTransactions(aAsker, aQuery, aOpen);
+  });
+}
+
 void
 control_loop::SetFleetKeys(std::vector<std::string> aKeys)
 {
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -148,12 +148,12 @@
     const bool live = member.mInfo.mState == member_state::Alive ||
                       member.mInfo.mState == member_state::Suspect;
     if (live || unknown.contains(member.mInfo.mName)) {
-      members.push_back({ member.mInfo.mName, member.mInfo.mDataCentre });
+      members.push_back({ member.mInfo.mName, member.mInfo.mDataCentre, live });
     }
     unknown.erase(member.mInfo.mName);
   }
   for (const auto& name : unknown) {
-    members.push_back({ name, "" });
+    members.push_back({ name, "", false });
   }
   mControls.SetMembers(std::move(members), aNow);
 }
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -122,12 +122,14 @@
         },
         [this](const stored_object& aObject) {
           Do(record_learned{ aObject }, mLoop.Now());
-        } },
+        },
+        mCallbacks.mHoldBegins },
       [this](const std::string& aService) {
         service_objects objects;
         const auto service = mServices.find(aService);
         if (service != mServices.end() && service->second.mDocument) {
           objects.mDocument = &*service->second.mDocument;
+          objects.mDocumentVersion = service->second.mVersion;
         }
         objects.mTerm = mCache.Find(kTermsKind, aService);
         objects.mIsHeld = mSlots.Share(aService) > 0;
@@ -307,6 +309,14 @@
   mControls.OnConnections(aService, aServer, aConnections, mLoop.Now());
 }
 
+void
+control_state::OnTransactions(const std::string& aAsker,
+                              const transactions_query& aQuery,
+                              std::size_t aOpen)
+{
+  mControls.OnTransactions(aAsker, aQuery, aOpen, mLoop.Now());
+}
+
 void
 control_state::ReleaseSlots(milliseconds aLimit, std::function<void()> aDone)
 {
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -60,6 +60,9 @@
   void OnConnections(const std::string& aService,
                      const std::string& aServer,
                      std::size_t aConnections);
+  void OnTransactions(const std::string& aAsker,
+                      const transactions_query& aQuery,
+                      std::size_t aOpen);
   void SetKeys(std::vector<std::string> aKeys)
   {
     mPort.SetKeys(std::move(aKeys));
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -111,6 +111,13 @@
                                const status_observed& aObserved) {
     mInstance.Traffic().Observe(aService, aObserved);
   };
+  callbacks.mHoldBegins = [this](const std::string& aAsker,
+                                 const transactions_query& aQuery) {
+    mInstance.Traffic().HoldBegins(
+      aQuery, [this, aAsker, aQuery](std::size_t aOpen) {
+        mControl.ReportTransactions(aAsker, aQuery, aOpen);
+      });
+  };
   callbacks.mStatus = [this](std::shared_ptr<const control_status> aStatus) {
     mInstance.Board().SetControl(std::move(aStatus));
   };
--- a/src/process/fleet_wire.cpp
+++ b/src/process/fleet_wire.cpp
@@ -7,11 +7,12 @@
 
 namespace {
 
-template<typename Enum>
+template<typename Integer, typename Enum>
 Enum
-ToEnum(int aValue, Enum aLast)
+ToEnum(Integer aValue, Enum aLast)
 {
-  if (aValue < 0 || aValue > static_cast<int>(aLast)) {
+  if (std::cmp_less(aValue, 0) ||
+      std::cmp_greater(aValue, static_cast<int>(aLast))) {
     throw bad_value();
   }
   return static_cast<Enum>(aValue);
@@ -250,42 +251,64 @@
 wire_service
 ToWire(const service_message& aMessage)
 {
-  if (const auto* query =
+  wire_service wire;
+  auto& [sender, kind, service, server, address, term, query, version, value] =
+    wire;
+  sender = aMessage.mSender;
+  kind = static_cast<int>(aMessage.mMessage.index());
+  std::visit(
+    [&](const auto& aKnown) {
+      service = aKnown.mService;
+      server = aKnown.mServer;
+      term = aKnown.mTerm;
+      query = aKnown.mQuery;
+    },
+    aMessage.mMessage);
+  if (const auto* asked =
         std::get_if<primary_report_query>(&aMessage.mMessage)) {
-    return { aMessage.mSender, false,        query->mService, query->mServer,
-             query->mAddress,  query->mTerm, query->mQuery,   0 };
+    address = asked->mAddress;
+  } else if (const auto* primary =
+               std::get_if<primary_report>(&aMessage.mMessage)) {
+    value = static_cast<std::uint64_t>(primary->mReachability);
+  } else if (const auto* open =
+               std::get_if<transactions_report>(&aMessage.mMessage)) {
+    version = open->mDocumentVersion;
+    value = open->mTransactions;
   }
-  const auto& report = std::get<primary_report>(aMessage.mMessage);
-  return { aMessage.mSender,
-           true,
-           report.mService,
-           report.mServer,
-           "",
-           report.mTerm,
-           report.mQuery,
-           static_cast<int>(report.mReachability) };
+  return wire;
 }
 
 fleet_message
 FromWire(wire_service&& aMessage)
 {
-  auto& [sender, isReport, service, server, address, term, query, reachable] =
+  auto& [sender, kind, service, server, address, term, query, version, value] =
     aMessage;
-  if (!isReport) {
-    return service_message{
-      std::move(sender),
-      primary_report_query{
-        std::move(service), std::move(server), std::move(address), term, query }
-    };
+  service_message message;
+  message.mSender = std::move(sender);
+  switch (kind) {
+    case 0:
+      message.mMessage =
+        primary_report_query{ service, server, address, term, query };
+      break;
+    case 1:
+      message.mMessage =
+        primary_report{ service,
+                        server,
+                        term,
+                        query,
+                        ToEnum(value, server_reachability::Unreachable) };
+      break;
+    case 2:
+      message.mMessage = transactions_query{ service, server, term, query };
+      break;
+    case 3:
+      message.mMessage =
+        transactions_report{ service, server, term, query, version, value };
+      break;
+    default:
+      throw bad_value();
   }
-  return service_message{
-    std::move(sender),
-    primary_report{ std::move(service),
-                    std::move(server),
-                    term,
-                    query,
-                    ToEnum(reachable, server_reachability::Unreachable) }
-  };
+  return message;
 }
 
 } // namespace snipewalk
--- a/src/process/fleet_wire.h
+++ b/src/process/fleet_wire.h
@@ -60,16 +60,17 @@
 using wire_member_query = std::tuple<std::uint64_t, std::string>;
 using wire_member_reply =
   std::tuple<std::uint64_t, std::vector<wire_member>, bool>;
-// Service, server, address, term, query, reachability; the flag tells a report
-// from a query.
+// Sender, index of the message in control_message, service, server, address,
+// term, query, document version; reachability or number of transactions.
 using wire_service = std::tuple<std::string,
-                                bool,
+                                int,
                                 std::string,
                                 std::string,
                                 std::string,
                                 std::uint64_t,
                                 std::uint64_t,
-                                int>;
+                                std::uint64_t,
+                                std::uint64_t>;
 using wire_hello =
   std::tuple<std::string, std::string, std::string, std::string>;
 
--- a/src/process/service_controller.cpp
+++ b/src/process/service_controller.cpp
@@ -29,10 +29,11 @@
 
 void
 service_controller::OnDocument(const service_document& aDocument,
+                               std::uint64_t aVersion,
                                time_point aNow)
 {
   mState->mDocument = aDocument;
-  mState->mDrain.Configure(aDocument);
+  mState->mDrain.Configure(aDocument, aVersion);
   mState->Configure(aNow);
 }
 
@@ -92,6 +93,10 @@
                                   const control_message& aMessage,
                                   time_point aNow)
 {
+  if (const auto* open = std::get_if<transactions_report>(&aMessage)) {
+    mState->mDrain.OnTransactions(aInstance, *open);
+    return;
+  }
   mState->Feed(detector_event(peer_message_received{ aInstance, aMessage }),
                aNow);
 }
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -234,19 +234,69 @@
   if (!slot || !term) {
     return;
   }
+  const milliseconds delay = *slot * 4 * kSlotStep;
   mDrain.OnSuspected(mDetector.Suspected());
-  const auto change = mDrain.NextChange(aNow, *slot * 4 * kSlotStep);
+  mDrain.OnHolders(LiveHolders());
+  mDrain.Advance(aNow, mWallNow, delay);
+  if (const auto query = mDrain.NextQuery(aNow)) {
+    AskHolders(*query);
+  }
+  const auto change = mDrain.NextChange(aNow, delay);
   if (change) {
     mFailoverEvents.emplace_back(change_planned{ term->mTerm, *change });
   }
   const drain_status progress = mDrain.Status(aNow, mWallNow);
-  for (const auto& server : progress.mServers) {
+  AnnounceBreaches(progress, *slot);
+  if (*slot == 0) {
+    WriteDrainStatus(progress, aNow);
+  }
+}
+
+// A holder that the membership does not name any more is gone: its transactions
+// were rolled back when its connections closed.
+std::vector<std::string>
+service_controller_state::LiveHolders() const
+{
+  std::vector<std::string> names;
+  if (!mCallbacks.mHoldBegins) {
+    return names;
+  }
+  for (const auto& holder : mSlots.mHolders) {
+    const bool lives =
+      holder.mInstance == mOptions.mInstance ||
+      std::any_of(mMembers.begin(), mMembers.end(), [&](const auto& aMember) {
+        return aMember.mIsMember && aMember.mName == holder.mInstance;
+      });
+    if (lives && !Contains(names, holder.mInstance)) {
+      names.push_back(holder.mInstance);
+    }
+  }
+  return names;
+}
+
+void
+service_controller_state::AskHolders(const transactions_query& aQuery)
+{
+  for (const auto& holder : LiveHolders()) {
+    if (holder == mOptions.mInstance) {
+      mCallbacks.mHoldBegins(holder, aQuery);
+    } else if (mCallbacks.mSendPeer) {
+      mCallbacks.mSendPeer(holder, aQuery);
+    }
+  }
+}
+
+void
+service_controller_state::AnnounceBreaches(const drain_status& aStatus,
+                                           int aSlot)
+{
+  for (const auto& server : aStatus.mServers) {
     if (server.mBreach && mAnnouncedBreaches.insert(server.mServer).second) {
       Log(log_level::Warning,
           "drain",
           "a leaving server will miss its deadline",
           { { "service", mService }, { "server", server.mServer } });
-      if (*slot == 0) {
+      if (aSlot == 0) {
         mAudit.Append({ {},
                         mWallNow,
                         mOptions.mInstance,
@@ -261,9 +311,6 @@
       mAnnouncedBreaches.erase(server.mServer);
     }
   }
-  if (*slot == 0) {
-    WriteDrainStatus(progress, aNow);
-  }
 }
 
 void
--- a/src/process/service_controller_state.h
+++ b/src/process/service_controller_state.h
@@ -78,6 +78,10 @@
   std::optional<int> OwnSlot() const;
   detector_configured DetectorConfig() const;
   void AdvanceDrain(time_point aNow);
+  // Holders whose transactions a planned change waits for.
+  std::vector<std::string> LiveHolders() const;
+  void AskHolders(const transactions_query& aQuery);
+  void AnnounceBreaches(const drain_status& aStatus, int aSlot);
   void WriteDrainStatus(const drain_status& aStatus, time_point aNow);
   void OnStatusReply(const store_reply& aReply, time_point aNow);
 
--- a/src/process/service_controls.cpp
+++ b/src/process/service_controls.cpp
@@ -74,7 +74,7 @@
   if (aObjects.mTerm) {
     controller.OnTermObject(*aObjects.mTerm, aNow);
   }
-  controller.OnDocument(*aObjects.mDocument, aNow);
+  controller.OnDocument(*aObjects.mDocument, aObjects.mDocumentVersion, aNow);
   controller.OnSlots(aObjects.mSlots, aNow);
 }
 
@@ -134,6 +134,14 @@
                                 const control_message& aMessage,
                                 time_point aNow)
 {
+  if (const auto* query = std::get_if<transactions_query>(&aMessage)) {
+    // Also without a controller: an instance that was started anew, or has
+    // lost its slot, has no or its last transactions.
+    if (mCallbacks.mHoldBegins) {
+      mCallbacks.mHoldBegins(aInstance, *query);
+    }
+    return;
+  }
   const std::string& service = ServiceOf(aMessage);
   const bool isQuery = std::holds_alternative<primary_report_query>(aMessage);
   if (isQuery && !Find(service)) {
@@ -153,6 +161,25 @@
   found->second.mController->OnPeerMessage(aInstance, aMessage, aNow);
 }
 
+void
+service_controls::OnTransactions(const std::string& aAsker,
+                                 const transactions_query& aQuery,
+                                 std::size_t aOpen,
+                                 time_point aNow)
+{
+  const transactions_report report{ aQuery.mService,
+                                    aQuery.mServer,
+                                    aQuery.mTerm,
+                                    aQuery.mQuery,
+                                    mLookup(aQuery.mService).mDocumentVersion,
+                                    aOpen };
+  if (aAsker != mOptions.mInstance) {
+    mCallbacks.mSendPeer(aAsker, report);
+  } else if (service_controller* controller = Find(aQuery.mService)) {
+    controller->OnPeerMessage(aAsker, report, aNow);
+  }
+}
+
 void
 service_controls::RemoveUnused(time_point aNow)
 {
--- a/src/process/service_controls.h
+++ b/src/process/service_controls.h
@@ -22,6 +22,7 @@
 struct service_objects
 {
   const service_document* mDocument = nullptr;
+  std::uint64_t mDocumentVersion = 0;
   const stored_object* mTerm = nullptr;
   // Names this process only while it may have connections open: its control
   // connections are part of its share.
@@ -55,6 +56,11 @@
   void OnPeerMessage(const std::string& aInstance,
                      const control_message& aMessage,
                      time_point aNow);
+  // The engine's answer to controller_callbacks::mHoldBegins.
+  void OnTransactions(const std::string& aAsker,
+                      const transactions_query& aQuery,
+                      std::size_t aOpen,
+                      time_point aNow);
   void Tick(time_point aNow, wall_time aWallNow);
 
   // Fills in the term and the suspected servers. Without a controller the term
--- a/src/process/traffic_engines.cpp
+++ b/src/process/traffic_engines.cpp
@@ -156,6 +156,24 @@
   }
 }
 
+std::size_t
+traffic_thread::HoldBegins(const std::string& aService,
+                           const std::string& aServer,
+                           std::uint64_t aTerm)
+{
+  const auto engine = mEngines.find(aService);
+  if (engine == mEngines.end()) {
+    return 0;
+  }
+  engine->second->Handle(begins_held{ aTerm });
+  for (const auto& server : engine->second->Status().mServers) {
+    if (server.mName == aServer) {
+      return server.mTransactions;
+    }
+  }
+  return 0;
+}
+
 void
 traffic_thread::CloseCallers()
 {
--- a/src/process/traffic_group.cpp
+++ b/src/process/traffic_group.cpp
@@ -88,6 +88,16 @@
   owner.Post([&owner, aService, aStatus] { owner.Observe(aService, aStatus); });
 }
 
+void
+traffic_group::HoldBegins(const transactions_query& aQuery,
+                          std::function<void(std::size_t aOpen)> aDone)
+{
+  traffic_thread& owner = OwnerOf(aQuery.mService);
+  owner.Post([&owner, aQuery, done = std::move(aDone)] {
+    done(owner.HoldBegins(aQuery.mService, aQuery.mServer, aQuery.mTerm));
+  });
+}
+
 void
 traffic_group::SetFleetKeys(const std::vector<std::string>& aFleetKeys)
 {
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -38,6 +38,14 @@
          !mRouter.Servers()[*primary].mSuspected;
 }
 
+bool
+service_engine_state::HoldsBegins() const
+{
+  const auto primary = mRouter.Primary();
+  return (primary && mRouter.Servers()[*primary].mLeaving) ||
+         (mBeginsHeldTerm == mRouter.Term() && mNow < mBeginsHeldUntil);
+}
+
 void
 service_engine_state::DispatchLookups()
 {
@@ -84,8 +92,7 @@
       return;
     }
     const std::size_t primary = *mRouter.Primary();
-    // A leaving primary gets no new transactions; they begin at its successor.
-    if (aLane == queue_lane::Begin && mRouter.Servers()[primary].mLeaving) {
+    if (aLane == queue_lane::Begin && HoldsBegins()) {
       return;
     }
     auto& entry = EntryOf(*node);
--- a/src/request/engine_settlement.cpp
+++ b/src/request/engine_settlement.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Told to callers whose transaction could not begin before a planned change.
+constexpr milliseconds kRetryAfterHold{ 1'000 };
+
 bool
 IsAfter(const log_position& aLeft, const log_position& aRight)
 {
@@ -155,6 +158,14 @@
                  milliseconds(200));
     return;
   }
+  if (aEntry.mStage == request_stage::Queued &&
+      aEntry.mLane == queue_lane::Begin && HoldsBegins()) {
+    AnswerFailed(aEntry,
+                 refusal_reason::DeadlineExceeded,
+                 "new transactions wait for a planned change",
+                 kRetryAfterHold);
+    return;
+  }
   AnswerFailed(
     aEntry, refusal_reason::DeadlineExceeded, "the deadline has passed");
 }
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -13,6 +13,9 @@
 
 // Told to callers that are refused until a term or a view arrives.
 constexpr milliseconds kRetryAfterChange{ 200 };
+// Transactions held for a planned change fill at most this fraction of the
+// queue, so that writes are still admitted.
+constexpr std::size_t kHeldBeginsFraction = 4;
 
 bool
 EndsTransaction(statement_kind aKind)
@@ -68,6 +71,15 @@
                  std::max(ExpectedWait(entry.mLane), kRetryAfterChange));
     return;
   }
+  const auto limit = static_cast<std::size_t>(mView->mDocument.mQueueLimit);
+  if (entry.mLane == queue_lane::Begin && HoldsBegins() &&
+      mQueue.Size(queue_lane::Begin) >= limit / kHeldBeginsFraction) {
+    AnswerFailed(entry,
+                 refusal_reason::Overloaded,
+                 "too many transactions wait for a planned change",
+                 kRetryAfterChange);
+    return;
+  }
   const auto wait = ExpectedWait(entry.mLane);
   if (mNow + wait > request.mDeadline) {
     AnswerFailed(entry,
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -175,6 +175,14 @@
   mDraining = true;
 }
 
+void
+service_engine_state::On(const begins_held& aEvent)
+{
+  mBeginsHeldTerm = aEvent.mTerm;
+  mBeginsHeldUntil = mNow + kBeginHold;
+  SetTimer(mBeginsHeldUntil, timer_kind::Wakeup, 0);
+}
+
 void
 service_engine_state::On(const timer_expired&)
 {
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -156,6 +156,7 @@
   void On(const status_observed& aEvent);
   void On(const view_changed& aEvent);
   void On(const drain_requested& aEvent);
+  void On(const begins_held& aEvent);
   void On(const timer_expired& aEvent);
   void ObserveStatus(std::size_t aServer,
                      const server_status& aStatus,
@@ -181,6 +182,8 @@
   bool DispatchRead(request_entry& aEntry);
   bool IsTooLate(const request_entry& aEntry) const;
   bool PrimaryReady() const;
+  // New transactions wait for the successor of the primary, or for the term.
+  bool HoldsBegins() const;
   void MoveToPrimaryLane(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
   void SendStatement(request_entry& aEntry,
@@ -299,6 +302,9 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
+  // No transaction begins in this term until the time given.
+  std::uint64_t mBeginsHeldTerm = 0;
+  time_point mBeginsHeldUntil;
   // Mean time that a statement occupies a connection, by writes and reads.
   double mWriteSeconds = 0.001;
   double mReadSeconds = 0.001;
--- a/src/version/failure_detector_queries.cpp
+++ b/src/version/failure_detector_queries.cpp
@@ -29,11 +29,11 @@
     AnswerQuery(aEvent.mInstance, *query, aNow, aOut);
     return;
   }
-  const auto& report = std::get<primary_report>(aEvent.mMessage);
-  if (mRound && report.mQuery == mRound->mQuery &&
-      report.mTerm == mConfig.mTerm && report.mServer == mConfig.mPrimary &&
+  const auto* report = std::get_if<primary_report>(&aEvent.mMessage);
+  if (report && mRound && report->mQuery == mRound->mQuery &&
+      report->mTerm == mConfig.mTerm && report->mServer == mConfig.mPrimary &&
       mRound->mAsked.count(aEvent.mInstance) > 0) {
-    mRound->mReports[aEvent.mInstance] = report.mReachability;
+    mRound->mReports[aEvent.mInstance] = report->mReachability;
   }
 }
 
--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -131,5 +131,34 @@
   }));
 }
 
+// Guards against a change of voters that rolls back a transaction on a primary
+// that stays.
+TEST(DrainTest, OpenTransactionFinishesWhileAReplicaLeaves)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string primary = fleet.Primary(0);
+  const std::uint64_t term = fleet.Term(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  const auto begun = fleet.Send(0, statement);
+  ASSERT_TRUE(begun.Done()) << begun.mStatus << begun.mBody;
+  statement.mTransaction = begun.mTransaction;
+  ASSERT_TRUE(fleet.PutDocument(0, { AnyReplica(fleet) }).ok());
+  std::this_thread::sleep_for(seconds(3));
+  statement.mKind = "write";
+  statement.mBody = "set drum/9 cleaned";
+  const auto written = fleet.Send(1, statement);
+  EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
+  statement.mKind = "commit";
+  statement.mBody.clear();
+  const auto committed = fleet.Send(2, statement);
+  EXPECT_TRUE(committed.Done()) << committed.mStatus << committed.mBody;
+  EXPECT_TRUE(
+    WaitFor([&] { return fleet.Term(0) > term && fleet.Primary(0) == primary; },
+            seconds(20)));
+}
+
 } // namespace
 } // namespace snipewalk::standins
--- a/tests/process/fleet_codec_test.cpp
+++ b/tests/process/fleet_codec_test.cpp
@@ -54,6 +54,42 @@
   }
 }
 
+template<typename Message>
+Message
+ThroughCodec(const Message& aMessage)
+{
+  const auto decoded =
+    DecodeFleetMessage(EncodeFleetMessage(service_message{ "i", aMessage }));
+  const auto& message = std::get<service_message>(decoded.value());
+  EXPECT_EQ(message.mSender, "i");
+  return std::get<Message>(message.mMessage);
+}
+
+// Guards against fields of the messages between holders that are lost or
+// exchanged on the way.
+TEST(FleetCodecTest, ServiceMessagesKeepTheirFields)
+{
+  const auto asked =
+    ThroughCodec(primary_report_query{ "s", "a", "1.2.3.4:5", 6, 7 });
+  EXPECT_EQ(asked.mService + asked.mServer + asked.mAddress, "sa1.2.3.4:5");
+  EXPECT_EQ(asked.mTerm, 6U);
+  EXPECT_EQ(asked.mQuery, 7U);
+  const auto reached = ThroughCodec(
+    primary_report{ "s", "a", 6, 7, server_reachability::Unreachable });
+  EXPECT_EQ(reached.mReachability, server_reachability::Unreachable);
+  const auto counted = ThroughCodec(transactions_query{ "s", "a", 6, 7 });
+  EXPECT_EQ(counted.mService + counted.mServer, "sa");
+  EXPECT_EQ(counted.mTerm, 6U);
+  EXPECT_EQ(counted.mQuery, 7U);
+  const auto open =
+    ThroughCodec(transactions_report{ "s", "a", 6, 7, 8, 1ULL << 40 });
+  EXPECT_EQ(open.mService + open.mServer, "sa");
+  EXPECT_EQ(open.mTerm, 6U);
+  EXPECT_EQ(open.mQuery, 7U);
+  EXPECT_EQ(open.mDocumentVersion, 8U);
+  EXPECT_EQ(open.mTransactions, 1ULL << 40);
+}
+
 // Guards against crashes and unbounded memory on malformed frames.
 TEST(FleetCodecTest, SurvivesMutatedFrames)
 {
@@ -66,6 +102,8 @@
     member_reply{ 4, Probe().mUpdates, true },
     service_message{ "i", primary_report_query{ "s", "a", "b", 1, 2 } },
     service_message{ "i", primary_report{ "s", "a", 1, 2 } },
+    service_message{ "i", transactions_query{ "s", "a", 1, 2 } },
+    service_message{ "i", transactions_report{ "s", "a", 1, 2, 3, 4 } },
   };
   std::mt19937_64 random(16);
   std::size_t accepted = 0;
--- a/tests/process/service_controller_test.cpp
+++ b/tests/process/service_controller_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr milliseconds kTick{ 20 };
+constexpr std::uint64_t kDocumentVersion = 5;
 
 std::string
 LocalAddress(std::uint16_t aPort)
@@ -121,10 +122,14 @@
         }
       });
     };
+    callbacks.mHoldBegins = [this, aIndex](const std::string& aAsker,
+                                           const transactions_query& aQuery) {
+      ReportTransactions(aIndex, aAsker, aQuery);
+    };
     added.mController = std::make_unique<service_controller>(
       mLoop, *added.mStore, *added.mAudit, "ledger", options, callbacks);
     const time_point now = mLoop.Now();
-    added.mController->OnDocument(mDocument, now);
+    added.mController->OnDocument(mDocument, kDocumentVersion, now);
     added.mController->OnSlots(mSlots, now);
     std::vector<live_instance> others;
     for (int i = 0; i < 3; ++i) {
@@ -141,9 +146,32 @@
   {
     mLoop.Post([this, aFrom, aTo, aMessage] {
       for (auto& [index, other] : mInstances) {
-        if (NameOfInstance(index) == aTo) {
+        if (NameOfInstance(index) != aTo) {
+          continue;
+        }
+        if (const auto* query = std::get_if<transactions_query>(&aMessage)) {
+          ReportTransactions(index, NameOfInstance(aFrom), *query);
+          continue;
+        }
+        other.mController->OnPeerMessage(
+          NameOfInstance(aFrom), aMessage, mLoop.Now());
+      }
+    });
+  }
+
+  // Answers in the place of the instance's engine.
+  void ReportTransactions(int aIndex,
+                          const std::string& aAsker,
+                          const transactions_query& aQuery)
+  {
+    const transactions_report report{ aQuery.mService,  aQuery.mServer,
+                                      aQuery.mTerm,     aQuery.mQuery,
+                                      kDocumentVersion, mOpen[aIndex] };
+    mLoop.Post([this, aIndex, aAsker, report] {
+      for (auto& [index, other] : mInstances) {
+        if (NameOfInstance(index) == aAsker) {
           other.mController->OnPeerMessage(
-            NameOfInstance(aFrom), aMessage, mLoop.Now());
+            NameOfInstance(aIndex), report, mLoop.Now());
         }
       }
     });
@@ -203,7 +231,7 @@
   void ChangeDocument()
   {
     for (auto& [index, one] : mInstances) {
-      one.mController->OnDocument(mDocument, mLoop.Now());
+      one.mController->OnDocument(mDocument, kDocumentVersion, mLoop.Now());
     }
   }
 
@@ -213,6 +241,8 @@
   service_document mDocument;
   slot_record mSlots;
   std::map<int, instance> mInstances;
+  // Transactions open on the primary, by instance.
+  std::map<int, std::uint64_t> mOpen;
   std::vector<stage> mScript;
   std::size_t mStage = 0;
   time_point mLimit;
@@ -270,5 +300,35 @@
   EXPECT_FALSE(Contains(Term(0)->mVoters, leaving));
 }
 
+// Guards against a planned change that does not ask the other holders for their
+// transactions, or does not start once the last one ended.
+TEST_F(ServiceControllerTest, WaitsForTransactionsOfAnotherHolder)
+{
+  const auto leave = [&] {
+    mOpen[2] = 1;
+    for (auto& server : mDocument.mServers) {
+      if (server.mName == Term(0)->mPrimary) {
+        server.mState = server_state::Leaving;
+      }
+    }
+    ChangeDocument();
+  };
+  const auto waits = [&] {
+    const auto status = mInstances[0].mController->DrainStatus();
+    return status.mServers.size() == 1 &&
+           status.mServers[0].mObstacles == std::vector<std::string>{
+             "waits at most 31000 ms for open transactions on " +
+             Term(0)->mPrimary + ": instance-2 has 1"
+           };
+  };
+  const auto end = [&] {
+    EXPECT_EQ(Term(0)->mTerm, 1U);
+    mOpen[2] = 0;
+  };
+  EXPECT_TRUE(Run({ { [this] { return IsServing(1); }, leave },
+                    { waits, end },
+                    { [this] { return IsServing(2); }, [] {} } }));
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -276,7 +276,7 @@
   void Disturb()
   {
     auto& server = mModel.mServers[Random(3)];
-    switch (Random(12)) {
+    switch (Random(13)) {
       case 0:
         server.mUp = !server.mUp;
         break;
@@ -297,6 +297,9 @@
       case 7:
         server.mUp = server.mReachable = true;
         break;
+      case 8:
+        Handle(Random(mEngines.size()), begins_held{ mView.mTerm.mTerm });
+        break;
       default:
         LoseLink();
         break;
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -332,6 +332,71 @@
   }
 }
 
+// Guards against transactions that begin on a primary that is about to be
+// fenced, against writes that wait with them, and against a refusal that does
+// not tell the caller when to come back.
+TEST(ServiceEngineTest, HoldsNewTransactionsBeforeAPlannedChange)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Handle(begins_held{ 1 });
+  auto begin = driver.Request(statement_kind::Begin);
+  begin.mDeadline = driver.mNow + kBeginHold / 2;
+  driver.Submit(begin);
+  driver.Submit(driver.Request(statement_kind::Begin));
+  driver.Submit(driver.Request(statement_kind::Write));
+  const auto sent = driver.Take<backend_statement>("a");
+  ASSERT_TRUE(sent);
+  EXPECT_EQ(sent->second.mKind, statement_kind::Write);
+  EXPECT_FALSE(driver.Take<backend_statement>("a"));
+  driver.Advance(kBeginHold / 2);
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+  EXPECT_GT(driver.mAnswers[0].mRetryAfter, milliseconds(0));
+  driver.Advance(kBeginHold / 2);
+  driver.Settle();
+  const auto later = driver.Take<backend_statement>("a");
+  ASSERT_TRUE(later);
+  EXPECT_EQ(later->second.mKind, statement_kind::Begin);
+}
+
+// Guards against a hold of one term that delays transactions of the next, and
+// against one that is not counted while its begin is under way.
+TEST(ServiceEngineTest, BeginsTransactionsInTheTermAfterAPlannedChange)
+{
+  engine_driver driver;
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Begin));
+  driver.Handle(begins_held{ 1 });
+  EXPECT_EQ(driver.mEngine.Status().mServers.at(0).mTransactions, 1U);
+  driver.Submit(driver.Request(statement_kind::Begin));
+  ASSERT_TRUE(driver.Take<backend_statement>("a"));
+  EXPECT_FALSE(driver.Take<backend_statement>("a"));
+  driver.mView.mTerm.mTerm = 2;
+  driver.mView.mTerm.mPrimary = "b";
+  driver.Publish();
+  driver.Settle();
+  const auto begin = driver.Take<backend_statement>("b");
+  ASSERT_TRUE(begin);
+  EXPECT_EQ(begin->second.mKind, statement_kind::Begin);
+}
+
+// Guards against held transactions that fill the queue and so stop the writes.
+TEST(ServiceEngineTest, KeepsRoomForWritesWhileTransactionsAreHeld)
+{
+  engine_driver driver;
+  driver.mView.mDocument.mQueueLimit = 8;
+  driver.Start();
+  driver.Handle(begins_held{ 1 });
+  for (int i = 0; i < 3; ++i) {
+    driver.Submit(driver.Request(statement_kind::Begin));
+  }
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
+  EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::Overloaded);
+  EXPECT_GT(driver.mAnswers[0].mRetryAfter, milliseconds(0));
+}
+
 // Guards against an instance that starts transactions which its end cuts.
 TEST(ServiceEngineTest, BeginsNoTransactionWhileShuttingDown)
 {
