Hold reads with a stated age during a change of term

Cause: such a read was refused as too_stale 100 ms after it arrived without a server of known age. This is the failure that was once seen in DrainTest.LeavingReplicaGetsNoNewStatements.

The refused reads arrived at the start of the gap between writes and took 100.5 and 101.0 ms.

Change: during a change of term and for 500 ms after its last step, the read is held for up to 500 ms. Otherwise the limit stays 100 ms.

Conclusion: the cause is found; reads with an age wait like other requests.

--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -13,6 +13,10 @@
 // it or it is refused.
 constexpr milliseconds kAgedHoldPrimary{ 20 };
 constexpr milliseconds kAgedHold{ 100 };
+// The same during a change of term and as long after its last step: positions
+// of the new term are learned only once its primary serves. A planned change
+// takes up to about 200 ms.
+constexpr milliseconds kAgedHoldInChange{ 500 };
 // Spacing of status requests that refresh positions for aged reads.
 constexpr milliseconds kAgedRefreshInterval{ 10 };
 // A statement that waited is sent only if this many times its mean duration
@@ -217,14 +221,17 @@
     MoveToPrimaryLane(aEntry);
     return true;
   }
-  if (held >= kAgedHold) {
+  const bool changing = mView->mTerm.mPhase != term_phase::Stable ||
+                        mNow - mTermChangedAt < kAgedHoldInChange;
+  const milliseconds limit = changing ? kAgedHoldInChange : kAgedHold;
+  if (held >= limit) {
     AnswerFailed(aEntry,
                  refusal_reason::TooStale,
                  "no server is known to have data of the stated age",
                  kAgedHold);
     return true;
   }
-  const auto step = held < kAgedHoldPrimary ? kAgedHoldPrimary : kAgedHold;
+  const auto step = held < kAgedHoldPrimary ? kAgedHoldPrimary : limit;
   SetTimer(aEntry.mQueuedAt + step, timer_kind::Wakeup, 0);
   return false;
 }
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -13,6 +13,10 @@
   const auto old = mView;
   mView = aEvent.mView;
   mSessionKeys = aEvent.mSessionKeys;
+  if (old && (old->mTerm.mTerm != mView->mTerm.mTerm ||
+              old->mTerm.mPhase != mView->mTerm.mPhase)) {
+    mTermChangedAt = mNow;
+  }
   const auto oldPrimary = mRouter.Primary();
   const auto oldTerm = mRouter.Term();
   mRouter.SetView(*mView, mOptions.mDataCentre);
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -302,6 +302,8 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
+  // When the term or its phase last changed in the view.
+  time_point mTermChangedAt;
   // No transaction begins in this term until the time given.
   std::uint64_t mBeginsHeldTerm = 0;
   time_point mBeginsHeldUntil;
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -317,6 +317,36 @@
   EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::NotRun);
 }
 
+// Guards against reads with a stated age that fail during a planned change,
+// and against ones that are held without end when it does not succeed.
+TEST(ServiceEngineTest, HoldsReadsWithAnAgeDuringAChangeOfTerm)
+{
+  for (const bool succeeds : { true, false }) {
+    engine_driver driver;
+    driver.Start();
+    driver.mView.mTerm.mTerm = 2;
+    driver.mView.mTerm.mPhase = term_phase::Electing;
+    driver.mView.mTerm.mPrimary.clear();
+    driver.Publish();
+    auto request = driver.Request(statement_kind::Read);
+    request.mMaxAge = milliseconds(500);
+    driver.Submit(request);
+    driver.Advance(milliseconds(200));
+    EXPECT_TRUE(driver.mAnswers.empty());
+    if (succeeds) {
+      driver.mView.mTerm.mPhase = term_phase::Stable;
+      driver.mView.mTerm.mPrimary = "b";
+      driver.Publish();
+      driver.Settle();
+      EXPECT_TRUE(driver.Take<backend_statement>());
+    } else {
+      driver.Advance(milliseconds(300));
+      ASSERT_EQ(driver.mAnswers.size(), 1U);
+      EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::TooStale);
+    }
+  }
+}
+
 // Guards against new work on a leaving server and connections that stay there.
 TEST(ServiceEngineTest, DrainsALeavingServer)
 {
