Encode messages between holders without captured bindings

Change: the fields are gathered first. The bytes stay the same.

Conclusion: no change of behaviour.

--- a/src/process/fleet_wire.cpp
+++ b/src/process/fleet_wire.cpp
@@ -251,19 +251,9 @@
 wire_service
 ToWire(const service_message& aMessage)
 {
-  wire_service wire;
-  auto& [sender, kind, service, server, address, term, query, version, value] =
-    wire;
-  sender = aMessage.mSender;
-  kind = static_cast<int>(aMessage.mMessage.index());
-  std::visit(
-    [&](const auto& aKnown) {
-      service = aKnown.mService;
-      server = aKnown.mServer;
-      term = aKnown.mTerm;
-      query = aKnown.mQuery;
-    },
-    aMessage.mMessage);
+  std::string address;
+  std::uint64_t version = 0;
+  std::uint64_t value = 0;
   if (const auto* asked =
         std::get_if<primary_report_query>(&aMessage.mMessage)) {
     address = asked->mAddress;
@@ -275,7 +265,14 @@
     version = open->mDocumentVersion;
     value = open->mTransactions;
   }
-  return wire;
+  const int kind = static_cast<int>(aMessage.mMessage.index());
+  return std::visit(
+    [&](const auto& aKnown) {
+      return wire_service{ aMessage.mSender, kind,    aKnown.mService,
+                           aKnown.mServer,   address, aKnown.mTerm,
+                           aKnown.mQuery,    version, value };
+    },
+    aMessage.mMessage);
 }
 
 fleet_message
