Test what a service does while a planned change waits

Cause: only unit tests showed that writes go on, new transactions are refused as not run, and operators see the wait.

Change: DrainTest.ServesWritesAndHoldsNewTransactionsDuringTheWait.

--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -131,6 +131,48 @@
   }));
 }
 
+// Whether the store's drain status names an open transaction as an obstacle.
+bool
+IsReportedAsWaiting(const system_fleet& aFleet)
+{
+  const Json::Value status = aFleet.StoreObject("status", "service1");
+  const Json::Value& obstacles = status["servers"][0]["obstacles"];
+  return obstacles.isArray() && !obstacles.empty() &&
+         obstacles[0].asString().find(" has 1") != std::string::npos;
+}
+
+// Guards against writes that stop while a planned change waits for a
+// transaction, against new transactions that are not refused as not run, and
+// against a wait that operators do not see.
+TEST(DrainTest, ServesWritesAndHoldsNewTransactionsDuringTheWait)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string leaving = fleet.Primary(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  const auto open = fleet.Send(0, statement);
+  ASSERT_TRUE(open.Done()) << open.mStatus << open.mBody;
+  ASSERT_TRUE(fleet.PutDocument(0, { leaving }).ok());
+  EXPECT_TRUE(WaitFor([&] { return IsReportedAsWaiting(fleet); }, seconds(15)));
+  const auto written = fleet.Write(1, "set drum/9 cleaned");
+  EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
+  EXPECT_EQ(written.mServer, leaving);
+  statement.mTimeoutMs = 500;
+  const auto refused = fleet.Send(2, statement);
+  EXPECT_EQ(refused.mOutcome, "not_run") << refused.mBody;
+  EXPECT_FALSE(refused.mRetryAfter.empty());
+  caller_statement end;
+  end.mKind = "rollback";
+  end.mTransaction = open.mTransaction;
+  EXPECT_TRUE(fleet.Send(1, end).Done());
+  statement.mTimeoutMs = 5'000;
+  const auto begun = fleet.Send(2, statement);
+  EXPECT_TRUE(begun.Done()) << begun.mStatus << begun.mBody;
+  EXPECT_NE(begun.mServer, leaving);
+}
+
 // Guards against a change of voters that rolls back a transaction on a primary
 // that stays.
 TEST(DrainTest, OpenTransactionFinishesWhileAReplicaLeaves)
