Test that a drain does not wait for an instance that is gone

Cause: only a unit test showed that a holder which membership takes for dead is not waited for.

Change: DrainTest.ChangesThePrimaryOnceAHolderOfTransactionsIsGone kills the holder that the drain status names.

Conclusion: the wait ends with the fleet's belief that the holder lives.

--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -131,14 +131,22 @@
   }));
 }
 
-// Whether the store's drain status names an open transaction as an obstacle.
-bool
-IsReportedAsWaiting(const system_fleet& aFleet)
+// The instance that has the one open transaction by the store's drain status;
+// nothing when the status names none as an obstacle.
+std::optional<int>
+HolderOfTransaction(const system_fleet& aFleet)
 {
   const Json::Value status = aFleet.StoreObject("status", "service1");
   const Json::Value& obstacles = status["servers"][0]["obstacles"];
-  return obstacles.isArray() && !obstacles.empty() &&
-         obstacles[0].asString().find(" has 1") != std::string::npos;
+  const std::string text =
+    obstacles.isArray() && !obstacles.empty() ? obstacles[0].asString() : "";
+  for (int i = 0; i < aFleet.Instances(); ++i) {
+    if (text.find(system_fleet::InstanceName(i) + " has 1") !=
+        std::string::npos) {
+      return i;
+    }
+  }
+  return std::nullopt;
 }
 
 // Guards against writes that stop while a planned change waits for a
@@ -155,7 +163,8 @@
   const auto open = fleet.Send(0, statement);
   ASSERT_TRUE(open.Done()) << open.mStatus << open.mBody;
   ASSERT_TRUE(fleet.PutDocument(0, { leaving }).ok());
-  EXPECT_TRUE(WaitFor([&] { return IsReportedAsWaiting(fleet); }, seconds(15)));
+  EXPECT_TRUE(WaitFor([&] { return HolderOfTransaction(fleet).has_value(); },
+                      seconds(15)));
   const auto written = fleet.Write(1, "set drum/9 cleaned");
   EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
   EXPECT_EQ(written.mServer, leaving);
@@ -173,6 +182,32 @@
   EXPECT_NE(begun.mServer, leaving);
 }
 
+// Guards against a drain that waits for the transactions of an instance that is
+// gone until the wait is over.
+TEST(DrainTest, ChangesThePrimaryOnceAHolderOfTransactionsIsGone)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string leaving = fleet.Primary(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  ASSERT_TRUE(fleet.Send(0, statement).Done());
+  ASSERT_TRUE(fleet.PutDocument(0, { leaving }).ok());
+  std::optional<int> holder;
+  ASSERT_TRUE(
+    WaitFor([&] { return (holder = HolderOfTransaction(fleet)).has_value(); },
+            seconds(15)));
+  EXPECT_EQ(fleet.Primary(0), leaving);
+  fleet.Processes().At(system_fleet::InstanceName(*holder)).Kill();
+  EXPECT_TRUE(WaitFor(
+    [&] {
+      const std::string primary = fleet.Primary(0);
+      return !primary.empty() && primary != leaving;
+    },
+    seconds(20)));
+}
+
 // Guards against a change of voters that rolls back a transaction on a primary
 // that stays.
 TEST(DrainTest, OpenTransactionFinishesWhileAReplicaLeaves)
