--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -162,6 +162,7 @@
   void On(const status_observed& aEvent);
   void On(const view_changed& aEvent);
   void On(const drain_requested& aEvent);
+  void On(const begins_held& aEvent);
   void On(const timer_expired& aEvent);
   void ObserveStatus(std::size_t aServer,
                      const server_status& aStatus,
@@ -193,6 +194,8 @@
   bool IsTooLate(const request_entry& aEntry) const;
   void RefuseLate(request_entry& aEntry);
   bool PrimaryReady() const;
+  // New transactions wait for the successor of the primary, or for the term.
+  bool HoldsBegins() const;
   void MoveToPrimaryLane(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
   void SendStatement(request_entry& aEntry,
@@ -321,6 +324,11 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
+  // When the term or its phase last changed in the view.
+  time_point mTermChangedAt;
+  // No transaction begins in this term until the time given.
+  std::uint64_t mBeginsHeldTerm = 0;
+  time_point mBeginsHeldUntil;
   // Times that writes and reads outside transactions occupy a connection.
   service_time mWriteHeld;
   service_time mReadHeld;
--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -131,5 +131,111 @@
   }));
 }
 
+// The instance that has the one open transaction by the store's drain status;
+// nothing when the status names none as an obstacle.
+std::optional<int>
+HolderOfTransaction(const system_fleet& aFleet)
+{
+  const Json::Value status = aFleet.StoreObject("status", "service1");
+  const Json::Value& obstacles = status["servers"][0]["obstacles"];
+  const std::string text =
+    obstacles.isArray() && !obstacles.empty() ? obstacles[0].asString() : "";
+  for (int i = 0; i < aFleet.Instances(); ++i) {
+    if (text.find(system_fleet::InstanceName(i) + " has 1") !=
+        std::string::npos) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+// Guards against writes that stop while a planned change waits for a
+// transaction, against new transactions that are not refused as not run, and
+// against a wait that operators do not see.
+TEST(DrainTest, ServesWritesAndHoldsNewTransactionsDuringTheWait)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string leaving = fleet.Primary(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  const auto open = fleet.Send(0, statement);
+  ASSERT_TRUE(open.Done()) << open.mStatus << open.mBody;
+  ASSERT_TRUE(fleet.PutDocument(0, { leaving }).ok());
+  EXPECT_TRUE(WaitFor([&] { return HolderOfTransaction(fleet).has_value(); },
+                      seconds(15)));
+  const auto written = fleet.Write(1, "set drum/9 cleaned");
+  EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
+  EXPECT_EQ(written.mServer, leaving);
+  statement.mTimeoutMs = 500;
+  const auto refused = fleet.Send(2, statement);
+  EXPECT_EQ(refused.mOutcome, "not_run") << refused.mBody;
+  EXPECT_FALSE(refused.mRetryAfter.empty());
+  caller_statement end;
+  end.mKind = "rollback";
+  end.mTransaction = open.mTransaction;
+  EXPECT_TRUE(fleet.Send(1, end).Done());
+  statement.mTimeoutMs = 5'000;
+  const auto begun = fleet.Send(2, statement);
+  EXPECT_TRUE(begun.Done()) << begun.mStatus << begun.mBody;
+  EXPECT_NE(begun.mServer, leaving);
+}
+
+// Guards against a drain that waits for the transactions of an instance that is
+// gone until the wait is over.
+TEST(DrainTest, ChangesThePrimaryOnceAHolderOfTransactionsIsGone)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string leaving = fleet.Primary(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  ASSERT_TRUE(fleet.Send(0, statement).Done());
+  ASSERT_TRUE(fleet.PutDocument(0, { leaving }).ok());
+  std::optional<int> holder;
+  ASSERT_TRUE(
+    WaitFor([&] { return (holder = HolderOfTransaction(fleet)).has_value(); },
+            seconds(15)));
+  EXPECT_EQ(fleet.Primary(0), leaving);
+  fleet.Processes().At(system_fleet::InstanceName(*holder)).Kill();
+  EXPECT_TRUE(WaitFor(
+    [&] {
+      const std::string primary = fleet.Primary(0);
+      return !primary.empty() && primary != leaving;
+    },
+    seconds(20)));
+}
+
+// Guards against a change of voters that rolls back a transaction on a primary
+// that stays.
+TEST(DrainTest, OpenTransactionFinishesWhileAReplicaLeaves)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  const std::string primary = fleet.Primary(0);
+  const std::uint64_t term = fleet.Term(0);
+  caller_statement statement;
+  statement.mKind = "begin";
+  const auto begun = fleet.Send(0, statement);
+  ASSERT_TRUE(begun.Done()) << begun.mStatus << begun.mBody;
+  statement.mTransaction = begun.mTransaction;
+  ASSERT_TRUE(fleet.PutDocument(0, { AnyReplica(fleet) }).ok());
+  std::this_thread::sleep_for(seconds(3));
+  statement.mKind = "write";
+  statement.mBody = "set drum/9 cleaned";
+  const auto written = fleet.Send(1, statement);
+  EXPECT_TRUE(written.Done()) << written.mStatus << written.mBody;
+  statement.mKind = "commit";
+  statement.mBody.clear();
+  const auto committed = fleet.Send(2, statement);
+  EXPECT_TRUE(committed.Done()) << committed.mStatus << committed.mBody;
+  EXPECT_TRUE(
+    WaitFor([&] { return fleet.Term(0) > term && fleet.Primary(0) == primary; },
+            seconds(20)));
+}
+
 } // namespace
 } // namespace snipewalk::standins
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -276,7 +276,7 @@
   void Disturb()
   {
     auto& server = mModel.mServers[Random(3)];
-    switch (Random(12)) {
+    switch (Random(14)) {
       case 0:
         server.mUp = !server.mUp;
         break;
@@ -300,6 +300,9 @@
       case 8:
         CutOff(Random(2));
         break;
+      case 9:
+        Handle(Random(mEngines.size()), begins_held{ mView.mTerm.mTerm });
+        break;
       default:
         LoseLink();
         break;
