Keep a reserve for connections that went silent

Cause: when a middlebox loses all open connections at once, the proxy closes its side, but the server counts the old connections on and closes each new one at its limit (20). A holder had no place left and lost every write until the servers noticed.

Ruled out: a reserve for each of three holders at 20 connections (15 %, above a tenth); a keep-alive alone (no write until it ends).

Change: - Shares contain a reserve of a tenth of the limit (1, 1, 0 of 20 connections and three slots), so the sum of the shares and its proof are unchanged. - A connection closed in doubt gets only its own direction closed and counts until the server closes the other one, at most 10 s. Such connections are replaced from the reserve, nothing else is but the probe of an overdue reply. - Idle connections are checked as soon as another one is overdue; replacements carry a status request before a statement; a last replacement is shared by writes, acknowledgements and reads. - A holder without any connection refuses what it has not sent as no_holder, so that another holder runs it. - A control connection in doubt is closed after each answer. A server that closes it at once is alive: no suspicion, probes with growing gaps. - The reconnect delay ends with a reply over a new connection only; replies over another connection ended it and caused attempts every 50 ms.

Stand-ins: a silenced connection of the fault proxy no longer tells the client side of the end of the stream (it closed its socket, which no middlebox does).

FailoverTest.SettlesRequestsOnSilencedConnections also expects the same term.

--- a/include/snipewalk/connection/backend_connection.h
+++ b/include/snipewalk/connection/backend_connection.h
@@ -41,6 +41,8 @@
   bool Send(const backend_request& aRequest);
 
   void Close();
+  // See stream_connection::CloseAwaitingEnd.
+  bool CloseAwaitingEnd(std::function<void(time_point)> aOnEnd);
 
   bool IsOpen() const { return mStream->IsConnected(); }
   bool IsBusy() const { return mCall.has_value(); }
--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -25,6 +25,10 @@
 // A server at its connection limit accepts and closes at once. A connection
 // that closes this soon without a reply therefore counts as refused.
 inline constexpr milliseconds kUnprovenAge{ 1'000 };
+// A connection that was closed without a sign that the server noticed is
+// counted for this long. Later the server's refusals tell whether it still
+// counts it; servers that drop vanished clients earlier refuse nothing.
+inline constexpr milliseconds kUnnoticedHold{ 10'000 };
 
 enum class connection_use
 {
@@ -53,7 +57,8 @@
   connection_id mId = 0;
   std::size_t mServer = 0;
   connection_phase mPhase = connection_phase::Opening;
-  // Set while busy; while opening it is Check for a probe, otherwise None.
+  // Set while busy; while opening it is Check when a status request has to
+  // prove the connection, otherwise None.
   connection_use mUse = connection_use::None;
   // Number of the request or transaction that holds the connection.
   std::uint64_t mOwner = 0;
@@ -87,12 +92,18 @@
     std::size_t aLimit,
     std::vector<engine_action>& aActions);
 
+  // Connections to the server beyond its limit. They only replace ones that
+  // were closed but that the server may still count, and carry probes of a
+  // server whose reply is overdue.
+  void SetReserve(std::size_t aServer, std::size_t aReserve);
+
   // Opens connections up to the limits, ahead of need, except while a server's
   // reconnect delay runs.
   void OpenMissing(time_point aNow, std::vector<engine_action>& aActions);
 
-  // Opens one connection for a status probe, closing an idle one when the
-  // limit is reached. Nothing when all connections are busy.
+  // Opens one connection for a status probe; false when that takes more than
+  // the limit and the reserve. An idle connection is not closed to make room:
+  // it may be silent, too, and the server would count it still.
   bool OpenProbe(std::size_t aServer, std::vector<engine_action>& aActions);
 
   // Takes the most recently used idle connection that needs no check. Nothing
@@ -105,6 +116,13 @@
   // Takes an idle connection that must be checked before use.
   pooled_connection* AcquireForCheck(std::size_t aServer, time_point aNow);
 
+  // Takes an idle connection that must be checked, the oldest first; nothing
+  // when none needs a check.
+  pooled_connection* AcquireStale(std::size_t aServer, time_point aNow);
+
+  // Idle connections without a reply since `aSince` need a check before use.
+  void ExpireIdle(std::size_t aServer, time_point aSince, time_point aNow);
+
   // True when Acquire would succeed.
   bool Available(std::size_t aServer,
                  connection_use aUse,
@@ -115,9 +133,13 @@
                time_point aNow,
                std::vector<engine_action>& aActions);
 
-  // Closes a connection whose state is in doubt.
+  // Closes a connection whose state is in doubt. If it was busy, the server
+  // may be unreachable over it and count it on; see Ended.
   void Close(connection_id aId, std::vector<engine_action>& aActions);
 
+  // The server closed its side of a connection, too.
+  void Ended(connection_id aId);
+
   // The other side opened or closed it. Unknown ids are ignored.
   pooled_connection* Opened(connection_id aId, time_point aNow);
   std::optional<pooled_connection> Closed(connection_id aId,
@@ -132,6 +154,15 @@
   std::size_t Count(std::size_t aServer) const;
   std::size_t OpenCount(std::size_t aServer) const;
   std::size_t Limit(std::size_t aServer) const;
+  // Connections that may be open now: the limit without closed connections
+  // that the server may still count, as far as the reserve does not replace
+  // them.
+  std::size_t Usable(std::size_t aServer) const;
+  // Connections that are closed but that the server may still count.
+  std::size_t Unnoticed(std::size_t aServer) const;
+  // True when there is no connection to the server and none may be opened
+  // because it may still count those that went silent.
+  bool IsStarved(std::size_t aServer) const;
   std::size_t InUse(std::size_t aServer, connection_use aUse) const;
   // Statements on their way to the server.
   std::size_t Outstanding(std::size_t aServer) const;
@@ -141,21 +172,43 @@
   std::optional<time_point> NextOpen() const;
 
 private:
+  struct unnoticed_connection
+  {
+    connection_id mId = 0;
+    // Set by the next OpenMissing.
+    std::optional<time_point> mUntil;
+  };
+
   struct server_pool
   {
     server_endpoint mEndpoint;
     std::size_t mLimit = 0;
+    std::size_t mReserve = 0;
+    // In the order in which they were closed.
+    std::vector<unnoticed_connection> mUnnoticed;
     std::size_t mOpening = 0;
     std::size_t mCount = 0;
     std::array<std::size_t, kConnectionUses> mUses{};
     // Most recently used last; only their ids, all of phase Idle.
     std::vector<connection_id> mIdle;
-    // Consecutive refused connections; zero again after a complete reply.
+    // Consecutive refused connections; zero again after the first complete
+    // reply over a new connection.
     int mRefusals = 0;
     time_point mOpenAfter;
+    // The server may have reached its own limit: it closed a connection at
+    // once, or may still count unnoticed ones. New connections are opened one
+    // at a time and proven by a status request, until all are open.
+    bool mAtLimit = false;
   };
 
   std::size_t& Uses(const pooled_connection& aConnection);
+  static std::size_t Usable(const server_pool& aServer);
+  // Most connections that may be open, the whole reserve included.
+  static std::size_t Most(const server_pool& aServer);
+  // Stops to wait for the end of connections closed long ago.
+  static void ForgetUnnoticed(server_pool& aServer,
+                              time_point aNow,
+                              std::vector<engine_action>& aActions);
   bool WithinShare(const server_pool& aServer, connection_use aUse) const;
   connection_id Open(std::size_t aServer,
                      connection_use aUse,
--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -61,6 +61,12 @@
   // Closes without further callbacks. Unsent output is lost.
   void Close();
 
+  // Sends the end of the stream and keeps the socket until the other end closes
+  // too, which shows that it noticed; `aOnEnd` is called then. Input is dropped
+  // and no other handler is called. False when the connection is not
+  // established: it is closed at once.
+  bool CloseAwaitingEnd(std::function<void(time_point)> aOnEnd);
+
   // Closes as soon as all output was written.
   void CloseAfterOutput();
 
@@ -106,6 +112,8 @@
   // Bytes of mOutput already written; never above mOutput.size().
   std::size_t mOutputSent = 0;
   bool mCloseAfterOutput = false;
+  // Set by CloseAwaitingEnd. Apart from mHandlers, one of which may be running.
+  std::function<void(time_point)> mOnEnd;
   // Expires with the connection; guards callbacks posted to the loop.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/include/snipewalk/process/engine_host.h
+++ b/include/snipewalk/process/engine_host.h
@@ -55,6 +55,7 @@
   void Apply(engine_action& aAction);
   void Open(const open_connection& aAction);
   void CloseConnection(connection_id aConnection);
+  void AwaitEnd(connection_id aConnection);
   void Send(const send_request& aAction);
   void Answer(statement_response aResponse);
   void OnClosed(connection_id aConnection, bool aRefused);
@@ -68,6 +69,9 @@
   evidence_handler mOnEvidence;
   std::unordered_map<connection_id, std::shared_ptr<backend_connection>>
     mConnections;
+  // Closed on this side; the server has not closed them yet.
+  std::unordered_map<connection_id, std::shared_ptr<backend_connection>>
+    mEnding;
   // Routes of the requests in flight, by request id.
   std::unordered_map<std::string, responder> mResponders;
   // Events that arose while the engine handled another one.
--- a/include/snipewalk/request/service_engine.h
+++ b/include/snipewalk/request/service_engine.h
@@ -74,6 +74,12 @@
 struct drain_requested
 {};
 
+// The server has closed a connection that was closed with `mAwaitEnd`.
+struct connection_ended
+{
+  connection_id mConnection = 0;
+};
+
 struct timer_expired
 {};
 
@@ -85,6 +91,7 @@
                                   status_observed,
                                   view_changed,
                                   drain_requested,
+                                  connection_ended,
                                   timer_expired>;
 
 // Actions ------------------------------------------------------------------
@@ -95,10 +102,13 @@
   server_endpoint mServer;
 };
 
-// No event follows for this connection.
+// Without `mAwaitEnd` no event follows for this connection. With it, only
+// connection_ended follows, once the server has closed its side; until then the
+// server may count the connection, and a second close gives up waiting.
 struct close_connection
 {
   connection_id mConnection = 0;
+  bool mAwaitEnd = false;
 };
 
 // At most one request is outstanding on a connection.
--- a/include/snipewalk/version/failure_detector.h
+++ b/include/snipewalk/version/failure_detector.h
@@ -47,7 +47,9 @@
   // The connection was never established.
   Refused,
   // No answer in time, or the connection broke.
-  Lost
+  Lost,
+  // The server is alive, but closed the new connection because of its limit.
+  Full
 };
 
 struct probe_done
@@ -171,6 +173,8 @@
     bool mWantNew = false;
     // Probes without answer in a row; sets the next timeout.
     std::size_t mUnanswered = 0;
+    // Probes in a row that a server at its limit closed; sets the next gap.
+    int mFull = 0;
   };
 
   // Queries of another instance that wait for the result of a probe.
--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/version/service_view.h
@@ -69,6 +69,9 @@
   // Connections that this instance may open to each server, the control
   // connection not included; zero when it holds no slot.
   int mConnectionShare = 0;
+  // Connections to each server beyond mConnectionShare that only replace ones
+  // that went silent.
+  int mConnectionReserve = 0;
 };
 
 enum class member_state
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -198,6 +198,12 @@
 int
 SlotShare(int aConnections, int aSlots, std::size_t aSlot);
 
+// The part of SlotShare that is used only to replace connections that went
+// silent: the server counts those until it notices. A tenth of the limit,
+// divided like the shares, so that it stays inside them.
+int
+SlotReserve(int aConnections, int aSlots, std::size_t aSlot);
+
 struct slot_service;
 
 class slot_assignment
@@ -216,6 +222,8 @@
 
   // Connections that this instance may have open to a server of the service.
   int Share(const std::string& aService) const;
+  // The part of the share that is its reserve.
+  int Reserve(const std::string& aService) const;
   // The record as this instance knows it; nothing for an unknown service.
   const slot_record* Record(const std::string& aService) const;
   // Slots held, with or without authority.
--- a/src/connection/backend_connection.cpp
+++ b/src/connection/backend_connection.cpp
@@ -56,6 +56,13 @@
   mCall.reset();
 }
 
+bool
+backend_connection::CloseAwaitingEnd(std::function<void(time_point)> aOnEnd)
+{
+  mCall.reset();
+  return mStream->CloseAwaitingEnd(std::move(aOnEnd));
+}
+
 void
 backend_connection::OnInput(std::string& aInput, time_point aNow)
 {
--- a/src/connection/connection_pool.cpp
+++ b/src/connection/connection_pool.cpp
@@ -2,6 +2,7 @@
 #include "snipewalk/connection/connection_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipewalk {
 
@@ -47,6 +48,10 @@
         lost.push_back(connection);
       }
     }
+    for (const auto& unnoticed : server.mUnnoticed) {
+      aActions.push_back(close_connection{ unnoticed.mId, false });
+    }
+    server.mUnnoticed.clear();
     server.mRefusals = 0;
     server.mOpenAfter = time_point{};
   }
@@ -56,6 +61,26 @@
   return lost;
 }
 
+void
+connection_pool::SetReserve(std::size_t aServer, std::size_t aReserve)
+{
+  mServers[aServer].mReserve = aReserve;
+}
+
+std::size_t
+connection_pool::Most(const server_pool& aServer)
+{
+  const std::size_t most =
+    aServer.mLimit > 0 ? aServer.mLimit + aServer.mReserve : 0;
+  return most - std::min(most, aServer.mUnnoticed.size());
+}
+
+std::size_t
+connection_pool::Usable(const server_pool& aServer)
+{
+  return std::min(aServer.mLimit, Most(aServer));
+}
+
 connection_id
 connection_pool::Open(std::size_t aServer,
                       connection_use aUse,
@@ -80,28 +105,47 @@
 {
   for (std::size_t i = 0; i < mServers.size(); ++i) {
     auto& server = mServers[i];
+    ForgetUnnoticed(server, aNow, aActions);
     // After a refusal a single connection tries whether the server is back.
-    const std::size_t limit =
-      server.mRefusals > 0 && server.mOpening > 0 ? 0 : server.mLimit;
+    const bool single = server.mRefusals > 0 || server.mAtLimit;
+    const bool tried =
+      server.mOpening > 0 ||
+      (server.mAtLimit && server.mUses[IndexOf(connection_use::Check)] > 0);
+    const std::size_t limit = single && tried ? 0 : Usable(server);
+    const bool prove = server.mAtLimit || !server.mUnnoticed.empty();
     while (server.mCount < limit && server.mOpenAfter <= aNow) {
-      Open(i, connection_use::None, aActions);
-      if (server.mRefusals > 0) {
+      Open(i, prove ? connection_use::Check : connection_use::None, aActions);
+      if (single) {
         break;
       }
     }
   }
 }
 
+void
+connection_pool::ForgetUnnoticed(server_pool& aServer,
+                                 time_point aNow,
+                                 std::vector<engine_action>& aActions)
+{
+  std::erase_if(aServer.mUnnoticed, [&](unnoticed_connection& aEntry) {
+    if (!aEntry.mUntil) {
+      aEntry.mUntil = aNow + kUnnoticedHold;
+    }
+    if (*aEntry.mUntil > aNow) {
+      return false;
+    }
+    aActions.push_back(close_connection{ aEntry.mId, false });
+    aServer.mAtLimit = true;
+    return true;
+  });
+}
+
 bool
 connection_pool::OpenProbe(std::size_t aServer,
                            std::vector<engine_action>& aActions)
 {
-  auto& server = mServers[aServer];
-  if (server.mCount >= server.mLimit) {
-    if (server.mIdle.empty() || server.mLimit == 0) {
-      return false;
-    }
-    Close(server.mIdle.front(), aActions);
+  if (mServers[aServer].mCount >= Most(mServers[aServer])) {
+    return false;
   }
   Open(aServer, connection_use::Check, aActions);
   return true;
@@ -113,16 +157,19 @@
 {
   // Reads at the primary and transactions take at most half each, and at least
   // one connection stays for writes and look-ups of outcomes.
-  const std::size_t half = std::max<std::size_t>(1, aServer.mLimit / 2);
+  const std::size_t usable = Usable(aServer);
+  const std::size_t half = std::max<std::size_t>(1, usable / 2);
   const std::size_t most =
-    std::max<std::size_t>(1, aServer.mLimit > 0 ? aServer.mLimit - 1 : 0);
+    std::max<std::size_t>(1, usable > 0 ? usable - 1 : 0);
   const auto reads = aServer.mUses[IndexOf(connection_use::PrimaryRead)];
   const auto pinned = aServer.mUses[IndexOf(connection_use::Transaction)];
   switch (aUse) {
     case connection_use::PrimaryRead:
       return reads < half && reads + pinned < most;
     case connection_use::Transaction:
-      return pinned < half && reads + pinned < most;
+      // A last replacement serves writes, not one transaction for its length.
+      return pinned < half && reads + pinned < most &&
+             (usable > 1 || aServer.mUnnoticed.empty());
     default:
       return true;
   }
@@ -134,7 +181,7 @@
                            time_point aNow) const
 {
   const auto& server = mServers[aServer];
-  if (server.mIdle.empty() || server.mCount > server.mLimit ||
+  if (server.mIdle.empty() || server.mCount > Most(server) ||
       !WithinShare(server, aUse)) {
     return false;
   }
@@ -165,7 +212,7 @@
 connection_pool::AcquireForCheck(std::size_t aServer, time_point aNow)
 {
   auto& server = mServers[aServer];
-  if (server.mIdle.empty() || server.mCount > server.mLimit) {
+  if (server.mIdle.empty() || server.mCount > Most(server)) {
     return nullptr;
   }
   auto* connection = mConnections.at(server.mIdle.back()).get();
@@ -173,6 +220,32 @@
   return Acquire(aServer, connection_use::Check, 0, aNow);
 }
 
+pooled_connection*
+connection_pool::AcquireStale(std::size_t aServer, time_point aNow)
+{
+  auto& idle = mServers[aServer].mIdle;
+  if (idle.empty() ||
+      aNow - mConnections.at(idle.front())->mIdleSince < kIdleCheckAge) {
+    return nullptr;
+  }
+  std::rotate(idle.begin(), idle.begin() + 1, idle.end());
+  return AcquireForCheck(aServer, aNow);
+}
+
+void
+connection_pool::ExpireIdle(std::size_t aServer,
+                            time_point aSince,
+                            time_point aNow)
+{
+  for (const auto id : mServers[aServer].mIdle) {
+    auto& connection = *mConnections.at(id);
+    if (connection.mIdleSince < aSince) {
+      connection.mIdleSince =
+        std::min(connection.mIdleSince, aNow - kIdleCheckAge);
+    }
+  }
+}
+
 void
 connection_pool::Release(connection_id aId,
                          time_point aNow,
@@ -189,10 +262,15 @@
   connection->mOwner = 0;
   connection->mOutstanding = false;
   connection->mIdleSince = aNow;
-  connection->mProven = true;
-  server.mRefusals = 0;
+  if (!std::exchange(connection->mProven, true)) {
+    server.mRefusals = 0;
+    server.mOpenAfter = time_point{};
+  }
   server.mIdle.push_back(aId);
-  if (server.mCount > server.mLimit) {
+  if (server.mCount >= Usable(server) && server.mUnnoticed.empty()) {
+    server.mAtLimit = false;
+  }
+  if (server.mCount > Usable(server)) {
     Close(aId, aActions);
   }
 }
@@ -200,9 +278,25 @@
 void
 connection_pool::Close(connection_id aId, std::vector<engine_action>& aActions)
 {
-  if (Find(aId)) {
-    aActions.push_back(close_connection{ aId });
-    Forget(aId);
+  const auto* connection = Find(aId);
+  if (!connection) {
+    return;
+  }
+  const bool busy = connection->mPhase == connection_phase::Busy;
+  if (busy) {
+    mServers[connection->mServer].mUnnoticed.push_back({ aId, std::nullopt });
+  }
+  aActions.push_back(close_connection{ aId, busy });
+  Forget(aId);
+}
+
+void
+connection_pool::Ended(connection_id aId)
+{
+  for (auto& server : mServers) {
+    std::erase_if(server.mUnnoticed, [&](const unnoticed_connection& aEntry) {
+      return aEntry.mId == aId;
+    });
   }
 }
 
@@ -259,6 +353,9 @@
   if (aRefused || copy.mPhase == connection_phase::Opening || unproven) {
     NoteRefusal(server, aNow);
   }
+  if (unproven && copy.mPhase != connection_phase::Opening) {
+    server.mAtLimit = true;
+  }
   return copy;
 }
 
@@ -317,6 +414,25 @@
   return mServers[aServer].mLimit;
 }
 
+std::size_t
+connection_pool::Usable(std::size_t aServer) const
+{
+  return Usable(mServers[aServer]);
+}
+
+std::size_t
+connection_pool::Unnoticed(std::size_t aServer) const
+{
+  return mServers[aServer].mUnnoticed.size();
+}
+
+bool
+connection_pool::IsStarved(std::size_t aServer) const
+{
+  const auto& server = mServers[aServer];
+  return server.mLimit > 0 && server.mCount == 0 && Usable(server) == 0;
+}
+
 std::size_t
 connection_pool::InUse(std::size_t aServer, connection_use aUse) const
 {
@@ -336,10 +452,15 @@
 {
   std::optional<time_point> next;
   for (const auto& server : mServers) {
-    if (server.mCount < server.mLimit && server.mRefusals > 0 &&
+    if (server.mCount < Usable(server) && server.mRefusals > 0 &&
         server.mOpening == 0 && (!next || server.mOpenAfter < *next)) {
       next = server.mOpenAfter;
     }
+    for (const auto& unnoticed : server.mUnnoticed) {
+      if (unnoticed.mUntil && (!next || *unnoticed.mUntil < *next)) {
+        next = unnoticed.mUntil;
+      }
+    }
   }
   return next;
 }
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -100,6 +100,26 @@
   Detach();
 }
 
+bool
+stream_connection::CloseAwaitingEnd(std::function<void(time_point)> aOnEnd)
+{
+  if (!IsConnected()) {
+    Close();
+    return false;
+  }
+  mOnEnd = std::move(aOnEnd);
+  mOutput.clear();
+  mOutputSent = 0;
+  mLoop.SetWantWrite(mSocket, false);
+  mLoop.SetWantRead(mSocket, true);
+  try {
+    mSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    // The loop reports the broken socket.
+  }
+  return true;
+}
+
 void
 stream_connection::CloseAfterOutput()
 {
@@ -155,6 +175,11 @@
     return;
   }
   Detach();
+  if (mOnEnd) {
+    const auto onEnd = std::move(mOnEnd);
+    onEnd(aNow);
+    return;
+  }
   if (mHandlers.mOnClosed) {
     // Moved out so that the callback may replace this connection.
     auto onClosed = std::move(mHandlers.mOnClosed);
@@ -182,7 +207,7 @@
     Fail(close_cause::ClosedByPeer, aNow);
     return;
   }
-  if (received < 0) {
+  if (received < 0 || mOnEnd) {
     return;
   }
   mInput.append(chunk.data(), static_cast<std::size_t>(received));
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -168,7 +168,9 @@
     view->mSlots = *slots;
   }
   // One connection of the share is the control connection.
-  view->mConnectionShare = std::max(0, mSlots.Share(aName) - 1);
+  view->mConnectionReserve = mSlots.Reserve(aName);
+  view->mConnectionShare =
+    std::max(0, mSlots.Share(aName) - view->mConnectionReserve - 1);
   mControls.Describe(aName, *view);
   return view;
 }
--- a/src/process/engine_host.cpp
+++ b/src/process/engine_host.cpp
@@ -26,6 +26,9 @@
   for (const auto& [id, connection] : mConnections) {
     connection->Close();
   }
+  for (const auto& [id, connection] : mEnding) {
+    connection->Close();
+  }
 }
 
 void
@@ -75,7 +78,11 @@
   if (const auto* open = std::get_if<open_connection>(&aAction)) {
     Open(*open);
   } else if (const auto* close = std::get_if<close_connection>(&aAction)) {
-    CloseConnection(close->mConnection);
+    if (close->mAwaitEnd) {
+      AwaitEnd(close->mConnection);
+    } else {
+      CloseConnection(close->mConnection);
+    }
   } else if (const auto* send = std::get_if<send_request>(&aAction)) {
     Send(*send);
   } else if (auto* answer = std::get_if<answer_request>(&aAction)) {
@@ -107,12 +114,37 @@
 engine_host::CloseConnection(connection_id aConnection)
 {
   auto found = mConnections.extract(aConnection);
+  if (found.empty()) {
+    found = mEnding.extract(aConnection);
+  }
   if (!found.empty()) {
     found.mapped()->Close();
     Discard(std::move(found.mapped()));
   }
 }
 
+void
+engine_host::AwaitEnd(connection_id aConnection)
+{
+  auto found = mConnections.extract(aConnection);
+  const auto onEnd = [this, aConnection](time_point) {
+    auto ended = mEnding.extract(aConnection);
+    if (!ended.empty()) {
+      Discard(std::move(ended.mapped()));
+    }
+    Handle(connection_ended{ aConnection });
+  };
+  if (!found.empty() && found.mapped()->CloseAwaitingEnd(onEnd)) {
+    mEnding.insert(std::move(found));
+    return;
+  }
+  // The server has closed it already.
+  if (!found.empty()) {
+    Discard(std::move(found.mapped()));
+  }
+  Handle(connection_ended{ aConnection });
+}
+
 void
 engine_host::Send(const send_request& aAction)
 {
--- a/src/process/server_link.cpp
+++ b/src/process/server_link.cpp
@@ -10,6 +10,8 @@
 
 // A probe without an answer for this long gives way to other requests.
 constexpr milliseconds kProbePatience{ 50 };
+// A link in doubt tries to keep a connection open again after this time.
+constexpr milliseconds kDoubtTime{ 10'000 };
 
 } // namespace
 
@@ -25,7 +27,8 @@
 server_link::~server_link()
 {
   mLoop.Cancel(mTimer);
-  Drop();
+  Drop(false);
+  EndDoubt();
 }
 
 void
@@ -40,7 +43,7 @@
     }
     mWaiting.insert(place, std::move(aRequest));
     if (mCurrent && mCurrent->mIsProbe && aNow - mStarted >= kProbePatience) {
-      Drop();
+      Drop(true);
       Finish({ link_result::Lost, {}, mConnectionNumber, mStarted }, aNow);
     }
   }
@@ -72,11 +75,11 @@
   mWaiting.pop_front();
   mStarted = aNow;
   mTimer = mLoop.RunAt(aNow + mCurrent->mTimeout, [this](time_point aThen) {
-    Drop();
+    Drop(true);
     Finish({ link_result::Lost, {}, mConnectionNumber, mStarted }, aThen);
   });
   if (mCurrent->mNewConnection) {
-    Drop();
+    Drop(true);
   }
   if (!mConnection) {
     Open();
@@ -89,12 +92,19 @@
 server_link::Open()
 {
   ++mConnectionNumber;
+  mProven = false;
   backend_connection::handlers handlers;
   handlers.mOnOpened = [this](time_point aNow) { OnOpened(aNow); };
   handlers.mOnClosed = [this](bool aRefused, time_point aNow) {
     OnClosed(aRefused, aNow);
   };
   handlers.mOnReply = [this](backend_reply aReply, time_point aNow) {
+    mProven = true;
+    if (InDoubt() && aNow >= mDoubtUntil) {
+      EndDoubt();
+    } else if (InDoubt()) {
+      Drop(false);
+    }
     Finish(
       { link_result::Answered, std::move(aReply), mConnectionNumber, mStarted },
       aNow);
@@ -104,22 +114,47 @@
 }
 
 void
-server_link::Drop()
+server_link::Drop(bool aInDoubt)
 {
   if (!mConnection) {
     return;
   }
-  mConnection->Close();
+  const auto dropped = std::exchange(mConnection, nullptr);
+  const auto onEnd = [this,
+                      number = mConnectionNumber,
+                      alive = std::weak_ptr<bool>(mAlive)](time_point) {
+    if (!alive.expired()) {
+      auto ended = mUnnoticed.extract(number);
+      mLoop.Post([connection = std::move(ended.mapped())] {});
+    }
+  };
+  if (aInDoubt && dropped->CloseAwaitingEnd(onEnd)) {
+    if (!InDoubt()) {
+      mDoubtUntil = mLoop.Now() + kDoubtTime;
+    }
+    mUnnoticed.emplace(mConnectionNumber, dropped);
+    return;
+  }
+  dropped->Close();
   // The connection's own handler may be running.
-  mLoop.Post([dropped = std::move(mConnection)]() mutable { dropped.reset(); });
-  mConnection.reset();
+  mLoop.Post([dropped] {});
+}
+
+void
+server_link::EndDoubt()
+{
+  for (auto& [number, connection] : mUnnoticed) {
+    connection->Close();
+    mLoop.Post([ended = std::move(connection)] {});
+  }
+  mUnnoticed.clear();
 }
 
 void
 server_link::OnOpened(time_point aNow)
 {
   if (mCurrent && !mConnection->Send(mCurrent->mRequest)) {
-    Drop();
+    Drop(true);
     Finish({ link_result::Lost, {}, mConnectionNumber, mStarted }, aNow);
   }
 }
@@ -127,15 +162,23 @@
 void
 server_link::OnClosed(bool aRefused, time_point aNow)
 {
-  Drop();
+  const bool full = !aRefused && !mProven && InDoubt();
+  if (aRefused) {
+    // A server that does not listen counts no connections.
+    EndDoubt();
+  } else if (full && aNow >= mDoubtUntil) {
+    mDoubtUntil = aNow + kDoubtTime;
+  }
+  Drop(false);
   if (!mCurrent) {
     // Copied: the handler may destroy this link.
     const auto onIdleClose = mOnIdleClose;
     onIdleClose(aNow);
     return;
   }
-  const link_result result =
-    aRefused ? link_result::Refused : link_result::Lost;
+  const link_result result = aRefused ? link_result::Refused
+                             : full   ? link_result::Full
+                                      : link_result::Lost;
   Finish({ result, {}, mConnectionNumber, mStarted }, aNow);
 }
 
--- a/src/process/server_link.h
+++ b/src/process/server_link.h
@@ -1,5 +1,10 @@
 // Control connection to one backend server: one request at a time, in order,
 // each with a timeout.
+//
+// A connection that got no answer is closed, but a server that is not reached
+// over it counts it on. Until the server has closed it too, or takes and keeps
+// a later one, the link is in doubt and closes each connection after its
+// answer: the server may have room for few replacements, which statements need.
 #ifndef SNIPEWALK_PROCESS_SERVER_LINK_H_
 #define SNIPEWALK_PROCESS_SERVER_LINK_H_
 
@@ -11,6 +16,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -23,7 +29,11 @@
   // The connection was not established.
   Refused,
   // No answer in time, or the connection broke: the effect is unknown.
-  Lost
+  Lost,
+  // The server accepted a new connection and closed it without an answer while
+  // it may still count connections that went silent: it is alive, but at its
+  // connection limit.
+  Full
 };
 
 struct link_reply
@@ -70,7 +80,11 @@
 private:
   void Pump(time_point aNow);
   void Open();
-  void Drop();
+  // Closes the connection. If no answer came over it, the link is in doubt
+  // until the server closes it too.
+  void Drop(bool aInDoubt);
+  bool InDoubt() const { return !mUnnoticed.empty(); }
+  void EndDoubt();
   void OnOpened(time_point aNow);
   void OnClosed(bool aRefused, time_point aNow);
   void Finish(const link_reply& aReply, time_point aNow);
@@ -81,6 +95,14 @@
   // Shared so that a connection outlives the handler that drops it.
   std::shared_ptr<backend_connection> mConnection;
   std::uint64_t mConnectionNumber = 0;
+  // An answer came over the present connection.
+  bool mProven = false;
+  // Connections closed here that the server may still count, by number.
+  std::map<std::uint64_t, std::shared_ptr<backend_connection>> mUnnoticed;
+  // From then on the link tries to keep a connection open again.
+  time_point mDoubtUntil;
+  // Expires with the link; guards the ends of closed connections.
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
   std::deque<link_request> mWaiting;
   std::optional<link_request> mCurrent;
   time_point mStarted;
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -171,6 +171,7 @@
   const probe_result result =
     aReply.mResult == link_result::Answered  ? probe_result::Answered
     : aReply.mResult == link_result::Refused ? probe_result::Refused
+    : aReply.mResult == link_result::Full    ? probe_result::Full
                                              : probe_result::Lost;
   Feed(detector_event(probe_done{ aProbe.mProbe, result, aReply.mConnection }),
        aNow);
--- a/src/request/engine_acknowledgement.cpp
+++ b/src/request/engine_acknowledgement.cpp
@@ -2,6 +2,7 @@
 #include "request/service_engine_state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipewalk {
 
@@ -37,6 +38,9 @@
 service_engine_state::PumpAcknowledgement(std::size_t aServer)
 {
   auto& link = mLinks[aServer];
+  if (std::exchange(link.mYields, false)) {
+    return;
+  }
   const auto& server = mRouter.Servers()[aServer];
   const bool wanted =
     server.mVoter && mRouter.Primary() != aServer &&
@@ -45,7 +49,7 @@
   // With a single connection reads use it while nothing has to be confirmed.
   // Without the slot, writes that still execute need a confirmation.
   const bool finishing = mPool.Limit(aServer) == 0 && !mRequests.empty();
-  const bool keep = wanted && (index || mPool.Limit(aServer) > 1 || finishing);
+  const bool keep = wanted && (index || mPool.Usable(aServer) > 1 || finishing);
   auto* connection = link.mConnection ? mPool.Find(link.mConnection) : nullptr;
   if (!keep) {
     if (connection && !connection->mOutstanding) {
@@ -106,6 +110,13 @@
   if (!current) {
     return;
   }
+  const std::size_t reads =
+    mQueue.Size(queue_lane::SessionRead) + mQueue.Size(queue_lane::AgedRead);
+  if (mPool.Usable(server) <= 1 && reads > 0) {
+    mPool.Release(link.mConnection, mNow, *mActions);
+    link.mConnection = 0;
+    link.mYields = true;
+  }
   for (const auto number : mAcknowledgement.Confirm(server, aReply.mIndex)) {
     if (auto* entry = FindRequest(number)) {
       Confirmed(*entry);
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -273,6 +273,17 @@
   }
 }
 
+// One connection to the server is overdue: others that have not been used since
+// `aSince` may be silent, too.
+void
+service_engine_state::CheckStale(std::size_t aServer, time_point aSince)
+{
+  mPool.ExpireIdle(aServer, aSince, mNow);
+  while (auto* connection = mPool.AcquireStale(aServer, mNow)) {
+    SendRaw(*connection, backend_status_query{}, kCheckOverdueAge);
+  }
+}
+
 // Asks servers for their status over idle connections, each at most once in
 // `aSpacing`; with `aUnknownOnly` those whose role in this term is not known.
 void
--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -201,8 +201,9 @@
     return;
   }
   ObserveStatus(connection.mServer, *aReply.mStatus, connection.mSentAt);
-  mPool.Release(aId, mNow, *mActions);
+  // Given up first: then the reserve that carried the probe replaces them.
   GiveUpOverdue(connection.mServer, true);
+  mPool.Release(aId, mNow, *mActions);
 }
 
 // A probe of the server ended. If it answered, overdue writes are on silent
@@ -308,6 +309,7 @@
   } else {
     mPool.Close(aId, *mActions);
     OnLost(copy);
+    CheckStale(copy.mServer, copy.mSentAt);
   }
 }
 
@@ -326,8 +328,11 @@
   }
   EnsureOverdueTimer(aConnection);
   const std::size_t server = aConnection.mServer;
-  const bool probed = mPool.InUse(server, connection_use::Check) > 0 ||
-                      mPool.OpenProbe(server, *mActions);
+  if (mPool.InUse(server, connection_use::Check) == 0) {
+    mPool.OpenProbe(server, *mActions);
+  }
+  CheckStale(server, aConnection.mSentAt);
+  const bool probed = mPool.InUse(server, connection_use::Check) > 0;
   // Without a probe every connection is busy, perhaps silent like this one:
   // giving it up makes room for a new one, and a look-up settles the write.
   const bool giveUp =
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -47,6 +47,8 @@
                                     entry ? entry->mAddress : std::string() };
     const auto lost =
       mPool.SetServer(i, endpoint, entry ? LimitOf(*entry, i) : 0, *mActions);
+    mPool.SetReserve(
+      i, static_cast<std::size_t>(std::max(0, mView->mConnectionReserve)));
     for (const auto& connection : lost) {
       OnLost(connection);
     }
@@ -108,6 +110,47 @@
   }
 }
 
+// While a server counts connections that went silent, and nothing is left of
+// the share, another holder may still have a connection to it. Requests whose
+// outcome is in doubt stay: only this engine knows what it sent.
+void
+service_engine_state::RefuseWithoutConnections()
+{
+  if (mQueue.Size() == 0) {
+    return;
+  }
+  const auto primary = mRouter.Primary();
+  const bool noPrimary = primary && mPool.IsStarved(*primary);
+  std::size_t replicas = 0;
+  std::size_t starved = 0;
+  for (std::size_t i = 0; i < mRouter.Servers().size(); ++i) {
+    if (primary != i && mRouter.Servers()[i].mPresent) {
+      ++replicas;
+      starved += mPool.IsStarved(i) ? 1 : 0;
+    }
+  }
+  const bool noReplica = replicas > 0 && starved == replicas;
+  if (!noPrimary && !noReplica) {
+    return;
+  }
+  std::vector<std::uint64_t> refused;
+  for (const auto& [number, entry] : mRequests) {
+    const bool replicaRead = entry->mLane == queue_lane::SessionRead ||
+                             entry->mLane == queue_lane::AgedRead;
+    if (entry->mStage == request_stage::Queued && entry->mDoubtTerm == 0 &&
+        (replicaRead ? noReplica : noPrimary)) {
+      refused.push_back(number);
+    }
+  }
+  std::sort(refused.begin(), refused.end());
+  for (const auto number : refused) {
+    AnswerFailed(*FindRequest(number),
+                 refusal_reason::NoHolder,
+                 "the server still counts connections that went silent",
+                 milliseconds(100));
+  }
+}
+
 std::string
 service_engine_state::ExplainServers() const
 {
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -80,6 +80,7 @@
   DispatchReads(queue_lane::SessionRead);
   DispatchReads(queue_lane::AgedRead);
   DispatchPrimaryLane(queue_lane::PrimaryRead, connection_use::PrimaryRead);
+  RefuseWithoutConnections();
   RefreshPositions(kUnknownRefreshInterval, true);
   mPool.OpenMissing(mNow, *mActions);
   ArmNewConnections(firstAction);
@@ -175,6 +176,12 @@
   mDraining = true;
 }
 
+void
+service_engine_state::On(const connection_ended& aEvent)
+{
+  mPool.Ended(aEvent.mConnection);
+}
+
 void
 service_engine_state::On(const timer_expired&)
 {
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -131,6 +131,8 @@
   std::uint64_t mWaitTerm = 0;
   // Spaces out requests that were answered without progress.
   time_point mNotBefore;
+  // The only connection goes to a read first.
+  bool mYields = false;
 };
 
 class service_engine_state
@@ -156,6 +158,7 @@
   void On(const status_observed& aEvent);
   void On(const view_changed& aEvent);
   void On(const drain_requested& aEvent);
+  void On(const connection_ended& aEvent);
   void On(const timer_expired& aEvent);
   void ObserveStatus(std::size_t aServer,
                      const server_status& aStatus,
@@ -190,6 +193,7 @@
                backend_request aRequest,
                milliseconds aDue);
   void CheckIdle(std::size_t aServer, std::size_t aWaiting);
+  void CheckStale(std::size_t aServer, time_point aSince);
   void RefreshPositions(milliseconds aSpacing, bool aUnknownOnly);
   void ArmNewConnections(std::size_t aFirstAction);
 
@@ -257,6 +261,7 @@
   void ApplyServers();
   void AbandonServer(std::size_t aServer);
   void RefuseWithoutShare();
+  void RefuseWithoutConnections();
   std::string ExplainServers() const;
   std::string ExplainVerdict(const read_route& aRoute) const;
   std::size_t LimitOf(const server_entry& aEntry, std::size_t aServer) const;
--- a/src/version/failure_detector.cpp
+++ b/src/version/failure_detector.cpp
@@ -24,6 +24,11 @@
 // that of a replica may wait.
 constexpr milliseconds kSuspectedPrimaryGap{ 200 };
 constexpr milliseconds kSuspectedGap{ 1'000 };
+// Between probes of a server at its connection limit, doubled up to the second
+// value: each of them is a new connection.
+constexpr milliseconds kFullGapMin{ 200 };
+constexpr milliseconds kFullGapMax{ 1'600 };
+constexpr int kFullDoublings = 3;
 // Positions and terms are refreshed this often while traffic is answered.
 constexpr milliseconds kStatusInterval{ 1'000 };
 // Observations handed over by traffic threads before a pause was noticed
@@ -138,7 +143,11 @@
     return;
   }
   state->mProbe.reset();
-  if (aEvent.mResult == probe_result::Answered) {
+  state->mFull = aEvent.mResult != probe_result::Full
+                   ? 0
+                   : std::min(state->mFull + 1, kFullDoublings + 1);
+  if (aEvent.mResult == probe_result::Answered ||
+      aEvent.mResult == probe_result::Full) {
     NoteAnswer(name, aNow, aOut);
     return;
   }
@@ -270,6 +279,10 @@
   if (aState.mSuspected) {
     return aServer == mConfig.mPrimary ? kSuspectedPrimaryGap : kSuspectedGap;
   }
+  if (aState.mFull > 0) {
+    return std::min<milliseconds>(kFullGapMax,
+                                  kFullGapMin * (1 << (aState.mFull - 1)));
+  }
   return aState.mProbeSoon ? kProbeSoonGap : mOptions.mProbeInterval;
 }
 
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -16,6 +16,8 @@
 // A holder asks the store when its authority ends within this time: half of it
 // leaves two store calls of 1.5 s.
 constexpr milliseconds kLowAuthority{ 3'200 };
+// At most a tenth of a server's connections may be unused under skewed load.
+constexpr int kConnectionsPerReserve = 10;
 
 } // namespace
 
@@ -29,6 +31,16 @@
   return aConnections / aSlots + (static_cast<int>(aSlot) < remainder ? 1 : 0);
 }
 
+int
+SlotReserve(int aConnections, int aSlots, std::size_t aSlot)
+{
+  const int reserve = SlotShare(
+    std::max(0, aConnections) / kConnectionsPerReserve, aSlots, aSlot);
+  // The control connection and one for statements come first.
+  const int spare = SlotShare(aConnections, aSlots, aSlot) - 2;
+  return std::clamp(spare, 0, reserve);
+}
+
 slot_assignment::slot_assignment(slot_options aOptions,
                                  const slot_fleet& aFleet)
   : mOptions(std::move(aOptions))
@@ -63,6 +75,19 @@
   return found == mServices.end() ? 0 : found->second->mShare;
 }
 
+int
+slot_assignment::Reserve(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end() || !found->second->mSlot) {
+    return 0;
+  }
+  const slot_service& service = *found->second;
+  const int reserve =
+    SlotReserve(service.mConnections, service.mSlots, *service.mSlot);
+  return std::clamp(service.mShare - 2, 0, reserve);
+}
+
 const slot_record*
 slot_assignment::Record(const std::string& aService) const
 {
--- a/tests/integration/failover_test.cpp
+++ b/tests/integration/failover_test.cpp
@@ -238,11 +238,13 @@
 }
 
 // Guards against requests that wait for ever on connections that went silent,
-// and against wrong answers to them.
+// against wrong answers to them, and against a service that stops or changes
+// its primary while the servers still count the silent connections.
 TEST(FailoverTest, SettlesRequestsOnSilencedConnections)
 {
   const auto fleet = system_fleet::Start(WithFaultLinks());
   ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::uint64_t term = (*fleet)->Term(0);
   concurrent_writers writers(**fleet);
   std::this_thread::sleep_for(kWarmUp);
   ASSERT_TRUE((*fleet)->SilenceConnections("*").ok());
@@ -256,6 +258,41 @@
   }
   writers.Stop();
   writers.ExpectTruthful();
+  // The servers are alive: they only refuse connections beyond their limit.
+  EXPECT_EQ((*fleet)->Term(0), term);
+}
+
+// Guards against a holder that stays at its reserve although the servers have
+// dropped the connections that went silent, and against a change of primary
+// because of a server that closes new connections at its limit.
+TEST(FailoverTest, RecoversItsSharesOnceServersDropSilencedConnections)
+{
+  constexpr milliseconds recovery{ 40'000 };
+  system_options options = WithFaultLinks();
+  options.mBackendArguments = { "--keep_alive_ms=5000" };
+  const auto fleet = system_fleet::Start(options);
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::uint64_t term = (*fleet)->Term(0);
+  const auto& servers = (*fleet)->Group(0).Servers();
+  const auto now = [&](const std::string& aServer) {
+    return (*fleet)->ServerStats(aServer)["connections"]["now"].asInt();
+  };
+  const int inUse = options.mConnectionsPerServer * 9 / 10;
+  for (const auto& server : servers) {
+    EXPECT_TRUE(WaitFor([&] { return now(server.mName) == inUse; }));
+  }
+  concurrent_writers writers(**fleet);
+  std::this_thread::sleep_for(kWarmUp);
+  ASSERT_TRUE((*fleet)->SilenceConnections("*").ok());
+  EXPECT_TRUE(WritesResume(**fleet));
+  for (const auto& server : servers) {
+    EXPECT_TRUE(WaitFor([&] { return now(server.mName) == inUse; }, recovery))
+      << server.mName << " has " << now(server.mName);
+  }
+  EXPECT_TRUE(WritesResume(**fleet));
+  writers.Stop();
+  writers.ExpectTruthful();
+  EXPECT_EQ((*fleet)->Term(0), term);
 }
 
 } // namespace
--- a/tests/request/engine_driver.h
+++ b/tests/request/engine_driver.h
@@ -115,6 +115,9 @@
         std::erase_if(mSent, [&](const sent& aSent) {
           return aSent.mConnection == close->mConnection;
         });
+        if (close->mAwaitEnd) {
+          mEnding.push_back(close->mConnection);
+        }
       } else if (auto* send = std::get_if<send_request>(&action)) {
         mSent.push_back({ send->mConnection,
                           mServerOf[send->mConnection],
@@ -125,6 +128,12 @@
         mEvidence.push_back(*report);
       }
     }
+    // A server that is not silent notices each close.
+    while (!mSilent && !mEnding.empty()) {
+      const auto ended = mEnding.back();
+      mEnding.pop_back();
+      Handle(connection_ended{ ended });
+    }
   }
 
   // Delivers timers until aTime has passed.
@@ -238,6 +247,10 @@
   std::vector<connection_id> mClosed;
   std::vector<statement_response> mAnswers;
   std::vector<report_evidence> mEvidence;
+  // Closed by the engine, but not by the servers.
+  std::vector<connection_id> mEnding;
+  // The servers learn of no close.
+  bool mSilent = false;
   int mRequests = 0;
 };
 
--- a/tests/standins/backend_service.cpp
+++ b/tests/standins/backend_service.cpp
@@ -76,12 +76,35 @@
   mHttp.SetSetUpDelay(mOptions.mSetUpDelay);
   mPort = mHttp.Listen(mOptions.mPort);
   mLoop.SetAfterRound([this](time_point aNow) { AfterRound(aNow); });
+  DropVanished();
+}
+
+void
+backend_service::DropVanished()
+{
+  if (mOptions.mKeepAlive <= milliseconds(0)) {
+    return;
+  }
+  std::vector<connection_number> vanished;
+  for (const auto& [connection, kind] : mClasses) {
+    if (kind == connection_class::Counted &&
+        mLoop.Now() - mHeardAt[connection] >= mOptions.mKeepAlive) {
+      vanished.push_back(connection);
+    }
+  }
+  for (const auto connection : vanished) {
+    mHttp.Close(connection);
+    OnClosed(connection);
+  }
+  mLoop.RunAt(mLoop.Now() + mOptions.mKeepAlive / 4,
+              [this](time_point) { DropVanished(); });
 }
 
 void
 backend_service::OnOpened(connection_number aConnection)
 {
   mClasses[aConnection] = connection_class::New;
+  mHeardAt[aConnection] = mLoop.Now();
   mLoop.RunAt(mLoop.Now() + kClassifyAfter, [this, aConnection](time_point) {
     const auto found = mClasses.find(aConnection);
     if (found != mClasses.end() && found->second == connection_class::New) {
@@ -96,6 +119,7 @@
   if (mCounted >= mOptions.mMaxConnections) {
     ++mRefused;
     mClasses.erase(aConnection);
+    mHeardAt.erase(aConnection);
     mHttp.Close(aConnection);
     return false;
   }
@@ -114,6 +138,7 @@
   }
   mCounted -= found->second == connection_class::Counted ? 1 : 0;
   mClasses.erase(found);
+  mHeardAt.erase(aConnection);
   std::erase_if(mOpen, [&](const auto& aEntry) {
     return aEntry.second.mConnection == aConnection;
   });
@@ -128,6 +153,7 @@
 {
   const bool internal = absl::StartsWith(aRequest.mTarget, "/standin/");
   connection_class& kind = mClasses[aConnection];
+  mHeardAt[aConnection] = aNow;
   if (kind == connection_class::New) {
     if (internal) {
       kind = connection_class::Internal;
--- a/tests/standins/backend_service.h
+++ b/tests/standins/backend_service.h
@@ -21,6 +21,10 @@
   // requests do not count.
   std::size_t mMaxConnections = 20;
   milliseconds mSetUpDelay{ 10 };
+  // A caller's connection from which nothing was received for this long is
+  // dropped; zero: never. Stands for the TCP keep-alive or the idle limit of a
+  // real server: a fault proxy in between would acknowledge keep-alive probes.
+  milliseconds mKeepAlive{ 0 };
 };
 
 class backend_service
@@ -62,6 +66,8 @@
                  time_point aNow);
   void ServeControl(connection_number aConnection,
                     const http_request& aRequest);
+  // Drops the connections of vanished callers, again and again.
+  void DropVanished();
   http_response Stats() const;
   http_response LogPage(const std::string& aTarget) const;
   http_response SetFaults(const std::string& aBody);
@@ -76,6 +82,8 @@
   backend_replicator mReplicator;
   std::uint16_t mPort = 0;
   std::unordered_map<connection_number, connection_class> mClasses;
+  // When something was received last.
+  std::unordered_map<connection_number, time_point> mHeardAt;
   std::unordered_map<request_ticket, open_request> mOpen;
   request_ticket mNextTicket = 1;
   event_loop::timer_id mTimer = 0;
--- a/tests/standins/fault_link.cpp
+++ b/tests/standins/fault_link.cpp
@@ -267,6 +267,13 @@
 {
   for (auto& [number, opened] : mPairs) {
     opened.mSilent = true;
+    for (half& end : opened.mEnds) {
+      // Reading the end of a stream would close the socket and so tell that
+      // side of it.
+      if (end.mStream) {
+        end.mStream->PauseInput();
+      }
+    }
   }
 }
 
--- a/tests/standins/standin_backend.cpp
+++ b/tests/standins/standin_backend.cpp
@@ -17,6 +17,11 @@
           set_up_delay_ms,
           10,
           "time that a new connection takes to be usable");
+ABSL_FLAG(std::uint32_t,
+          keep_alive_ms,
+          0,
+          "time after which connections of vanished callers are dropped; 0: "
+          "never");
 ABSL_FLAG(std::uint32_t, apply_lag_ms, 0, "lag of reads on a replica");
 
 int
@@ -31,6 +36,7 @@
   options.mPort = absl::GetFlag(FLAGS_port);
   options.mMaxConnections = absl::GetFlag(FLAGS_max_connections);
   options.mSetUpDelay = milliseconds(absl::GetFlag(FLAGS_set_up_delay_ms));
+  options.mKeepAlive = milliseconds(absl::GetFlag(FLAGS_keep_alive_ms));
   standins::backend_service service(loop, options);
   standins::server_faults faults;
   faults.mApplyLag = milliseconds(absl::GetFlag(FLAGS_apply_lag_ms));
--- a/tests/version/slot_assignment_test.cpp
+++ b/tests/version/slot_assignment_test.cpp
@@ -155,5 +155,33 @@
   EXPECT_EQ(SlotShare(20, 0, 0), 0);
 }
 
+// Guards against reserves outside the shares, whose sum would exceed the limit,
+// above a tenth of the limit, or without a connection for statements beside.
+TEST(SlotAssignmentTest, DividesTheReserveInsideTheShares)
+{
+  EXPECT_EQ(SlotReserve(20, 3, 0), 1);
+  EXPECT_EQ(SlotReserve(20, 3, 1), 1);
+  EXPECT_EQ(SlotReserve(20, 3, 2), 0);
+  EXPECT_EQ(SlotReserve(40, 3, 0), 2);
+  EXPECT_EQ(SlotReserve(40, 3, 1), 1);
+  EXPECT_EQ(SlotReserve(40, 3, 2), 1);
+  for (int connections = 0; connections < 200; ++connections) {
+    for (int slots = 1; slots < 12; ++slots) {
+      int shares = 0;
+      int reserves = 0;
+      for (std::size_t i = 0; i < static_cast<std::size_t>(slots); ++i) {
+        const int share = SlotShare(connections, slots, i);
+        const int reserve = SlotReserve(connections, slots, i);
+        EXPECT_GE(reserve, 0);
+        EXPECT_TRUE(reserve == 0 || share - reserve >= 2);
+        shares += share;
+        reserves += reserve;
+      }
+      EXPECT_EQ(shares, connections);
+      EXPECT_LE(reserves * 10, connections);
+    }
+  }
+}
+
 } // namespace
 } // namespace snipewalk
