Ask the platform's list as soon as a slot waits for it

Cause: when no co-holder is left to agree to a replacement (one slot, or all holders dead), only the platform's list can free the slot. The list was asked 1 to 31 s after the death was known, and in shorter gaps only after that answer.

Change: a schedule of its own asks within 2 s once a claimant waits, then after 1, 2, 4 and each 5 s.

No connection above the limit, none refused.

--- a/src/process/control_actions.cpp
+++ b/src/process/control_actions.cpp
@@ -55,9 +55,8 @@
   Give(slot_event(slot_member_changed{ aAction.mName }), aNow);
   if (aAction.mState == member_state::Dead) {
     // The list may say soon that the instance is gone.
-    mNextList = std::min(mNextList,
-                         aNow + kSecond +
-                           milliseconds(mRandom() % kListInterval.count()));
+    mListSchedule.AskBy(aNow + kSecond +
+                        milliseconds(mRandom() % kListInterval.count()));
   }
 }
 
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -14,7 +14,6 @@
 // The controllers' clock; the other state machines are called when due.
 constexpr milliseconds kTickInterval{ 20 };
 constexpr std::size_t kListScale = 100;
-constexpr milliseconds kListIntervalWhileWaiting{ 5'000 };
 // An outage shorter than this causes no stampede on the store's return.
 constexpr milliseconds kOutage{ 2'000 };
 
@@ -164,7 +163,7 @@
   const time_point now = mLoop.Now();
   mNextSecond = now;
   // Spreads the first lists of instances that start together.
-  mNextList = now + milliseconds(mRandom() % kSecond.count());
+  mListSchedule.OnAsked(now + milliseconds(mRandom() % kSecond.count()));
   Tick(now);
 }
 
@@ -212,7 +211,9 @@
   for (const auto& name : mFleet.Tick(aNow, membership_options{}.mListLag)) {
     Give(slot_event(slot_member_changed{ name }), aNow);
   }
-  if (aNow >= mNextList) {
+  mListSchedule.OnWaiting(
+    mSlots.WaitsForPlatform(), milliseconds(mRandom() % kSecond.count()), aNow);
+  if (aNow >= mListSchedule.Due()) {
     AskPlatformList(aNow);
   }
   ReplaceKeysIfDue(aNow);
@@ -235,12 +236,13 @@
     return;
   }
   mListOutstanding = true;
-  mNextList = aNow + ListInterval();
+  mListSchedule.OnAsked(aNow + ListInterval());
   Submit(store_list_instances{},
          [this](const store_reply& aReply, time_point aLater) {
            mListOutstanding = false;
-           if (aReply.mStatus != store_status::Ok) {
-             mNextList = aLater + kListIntervalWhileWaiting;
+           const bool failed = aReply.mStatus != store_status::Ok;
+           mListSchedule.OnDone(failed, aLater);
+           if (failed) {
              return;
            }
            mListedLive.clear();
@@ -252,9 +254,6 @@
            mControlMembersChanged = true;
            Give(membership_event(platform_list_received{ aReply.mInstances }),
                 aLater);
-           if (mSlots.WaitsForPlatform()) {
-             mNextList = aLater + kListIntervalWhileWaiting;
-           }
          });
 }
 
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -4,6 +4,7 @@
 #define SNIPEWALK_PROCESS_CONTROL_STATE_H_
 
 #include "membership_fleet.h"
+#include "platform_list_schedule.h"
 #include "service_controls.h"
 
 #include "snipewalk/process/control_loop.h"
@@ -145,7 +146,7 @@
   bool mSnapshotChanged = true;
   time_point mLastPublished;
   time_point mNextSecond;
-  time_point mNextList;
+  platform_list_schedule mListSchedule;
   bool mListOutstanding = false;
   time_point mNextKeys;
   bool mKeysOutstanding = false;
--- a/tests/integration/membership_test.cpp
+++ b/tests/integration/membership_test.cpp
@@ -69,5 +69,60 @@
   }
 }
 
+// Kills all holders of the service and expects that an instance which is left
+// serves it once the platform's list names the holders no more.
+void
+ExpectTakeOverFromAllHolders(const system_options& aOptions)
+{
+  const auto started = system_fleet::Start(aOptions);
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  EXPECT_TRUE(WaitFor([&] { return fleet.SlotsInUse(0) == aOptions.mSlots; }));
+  // Each instance has seen the list with the holders.
+  EXPECT_TRUE(WaitFor([&] {
+    return fleet.StoreStats()["calls"]["instances"].asInt() >=
+           aOptions.mInstances;
+  }));
+  std::vector<int> left;
+  for (int i = 0; i < aOptions.mInstances; ++i) {
+    if (fleet.ServiceState(i, 0)["share"].asInt() == 0) {
+      left.push_back(i);
+    } else {
+      fleet.Processes().At(system_fleet::InstanceName(i)).Kill();
+    }
+  }
+  ASSERT_FALSE(left.empty());
+  ASSERT_TRUE(fleet.SetPlatformList(left).ok());
+  EXPECT_TRUE(WaitFor(
+    [&] { return fleet.Write(left.front(), "set drum/1 cleaned").Done(); },
+    seconds(60)));
+  for (const auto& server : fleet.Group(0).Servers()) {
+    const Json::Value connections =
+      fleet.ServerStats(server.mName)["connections"];
+    EXPECT_LE(connections["max"].asInt(), aOptions.mConnectionsPerServer);
+    EXPECT_EQ(connections["refused"].asInt(), 0);
+  }
+}
+
+// Guards against a service whose only holder died and that stays without one,
+// and against a successor that opens connections while the former ones count.
+TEST(MembershipTest, TakesOverTheOnlySlotOnceThePlatformDropsItsHolder)
+{
+  system_options options;
+  options.mSlots = 1;
+  options.mPlatformList = true;
+  ExpectTakeOverFromAllHolders(options);
+}
+
+// Guards against slots that stay vacant because no holder is left to agree to
+// the replacement of another one.
+TEST(MembershipTest, TakesOverWhenAllHoldersDieTogether)
+{
+  system_options options;
+  options.mInstances = 4;
+  options.mPlatformList = true;
+  ExpectTakeOverFromAllHolders(options);
+}
+
 } // namespace
 } // namespace snipewalk::standins
--- a/tests/standins/system_fleet.cpp
+++ b/tests/standins/system_fleet.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <numeric>
 #include <utility>
 
 namespace snipewalk::standins {
@@ -89,6 +90,11 @@
   for (int i = 0; status.ok() && i < aOptions.mServices; ++i) {
     status = fleet->PutDocument(i, {});
   }
+  if (status.ok() && aOptions.mPlatformList) {
+    std::vector<int> all(static_cast<std::size_t>(aOptions.mInstances));
+    std::iota(all.begin(), all.end(), 0);
+    status = fleet->SetPlatformList(all);
+  }
   for (int i = 0; status.ok() && i < aOptions.mInstances; ++i) {
     status = fleet->StartInstance(i);
   }
--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -30,6 +30,8 @@
   // "<instance>/<server>".
   bool mFaultLinks = false;
   milliseconds mShutdownNotice{ 100 };
+  // The platform's list names the instances from the start; else it is empty.
+  bool mPlatformList = false;
   // More members of the document's top object, such as "\"acknowledge\":
   // \"primary\"".
   std::string mDocumentExtra;
@@ -94,6 +96,8 @@
   absl::Status SetFaults(const std::string& aLink, const std::string& aJson);
   absl::Status SilenceConnections(const std::string& aLink);
   absl::Status SetStoreFaults(const std::string& aJson) const;
+  // Replaces the platform's list of live instances.
+  absl::Status SetPlatformList(const std::vector<int>& aInstances) const;
   Json::Value StoreStats() const;
 
   // Object of the store, parsed; null when absent.
--- a/tests/standins/system_fleet_calls.cpp
+++ b/tests/standins/system_fleet_calls.cpp
@@ -173,6 +173,24 @@
                   "set store faults");
 }
 
+absl::Status
+system_fleet::SetPlatformList(const std::vector<int>& aInstances) const
+{
+  std::string list;
+  for (const int instance : aInstances) {
+    absl::StrAppend(&list,
+                    list.empty() ? "" : ",",
+                    "{\"name\":\"",
+                    InstanceName(instance),
+                    "\"}");
+  }
+  return ExpectOk(HttpCall(mStoreControlPort,
+                           "POST",
+                           "/standin/instances",
+                           absl::StrCat("{\"instances\":[", list, "]}")),
+                  "set the platform's list");
+}
+
 Json::Value
 system_fleet::StoreStats() const
 {
