--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -26,9 +26,10 @@
 // that closes this soon without a reply therefore counts as refused.
 inline constexpr milliseconds kUnprovenAge{ 1'000 };
 // A connection that was closed without a sign that the server noticed is
-// counted for this long. Later the server's refusals tell whether it still
-// counts it; servers that drop vanished clients earlier refuse nothing.
-inline constexpr milliseconds kUnnoticedHold{ 10'000 };
+// counted for this long; servers have to drop vanished clients earlier. When
+// they do not, holders compete for the last places: with 10 s and a server that
+// dropped none, reads and some writes stopped.
+inline constexpr milliseconds kUnnoticedHold{ 30'000 };
 
 enum class connection_use
 {
--- a/src/process/server_link.cpp
+++ b/src/process/server_link.cpp
@@ -11,7 +11,7 @@
 // A probe without an answer for this long gives way to other requests.
 constexpr milliseconds kProbePatience{ 50 };
 // A link in doubt tries to keep a connection open again after this time.
-constexpr milliseconds kDoubtTime{ 10'000 };
+constexpr milliseconds kDoubtTime{ 30'000 };
 
 } // namespace
 
