--- a/include/snipewalk/request/service_engine.h
+++ b/include/snipewalk/request/service_engine.h
@@ -84,6 +84,12 @@
 // Longer than the age at which a count of open transactions permits the change.
 inline constexpr milliseconds kBeginHold{ 2'000 };
 
+// The server has closed a connection that was closed with `mAwaitEnd`.
+struct connection_ended
+{
+  connection_id mConnection = 0;
+};
+
 struct timer_expired
 {};
 
@@ -96,6 +102,7 @@
                                   view_changed,
                                   drain_requested,
                                   begins_held,
+                                  connection_ended,
                                   timer_expired>;
 
 // Actions ------------------------------------------------------------------
@@ -106,10 +113,13 @@
   server_endpoint mServer;
 };
 
-// No event follows for this connection.
+// Without `mAwaitEnd` no event follows for this connection. With it, only
+// connection_ended follows, once the server has closed its side; until then the
+// server may count the connection, and a second close gives up waiting.
 struct close_connection
 {
   connection_id mConnection = 0;
+  bool mAwaitEnd = false;
 };
 
 // At most one request is outstanding on a connection.
