Check the files of secrets again while the instance runs

Cause: removed the line that gives the periodic check of the fleet key and the admin token to the thread of Run().

Change: the hook is set again.

Result: no test of a running instance covered it.

--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -96,6 +96,7 @@
     mControl.ReleaseSlots(kReleaseLimit, [this] { mInstance.SlotsReleased(); });
   };
   hooks.mSendLeave = [this] { mControl.Leave(); };
+  hooks.mTick = [this](time_point aNow) { CheckSecrets(aNow); };
   return hooks;
 }
 
