Add TLS sessions without sockets and connections that use them

POCO's NetSSL blocks and needs a thread a connection.

Change: tls_session is a state machine over OpenSSL: records in, bytes out.

--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -1,10 +1,12 @@
-// Non-blocking TCP connection on an event loop with bounded buffering. Used
-// for callers, peers, backend servers and the platform's store.
+// Non-blocking TCP connection on an event loop with bounded buffering, with or
+// without TLS. Used for callers, peers, backend servers and the platform's
+// store.
 #ifndef SNIPEWALK_CONNECTION_STREAM_CONNECTION_H_
 #define SNIPEWALK_CONNECTION_STREAM_CONNECTION_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
+#include "snipewalk/connection/tls_session.h"
 
 #include <cstddef>
 #include <functional>
@@ -21,6 +23,8 @@
   ClosedByPeer,
   // The connection could not be established.
   Refused,
+  // The TLS handshake failed, or a record was not valid.
+  TlsFailure,
   // The other end reads too slowly: more than the output limit is waiting.
   OutputOverflow
 };
@@ -32,6 +36,7 @@
   // through event_loop::Post() or after they returned.
   struct handlers
   {
+    // Of accepted sockets only those with TLS call it, after the handshake.
     std::function<void(time_point)> mOnConnected;
     // Consumes a prefix of the buffer and leaves the rest.
     std::function<void(std::string& aInput, time_point)> mOnInput;
@@ -40,16 +45,20 @@
   };
 
   // Starts a connection to `aAddress` ("IP:port"). mOnClosed is called with
-  // `Refused` from the loop when it fails, also for a malformed address.
-  static std::unique_ptr<stream_connection> Connect(event_loop& aLoop,
-                                                    const std::string& aAddress,
-                                                    handlers aHandlers);
+  // `Refused` from the loop when it fails, also for a malformed address. With
+  // a session the connection speaks TLS.
+  static std::unique_ptr<stream_connection> Connect(
+    event_loop& aLoop,
+    const std::string& aAddress,
+    handlers aHandlers,
+    std::unique_ptr<tls_session> aTls = nullptr);
 
   // Takes over an accepted socket.
   static std::unique_ptr<stream_connection> Adopt(
     event_loop& aLoop,
     const Poco::Net::StreamSocket& aSocket,
-    handlers aHandlers);
+    handlers aHandlers,
+    std::unique_ptr<tls_session> aTls = nullptr);
 
   ~stream_connection() override;
   stream_connection(const stream_connection&) = delete;
@@ -76,6 +85,8 @@
   bool IsOpen() const { return mState != state::Closed; }
   bool IsConnected() const { return mState == state::Connected; }
   std::size_t PendingOutput() const { return mOutput.size() - mOutputSent; }
+  // Null without TLS.
+  const tls_session* Tls() const { return mTls.get(); }
 
   void OnReadable(time_point aNow) override;
   void OnWritable(time_point aNow) override;
@@ -85,13 +96,27 @@
   enum class state
   {
     Connecting,
+    // Connected, before the end of the TLS handshake.
+    Handshaking,
     Connected,
+    // A TLS alert was sent; input is dropped until the other end closes.
+    Alerted,
     Closed
   };
 
-  stream_connection(event_loop& aLoop, handlers aHandlers);
+  stream_connection(event_loop& aLoop,
+                    handlers aHandlers,
+                    std::unique_ptr<tls_session> aTls);
   void BeginConnect(const std::string& aAddress);
   void FinishConnect(time_point aNow);
+  void BecomeConnected(time_point aNow);
+  void TakeRecords(std::string_view aRecords, time_point aNow);
+  void OfferInput(time_point aNow);
+  // Keeps the socket until the other end read the alert, then reports.
+  void FailTls(time_point aNow);
+  void EndOutput();
+  // Writes what the socket takes; false when it is broken.
+  bool WriteOutput();
   void Flush(time_point aNow);
   void Fail(close_cause aCause, time_point aNow);
   void Detach();
@@ -100,6 +125,9 @@
   handlers mHandlers;
   Poco::Net::StreamSocket mSocket;
   state mState = state::Connecting;
+  std::unique_ptr<tls_session> mTls;
+  // Bytes of Send() before the TLS handshake ended.
+  std::string mEarly;
   // Memory is released whenever a buffer is empty: most connections idle.
   std::string mInput;
   std::string mOutput;
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -15,6 +15,9 @@
 // A reader that leaves this much unread is disconnected.
 constexpr std::size_t kOutputLimitBytes = 8 * 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 64 * 1024;
+// Closing at once would reset the connection when the other end still sends,
+// and it would lose the alert.
+constexpr milliseconds kAlertLinger{ 1'000 };
 
 // Frees the memory of an empty buffer.
 void
@@ -27,9 +30,12 @@
 
 } // namespace
 
-stream_connection::stream_connection(event_loop& aLoop, handlers aHandlers)
+stream_connection::stream_connection(event_loop& aLoop,
+                                     handlers aHandlers,
+                                     std::unique_ptr<tls_session> aTls)
   : mLoop(aLoop)
   , mHandlers(std::move(aHandlers))
+  , mTls(std::move(aTls))
 {
 }
 
@@ -41,10 +47,11 @@
 std::unique_ptr<stream_connection>
 stream_connection::Connect(event_loop& aLoop,
                            const std::string& aAddress,
-                           handlers aHandlers)
+                           handlers aHandlers,
+                           std::unique_ptr<tls_session> aTls)
 {
   std::unique_ptr<stream_connection> connection(
-    new stream_connection(aLoop, std::move(aHandlers)));
+    new stream_connection(aLoop, std::move(aHandlers), std::move(aTls)));
   connection->BeginConnect(aAddress);
   return connection;
 }
@@ -52,14 +59,15 @@
 std::unique_ptr<stream_connection>
 stream_connection::Adopt(event_loop& aLoop,
                          const Poco::Net::StreamSocket& aSocket,
-                         handlers aHandlers)
+                         handlers aHandlers,
+                         std::unique_ptr<tls_session> aTls)
 {
   std::unique_ptr<stream_connection> connection(
-    new stream_connection(aLoop, std::move(aHandlers)));
+    new stream_connection(aLoop, std::move(aHandlers), std::move(aTls)));
   connection->mSocket = aSocket;
   connection->mSocket.setBlocking(false);
   connection->mSocket.setNoDelay(true);
-  connection->mState = state::Connected;
+  connection->mState = connection->mTls ? state::Handshaking : state::Connected;
   aLoop.Add(connection->mSocket, connection.get(), false);
   return connection;
 }
@@ -82,10 +90,16 @@
 void
 stream_connection::Send(std::string_view aBytes)
 {
-  if (!IsOpen()) {
+  if (!IsOpen() || mState == state::Alerted) {
     return;
   }
-  mOutput.append(aBytes);
+  if (!mTls) {
+    mOutput.append(aBytes);
+  } else if (IsConnected()) {
+    mTls->Send(aBytes, mOutput);
+  } else {
+    mEarly.append(aBytes);
+  }
   if (IsConnected()) {
     Flush(mLoop.Now());
   }
@@ -97,6 +111,10 @@
   if (mState == state::Closed) {
     return;
   }
+  if (mTls && IsConnected() && PendingOutput() == 0) {
+    mTls->Close(mOutput);
+    WriteOutput();
+  }
   Detach();
 }
 
@@ -104,6 +122,9 @@
 stream_connection::CloseAfterOutput()
 {
   mCloseAfterOutput = true;
+  if (mTls && IsConnected() && PendingOutput() > 0) {
+    mTls->Close(mOutput);
+  }
   if (IsConnected() && PendingOutput() == 0) {
     Close();
   }
@@ -130,12 +151,18 @@
 {
   mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
     if (!alive.expired() && IsConnected() && HasInput()) {
-      mHandlers.mOnInput(mInput, mLoop.Now());
-      ReleaseIfEmpty(mInput);
+      OfferInput(mLoop.Now());
     }
   });
 }
 
+void
+stream_connection::OfferInput(time_point aNow)
+{
+  mHandlers.mOnInput(mInput, aNow);
+  ReleaseIfEmpty(mInput);
+}
+
 void
 stream_connection::Detach()
 {
@@ -165,7 +192,7 @@
 void
 stream_connection::OnReadable(time_point aNow)
 {
-  if (mState != state::Connected) {
+  if (mState == state::Connecting || mState == state::Closed) {
     return;
   }
   // One buffer a thread: idle connections keep none of their own.
@@ -175,19 +202,77 @@
     received =
       mSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
   } catch (const Poco::Exception&) {
-    Fail(close_cause::ClosedByPeer, aNow);
-    return;
+    received = 0;
   }
   if (received == 0) {
-    Fail(close_cause::ClosedByPeer, aNow);
+    Fail(mState == state::Alerted ? close_cause::TlsFailure
+                                  : close_cause::ClosedByPeer,
+         aNow);
     return;
   }
   if (received < 0) {
     return;
   }
-  mInput.append(chunk.data(), static_cast<std::size_t>(received));
-  mHandlers.mOnInput(mInput, aNow);
-  ReleaseIfEmpty(mInput);
+  const std::string_view bytes(chunk.data(),
+                               static_cast<std::size_t>(received));
+  if (mTls) {
+    TakeRecords(bytes, aNow);
+    return;
+  }
+  mInput.append(bytes);
+  OfferInput(aNow);
+}
+
+void
+stream_connection::TakeRecords(std::string_view aRecords, time_point aNow)
+{
+  if (mState == state::Alerted) {
+    return;
+  }
+  const std::size_t before = mInput.size();
+  const tls_state tls = mTls->Receive(aRecords, mInput, mOutput);
+  if (mState == state::Handshaking && tls == tls_state::Established) {
+    BecomeConnected(aNow);
+  }
+  if (IsOpen() && PendingOutput() > 0) {
+    Flush(aNow);
+  }
+  if (IsConnected() && mInput.size() > before) {
+    OfferInput(aNow);
+  }
+  if (tls == tls_state::Failed) {
+    FailTls(aNow);
+  } else if (tls == tls_state::Closed) {
+    Fail(close_cause::ClosedByPeer, aNow);
+  }
+}
+
+void
+stream_connection::FailTls(time_point aNow)
+{
+  if (!IsOpen()) {
+    return;
+  }
+  mState = state::Alerted;
+  if (PendingOutput() == 0) {
+    EndOutput();
+  }
+  mLoop.RunAt(aNow + kAlertLinger,
+              [this, alive = std::weak_ptr<bool>(mAlive)](time_point aLater) {
+                if (!alive.expired()) {
+                  Fail(close_cause::TlsFailure, aLater);
+                }
+              });
+}
+
+void
+stream_connection::EndOutput()
+{
+  try {
+    mSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    // The other end reset the connection, which the next read reports.
+  }
 }
 
 void
@@ -196,7 +281,7 @@
   if (mState == state::Connecting) {
     FinishConnect(aNow);
   }
-  if (mState == state::Connected) {
+  if (mState != state::Connecting && IsOpen()) {
     Flush(aNow);
   }
 }
@@ -217,14 +302,29 @@
     return;
   }
   mSocket.setNoDelay(true);
+  if (mTls) {
+    mState = state::Handshaking;
+    mTls->Start(mOutput);
+    return;
+  }
+  BecomeConnected(aNow);
+}
+
+void
+stream_connection::BecomeConnected(time_point aNow)
+{
   mState = state::Connected;
+  if (mTls) {
+    mTls->Send(mEarly, mOutput);
+    std::string().swap(mEarly);
+  }
   if (mHandlers.mOnConnected) {
     mHandlers.mOnConnected(aNow);
   }
 }
 
-void
-stream_connection::Flush(time_point aNow)
+bool
+stream_connection::WriteOutput()
 {
   try {
     while (PendingOutput() > 0) {
@@ -236,6 +336,15 @@
       mOutputSent += static_cast<std::size_t>(sent);
     }
   } catch (const Poco::Exception&) {
+    return false;
+  }
+  return true;
+}
+
+void
+stream_connection::Flush(time_point aNow)
+{
+  if (!WriteOutput()) {
     // The loop reports the broken socket; callers of Send() are not re-entered.
     mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
       if (!alive.expired()) {
@@ -249,7 +358,9 @@
     mOutputSent = 0;
     ReleaseIfEmpty(mOutput);
     mLoop.SetWantWrite(mSocket, false);
-    if (mCloseAfterOutput) {
+    if (mState == state::Alerted) {
+      EndOutput();
+    } else if (mCloseAfterOutput) {
       Close();
     }
     return;
--- a/tests/connection/decoder_fuzz_test.cpp
+++ b/tests/connection/decoder_fuzz_test.cpp
@@ -1,5 +1,6 @@
 // Feeds mutated inputs to the decoders of the caller, peer and backend ports.
 #include "connection/mutator.h"
+#include "connection/tls_fixture.h"
 #include "snipewalk/base/text.h"
 #include "snipewalk/connection/backend_adapter.h"
 #include "snipewalk/connection/caller_adapter.h"
@@ -280,5 +281,58 @@
   EXPECT_GT(refused, kInputs / 50);
 }
 
+// First messages of clients of both versions. The bytes that OpenSSL draws at
+// random are set to fixed ones, so that the inputs repeat.
+std::vector<std::string>
+TlsInputs(const tls_context& aClient)
+{
+  constexpr std::size_t kRandomAt = 11;
+  constexpr std::size_t kKeyBytes = 32;
+  std::vector<std::string> inputs;
+  for (const int version : { TLS1_2_VERSION, TLS1_3_VERSION }) {
+    openssl_client client(&aClient, version);
+    client.Give({});
+    std::string hello = client.Take();
+    hello.replace(kRandomAt, kKeyBytes, kKeyBytes, 'r');
+    if (version == TLS1_3_VERSION) {
+      // The session id, and the key share at the end.
+      hello.replace(kRandomAt + kKeyBytes + 1, kKeyBytes, kKeyBytes, 's');
+      hello.replace(hello.size() - kKeyBytes, kKeyBytes, kKeyBytes, 'k');
+    }
+    inputs.push_back(std::move(hello));
+  }
+  return inputs;
+}
+
+// Guards against a caller that crashes an instance or makes it send more than
+// a handshake before the certificate was verified.
+TEST(TlsSessionFuzzTest, SurvivesMutatedInputs)
+{
+  constexpr std::size_t kFlightLimitBytes = 8 * 1024;
+  const standins::certificate_maker authority("callers");
+  const auto server = *tls_context::Server(authority.Server(), "fleet");
+  const auto client = *tls_context::Client(authority.Client("fassnetz"));
+  mutator mutate(14, TlsInputs(*client));
+  int answered = 0;
+  int refused = 0;
+  for (int i = 0; i < kInputs && !HasFailure(); ++i) {
+    tls_server_end end(server);
+    FeedInChunks(mutate.Next(), 0, [&](std::string& aBuffer) {
+      return end.Give(std::exchange(aBuffer, {})) == tls_state::Handshaking;
+    });
+    EXPECT_EQ(end.mInput, "");
+    EXPECT_LE(end.mOutput.size(), kFlightLimitBytes);
+    EXPECT_NE(end.mSession->State(), tls_state::Established);
+    if (end.mSession->State() == tls_state::Failed) {
+      ++refused;
+      EXPECT_FALSE(end.mSession->Failure().empty());
+    } else if (!end.mOutput.empty()) {
+      ++answered;
+    }
+  }
+  EXPECT_GT(answered, kInputs / 50);
+  EXPECT_GT(refused, kInputs / 50);
+}
+
 } // namespace
 } // namespace snipewalk
