Keep output that the socket does not take at once

Cause: StreamSocket::sendBytes of POCO 1.11 throws when the buffer of a non-blocking socket is full (receiveBytes does not). stream_connection took that for a broken connection and closed it as ClosedByPeer. Any connection, plain ones too, whose reader was slower than its buffers was cut, and the limit of 8 MB was never reached. Found by a test of a large response over TLS.

Ruled out: a reset by unread input; strace shows EAGAIN and then the close.

Change: EAGAIN keeps the output until the socket is writable. Written output is dropped once it is the larger part of the buffer, which otherwise keeps everything while a connection always has output waiting. A TLS session that sent close_notify is no longer taken for one that received it.

--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -117,6 +117,7 @@
   void EndOutput();
   // Writes what the socket takes; false when it is broken.
   bool WriteOutput();
+  void DropWritten();
   void Flush(time_point aNow);
   void Fail(close_cause aCause, time_point aNow);
   void Detach();
@@ -134,6 +135,8 @@
   // Bytes of mOutput already written; never above mOutput.size().
   std::size_t mOutputSent = 0;
   bool mCloseAfterOutput = false;
+  // The socket's buffer is full; OnWritable() ends this.
+  bool mBlocked = false;
   // Expires with the connection; guards callbacks posted to the loop.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/include/snipewalk/connection/tls_session.h
+++ b/include/snipewalk/connection/tls_session.h
@@ -50,7 +50,8 @@
   // session is established.
   void Send(std::string_view aBytes, std::string& aOutput);
 
-  // Appends close_notify to `aOutput`; nothing can be sent afterwards.
+  // Appends close_notify to `aOutput`; nothing can be sent afterwards. The other
+  // side's records are still taken.
   void Close(std::string& aOutput);
 
   tls_state State() const { return mState; }
@@ -86,6 +87,8 @@
   exchange mExchange;
   ssl_st* mNative = nullptr;
   tls_state mState = tls_state::Handshaking;
+  // close_notify was sent; the other side may still send.
+  bool mOutputClosed = false;
   std::string mFailure;
 };
 
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace snipewalk {
@@ -278,6 +279,7 @@
 void
 stream_connection::OnWritable(time_point aNow)
 {
+  mBlocked = false;
   if (mState == state::Connecting) {
     FinishConnect(aNow);
   }
@@ -327,7 +329,7 @@
 stream_connection::WriteOutput()
 {
   try {
-    while (PendingOutput() > 0) {
+    while (PendingOutput() > 0 && !mBlocked) {
       const int sent = mSocket.sendBytes(mOutput.data() + mOutputSent,
                                          static_cast<int>(PendingOutput()));
       if (sent <= 0) {
@@ -335,12 +337,28 @@
       }
       mOutputSent += static_cast<std::size_t>(sent);
     }
-  } catch (const Poco::Exception&) {
-    return false;
+  } catch (const Poco::Exception& error) {
+    // POCO reports a full socket buffer as an exception, too.
+    mBlocked = error.code() == EAGAIN;
+    if (!mBlocked) {
+      return false;
+    }
   }
+  DropWritten();
   return true;
 }
 
+void
+stream_connection::DropWritten()
+{
+  // A connection that always has output waiting would keep all of it. Half of
+  // the buffer at a time keeps the cost of moving the rest constant a byte.
+  if (mOutputSent >= kReadChunkBytes && mOutputSent >= PendingOutput()) {
+    mOutput.erase(0, mOutputSent);
+    mOutputSent = 0;
+  }
+}
+
 void
 stream_connection::Flush(time_point aNow)
 {
--- a/src/connection/tls_session.cpp
+++ b/src/connection/tls_session.cpp
@@ -202,7 +202,7 @@
 void
 tls_session::Send(std::string_view aBytes, std::string& aOutput)
 {
-  if (mState != tls_state::Established || aBytes.empty()) {
+  if (mState != tls_state::Established || mOutputClosed || aBytes.empty()) {
     return;
   }
   mExchange = { {}, &aOutput };
@@ -220,14 +220,14 @@
 void
 tls_session::Close(std::string& aOutput)
 {
-  if (mState != tls_state::Established) {
+  if (mState != tls_state::Established || mOutputClosed) {
     return;
   }
+  mOutputClosed = true;
   mExchange = { {}, &aOutput };
   ForgetErrors();
   SSL_shutdown(mNative);
   mExchange = {};
-  mState = tls_state::Closed;
 }
 
 std::string
--- a/tests/connection/event_loop_test.cpp
+++ b/tests/connection/event_loop_test.cpp
@@ -77,6 +77,62 @@
   EXPECT_EQ(received, sent);
 }
 
+// Guards against a connection that is cut, and its output lost, when the socket
+// does not take all of it at once.
+TEST(StreamConnectionTest, KeepsOutputThatTheSocketDoesNotTake)
+{
+  event_loop loop;
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  // Above the buffers of both sockets, below the limit of the output.
+  const std::string sent(7 * 1024 * 1024, 'x');
+  std::size_t received = 0;
+  std::optional<close_cause> cause;
+  const auto onClosed = [&](close_cause aCause, time_point) {
+    cause = aCause;
+    loop.Stop();
+  };
+  auto client =
+    stream_connection::Connect(loop,
+                               server.address().toString(),
+                               { {},
+                                 [&](std::string& aInput, time_point) {
+                                   received += aInput.size();
+                                   aInput.clear();
+                                   if (received == sent.size()) {
+                                     loop.Stop();
+                                   }
+                                 },
+                                 onClosed });
+  auto accepted = stream_connection::Adopt(
+    loop, server.acceptConnection(), { {}, {}, onClosed });
+  accepted->Send(sent);
+  EXPECT_GT(accepted->PendingOutput(), 0U);
+  loop.Run();
+  EXPECT_EQ(received, sent.size());
+  EXPECT_FALSE(cause.has_value());
+}
+
+// Guards against a reader that takes the memory of an instance.
+TEST(StreamConnectionTest, DisconnectsSlowReader)
+{
+  event_loop loop;
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  const Poco::Net::StreamSocket reader(server.address());
+  std::optional<close_cause> cause;
+  auto accepted =
+    stream_connection::Adopt(loop,
+                             server.acceptConnection(),
+                             { {}, {}, [&](close_cause aCause, time_point) {
+                                cause = aCause;
+                                loop.Stop();
+                              } });
+  for (int i = 0; i < 64; ++i) {
+    accepted->Send(std::string(1024 * 1024, 'x'));
+  }
+  loop.Run();
+  EXPECT_EQ(cause, close_cause::OutputOverflow);
+}
+
 // Guards against a refused connection that is never reported.
 TEST(StreamConnectionTest, ReportsRefusedConnection)
 {
