Serve callers over TLS with client certificates

Change: with the settings' section tls the caller port speaks TLS only. The account is the common name of the verified client certificate; a request that names another one is refused with 403 and not_run, with the reason bad_request.

Ruled out: POCO's NetSSL, which blocks. TLS on the admin port is left for a change of its own.

--- a/include/snipewalk/connection/caller_adapter.h
+++ b/include/snipewalk/connection/caller_adapter.h
@@ -68,8 +68,13 @@
   id_source& mIds;
   // Timeout of a service's statements when the caller names none.
   std::function<milliseconds(const std::string& aService)> mTimeout;
+  // Client account that the caller's certificate proved; empty without TLS,
+  // where the header Snipewalk-Account names it.
+  std::string mVerifiedAccount{};
 };
 
+// A request that names another account than the verified one is refused with
+// status 403.
 std::variant<caller_request, caller_refusal>
 DecodeCallerRequest(http_request aRequest, const caller_context& aContext);
 
--- a/include/snipewalk/connection/tls_session.h
+++ b/include/snipewalk/connection/tls_session.h
@@ -50,8 +50,8 @@
   // session is established.
   void Send(std::string_view aBytes, std::string& aOutput);
 
-  // Appends close_notify to `aOutput`; nothing can be sent afterwards. The other
-  // side's records are still taken.
+  // Appends close_notify to `aOutput`; nothing can be sent afterwards. The
+  // other side's records are still taken.
   void Close(std::string& aOutput);
 
   tls_state State() const { return mState; }
--- a/include/snipewalk/process/caller_connection.h
+++ b/include/snipewalk/process/caller_connection.h
@@ -8,6 +8,7 @@
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/http_codec.h"
 #include "snipewalk/connection/stream_connection.h"
+#include "snipewalk/connection/tls_session.h"
 
 #include <cstdint>
 #include <memory>
@@ -17,11 +18,20 @@
 
 inline constexpr milliseconds kCallerIdleLimit{ 5 * 60'000 };
 inline constexpr milliseconds kHalfRequestLimit{ 10'000 };
+inline constexpr milliseconds kHandshakeLimit{ 10'000 };
 // Bytes that a caller may send ahead while its request is served.
 inline constexpr std::size_t kReadAheadLimitBytes = 64 * 1024;
 
 using caller_id = std::uint64_t;
 
+// What a connection with TLS needs; without a session it is plain HTTP.
+struct caller_tls
+{
+  std::unique_ptr<tls_session> mSession;
+  // Of the caller, for the log.
+  std::string mAddress;
+};
+
 // The thread that owns the connections.
 class caller_owner
 {
@@ -32,6 +42,11 @@
   virtual void OnCallerRequest(caller_id aCaller,
                                caller_request aRequest,
                                time_point aNow) = 0;
+  // The TLS handshake ended well, failed or was given up; called once for each
+  // connection with TLS. `aFailure` is empty when it ended well.
+  virtual void OnCallerHandshake(const std::string& aAddress,
+                                 const std::string& aFailure,
+                                 time_point aNow) = 0;
   // The connection is destroyed after this returned.
   virtual void OnCallerClosed(caller_id aCaller) = 0;
   // True when callers are to reconnect elsewhere.
@@ -45,7 +60,8 @@
   caller_connection(event_loop& aLoop,
                     const Poco::Net::StreamSocket& aSocket,
                     caller_id aId,
-                    caller_owner& aOwner);
+                    caller_owner& aOwner,
+                    caller_tls aTls = {});
   caller_connection(const caller_connection&) = delete;
   caller_connection& operator=(const caller_connection&) = delete;
 
@@ -62,6 +78,10 @@
   bool IsBusy() const { return mBusy; }
 
 private:
+  void OnEstablished(time_point aNow);
+  void OnClosed(close_cause aCause, time_point aNow);
+  // Reports the end of a handshake; does nothing after the first call.
+  void EndHandshake(const std::string& aFailure, time_point aNow);
   void OnInput(std::string& aInput, time_point aNow);
   void Serve(http_request aRequest, time_point aNow);
   void Refuse(int aStatus, std::string_view aMessage);
@@ -75,9 +95,14 @@
   bool mKeepAlive = true;
   bool mPaused = false;
   bool mHalfReceived = false;
+  bool mHandshaking = false;
   // The last response is being written; the connection then closes.
   bool mEnding = false;
-  // Start of the half-received request, or of the idle time.
+  // Proven by the certificate; empty without TLS.
+  std::string mAccount;
+  // Kept for the log until the handshake ended.
+  std::string mAddress;
+  // Start of the handshake, of the half-received request or of the idle time.
   time_point mSince;
   http_reader mReader;
   std::unique_ptr<stream_connection> mStream;
--- a/include/snipewalk/process/daemon.h
+++ b/include/snipewalk/process/daemon.h
@@ -7,6 +7,7 @@
 #include "snipewalk/process/instance.h"
 #include "snipewalk/process/secret_files.h"
 #include "snipewalk/process/settings.h"
+#include "snipewalk/process/tls_files.h"
 
 #include <atomic>
 #include <memory>
@@ -32,7 +33,8 @@
   daemon(const daemon&) = delete;
   daemon& operator=(const daemon&) = delete;
 
-  // Opens all ports. Errors: Unavailable when one cannot be bound.
+  // Opens all ports. Errors: Unavailable when one cannot be bound,
+  // FailedPrecondition when the TLS files cannot be used.
   absl::Status Start();
 
   // Serves until a shutdown is complete. False when another instance took over
@@ -45,7 +47,8 @@
 private:
   static instance_options OptionsOf(const instance_settings& aSettings,
                                     const daemon_secrets& aSecrets,
-                                    std::uint64_t aStartMs);
+                                    std::uint64_t aStartMs,
+                                    std::shared_ptr<const tls_context> aTls);
   static control_loop_options ControlOptionsOf(
     const instance_settings& aSettings,
     const daemon_secrets& aSecrets,
@@ -54,10 +57,14 @@
   control_loop_callbacks ControlCallbacks();
   // Reads the files of secrets again when a check is due.
   void CheckSecrets(time_point aNow);
+  // Reads the TLS files. Null while there is nothing to change.
+  std::shared_ptr<const tls_context> CheckTls();
 
   instance_settings mSettings;
   // Used by the thread that runs Run() only.
   secret_rotation mSecrets;
+  tls_rotation mTls;
+  bool mTlsReady = false;
   time_point mNextSecretCheck;
   std::atomic<bool> mReplaced{ false };
   instance mInstance;
--- a/include/snipewalk/process/load_worker.h
+++ b/include/snipewalk/process/load_worker.h
@@ -15,6 +15,8 @@
 
 namespace snipewalk {
 
+class tls_context;
+
 struct load_options
 {
   // "IP:port" of each instance.
@@ -37,6 +39,8 @@
   // Number of the worker's first session.
   std::size_t mFirstSession = 0;
   std::uint64_t mSeed = 1;
+  // Null for plain HTTP.
+  std::shared_ptr<const tls_context> mTls;
 };
 
 class load_worker_state;
--- a/include/snipewalk/process/settings.h
+++ b/include/snipewalk/process/settings.h
@@ -5,6 +5,7 @@
 #include "snipewalk/base/findings.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/base/time.h"
+#include "snipewalk/process/tls_files.h"
 
 #include <map>
 #include <optional>
@@ -41,6 +42,11 @@
   std::string mFleetKeyFile;
   std::string mAdminTokenFile;
 
+  // Certificate, key and authorities of the caller port as PEM; read again when
+  // they change. All are set or none; without them callers are served in plain
+  // HTTP on a loopback address.
+  tls_files mCallerTls;
+
   // Addresses under which this instance reaches backend servers, by the address
   // in the documents; for instances behind network address translation.
   std::map<std::string, std::string> mAddressTranslation;
@@ -61,12 +67,14 @@
   log_settings mLogs;
 };
 
-// Reads settings. All problems are added to `aFindings`; the result is set
-// exactly when none was added.
+// Reads settings and checks the TLS files that they name. All problems are
+// added to `aFindings`; the result is set exactly when none was added. A
+// certificate must be valid at `aNow`.
 std::optional<instance_settings>
 ParseSettings(const std::string& aText,
               const std::string& aSource,
-              findings& aFindings);
+              findings& aFindings,
+              wall_time aNow = std::chrono::system_clock::now());
 
 // Reads a file of settings; an unreadable file is a finding.
 std::optional<instance_settings>
--- a/include/snipewalk/process/traffic_group.h
+++ b/include/snipewalk/process/traffic_group.h
@@ -36,6 +36,8 @@
   void Observe(const std::string& aService, const status_observed& aStatus);
   // All keys verify, the first signs. Links that are open remain.
   void SetFleetKeys(const std::vector<std::string>& aFleetKeys);
+  // For callers that connect from now on; open connections go on.
+  void SetCallerTls(const std::shared_ptr<const tls_context>& aTls);
 
   // Steps of the shutdown, see shutdown.h.
   void AnnounceShutdown();
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -29,6 +29,7 @@
 namespace snipewalk {
 
 class listener;
+class tls_context;
 
 struct traffic_options
 {
@@ -45,8 +46,8 @@
   address_translation mAddressTranslation;
   // Callers above the limit are disconnected at once, a thread.
   std::size_t mCallerLimit = 10'000;
-  // Callers from elsewhere need TLS, which names their client account.
-  bool mOnlyLoopbackCallers = true;
+  // Without it callers are served in plain HTTP, and only from loopback.
+  std::shared_ptr<const tls_context> mCallerTls;
 };
 
 // Called on the traffic threads; implementations pass the data on and return.
@@ -110,6 +111,8 @@
   // The functions below are for tasks posted to this thread.
   void SetSnapshot(std::shared_ptr<const routing_snapshot> aSnapshot);
   void SetFleetKeys(std::vector<std::string> aFleetKeys);
+  // For connections accepted from now on; open ones go on.
+  void SetCallerTls(std::shared_ptr<const tls_context> aTls);
   void Observe(const std::string& aService, const status_observed& aStatus);
   // Health turns to "shutting down".
   void AnnounceShutdown() { mServing = false; }
@@ -134,6 +137,9 @@
   void OnCallerRequest(caller_id aCaller,
                        caller_request aRequest,
                        time_point aNow) override;
+  void OnCallerHandshake(const std::string& aAddress,
+                         const std::string& aFailure,
+                         time_point aNow) override;
   void OnCallerClosed(caller_id aCaller) override;
   bool ClosesCallers() const override { return mClosing; }
 
@@ -171,6 +177,12 @@
   // Where responses go, by request id.
   std::unordered_map<std::string, caller_route> mRoutes;
   caller_id mNextCaller = 1;
+  // Callers before the end of their TLS handshake.
+  std::size_t mHandshakes = 0;
+  // End of the present interval of logging, and the lines written in it.
+  time_point mHandshakeLogEnd;
+  int mHandshakesLogged = 0;
+  std::int64_t mHandshakesUnlogged = 0;
   event_loop::timer_id mForwarderTimer = 0;
   time_point mForwarderDue;
   time_point mLastCallerSweep;
--- a/src/apps/snipewalk_load.cpp
+++ b/src/apps/snipewalk_load.cpp
@@ -1,6 +1,7 @@
 // Program: load generator. Drives callers against a list of instances, records
 // the history and prints the figures.
 #include "snipewalk/process/load_worker.h"
+#include "snipewalk/process/tls_files.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -46,6 +47,9 @@
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of the callers' choices");
 ABSL_FLAG(std::string, run, "", "prefix of the keys; by default from the time");
 ABSL_FLAG(std::string, history, "", "file for the history as JSON lines");
+ABSL_FLAG(std::string, tls_ca, "", "authorities of the instances (PEM file)");
+ABSL_FLAG(std::string, tls_certificate, "", "client certificate (PEM file)");
+ABSL_FLAG(std::string, tls_key, "", "key of the client certificate (PEM file)");
 ABSL_FLAG(bool, json, false, "print the figures as one line of JSON");
 
 namespace {
@@ -127,6 +131,25 @@
   return options;
 }
 
+// Null when no flag asks for TLS.
+absl::StatusOr<std::shared_ptr<const tls_context>>
+TlsFromFlags()
+{
+  const tls_files files{ absl::GetFlag(FLAGS_tls_certificate),
+                         absl::GetFlag(FLAGS_tls_key),
+                         absl::GetFlag(FLAGS_tls_ca) };
+  if (files.mCertificate.empty() && files.mKey.empty() &&
+      files.mAuthorities.empty()) {
+    return nullptr;
+  }
+  const tls_contents contents = ReadTlsFiles(files);
+  if (!contents.mUnreadable.empty()) {
+    return absl::InvalidArgumentError(
+      "--tls_ca, --tls_certificate or --tls_key is missing or unreadable");
+  }
+  return tls_context::Client(contents.mMaterial);
+}
+
 // Splits the sessions, the rate and the idle connections over the threads.
 std::vector<std::unique_ptr<load_worker>>
 MakeWorkers(const load_options& aOptions, history_file& aHistory)
@@ -163,10 +186,16 @@
     std::cerr << fault << "\n";
   }
   history_file history(absl::GetFlag(FLAGS_history));
-  if (!faults.empty() || !history.IsGood()) {
+  const auto tls = TlsFromFlags();
+  if (!tls.ok()) {
+    std::cerr << tls.status().message() << "\n";
+  }
+  if (!faults.empty() || !history.IsGood() || !tls.ok()) {
     return kExitBadInput;
   }
-  auto workers = MakeWorkers(OptionsFromFlags(), history);
+  load_options options = OptionsFromFlags();
+  options.mTls = *tls;
+  auto workers = MakeWorkers(options, history);
   std::vector<std::thread> threads;
   threads.reserve(workers.size());
   for (auto& worker : workers) {
--- a/src/connection/caller_adapter.cpp
+++ b/src/connection/caller_adapter.cpp
@@ -165,6 +165,36 @@
   return refusal;
 }
 
+// Gives the request the account of the caller's certificate. False when the
+// request names another one.
+bool
+ApplyVerifiedAccount(http_headers& aHeaders, const std::string& aAccount)
+{
+  constexpr std::string_view kField = "Snipewalk-Account";
+  if (aAccount.empty()) {
+    return true;
+  }
+  if (!aHeaders.Has(kField)) {
+    aHeaders.Add(std::string(kField), aAccount);
+  }
+  // A repeated field is refused with the other fields.
+  return aHeaders.Get(kField) == aAccount;
+}
+
+caller_refusal
+AccountRefusal(const http_headers& aHeaders)
+{
+  auto refusal =
+    Refusal(403,
+            refusal_reason::BadRequest,
+            "Snipewalk-Account names another account than the certificate");
+  const std::string_view callerId = aHeaders.Get("Snipewalk-Request-Id");
+  if (IsName(callerId, kRequestIdLimitBytes)) {
+    refusal.mCallerRequestId = std::string(callerId);
+  }
+  return refusal;
+}
+
 bool
 IsPath(const std::vector<std::string>& aPath, std::string_view aLast)
 {
@@ -240,6 +270,9 @@
       aRequest.mMethod == "GET") {
     return caller_request{ health_query(), {} };
   }
+  if (!ApplyVerifiedAccount(aRequest.mHeaders, aContext.mVerifiedAccount)) {
+    return AccountRefusal(aRequest.mHeaders);
+  }
   checker fields(aRequest.mHeaders);
   if (IsPath(*path, "statements") && path->size() == 4 &&
       aRequest.mMethod == "POST") {
--- a/src/process/caller_connection.cpp
+++ b/src/process/caller_connection.cpp
@@ -18,11 +18,17 @@
 caller_connection::caller_connection(event_loop& aLoop,
                                      const Poco::Net::StreamSocket& aSocket,
                                      caller_id aId,
-                                     caller_owner& aOwner)
+                                     caller_owner& aOwner,
+                                     caller_tls aTls)
   : mOwner(aOwner)
   , mId(aId)
+  , mHandshaking(aTls.mSession != nullptr)
+  , mAddress(std::move(aTls.mAddress))
   , mSince(aLoop.Now())
-  , mStream(stream_connection::Adopt(aLoop, aSocket, Handlers()))
+  , mStream(stream_connection::Adopt(aLoop,
+                                     aSocket,
+                                     Handlers(),
+                                     std::move(aTls.mSession)))
 {
 }
 
@@ -33,12 +39,49 @@
   handlers.mOnInput = [this](std::string& aInput, time_point aNow) {
     OnInput(aInput, aNow);
   };
-  handlers.mOnClosed = [this](close_cause, time_point) {
-    mOwner.OnCallerClosed(mId);
+  handlers.mOnClosed = [this](close_cause aCause, time_point aNow) {
+    OnClosed(aCause, aNow);
   };
+  if (mHandshaking) {
+    handlers.mOnConnected = [this](time_point aNow) { OnEstablished(aNow); };
+  }
   return handlers;
 }
 
+void
+caller_connection::OnEstablished(time_point aNow)
+{
+  mAccount = mStream->Tls()->PeerName();
+  mSince = aNow;
+  // A verified certificate names an account; nothing is served without one.
+  if (mAccount.empty()) {
+    EndHandshake("the certificate names no client account", aNow);
+    mStream->Close();
+    mOwner.OnCallerClosed(mId);
+    return;
+  }
+  EndHandshake({}, aNow);
+}
+
+void
+caller_connection::OnClosed(close_cause aCause, time_point aNow)
+{
+  EndHandshake(aCause == close_cause::TlsFailure
+                 ? mStream->Tls()->Failure()
+                 : "the caller closed the connection",
+               aNow);
+  mOwner.OnCallerClosed(mId);
+}
+
+void
+caller_connection::EndHandshake(const std::string& aFailure, time_point aNow)
+{
+  if (std::exchange(mHandshaking, false)) {
+    const std::string address = std::exchange(mAddress, {});
+    mOwner.OnCallerHandshake(address, aFailure, aNow);
+  }
+}
+
 void
 caller_connection::OnInput(std::string& aInput, time_point aNow)
 {
@@ -77,7 +120,9 @@
 {
   mBusy = true;
   mKeepAlive = aRequest.mKeepAlive;
-  auto decoded = DecodeCallerRequest(std::move(aRequest), mOwner.Context(aNow));
+  caller_context context = mOwner.Context(aNow);
+  context.mVerifiedAccount = mAccount;
+  auto decoded = DecodeCallerRequest(std::move(aRequest), context);
   if (const auto* refusal = std::get_if<caller_refusal>(&decoded)) {
     Respond(EncodeCallerRefusal(*refusal), aNow);
     return;
@@ -137,6 +182,13 @@
 {
   const bool unread = mEnding && aNow - mSince >= kHalfRequestLimit;
   if (!mStream->IsOpen() || unread) {
+    EndHandshake("the connection broke", aNow);
+    mStream->Close();
+    mOwner.OnCallerClosed(mId);
+    return true;
+  }
+  if (mHandshaking && aNow - mSince >= kHandshakeLimit) {
+    EndHandshake("not complete in time", aNow);
     mStream->Close();
     mOwner.OnCallerClosed(mId);
     return true;
@@ -155,7 +207,7 @@
 bool
 caller_connection::CloseIfIdleSince(time_point aSince)
 {
-  if (mBusy || mHalfReceived || mSince > aSince) {
+  if (mBusy || mHalfReceived || mHandshaking || mSince > aSince) {
     return false;
   }
   mStream->Close();
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -20,7 +20,7 @@
                std::uint64_t aStartMs)
   : mSettings(aSettings)
   , mSecrets(aSecrets.mFleetKey, aSecrets.mAdminToken)
-  , mInstance(OptionsOf(aSettings, aSecrets, aStartMs), Hooks())
+  , mInstance(OptionsOf(aSettings, aSecrets, aStartMs, CheckTls()), Hooks())
   , mControl(ControlOptionsOf(aSettings, aSecrets, aStartMs),
              ControlCallbacks(),
              [settings = aSettings, aStartMs](event_loop& aLoop) {
@@ -43,7 +43,8 @@
 instance_options
 daemon::OptionsOf(const instance_settings& aSettings,
                   const daemon_secrets& aSecrets,
-                  std::uint64_t aStartMs)
+                  std::uint64_t aStartMs,
+                  std::shared_ptr<const tls_context> aTls)
 {
   instance_options options;
   traffic_options& traffic = options.mTraffic;
@@ -56,6 +57,7 @@
   traffic.mThreads = static_cast<std::size_t>(aSettings.mTrafficThreads);
   traffic.mCallerLimit =
     static_cast<std::size_t>(aSettings.mCallerConnectionLimit);
+  traffic.mCallerTls = std::move(aTls);
   traffic.mAddressTranslation = aSettings.mAddressTranslation;
   options.mAdmin = { aSettings.mInstance, aSettings.mAdminAddress };
   options.mAdminToken = aSecrets.mAdminToken;
@@ -153,11 +155,48 @@
     mInstance.SetAdminToken(*changes.mAdminToken);
     Log(log_level::Info, "daemon", "admin token changed");
   }
+  if (const auto context = CheckTls()) {
+    mInstance.Traffic().SetCallerTls(context);
+  }
+}
+
+std::shared_ptr<const tls_context>
+daemon::CheckTls()
+{
+  if (!mSettings.mCallerTls.IsSet()) {
+    return nullptr;
+  }
+  const wall_time now = std::chrono::system_clock::now();
+  tls_change change = mTls.Update(
+    ReadTlsFiles(mSettings.mCallerTls), mSecrets.FleetKeys().front(), now);
+  if (!change.mFault.empty()) {
+    Log(log_level::Error,
+        "daemon",
+        "cannot use the TLS files; the present ones stay in force",
+        { { "reason", std::string_view(change.mFault) } });
+  }
+  if (change.mContext) {
+    mTlsReady = true;
+    Log(log_level::Info, "daemon", "TLS files are in force");
+  }
+  if (const auto end = mTls.ExpiryToReport(now)) {
+    Log(log_level::Warning,
+        "daemon",
+        "the TLS certificate expires soon",
+        { { "expires_in_s",
+            static_cast<std::int64_t>(
+              std::chrono::duration_cast<seconds>(*end - now).count()) } });
+  }
+  return std::move(change.mContext);
 }
 
 absl::Status
 daemon::Start()
 {
+  // Callers that expect TLS are never served without it.
+  if (mSettings.mCallerTls.IsSet() && !mTlsReady) {
+    return absl::FailedPreconditionError("cannot use the TLS files");
+  }
   const absl::Status traffic = mInstance.Start();
   return traffic.ok() ? mControl.Start() : traffic;
 }
--- a/src/process/load_links.cpp
+++ b/src/process/load_links.cpp
@@ -1,6 +1,8 @@
 // Connections of one thread of a load run.
 #include "process/load_worker_state.h"
 
+#include "snipewalk/connection/tls_session.h"
+
 #include <utility>
 
 namespace snipewalk {
@@ -13,9 +15,21 @@
       mOptions.mInstances[i % mOptions.mInstances.size()];
     stream_connection::handlers handlers;
     handlers.mOnInput = [](std::string& aInput, time_point) { aInput.clear(); };
-    mIdle.push_back(
-      stream_connection::Connect(mLoop, address, std::move(handlers)));
+    mIdle.push_back(Connect(address, std::move(handlers)));
+  }
+}
+
+std::unique_ptr<stream_connection>
+load_worker_state::Connect(const std::string& aAddress,
+                           stream_connection::handlers aHandlers)
+{
+  std::unique_ptr<tls_session> tls;
+  if (mOptions.mTls) {
+    tls = tls_session::Client(mOptions.mTls,
+                              aAddress.substr(0, aAddress.rfind(':')));
   }
+  return stream_connection::Connect(
+    mLoop, aAddress, std::move(aHandlers), std::move(tls));
 }
 
 load_worker_state::link_number
@@ -39,8 +53,7 @@
   handlers.mOnClosed = [this, number](close_cause aCause, time_point) {
     OnClosed(number, aCause);
   };
-  opened.mStream = stream_connection::Connect(
-    mLoop, mOptions.mInstances[aInstance], std::move(handlers));
+  opened.mStream = Connect(mOptions.mInstances[aInstance], std::move(handlers));
   return number;
 }
 
--- a/src/process/load_worker_state.h
+++ b/src/process/load_worker_state.h
@@ -55,6 +55,9 @@
   };
 
   void AddCaller(std::size_t aNumber);
+  std::unique_ptr<stream_connection> Connect(
+    const std::string& aAddress,
+    stream_connection::handlers aHandlers);
   void OpenIdleConnections();
   void Schedule(std::size_t aCaller, time_point aNow);
   void Send(std::size_t aCaller, time_point aNow);
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -7,6 +7,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <array>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -24,6 +26,11 @@
 // Suspicion needs three unanswered probes within the silence limit.
 constexpr int kProbesInSilence = 3;
 
+// Keys of the section `tls`, in the order of tls_part.
+constexpr std::array<const char*, 3> kTlsKeys{ "certificate_file",
+                                               "key_file",
+                                               "ca_file" };
+
 bool
 IsLoopback(const std::string& aAddress)
 {
@@ -37,10 +44,11 @@
 class settings_reader
 {
 public:
-  settings_reader(const json_text& aText, findings& aFindings)
+  settings_reader(const json_text& aText, findings& aFindings, wall_time aNow)
     : mText(aText)
     , mRoot(aText, aText.Root(), "", aFindings)
     , mFindings(aFindings)
+    , mNow(aNow)
   {
   }
 
@@ -50,6 +58,7 @@
     ReadAddresses();
     ReadStore();
     ReadSecrets();
+    ReadTls();
     ReadTranslation();
     ReadTraffic();
     ReadDetection();
@@ -138,6 +147,42 @@
     mSettings.mAdminTokenFile = mRoot.OptionalString("admin_token_file", "");
   }
 
+  void ReadTls()
+  {
+    const Json::Value* tls = mRoot.Object("tls", false);
+    if (!tls) {
+      return;
+    }
+    object_reader section = Section(*tls, "tls");
+    tls_files& files = mSettings.mCallerTls;
+    files.mCertificate = section.RequiredString(kTlsKeys[0]);
+    files.mKey = section.RequiredString(kTlsKeys[1]);
+    files.mAuthorities = section.RequiredString(kTlsKeys[2]);
+    CheckTls(section, *tls);
+    section.Finish();
+  }
+
+  void CheckTls(object_reader& aSection, const Json::Value& aTls)
+  {
+    const tls_contents contents = ReadTlsFiles(mSettings.mCallerTls);
+    for (const tls_part part : contents.mUnreadable) {
+      const char* key = kTlsKeys[static_cast<std::size_t>(part)];
+      // A path that is missing altogether is reported already.
+      if (aTls[key].isString()) {
+        aSection.Report(aTls[key], key, "unreadable", "cannot be read");
+      }
+    }
+    for (const tls_fault& fault : CheckTlsMaterial(contents.mMaterial, mNow)) {
+      const bool unreadable = std::count(contents.mUnreadable.begin(),
+                                         contents.mUnreadable.end(),
+                                         fault.mPart) > 0;
+      if (!unreadable) {
+        const char* key = kTlsKeys[static_cast<std::size_t>(fault.mPart)];
+        aSection.Report(aTls[key], key, fault.mName, fault.mMessage);
+      }
+    }
+  }
+
   void ReadTranslation()
   {
     const Json::Value* map = mRoot.Object("address_translation", false);
@@ -230,6 +275,13 @@
                                         mSettings.mPeerAddress,
                                         mSettings.mControlAddress,
                                         mSettings.mAdminAddress };
+    if (!mSettings.mCallerAddress.empty() && !mText.Root().isMember("tls") &&
+        !IsLoopback(mSettings.mCallerAddress)) {
+      mRoot.ReportHere("tls",
+                       "missing",
+                       "is required because " + mSettings.mCallerAddress +
+                         " is not a loopback address");
+    }
     std::set<std::string> seen;
     for (const auto& address : own) {
       if (!address.empty() && !seen.insert(address).second) {
@@ -249,6 +301,7 @@
   const json_text& mText;
   object_reader mRoot;
   findings& mFindings;
+  wall_time mNow;
   instance_settings mSettings;
 };
 
@@ -257,13 +310,14 @@
 std::optional<instance_settings>
 ParseSettings(const std::string& aText,
               const std::string& aSource,
-              findings& aFindings)
+              findings& aFindings,
+              wall_time aNow)
 {
   findings own;
   const auto text = json_text::Parse(aText, aSource, own);
   instance_settings settings;
   if (text) {
-    settings = settings_reader(*text, own).Read();
+    settings = settings_reader(*text, own, aNow).Read();
   }
   for (const auto& found : own.All()) {
     aFindings.Add(found);
--- a/src/process/traffic_group.cpp
+++ b/src/process/traffic_group.cpp
@@ -96,6 +96,12 @@
   });
 }
 
+void
+traffic_group::SetCallerTls(const std::shared_ptr<const tls_context>& aTls)
+{
+  ForEach([aTls](traffic_thread& aThread) { aThread.SetCallerTls(aTls); });
+}
+
 void
 traffic_group::AnnounceShutdown()
 {
--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -4,7 +4,11 @@
 #include "snipewalk/base/log.h"
 #include "snipewalk/connection/listener.h"
 
+#include <Poco/Exception.h>
+#include <Poco/Net/SocketAddress.h>
+
 #include <chrono>
+#include <optional>
 #include <utility>
 
 namespace snipewalk {
@@ -13,6 +17,23 @@
 
 constexpr milliseconds kSweepInterval{ 500 };
 constexpr milliseconds kCallerSweepInterval{ 1'000 };
+// Handshakes of one thread at a time. Each holds about 50 KB, and a flood of
+// unfinished ones must not take the memory of the instance.
+constexpr std::size_t kConcurrentHandshakeLimit = 512;
+// So many refused handshakes are logged in an interval; the others are counted.
+constexpr int kHandshakeLogLimit = 10;
+constexpr milliseconds kHandshakeLogInterval{ 1'000 };
+
+// Nothing when the caller is gone already.
+std::optional<Poco::Net::SocketAddress>
+PeerOf(const Poco::Net::StreamSocket& aSocket)
+{
+  try {
+    return aSocket.peerAddress();
+  } catch (const Poco::Exception&) {
+    return std::nullopt;
+  }
+}
 
 double
 MillisecondsSince(time_point aStart)
@@ -123,16 +144,61 @@
 void
 traffic_thread::AcceptCaller(const Poco::Net::StreamSocket& aSocket)
 {
-  const bool local = aSocket.peerAddress().host().isLoopback();
-  if (mCallers.size() >= mOptions.mCallerLimit ||
-      (mOptions.mOnlyLoopbackCallers && !local)) {
+  const auto peer = PeerOf(aSocket);
+  if (!peer) {
+    return;
+  }
+  const bool allowed = mOptions.mCallerTls
+                         ? mHandshakes < kConcurrentHandshakeLimit
+                         : peer->host().isLoopback();
+  if (mCallers.size() >= mOptions.mCallerLimit || !allowed) {
     mMetrics.Count("callers_refused");
     return;
   }
+  caller_tls tls;
+  if (mOptions.mCallerTls) {
+    tls = { tls_session::Server(mOptions.mCallerTls), peer->toString() };
+  }
+  const bool handshakes = tls.mSession != nullptr;
   caller_owner& owner = *this;
   const caller_id id = mNextCaller++;
-  mCallers.emplace(
-    id, std::make_unique<caller_connection>(mLoop, aSocket, id, owner));
+  mCallers.emplace(id,
+                   std::make_unique<caller_connection>(
+                     mLoop, aSocket, id, owner, std::move(tls)));
+  mHandshakes += handshakes ? 1 : 0;
+}
+
+void
+traffic_thread::SetCallerTls(std::shared_ptr<const tls_context> aTls)
+{
+  mOptions.mCallerTls = std::move(aTls);
+}
+
+void
+traffic_thread::OnCallerHandshake(const std::string& aAddress,
+                                  const std::string& aFailure,
+                                  time_point aNow)
+{
+  --mHandshakes;
+  if (aFailure.empty()) {
+    mMetrics.Count("tls_handshakes");
+    return;
+  }
+  mMetrics.Count("tls_handshakes_refused");
+  if (aNow >= mHandshakeLogEnd) {
+    mHandshakeLogEnd = aNow + kHandshakeLogInterval;
+    mHandshakesLogged = 0;
+  }
+  if (++mHandshakesLogged > kHandshakeLogLimit) {
+    ++mHandshakesUnlogged;
+    return;
+  }
+  Log(log_level::Warning,
+      "callers",
+      "TLS handshake refused",
+      { { "address", std::string_view(aAddress) },
+        { "reason", std::string_view(aFailure) },
+        { "not_logged", std::exchange(mHandshakesUnlogged, 0) } });
 }
 
 caller_context
--- a/tests/connection/caller_adapter_test.cpp
+++ b/tests/connection/caller_adapter_test.cpp
@@ -22,9 +22,9 @@
     for (const auto& [name, value] : aHeaders) {
       request.mHeaders.Add(name, value);
     }
-    return DecodeCallerRequest(request, { mNow, mIds, [](const std::string&) {
-                                           return milliseconds(700);
-                                         } });
+    const auto timeout = [](const std::string&) { return milliseconds(700); };
+    return DecodeCallerRequest(request,
+                               { mNow, mIds, timeout, mVerifiedAccount });
   }
 
   std::variant<caller_request, caller_refusal> Post(const header_list& aHeaders)
@@ -34,6 +34,7 @@
 
   time_point mNow{ seconds(10) };
   id_source mIds{ 1 };
+  std::string mVerifiedAccount;
 };
 
 const statement_request&
@@ -42,6 +43,30 @@
   return std::get<statement_request>(std::get<caller_request>(aDecoded).mBody);
 }
 
+// Guards against an account that acts as another one, also by repeating the
+// field, and against certificates that need the field as well.
+TEST(CallerAdapterTest, TakesTheAccountFromTheCertificate)
+{
+  decoder decode;
+  decode.mVerifiedAccount = "fassnetz";
+  EXPECT_EQ(StatementOf(decode.Post({ { "Snipewalk-Kind", "read" } })).mAccount,
+            "fassnetz");
+  const auto foreign = std::get<caller_refusal>(
+    decode.Post({ { "snipewalk-account", "tsagaan" },
+                  { "Snipewalk-Kind", "read" },
+                  { "Snipewalk-Request-Id", "mine" } }));
+  EXPECT_EQ(foreign.mStatus, 403);
+  EXPECT_EQ(foreign.mCallerRequestId, "mine");
+  const auto outcome = decode.Decode("GET",
+                                     "/v1/services/register/outcomes/k",
+                                     { { "Snipewalk-Account", "tsagaan" } });
+  EXPECT_EQ(std::get<caller_refusal>(outcome).mStatus, 403);
+  const auto repeated = decode.Post({ { "Snipewalk-Account", "fassnetz" },
+                                      { "Snipewalk-Account", "tsagaan" },
+                                      { "Snipewalk-Kind", "read" } });
+  EXPECT_EQ(std::get<caller_refusal>(repeated).mStatus, 400);
+}
+
 // Guards against routing fields that are dropped on the way in.
 TEST(CallerAdapterTest, DecodesAllFields)
 {
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -1,8 +1,12 @@
 // Tests of the settings of an instance.
 #include "snipewalk/process/settings.h"
 
+#include "standins/certificate_maker.h"
+
 #include <gtest/gtest.h>
 
+#include <fstream>
+
 namespace snipewalk {
 namespace {
 
@@ -60,6 +64,84 @@
   EXPECT_NE(found.ToString().find("fleet_key_file"), std::string::npos);
 }
 
+// Settings with a caller address and a section `tls`.
+std::string
+WithTls(const std::string& aCallers, const std::string& aTls)
+{
+  return R"({ "instance": "a", "data_centre": "d", "region": "r",
+    "addresses": { "callers": ")" +
+         aCallers + R"(", "peers": "127.0.0.1:2",
+                   "control": "127.0.0.1:3", "admin": "127.0.0.1:4" },
+    "store": { "addresses": ["127.0.0.1:5"] }, "fleet_key_file": "k",
+    )" + aTls +
+         "}";
+}
+
+// Writes a text to a file of the test and returns its path.
+std::string
+FileWith(const std::string& aName, const std::string& aText)
+{
+  std::string path = ::testing::TempDir() + "settings_test_" + aName;
+  std::ofstream(path) << aText;
+  return path;
+}
+
+// Guards against plain HTTP beyond loopback.
+TEST(SettingsTest, RequiresTlsBeyondLoopback)
+{
+  findings found;
+  EXPECT_FALSE(
+    ParseSettings(WithTls("10.0.0.1:1", "\"seeds\": []"), "s.json", found));
+  ASSERT_EQ(found.All().size(), 1U) << found.ToString();
+  EXPECT_EQ(found.All().front().mPath, "tls");
+}
+
+// Guards against faults of the TLS files that are found one by one, or only
+// once callers connect.
+TEST(SettingsTest, ChecksTlsFilesAsAWhole)
+{
+  const standins::certificate_maker authority("callers");
+  const tls_material server = authority.Server();
+  const std::string certificate = FileWith("cert.pem", server.mCertificate);
+  const std::string ca = FileWith("ca.pem", server.mAuthorities);
+  const auto section = [&](const std::string& aKey, const std::string& aCa) {
+    return WithTls("10.0.0.1:1",
+                   "\"tls\": { \"certificate_file\": \"" + certificate +
+                     "\",\n\"key_file\": \"" + aKey + "\",\n\"ca_file\": \"" +
+                     aCa + "\" }");
+  };
+  const wall_time now = std::chrono::system_clock::now();
+  findings none;
+  const std::string key = FileWith("key.pem", server.mKey);
+  EXPECT_TRUE(ParseSettings(section(key, ca), "s", none, now));
+  EXPECT_EQ(none.ToString(), "");
+  findings found;
+  const std::string foreign = FileWith("other.pem", authority.Server().mKey);
+  EXPECT_FALSE(ParseSettings(section(foreign, "/nonexistent/ca.pem"),
+                             "s",
+                             found,
+                             now + std::chrono::hours(48)));
+  EXPECT_EQ(found.All().size(), 3U);
+  for (const char* place : { "tls.certificate_file: the certificate expired",
+                             "tls.key_file: does not belong",
+                             "tls.ca_file: cannot be read" }) {
+    EXPECT_NE(found.ToString().find(place), std::string::npos)
+      << found.ToString();
+  }
+  // The key's place is one line below the certificate's.
+  EXPECT_EQ(found.All()[0].mLine == found.All()[1].mLine, false);
+}
+
+// Guards against a section that is only half there.
+TEST(SettingsTest, RequiresAllTlsFiles)
+{
+  findings found;
+  EXPECT_FALSE(
+    ParseSettings(WithTls("127.0.0.1:1", "\"tls\": {}"), "s", found));
+  EXPECT_EQ(found.All().size(), 3U) << found.ToString();
+  EXPECT_TRUE(found.Has("missing"));
+}
+
 // Guards against a missing file that is taken for empty settings.
 TEST(SettingsTest, ReportsUnreadableFile)
 {
--- a/tests/standins/system_fleet.cpp
+++ b/tests/standins/system_fleet.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace snipewalk::standins {
@@ -89,6 +90,9 @@
   for (int i = 0; status.ok() && i < aOptions.mServices; ++i) {
     status = fleet->PutDocument(i, {});
   }
+  if (aOptions.mAuthority) {
+    fleet->WriteTlsFiles(aOptions.mAuthority->Server());
+  }
   for (int i = 0; status.ok() && i < aOptions.mInstances; ++i) {
     status = fleet->StartInstance(i);
   }
@@ -216,6 +220,34 @@
   return history.ok() ? *std::move(history) : std::vector<history_record>();
 }
 
+std::string
+system_fleet::PathOf(const std::string& aFile) const
+{
+  return mFolder + "/" + aFile;
+}
+
+std::string
+system_fleet::LogOf(int aInstance) const
+{
+  std::ifstream file(PathOf(InstanceName(aInstance) + ".log"));
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+system_fleet::WriteTlsFiles(const tls_material& aMaterial) const
+{
+  const auto write = [&](const std::string& aFile, const std::string& aText) {
+    const std::string path = PathOf(aFile);
+    std::ofstream(path + ".new") << aText;
+    std::filesystem::rename(path + ".new", path);
+  };
+  write("tls-certificate.pem", aMaterial.mCertificate);
+  write("tls-key.pem", aMaterial.mKey);
+  write("tls-ca.pem", aMaterial.mAuthorities);
+}
+
 void
 system_fleet::MoveInstance(int aInstance)
 {
--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/process/history.h"
+#include "standins/certificate_maker.h"
 #include "standins/process_fleet.h"
 
 #include <cstdint>
@@ -33,6 +34,9 @@
   // More members of the document's top object, such as "\"acknowledge\":
   // \"primary\"".
   std::string mDocumentExtra;
+  // Makes the certificates of the instances and of the callers; without it the
+  // caller ports are plain.
+  std::shared_ptr<certificate_maker> mAuthority;
 };
 
 // Answer to a statement as a caller sees it.
@@ -62,6 +66,8 @@
   std::string mKey;
   std::string mTransaction;
   std::string mAccount = "workshop-7";
+  // Account of the client certificate where it is another one.
+  std::string mCertificateAccount;
   std::optional<std::uint64_t> mMaxAgeMs;
   std::uint64_t mTimeoutMs = 5'000;
 };
@@ -129,6 +135,12 @@
   absl::Status StartLoad(const std::vector<std::string>& aArguments);
   // Waits for the end of the load; its history, empty when unreadable.
   std::vector<history_record> FinishLoad(milliseconds aTimeout);
+  // Writes the files of the instances' caller ports by renaming.
+  void WriteTlsFiles(const tls_material& aMaterial) const;
+  // Path of a file of this system, such as "tls-ca.pem".
+  std::string PathOf(const std::string& aFile) const;
+  // What an instance logged.
+  std::string LogOf(int aInstance) const;
   // Gives an instance that does not run new ports.
   void MoveInstance(int aInstance);
 
@@ -162,6 +174,7 @@
   absl::Status StartGroups();
   absl::Status StartFaultLinks();
   std::string SettingsOf(int aInstance) const;
+  std::string TlsSettings() const;
   absl::Status WaitUntilServing() const;
 
   system_options mOptions;
--- a/tests/standins/system_fleet_calls.cpp
+++ b/tests/standins/system_fleet_calls.cpp
@@ -1,6 +1,8 @@
 // Requests to the processes of a system: callers, store, faults and admin.
 #include "standins/system_fleet.h"
 
+#include "standins/tls_caller.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <utility>
@@ -58,6 +60,33 @@
   return answer;
 }
 
+// One POST over a new connection.
+absl::StatusOr<http_answer>
+TlsCall(std::uint16_t aPort,
+        const tls_material& aClient,
+        const std::string& aTarget,
+        const std::string& aBody,
+        const std::map<std::string, std::string>& aHeaders,
+        milliseconds aTimeout)
+{
+  const auto context = tls_context::Client(aClient);
+  if (!context.ok()) {
+    return context.status();
+  }
+  const auto caller = tls_caller::Connect(aPort, *context, aTimeout);
+  if (!caller.ok()) {
+    return caller.status();
+  }
+  http_request request;
+  request.mMethod = "POST";
+  request.mTarget = aTarget;
+  request.mBody = aBody;
+  for (const auto& [name, value] : aHeaders) {
+    request.mHeaders.Add(name, value);
+  }
+  return (*caller)->Call(request);
+}
+
 void
 AddUnlessEmpty(std::map<std::string, std::string>& aHeaders,
                const std::string& aName,
@@ -100,13 +129,18 @@
   if (aStatement.mMaxAgeMs) {
     headers["Snipewalk-Max-Age-Ms"] = std::to_string(*aStatement.mMaxAgeMs);
   }
-  return AnswerOf(
-    HttpCall(CallerPort(aInstance),
-             "POST",
-             "/v1/services/" + aStatement.mService + "/statements",
-             aStatement.mBody,
-             headers,
-             milliseconds(aStatement.mTimeoutMs + 2'000)));
+  const std::string target =
+    "/v1/services/" + aStatement.mService + "/statements";
+  const milliseconds limit(aStatement.mTimeoutMs + 2'000);
+  if (mOptions.mAuthority) {
+    const tls_material client = mOptions.mAuthority->Client(
+      aStatement.mCertificateAccount.empty() ? aStatement.mAccount
+                                             : aStatement.mCertificateAccount);
+    return AnswerOf(TlsCall(
+      CallerPort(aInstance), client, target, aStatement.mBody, headers, limit));
+  }
+  return AnswerOf(HttpCall(
+    CallerPort(aInstance), "POST", target, aStatement.mBody, headers, limit));
 }
 
 caller_answer
--- a/tests/standins/system_fleet_settings.cpp
+++ b/tests/standins/system_fleet_settings.cpp
@@ -66,7 +66,24 @@
                       translation,
                       "},\"shutdown\":{\"notice_ms\":",
                       mOptions.mShutdownNotice.count(),
-                      "}}");
+                      "}",
+                      TlsSettings(),
+                      "}");
+}
+
+std::string
+system_fleet::TlsSettings() const
+{
+  if (!mOptions.mAuthority) {
+    return {};
+  }
+  return absl::StrCat(",\"tls\":{\"certificate_file\":",
+                      Quoted(PathOf("tls-certificate.pem")),
+                      ",\"key_file\":",
+                      Quoted(PathOf("tls-key.pem")),
+                      ",\"ca_file\":",
+                      Quoted(PathOf("tls-ca.pem")),
+                      "}");
 }
 
 std::string
