--- a/include/snipewalk/version/failure_detector.h
+++ b/include/snipewalk/version/failure_detector.h
@@ -94,7 +94,7 @@
   control_message mMessage;
 };
 
-// Suspected() changed.
+// Suspected() or PrimaryReachedBy() changed.
 struct suspicion_changed
 {};
 
@@ -113,10 +113,10 @@
   std::string mService;
   // A server is probed when no answer was seen for this long.
   milliseconds mProbeInterval{ 100 };
+  // Silence after which a server can be suspected.
+  milliseconds mSilenceLimit{ 1'000 };
 };
 
-// Silence after which a server is suspected.
-inline constexpr milliseconds kSilenceLimit{ 1'000 };
 inline constexpr std::size_t kSilentProbes = 3;
 inline constexpr std::size_t kSilentConnections = 2;
 inline constexpr std::size_t kRefusedLimit = 2;
@@ -130,6 +130,11 @@
 
   explicit failure_detector(detector_options aOptions);
 
+  // Least time between two probes of a server that gives no cause for concern,
+  // where it is longer than the probe interval. Servers that fail to answer and
+  // those of a drain are probed as often as before.
+  void SetProbeSpacing(milliseconds aSpacing);
+
   // Applies one event and appends the actions that follow. Deliver
   // detector_time_passed every 20 ms; a gap above kPauseGap between two events
   // is a pause of the instance's own loop. `aNow` never goes back.
@@ -138,6 +143,10 @@
   // Sorted by name.
   std::vector<std::string> Suspected() const;
 
+  // Other holders that reported the primary as reachable while this instance
+  // suspects it: its own route is broken, not the primary. Empty otherwise.
+  const std::set<std::string>& PrimaryReachedBy() const { return mReachedBy; }
+
   // Whether the primary of the present term is held to have failed.
   bool HasVerdict() const { return mVerdictAt.has_value(); }
 
@@ -202,8 +211,8 @@
                    negative aFailure,
                    time_point aNow,
                    actions& aOut);
-  static void Evaluate(server& aState, time_point aNow, actions& aOut);
-  static bool HasEnoughEvidence(const server& aState, time_point aNow);
+  void Evaluate(server& aState, time_point aNow, actions& aOut);
+  bool HasEnoughEvidence(const server& aState, time_point aNow) const;
 
   void SendProbes(time_point aNow, actions& aOut);
   void SendProbe(const std::string& aServer,
@@ -225,8 +234,12 @@
   // Whether the reports so far, and this instance's own view, are a majority.
   bool IsConfirmed() const;
   void SetVerdict(bool aFailed, time_point aNow, actions& aOut);
+  void SetReachedBy(std::set<std::string> aHolders, actions& aOut);
+  // Other holders that reported the primary as reachable in this round.
+  std::set<std::string> ReachingHolders() const;
 
   detector_options mOptions;
+  milliseconds mProbeSpacing{ 0 };
   detector_configured mConfig;
   std::map<std::string, server> mServers;
   // Servers probed only because another instance asked.
@@ -237,6 +250,8 @@
   time_point mNextRound;
   // The last round got no report at all: ask instances without a slot, too.
   bool mAskAll = false;
+  // Empty while the primary is not suspected or a verdict holds.
+  std::set<std::string> mReachedBy;
   std::optional<time_point> mVerdictAt;
   std::optional<time_point> mLastEvent;
   // Failures that are reported until then may date from before a pause.
--- a/src/process/service_controller.cpp
+++ b/src/process/service_controller.cpp
@@ -72,6 +72,12 @@
   mState->Configure(aNow);
 }
 
+void
+service_controller::SetProbeSpacing(milliseconds aSpacing)
+{
+  mState->mDetector.SetProbeSpacing(aSpacing);
+}
+
 void
 service_controller::OnEvidence(const report_evidence& aEvidence,
                                time_point aNow)
@@ -114,6 +120,13 @@
   return mState->mDetector.Suspected();
 }
 
+std::vector<std::string>
+service_controller::PrimaryReachedBy() const
+{
+  const auto& holders = mState->mDetector.PrimaryReachedBy();
+  return { holders.begin(), holders.end() };
+}
+
 drain_status
 service_controller::DrainStatus() const
 {
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -52,7 +52,7 @@
   , mOptions(std::move(aOptions))
   , mCallbacks(std::move(aCallbacks))
   , mFailover({ mOptions.mInstance, mOptions.mIncarnation, mOptions.mSeed })
-  , mDetector({ mService, mOptions.mProbeInterval })
+  , mDetector({ mService, mOptions.mProbeInterval, mOptions.mSilenceLimit })
 {
 }
 
@@ -199,12 +199,14 @@
   drain_status progress = mDrain.Status(mLoop.Now(), mWallNow);
   const bool same = SameTerm(term, mPublishedTerm) &&
                     suspected == mPublishedSuspected &&
+                    mDetector.PrimaryReachedBy() == mPublishedReachedBy &&
                     SameProgress(progress, mPublishedDrain);
   if (same) {
     return;
   }
   mPublishedTerm = term;
   mPublishedSuspected = std::move(suspected);
+  mPublishedReachedBy = mDetector.PrimaryReachedBy();
   mPublishedDrain = std::move(progress);
   if (mCallbacks.mPublish) {
     mCallbacks.mPublish(mService);
--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -15,10 +15,11 @@
 constexpr milliseconds kAgedHold{ 100 };
 // Spacing of status requests that refresh positions for aged reads.
 constexpr milliseconds kAgedRefreshInterval{ 10 };
-// A statement that waited is sent only if this many times its mean duration
-// remains; durations vary, and what is cut by its deadline ends as unknown.
-constexpr double kDurationMargin = 2;
-constexpr milliseconds kRetryAfterLate{ 50 };
+// A statement that waited is sent only if this many times the high quantile of
+// its time remains. What is cut by its deadline was work for nothing, costs its
+// connection and, as a write, ends as unknown; and a stalled process adds to
+// each duration.
+constexpr double kDurationMargin = 1.5;
 
 request_entry&
 EntryOf(admission_node& aNode)
@@ -47,6 +48,11 @@
       mLookups.pop_front();
       continue;
     }
+    if (PrimaryReachedElsewhere() && IsStuckAtPrimary(*entry)) {
+      mLookups.pop_front();
+      Relocate(*entry);
+      continue;
+    }
     if (!PrimaryReady()) {
       return;
     }
@@ -66,20 +72,48 @@
   }
 }
 
-// Only statements that waited: an idle service sends at once, so that the mean
-// duration is measured again after a slow time.
+duration
+service_engine_state::NeededTime(statement_kind aKind) const
+{
+  switch (aKind) {
+    case statement_kind::Read:
+      return std::chrono::duration_cast<duration>(kDurationMargin *
+                                                  mReadHeld.High());
+    case statement_kind::Write:
+      return std::chrono::duration_cast<duration>(kDurationMargin *
+                                                  mWriteConfirmed.High());
+    default:
+      return duration{ 0 };
+  }
+}
+
+// Only statements that waited: an idle service sends at once, so that the
+// durations are measured again after a slow time.
 bool
 service_engine_state::IsTooLate(const request_entry& aEntry) const
 {
-  const std::chrono::duration<double> needed(kDurationMargin * mWriteSeconds);
-  return aEntry.mHasEffect && aEntry.mAttempts == 0 && aEntry.mDoubtTerm == 0 &&
-         mNow > aEntry.mQueuedAt && aEntry.mRequest.mDeadline - mNow < needed;
+  return aEntry.mDoubtTerm == 0 && mNow > aEntry.mQueuedAt &&
+         aEntry.mRequest.mDeadline - mNow < NeededTime(aEntry.mRequest.mKind);
+}
+
+void
+service_engine_state::RefuseLate(request_entry& aEntry)
+{
+  AnswerFailed(aEntry,
+               refusal_reason::Overloaded,
+               "the remaining time is too short for the statement",
+               std::max(ExpectedWait(aEntry.mLane, aEntry.mRequest.mAccount),
+                        kRetryAfterLate));
 }
 
 void
 service_engine_state::DispatchPrimaryLane(queue_lane aLane, connection_use aUse)
 {
   while (auto* node = mQueue.Front(aLane)) {
+    if (PrimaryReachedElsewhere()) {
+      Relocate(EntryOf(*node));
+      continue;
+    }
     if (!PrimaryReady()) {
       return;
     }
@@ -97,10 +131,7 @@
     }
     if (IsTooLate(entry)) {
       mQueue.Pop(aLane);
-      AnswerFailed(entry,
-                   refusal_reason::Overloaded,
-                   "the remaining time is too short for the statement",
-                   std::max(ExpectedWait(aLane), kRetryAfterLate));
+      RefuseLate(entry);
       continue;
     }
     auto* connection = mPool.Acquire(primary, aUse, entry.mNumber, mNow);
@@ -117,7 +148,11 @@
 service_engine_state::DispatchReads(queue_lane aLane)
 {
   while (auto* node = mQueue.Front(aLane)) {
-    if (!DispatchRead(EntryOf(*node))) {
+    auto& entry = EntryOf(*node);
+    if (IsTooLate(entry)) {
+      mQueue.Pop(aLane);
+      RefuseLate(entry);
+    } else if (!DispatchRead(entry)) {
       return;
     }
   }
@@ -201,6 +236,11 @@
 bool
 service_engine_state::HoldAgedRead(request_entry& aEntry)
 {
+  if (PrimaryReachedElsewhere()) {
+    // The ages known here only grow without the primary's positions.
+    Relocate(aEntry);
+    return true;
+  }
   RefreshPositions(kAgedRefreshInterval, false);
   const auto held = mNow - aEntry.mQueuedAt;
   const auto age = mRouter.PrimaryAge(mNow);
@@ -233,6 +273,7 @@
   aEntry.mAttempts =
     aEntry.mSentTerm == mRouter.Term() ? aEntry.mAttempts + 1 : 1;
   aEntry.mSentTerm = mRouter.Term();
+  aEntry.mSentAt = mNow;
   aEntry.mAttemptId =
     absl::StrCat(aEntry.mRequest.mRequestId, ".", ++mLastAttempt);
   backend_statement statement;
--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -14,6 +14,12 @@
 // Told to callers that are refused until a term or a view arrives.
 constexpr milliseconds kRetryAfterChange{ 200 };
 
+// The expected wait is a mean and can be exceeded: a request is admitted only
+// if this many times it and the statement itself fit into the remaining time.
+// At 1, most requests of an overloaded service are refused only after they
+// waited.
+constexpr double kWaitMargin = 2;
+
 bool
 EndsTransaction(statement_kind aKind)
 {
@@ -61,19 +67,18 @@
     return;
   }
   entry.mLane = LaneOf(request);
-  if (mQueue.Full()) {
-    AnswerFailed(entry,
-                 refusal_reason::Overloaded,
-                 "too many requests are waiting",
-                 std::max(ExpectedWait(entry.mLane), kRetryAfterChange));
+  if (mQueue.Full() && !Displace(entry)) {
+    RefuseFull(entry);
     return;
   }
-  const auto wait = ExpectedWait(entry.mLane);
-  if (mNow + wait > request.mDeadline) {
+  const auto wait = ExpectedWait(entry.mLane, request.mAccount);
+  if (wait > milliseconds(0) &&
+      mNow + kWaitMargin * wait + NeededTime(request.mKind) >
+        request.mDeadline) {
     AnswerFailed(entry,
                  refusal_reason::Overloaded,
                  "the expected wait exceeds the remaining time",
-                 wait);
+                 std::max(wait, kRetryAfterLate));
     return;
   }
   Enqueue(entry, false);
@@ -136,7 +141,12 @@
 {
   switch (aRequest.mKind) {
     case statement_kind::Read:
-      return aRequest.mMaxAge ? queue_lane::AgedRead : queue_lane::SessionRead;
+      if (aRequest.mMaxAge) {
+        return queue_lane::AgedRead;
+      }
+      return mView && mView->mDocument.mReads == read_policy::Primary
+               ? queue_lane::PrimaryRead
+               : queue_lane::SessionRead;
     case statement_kind::Begin:
       return queue_lane::Begin;
     default:
@@ -144,37 +154,68 @@
   }
 }
 
+void
+service_engine_state::RefuseFull(request_entry& aEntry)
+{
+  AnswerFailed(aEntry,
+               refusal_reason::Overloaded,
+               "too many requests are waiting",
+               std::max(ExpectedWait(aEntry.mLane, aEntry.mRequest.mAccount),
+                        kRetryAfterChange));
+}
+
+// Makes room in a full queue at the expense of an account that has more
+// requests waiting, so that one account cannot keep the others out.
+bool
+service_engine_state::Displace(const request_entry& aEntry)
+{
+  auto* node = mQueue.Displaceable(aEntry.mLane, aEntry.mRequest.mAccount);
+  auto* displaced = static_cast<request_entry*>(node);
+  if (!displaced || displaced->mDoubtTerm != 0) {
+    return false;
+  }
+  RefuseFull(*displaced);
+  return true;
+}
+
+// Connections of a server that waiting statements can get.
+std::size_t
+service_engine_state::SharedConnections(std::size_t aServer) const
+{
+  const std::size_t bound =
+    mPool.InUse(aServer, connection_use::Acknowledgement) +
+    mPool.InUse(aServer, connection_use::Transaction);
+  return mPool.OpenCount(aServer) - std::min(mPool.OpenCount(aServer), bound);
+}
+
 // Zero while nothing can be estimated, as during a change of primary.
 milliseconds
-service_engine_state::ExpectedWait(queue_lane aLane) const
+service_engine_state::ExpectedWait(queue_lane aLane,
+                                   const std::string& aAccount) const
 {
   std::size_t connections = 0;
-  double waiting = 0;
-  double each = mReadSeconds;
+  std::size_t waiting = 0;
+  duration each = mReadHeld.Mean();
   if (aLane == queue_lane::Write || aLane == queue_lane::Begin) {
     if (!PrimaryReady()) {
       return milliseconds(0);
     }
-    each = mWriteSeconds;
-    connections = mPool.OpenCount(*mRouter.Primary());
-    waiting = static_cast<double>(mQueue.Size(queue_lane::Write));
-    if (aLane == queue_lane::Begin) {
-      waiting += static_cast<double>(mQueue.Size(queue_lane::Begin));
-    }
+    each = mWriteHeld.Mean();
+    connections = SharedConnections(*mRouter.Primary());
+    waiting = aLane == queue_lane::Begin ? mQueue.Size(queue_lane::Write) : 0;
   } else {
     for (std::size_t i = 0; i < mRouter.Servers().size(); ++i) {
-      connections += mRouter.Primary() == i ? 0 : mPool.OpenCount(i);
-    }
-    waiting = static_cast<double>(mQueue.Size(queue_lane::SessionRead));
-    if (aLane == queue_lane::AgedRead) {
-      waiting += static_cast<double>(mQueue.Size(queue_lane::AgedRead));
+      connections += mRouter.Primary() == i ? 0 : SharedConnections(i);
     }
+    waiting =
+      aLane == queue_lane::AgedRead ? mQueue.Size(queue_lane::SessionRead) : 0;
   }
   if (connections == 0) {
     return milliseconds(0);
   }
-  return milliseconds(static_cast<std::int64_t>(
-    1'000 * waiting * each / static_cast<double>(connections)));
+  waiting += mQueue.Ahead(aLane, aAccount);
+  return std::chrono::duration_cast<milliseconds>(
+    each * (static_cast<double>(waiting) / static_cast<double>(connections)));
 }
 
 void
--- a/src/version/failure_detector.cpp
+++ b/src/version/failure_detector.cpp
@@ -54,6 +54,12 @@
   AdvanceQuery(aNow, aActions);
 }
 
+void
+failure_detector::SetProbeSpacing(milliseconds aSpacing)
+{
+  mProbeSpacing = aSpacing;
+}
+
 std::vector<std::string>
 failure_detector::Suspected() const
 {
@@ -75,6 +81,7 @@
     mConfig.mTerm == aEvent.mTerm && mConfig.mPrimary == aEvent.mPrimary;
   if (!sameTerm || !aEvent.mIsHolder) {
     SetVerdict(false, aNow, aOut);
+    SetReachedBy({}, aOut);
     mRound.reset();
     mAskAll = false;
   }
@@ -179,6 +186,7 @@
   mRound.reset();
   mIgnoreFailuresUntil = aNow + kStaleHandOver;
   SetVerdict(false, aNow, aOut);
+  SetReachedBy({}, aOut);
 }
 
 void
@@ -200,6 +208,7 @@
     if (aServer == mConfig.mPrimary) {
       mRound.reset();
       SetVerdict(false, aNow, aOut);
+      SetReachedBy({}, aOut);
     }
   }
   mForeign.erase(aServer);
@@ -221,7 +230,8 @@
     found->second.mProbeSoon = true;
     Evaluate(found->second, aNow, aOut);
     // Below a second of silence this instance does not know: no report.
-    const bool silent = aNow - found->second.mLastAnswer >= kSilenceLimit;
+    const bool silent =
+      aNow - found->second.mLastAnswer >= mOptions.mSilenceLimit;
     if (aFailure.mRefused || silent || found->second.mSuspected) {
       SendReports(aServer, server_reachability::Unreachable, aOut);
     }
@@ -232,7 +242,7 @@
 }
 
 bool
-failure_detector::HasEnoughEvidence(const server& aState, time_point aNow)
+failure_detector::HasEnoughEvidence(const server& aState, time_point aNow) const
 {
   std::size_t refused = 0;
   std::size_t silent = 0;
@@ -248,7 +258,7 @@
     anyNew = anyNew || failure.mNewConnection;
   }
   return refused >= kRefusedLimit ||
-         (aNow - aState.mLastAnswer >= kSilenceLimit &&
+         (aNow - aState.mLastAnswer >= mOptions.mSilenceLimit &&
           silent >= kSilentProbes && connections.size() >= kSilentConnections &&
           anyNew);
 }
@@ -284,9 +294,12 @@
     if (state.mProbe || sinceProbe < ProbeGap(name, state)) {
       continue;
     }
-    const bool quiet = aNow - state.mLastAnswer >= mOptions.mProbeInterval;
+    const duration sinceAnswer = aNow - state.mLastAnswer;
+    const bool quiet =
+      sinceAnswer >= std::max(mOptions.mProbeInterval, mProbeSpacing);
     if (quiet || state.mProbeSoon || state.mSuspected ||
-        mConfig.mWatchPositions || sinceProbe >= kStatusInterval) {
+        mConfig.mWatchPositions ||
+        sinceProbe >= std::max(kStatusInterval, mProbeSpacing)) {
       SendProbe(name, {}, state, aNow, aOut);
     }
   }
--- a/tests/version/failure_detector_test.cpp
+++ b/tests/version/failure_detector_test.cpp
@@ -17,11 +17,13 @@
 class detector_model
 {
 public:
-  explicit detector_model(std::size_t aInstances, std::size_t aHolders)
+  detector_model(std::size_t aInstances,
+                 std::size_t aHolders,
+                 const detector_options& aOptions = { "ledger" })
     : mHolders(aHolders)
   {
     for (std::size_t i = 0; i < aInstances; ++i) {
-      mDetectors.emplace_back(detector_options{ "ledger" });
+      mDetectors.emplace_back(aOptions);
       mPaused.push_back(false);
     }
     for (std::size_t i = 0; i < aInstances; ++i) {
@@ -169,6 +171,49 @@
   EXPECT_LE(model.mLastVerdict - killed, milliseconds(500));
 }
 
+// Guards against probes of many idle services that exceed the budget of the
+// control traffic.
+TEST(FailureDetectorTest, ProbesIdleServersAtTheGivenSpacing)
+{
+  detector_model model(1, 1);
+  model.mDetectors[0].SetProbeSpacing(milliseconds(300));
+  model.Run(seconds(1));
+  const int before = model.mProbes;
+  model.Run(seconds(30));
+  // Three servers, 100 times each.
+  EXPECT_LE(model.mProbes - before, 300);
+  EXPECT_GT(model.mProbes - before, 250);
+}
+
+// Guards against a spacing of probes that delays the verdict on a silent
+// primary beyond the gap of three seconds.
+TEST(FailureDetectorTest, ReachesVerdictDespiteTheSpacingOfProbes)
+{
+  detector_model model(3, 3);
+  for (auto& detector : model.mDetectors) {
+    detector.SetProbeSpacing(milliseconds(300));
+  }
+  model.Run(seconds(3));
+  model.mSilent.insert("a");
+  const time_point cut = model.mNow;
+  model.Run(milliseconds(2'500));
+  EXPECT_GT(model.mVerdicts, 0);
+  EXPECT_LE(model.mLastVerdict - cut, milliseconds(2'500));
+}
+
+// Guards against a silence limit of the settings that has no effect.
+TEST(FailureDetectorTest, SuspectsAfterTheSilenceLimitOnly)
+{
+  detector_model model(
+    3, 3, { "ledger", milliseconds(100), milliseconds(4'000) });
+  model.Run(seconds(3));
+  model.mSilent.insert("a");
+  model.Run(milliseconds(3'900));
+  EXPECT_TRUE(model.mDetectors[0].Suspected().empty());
+  model.Run(seconds(3));
+  EXPECT_EQ(model.mDetectors[0].Suspected(), std::vector<std::string>{ "a" });
+}
+
 // Guards against a silent network cut that is noticed too late for a gap of
 // three seconds.
 TEST(FailureDetectorTest, ReachesVerdictOnSilentPrimaryWithinTwoSeconds)
@@ -194,6 +239,48 @@
   EXPECT_TRUE(model.mDetectors[0].Suspected().empty());
 }
 
+// Guards against requests that wait at the instance that is cut off although
+// others could serve them, and against a detour after the route is back.
+TEST(FailureDetectorTest, NamesTheHoldersThatReachThePrimary)
+{
+  detector_model model(4, 3);
+  model.Run(seconds(1));
+  model.mCut.insert({ 1, "a" });
+  model.Run(seconds(2));
+  const std::set<std::string> others{ "i0", "i2" };
+  for (int i = 0; i < 100; ++i) {
+    EXPECT_EQ(model.mDetectors[1].PrimaryReachedBy(), others);
+    EXPECT_TRUE(model.mDetectors[0].PrimaryReachedBy().empty());
+    model.Run(milliseconds(100));
+  }
+  model.mCut.clear();
+  model.Run(seconds(2));
+  EXPECT_TRUE(model.mDetectors[1].PrimaryReachedBy().empty());
+}
+
+// Guards against requests that holders pass to each other while the primary is
+// silent for all of them, also when one was cut off before.
+TEST(FailureDetectorTest, NamesNoHolderWhenThePrimaryFailed)
+{
+  for (const bool cutBefore : { false, true }) {
+    detector_model model(3, 3);
+    model.Run(seconds(1));
+    if (cutBefore) {
+      model.mCut.insert({ 1, "a" });
+      model.Run(seconds(5));
+    }
+    model.mSilent.insert("a");
+    // A round that began before the failure ends first.
+    model.Run(cutBefore ? milliseconds(1'000) : milliseconds(0));
+    for (int i = 0; i < 300; ++i) {
+      for (const auto& detector : model.mDetectors) {
+        EXPECT_TRUE(detector.PrimaryReachedBy().empty()) << cutBefore;
+      }
+      model.Run(milliseconds(20));
+    }
+  }
+}
+
 // Guards against an instance that is cut off from everything and takes itself
 // for the only one.
 TEST(FailureDetectorTest, ReachesNoVerdictWithoutAnyWitness)
