--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/SocketAddress.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace snipewalk {
@@ -15,6 +16,9 @@
 // A reader that leaves this much unread is disconnected.
 constexpr std::size_t kOutputLimitBytes = 8 * 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 64 * 1024;
+// Closing at once would reset the connection when the other end still sends,
+// and it would lose the alert.
+constexpr milliseconds kAlertLinger{ 1'000 };
 
 // Frees the memory of an empty buffer.
 void
@@ -27,9 +31,12 @@
 
 } // namespace
 
-stream_connection::stream_connection(event_loop& aLoop, handlers aHandlers)
+stream_connection::stream_connection(event_loop& aLoop,
+                                     handlers aHandlers,
+                                     std::unique_ptr<tls_session> aTls)
   : mLoop(aLoop)
   , mHandlers(std::move(aHandlers))
+  , mTls(std::move(aTls))
 {
 }
 
@@ -41,10 +48,11 @@
 std::unique_ptr<stream_connection>
 stream_connection::Connect(event_loop& aLoop,
                            const std::string& aAddress,
-                           handlers aHandlers)
+                           handlers aHandlers,
+                           std::unique_ptr<tls_session> aTls)
 {
   std::unique_ptr<stream_connection> connection(
-    new stream_connection(aLoop, std::move(aHandlers)));
+    new stream_connection(aLoop, std::move(aHandlers), std::move(aTls)));
   connection->BeginConnect(aAddress);
   return connection;
 }
@@ -52,14 +60,15 @@
 std::unique_ptr<stream_connection>
 stream_connection::Adopt(event_loop& aLoop,
                          const Poco::Net::StreamSocket& aSocket,
-                         handlers aHandlers)
+                         handlers aHandlers,
+                         std::unique_ptr<tls_session> aTls)
 {
   std::unique_ptr<stream_connection> connection(
-    new stream_connection(aLoop, std::move(aHandlers)));
+    new stream_connection(aLoop, std::move(aHandlers), std::move(aTls)));
   connection->mSocket = aSocket;
   connection->mSocket.setBlocking(false);
   connection->mSocket.setNoDelay(true);
-  connection->mState = state::Connected;
+  connection->mState = connection->mTls ? state::Handshaking : state::Connected;
   aLoop.Add(connection->mSocket, connection.get(), false);
   return connection;
 }
@@ -82,10 +91,16 @@
 void
 stream_connection::Send(std::string_view aBytes)
 {
-  if (!IsOpen()) {
+  if (!IsOpen() || mState == state::Alerted) {
     return;
   }
-  mOutput.append(aBytes);
+  if (!mTls) {
+    mOutput.append(aBytes);
+  } else if (IsConnected()) {
+    mTls->Send(aBytes, mOutput);
+  } else {
+    mEarly.append(aBytes);
+  }
   if (IsConnected()) {
     Flush(mLoop.Now());
   }
@@ -97,6 +112,10 @@
   if (mState == state::Closed) {
     return;
   }
+  if (mTls && IsConnected() && PendingOutput() == 0) {
+    mTls->Close(mOutput);
+    WriteOutput();
+  }
   Detach();
 }
 
@@ -124,6 +143,9 @@
 stream_connection::CloseAfterOutput()
 {
   mCloseAfterOutput = true;
+  if (mTls && IsConnected() && PendingOutput() > 0) {
+    mTls->Close(mOutput);
+  }
   if (IsConnected() && PendingOutput() == 0) {
     Close();
   }
@@ -150,12 +172,18 @@
 {
   mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
     if (!alive.expired() && IsConnected() && HasInput()) {
-      mHandlers.mOnInput(mInput, mLoop.Now());
-      ReleaseIfEmpty(mInput);
+      OfferInput(mLoop.Now());
     }
   });
 }
 
+void
+stream_connection::OfferInput(time_point aNow)
+{
+  mHandlers.mOnInput(mInput, aNow);
+  ReleaseIfEmpty(mInput);
+}
+
 void
 stream_connection::Detach()
 {
@@ -190,7 +218,7 @@
 void
 stream_connection::OnReadable(time_point aNow)
 {
-  if (mState != state::Connected) {
+  if (mState == state::Connecting || mState == state::Closed) {
     return;
   }
   // One buffer a thread: idle connections keep none of their own.
@@ -200,28 +228,87 @@
     received =
       mSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
   } catch (const Poco::Exception&) {
-    Fail(close_cause::ClosedByPeer, aNow);
-    return;
+    received = 0;
   }
   if (received == 0) {
-    Fail(close_cause::ClosedByPeer, aNow);
+    Fail(mState == state::Alerted ? close_cause::TlsFailure
+                                  : close_cause::ClosedByPeer,
+         aNow);
     return;
   }
   if (received < 0 || mOnEnd) {
     return;
   }
-  mInput.append(chunk.data(), static_cast<std::size_t>(received));
-  mHandlers.mOnInput(mInput, aNow);
-  ReleaseIfEmpty(mInput);
+  const std::string_view bytes(chunk.data(),
+                               static_cast<std::size_t>(received));
+  if (mTls) {
+    TakeRecords(bytes, aNow);
+    return;
+  }
+  mInput.append(bytes);
+  OfferInput(aNow);
+}
+
+void
+stream_connection::TakeRecords(std::string_view aRecords, time_point aNow)
+{
+  if (mState == state::Alerted) {
+    return;
+  }
+  const std::size_t before = mInput.size();
+  const tls_state tls = mTls->Receive(aRecords, mInput, mOutput);
+  if (mState == state::Handshaking && tls == tls_state::Established) {
+    BecomeConnected(aNow);
+  }
+  if (IsOpen() && PendingOutput() > 0) {
+    Flush(aNow);
+  }
+  if (IsConnected() && mInput.size() > before) {
+    OfferInput(aNow);
+  }
+  if (tls == tls_state::Failed) {
+    FailTls(aNow);
+  } else if (tls == tls_state::Closed) {
+    Fail(close_cause::ClosedByPeer, aNow);
+  }
+}
+
+void
+stream_connection::FailTls(time_point aNow)
+{
+  if (!IsOpen()) {
+    return;
+  }
+  mState = state::Alerted;
+  if (PendingOutput() == 0) {
+    EndOutput();
+  }
+  mLoop.RunAt(aNow + kAlertLinger,
+              [this, alive = std::weak_ptr<bool>(mAlive)](time_point aLater) {
+                if (!alive.expired()) {
+                  Fail(close_cause::TlsFailure, aLater);
+                }
+              });
+}
+
+void
+stream_connection::EndOutput()
+{
+  try {
+    mSocket.shutdownSend();
+  } catch (const Poco::Exception&) {
+    // The other end reset the connection, which the next read reports.
+  }
 }
 
 void
 stream_connection::OnWritable(time_point aNow)
 {
+  mBlocked = false;
   if (mState == state::Connecting) {
     FinishConnect(aNow);
   }
-  if (mState == state::Connected) {
+  if (mState != state::Connecting && IsOpen()) {
     Flush(aNow);
   }
 }
@@ -242,17 +329,32 @@
     return;
   }
   mSocket.setNoDelay(true);
+  if (mTls) {
+    mState = state::Handshaking;
+    mTls->Start(mOutput);
+    return;
+  }
+  BecomeConnected(aNow);
+}
+
+void
+stream_connection::BecomeConnected(time_point aNow)
+{
   mState = state::Connected;
+  if (mTls) {
+    mTls->Send(mEarly, mOutput);
+    std::string().swap(mEarly);
+  }
   if (mHandlers.mOnConnected) {
     mHandlers.mOnConnected(aNow);
   }
 }
 
-void
-stream_connection::Flush(time_point aNow)
+bool
+stream_connection::WriteOutput()
 {
   try {
-    while (PendingOutput() > 0) {
+    while (PendingOutput() > 0 && !mBlocked) {
       const int sent = mSocket.sendBytes(mOutput.data() + mOutputSent,
                                          static_cast<int>(PendingOutput()));
       if (sent <= 0) {
@@ -260,7 +362,32 @@
       }
       mOutputSent += static_cast<std::size_t>(sent);
     }
-  } catch (const Poco::Exception&) {
+  } catch (const Poco::Exception& error) {
+    // POCO reports a full socket buffer as an exception, too.
+    mBlocked = error.code() == EAGAIN;
+    if (!mBlocked) {
+      return false;
+    }
+  }
+  DropWritten();
+  return true;
+}
+
+void
+stream_connection::DropWritten()
+{
+  // A connection that always has output waiting would keep all of it. Half of
+  // the buffer at a time keeps the cost of moving the rest constant a byte.
+  if (mOutputSent >= kReadChunkBytes && mOutputSent >= PendingOutput()) {
+    mOutput.erase(0, mOutputSent);
+    mOutputSent = 0;
+  }
+}
+
+void
+stream_connection::Flush(time_point aNow)
+{
+  if (!WriteOutput()) {
     // The loop reports the broken socket; callers of Send() are not re-entered.
     mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
       if (!alive.expired()) {
@@ -274,7 +401,9 @@
     mOutputSent = 0;
     ReleaseIfEmpty(mOutput);
     mLoop.SetWantWrite(mSocket, false);
-    if (mCloseAfterOutput) {
+    if (mState == state::Alerted) {
+      EndOutput();
+    } else if (mCloseAfterOutput) {
       Close();
     }
     return;
