Count a sample of the primary from the term's confirmation

A sample counted only when a majority had confirmed the term after it. As long as the primary's index stays the same, a newer sample replaces the one before; asked every 50 ms, the primary's sample is mostly newer than the confirmation, because replicas answer late under load, and the age jumped back to the last sample of another index.

Change: such a sample counts from the confirmation. The primary's log only grows, so its index at the sample bounds what it held at the confirmation, and a majority that confirmed the term then excludes an earlier replacement.

--- a/include/snipewalk/request/read_router.h
+++ b/include/snipewalk/request/read_router.h
@@ -166,7 +166,8 @@
   std::optional<std::size_t> mPrimary;
   std::uint64_t mTerm = 0;
   std::string mDataCentre;
-  // Both fields strictly increase; all samples belong to mTerm.
+  // Both fields strictly increase; all samples belong to mTerm. One that is
+  // newer than the confirmation of the term counts from the confirmation.
   std::deque<sample> mSamples;
 };
 
--- a/src/request/read_router.cpp
+++ b/src/request/read_router.cpp
@@ -179,15 +179,16 @@
   if (!confirmed) {
     return std::nullopt;
   }
-  // Both conditions hold for a prefix of the samples.
   const auto after = std::partition_point(
     mSamples.begin(), mSamples.end(), [&](const sample& aSample) {
-      return aSample.mIndex <= aIndex && aSample.mSentAt <= *confirmed;
+      return aSample.mIndex <= aIndex;
     });
   if (after == mSamples.begin()) {
     return std::nullopt;
   }
-  return aNow - std::prev(after)->mSentAt;
+  // The primary's log only grows: what it held when the sample was requested
+  // includes all that it held when a majority confirmed its term before.
+  return aNow - std::min(std::prev(after)->mSentAt, *confirmed);
 }
 
 std::optional<duration>
