Serve elsewhere while the primary refuses one engine

Cause: with the connections of one instance silenced, the server counts them and refuses new ones at its limit. The control thread then regains its connection and ends the suspicion, but the engine has none: a write whose connection was closed waits in a look-up until its deadline.

Change: while the primary is not suspected and another holder exists, the engine passes requests on once each of its connections was refused for 1 s, and a sent write that is overdue by 2 s while a probe got no answer. A check over each new connection ends the detour. A suspected primary is left to the report of the other holders, so that a failover moves nothing.

--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -133,6 +133,9 @@
   std::size_t OpenCount(std::size_t aServer) const;
   std::size_t Limit(std::size_t aServer) const;
   std::size_t InUse(std::size_t aServer, connection_use aUse) const;
+  // Connections were refused since the last complete reply, and no open one
+  // ever got a reply.
+  bool IsRefused(std::size_t aServer) const;
   // Statements on their way to the server.
   std::size_t Outstanding(std::size_t aServer) const;
   std::size_t Total() const { return mConnections.size(); }
--- a/src/connection/connection_pool.cpp
+++ b/src/connection/connection_pool.cpp
@@ -323,6 +323,16 @@
   return mServers[aServer].mUses[IndexOf(aUse)];
 }
 
+bool
+connection_pool::IsRefused(std::size_t aServer) const
+{
+  return mServers[aServer].mRefusals > 0 &&
+         std::none_of(
+           mConnections.begin(), mConnections.end(), [&](const auto& aEntry) {
+             return aEntry.second->mServer == aServer && aEntry.second->mProven;
+           });
+}
+
 std::size_t
 connection_pool::Outstanding(std::size_t aServer) const
 {
--- a/src/request/engine_relocation.cpp
+++ b/src/request/engine_relocation.cpp
@@ -7,13 +7,48 @@
 
 namespace snipewalk {
 
+// A server at its limit, or a full table of a middlebox, refuses this engine
+// while the connections of other holders work.
+void
+service_engine_state::TrackRefusals()
+{
+  const auto primary = mRouter.Primary();
+  if (!primary || mPool.Limit(*primary) == 0 || !mPool.IsRefused(*primary)) {
+    mRefusedSince.reset();
+    return;
+  }
+  if (!mRefusedSince) {
+    mRefusedSince = mNow;
+    SetTimer(mNow + kOverdueAge, timer_kind::Wakeup, 0);
+  }
+  // Nothing else is sent to the primary: a check tells when it serves again.
+  CheckIdle(*primary, 1);
+}
+
+bool
+service_engine_state::HasOtherHolder() const
+{
+  const auto& holders = mView->mSlots.mHolders;
+  return std::any_of(holders.begin(), holders.end(), [&](const auto& aHolder) {
+    return !aHolder.mInstance.empty() &&
+           aHolder.mInstance != mOptions.mInstance;
+  });
+}
+
+// A suspected primary may have failed for all: only the report of a holder
+// tells. One that the control thread still reaches serves others.
 bool
 service_engine_state::PrimaryReachedElsewhere() const
 {
   const auto primary = mRouter.Primary();
-  return mView && primary && mView->mTerm.mPhase == term_phase::Stable &&
-         mRouter.Servers()[*primary].mSuspected &&
-         !mView->mPrimaryReachedBy.empty();
+  if (!mView || !primary || mView->mTerm.mPhase != term_phase::Stable) {
+    return false;
+  }
+  if (mRouter.Servers()[*primary].mSuspected) {
+    return !mView->mPrimaryReachedBy.empty();
+  }
+  return mRefusedSince && mNow - *mRefusedSince >= kOverdueAge &&
+         HasOtherHolder();
 }
 
 // Whether the request waits for the primary over a connection or a look-up.
--- a/src/request/engine_replies.cpp
+++ b/src/request/engine_replies.cpp
@@ -206,7 +206,9 @@
 }
 
 // A probe of the server ended. If it answered, overdue writes are on silent
-// connections and are settled by a look-up; if not, overdue reads go elsewhere.
+// connections and are settled by a look-up; if not, overdue reads go elsewhere,
+// and so do writes once the control thread had time to suspect the server and
+// did not: then only this engine's connections fail.
 void
 service_engine_state::GiveUpOverdue(std::size_t aServer, bool aAnswered)
 {
@@ -221,6 +223,13 @@
       const pooled_connection copy = *busy;
       mPool.Close(id, *mActions);
       OnLost(copy);
+      continue;
+    }
+    auto* entry = FindRequest(busy->mOwner);
+    if (!aAnswered && busy->mUse == connection_use::Write &&
+        busy->mOverdues > 1 && !mRouter.Servers()[aServer].mSuspected &&
+        entry && HasOtherHolder()) {
+      Relocate(*entry);
     }
   }
 }
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -24,6 +24,7 @@
   if (mRouter.Term() != oldTerm || mRouter.Primary() != oldPrimary ||
       !sameRules) {
     mHoldWritesUntil = mNow;
+    mRefusedSince.reset();
     if (oldPrimary && mRouter.Primary() != oldPrimary) {
       AbandonServer(*oldPrimary);
     }
--- a/src/request/service_engine.cpp
+++ b/src/request/service_engine.cpp
@@ -73,6 +73,7 @@
     return;
   }
   const std::size_t firstAction = mActions->size();
+  TrackRefusals();
   PumpAcknowledgements();
   DispatchLookups();
   DispatchPrimaryLane(queue_lane::Write, connection_use::Write);
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -12,6 +12,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -231,6 +232,8 @@
   void Finish(request_entry& aEntry, statement_response aResponse);
 
   // engine_relocation.cpp: requests that another holder has to serve.
+  void TrackRefusals();
+  bool HasOtherHolder() const;
   bool PrimaryReachedElsewhere() const;
   bool IsStuckAtPrimary(const request_entry& aEntry);
   void RelocateStuck();
@@ -305,6 +308,8 @@
   std::vector<time_point> mRefreshedAt;
   // Writes are held until then because the primary refused its role or term.
   time_point mHoldWritesUntil;
+  // Since when the primary refuses each connection of this engine.
+  std::optional<time_point> mRefusedSince;
   // Mean time that a statement occupies a connection, by writes and reads.
   double mWriteSeconds = 0.001;
   double mReadSeconds = 0.001;
--- a/tests/request/engine_relocation_test.cpp
+++ b/tests/request/engine_relocation_test.cpp
@@ -73,6 +73,72 @@
   EXPECT_EQ(write->second.mIdempotencyKey, "key2");
 }
 
+// Guards against writes that wait here while the primary refuses only the
+// connections of this engine, and against moving them without another holder.
+TEST(ServiceEngineTest, PassesOnWritesWhileThePrimaryRefusesConnections)
+{
+  for (const bool others : { false, true }) {
+    engine_driver driver;
+    driver.mView.mSlots.mHolders = { { "i1", 7 } };
+    if (others) {
+      driver.mView.mSlots.mHolders.push_back({ "i2", 1 });
+    }
+    driver.Start();
+    driver.Submit(driver.Request(statement_kind::Write));
+    ASSERT_TRUE(driver.Take<backend_statement>("a"));
+    const auto refuse = [&] {
+      for (const auto& [id, server] : std::map(driver.mServerOf)) {
+        if (server == "a") {
+          driver.Handle(connection_closed{ id, true });
+        }
+      }
+      driver.mOpening.clear();
+    };
+    refuse();
+    driver.Submit(driver.Request(statement_kind::Write));
+    EXPECT_TRUE(driver.mAnswers.empty());
+    for (int i = 0; i < 30; ++i) {
+      driver.Advance(milliseconds(50));
+      refuse();
+    }
+    ASSERT_EQ(driver.mAnswers.size(), others ? 2U : 0U);
+    if (others) {
+      EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::Unknown);
+      EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::ConnectionLost);
+      EXPECT_EQ(driver.mAnswers[1].mOutcome, statement_outcome::NotRun);
+      EXPECT_EQ(driver.mAnswers[1].mReason, refusal_reason::NoHolder);
+    }
+    driver.Advance(seconds(2));
+    driver.Settle();
+    driver.Submit(driver.Request(statement_kind::Write));
+    EXPECT_TRUE(driver.Take<backend_statement>("a")) << "the route is back";
+  }
+}
+
+// Guards against a write that waits on a silent connection while new ones of
+// this engine get no answer either but the primary is not suspected.
+TEST(ServiceEngineTest, GivesUpASentWriteWhenProbesStayUnanswered)
+{
+  engine_driver driver;
+  driver.mView.mSlots.mHolders = { { "i1", 7 }, { "i2", 1 } };
+  driver.Start();
+  driver.Submit(driver.Request(statement_kind::Write));
+  ASSERT_TRUE(driver.Take<backend_statement>("a"));
+  for (int i = 0; i < 30; ++i) {
+    driver.Advance(milliseconds(100));
+    while (!driver.mOpening.empty()) {
+      const auto id = driver.mOpening.begin()->first;
+      driver.mOpening.erase(id);
+      driver.Handle(connection_opened{ id });
+    }
+    EXPECT_TRUE(driver.mNow > time_point(seconds(102)) ||
+                driver.mAnswers.empty());
+  }
+  ASSERT_EQ(driver.mAnswers.size(), 1U);
+  EXPECT_EQ(driver.mAnswers[0].mOutcome, statement_outcome::Unknown);
+  EXPECT_EQ(driver.mAnswers[0].mReason, refusal_reason::ConnectionLost);
+}
+
 // Guards against an executed write that is given up although the voters can
 // still confirm it.
 TEST(ServiceEngineTest, ConfirmsAnExecutedWriteWithoutARouteToThePrimary)
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -47,6 +47,7 @@
     }
     mView.mTerm.mTerm = 1;
     mView.mTerm.mPrimary = "a";
+    mView.mSlots.mHolders = { { "i", 1 }, { "j", 1 } };
     mView.mConnectionShare = kShare;
     for (int i = 0; i < kSessions; ++i) {
       mCallers.emplace_back();
