--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -13,6 +13,7 @@
 
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -254,6 +255,8 @@
   void Finish(request_entry& aEntry, statement_response aResponse);
 
   // engine_relocation.cpp: requests that another holder has to serve.
+  void TrackRefusals();
+  bool HasOtherHolder() const;
   bool PrimaryReachedElsewhere() const;
   bool IsStuckAtPrimary(const request_entry& aEntry);
   void RelocateStuck();
@@ -339,6 +342,8 @@
   service_time mReadHeld;
   // Times of writes from the sending to the confirmation by a majority.
   service_time mWriteConfirmed;
+  // Since when the primary refuses each connection of this engine.
+  std::optional<time_point> mRefusedSince;
   engine_status mCounters;
 };
 
--- a/tests/request/service_engine_property_test.cpp
+++ b/tests/request/service_engine_property_test.cpp
@@ -51,6 +51,7 @@
     mView.mTerm.mPrimary = "a";
     mView.mConnectionShare = kShare - kReserve;
     mView.mConnectionReserve = kReserve;
+    mView.mSlots.mHolders = { { "i", 1 }, { "j", 1 } };
     for (int i = 0; i < kSessions; ++i) {
       mCallers.emplace_back();
       mCallers.back().mNumber = i;
--- a/tests/standins/store_control.cpp
+++ b/tests/standins/store_control.cpp
@@ -54,8 +54,9 @@
   std::uint64_t writes = 0;
   std::uint64_t lose = mLoseAnswers;
   const auto outage =
-    body.ok() ? ValueOf(kStoreOutageNames, body->get("outage", "none").asString())
-         : std::nullopt;
+    body.ok()
+      ? ValueOf(kStoreOutageNames, body->get("outage", "none").asString())
+      : std::nullopt;
   if (!outage || !ReadNumber(*body, "slow_ms", slow) ||
       !ReadNumber(*body, "lose_answers", lose) ||
       !ReadNumber(*body, "instances_lag_ms", lag) ||
