--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -29,7 +29,7 @@
 // counted for this long; servers have to drop vanished clients earlier. When
 // they do not, holders compete for the last places: with 10 s and a server that
 // dropped none, reads and some writes stopped.
-inline constexpr milliseconds kUnnoticedHold{ 30'000 };
+inline constexpr milliseconds kHalfClosedHold{ 30'000 };
 
 enum class connection_use
 {
@@ -160,7 +160,7 @@
   // them.
   std::size_t Usable(std::size_t aServer) const;
   // Connections that are closed but that the server may still count.
-  std::size_t Unnoticed(std::size_t aServer) const;
+  std::size_t HalfClosed(std::size_t aServer) const;
   // True when there is no connection to the server and none may be opened
   // because it may still count those that went silent.
   bool IsStarved(std::size_t aServer) const;
@@ -176,7 +176,7 @@
   std::optional<time_point> NextOpen() const;
 
 private:
-  struct unnoticed_connection
+  struct half_closed_connection
   {
     connection_id mId = 0;
     // Set by the next OpenMissing.
@@ -189,7 +189,7 @@
     std::size_t mLimit = 0;
     std::size_t mReserve = 0;
     // In the order in which they were closed.
-    std::vector<unnoticed_connection> mUnnoticed;
+    std::vector<half_closed_connection> mHalfClosed;
     std::size_t mOpening = 0;
     std::size_t mCount = 0;
     std::array<std::size_t, kConnectionUses> mUses{};
@@ -200,7 +200,7 @@
     int mRefusals = 0;
     time_point mOpenAfter;
     // The server may have reached its own limit: it closed a connection at
-    // once, or may still count unnoticed ones. New connections are opened one
+    // once, or may still count half-closed ones. New connections are opened one
     // at a time and proven by a status request, until all are open.
     bool mAtLimit = false;
   };
@@ -210,9 +210,9 @@
   // Most connections that may be open, the whole reserve included.
   static std::size_t Most(const server_pool& aServer);
   // Stops to wait for the end of connections closed long ago.
-  static void ForgetUnnoticed(server_pool& aServer,
-                              time_point aNow,
-                              std::vector<engine_action>& aActions);
+  static void ForgetHalfClosed(server_pool& aServer,
+                               time_point aNow,
+                               std::vector<engine_action>& aActions);
   bool WithinShare(const server_pool& aServer, connection_use aUse) const;
   connection_id Open(std::size_t aServer,
                      connection_use aUse,
--- a/include/snipewalk/connection/tls_session.h
+++ b/include/snipewalk/connection/tls_session.h
@@ -80,7 +80,7 @@
   tls_session(std::shared_ptr<const tls_context> aContext, bool aIsServer);
   void Handshake();
   void Read(std::string& aInput);
-  void Fail(int aResult);
+  void Fail();
 
   // OpenSSL keeps its own reference; this one makes the lifetime evident.
   std::shared_ptr<const tls_context> mContext;
--- a/src/connection/connection_pool.cpp
+++ b/src/connection/connection_pool.cpp
@@ -48,10 +48,10 @@
         lost.push_back(connection);
       }
     }
-    for (const auto& unnoticed : server.mUnnoticed) {
-      aActions.push_back(close_connection{ unnoticed.mId, false });
+    for (const auto& halfClosed : server.mHalfClosed) {
+      aActions.push_back(close_connection{ halfClosed.mId, false });
     }
-    server.mUnnoticed.clear();
+    server.mHalfClosed.clear();
     server.mRefusals = 0;
     server.mOpenAfter = time_point{};
   }
@@ -72,7 +72,7 @@
 {
   const std::size_t most =
     aServer.mLimit > 0 ? aServer.mLimit + aServer.mReserve : 0;
-  return most - std::min(most, aServer.mUnnoticed.size());
+  return most - std::min(most, aServer.mHalfClosed.size());
 }
 
 std::size_t
@@ -105,14 +105,14 @@
 {
   for (std::size_t i = 0; i < mServers.size(); ++i) {
     auto& server = mServers[i];
-    ForgetUnnoticed(server, aNow, aActions);
+    ForgetHalfClosed(server, aNow, aActions);
     // After a refusal a single connection tries whether the server is back.
     const bool single = server.mRefusals > 0 || server.mAtLimit;
     const bool tried =
       server.mOpening > 0 ||
       (server.mAtLimit && server.mUses[IndexOf(connection_use::Check)] > 0);
     const std::size_t limit = single && tried ? 0 : Usable(server);
-    const bool prove = server.mAtLimit || !server.mUnnoticed.empty();
+    const bool prove = server.mAtLimit || !server.mHalfClosed.empty();
     while (server.mCount < limit && server.mOpenAfter <= aNow) {
       Open(i, prove ? connection_use::Check : connection_use::None, aActions);
       if (single) {
@@ -123,13 +123,13 @@
 }
 
 void
-connection_pool::ForgetUnnoticed(server_pool& aServer,
-                                 time_point aNow,
-                                 std::vector<engine_action>& aActions)
+connection_pool::ForgetHalfClosed(server_pool& aServer,
+                                  time_point aNow,
+                                  std::vector<engine_action>& aActions)
 {
-  std::erase_if(aServer.mUnnoticed, [&](unnoticed_connection& aEntry) {
+  std::erase_if(aServer.mHalfClosed, [&](half_closed_connection& aEntry) {
     if (!aEntry.mUntil) {
-      aEntry.mUntil = aNow + kUnnoticedHold;
+      aEntry.mUntil = aNow + kHalfClosedHold;
     }
     if (*aEntry.mUntil > aNow) {
       return false;
@@ -169,7 +169,7 @@
     case connection_use::Transaction:
       // A last replacement serves writes, not one transaction for its length.
       return pinned < half && reads + pinned < most &&
-             (usable > 1 || aServer.mUnnoticed.empty());
+             (usable > 1 || aServer.mHalfClosed.empty());
     default:
       return true;
   }
@@ -267,7 +267,7 @@
     server.mOpenAfter = time_point{};
   }
   server.mIdle.push_back(aId);
-  if (server.mCount >= Usable(server) && server.mUnnoticed.empty()) {
+  if (server.mCount >= Usable(server) && server.mHalfClosed.empty()) {
     server.mAtLimit = false;
   }
   if (server.mCount > Usable(server)) {
@@ -284,7 +284,7 @@
   }
   const bool busy = connection->mPhase == connection_phase::Busy;
   if (busy) {
-    mServers[connection->mServer].mUnnoticed.push_back({ aId, std::nullopt });
+    mServers[connection->mServer].mHalfClosed.push_back({ aId, std::nullopt });
   }
   aActions.push_back(close_connection{ aId, busy });
   Forget(aId);
@@ -294,9 +294,9 @@
 connection_pool::Ended(connection_id aId)
 {
   for (auto& server : mServers) {
-    std::erase_if(server.mUnnoticed, [&](const unnoticed_connection& aEntry) {
-      return aEntry.mId == aId;
-    });
+    std::erase_if(
+      server.mHalfClosed,
+      [&](const half_closed_connection& aEntry) { return aEntry.mId == aId; });
   }
 }
 
@@ -421,9 +421,9 @@
 }
 
 std::size_t
-connection_pool::Unnoticed(std::size_t aServer) const
+connection_pool::HalfClosed(std::size_t aServer) const
 {
-  return mServers[aServer].mUnnoticed.size();
+  return mServers[aServer].mHalfClosed.size();
 }
 
 bool
@@ -466,9 +466,9 @@
         server.mOpening == 0 && (!next || server.mOpenAfter < *next)) {
       next = server.mOpenAfter;
     }
-    for (const auto& unnoticed : server.mUnnoticed) {
-      if (unnoticed.mUntil && (!next || *unnoticed.mUntil < *next)) {
-        next = unnoticed.mUntil;
+    for (const auto& halfClosed : server.mHalfClosed) {
+      if (halfClosed.mUntil && (!next || *halfClosed.mUntil < *next)) {
+        next = halfClosed.mUntil;
       }
     }
   }
--- a/src/connection/tls_session.cpp
+++ b/src/connection/tls_session.cpp
@@ -157,7 +157,7 @@
   if (result == 1) {
     mState = tls_state::Established;
   } else if (SSL_get_error(mNative, result) != SSL_ERROR_WANT_READ) {
-    Fail(result);
+    Fail();
   }
 }
 
@@ -178,14 +178,14 @@
       mState = tls_state::Closed;
       SSL_shutdown(mNative);
     } else if (error != SSL_ERROR_WANT_READ) {
-      Fail(count);
+      Fail();
     }
     return;
   }
 }
 
 void
-tls_session::Fail(int)
+tls_session::Fail()
 {
   mState = tls_state::Failed;
   const long verified = SSL_get_verify_result(mNative);
@@ -212,7 +212,7 @@
   const int result =
     SSL_write_ex(mNative, aBytes.data(), aBytes.size(), &written);
   if (result != 1) {
-    Fail(result);
+    Fail();
   }
   mExchange = {};
 }
--- a/src/process/server_link.cpp
+++ b/src/process/server_link.cpp
@@ -124,7 +124,7 @@
                       number = mConnectionNumber,
                       alive = std::weak_ptr<bool>(mAlive)](time_point) {
     if (!alive.expired()) {
-      auto ended = mUnnoticed.extract(number);
+      auto ended = mHalfClosed.extract(number);
       mLoop.Post([connection = std::move(ended.mapped())] {});
     }
   };
@@ -132,7 +132,7 @@
     if (!InDoubt()) {
       mDoubtUntil = mLoop.Now() + kDoubtTime;
     }
-    mUnnoticed.emplace(mConnectionNumber, dropped);
+    mHalfClosed.emplace(mConnectionNumber, dropped);
     return;
   }
   dropped->Close();
@@ -143,11 +143,11 @@
 void
 server_link::EndDoubt()
 {
-  for (auto& [number, connection] : mUnnoticed) {
+  for (auto& [number, connection] : mHalfClosed) {
     connection->Close();
     mLoop.Post([ended = std::move(connection)] {});
   }
-  mUnnoticed.clear();
+  mHalfClosed.clear();
 }
 
 void
--- a/src/process/server_link.h
+++ b/src/process/server_link.h
@@ -83,7 +83,7 @@
   // Closes the connection. If no answer came over it, the link is in doubt
   // until the server closes it too.
   void Drop(bool aInDoubt);
-  bool InDoubt() const { return !mUnnoticed.empty(); }
+  bool InDoubt() const { return !mHalfClosed.empty(); }
   void EndDoubt();
   void OnOpened(time_point aNow);
   void OnClosed(bool aRefused, time_point aNow);
@@ -98,7 +98,7 @@
   // An answer came over the present connection.
   bool mProven = false;
   // Connections closed here that the server may still count, by number.
-  std::map<std::uint64_t, std::shared_ptr<backend_connection>> mUnnoticed;
+  std::map<std::uint64_t, std::shared_ptr<backend_connection>> mHalfClosed;
   // From then on the link tries to keep a connection open again.
   time_point mDoubtUntil;
   // Expires with the link; guards the ends of closed connections.
--- a/tests/connection/connection_pool_test.cpp
+++ b/tests/connection/connection_pool_test.cpp
@@ -188,7 +188,7 @@
   for (const auto id : silent) {
     mPool.Close(id, mActions);
     mPool.OpenMissing(kStart, mActions);
-    EXPECT_LE(mPool.Count(0) + mPool.Unnoticed(0), 4U);
+    EXPECT_LE(mPool.Count(0) + mPool.HalfClosed(0), 4U);
   }
   EXPECT_EQ(mPool.Count(0), 1U);
   EXPECT_FALSE(mPool.IsStarved(0));
@@ -209,8 +209,8 @@
   mPool.OpenMissing(kStart, mActions);
   EXPECT_EQ(mPool.Count(0), 0U);
   EXPECT_TRUE(mPool.IsStarved(0));
-  ASSERT_EQ(mPool.NextOpen(), kStart + kUnnoticedHold);
-  const time_point later = kStart + kUnnoticedHold;
+  ASSERT_EQ(mPool.NextOpen(), kStart + kHalfClosedHold);
+  const time_point later = kStart + kHalfClosedHold;
   // One at a time: the server may still refuse them.
   for (connection_id id = 4; id <= 6; ++id) {
     mPool.OpenMissing(later, mActions);
--- a/tests/request/service_time_test.cpp
+++ b/tests/request/service_time_test.cpp
@@ -1,3 +1,4 @@
+// Tests of the window of service times.
 #include "request/service_time.h"
 
 #include <gtest/gtest.h>
