--- a/include/snipewalk/version/drain.h
+++ b/include/snipewalk/version/drain.h
@@ -78,6 +78,8 @@
 // A replica is caught up when it holds what the primary held this long ago.
 // Waiting for the rest is then short against the gap of 200 ms.
 inline constexpr milliseconds kCaughtUpAge{ 500 };
+// Between two changes, so that holders see each term before the next.
+inline constexpr milliseconds kChangeGap{ 1'000 };
 // A change waits for the transactions open on the primary at most the
 // document's idle limit and this time: the last idle one has ended by then.
 inline constexpr milliseconds kTransactionWaitMargin{ 1'000 };
