Call a service unknown only once all documents are known

Ruled out: opening the port later; the balancer's health check does not cover callers that connect directly, and requests can wait at the instance. Change: while the services' head is zero such a request waits for the configuration, at most as for a holder, and is then refused as no_holder (503). Conclusion: 404 is said of services that no document describes only.

--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/version/service_view.h
@@ -120,7 +120,8 @@
   std::map<std::string, std::shared_ptr<const service_view>> mServices;
   std::map<std::string, member_info> mMembers;
   std::vector<session_key> mSessionKeys;
-  // Highest store revision that is in force.
+  // Highest store revision that is in force; zero while documents may be
+  // missing because the instance has just started.
   std::uint64_t mRevision = 0;
 };
 
--- a/src/request/forwarder_choice.cpp
+++ b/src/request/forwarder_choice.cpp
@@ -120,7 +120,10 @@
   }
   const auto service = mSnapshot->mServices.find(ServiceOf(aPending.mRequest));
   if (service == mSnapshot->mServices.end()) {
-    return { {}, refusal_reason::UnknownService, false };
+    // An instance that has just started may not have all documents yet.
+    return mSnapshot->mRevision == 0
+             ? choice{ {}, refusal_reason::NoHolder, true }
+             : choice{ {}, refusal_reason::UnknownService, false };
   }
   if (IsInTransaction(aPending.mRequest)) {
     return ChooseForTransaction(*StatementOf(aPending.mRequest));
--- a/tests/request/forwarder_test.cpp
+++ b/tests/request/forwarder_test.cpp
@@ -20,6 +20,29 @@
   steps.Take<serve_here>();
 }
 
+// Guards against an instance that has just started and calls a service unknown
+// whose document it has not received yet.
+TEST(ForwarderTest, CallsAServiceUnknownOnlyWithAllDocuments)
+{
+  for (const std::uint64_t revision : { 0U, 7U }) {
+    forwarder_driver steps({ "i1" });
+    auto snapshot = ForwarderSnapshot({ "i1" });
+    snapshot->mServices.clear();
+    snapshot->mRevision = revision;
+    steps.mForwarder.SetSnapshot(snapshot, steps.mNow, steps.mActions);
+    steps.Submit(steps.Request(statement_kind::Read));
+    if (revision != 0) {
+      EXPECT_EQ(steps.Take<finish_request>().mResponse.mReason,
+                refusal_reason::UnknownService);
+      continue;
+    }
+    EXPECT_TRUE(steps.mActions.empty());
+    steps.mForwarder.SetSnapshot(
+      ForwarderSnapshot({ "i1" }), steps.mNow, steps.mActions);
+    EXPECT_EQ(steps.Take<send_to_peer>().mPeer, "i1");
+  }
+}
+
 // Guards against crossing regions while a holder is in this data centre.
 TEST(ForwarderTest, PrefersNearestThenLeastLoaded)
 {
