--- a/src/process/caller_connection.cpp
+++ b/src/process/caller_connection.cpp
@@ -19,7 +19,7 @@
                                      const Poco::Net::StreamSocket& aSocket,
                                      caller_id aId,
                                      caller_owner& aOwner,
-                                     caller_tls aTls)
+                                     caller_tls&& aTls)
   : mOwner(aOwner)
   , mId(aId)
   , mHandshaking(aTls.mSession != nullptr)
