--- a/include/snipewalk/process/caller_connection.h
+++ b/include/snipewalk/process/caller_connection.h
@@ -61,7 +61,7 @@
                     const Poco::Net::StreamSocket& aSocket,
                     caller_id aId,
                     caller_owner& aOwner,
-                    caller_tls aTls = {});
+                    caller_tls&& aTls = {});
   caller_connection(const caller_connection&) = delete;
   caller_connection& operator=(const caller_connection&) = delete;
 
