--- a/tests/process/traffic_fixture.h
+++ b/tests/process/traffic_fixture.h
@@ -211,6 +211,8 @@
     auto view = MakeView(mServers.Endpoints(), aHolder);
     view->mConnectionShare = aInstance == aHolder ? 10 : 0;
     auto snapshot = std::make_shared<routing_snapshot>();
+    // All documents have arrived.
+    snapshot->mRevision = 1;
     snapshot->mServices["register"] = view;
     for (const auto* group : { &mHolder, &mEntry }) {
       const std::string name = group == &mHolder ? "munich-1" : "munich-2";
