--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -131,11 +131,7 @@
   mOutputSent = 0;
   mLoop.SetWantWrite(mSocket, false);
   mLoop.SetWantRead(mSocket, true);
-  try {
-    mSocket.shutdownSend();
-  } catch (const Poco::Exception&) {
-    // The loop reports the broken socket.
-  }
+  EndOutput();
   return true;
 }
 
--- a/src/process/history.cpp
+++ b/src/process/history.cpp
@@ -8,7 +8,6 @@
 #include <json/json.h>
 
 #include <algorithm>
-#include <memory>
 
 namespace snipewalk {
 
--- a/src/process/load_http.cpp
+++ b/src/process/load_http.cpp
@@ -4,9 +4,6 @@
 #include "snipewalk/base/json_text.h"
 
 #include <absl/strings/str_cat.h>
-#include <json/json.h>
-
-#include <memory>
 
 namespace snipewalk {
 
--- a/src/process/tls_files.cpp
+++ b/src/process/tls_files.cpp
@@ -107,7 +107,11 @@
     return std::nullopt;
   }
   const auto end = TlsCertificateEnd(mPresent->mCertificate);
-  if (!end.ok() || aNow + kTlsExpiryNotice < *end) {
+  if (!end.ok()) {
+    return std::nullopt;
+  }
+  if (aNow + kTlsExpiryNotice < *end) {
+    mNextExpiryReport = *end - kTlsExpiryNotice;
     return std::nullopt;
   }
   mNextExpiryReport = aNow + kExpiryReportInterval;
