--- a/tests/integration/failover_test.cpp
+++ b/tests/integration/failover_test.cpp
@@ -376,11 +376,17 @@
 ExpectServedByEach(const system_fleet& aFleet)
 {
   for (int i = 0; i < aFleet.Instances(); ++i) {
-    EXPECT_TRUE(
-      WaitFor([&] { return aFleet.Write(i, "set drum/5 yes").Done(); }))
-      << i;
-    EXPECT_TRUE(WaitFor([&] { return aFleet.Read(i, "get drum/5").Done(); }))
-      << i;
+    caller_answer last;
+    EXPECT_TRUE(WaitFor([&] {
+      last = aFleet.Write(i, "set drum/5 yes");
+      return last.Done();
+    }))
+      << i << ": " << last.mStatus << " " << last.mBody;
+    EXPECT_TRUE(WaitFor([&] {
+      last = aFleet.Read(i, "get drum/5");
+      return last.Done();
+    }))
+      << i << ": " << last.mStatus << " " << last.mBody;
   }
 }
 
