Pass on writes whose voters this holder cannot ask

The holder with reserve 0 has no connection to any server.

Ruled out: the other holders (one connection to each server, thousands of writes done), the servers (20 of 20 connections, no change of term).

Change: a write is refused as no_holder when too few voters can be asked and another holder exists, before the lag is looked at. This also keeps writes from a primary whose voters this holder cannot ask; they would have ended as unknown.

ServiceEngineTest.PassesOnWritesThatItCannotConfirm fails without the change (replicas_behind) and passes with it.

--- a/src/request/engine_submission.cpp
+++ b/src/request/engine_submission.cpp
@@ -140,6 +140,11 @@
   }
   const bool changes =
     aEntry.mHasEffect && request.mKind == statement_kind::Write;
+  // Checked before the lag, which grows when this engine cannot ask the voters.
+  if (changes && !CanConfirm() && HasOtherHolder()) {
+    return refuse(
+      refusal_reason::NoHolder, kConnectionsStillCounted, kRetryAfterStarved);
+  }
   if (changes && mAcknowledgement.Lag(mNow) > mView->mDocument.mMaxLag) {
     return refuse(refusal_reason::ReplicasBehind,
                   "all replicas are too far behind",
--- a/src/request/engine_view.cpp
+++ b/src/request/engine_view.cpp
@@ -118,6 +118,25 @@
   }
 }
 
+// Whether enough voters for a majority can be asked: a server that still counts
+// the silent connections of the whole share cannot.
+bool
+service_engine_state::CanConfirm() const
+{
+  if (mView->mDocument.mAcknowledge != acknowledge_policy::Replicated) {
+    return true;
+  }
+  std::size_t voters = 0;
+  std::size_t reachable = 0;
+  for (std::size_t i = 0; i < mRouter.Servers().size(); ++i) {
+    if (mRouter.Servers()[i].mVoter) {
+      ++voters;
+      reachable += mRouter.Primary() == i || !mPool.IsStarved(i) ? 1 : 0;
+    }
+  }
+  return reachable >= voters / 2 + 1;
+}
+
 // While a server counts connections that went silent, and nothing is left of
 // the share, another holder may still have a connection to it. Requests whose
 // outcome is in doubt stay: only this engine knows what it sent.
@@ -154,8 +173,8 @@
   for (const auto number : refused) {
     AnswerFailed(*FindRequest(number),
                  refusal_reason::NoHolder,
-                 "the server still counts connections that went silent",
-                 milliseconds(100));
+                 kConnectionsStillCounted,
+                 kRetryAfterStarved);
   }
 }
 
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -37,6 +37,11 @@
 // Told to callers whose request does not fit into its remaining time.
 inline constexpr milliseconds kRetryAfterLate{ 50 };
 
+// Told to callers while a server still counts connections that went silent.
+inline constexpr milliseconds kRetryAfterStarved{ 100 };
+inline constexpr const char* kConnectionsStillCounted =
+  "the server still counts connections that went silent";
+
 // A statement is sent at most this often in one term.
 inline constexpr int kAttemptsMax = 4;
 
@@ -289,6 +294,7 @@
   void ApplyServers();
   void AbandonServer(std::size_t aServer);
   void RefuseWithoutShare();
+  bool CanConfirm() const;
   void RefuseWithoutConnections();
   std::string ExplainServers() const;
   std::string ExplainVerdict(const read_route& aRoute) const;
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -322,6 +322,36 @@
   EXPECT_EQ(driver.mAnswers.back().mOutcome, statement_outcome::Unknown);
 }
 
+// Guards against a holder that calls the replicas too far behind, or sends
+// writes that it cannot confirm, because its own connections to the voters went
+// silent: another holder runs them.
+TEST(ServiceEngineTest, PassesOnWritesThatItCannotConfirm)
+{
+  for (const bool others : { false, true }) {
+    engine_driver driver;
+    driver.mView.mConnectionShare = 1;
+    driver.mView.mDocument.mMaxLag = seconds(2);
+    driver.mView.mSlots.mHolders = { { "i1", 7 } };
+    if (others) {
+      driver.mView.mSlots.mHolders.push_back({ "i2", 1 });
+    }
+    driver.Start();
+    driver.Submit(driver.Request(statement_kind::Write));
+    driver.Execute(*driver.Take<backend_statement>("a"), 1);
+    // The waits at both replicas become overdue.
+    driver.mSilent = true;
+    driver.Advance(seconds(1));
+    const auto expected =
+      others ? refusal_reason::NoHolder : refusal_reason::ReplicasBehind;
+    driver.Advance(seconds(2));
+    driver.Submit(driver.Request(statement_kind::Write));
+    ASSERT_FALSE(driver.mAnswers.empty());
+    EXPECT_EQ(driver.mAnswers.back().mRequestId, "r2");
+    EXPECT_EQ(driver.mAnswers.back().mOutcome, statement_outcome::NotRun);
+    EXPECT_EQ(driver.mAnswers.back().mReason, expected);
+  }
+}
+
 // Guards against writes that keep the last connection to a replica for their
 // acknowledgements, so that reads there wait for ever.
 TEST(ServiceEngineTest, SharesTheOnlyConnectionOfAReplicaWithReads)
