--- a/tests/integration/shutdown_test.cpp
+++ b/tests/integration/shutdown_test.cpp
@@ -1,11 +1,24 @@
 // Graceful shutdown of instances with real processes under load.
 #include "standins/system_fleet.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <gtest/gtest.h>
 
+#include <future>
+#include <thread>
+#include <vector>
+
 namespace snipewalk::standins {
 namespace {
 
+// Five statements take longer than the notice, the release of the slots (5 s at
+// most) and the quiet time after it.
+constexpr milliseconds kStatementSpacing{ 2'000 };
+constexpr int kRequestsUnderWay = 5;
+constexpr milliseconds kUntilUnderWay{ 200 };
+constexpr milliseconds kAfterSignal{ 400 };
+
 // Guards against a rolling restart that cuts requests of callers which
 // reconnect elsewhere.
 TEST(ShutdownTest, RollingRestartUnderLoadCutsNoRequest)
@@ -34,7 +47,37 @@
   }
 }
 
-// Guards against a shutdown that aborts a transaction its instance holds.
+// Guards against a shutdown that cuts requests under way: a load of short ones
+// may have none at the moment of the signal.
+TEST(ShutdownTest, RequestsUnderWayAreAnswered)
+{
+  const auto started = system_fleet::Start({});
+  ASSERT_TRUE(started.ok()) << started.status();
+  system_fleet& fleet = **started;
+  child_process& primary = fleet.Server(fleet.Primary(0));
+  primary.Pause();
+  std::vector<std::future<caller_answer>> answers;
+  answers.reserve(kRequestsUnderWay);
+  for (int i = 0; i < kRequestsUnderWay; ++i) {
+    answers.push_back(std::async(std::launch::async, [&fleet, i] {
+      return fleet.Write(0, absl::StrCat("set drum/", i, " cleaned"));
+    }));
+  }
+  std::this_thread::sleep_for(kUntilUnderWay);
+  child_process& instance = fleet.Processes().At(system_fleet::InstanceName(0));
+  instance.Terminate();
+  // Longer than the notice, shorter than the silence limit of the primary.
+  std::this_thread::sleep_for(kAfterSignal);
+  primary.Resume();
+  for (auto& answer : answers) {
+    const caller_answer got = answer.get();
+    EXPECT_TRUE(got.Done()) << got.mStatus << got.mBody;
+  }
+  EXPECT_EQ(instance.Wait(seconds(20)).value_or(-1), 0);
+}
+
+// Guards against a shutdown that aborts a transaction its instance holds, also
+// one that lasts longer than the notice and the release of slots.
 TEST(ShutdownTest, OpenTransactionFinishes)
 {
   const auto started = system_fleet::Start({});
@@ -52,6 +95,7 @@
   for (int i = 0; i < 5; ++i) {
     const auto written = fleet.Send(1, statement);
     ASSERT_TRUE(written.Done()) << written.mStatus << written.mBody;
+    std::this_thread::sleep_for(kStatementSpacing);
   }
   statement.mKind = "commit";
   statement.mBody.clear();
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -42,6 +42,10 @@
     return ports
 
 
+def instance_name(i):
+    return f"instance{i + 1}"
+
+
 def figures_of(load):
     """Waits for a load generator and returns the figures that it printed."""
     output = load.communicate()[0]
@@ -61,8 +65,13 @@
         set_up_delay_ms=0,
         document=None,
         settings=None,
+        fault_links=False,
     ):
-        """`document` and `settings` hold keys that replace the defaults."""
+        """`document` and `settings` hold keys that replace the defaults.
+
+        With `fault_links` each instance reaches each backend server over a link
+        of its own, named "<instance>/<server>"; see set_faults().
+        """
         self.build = build
         self.folder = tempfile.mkdtemp(prefix="snipewalk-fleet-")
         self.processes = {}
@@ -80,6 +89,9 @@
         ports = free_ports(4 * instances)
         self.ports = [ports[4 * i : 4 * i + 4] for i in range(instances)]
         self.per_region = per_region or instances
+        self.links = {}
+        if fault_links:
+            self.start_fault_links()
         for i in range(instances):
             self.start(i)
 
@@ -113,6 +125,31 @@
             )
         return {"service": service, "servers": servers, **self.document_keys}
 
+    def start_fault_links(self):
+        targets = {
+            f"{name}/{entry['name']}": entry["address"]
+            for name in map(instance_name, self.instances())
+            for document in self.documents.values()
+            for entry in document["servers"]
+        }
+        links = ",".join(f"{name}={target}" for name, target in targets.items())
+        ready = self.standin("faults", "standin-faults", f"--links={links}")
+        self.faults_port = ready["port"]
+        self.links = {
+            name: (targets[name], f"127.0.0.1:{port}")
+            for name, port in ready["links"].items()
+        }
+
+    def set_faults(self, link, **faults):
+        """Faults of one link, or of all for "*": cut, delay_ms, drop_percent."""
+        self.inject("faults", {"link": link, **faults})
+
+    def inject(self, action, body):
+        status, text = http(
+            "POST", self.faults_port, f"/standin/{action}", json.dumps(body)
+        )
+        assert status == 200, text
+
     def put(self, service, document):
         status, text = http("GET", self.store, f"/v1/objects/services/{service}")
         headers = {"If-None-Match": "*"}
@@ -137,8 +174,12 @@
 
     def start(self, i):
         addresses = ["callers", "peers", "control", "admin"]
+        prefix = instance_name(i) + "/"
+        translation = dict(
+            pair for name, pair in self.links.items() if name.startswith(prefix)
+        )
         settings = {
-            "instance": f"instance{i + 1}",
+            "instance": instance_name(i),
             "data_centre": f"dc{i % 3 + 1}",
             "region": f"r{i // self.per_region + 1}",
             "addresses": {
@@ -149,6 +190,7 @@
             "seeds": [f"127.0.0.1:{p[2]}" for p in self.ports[:4]],
             "traffic": {"threads": 1},
             "shutdown": {"notice_ms": 100},
+            "address_translation": translation,
             **self.settings_keys,
         }
         path = os.path.join(self.folder, f"instance{i + 1}.json")
