--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/connection/connection_pool.h
@@ -4,6 +4,7 @@
 #ifndef SNIPEWALK_CONNECTION_CONNECTION_POOL_H_
 #define SNIPEWALK_CONNECTION_CONNECTION_POOL_H_
 
+#include "snipewalk/connection/half_closed_connections.h"
 #include "snipewalk/request/service_engine.h"
 
 #include <array>
@@ -25,12 +26,6 @@
 // A server at its connection limit accepts and closes at once. A connection
 // that closes this soon without a reply therefore counts as refused.
 inline constexpr milliseconds kUnprovenAge{ 1'000 };
-// A connection that was closed without a sign that the server noticed is
-// counted for this long; servers have to drop vanished clients earlier. When
-// they do not, holders compete for the last places: with 10 s and a server that
-// dropped none, reads and some writes stopped.
-inline constexpr milliseconds kHalfClosedHold{ 30'000 };
-
 enum class connection_use
 {
   None,
@@ -176,20 +171,12 @@
   std::optional<time_point> NextOpen() const;
 
 private:
-  struct half_closed_connection
-  {
-    connection_id mId = 0;
-    // Set by the next OpenMissing.
-    std::optional<time_point> mUntil;
-  };
-
   struct server_pool
   {
     server_endpoint mEndpoint;
     std::size_t mLimit = 0;
     std::size_t mReserve = 0;
-    // In the order in which they were closed.
-    std::vector<half_closed_connection> mHalfClosed;
+    half_closed_connections mHalfClosed;
     std::size_t mOpening = 0;
     std::size_t mCount = 0;
     std::array<std::size_t, kConnectionUses> mUses{};
--- a/src/connection/connection_pool.cpp
+++ b/src/connection/connection_pool.cpp
@@ -48,10 +48,9 @@
         lost.push_back(connection);
       }
     }
-    for (const auto& halfClosed : server.mHalfClosed) {
-      aActions.push_back(close_connection{ halfClosed.mId, false });
+    for (const auto id : server.mHalfClosed.TakeAll()) {
+      aActions.push_back(close_connection{ id, false });
     }
-    server.mHalfClosed.clear();
     server.mRefusals = 0;
     server.mOpenAfter = time_point{};
   }
@@ -127,17 +126,10 @@
                                   time_point aNow,
                                   std::vector<engine_action>& aActions)
 {
-  std::erase_if(aServer.mHalfClosed, [&](half_closed_connection& aEntry) {
-    if (!aEntry.mUntil) {
-      aEntry.mUntil = aNow + kHalfClosedHold;
-    }
-    if (*aEntry.mUntil > aNow) {
-      return false;
-    }
-    aActions.push_back(close_connection{ aEntry.mId, false });
+  for (const auto id : aServer.mHalfClosed.TakeExpired(aNow)) {
+    aActions.push_back(close_connection{ id, false });
     aServer.mAtLimit = true;
-    return true;
-  });
+  }
 }
 
 bool
@@ -284,7 +276,7 @@
   }
   const bool busy = connection->mPhase == connection_phase::Busy;
   if (busy) {
-    mServers[connection->mServer].mHalfClosed.push_back({ aId, std::nullopt });
+    mServers[connection->mServer].mHalfClosed.Add(aId);
   }
   aActions.push_back(close_connection{ aId, busy });
   Forget(aId);
@@ -294,9 +286,7 @@
 connection_pool::Ended(connection_id aId)
 {
   for (auto& server : mServers) {
-    std::erase_if(
-      server.mHalfClosed,
-      [&](const half_closed_connection& aEntry) { return aEntry.mId == aId; });
+    server.mHalfClosed.Ended(aId);
   }
 }
 
@@ -466,10 +456,9 @@
         server.mOpening == 0 && (!next || server.mOpenAfter < *next)) {
       next = server.mOpenAfter;
     }
-    for (const auto& halfClosed : server.mHalfClosed) {
-      if (halfClosed.mUntil && (!next || *halfClosed.mUntil < *next)) {
-        next = halfClosed.mUntil;
-      }
+    const auto expiry = server.mHalfClosed.NextExpiry();
+    if (expiry && (!next || *expiry < *next)) {
+      next = expiry;
     }
   }
   return next;
