Let the test of monotonic reads fail without the session's position

Cause: with the position of the token ignored (a trial on a scratch copy) SessionTest.NeverGoesBackBehindAnEarlierRead still passed: both replicas lagged by the same 200 ms, so that no read could go back.

Change: one replica lags by 2 s, the other does not, and the test waits until each instance holds a slot, so that each reads at the replica it prefers. The check is the same.

--- a/tests/integration/session_test.cpp
+++ b/tests/integration/session_test.cpp
@@ -46,13 +46,18 @@
 }
 
 // Guards against a read that goes back to older data than an earlier read of
-// the same session through another instance.
+// the same session through another instance. One replica lags far behind the
+// other, and each instance prefers the replica of its own data centre.
 TEST(SessionTest, NeverGoesBackBehindAnEarlierRead)
 {
-  system_options options;
-  options.mBackendArguments = { "--apply_lag_ms=200" };
-  const auto fleet = system_fleet::Start(options);
+  const auto fleet = system_fleet::Start({});
   ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string primary = (*fleet)->Primary(0);
+  ASSERT_TRUE(WaitFor([&] { return (*fleet)->SlotsInUse(0) == kInstances; }));
+  const auto& servers = (*fleet)->Group(0).Servers();
+  const std::size_t behind = servers[2].mName == primary ? 1 : 2;
+  ASSERT_TRUE(
+    (*fleet)->Group(0).SetFaults(behind, "{\"apply_lag_ms\":2000}").ok());
   std::string session;
   int newest = 0;
   for (int i = 1; i <= 10; ++i) {
