Send store calls by priority and back off by class

Cause: an instance sent its store calls in the order of submission, so an audit entry or a slot claim delayed the term write of a promotion. A refusal by the store (429) changed nothing in the order or rate of later calls.

Ruled out: a strict order without exceptions (a constant load of term writes would starve the audit trail); one adaptive rate for all classes (a refused audit entry would slow promotions down); watches above all others without a limit (while many objects change, each is answered at once, and they would use the whole rate).

Change: store_schedule holds the waiting calls in six classes under the instance's limit. A call that was not sent in time because of the rates is answered as rate limited instead of refused, as it is no evidence of an outage.

--- a/include/snipewalk/process/store_client.h
+++ b/include/snipewalk/process/store_client.h
@@ -69,6 +69,7 @@
   // The expected version is not the current one; mObjects holds the current.
   Conflict,
   NotFound,
+  // Not sent in time because of the rate limits, or refused by the store's.
   RateLimited,
   // Certain that a put did not take effect.
   Refused,
@@ -97,6 +98,33 @@
     { platform_instance_state::Leaving, "leaving" },
   } };
 
+// Class of a call, from highest to lowest: what is sent first while calls wait,
+// and what backs off least when the store refuses calls.
+enum class store_priority
+{
+  Watch,
+  // Changes of primary.
+  Terms,
+  // Documents, keys, slots of a service without a live holder, and a holder's
+  // questions about its own slots.
+  Urgent,
+  // Other slots.
+  Slots,
+  // The platform's list.
+  List,
+  // Audit trail and status.
+  Background
+};
+
+inline constexpr name_table<store_priority, 6> kStorePriorityNames{ {
+  { store_priority::Watch, "watch" },
+  { store_priority::Terms, "terms" },
+  { store_priority::Urgent, "urgent" },
+  { store_priority::Slots, "slots" },
+  { store_priority::List, "list" },
+  { store_priority::Background, "background" },
+} };
+
 struct platform_instance
 {
   std::string mName;
@@ -122,7 +150,9 @@
     std::function<void(const store_reply& aReply, time_point aNow)>;
 
   virtual ~store_client() = default;
-  virtual void Submit(store_request aRequest, reply_handler aOnReply) = 0;
+  virtual void Submit(store_request aRequest,
+                      store_priority aPriority,
+                      reply_handler aOnReply) = 0;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/process/store_http_client.h
+++ b/include/snipewalk/process/store_http_client.h
@@ -7,10 +7,11 @@
 #include "snipewalk/connection/http_codec.h"
 #include "snipewalk/connection/stream_connection.h"
 #include "snipewalk/process/store_client.h"
+#include "snipewalk/process/store_schedule.h"
 
 #include <cstdint>
-#include <deque>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -42,7 +43,9 @@
   store_http_client(const store_http_client&) = delete;
   store_http_client& operator=(const store_http_client&) = delete;
 
-  void Submit(store_request aRequest, reply_handler aOnReply) override;
+  void Submit(store_request aRequest,
+              store_priority aPriority,
+              reply_handler aOnReply) override;
 
   // Since when no call was answered although calls were made; nothing while
   // the store answers.
@@ -52,9 +55,8 @@
   struct call
   {
     store_request mRequest;
+    store_priority mPriority = store_priority::Background;
     reply_handler mOnReply;
-    // Latest time to be sent.
-    time_point mSendBy;
     // A read is repeated once when its connection breaks.
     bool mRepeated = false;
   };
@@ -76,7 +78,10 @@
 
   void Pump(time_point aNow);
   void SchedulePump(time_point aWhen);
-  bool TakeToken(time_point aNow);
+  // Adds a call to the schedule.
+  void Enqueue(call aCall, bool aFirst, time_point aNow);
+  call TakeWaiting(store_schedule::call_id aCall);
+  void ReplyExpired(time_point aNow);
   // An idle open connection, a new one, or the end when there can be none now.
   connection_entry FindConnection(time_point aNow);
   connection_entry OpenConnection();
@@ -100,12 +105,13 @@
   event_loop& mLoop;
   store_client_options mOptions;
   std::minstd_rand mRandom;
-  std::deque<call> mWaiting;
+  store_schedule mSchedule;
+  // Exactly the calls of the schedule.
+  std::map<store_schedule::call_id, call> mWaiting;
+  store_schedule::call_id mNextCall = 1;
   // List: handlers keep iterators.
   std::list<connection> mConnections;
   std::size_t mAddress = 0;
-  double mTokens = 0;
-  time_point mTokensAt;
   // No connection is opened before; grows with failures in a row.
   time_point mConnectAfter;
   milliseconds mBackoff{ 0 };
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -168,6 +168,7 @@
 {
   std::uint64_t mOperation = 0;
   store_request mRequest;
+  store_priority mPriority = store_priority::Slots;
 };
 
 struct send_slot_message
--- a/src/process/audit_trail.cpp
+++ b/src/process/audit_trail.cpp
@@ -208,6 +208,7 @@
 audit_trail::Submit(const std::string& aService, store_request aRequest)
 {
   mStore.Submit(std::move(aRequest),
+                store_priority::Background,
                 [this, aService, alive = std::weak_ptr<bool>(mAlive)](
                   const store_reply& aReply, time_point aNow) {
                   if (!alive.expired()) {
--- a/src/process/control_actions.cpp
+++ b/src/process/control_actions.cpp
@@ -89,6 +89,7 @@
 {
   Submit(
     aAction.mWatch,
+    store_priority::Watch,
     [this, kind = aAction.mKind](const store_reply& aReply, time_point aNow) {
       Give(dissemination_event(watch_answered{ kind, aReply }), aNow);
     });
@@ -118,6 +119,7 @@
 control_state::Do(const slot_store_call& aAction, time_point)
 {
   Submit(aAction.mRequest,
+         aAction.mPriority,
          [this, operation = aAction.mOperation](const store_reply& aReply,
                                                 time_point aNow) {
            Give(slot_event(slot_store_answered{ operation, aReply }), aNow);
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -41,6 +41,7 @@
   mKeysOutstanding = true;
   Submit(
     store_put{ key, EncodeSessionKeys(*keys), known ? known->mVersion : 0 },
+    store_priority::Urgent,
     [this](const store_reply& aReply, time_point aLater) {
       mKeysOutstanding = false;
       for (const auto& object : aReply.mObjects) {
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -242,6 +242,7 @@
   mListOutstanding = true;
   mListSchedule.OnAsked(aNow + ListInterval());
   Submit(store_list_instances{},
+         store_priority::List,
          [this](const store_reply& aReply, time_point aLater) {
            mListOutstanding = false;
            const bool failed = aReply.mStatus != store_status::Ok;
@@ -263,10 +264,12 @@
 
 void
 control_state::Submit(store_request aRequest,
+                      store_priority aPriority,
                       store_client::reply_handler aOnReply)
 {
   mStore->Submit(
     std::move(aRequest),
+    aPriority,
     [this, alive = std::weak_ptr<bool>(mAlive), reply = std::move(aOnReply)](
       const store_reply& aReply, time_point aNow) {
       if (!alive.expired()) {
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -107,7 +107,9 @@
   void Do(const record_learned&, time_point);
 
   // Notes whether the store answers before it passes the reply on.
-  void Submit(store_request aRequest, store_client::reply_handler aOnReply);
+  void Submit(store_request aRequest,
+              store_priority aPriority,
+              store_client::reply_handler aOnReply);
   void NoteStore(store_status aStatus, time_point aNow);
   void AskPlatformList(time_point aNow);
   milliseconds ListInterval() const;
--- a/src/process/service_controller_actions.cpp
+++ b/src/process/service_controller_actions.cpp
@@ -45,6 +45,7 @@
 {
   const bool isWrite = std::holds_alternative<store_put>(aRequest);
   mStore.Submit(std::move(aRequest),
+                store_priority::Terms,
                 [this, aCall, isWrite, alive = std::weak_ptr<bool>(mAlive)](
                   const store_reply& aReply, time_point aNow) {
                   if (!alive.expired()) {
--- a/src/process/service_controller_state.cpp
+++ b/src/process/service_controller_state.cpp
@@ -339,6 +339,7 @@
     mNextStatus = aNow;
   }
   mStore.Submit(std::move(request),
+                store_priority::Background,
                 [this, alive = std::weak_ptr<bool>(mAlive)](
                   const store_reply& aReply, time_point aThen) {
                   if (!alive.expired()) {
--- a/src/process/store_http_client.cpp
+++ b/src/process/store_http_client.cpp
@@ -33,8 +33,7 @@
   : mLoop(aLoop)
   , mOptions(std::move(aOptions))
   , mRandom(static_cast<std::minstd_rand::result_type>(mOptions.mSeed))
-  , mTokens(mOptions.mCallsPerSecond)
-  , mTokensAt(aLoop.Now())
+  , mSchedule(mOptions.mCallsPerSecond, mOptions.mSeed, aLoop.Now())
 {
 }
 
@@ -47,12 +46,11 @@
 }
 
 void
-store_http_client::Submit(store_request aRequest, reply_handler aOnReply)
+store_http_client::Submit(store_request aRequest,
+                          store_priority aPriority,
+                          reply_handler aOnReply)
 {
-  call next{ std::move(aRequest),
-             std::move(aOnReply),
-             mLoop.Now() + mOptions.mCallTimeout,
-             false };
+  call next{ std::move(aRequest), aPriority, std::move(aOnReply), false };
   if (mWaiting.size() >= mOptions.mMaxWaiting || mOptions.mAddresses.empty()) {
     mLoop.Post([this, next, alive = std::weak_ptr<bool>(mAlive)]() mutable {
       if (!alive.expired()) {
@@ -61,7 +59,7 @@
     });
     return;
   }
-  mWaiting.push_back(std::move(next));
+  Enqueue(std::move(next), false, mLoop.Now());
   if (!std::exchange(mPumpPosted, true)) {
     mLoop.Post([this, alive = std::weak_ptr<bool>(mAlive)] {
       if (!alive.expired()) {
@@ -73,24 +71,50 @@
 }
 
 void
-store_http_client::Pump(time_point aNow)
+store_http_client::Enqueue(call aCall, bool aFirst, time_point aNow)
 {
-  while (!mWaiting.empty()) {
-    if (aNow >= mWaiting.front().mSendBy) {
-      call late = std::move(mWaiting.front());
-      mWaiting.pop_front();
+  const auto id = mNextCall++;
+  mSchedule.Add(
+    id, aCall.mPriority, aFirst, aNow + mOptions.mCallTimeout, aNow);
+  mWaiting.emplace(id, std::move(aCall));
+}
+
+store_http_client::call
+store_http_client::TakeWaiting(store_schedule::call_id aCall)
+{
+  call taken = std::move(mWaiting.at(aCall));
+  mWaiting.erase(aCall);
+  return taken;
+}
+
+void
+store_http_client::ReplyExpired(time_point aNow)
+{
+  while (const auto expired = mSchedule.TakeExpired(aNow)) {
+    call late = TakeWaiting(*expired);
+    // A call that only the rate limits held says nothing about the store.
+    store_status status = store_status::RateLimited;
+    if (mFailingSince) {
+      status = store_status::Refused;
       NoteFailure(aNow);
-      Reply(late, { store_status::Refused, {}, 0, {} }, aNow);
-      continue;
     }
+    Reply(late, { status, {}, 0, {} }, aNow);
+  }
+}
+
+void
+store_http_client::Pump(time_point aNow)
+{
+  ReplyExpired(aNow);
+  while (!mWaiting.empty()) {
     const auto free = FindConnection(aNow);
-    if (free == mConnections.end() || !TakeToken(aNow)) {
+    const auto next =
+      free == mConnections.end() ? std::nullopt : mSchedule.TakeNext(aNow);
+    if (!next) {
       SchedulePump(aNow + kPumpInterval);
       return;
     }
-    call next = std::move(mWaiting.front());
-    mWaiting.pop_front();
-    Start(free, std::move(next), aNow);
+    Start(free, TakeWaiting(*next), aNow);
   }
 }
 
@@ -101,23 +125,6 @@
   mPumpTimer = mLoop.RunAt(aWhen, [this](time_point aNow) { Pump(aNow); });
 }
 
-bool
-store_http_client::TakeToken(time_point aNow)
-{
-  const double elapsed =
-    std::chrono::duration<double>(aNow - mTokensAt).count();
-  const double rate = mOptions.mCallsPerSecond;
-  // A tenth of a second of calls may come at once, at least one.
-  const double burst = std::max(1.0, rate / 10);
-  mTokens = std::min(burst, mTokens + elapsed * rate);
-  mTokensAt = aNow;
-  if (mTokens < 1) {
-    return false;
-  }
-  mTokens -= 1;
-  return true;
-}
-
 store_http_client::connection_entry
 store_http_client::FindConnection(time_point aNow)
 {
@@ -222,6 +229,9 @@
     mFailingSince.reset();
     mBackoff = milliseconds(0);
   }
+  if (reply.mStatus == store_status::RateLimited) {
+    mSchedule.OnRateLimited(done.mPriority, aNow);
+  }
   Reply(done, reply, aNow);
   Pump(aNow);
 }
@@ -257,8 +267,7 @@
   if (repeat) {
     // The store may close an idle connection at any time.
     failed->mRepeated = true;
-    failed->mSendBy = aNow + mOptions.mCallTimeout;
-    mWaiting.push_front(*std::move(failed));
+    Enqueue(*std::move(failed), true, aNow);
     Pump(aNow);
     return;
   }
--- a/tests/process/audit_trail_test.cpp
+++ b/tests/process/audit_trail_test.cpp
@@ -12,7 +12,9 @@
 class memory_store : public store_client
 {
 public:
-  void Submit(store_request aRequest, reply_handler aOnReply) override
+  void Submit(store_request aRequest,
+              store_priority,
+              reply_handler aOnReply) override
   {
     mCalls.emplace_back(std::move(aRequest), std::move(aOnReply));
   }
--- a/tests/process/store_http_client_test.cpp
+++ b/tests/process/store_http_client_test.cpp
@@ -37,6 +37,7 @@
         return;
       }
       aClient.Submit(aRequests[replies.size()],
+                     store_priority::Terms,
                      [&](const store_reply& aReply, time_point) {
                        replies.push_back(aReply);
                        next();
@@ -124,6 +125,7 @@
   int answered = 0;
   for (int i = 0; i < 500; ++i) {
     client.Submit(store_get{ mKey },
+                  store_priority::Terms,
                   [&](const store_reply& aReply, time_point) {
                     answered += aReply.mStatus == store_status::NotFound;
                   });
