Order candidates for a slot by failure domain and load

Cause: the rendezvous order ignored data centres and the number of held slots, so all holders of a service could be in one data centre, and each claimant hashed the name of every member again for each service.

Change: placement_index orders candidates by data centre without a live holder, data centre and region of the active backend servers, level of held slots and rendezvous score. membership_fleet keeps it for a second.

--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -51,6 +51,7 @@
 #include "snipewalk/process/store_client.h"
 #include "snipewalk/version/service_view.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -83,7 +84,7 @@
   virtual holder_liveness Liveness(
     const slot_record::holder& aHolder) const = 0;
   // Number of live instances, without those in `aExcluded`, that precede this
-  // one in the service's rendezvous order.
+  // one in the order of candidates (slot_placement.h).
   virtual std::size_t Rank(const std::string& aService,
                            const std::vector<std::string>& aExcluded) const = 0;
   // Control address; empty when unknown.
@@ -115,6 +116,8 @@
   int mSlots = 0;
   int mConnections = 0;
   std::uint64_t mDocumentVersion = 0;
+  // Data centres of the service's backend servers.
+  std::vector<std::string> mServerDataCentres{};
 };
 
 // A version of `slots/<service>`; older versions are ignored.
@@ -228,6 +231,12 @@
   const slot_record* Record(const std::string& aService) const;
   // Slots held, with or without authority.
   std::size_t HeldCount() const;
+  // Slots held plus claims that the store has not answered yet.
+  std::size_t Load() const;
+  // Slots that the records known here give to an instance.
+  std::size_t HeldBy(const std::string& aInstance) const;
+  // Of the backend servers; empty for an unknown service.
+  std::vector<std::string> ServerDataCentres(const std::string& aService) const;
   // True once no slot is held; meaningful after slots_released.
   bool IsReleased() const { return HeldCount() == 0; }
   // Whether the platform's list may decide about a holder believed dead.
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -126,10 +126,17 @@
   service.mInvalid.clear();
   service.mVersion = object->mVersion;
   service.mDocument = std::move(document);
+  std::vector<std::string> dataCentres;
+  for (const auto& server : service.mDocument->mServers) {
+    if (server.mState == server_state::Active) {
+      dataCentres.push_back(server.mDataCentre);
+    }
+  }
   Give(slot_event(slots_configured{ aName,
                                     service.mDocument->mSlots,
                                     service.mDocument->mConnectionsPerServer,
-                                    service.mVersion }),
+                                    service.mVersion,
+                                    std::move(dataCentres) }),
        aNow);
   MarkChanged(aName);
 }
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -147,6 +147,7 @@
       })
   , mRandom(mOptions.mSeed + 4)
 {
+  mFleet.SetSlots(mSlots);
 }
 
 control_state::~control_state() = default;
--- a/src/process/membership_fleet.cpp
+++ b/src/process/membership_fleet.cpp
@@ -1,22 +1,8 @@
 // Implementation of the fleet as slot assignment sees it.
 #include "membership_fleet.h"
 
-#include <xxhash.h>
-
-#include <algorithm>
-
 namespace snipewalk {
 
-namespace {
-
-std::uint64_t
-RendezvousHash(std::uint64_t aServiceHash, const std::string& aInstance)
-{
-  return XXH64(aInstance.data(), aInstance.size(), aServiceHash);
-}
-
-} // namespace
-
 holder_liveness
 membership_fleet::Liveness(const slot_record::holder& aHolder) const
 {
@@ -50,6 +36,7 @@
 std::vector<std::string>
 membership_fleet::Tick(time_point aNow, milliseconds aLag)
 {
+  mIndex.reset();
   std::vector<std::string> changed;
   for (auto next = mStrangers.begin(); next != mStrangers.end();) {
     const std::string& name = next->first.first;
@@ -71,23 +58,50 @@
   return changed;
 }
 
-std::size_t
-membership_fleet::Rank(const std::string& aService,
-                       const std::vector<std::string>& aExcluded) const
+const placement_index&
+membership_fleet::Index() const
 {
-  const std::uint64_t service = XXH64(aService.data(), aService.size(), 5);
-  const std::uint64_t own = RendezvousHash(service, mMembership.Self().mName);
-  std::size_t rank = 0;
+  if (mIndex && mIndexed == mMembership.LiveCount()) {
+    return *mIndex;
+  }
+  mIndexed = mMembership.LiveCount();
+  std::vector<placement_member> live;
+  live.reserve(mIndexed);
+  const auto add = [&](const member_info& aInfo) {
+    live.push_back({ aInfo.mName,
+                     aInfo.mDataCentre,
+                     aInfo.mRegion,
+                     mSlots == nullptr ? 0 : mSlots->HeldBy(aInfo.mName) });
+  };
+  add(mMembership.Self());
   for (const auto& member : mMembership.Members()) {
-    const bool live = member.mInfo.mState == member_state::Alive ||
-                      member.mInfo.mState == member_state::Suspect;
-    if (live && RendezvousHash(service, member.mInfo.mName) > own &&
-        std::find(aExcluded.begin(), aExcluded.end(), member.mInfo.mName) ==
-          aExcluded.end()) {
-      ++rank;
+    if (member.mInfo.mState == member_state::Alive ||
+        member.mInfo.mState == member_state::Suspect) {
+      add(member.mInfo);
     }
   }
-  return rank;
+  mIndex = std::make_unique<placement_index>(live);
+  return *mIndex;
+}
+
+placement_question
+membership_fleet::Question(const std::string& aService,
+                           std::vector<std::string> aHolders) const
+{
+  placement_question question{ aService, {}, std::move(aHolders) };
+  if (mSlots != nullptr) {
+    question.mServerDataCentres = mSlots->ServerDataCentres(aService);
+  }
+  return question;
+}
+
+std::size_t
+membership_fleet::Rank(const std::string& aService,
+                       const std::vector<std::string>& aExcluded) const
+{
+  return Index().Rank(Question(aService, aExcluded),
+                      mMembership.Self().mName,
+                      mSlots == nullptr ? 0 : mSlots->Load());
 }
 
 std::string
--- a/src/process/membership_fleet.h
+++ b/src/process/membership_fleet.h
@@ -4,9 +4,11 @@
 
 #include "snipewalk/process/membership.h"
 #include "snipewalk/version/slot_assignment.h"
+#include "snipewalk/version/slot_placement.h"
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -26,6 +28,9 @@
   holder_liveness Liveness(const slot_record::holder& aHolder) const override;
   std::size_t Rank(const std::string& aService,
                    const std::vector<std::string>& aExcluded) const override;
+  // Held slots and the services' data centres are taken from `aSlots`, which
+  // outlives this object; without it all instances count as equally loaded.
+  void SetSlots(const slot_assignment& aSlots) { mSlots = &aSlots; }
   std::string AddressOf(const std::string& aInstance) const override;
 
   // Call about once a second: holders that neither the membership nor the
@@ -41,7 +46,17 @@
     bool mGone = false;
   };
 
+  // The index of live members, at most about a second old. It is rebuilt on
+  // demand only: most instances claim nothing most of the time.
+  const placement_index& Index() const;
+  placement_question Question(const std::string& aService,
+                              std::vector<std::string> aHolders) const;
+
   const membership& mMembership;
+  const slot_assignment* mSlots = nullptr;
+  mutable std::unique_ptr<placement_index> mIndex;
+  // Live members when the index was built.
+  mutable std::size_t mIndexed = 0;
   // Holders asked about that the membership does not know.
   mutable std::map<std::pair<std::string, std::uint64_t>, stranger> mStrangers;
 };
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -158,6 +158,7 @@
   service.mDocument = aEvent.mDocumentVersion;
   service.mSlots = aEvent.mSlots;
   service.mConnections = aEvent.mConnections;
+  service.mServerDataCentres = aEvent.mServerDataCentres;
   // Shrinks before anybody is told of the new version.
   if (service.mSlot) {
     SetShare(
--- /dev/null
+++ b/src/version/slot_placement.cpp
@@ -0,0 +1,192 @@
+// Implementation of slot placement.
+#include "snipewalk/version/slot_placement.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr double kFewSlots = 3;
+constexpr double kMargin = 2;
+// Bits of a place, the first rule being the most significant one.
+constexpr std::size_t kSharesCentre = 4;
+constexpr std::size_t kNoServer = 2;
+constexpr std::size_t kOtherRegion = 1;
+
+std::uint64_t
+NameHash(std::string_view aName)
+{
+  return XXH64(aName.data(), aName.size(), 5);
+}
+
+// The finalizer of SplitMix64: a rendezvous score without hashing the name of
+// each member again.
+std::uint64_t
+Score(std::uint64_t aService, std::uint64_t aMember)
+{
+  std::uint64_t mixed = aService ^ aMember;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31U);
+}
+
+} // namespace
+
+slot_load
+LoadOf(std::size_t aHeld, double aMean)
+{
+  const auto held = static_cast<double>(aHeld);
+  const double usual = std::max(aMean, kFewSlots);
+  if (held + kMargin <= aMean) {
+    return slot_load::Low;
+  }
+  if (held <= usual) {
+    return slot_load::Normal;
+  }
+  return held <= usual + std::max(kMargin, usual / 2) ? slot_load::High
+                                                      : slot_load::Excessive;
+}
+
+placement_index::placement_index(const std::vector<placement_member>& aMembers)
+{
+  std::size_t held = 0;
+  for (const auto& each : aMembers) {
+    held += each.mHeld;
+  }
+  mMean = static_cast<double>(held) /
+          static_cast<double>(std::max<std::size_t>(1, aMembers.size()));
+  mMembers.reserve(aMembers.size());
+  for (const auto& each : aMembers) {
+    auto known = mCentreByName.find(each.mDataCentre);
+    if (known == mCentreByName.end()) {
+      known = mCentreByName.emplace(each.mDataCentre, mCentres.size()).first;
+      mCentres.push_back({ std::string(each.mRegion), {} });
+    }
+    const member added{ NameHash(each.mName),
+                        known->second,
+                        LoadOf(each.mHeld, mMean) };
+    if (mMembers.try_emplace(added.mHash, added).second) {
+      mCentres[added.mCentre]
+        .mMembers[static_cast<std::size_t>(added.mLoad)]
+        .push_back(added.mHash);
+    }
+  }
+}
+
+const placement_index::member*
+placement_index::Find(const std::string& aName) const
+{
+  const auto found = mMembers.find(NameHash(aName));
+  return found == mMembers.end() ? nullptr : &found->second;
+}
+
+std::vector<std::size_t>
+placement_index::Places(const placement_question& aQuestion,
+                        const std::vector<const member*>& aHolders) const
+{
+  std::vector<std::size_t> places(mCentres.size(), kNoServer | kOtherRegion);
+  for (const auto& name : aQuestion.mServerDataCentres) {
+    const auto found = mCentreByName.find(name);
+    if (found == mCentreByName.end()) {
+      continue;
+    }
+    const std::string& region = mCentres[found->second].mRegion;
+    for (std::size_t i = 0; i < mCentres.size(); ++i) {
+      if (mCentres[i].mRegion == region) {
+        places[i] &= ~kOtherRegion;
+      }
+    }
+    places[found->second] &= ~kNoServer;
+  }
+  for (const member* holder : aHolders) {
+    places[holder->mCentre] |= kSharesCentre;
+  }
+  return places;
+}
+
+placement_index::group_sizes
+placement_index::CountGroups(const std::vector<std::size_t>& aPlaces,
+                             const std::vector<const member*>& aHolders) const
+{
+  group_sizes sizes{};
+  for (std::size_t i = 0; i < mCentres.size(); ++i) {
+    for (std::size_t load = 0; load < kLoads; ++load) {
+      sizes[aPlaces[i] * kLoads + load] += mCentres[i].mMembers[load].size();
+    }
+  }
+  for (const member* holder : aHolders) {
+    --sizes[aPlaces[holder->mCentre] * kLoads +
+            static_cast<std::size_t>(holder->mLoad)];
+  }
+  return sizes;
+}
+
+std::size_t
+placement_index::RankAmongEquals(const placement_question& aQuestion,
+                                 const std::vector<const member*>& aHolders,
+                                 const std::vector<std::size_t>& aPlaces,
+                                 const member& aSelf,
+                                 std::size_t aSize) const
+{
+  const std::uint64_t service = NameHash(aQuestion.mService);
+  const std::uint64_t own = Score(service, aSelf.mHash);
+  std::size_t rank = 0;
+  for (std::size_t i = 0; i < mCentres.size(); ++i) {
+    if (aPlaces[i] != aPlaces[aSelf.mCentre]) {
+      continue;
+    }
+    for (const auto hash :
+         mCentres[i].mMembers[static_cast<std::size_t>(aSelf.mLoad)]) {
+      if (Score(service, hash) <= own ||
+          std::any_of(aHolders.begin(), aHolders.end(), [&](const auto* aEach) {
+            return aEach->mHash == hash;
+          })) {
+        continue;
+      }
+      if (++rank == kExactRanks) {
+        // Scores are uniform, so the own one tells how many are above it.
+        const double above = 1 - static_cast<double>(own) * 0x1p-64;
+        return std::max(
+          rank, static_cast<std::size_t>(static_cast<double>(aSize) * above));
+      }
+    }
+  }
+  return rank;
+}
+
+std::size_t
+placement_index::Rank(const placement_question& aQuestion,
+                      const std::string& aSelf,
+                      std::size_t aHeld) const
+{
+  const member* known = Find(aSelf);
+  if (known == nullptr) {
+    return 0;
+  }
+  std::vector<const member*> holders;
+  for (const auto& name : aQuestion.mHolders) {
+    const member* holder = Find(name);
+    if (holder != nullptr && holder != known &&
+        std::find(holders.begin(), holders.end(), holder) == holders.end()) {
+      holders.push_back(holder);
+    }
+  }
+  member self = *known;
+  self.mLoad = LoadOf(aHeld, mMean);
+  const std::vector<std::size_t> places = Places(aQuestion, holders);
+  std::vector<const member*> excluded = holders;
+  excluded.push_back(known);
+  const group_sizes sizes = CountGroups(places, excluded);
+  const std::size_t group =
+    places[self.mCentre] * kLoads + static_cast<std::size_t>(self.mLoad);
+  std::size_t rank = 0;
+  for (std::size_t i = 0; i < group; ++i) {
+    rank += std::min(sizes[i], kGroupLead);
+  }
+  return rank + RankAmongEquals(aQuestion, holders, places, self, sizes[group]);
+}
+
+} // namespace snipewalk
--- a/src/version/slot_service.h
+++ b/src/version/slot_service.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace snipewalk {
 
@@ -48,6 +49,7 @@
   int mSlots = 0;
   int mConnections = 0;
   std::uint64_t mDocument = 0;
+  std::vector<std::string> mServerDataCentres;
   int mShare = 0;
 
   slot_record mRecord;
--- /dev/null
+++ b/tests/version/slot_placement_test.cpp
@@ -0,0 +1,154 @@
+// Tests of slot placement.
+#include "snipewalk/version/slot_placement.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace snipewalk {
+namespace {
+
+struct place
+{
+  std::string mName;
+  std::string mDataCentre;
+  std::string mRegion;
+  std::size_t mHeld = 0;
+};
+
+class fleet
+{
+public:
+  // Data centre "c<i % aCentres>", two data centres a region.
+  fleet(std::size_t aCount, std::size_t aCentres, std::size_t aHeld)
+  {
+    for (std::size_t i = 0; i < aCount; ++i) {
+      const std::size_t centre = i % aCentres;
+      mPlaces.push_back({ "i" + std::to_string(i),
+                          "c" + std::to_string(centre),
+                          "r" + std::to_string(centre / 2),
+                          aHeld });
+    }
+  }
+  placement_index Index() const
+  {
+    std::vector<placement_member> members;
+    for (const auto& each : mPlaces) {
+      members.push_back(
+        { each.mName, each.mDataCentre, each.mRegion, each.mHeld });
+    }
+    return placement_index(members);
+  }
+  // The candidate of each rank that is not a holder.
+  std::multimap<std::size_t, place> Order(const placement_question& aQuestion)
+  {
+    const placement_index index = Index();
+    std::multimap<std::size_t, place> order;
+    for (const auto& each : mPlaces) {
+      const auto& holders = aQuestion.mHolders;
+      if (std::find(holders.begin(), holders.end(), each.mName) ==
+          holders.end()) {
+        order.emplace(index.Rank(aQuestion, each.mName, each.mHeld), each);
+      }
+    }
+    return order;
+  }
+
+  std::vector<place> mPlaces;
+};
+
+// Lowest rank in a data centre.
+std::size_t
+FirstIn(const std::multimap<std::size_t, place>& aOrder,
+        const std::string& aDataCentre)
+{
+  for (const auto& [rank, candidate] : aOrder) {
+    if (candidate.mDataCentre == aDataCentre) {
+      return rank;
+    }
+  }
+  return aOrder.size();
+}
+
+// Guards against all holders of a service in one data centre while others have
+// live instances.
+TEST(SlotPlacementTest, PrefersDataCentresWithoutHolderOverTheServers)
+{
+  fleet some(12, 4, 3);
+  // Instances 1 and 5 are in c1, the data centre of the servers.
+  auto order = some.Order({ "ledger", { "c1" }, { "i1", "" } });
+  EXPECT_EQ(FirstIn(order, "c0"), 0U);
+  const std::size_t others =
+    std::min(FirstIn(order, "c2"), FirstIn(order, "c3"));
+  EXPECT_EQ(others, placement_index::kGroupLead);
+  EXPECT_EQ(FirstIn(order, "c1"), 2 * placement_index::kGroupLead);
+}
+
+// Guards against holders far away from the backend servers.
+TEST(SlotPlacementTest, PrefersTheServersDataCentreThenTheirRegion)
+{
+  fleet some(12, 6, 3);
+  auto order = some.Order({ "ledger", { "c2" }, {} });
+  EXPECT_EQ(order.begin()->second.mDataCentre, "c2");
+  order = some.Order({ "ledger", { "c2" }, { "i2" } });
+  EXPECT_EQ(order.begin()->second.mDataCentre, "c3");
+}
+
+// Guards against an instance that started last and stays without slots.
+TEST(SlotPlacementTest, PrefersFewerHeldSlotsWithinAPlace)
+{
+  fleet some(9, 1, 6);
+  some.mPlaces[4].mHeld = 0;
+  some.mPlaces[5].mHeld = 20;
+  for (int service = 0; service < 20; ++service) {
+    auto order = some.Order({ std::to_string(service), {}, {} });
+    EXPECT_EQ(order.begin()->second.mName, "i4");
+    for (const auto& [rank, candidate] : order) {
+      EXPECT_EQ(rank == 1 + placement_index::kGroupLead &&
+                  candidate.mName == "i5",
+                candidate.mHeld == 20);
+    }
+  }
+}
+
+// Guards against slots moved or claims delayed for small differences.
+TEST(SlotPlacementTest, ComparesHeldSlotsCoarsely)
+{
+  EXPECT_EQ(LoadOf(0, 1), slot_load::Normal);
+  EXPECT_EQ(LoadOf(3, 1), slot_load::Normal);
+  EXPECT_EQ(LoadOf(5, 3), slot_load::High);
+  EXPECT_EQ(LoadOf(6, 3), slot_load::Excessive);
+  EXPECT_EQ(LoadOf(1, 3.9), slot_load::Low);
+  EXPECT_EQ(LoadOf(15, 10), slot_load::High);
+  EXPECT_EQ(LoadOf(16, 10), slot_load::Excessive);
+}
+
+// Guards against two instances of the same rank in a group of equals, and
+// against an estimate for lower ranks that puts them before the exact ones.
+TEST(SlotPlacementTest, RanksOfEqualsAreExactFirst)
+{
+  fleet some(400, 4, 3);
+  auto order = some.Order({ "ledger", {}, {} });
+  std::size_t expected = 0;
+  for (const auto& [rank, candidate] : order) {
+    if (expected < placement_index::kExactRanks) {
+      EXPECT_EQ(rank, expected) << candidate.mName;
+    }
+    ++expected;
+    EXPECT_LT(rank, 400U);
+  }
+  EXPECT_EQ(expected, 400U);
+}
+
+// Guards against a preferred data centre that cannot reach the store and keeps
+// all others waiting for as many steps as it has instances.
+TEST(SlotPlacementTest, APreferredGroupDelaysTheNextOneByFewRanks)
+{
+  fleet some(400, 2, 3);
+  auto order = some.Order({ "ledger", { "c0" }, {} });
+  EXPECT_EQ(FirstIn(order, "c1"), placement_index::kGroupLead);
+}
+
+} // namespace
+} // namespace snipewalk
