Negotiate the protocol version between instances

Cause: messages between instances were arrays of fixed length without a version, so that no message could change while old and new instances run side by side.

Ruled out: a range as an additional field of the hellos with a retry without it after a refusal. The version 1 decoder of the peer port refuses additional fields, the one of the control port misreads them (msgpack's tuple conversion takes fields from the end of the array). The retry costs a connection, and whoever breaks a connection forces version 1.

The nonces of both handshakes state the range, which version 1 accepts unchanged and the proofs cover. Datagrams of version 2 end with their version, member entries with the member's range; in version 1 the sender's range is in the unused target field. Decoders ignore up to 16 additional fields. membership::FleetSupports() gates the sender's range in datagrams.

By calculation a nonce of the peer port that states a range is one byte shorter.

Handshake messages, by reading the sequence: peer port 3 (hello, challenge, proof), control port 3 (nonce, hello, proof), before and after.

--- a/include/snipewalk/connection/peer_link.h
+++ b/include/snipewalk/connection/peer_link.h
@@ -3,6 +3,8 @@
 #ifndef SNIPEWALK_CONNECTION_PEER_LINK_H_
 #define SNIPEWALK_CONNECTION_PEER_LINK_H_
 
+#include "snipewalk/base/log.h"
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/peer_messages.h"
@@ -29,6 +31,7 @@
   std::string mInstance;
   // All verify, the first signs. At least one.
   std::vector<std::string> mFleetKeys;
+  version_range mVersions = kBuildVersions;
 };
 
 // Loop thread only. A handler must not destroy the link before it returned:
@@ -77,6 +80,8 @@
   bool IsClosed() const { return mPhase == phase::Closed; }
   // Name of the peer; empty before it is proven.
   const std::string& Peer() const { return mPeer; }
+  // Highest version that both ends support; 0 before the link is ready.
+  int Version() const { return mVersion; }
 
 private:
   enum class phase
@@ -104,10 +109,14 @@
   void OnHello(const peer_hello& aHello, time_point aNow);
   void OnChallenge(const peer_challenge& aChallenge, time_point aNow);
   void OnProof(const peer_proof& aProof, time_point aNow);
+  // Refuses a peer without a common version. Call once its proof is verified.
+  void Negotiate(std::string_view aPeerNonce, time_point aNow);
   void BecomeReady(time_point aNow);
   void OnTimer(time_point aNow);
   void Arm(time_point aWhen);
-  void Fail(std::string_view aCause, time_point aNow);
+  void Fail(std::string_view aCause,
+            time_point aNow,
+            log_level aLevel = log_level::Info);
 
   event_loop& mLoop;
   peer_identity mIdentity;
@@ -120,6 +129,7 @@
   peer_hello mHello;
   // Nonce of the accepting side.
   std::string mNonce;
+  int mVersion = 0;
   time_point mLastInput;
   time_point mLastOutput;
   // Frames collected in this round.
--- a/include/snipewalk/connection/peer_messages.h
+++ b/include/snipewalk/connection/peer_messages.h
@@ -1,11 +1,17 @@
 // Messages between instances on the peer port, in msgpack. Deadlines travel as
 // remaining milliseconds, because clocks differ between instances.
+//
+// All messages of the versions 1 and 2 have the same fields; the nonces of the
+// handshake state the range of versions, and decoders of version 2 ignore
+// additional fields.
 #ifndef SNIPEWALK_CONNECTION_PEER_MESSAGES_H_
 #define SNIPEWALK_CONNECTION_PEER_MESSAGES_H_
 
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/request/statement.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -54,7 +60,8 @@
 std::string
 EncodePeerMessage(const peer_message& aMessage, time_point aNow);
 
-// Errors: InvalidArgument for bytes that are not exactly one valid message.
+// Fields after the known ones are ignored. Errors: InvalidArgument for bytes
+// that are not exactly one valid message.
 absl::StatusOr<peer_message>
 DecodePeerMessage(std::string_view aPayload, time_point aNow);
 
@@ -74,9 +81,17 @@
                std::string_view aAcceptingInstance,
                std::string_view aAcceptingNonce);
 
-// 16 random bytes from the system.
+// Random bytes from the system. An instance that supports version 1 only has
+// nonces of 16 bytes. Others have 15, of which the first two are the range, and
+// 104 bits are random: version 1 accepts nonces of up to 16 bytes but no
+// additional field in the hello, and the proofs cover the nonces, so that no
+// third party can change the range.
 std::string
-MakeNonce();
+MakeNonce(const version_range& aVersions);
+
+// The range that a nonce states; nothing when it is invalid.
+std::optional<version_range>
+VersionsOfNonce(std::string_view aNonce);
 
 } // namespace snipewalk
 
--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -79,6 +79,9 @@
   // All members, this instance first.
   std::vector<member_info> mMembers;
   std::size_t mLiveMembers = 0;
+  version_range mVersions;
+  // Highest version that all live members support; 0 when there is none.
+  int mFleetVersion = 0;
   // Newest revision of the service documents that is complete here.
   std::uint64_t mRevision = 0;
   // The same for each kind, in the order of kObjectKinds.
--- a/include/snipewalk/process/control_port.h
+++ b/include/snipewalk/process/control_port.h
@@ -5,6 +5,7 @@
 #ifndef SNIPEWALK_PROCESS_CONTROL_PORT_H_
 #define SNIPEWALK_PROCESS_CONTROL_PORT_H_
 
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/process/fleet_messages.h"
@@ -44,6 +45,7 @@
   std::string mAddress;
   // The first key signs, all verify.
   std::vector<std::string> mKeys;
+  version_range mVersions = kBuildVersions;
   // Connections without traffic are closed after this time.
   milliseconds mIdleTime{ 30'000 };
   milliseconds mHandshakeTime{ 3'000 };
@@ -80,7 +82,10 @@
   void SetKeys(std::vector<std::string> aKeys);
 
   // Lost without notice when the address is malformed or the network full.
-  void SendDatagram(const std::string& aTo, const datagram_body& aBody);
+  // `aVersion` is one that the receiver supports.
+  void SendDatagram(const std::string& aTo,
+                    const datagram_body& aBody,
+                    int aVersion);
   // Sends over a connection that is opened on demand; lost when that fails.
   void Send(const std::string& aTo, const fleet_message& aMessage);
   // Sends over the connection on which a message arrived, if it still exists.
@@ -99,6 +104,10 @@
   void OnDatagram(const std::string& aFrom,
                   std::string_view aBytes,
                   time_point aNow);
+  // Reports a datagram of the fleet whose version is not supported.
+  void NoteRejected(const std::string& aFrom,
+                    std::string_view aBytes,
+                    time_point aNow);
   void OnAccept(time_point aNow);
   void CloseOldestOutgoing();
   // Closes the link after the present callback returned.
@@ -115,6 +124,7 @@
   std::map<std::string, link_id> mOutgoing;
   link_id mNextLink = 1;
   control_port_counters mCounters;
+  time_point mNextVersionReport;
   // Expires with the port; guards tasks posted to the loop.
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/include/snipewalk/process/fleet_messages.h
+++ b/include/snipewalk/process/fleet_messages.h
@@ -9,6 +9,7 @@
 #include "snipewalk/version/service_view.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
   // Suspicions, deaths and departures leave data centre, region and
   // addresses empty.
   std::vector<member_info> mUpdates;
+  // The sender's versions; left out where the receiver knows them.
+  std::optional<version_range> mVersions;
 };
 
 enum class slot_message_kind
--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/process/membership.h
@@ -101,6 +101,8 @@
 {
   std::string mTo;
   membership_message mMessage;
+  // One that the receiver supports.
+  int mVersion = kOldestProtocolVersion;
 };
 
 struct member_changed
@@ -183,6 +185,15 @@
   // Whether the newest list of the platform named the instance; nothing before
   // the first list.
   std::optional<bool> IsListed(const std::string& aName) const;
+  // Version for a datagram to a control address: the highest that this instance
+  // and the member there support, or this instance's lowest when the member is
+  // unknown.
+  int VersionAt(const std::string& aAddress) const;
+  // Whether this instance and each live member support the version. A feature
+  // that changes the behaviour of the whole fleet asks for it.
+  bool FleetSupports(int aVersion) const;
+  // Highest version that the fleet supports; 0 when there is none.
+  int FleetVersion() const { return mFleetVersion; }
   // When an answer or probe of any peer last arrived.
   time_point LastContact() const { return mLastContact; }
 
@@ -232,6 +243,15 @@
                 actions& aActions);
   void Forget(const std::string& aName);
 
+  // Takes over an update of a live member. The versions do not change in a
+  // life: an update that passed through an instance of version 1 lacks them.
+  void TakePlace(member_info& aKnown, const member_info& aUpdate);
+  void LearnVersions(const std::string& aName,
+                     std::uint64_t aIncarnation,
+                     const version_range& aVersions,
+                     actions& aActions);
+  void UpdateFleetVersion();
+
   void HandlePause(time_point aNow);
   void ExpireDeadlines(time_point aNow, actions& aActions);
   void FinishProbe(time_point aNow, actions& aActions);
@@ -264,6 +284,11 @@
   // XOR over live members, this instance included.
   std::uint64_t mDigest = 0;
 
+  // Versions of the members by control address.
+  absl::flat_hash_map<std::string, version_range> mVersionsAt;
+  int mFleetVersion = 0;
+  bool mFleetVersionChanged = true;
+
   // Names to probe in this round, in random order.
   std::vector<std::string> mRound;
   std::optional<probe> mProbe;
--- a/include/snipewalk/process/settings.h
+++ b/include/snipewalk/process/settings.h
@@ -4,6 +4,7 @@
 
 #include "snipewalk/base/findings.h"
 #include "snipewalk/base/log.h"
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/process/tls_files.h"
 
@@ -66,6 +67,9 @@
   milliseconds mShutdownNotice{ 3'000 };
   milliseconds mShutdownTransactionLimit{ 30'000 };
 
+  // Highest version of the messages between instances that is used.
+  int mProtocolVersionLimit = kNewestProtocolVersion;
+
   log_settings mLogs;
 };
 
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/process/traffic_thread.h
@@ -39,6 +39,7 @@
   // Authenticate peers: all verify, the first signs. An empty key is allowed
   // only where all addresses are loopback ones.
   std::vector<std::string> mFleetKeys{ "" };
+  version_range mVersions = kBuildVersions;
   // "IP:port"; port 0 lets the system choose.
   std::string mCallerAddress = "127.0.0.1:0";
   std::string mPeerAddress = "127.0.0.1:0";
--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/version/service_view.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_VERSION_SERVICE_VIEW_H_
 #define SNIPEWALK_VERSION_SERVICE_VIEW_H_
 
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/version/service_document.h"
 
 #include <cstdint>
@@ -104,6 +105,8 @@
   std::string mPeerAddress;
   std::string mControlAddress;
   member_state mState = member_state::Alive;
+  // Versions of the messages between instances that it supports.
+  version_range mVersions = {};
 };
 
 struct session_key
--- a/src/connection/peer_decoding.cpp
+++ b/src/connection/peer_decoding.cpp
@@ -97,8 +97,12 @@
     }
   }
 
-  // True when all fields were valid and none is left.
-  bool IsComplete() const { return mValid && mNext == mFields.size; }
+  // True when all known fields were valid. Later versions add fields at the
+  // end.
+  bool IsComplete() const
+  {
+    return mValid && mFields.size - mNext <= kMaxExtraFields;
+  }
 
 private:
   const msgpack::object* Next(msgpack::type::object_type aType)
--- a/src/connection/peer_limits.h
+++ b/src/connection/peer_limits.h
@@ -10,8 +10,12 @@
 namespace snipewalk {
 
 inline constexpr std::size_t kNonceBytes = 16;
-// Fields of the longest message, and depth of the only array.
-inline constexpr std::size_t kFieldLimit = 16;
+// Length of a nonce that starts with a range of versions; version 1 sends none
+// of this length.
+inline constexpr std::size_t kRangeNonceBytes = 15;
+// Fields of the longest message, of later versions too, and depth of the array
+// and of an array in a later field.
+inline constexpr std::size_t kFieldLimit = 32;
 inline constexpr std::size_t kDepthLimit = 2;
 inline constexpr std::size_t kInstanceLimitBytes = 64;
 // Ids grow by a suffix at each forwarding attempt.
--- a/src/connection/peer_link.cpp
+++ b/src/connection/peer_link.cpp
@@ -107,13 +107,13 @@
 }
 
 void
-peer_link::Fail(std::string_view aCause, time_point aNow)
+peer_link::Fail(std::string_view aCause, time_point aNow, log_level aLevel)
 {
   if (mPhase == phase::Closed) {
     return;
   }
   const bool wasReady = IsReady();
-  Log(log_level::Info,
+  Log(aLevel,
       "peer_link",
       "link to a peer ended",
       { { "peer", mPeer.empty() ? mExpectedPeer : mPeer },
@@ -157,7 +157,7 @@
 peer_link::OnConnected()
 {
   mPhase = phase::Greeting;
-  mHello = { mIdentity.mInstance, MakeNonce() };
+  mHello = { mIdentity.mInstance, MakeNonce(mIdentity.mVersions) };
   SendNow(mHello);
 }
 
@@ -235,7 +235,7 @@
     return;
   }
   mHello = aHello;
-  mNonce = MakeNonce();
+  mNonce = MakeNonce(mIdentity.mVersions);
   mPhase = phase::Challenged;
   SendNow(peer_challenge{ mIdentity.mInstance,
                           mNonce,
@@ -262,6 +262,10 @@
     Fail("another instance answers at this address", aNow);
     return;
   }
+  Negotiate(aChallenge.mNonce, aNow);
+  if (IsClosed()) {
+    return;
+  }
   // The peer is known to have this key, whichever one signs here.
   SendNow(peer_proof{ HandshakeProof(*key,
                                      handshake_side::Connecting,
@@ -284,7 +288,26 @@
     return;
   }
   mPeer = mHello.mInstance;
-  BecomeReady(aNow);
+  Negotiate(mHello.mNonce, aNow);
+  if (!IsClosed()) {
+    BecomeReady(aNow);
+  }
+}
+
+void
+peer_link::Negotiate(std::string_view aPeerNonce, time_point aNow)
+{
+  const auto versions = VersionsOfNonce(aPeerNonce);
+  if (!versions) {
+    Fail("peer states an invalid range of versions", aNow, log_level::Warning);
+    return;
+  }
+  const auto version = NegotiateVersion(mIdentity.mVersions, *versions);
+  if (!version.ok()) {
+    Fail(TextOf(version.status()), aNow, log_level::Warning);
+    return;
+  }
+  mVersion = *version;
 }
 
 void
--- a/src/connection/peer_messages.cpp
+++ b/src/connection/peer_messages.cpp
@@ -195,15 +195,26 @@
 }
 
 std::string
-MakeNonce()
+MakeNonce(const version_range& aVersions)
 {
-  std::string nonce(kNonceBytes, '\0');
+  const bool announces = aVersions != kUnannouncedVersions;
+  std::string nonce(announces ? kRangeNonceBytes : kNonceBytes, '\0');
   if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
                  static_cast<int>(nonce.size())) != 1) {
     // Without random bytes the other end refuses the handshake.
     nonce.clear();
+  } else if (announces) {
+    nonce.replace(0, kVersionsBytes, EncodeVersions(aVersions));
   }
   return nonce;
 }
 
+std::optional<version_range>
+VersionsOfNonce(std::string_view aNonce)
+{
+  return aNonce.size() == kRangeNonceBytes
+           ? DecodeVersions(aNonce)
+           : std::optional(kUnannouncedVersions);
+}
+
 } // namespace snipewalk
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -22,6 +22,15 @@
   return std::string(NameOf(aTable, aValue));
 }
 
+Json::Value
+VersionsJson(const version_range& aVersions)
+{
+  Json::Value value(Json::objectValue);
+  value["lowest"] = aVersions.mLowest;
+  value["highest"] = aVersions.mHighest;
+  return value;
+}
+
 Json::Value
 ServiceSummary(const service_view& aView)
 {
@@ -103,6 +112,8 @@
 AddControl(const control_status& aControl, Json::Value& aValue)
 {
   aValue["live_members"] = Json::UInt64(aControl.mLiveMembers);
+  aValue["protocol_versions"] = VersionsJson(aControl.mVersions);
+  aValue["fleet_protocol_version"] = aControl.mFleetVersion;
   aValue["slots_held"] = Json::UInt64(aControl.mSlotsHeld);
   aValue["control_bytes_sent"] = Json::UInt64(aControl.mControlBytesSent);
   aValue["is_watcher"] = aControl.mIsWatcher;
@@ -166,6 +177,7 @@
     entry["peer_address"] = member.mPeerAddress;
     entry["control_address"] = member.mControlAddress;
     entry["state"] = Name(kMemberStateNames, member.mState);
+    entry["protocol_versions"] = VersionsJson(member.mVersions);
     value["members"].append(entry);
   }
   return value;
--- a/src/process/control_actions.cpp
+++ b/src/process/control_actions.cpp
@@ -42,7 +42,7 @@
 void
 control_state::Do(const send_membership& aAction, time_point)
 {
-  mPort.SendDatagram(aAction.mTo, aAction.mMessage);
+  mPort.SendDatagram(aAction.mTo, aAction.mMessage, aAction.mVersion);
 }
 
 void
@@ -127,7 +127,8 @@
 void
 control_state::Do(const send_slot_message& aAction, time_point)
 {
-  mPort.SendDatagram(aAction.mTo, aAction.mMessage);
+  mPort.SendDatagram(
+    aAction.mTo, aAction.mMessage, mMembership.VersionAt(aAction.mTo));
 }
 
 void
--- a/src/process/control_link.cpp
+++ b/src/process/control_link.cpp
@@ -19,12 +19,21 @@
 // Messages queued while a connection is being established.
 constexpr std::size_t kMaxWaitingBytes = 4 * 1024 * 1024;
 
+// Nonces that start with it state a range in the next bytes. A random nonce of
+// version 1 does so once in 2^64 handshakes; 22 random bytes are left.
+constexpr std::string_view kRangeMarker = "versions";
+
 std::string
-NewNonce()
+NewNonce(const version_range& aVersions)
 {
   std::string nonce(kNonceBytes, '\0');
   RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()),
              static_cast<int>(nonce.size()));
+  if (aVersions != kUnannouncedVersions) {
+    const std::string stated =
+      std::string(kRangeMarker) + EncodeVersions(aVersions);
+    nonce.replace(0, stated.size(), stated);
+  }
   return nonce;
 }
 
@@ -59,7 +68,7 @@
   , mTo(aTo)
   , mPeer(aTo)
   , mState(state::AwaitNonce)
-  , mOwnNonce(NewNonce())
+  , mOwnNonce(NewNonce(aPort.mOptions.mVersions))
   , mCreated(aPort.mLoop.Now())
   , mLastUse(mCreated)
   , mConnection(stream_connection::Connect(aPort.mLoop, aTo, Handlers()))
@@ -72,7 +81,7 @@
   : mPort(aPort)
   , mId(aId)
   , mState(state::AwaitHello)
-  , mOwnNonce(NewNonce())
+  , mOwnNonce(NewNonce(aPort.mOptions.mVersions))
   , mCreated(aPort.mLoop.Now())
   , mLastUse(mCreated)
   , mConnection(stream_connection::Adopt(aPort.mLoop, aSocket, Handlers()))
@@ -100,13 +109,16 @@
 }
 
 void
-control_link::Send(std::string_view aMessage)
+control_link::Send(fleet_message aMessage)
 {
   mLastUse = mPort.mLoop.Now();
+  const std::string bytes = EncodeFleetMessage(aMessage, mVersion);
   if (mState == state::Ready) {
-    Write(aMessage);
-  } else if (mWaiting.size() + aMessage.size() < kMaxWaitingBytes) {
-    AppendFrame(mWaiting, aMessage);
+    Write(bytes);
+  } else if (mWaitingBytes + bytes.size() < kMaxWaitingBytes) {
+    // The version is not known yet.
+    mWaitingBytes += bytes.size();
+    mWaiting.push_back(std::move(aMessage));
   }
 }
 
@@ -142,8 +154,11 @@
       ++mPort.mCounters.mConnectionsRejected;
       Log(log_level::Warning,
           "control_port",
-          "Closing a control connection that breaks the protocol",
+          mRefusal.empty()
+            ? "Closing a control connection that breaks the protocol"
+            : "Refusing a control connection",
           { { "peer", std::string_view(mPeer) },
+            { "cause", std::string_view(mRefusal) },
             { "authenticated", mState == state::Ready } });
       Close();
       return;
@@ -169,10 +184,32 @@
   return false;
 }
 
+bool
+control_link::Negotiate(std::string_view aPeerNonce)
+{
+  version_range peer = kUnannouncedVersions;
+  if (aPeerNonce.starts_with(kRangeMarker)) {
+    const auto stated = DecodeVersions(aPeerNonce.substr(kRangeMarker.size()));
+    if (!stated) {
+      mRefusal = "the peer states an invalid range of versions";
+      return false;
+    }
+    peer = *stated;
+  }
+  const auto version = NegotiateVersion(mPort.mOptions.mVersions, peer);
+  if (!version.ok()) {
+    mRefusal = std::string(version.status().message());
+    return false;
+  }
+  mVersion = *version;
+  return true;
+}
+
 bool
 control_link::OnNonce(const std::string& aFrame)
 {
-  if (aFrame.size() != kNonceBytes || mPort.mOptions.mKeys.empty()) {
+  if (aFrame.size() != kNonceBytes || mPort.mOptions.mKeys.empty() ||
+      !Negotiate(aFrame)) {
     return false;
   }
   mPeerNonce = aFrame;
@@ -193,6 +230,9 @@
   for (const auto& key : mPort.mOptions.mKeys) {
     if (EqualInConstantTime(ClientCode(key, mOwnNonce, *hello), hello->mCode)) {
       mPeer = hello->mAddress;
+      if (!Negotiate(hello->mNonce)) {
+        return false;
+      }
       Write(ServerCode(key, hello->mNonce, mOwnNonce));
       mState = state::Ready;
       return true;
@@ -207,9 +247,9 @@
   for (const auto& key : mPort.mOptions.mKeys) {
     if (EqualInConstantTime(ServerCode(key, mOwnNonce, mPeerNonce), aFrame)) {
       mState = state::Ready;
-      mPort.mCounters.mBytesSent += mWaiting.size();
-      mConnection->Send(mWaiting);
-      std::string().swap(mWaiting);
+      for (const auto& message : std::exchange(mWaiting, {})) {
+        Write(EncodeFleetMessage(message, mVersion));
+      }
       return true;
     }
   }
--- a/src/process/control_link.h
+++ b/src/process/control_link.h
@@ -8,14 +8,20 @@
 //
 // Then both sides send messages. The direction is part of the code, so that a
 // server cannot be made to answer its own challenge.
+//
+// The nonces state the range of versions, because version 1 knows no other
+// variable part of this handshake; the codes cover both nonces. Each end
+// encodes for the highest common version.
 #ifndef SNIPEWALK_PROCESS_CONTROL_LINK_H_
 #define SNIPEWALK_PROCESS_CONTROL_LINK_H_
 
+#include "snipewalk/base/protocol_version.h"
 #include "snipewalk/connection/stream_connection.h"
 #include "snipewalk/process/control_port.h"
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace snipewalk {
 
@@ -29,7 +35,7 @@
                link_id aId,
                const Poco::Net::StreamSocket& aSocket);
 
-  void Send(std::string_view aMessage);
+  void Send(fleet_message aMessage);
 
   bool IsReady() const { return mState == state::Ready; }
   bool IsOutgoing() const { return !mTo.empty(); }
@@ -58,6 +64,8 @@
   bool OnHello(const std::string& aFrame);
   bool OnProof(const std::string& aFrame);
   bool OnMessage(const std::string& aFrame, time_point aNow);
+  // Sets the version; false, with mRefusal set, without a common one.
+  bool Negotiate(std::string_view aPeerNonce);
   void Write(std::string_view aBody);
   void Close();
 
@@ -70,8 +78,12 @@
   state mState;
   std::string mOwnNonce;
   std::string mPeerNonce;
-  // Frames waiting for the end of the handshake.
-  std::string mWaiting;
+  int mVersion = kOldestProtocolVersion;
+  // Why the versions do not match; empty otherwise.
+  std::string mRefusal;
+  // Messages waiting for the end of the handshake, and their encoded size.
+  std::vector<fleet_message> mWaiting;
+  std::size_t mWaitingBytes = 0;
   time_point mCreated;
   time_point mLastUse;
   std::unique_ptr<stream_connection> mConnection;
--- a/src/process/control_port.cpp
+++ b/src/process/control_port.cpp
@@ -4,6 +4,8 @@
 #include "control_link.h"
 #include "fleet_codec.h"
 
+#include "snipewalk/base/log.h"
+
 #include <Poco/Exception.h>
 #include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/ServerSocket.h>
@@ -22,6 +24,8 @@
 constexpr int kAcceptsAtOnce = 16;
 // Bursts of probes wait in the kernel while the loop is busy.
 constexpr int kReceiveBufferBytes = 1024 * 1024;
+// An instance of another version sends some datagrams a second.
+constexpr milliseconds kVersionReportInterval{ 60'000 };
 
 } // namespace
 
@@ -138,12 +142,15 @@
 }
 
 void
-control_port::SendDatagram(const std::string& aTo, const datagram_body& aBody)
+control_port::SendDatagram(const std::string& aTo,
+                           const datagram_body& aBody,
+                           int aVersion)
 {
   if (mOptions.mKeys.empty() || !mDatagrams) {
     return;
   }
-  const std::string bytes = EncodeDatagram(aBody, mOptions.mKeys.front());
+  const std::string bytes =
+    EncodeDatagram(aBody, mOptions.mKeys.front(), aVersion);
   ++mCounters.mDatagramsSent;
   mCounters.mBytesSent += bytes.size();
   mDatagrams->Send(aTo, bytes);
@@ -155,14 +162,36 @@
                          time_point aNow)
 {
   ++mCounters.mDatagramsReceived;
-  auto body = DecodeDatagram(aBytes, mOptions.mKeys);
+  auto body = DecodeDatagram(aBytes, mOptions.mKeys, mOptions.mVersions);
   if (!body) {
-    ++mCounters.mDatagramsRejected;
+    NoteRejected(aFrom, aBytes, aNow);
     return;
   }
   mHandlers.mOnDatagram(aFrom, std::move(*body), aNow);
 }
 
+void
+control_port::NoteRejected(const std::string& aFrom,
+                           std::string_view aBytes,
+                           time_point aNow)
+{
+  ++mCounters.mDatagramsRejected;
+  const auto version = VersionOfDatagram(aBytes, mOptions.mKeys);
+  if (!version || mOptions.mVersions.Contains(*version) ||
+      aNow < mNextVersionReport) {
+    return;
+  }
+  mNextVersionReport = aNow + kVersionReportInterval;
+  Log(
+    log_level::Warning,
+    "control_port",
+    "no common protocol version: ignoring the datagrams of an instance",
+    { { "peer", std::string_view(aFrom) },
+      { "version", static_cast<std::int64_t>(*version) },
+      { "lowest", static_cast<std::int64_t>(mOptions.mVersions.mLowest) },
+      { "highest", static_cast<std::int64_t>(mOptions.mVersions.mHighest) } });
+}
+
 void
 control_port::OnAccept(time_point)
 {
@@ -206,7 +235,7 @@
 {
   const auto link = mLinks.find(aLink);
   if (link != mLinks.end()) {
-    link->second->Send(EncodeFleetMessage(aMessage));
+    link->second->Send(aMessage);
   }
 }
 
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -242,6 +242,8 @@
     status->mMembers.push_back(member.mInfo);
   }
   status->mLiveMembers = mMembership.LiveCount();
+  status->mVersions = mMembership.Self().mVersions;
+  status->mFleetVersion = mMembership.FleetVersion();
   status->mRevision = mCache.Head(kServicesKind);
   status->mHeads = mCache.Heads();
   status->mDigest = mCache.Digest();
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -26,6 +26,7 @@
                     settings.mDataCentre,  settings.mRegion,
                     settings.mPeerAddress, settings.mControlAddress,
                     member_state::Alive };
+  options.mSelf.mVersions = SupportedVersions(settings.mProtocolVersionLimit);
   options.mSeeds = settings.mSeeds;
   options.mSeed = aOptions.mSeed;
   return options;
@@ -56,6 +57,8 @@
   options.mName = aOptions.mSettings.mInstance;
   options.mAddress = aOptions.mSettings.mControlAddress;
   options.mKeys = aOptions.mFleetKeys;
+  options.mVersions =
+    SupportedVersions(aOptions.mSettings.mProtocolVersionLimit);
   return options;
 }
 
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -52,6 +52,7 @@
   traffic.mIncarnation = aStartMs;
   traffic.mDataCentre = aSettings.mDataCentre;
   traffic.mFleetKeys = { aSecrets.mFleetKey };
+  traffic.mVersions = SupportedVersions(aSettings.mProtocolVersionLimit);
   traffic.mCallerAddress = aSettings.mCallerAddress;
   traffic.mPeerAddress = aSettings.mPeerAddress;
   traffic.mThreads = static_cast<std::size_t>(aSettings.mTrafficThreads);
--- a/src/process/fleet_codec.h
+++ b/src/process/fleet_codec.h
@@ -16,16 +16,32 @@
 // Frames above this size end the connection. One object has up to 1 MB.
 inline constexpr std::size_t kMaxFrameBytes = 4 * 1024 * 1024;
 
-// HMAC-SHA256 with the first key, then the body.
+// HMAC-SHA256 with the first key, then the body. Version 1 states no version;
+// its membership messages other than indirect probes have the sender's versions
+// in the target, which they do not use.
 std::string
-EncodeDatagram(const datagram_body& aBody, std::string_view aKey);
+EncodeDatagram(const datagram_body& aBody,
+               std::string_view aKey,
+               int aVersion = kNewestProtocolVersion);
 
-// Nothing when no key verifies the datagram or it is malformed.
+// Nothing when no key verifies the datagram, its version is not in `aVersions`
+// or it is malformed. A membership message that states no versions has the one
+// of the datagram, except in version 1.
 std::optional<datagram_body>
-DecodeDatagram(std::string_view aBytes, const std::vector<std::string>& aKeys);
+DecodeDatagram(std::string_view aBytes,
+               const std::vector<std::string>& aKeys,
+               const version_range& aVersions = kBuildVersions);
 
+// Version of a datagram of the fleet, also one outside the range; nothing when
+// no key verifies it or it is malformed.
+std::optional<int>
+VersionOfDatagram(std::string_view aBytes,
+                  const std::vector<std::string>& aKeys);
+
+// Decoding needs no version: later versions only add fields.
 std::string
-EncodeFleetMessage(const fleet_message& aMessage);
+EncodeFleetMessage(const fleet_message& aMessage,
+                   int aVersion = kNewestProtocolVersion);
 std::optional<fleet_message>
 DecodeFleetMessage(std::string_view aBytes);
 
--- a/src/process/fleet_wire.cpp
+++ b/src/process/fleet_wire.cpp
@@ -1,12 +1,16 @@
 // Implementation of the conversions between messages and their msgpack form.
 #include "fleet_wire.h"
 
+#include <optional>
 #include <utility>
 
 namespace snipewalk {
 
 namespace {
 
+// Highest version that a nonce can state, too.
+constexpr int kVersionLimit = 255;
+
 template<typename Integer, typename Enum>
 Enum
 ToEnum(Integer aValue, Enum aLast)
@@ -18,6 +22,26 @@
   return static_cast<Enum>(aValue);
 }
 
+wire_versions
+ToWire(const version_range& aVersions)
+{
+  return { aVersions.mLowest, aVersions.mHighest };
+}
+
+// Nothing when the field was left out.
+std::optional<version_range>
+FromWire(const wire_versions& aVersions)
+{
+  const auto& [lowest, highest] = aVersions;
+  if (lowest == 0 && highest == 0) {
+    return std::nullopt;
+  }
+  if (lowest < 1 || highest < lowest || highest > kVersionLimit) {
+    throw bad_value();
+  }
+  return version_range{ lowest, highest };
+}
+
 wire_member
 ToWire(const member_info& aMember)
 {
@@ -27,20 +51,29 @@
            aMember.mDataCentre,
            aMember.mRegion,
            aMember.mPeerAddress,
-           aMember.mControlAddress };
+           aMember.mControlAddress,
+           ToWire(aMember.mVersions) };
 }
 
 member_info
 FromWire(wire_member&& aMember)
 {
-  auto& [name, incarnation, state, dataCentre, region, peer, control] = aMember;
+  auto& [name,
+         incarnation,
+         state,
+         dataCentre,
+         region,
+         peer,
+         control,
+         versions] = aMember;
   return { std::move(name),
            incarnation,
            std::move(dataCentre),
            std::move(region),
            std::move(peer),
            std::move(control),
-           ToEnum(state, member_state::Left) };
+           ToEnum(state, member_state::Left),
+           FromWire(versions).value_or(kUnannouncedVersions) };
 }
 
 wire_object
@@ -99,14 +132,23 @@
            aMessage.mHeads,
            aMessage.mMemberDigest,
            aMessage.mWatchAgeMs,
-           ListToWire<wire_member>(aMessage.mUpdates) };
+           ListToWire<wire_member>(aMessage.mUpdates),
+           aMessage.mVersions ? ToWire(*aMessage.mVersions) : wire_versions() };
 }
 
 datagram_body
 FromWire(wire_membership&& aMessage)
 {
-  auto& [kind, sequence, sender, life, target, heads, digest, age, updates] =
-    aMessage;
+  auto& [kind,
+         sequence,
+         sender,
+         life,
+         target,
+         heads,
+         digest,
+         age,
+         updates,
+         versions] = aMessage;
   return membership_message{ ToEnum(kind, membership_kind::Update),
                              sequence,
                              std::move(sender),
@@ -115,7 +157,8 @@
                              heads,
                              digest,
                              age,
-                             ListFromWire<member_info>(std::move(updates)) };
+                             ListFromWire<member_info>(std::move(updates)),
+                             FromWire(versions) };
 }
 
 wire_slot
--- a/src/process/fleet_wire.h
+++ b/src/process/fleet_wire.h
@@ -15,13 +15,16 @@
 
 namespace snipewalk {
 
+using wire_versions = std::tuple<int, int>;
+// Fields that a version added stand at the end; wire_fields.h has their number.
 using wire_member = std::tuple<std::string,
                                std::uint64_t,
                                int,
                                std::string,
                                std::string,
                                std::string,
-                               std::string>;
+                               std::string,
+                               wire_versions>;
 using wire_object =
   std::tuple<std::string, std::string, std::uint64_t, bool, std::string>;
 using wire_heads = std::array<std::uint64_t, kObjectKinds.size()>;
@@ -33,7 +36,8 @@
                                    wire_heads,
                                    std::uint64_t,
                                    std::uint64_t,
-                                   std::vector<wire_member>>;
+                                   std::vector<wire_member>,
+                                   wire_versions>;
 using wire_slot = std::tuple<int,
                              std::string,
                              std::string,
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -38,6 +38,7 @@
     std::max<std::int64_t>(1, mOptions.mProbeInterval.count()));
   mNextProbe = aNow + milliseconds(mRandom() % interval);
   mDigest = XXH64(mSelf.mName.data(), mSelf.mName.size(), mSelf.mIncarnation);
+  UpdateFleetVersion();
   Enqueue(mSelf.mName);
 }
 
@@ -47,6 +48,7 @@
                    std::vector<membership_action>& aActions)
 {
   std::visit([&](const auto& aKnown) { On(aKnown, aNow, aActions); }, aEvent);
+  UpdateFleetVersion();
 }
 
 time_point
@@ -113,6 +115,10 @@
     return;
   }
   mLastContact = aNow;
+  if (message.mVersions) {
+    LearnVersions(
+      message.mSender, message.mIncarnation, *message.mVersions, aActions);
+  }
   aActions.push_back(peer_seen{ message.mSender,
                                 aEvent.mFrom,
                                 message.mHeads,
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -15,8 +15,10 @@
 // far less than one member in a thousand uninformed; digests repair the rest.
 constexpr int kTransmissionFactor = 3;
 // Everything of a datagram but the updates, names and addresses: the
-// authentication code, six integers and the heads of four kinds.
-constexpr std::size_t kFixedBytes = 32 + 16 + 6 * 9 + 4 * 9;
+// authentication code, six integers, the heads of four kinds and the versions.
+constexpr std::size_t kFixedBytes = 32 + 16 + 6 * 9 + 4 * 9 + 6;
+// A range of versions in a member entry.
+constexpr std::size_t kVersionsFieldBytes = 5;
 // Members beyond this number are not added; a bound for faulty peers.
 constexpr std::size_t kMaxMembers = 20'000;
 
@@ -33,7 +35,7 @@
 {
   return aMember.mName.size() + aMember.mDataCentre.size() +
          aMember.mRegion.size() + aMember.mPeerAddress.size() +
-         aMember.mControlAddress.size() + 5 * 3 + 11;
+         aMember.mControlAddress.size() + 5 * 3 + 11 + kVersionsFieldBytes;
 }
 
 bool
@@ -102,6 +104,8 @@
     Add(aUpdate, aNow, aActions);
     return;
   }
+  LearnVersions(
+    aUpdate.mName, aUpdate.mIncarnation, aUpdate.mVersions, aActions);
   known_member& member = mMembers[found->second];
   if (Overrides(aUpdate, member.mInfo)) {
     // Without addresses a newer life cannot be reached: wait for its own
@@ -185,7 +189,7 @@
     aMember.mKnownSince = aNow;
   }
   if (aUpdate.mState == member_state::Alive) {
-    known = aUpdate;
+    TakePlace(known, aUpdate);
   }
   known.mIncarnation = aUpdate.mIncarnation;
   known.mState = aUpdate.mState;
@@ -200,6 +204,7 @@
     SetDeadline(known.mName, aNow + mOptions.mDeadRetention);
   }
   mLastChange = aNow;
+  mFleetVersionChanged = true;
   Enqueue(known.mName);
   aActions.push_back(member_changed{ known.mName, known.mState });
 }
@@ -226,6 +231,7 @@
 {
   const auto found = mIndex.find(aName);
   const std::uint32_t place = found->second;
+  mVersionsAt.erase(mMembers[place].mInfo.mControlAddress);
   mIndex.erase(found);
   if (place + 1 != mMembers.size()) {
     mMembers[place] = std::move(mMembers.back());
@@ -314,8 +320,15 @@
   if (aAbout != nullptr) {
     aMessage.mUpdates.push_back(WithoutPlace(*aAbout));
   }
+  const int version = VersionAt(aAddress);
+  // In a mixed fleet instances of version 1 pass updates on without versions,
+  // so that each message has its sender's. A receiver that is not known to
+  // support more may not know this instance either.
+  if (version < kStatedVersion || !FleetSupports(mSelf.mVersions.mHighest)) {
+    aMessage.mVersions = mSelf.mVersions;
+  }
   FillUpdates(aMessage);
-  aActions.push_back(send_membership{ aAddress, std::move(aMessage) });
+  aActions.push_back(send_membership{ aAddress, std::move(aMessage), version });
 }
 
 void
--- a/src/process/settings.cpp
+++ b/src/process/settings.cpp
@@ -24,6 +24,8 @@
 constexpr integer_range kSilenceRangeMs{ 100, 60'000 };
 constexpr integer_range kProbeRateRange{ 1, 10'000 };
 constexpr integer_range kShutdownRangeMs{ 0, 600'000 };
+constexpr integer_range kVersionRange{ kOldestProtocolVersion,
+                                       kNewestProtocolVersion };
 // Suspicion needs three unanswered probes within the silence limit.
 constexpr int kProbesInSilence = 3;
 
@@ -65,6 +67,10 @@
     ReadDetection();
     ReadShutdown();
     ReadLogs();
+    mSettings.mProtocolVersionLimit =
+      static_cast<int>(mRoot.OptionalInteger("protocol_version_limit",
+                                             mSettings.mProtocolVersionLimit,
+                                             kVersionRange));
     mRoot.Finish();
     CheckAddresses();
     return mSettings;
--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -65,7 +65,9 @@
   , mCallbacks(aCallbacks)
   , mDirectory(aDirectory)
   , mForwarder({ aOptions.mInstance, aOptions.mDataCentre })
-  , mHub(mLoop, { aOptions.mInstance, aOptions.mFleetKeys }, HubHandlers())
+  , mHub(mLoop,
+         { aOptions.mInstance, aOptions.mFleetKeys, aOptions.mVersions },
+         HubHandlers())
 {
   mLoop.SetAfterRound([this](time_point aNow) { AfterRound(aNow); });
   mLoop.RunAt(mLoop.Now() + kSweepInterval,
--- a/tests/process/settings_test.cpp
+++ b/tests/process/settings_test.cpp
@@ -50,6 +50,20 @@
     << found.ToString();
 }
 
+// Guards against a limit that the build cannot keep.
+TEST(SettingsTest, ChecksTheProtocolVersionLimit)
+{
+  for (const char* limit : { "0", "3", "\"1\"" }) {
+    findings found;
+    ParseSettings(std::string("{\"protocol_version_limit\":") + limit + "}",
+                  "s.json",
+                  found);
+    EXPECT_NE(found.ToString().find("protocol_version_limit"),
+              std::string::npos)
+      << limit;
+  }
+}
+
 // Guards against an instance that talks to other hosts without a fleet key.
 TEST(SettingsTest, RequiresFleetKeyBeyondLoopback)
 {
--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -36,6 +36,8 @@
   // More members of the document's top object, such as "\"acknowledge\":
   // \"primary\"".
   std::string mDocumentExtra;
+  // Versions of the messages between instances that they may use.
+  std::optional<int> mProtocolVersionLimit;
   // Makes the certificates of the instances and of the callers; without it the
   // caller ports are plain.
   std::shared_ptr<certificate_maker> mAuthority;
@@ -148,6 +150,8 @@
   // Gives an instance that does not run new ports.
   void MoveInstance(int aInstance);
 
+  // Instances started from now on have no limit.
+  void LiftProtocolVersionLimit() { mOptions.mProtocolVersionLimit.reset(); }
   // Starts an instance (again) under its name and ports.
   absl::Status StartInstance(int aInstance);
   static std::string InstanceName(int aInstance);
--- a/tests/standins/system_fleet_settings.cpp
+++ b/tests/standins/system_fleet_settings.cpp
@@ -68,6 +68,10 @@
                       mOptions.mShutdownNotice.count(),
                       "}",
                       TlsSettings(),
+                      mOptions.mProtocolVersionLimit
+                        ? absl::StrCat(",\"protocol_version_limit\":",
+                                       *mOptions.mProtocolVersionLimit)
+                        : "",
                       "}");
 }
 
