Measure how a fleet recovers from a partition

The fleet model counts received bytes and table exchanges, which it did not count as bytes so far, and can cut one direction only.

--- a/tests/process/fleet_model.h
+++ b/tests/process/fleet_model.h
@@ -12,8 +12,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipewalk {
@@ -31,6 +33,9 @@
     bool mStoreReachable = true;
     int mGroup = 0;
     std::uint64_t mBytesSent = 0;
+    std::uint64_t mBytesReceived = 0;
+    // Exchanges of the member table that this instance began.
+    std::uint64_t mFetches = 0;
     std::uint64_t mDatagrams = 0;
     std::uint64_t mDeaths = 0;
     bool mDuplicate = false;
@@ -171,6 +176,9 @@
 
   // Share of datagrams and frames that are lost.
   double mLoss = 0;
+  // Members of the first group reach those of the second one even though
+  // their groups differ: a cut of one direction only.
+  std::optional<std::pair<int, int>> mOneWay;
   bool mStoreDown = false;
   std::size_t mRegions = 1;
   // Every datagram is encoded to count its bytes.
@@ -202,8 +210,10 @@
 
   bool Reaches(std::size_t aFrom, std::size_t aTo)
   {
+    const int from = mInstances[aFrom]->mGroup;
+    const int to = mInstances[aTo]->mGroup;
     return !mInstances[aTo]->mStopped &&
-           mInstances[aFrom]->mGroup == mInstances[aTo]->mGroup;
+           (from == to || mOneWay == std::pair(from, to));
   }
 
   // Delivers over the network unless the message is lost.
@@ -229,14 +239,16 @@
   {
     instance& from = *mInstances[aFrom];
     ++from.mDatagrams;
+    std::size_t bytes = 0;
     if (mCountBytes) {
-      const std::size_t bytes = EncodeDatagram(aAction.mMessage, "key").size();
+      bytes = EncodeDatagram(aAction.mMessage, "key").size();
       from.mBytesSent += bytes;
       mLargestDatagram = std::max<std::uint64_t>(mLargestDatagram, bytes);
     }
     Send(aFrom,
          aAction.mTo,
-         [this, aFrom, message = aAction.mMessage](std::size_t aTo) {
+         [this, aFrom, bytes, message = aAction.mMessage](std::size_t aTo) {
+           mInstances[aTo]->mBytesReceived += bytes;
            Give(
              aTo,
              membership_event(membership_received{ Address(aFrom), message }));
@@ -249,12 +261,16 @@
   }
   void Do(std::size_t aFrom, const fetch_members& aAction)
   {
+    ++mInstances[aFrom]->mFetches;
     Send(aFrom, aAction.mFrom, [this, aFrom](std::size_t aTo) {
       auto [table, more] =
         mInstances[aTo]->mMembership->Table("", 64 * 1024 * 1024);
-      Send(aTo, Address(aFrom), [this, members = table](std::size_t aBack) {
-        Give(aBack, membership_event(members_received{ members }));
-      });
+      const std::size_t bytes = Count(aTo, member_reply{ 1, table, more });
+      Send(
+        aTo, Address(aFrom), [this, bytes, members = table](std::size_t aBack) {
+          mInstances[aBack]->mBytesReceived += bytes;
+          Give(aBack, membership_event(members_received{ members }));
+        });
     });
   }
   void Do(std::size_t aFrom, const peer_seen& aAction)
@@ -267,12 +283,14 @@
   }
   void Do(std::size_t aFrom, const send_push& aAction)
   {
-    Count(aFrom, aAction.mPush);
-    Send(
-      aFrom, aAction.mTo, [this, aFrom, push = aAction.mPush](std::size_t aTo) {
-        Give(aTo,
-             dissemination_event(push_received{ Address(aFrom), "", push }));
-      });
+    const std::size_t bytes = Count(aFrom, aAction.mPush);
+    Send(aFrom,
+         aAction.mTo,
+         [this, aFrom, bytes, push = aAction.mPush](std::size_t aTo) {
+           mInstances[aTo]->mBytesReceived += bytes;
+           Give(aTo,
+                dissemination_event(push_received{ Address(aFrom), "", push }));
+         });
   }
   void Do(std::size_t aFrom, const send_pull& aAction)
   {
@@ -286,8 +304,9 @@
              mInstances[aTo]->mCache->Delta(
                query.mKind, query.mSince, query.mCursor, kChunkBytes)
            };
-           Count(aTo, reply);
-           Send(aTo, Address(aFrom), [this, reply](std::size_t aBack) {
+           const std::size_t bytes = Count(aTo, reply);
+           Send(aTo, Address(aFrom), [this, bytes, reply](std::size_t aBack) {
+             mInstances[aBack]->mBytesReceived += bytes;
              Give(aBack, dissemination_event(pull_answered{ reply }));
            });
          });
@@ -304,11 +323,14 @@
     WakeWatches();
   }
 
-  void Count(std::size_t aFrom, const fleet_message& aMessage)
+  std::size_t Count(std::size_t aFrom, const fleet_message& aMessage)
   {
-    if (mCountBytes) {
-      mInstances[aFrom]->mBytesSent += EncodeFleetMessage(aMessage).size() + 4;
+    if (!mCountBytes) {
+      return 0;
     }
+    const std::size_t bytes = EncodeFleetMessage(aMessage).size() + 4;
+    mInstances[aFrom]->mBytesSent += bytes;
+    return bytes;
   }
 
   void WakeWatches()
