Let messages between instances carry ranges of members

Cause: member tables that differ are transferred as a whole. Change, wire form only: trailing fields of the membership datagram (one bit of the digest of each of 64 ranges), of member_query (ranges, hashes of names) and of member_reply (pairs of hash and incarnation, about 18 bytes a member instead of about 100). Messages without them decode as before, which the test shows. Ruled out: all 64 digests in each datagram, 512 bytes in each of two a second. Nothing uses the fields yet.

--- a/include/snipewalk/process/fleet_messages.h
+++ b/include/snipewalk/process/fleet_messages.h
@@ -47,6 +47,9 @@
   // Suspicions, deaths and departures leave data centre, region and
   // addresses empty.
   std::vector<member_info> mUpdates;
+  // One bit of the digest of each range of members (see member_digest); zero
+  // from a sender that does not know ranges.
+  std::uint64_t mRangeBits = 0;
 };
 
 enum class slot_message_kind
@@ -111,6 +114,17 @@
   std::uint64_t mSequence = 0;
   // Members with names above this one follow.
   std::string mAfter;
+  // If set, asks for the live members of these ranges (one bit each) instead.
+  std::uint64_t mRanges = 0;
+  // Asks for the complete entries of members by the hashes of their names.
+  std::vector<std::uint64_t> mWanted{};
+};
+
+// A live member as far as another one needs it that knows its addresses.
+struct member_brief
+{
+  std::uint64_t mNameHash = 0;
+  std::uint64_t mIncarnation = 0;
 };
 
 struct member_reply
@@ -118,6 +132,7 @@
   std::uint64_t mSequence = 0;
   std::vector<member_info> mMembers;
   bool mMore = false;
+  std::vector<member_brief> mBriefs{};
 };
 
 // A question or answer about the primary of a service.
--- a/src/process/fleet_wire.cpp
+++ b/src/process/fleet_wire.cpp
@@ -99,14 +99,23 @@
            aMessage.mHeads,
            aMessage.mMemberDigest,
            aMessage.mWatchAgeMs,
-           ListToWire<wire_member>(aMessage.mUpdates) };
+           ListToWire<wire_member>(aMessage.mUpdates),
+           aMessage.mRangeBits };
 }
 
 datagram_body
 FromWire(wire_membership&& aMessage)
 {
-  auto& [kind, sequence, sender, life, target, heads, digest, age, updates] =
-    aMessage;
+  auto& [kind,
+         sequence,
+         sender,
+         life,
+         target,
+         heads,
+         digest,
+         age,
+         updates,
+         rangeBits] = aMessage;
   return membership_message{ ToEnum(kind, membership_kind::Update),
                              sequence,
                              std::move(sender),
@@ -115,7 +124,8 @@
                              heads,
                              digest,
                              age,
-                             ListFromWire<member_info>(std::move(updates)) };
+                             ListFromWire<member_info>(std::move(updates)),
+                             rangeBits };
 }
 
 wire_slot
@@ -221,31 +231,44 @@
 wire_member_query
 ToWire(const member_query& aQuery)
 {
-  return { aQuery.mSequence, aQuery.mAfter };
+  return { aQuery.mSequence, aQuery.mAfter, aQuery.mRanges, aQuery.mWanted };
 }
 
 fleet_message
 FromWire(wire_member_query&& aQuery)
 {
-  auto& [sequence, after] = aQuery;
-  return member_query{ sequence, std::move(after) };
+  auto& [sequence, after, ranges, wanted] = aQuery;
+  return member_query{ sequence, std::move(after), ranges, std::move(wanted) };
 }
 
 wire_member_reply
 ToWire(const member_reply& aReply)
 {
+  std::vector<std::uint64_t> briefs;
+  briefs.reserve(aReply.mBriefs.size() * 2);
+  for (const auto& brief : aReply.mBriefs) {
+    briefs.push_back(brief.mNameHash);
+    briefs.push_back(brief.mIncarnation);
+  }
   return { aReply.mSequence,
            ListToWire<wire_member>(aReply.mMembers),
-           aReply.mMore };
+           aReply.mMore,
+           std::move(briefs) };
 }
 
 fleet_message
 FromWire(wire_member_reply&& aReply)
 {
-  auto& [sequence, members, more] = aReply;
+  auto& [sequence, members, more, pairs] = aReply;
+  std::vector<member_brief> briefs;
+  briefs.reserve(pairs.size() / 2);
+  for (std::size_t i = 0; i + 1 < pairs.size(); i += 2) {
+    briefs.push_back({ pairs[i], pairs[i + 1] });
+  }
   return member_reply{ sequence,
                        ListFromWire<member_info>(std::move(members)),
-                       more };
+                       more,
+                       std::move(briefs) };
 }
 
 wire_service
--- a/src/process/fleet_wire.h
+++ b/src/process/fleet_wire.h
@@ -33,7 +33,8 @@
                                    wire_heads,
                                    std::uint64_t,
                                    std::uint64_t,
-                                   std::vector<wire_member>>;
+                                   std::vector<wire_member>,
+                                   std::uint64_t>;
 using wire_slot = std::tuple<int,
                              std::string,
                              std::string,
@@ -57,9 +58,13 @@
                                    std::uint64_t,
                                    std::uint64_t,
                                    std::uint64_t>;
-using wire_member_query = std::tuple<std::uint64_t, std::string>;
-using wire_member_reply =
-  std::tuple<std::uint64_t, std::vector<wire_member>, bool>;
+using wire_member_query = std::
+  tuple<std::uint64_t, std::string, std::uint64_t, std::vector<std::uint64_t>>;
+// The briefs as pairs of name hash and incarnation without further arrays.
+using wire_member_reply = std::tuple<std::uint64_t,
+                                     std::vector<wire_member>,
+                                     bool,
+                                     std::vector<std::uint64_t>>;
 // Sender, index of the message in control_message, service, server, address,
 // term, query, document version; reachability or number of transactions.
 using wire_service = std::tuple<std::string,
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -15,8 +15,8 @@
 // far less than one member in a thousand uninformed; digests repair the rest.
 constexpr int kTransmissionFactor = 3;
 // Everything of a datagram but the updates, names and addresses: the
-// authentication code, six integers and the heads of four kinds.
-constexpr std::size_t kFixedBytes = 32 + 16 + 6 * 9 + 4 * 9;
+// authentication code, seven integers and the heads of four kinds.
+constexpr std::size_t kFixedBytes = 32 + 16 + 7 * 9 + 4 * 9;
 // Members beyond this number are not added; a bound for faulty peers.
 constexpr std::size_t kMaxMembers = 20'000;
 
--- a/tests/process/fleet_codec_test.cpp
+++ b/tests/process/fleet_codec_test.cpp
@@ -90,6 +90,31 @@
   EXPECT_EQ(open.mTransactions, 1ULL << 40);
 }
 
+// Guards against ranges that are lost on the way, and against a refusal of
+// messages of instances that do not send them.
+TEST(FleetCodecTest, RangesOfMembersMayBeLeftOut)
+{
+  const auto decoded =
+    DecodeFleetMessage(EncodeFleetMessage(member_query{ 4, "", 1, { 7, 8 } }));
+  const auto& query = std::get<member_query>(*decoded);
+  EXPECT_EQ(query.mRanges, 1U);
+  EXPECT_EQ(query.mWanted, (std::vector<std::uint64_t>{ 7, 8 }));
+  const auto answer = DecodeFleetMessage(
+    EncodeFleetMessage(member_reply{ 4, {}, false, { { 1, 2 }, { 3, 4 } } }));
+  const auto& briefs = std::get<member_reply>(*answer).mBriefs;
+  ASSERT_EQ(briefs.size(), 2U);
+  EXPECT_EQ(briefs[1].mNameHash, 3U);
+  EXPECT_EQ(briefs[1].mIncarnation, 4U);
+  // [3, [4, "n"]] and [4, [4, [], true]].
+  const auto old = DecodeFleetMessage("\x92\x03\x92\x04\xa1n");
+  ASSERT_TRUE(old);
+  EXPECT_EQ(std::get<member_query>(*old).mAfter, "n");
+  EXPECT_EQ(std::get<member_query>(*old).mRanges, 0U);
+  const auto oldReply = DecodeFleetMessage("\x92\x04\x93\x04\x90\xc3");
+  ASSERT_TRUE(oldReply);
+  EXPECT_TRUE(std::get<member_reply>(*oldReply).mMore);
+}
+
 // Guards against crashes and unbounded memory on malformed frames.
 TEST(FleetCodecTest, SurvivesMutatedFrames)
 {
@@ -98,8 +123,8 @@
     pull_query{ 1, "terms", 2, 3 },
     pull_reply{
       1, "slots", { { { { "slots", "a" }, 2, true, "" } }, 2, true } },
-    member_query{ 4, "n" },
-    member_reply{ 4, Probe().mUpdates, true },
+    member_query{ 4, "n", 5, { 6 } },
+    member_reply{ 4, Probe().mUpdates, true, { { 1, 2 } } },
     service_message{ "i", primary_report_query{ "s", "a", "b", 1, 2 } },
     service_message{ "i", primary_report{ "s", "a", 1, 2 } },
     service_message{ "i", transactions_query{ "s", "a", 1, 2 } },
