Exchange only the ranges of member tables that differ

Cause: after a partition each member had to refute its death, the deaths of one side spread into the other one, whole tables were sent, each update of a table was passed on again, and all instances contacted the same seeds.

Change: the digest is split into 64 ranges; ranges that differ are fetched as pairs of name hash and incarnation within 2.5 KB a second (asked and served each), updates on probes within 1.5 KB a second. An instance that holds a quarter of the members dead takes itself as cut off: it raises its incarnation once and announces no deaths; when a dead member answers its probe it takes members back for a minute. One dead member is probed every 5 s, a seed is contacted 20 times in 5 s by the whole fleet. A death reported of a member held alive makes it suspected first. A pair applies to a known life only; a newer life is asked for with its addresses; an older incarnation is never applied. A peer without ranges is asked for its table as before.

Ruled out: refutation by each member (each side has to learn its own members anew), full digests in the query (320 bytes instead of 9 in the datagram).

--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/process/membership.h
@@ -10,12 +10,21 @@
 // A wrong belief about a member costs a forwarding hop or delays a slot; no
 // guarantee rests on it. What the probes lose, for example while the fleet is
 // partitioned, is repaired by comparing digests of the member table on each
-// message and fetching a peer's table over TCP when they stay different.
+// message and fetching the ranges of a peer's table that differ over TCP.
+//
+// After a partition: an instance that holds a quarter of the members dead takes
+// itself as cut off. It raises its incarnation, so that deaths concluded on the
+// other side are overridden by a comparison of tables, and it does not announce
+// deaths. Once a dead member answers a probe of it, it takes members back for a
+// minute at the incarnation at which it held them dead; no older incarnation is
+// ever taken back.
 #ifndef SNIPEWALK_PROCESS_MEMBERSHIP_H_
 #define SNIPEWALK_PROCESS_MEMBERSHIP_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/process/byte_budget.h"
 #include "snipewalk/process/fleet_messages.h"
+#include "snipewalk/process/member_digest.h"
 #include "snipewalk/version/service_view.h"
 
 #include <cstdint>
@@ -75,6 +84,9 @@
 struct members_received
 {
   std::vector<member_info> mMembers;
+  std::vector<member_brief> mBriefs{};
+  // Control address of the peer, to ask it for what is missing.
+  std::string mFrom{};
 };
 
 struct platform_list_received
@@ -109,10 +121,13 @@
   member_state mState = member_state::Alive;
 };
 
-// Fetch the member table of the instance at this control address.
+// Send a member_query to the instance at this control address: for these ranges
+// or members, or for the whole table if both are empty.
 struct fetch_members
 {
   std::string mFrom;
+  std::uint64_t mRanges = 0;
+  std::vector<std::uint64_t> mWanted{};
 };
 
 // A peer's revisions, carried by one of its messages.
@@ -154,6 +169,7 @@
   // does.
   bool mUnlisted = false;
   bool mListed = false;
+  std::uint64_t mNameHash = 0;
 };
 
 class membership
@@ -194,6 +210,11 @@
   // included, of about `aBytes`; the second value says whether more follow.
   std::pair<std::vector<member_info>, bool> Table(const std::string& aAfter,
                                                   std::size_t aBytes) const;
+  // A part of the whole table has about `aBytes`; ranges are answered within
+  // the budget, and what is left out is asked for again.
+  member_reply Answer(const member_query& aQuery,
+                      std::size_t aBytes,
+                      time_point aNow);
 
 private:
   struct probe
@@ -211,6 +232,10 @@
     time_point mExpires;
   };
   using actions = std::vector<membership_action>;
+  // Number of transmissions so far; order among equals.
+  using queue_place = std::pair<int, std::uint64_t>;
+
+  static constexpr milliseconds kReturnTime{ 60'000 };
 
   void On(const membership_received&, time_point, actions&);
   void On(const members_received&, time_point, actions&);
@@ -222,14 +247,38 @@
   void OnIndirect(const membership_received&, time_point, actions&);
   void NoteSender(const membership_received&, time_point, actions&);
   void CompareDigest(const membership_received&, time_point, actions&);
+  void FetchRanges(const std::string& aFrom,
+                   std::uint64_t aDiffering,
+                   time_point aNow,
+                   actions& aActions);
+  void ApplyBriefs(const members_received&, time_point, actions&);
+  // False if the complete entry is needed.
+  bool ApplyBrief(known_member& aMember,
+                  std::uint64_t aIncarnation,
+                  time_point aNow,
+                  actions& aActions);
+  void NoteReturn(const membership_message&, time_point, actions&);
+  void NoteIncarnation(const membership_message&, time_point, actions&);
+  bool TakesBack(time_point aNow) const
+  {
+    return mCutOff || aNow < mReturnUntil;
+  }
 
-  void Apply(const member_info& aUpdate, time_point, actions&);
+  void Apply(const member_info& aUpdate,
+             time_point aNow,
+             actions& aActions,
+             bool aPassOn = true);
   void ApplyToSelf(const member_info& aUpdate, actions&);
-  void Add(const member_info& aUpdate, time_point, actions&);
+  void RaiseIncarnation(std::uint64_t aIncarnation);
+  void Add(const member_info& aUpdate,
+           time_point aNow,
+           actions& aActions,
+           bool aPassOn);
   void SetState(known_member& aMember,
                 const member_info& aUpdate,
                 time_point aNow,
-                actions& aActions);
+                actions& aActions,
+                bool aPassOn);
   void Forget(const std::string& aName);
 
   void HandlePause(time_point aNow);
@@ -239,6 +288,9 @@
   void SendIndirectProbes(actions& aActions);
   void ProbeSuspects(actions& aActions);
   void Rejoin(time_point aNow, actions& aActions);
+  void ContactSeeds(actions& aActions);
+  // Counts the dead members, too.
+  const known_member* RandomDead();
   const known_member* NextTarget();
 
   membership_message Compose(membership_kind aKind, std::uint64_t aSequence);
@@ -261,8 +313,8 @@
   std::optional<absl::flat_hash_set<std::string>> mListed;
   // Number of entries in mMembers that are alive or suspected.
   std::size_t mLive = 0;
-  // XOR over live members, this instance included.
-  std::uint64_t mDigest = 0;
+  // Covers live members, this instance included.
+  member_digest mDigest;
 
   // Names to probe in this round, in random order.
   std::vector<std::string> mRound;
@@ -273,9 +325,10 @@
   // End of suspicion or of retention, by time.
   std::multimap<time_point, std::string> mDeadlines;
   absl::flat_hash_map<std::string, time_point> mDeadlineOf;
-  // Updates still to be passed on, by number of transmissions so far.
-  std::multimap<int, std::string> mQueue;
-  absl::flat_hash_map<std::string, int> mQueued;
+  // Updates still to be passed on.
+  std::map<queue_place, std::string> mQueue;
+  absl::flat_hash_map<std::string, queue_place> mQueued;
+  std::uint64_t mNextQueued = 0;
 
   std::uint64_t mNextSequence = 1;
   time_point mNextProbe;
@@ -284,6 +337,17 @@
   time_point mLastContact;
   time_point mLastChange;
   time_point mLastFetch;
+  // Sequence of the last probe of a dead member.
+  std::uint64_t mRejoinSequence = 0;
+  // Until then members are taken back at the incarnation of their death.
+  time_point mReturnUntil;
+  // Updates on probes; tables asked for; tables given to others.
+  byte_budget mUpdateBudget;
+  byte_budget mFetchBudget;
+  byte_budget mServeBudget;
+  // A quarter of the members is dead; the incarnation was raised for it.
+  bool mCutOff = false;
+  bool mRaised = false;
   bool mJoined = false;
   bool mLeft = false;
 };
--- a/src/process/control_actions.cpp
+++ b/src/process/control_actions.cpp
@@ -63,7 +63,9 @@
 void
 control_state::Do(const fetch_members& aAction, time_point)
 {
-  mPort.Send(aAction.mFrom, member_query{ mNextSequence++, "" });
+  mPort.Send(
+    aAction.mFrom,
+    member_query{ mNextSequence++, "", aAction.mRanges, aAction.mWanted });
 }
 
 void
--- a/src/process/control_messages.cpp
+++ b/src/process/control_messages.cpp
@@ -73,20 +73,20 @@
 control_state::On(link_id aLink,
                   const std::string&,
                   const member_query& aQuery,
-                  time_point)
+                  time_point aNow)
 {
-  auto [members, more] = mMembership.Table(aQuery.mAfter, kChunkBytes);
-  mPort.Reply(aLink,
-              member_reply{ aQuery.mSequence, std::move(members), more });
+  mPort.Reply(aLink, mMembership.Answer(aQuery, kChunkBytes, aNow));
 }
 
 void
 control_state::On(link_id aLink,
-                  const std::string&,
+                  const std::string& aFrom,
                   const member_reply& aReply,
                   time_point aNow)
 {
-  Give(membership_event(members_received{ aReply.mMembers }), aNow);
+  Give(membership_event(
+         members_received{ aReply.mMembers, aReply.mBriefs, aFrom }),
+       aNow);
   if (aReply.mMore && !aReply.mMembers.empty()) {
     mPort.Reply(
       aLink,
--- /dev/null
+++ b/src/process/member_encoding.h
@@ -0,0 +1,29 @@
+// Sizes and states of entries of the member table. Private to the membership.
+#ifndef SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
+#define SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
+
+#include "snipewalk/process/membership.h"
+
+namespace snipewalk {
+
+// Encoded size of a member_brief.
+inline constexpr std::size_t kBriefBytes = 18;
+
+// Upper bound of the encoded size.
+inline std::size_t
+EncodedBytes(const member_info& aMember)
+{
+  return aMember.mName.size() + aMember.mDataCentre.size() +
+         aMember.mRegion.size() + aMember.mPeerAddress.size() +
+         aMember.mControlAddress.size() + 5 * 3 + 11;
+}
+
+inline bool
+IsLive(member_state aState)
+{
+  return aState == member_state::Alive || aState == member_state::Suspect;
+}
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
--- a/src/process/membership.cpp
+++ b/src/process/membership.cpp
@@ -1,8 +1,6 @@
 // Implementation of the membership: events and timers.
 #include "snipewalk/process/membership.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 namespace snipewalk {
@@ -14,11 +12,13 @@
 constexpr milliseconds kRelayLifetime{ 1'500 };
 // Members told directly of a departure.
 constexpr std::size_t kLeaveFanOut = 8;
-// Digests differ for some rounds after each change; only tables that differ
-// longer are fetched.
-constexpr milliseconds kQuietBeforeFetch{ 5'000 };
-constexpr milliseconds kFetchInterval{ 30'000 };
-constexpr milliseconds kFetchIntervalWhileChanging{ 120'000 };
+// Budgets in bytes a second and their limits. Sent and received, with the
+// fixed part of the datagrams, they add up to less than the 11 KB a second that
+// an instance may use for control.
+constexpr double kExchangeBytesPerSecond = 2'500;
+constexpr double kExchangeLimit = 5'000;
+constexpr double kUpdateBytesPerSecond = 1'500;
+constexpr double kUpdateLimit = 3'000;
 
 } // namespace
 
@@ -30,14 +30,18 @@
   , mLastTimer(aNow)
   , mLastContact(aNow)
   , mLastChange(aNow)
-  , mLastFetch(aNow - kFetchIntervalWhileChanging)
+  , mLastFetch(aNow - std::chrono::hours(1))
+  , mReturnUntil(aNow)
+  , mUpdateBudget(kUpdateBytesPerSecond, kUpdateLimit, aNow)
+  , mFetchBudget(kExchangeBytesPerSecond, kExchangeLimit, aNow)
+  , mServeBudget(kExchangeBytesPerSecond, kExchangeLimit, aNow)
 {
   mSelf.mState = member_state::Alive;
   // A random phase spreads the probes of instances started together.
   const auto interval = static_cast<std::uint64_t>(
     std::max<std::int64_t>(1, mOptions.mProbeInterval.count()));
   mNextProbe = aNow + milliseconds(mRandom() % interval);
-  mDigest = XXH64(mSelf.mName.data(), mSelf.mName.size(), mSelf.mIncarnation);
+  mDigest.Toggle(mSelf.mName, mSelf.mIncarnation);
   Enqueue(mSelf.mName);
 }
 
@@ -46,6 +50,8 @@
                    time_point aNow,
                    std::vector<membership_action>& aActions)
 {
+  mUpdateBudget.Refill(aNow);
+  mFetchBudget.Refill(aNow);
   std::visit([&](const auto& aKnown) { On(aKnown, aNow, aActions); }, aEvent);
 }
 
@@ -75,10 +81,14 @@
   switch (message.mKind) {
     case membership_kind::Probe: {
       // The answer tells a sender that is held dead or suspected about it, so
-      // that it refutes.
+      // that it refutes. A cut-off instance does not insist: it takes the other
+      // side back as it is.
       const known_member* sender = Find(message.mSender);
       const member_info* about = sender == nullptr ? &mSelf : &sender->mInfo;
-      if (about->mState == member_state::Alive && about != &mSelf) {
+      const bool forgiven =
+        about->mState == member_state::Dead && TakesBack(aNow);
+      if (about != &mSelf &&
+          (about->mState == member_state::Alive || forgiven)) {
         about = nullptr;
       }
       SendTo(aEvent.mFrom,
@@ -117,34 +127,13 @@
                                 aEvent.mFrom,
                                 message.mHeads,
                                 milliseconds(message.mWatchAgeMs) });
+  NoteIncarnation(message, aNow, aActions);
   CompareDigest(aEvent, aNow, aActions);
 }
 
-void
-membership::CompareDigest(const membership_received& aEvent,
-                          time_point aNow,
-                          actions& aActions)
-{
-  const bool joining = !mJoined;
-  mJoined = true;
-  if (!joining) {
-    if (aEvent.mMessage.mMemberDigest == mDigest) {
-      return;
-    }
-    const auto interval = aNow - mLastChange >= kQuietBeforeFetch
-                            ? kFetchInterval
-                            : kFetchIntervalWhileChanging;
-    if (aNow - mLastFetch < interval) {
-      return;
-    }
-  }
-  mLastFetch = aNow;
-  aActions.push_back(fetch_members{ aEvent.mFrom });
-}
-
 void
 membership::OnAck(const membership_received& aEvent,
-                  time_point,
+                  time_point aNow,
                   actions& aActions)
 {
   const std::uint64_t sequence = aEvent.mMessage.mSequence;
@@ -152,6 +141,10 @@
     mProbe.reset();
     return;
   }
+  if (sequence == mRejoinSequence) {
+    NoteReturn(aEvent.mMessage, aNow, aActions);
+    return;
+  }
   const auto relayed = mRelays.find(sequence);
   if (relayed != mRelays.end()) {
     SendTo(relayed->second.mAddress,
@@ -180,16 +173,6 @@
          aActions);
 }
 
-void
-membership::On(const members_received& aEvent,
-               time_point aNow,
-               actions& aActions)
-{
-  for (const auto& member : aEvent.mMembers) {
-    Apply(member, aNow, aActions);
-  }
-}
-
 void
 membership::On(const platform_list_received& aEvent,
                time_point aNow,
--- a/src/process/membership_probes.cpp
+++ b/src/process/membership_probes.cpp
@@ -10,6 +10,12 @@
 // Own suspects probed again in each interval.
 constexpr std::size_t kProbedSuspects = 3;
 constexpr std::size_t kSeedsAtOnce = 3;
+// A seed is contacted about this often in each rejoin interval by the whole
+// fleet; by each member, the seeds of 5,000 would answer 1,000 times a second.
+constexpr std::size_t kSeedContacts = 20;
+// A share of the known members that do not die at once by themselves: more than
+// a data centre, less than a region of three.
+constexpr std::size_t kCutOffShare = 4;
 
 } // namespace
 
@@ -102,18 +108,50 @@
 }
 
 void
-membership::Rejoin(time_point, actions& aActions)
+membership::Rejoin(time_point aNow, actions& aActions)
 {
-  // A dead member that answers refutes its death, which heals partitions.
-  if (!mMembers.empty()) {
-    const known_member& member = mMembers[mRandom() % mMembers.size()];
-    if (member.mInfo.mState == member_state::Dead && !member.mUnlisted) {
-      SendTo(member.mInfo.mControlAddress,
-             Compose(membership_kind::Probe, mNextSequence++),
-             &member.mInfo,
-             aActions);
+  // A dead member that answers heals a partition. One probe of each instance in
+  // each interval: the cost does not depend on the number of dead members.
+  if (const known_member* member = RandomDead()) {
+    mRejoinSequence = mNextSequence++;
+    SendTo(member->mInfo.mControlAddress,
+           Compose(membership_kind::Probe, mRejoinSequence),
+           TakesBack(aNow) ? nullptr : &member->mInfo,
+           aActions);
+  }
+  if (mLive == 0 || mRandom() % (mLive + 1) < kSeedContacts) {
+    ContactSeeds(aActions);
+  }
+}
+
+const known_member*
+membership::RandomDead()
+{
+  const known_member* chosen = nullptr;
+  std::size_t dead = 0;
+  if (mLive < mMembers.size()) {
+    for (const auto& member : mMembers) {
+      if (member.mInfo.mState == member_state::Dead && !member.mUnlisted &&
+          mRandom() % ++dead == 0) {
+        chosen = &member;
+      }
     }
   }
+  mCutOff = dead > 1 && dead * kCutOffShare >= mLive + dead;
+  if (!mCutOff) {
+    mRaised = false;
+  } else if (!mRaised) {
+    // The other side is about to hold this instance dead. The higher
+    // incarnation will override that without a refutation.
+    mRaised = true;
+    RaiseIncarnation(mSelf.mIncarnation + 1);
+  }
+  return chosen;
+}
+
+void
+membership::ContactSeeds(actions& aActions)
+{
   std::vector<std::string> seeds;
   for (const auto& seed : mOptions.mSeeds) {
     if (seed != mSelf.mControlAddress) {
--- a/src/process/membership_table.cpp
+++ b/src/process/membership_table.cpp
@@ -2,7 +2,7 @@
 // passed on.
 #include "snipewalk/process/membership.h"
 
-#include <xxhash.h>
+#include "member_encoding.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,28 +20,6 @@
 // Members beyond this number are not added; a bound for faulty peers.
 constexpr std::size_t kMaxMembers = 20'000;
 
-std::uint64_t
-DigestOf(const member_info& aMember)
-{
-  return XXH64(
-    aMember.mName.data(), aMember.mName.size(), aMember.mIncarnation);
-}
-
-// Upper bound of the encoded size.
-std::size_t
-EncodedBytes(const member_info& aMember)
-{
-  return aMember.mName.size() + aMember.mDataCentre.size() +
-         aMember.mRegion.size() + aMember.mPeerAddress.size() +
-         aMember.mControlAddress.size() + 5 * 3 + 11;
-}
-
-bool
-IsLive(member_state aState)
-{
-  return aState == member_state::Alive || aState == member_state::Suspect;
-}
-
 member_info
 WithoutPlace(const member_info& aMember)
 {
@@ -91,7 +69,8 @@
 void
 membership::Apply(const member_info& aUpdate,
                   time_point aNow,
-                  actions& aActions)
+                  actions& aActions,
+                  bool aPassOn)
 {
   if (aUpdate.mName == mSelf.mName) {
     ApplyToSelf(aUpdate, aActions);
@@ -99,17 +78,25 @@
   }
   const auto found = mIndex.find(aUpdate.mName);
   if (found == mIndex.end()) {
-    Add(aUpdate, aNow, aActions);
+    Add(aUpdate, aNow, aActions, aPassOn);
     return;
   }
   known_member& member = mMembers[found->second];
   if (Overrides(aUpdate, member.mInfo)) {
     // Without addresses a newer life cannot be reached: wait for its own
     // update.
-    if (aUpdate.mState != member_state::Alive ||
-        !aUpdate.mControlAddress.empty()) {
-      SetState(member, aUpdate, aNow, aActions);
+    if (aUpdate.mState == member_state::Alive &&
+        aUpdate.mControlAddress.empty()) {
+      return;
     }
+    member_info update = aUpdate;
+    // A death that was concluded elsewhere, for example on the other side of a
+    // partition, gives a member that is held alive here time to refute.
+    if (update.mState == member_state::Dead &&
+        member.mInfo.mState == member_state::Alive) {
+      update.mState = member_state::Suspect;
+    }
+    SetState(member, update, aNow, aActions, aPassOn);
   } else if (aUpdate.mState == member_state::Alive &&
              !IsLive(member.mInfo.mState)) {
     // Whoever believes it alive gets to know of its death, and so does the
@@ -141,14 +128,23 @@
   }
   // A refutation; or an earlier process of this name had a clock ahead of this
   // one, and its traces must not hide this instance.
-  mDigest ^= DigestOf(mSelf);
-  mSelf.mIncarnation = aUpdate.mIncarnation + 1;
-  mDigest ^= DigestOf(mSelf);
+  RaiseIncarnation(aUpdate.mIncarnation + 1);
   Enqueue(mSelf.mName);
 }
 
 void
-membership::Add(const member_info& aUpdate, time_point aNow, actions& aActions)
+membership::RaiseIncarnation(std::uint64_t aIncarnation)
+{
+  mDigest.Toggle(mSelf.mName, mSelf.mIncarnation);
+  mSelf.mIncarnation = aIncarnation;
+  mDigest.Toggle(mSelf.mName, mSelf.mIncarnation);
+}
+
+void
+membership::Add(const member_info& aUpdate,
+                time_point aNow,
+                actions& aActions,
+                bool aPassOn)
 {
   // Nothing is known to be worse than "unknown" for the others.
   if (!IsLive(aUpdate.mState) || aUpdate.mControlAddress.empty() ||
@@ -159,24 +155,26 @@
   member.mInfo = aUpdate;
   member.mInfo.mState = member_state::Dead;
   member.mInfo.mIncarnation = 0;
+  member.mNameHash = HashOfName(aUpdate.mName);
   mIndex[aUpdate.mName] = static_cast<std::uint32_t>(mMembers.size());
   mMembers.push_back(std::move(member));
   // A random place in the round in progress, as in SWIM.
   const std::size_t place = mRandom() % (mRound.size() + 1);
   mRound.insert(mRound.begin() + static_cast<std::ptrdiff_t>(place),
                 aUpdate.mName);
-  SetState(mMembers.back(), aUpdate, aNow, aActions);
+  SetState(mMembers.back(), aUpdate, aNow, aActions, aPassOn);
 }
 
 void
 membership::SetState(known_member& aMember,
                      const member_info& aUpdate,
                      time_point aNow,
-                     actions& aActions)
+                     actions& aActions,
+                     bool aPassOn)
 {
   member_info& known = aMember.mInfo;
   if (IsLive(known.mState)) {
-    mDigest ^= DigestOf(known);
+    mDigest.Toggle(known.mName, known.mIncarnation);
     --mLive;
   }
   if (LifeOf(known.mIncarnation) != LifeOf(aUpdate.mIncarnation)) {
@@ -191,7 +189,7 @@
   known.mState = aUpdate.mState;
   aMember.mSince = aNow;
   if (IsLive(known.mState)) {
-    mDigest ^= DigestOf(known);
+    mDigest.Toggle(known.mName, known.mIncarnation);
     ++mLive;
   }
   if (known.mState == member_state::Suspect) {
@@ -200,7 +198,9 @@
     SetDeadline(known.mName, aNow + mOptions.mDeadRetention);
   }
   mLastChange = aNow;
-  Enqueue(known.mName);
+  if (aPassOn) {
+    Enqueue(known.mName);
+  }
   aActions.push_back(member_changed{ known.mName, known.mState });
 }
 
@@ -262,34 +262,6 @@
   return chosen;
 }
 
-std::pair<std::vector<member_info>, bool>
-membership::Table(const std::string& aAfter, std::size_t aBytes) const
-{
-  std::vector<const member_info*> rest;
-  for (const auto& member : mMembers) {
-    if (member.mInfo.mName > aAfter && IsLive(member.mInfo.mState)) {
-      rest.push_back(&member.mInfo);
-    }
-  }
-  if (mSelf.mName > aAfter && !mLeft) {
-    rest.push_back(&mSelf);
-  }
-  std::sort(
-    rest.begin(), rest.end(), [](const auto* aLeft, const auto* aRight) {
-      return aLeft->mName < aRight->mName;
-    });
-  std::vector<member_info> table;
-  std::size_t bytes = 0;
-  for (const auto* member : rest) {
-    bytes += EncodedBytes(*member);
-    if (bytes > aBytes && !table.empty()) {
-      return { std::move(table), true };
-    }
-    table.push_back(*member);
-  }
-  return { std::move(table), false };
-}
-
 membership_message
 membership::Compose(membership_kind aKind, std::uint64_t aSequence)
 {
@@ -299,7 +271,8 @@
   message.mSender = mSelf.mName;
   message.mIncarnation = mSelf.mIncarnation;
   message.mHeads = mCarried.mHeads;
-  message.mMemberDigest = mDigest;
+  message.mMemberDigest = mDigest.Total();
+  message.mRangeBits = mDigest.Bits(aSequence);
   message.mWatchAgeMs = static_cast<std::uint64_t>(
     std::max<std::int64_t>(0, mCarried.mWatchAge.count()));
   return message;
@@ -323,16 +296,11 @@
 {
   const auto queued = mQueued.find(aName);
   if (queued != mQueued.end()) {
-    auto [first, last] = mQueue.equal_range(queued->second);
-    for (auto entry = first; entry != last; ++entry) {
-      if (entry->second == aName) {
-        mQueue.erase(entry);
-        break;
-      }
-    }
+    mQueue.erase(queued->second);
   }
-  mQueued[aName] = 0;
-  mQueue.emplace(0, aName);
+  const queue_place place{ 0, mNextQueued++ };
+  mQueued[aName] = place;
+  mQueue.emplace(place, aName);
 }
 
 void
@@ -343,12 +311,16 @@
   for (const auto& update : aMessage.mUpdates) {
     left -= std::min(left, EncodedBytes(update));
   }
+  left = std::min(left, mUpdateBudget.Left());
   const int limit = TransmissionLimit();
   std::vector<std::pair<int, std::string>> sent;
   for (auto next = mQueue.begin(); next != mQueue.end();) {
     const known_member* member = Find(next->second);
     const bool self = next->second == mSelf.mName;
-    if (!self && member == nullptr) {
+    // An instance that is cut off itself does not announce deaths: the others
+    // of its side notice them, and after the partition they would be wrong.
+    if (!self && (member == nullptr ||
+                  (mCutOff && member->mInfo.mState == member_state::Dead))) {
       mQueued.erase(next->second);
       next = mQueue.erase(next);
       continue;
@@ -359,14 +331,16 @@
       break;
     }
     left -= bytes;
+    mUpdateBudget.Spend(bytes);
     aMessage.mUpdates.push_back(std::move(update));
-    sent.emplace_back(next->first + 1, next->second);
+    sent.emplace_back(next->first.first + 1, next->second);
     next = mQueue.erase(next);
   }
   for (auto& [count, name] : sent) {
     if (count < limit) {
-      mQueued[name] = count;
-      mQueue.emplace(count, std::move(name));
+      const queue_place place{ count, mNextQueued++ };
+      mQueued[name] = place;
+      mQueue.emplace(place, std::move(name));
     } else {
       mQueued.erase(name);
     }
--- a/tests/process/fleet_model.h
+++ b/tests/process/fleet_model.h
@@ -262,15 +262,21 @@
   void Do(std::size_t aFrom, const fetch_members& aAction)
   {
     ++mInstances[aFrom]->mFetches;
-    Send(aFrom, aAction.mFrom, [this, aFrom](std::size_t aTo) {
-      auto [table, more] =
-        mInstances[aTo]->mMembership->Table("", 64 * 1024 * 1024);
-      const std::size_t bytes = Count(aTo, member_reply{ 1, table, more });
-      Send(
-        aTo, Address(aFrom), [this, bytes, members = table](std::size_t aBack) {
-          mInstances[aBack]->mBytesReceived += bytes;
-          Give(aBack, membership_event(members_received{ members }));
-        });
+    const member_query query{ 1, "", aAction.mRanges, aAction.mWanted };
+    const std::size_t asked = Count(aFrom, query);
+    Send(aFrom, aAction.mFrom, [this, aFrom, asked, query](std::size_t aTo) {
+      mInstances[aTo]->mBytesReceived += asked;
+      const member_reply reply =
+        mInstances[aTo]->mMembership->Answer(query, 64 * 1024 * 1024, mNow);
+      const std::size_t bytes = Count(aTo, reply);
+      Send(aTo,
+           Address(aFrom),
+           [this, bytes, from = Address(aTo), reply](std::size_t aBack) {
+             mInstances[aBack]->mBytesReceived += bytes;
+             Give(aBack,
+                  membership_event(
+                    members_received{ reply.mMembers, reply.mBriefs, from }));
+           });
     });
   }
   void Do(std::size_t aFrom, const peer_seen& aAction)
