--- a/include/snipewalk/process/fleet_messages.h
+++ b/include/snipewalk/process/fleet_messages.h
@@ -50,6 +50,9 @@
   std::vector<member_info> mUpdates;
   // The sender's versions; left out where the receiver knows them.
   std::optional<version_range> mVersions;
+  // One bit of the digest of each range of members (see member_digest); zero
+  // from a sender that does not know ranges.
+  std::uint64_t mRangeBits = 0;
 };
 
 enum class slot_message_kind
@@ -114,6 +117,17 @@
   std::uint64_t mSequence = 0;
   // Members with names above this one follow.
   std::string mAfter;
+  // If set, asks for the live members of these ranges (one bit each) instead.
+  std::uint64_t mRanges = 0;
+  // Asks for the complete entries of members by the hashes of their names.
+  std::vector<std::uint64_t> mWanted{};
+};
+
+// A live member as far as another one needs it that knows its addresses.
+struct member_brief
+{
+  std::uint64_t mNameHash = 0;
+  std::uint64_t mIncarnation = 0;
 };
 
 struct member_reply
@@ -121,6 +135,7 @@
   std::uint64_t mSequence = 0;
   std::vector<member_info> mMembers;
   bool mMore = false;
+  std::vector<member_brief> mBriefs{};
 };
 
 // A question or answer about the primary of a service.
--- a/src/process/wire_fields.h
+++ b/src/process/wire_fields.h
@@ -31,6 +31,9 @@
 // Index of the message, message and version of a datagram.
 using wire_datagram = std::tuple<int, msgpack::object, int>;
 
+// Place of the bits of the ranges in wire_membership.
+inline constexpr std::size_t kRangeBitsField = 10;
+
 // Fields of each tuple in version 1. A tuple that grew has an entry here, and
 // one in FieldsOf().
 template<typename Wire>
@@ -40,6 +43,10 @@
 template<>
 inline constexpr std::size_t kFirstFields<wire_membership> = 9;
 template<>
+inline constexpr std::size_t kFirstFields<wire_member_query> = 2;
+template<>
+inline constexpr std::size_t kFirstFields<wire_member_reply> = 3;
+template<>
 inline constexpr std::size_t kFirstFields<wire_datagram> = 2;
 
 // Number of fields that `aVersion` sends.
@@ -57,13 +64,35 @@
                                     : kFirstFields<wire_member>;
 }
 
-// The sender's versions are optional.
+// Fields that say nothing are left out at the end.
+inline std::size_t
+FieldsOf(const wire_member_query& aQuery, int aVersion)
+{
+  const bool asks = std::get<2>(aQuery) != 0 || !std::get<3>(aQuery).empty();
+  return aVersion >= kStatedVersion && asks
+           ? std::tuple_size_v<wire_member_query>
+           : kFirstFields<wire_member_query>;
+}
+
+inline std::size_t
+FieldsOf(const wire_member_reply& aReply, int aVersion)
+{
+  return aVersion >= kStatedVersion && !std::get<3>(aReply).empty()
+           ? std::tuple_size_v<wire_member_reply>
+           : kFirstFields<wire_member_reply>;
+}
+
 inline std::size_t
 FieldsOf(const wire_membership& aMessage, int aVersion)
 {
-  const bool stated = std::get<wire_versions>(aMessage) != wire_versions();
-  return aVersion >= kStatedVersion && stated
-           ? std::tuple_size_v<wire_membership>
+  if (aVersion < kStatedVersion) {
+    return kFirstFields<wire_membership>;
+  }
+  if (std::get<kRangeBitsField>(aMessage) != 0) {
+    return kRangeBitsField + 1;
+  }
+  return std::get<wire_versions>(aMessage) != wire_versions()
+           ? kRangeBitsField
            : kFirstFields<wire_membership>;
 }
 
--- a/tests/process/fleet_versions_test.cpp
+++ b/tests/process/fleet_versions_test.cpp
@@ -146,21 +146,21 @@
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> packer(buffer);
     packer.pack_array(2);
-    packer.pack(3);
+    packer.pack(1);
     packer.pack_array(aFields);
     for (std::uint32_t i = 0; i < aFields; ++i) {
       i == 1 ? packer.pack(std::string("n")) : packer.pack(4);
     }
     return DecodeFleetMessage({ buffer.data(), buffer.size() });
   };
-  for (const std::uint32_t fields : { 2U, 3U, 18U }) {
+  for (const std::uint32_t fields : { 4U, 5U, 20U }) {
     const auto message = query(fields);
     ASSERT_TRUE(message) << fields;
-    EXPECT_EQ(std::get<member_query>(*message).mAfter, "n");
+    EXPECT_EQ(std::get<pull_query>(*message).mKind, "n");
+  }
+  for (const std::uint32_t fields : { 0U, 1U, 3U, 21U }) {
+    EXPECT_FALSE(query(fields)) << fields;
   }
-  EXPECT_FALSE(query(0));
-  EXPECT_FALSE(query(1));
-  EXPECT_FALSE(query(19));
 }
 
 membership
