Spread slot claims by the number expected in the fleet

Cause: every claim came within 500 ms of the loss, however many instances failed, so the claims of a data centre alone exceeded the store's rate.

Ruled out: a window that follows the claims still open (it shrinks with each claim of others, and the rest comes at once); a fixed long window (slow after the loss of one instance); counting the lost members alone (members that were lost and replaced earlier would still count).

Change: the window is the expected claims (lost members times slots held on average, at most the slots known to be open) at 200 claims a second, half of the store's 400 writes; services with one or no live holder use a half or a quarter of it, and 500 ms is the least. Calls for a service without a live holder, and a holder's own, are urgent. slot_fleet has a new function Losses(). A take-over whose co-holders were asked is not delayed again.

--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -75,6 +75,14 @@
   Gone
 };
 
+struct fleet_losses
+{
+  // Members that are believed dead or are gone.
+  std::size_t mLost = 0;
+  // All known members, this instance and the lost ones included.
+  std::size_t mMembers = 0;
+};
+
 // What slot assignment asks about the fleet.
 class slot_fleet
 {
@@ -88,6 +96,8 @@
                            const std::vector<std::string>& aExcluded) const = 0;
   // Control address; empty when unknown.
   virtual std::string AddressOf(const std::string& aInstance) const = 0;
+  // Nothing is lost in a fleet that does not know.
+  virtual fleet_losses Losses() const { return {}; }
 };
 
 struct slot_options
@@ -97,8 +107,9 @@
   milliseconds mQueryInterval{ 1'500 };
   // A candidate of lower rank waits this much longer for each rank.
   milliseconds mRankStep{ 3'000 };
-  // Claims are delayed by a random share of this time, and of the second one
-  // after the store was unreachable.
+  // Claims are delayed by a random share of this time, or of a longer one when
+  // many are expected in the fleet, and of the second one after the store was
+  // unreachable.
   milliseconds mClaimJitter{ 500 };
   milliseconds mRecoveryJitter{ 5'000 };
   // Time to close connections before a slot is released.
@@ -205,6 +216,16 @@
 int
 SlotReserve(int aConnections, int aSlots, std::size_t aSlot);
 
+// Claims a second that the whole fleet aims at: half of the 400 writes that the
+// store is known to sustain. The other half is left to changes of primary.
+inline constexpr std::size_t kClaimsPerSecond = 200;
+
+// Time over which the claims of a service are spread when `aClaims` are
+// expected in the whole fleet, and at least `aLeast`. Services with one or no
+// live holder use a half or a quarter of it.
+duration
+ClaimWindow(std::size_t aClaims, std::size_t aLiveHolders, milliseconds aLeast);
+
 struct slot_service;
 
 class slot_assignment
@@ -270,6 +291,14 @@
   void SetShare(slot_service& aService, int aShare, actions& aActions);
 
   std::vector<std::size_t> Openings(const slot_service& aService) const;
+  std::size_t LiveHolders(const slot_service& aService) const;
+  store_priority PriorityOf(const slot_service& aService) const;
+  void NoteOpenings(slot_service& aService, std::size_t aOpenings);
+  // Claims that the fleet has to make at present, as far as is known.
+  std::size_t ExpectedClaims(time_point aNow);
+  // Spread of the claims of this service; never shrinks while a slot is open,
+  // but for a loss of holders.
+  duration ClaimSpread(slot_service& aService, time_point aNow);
   bool WaitForTurn(slot_service& aService,
                    std::size_t aOpenings,
                    time_point aNow);
@@ -322,6 +351,11 @@
   // Exactly one entry for each service whose mDue is set.
   std::set<std::pair<time_point, std::string>> mDue;
   std::uint64_t mNextOperation = 1;
+  // Sum of slot_service::mOpenings.
+  std::size_t mOpenings = 0;
+  // Dead or gone members times slots held on average, at mLostSlotsAt.
+  std::size_t mLostSlots = 0;
+  time_point mLostSlotsAt = time_point::min();
   bool mReleasing = false;
 };
 
--- a/src/process/membership_fleet.cpp
+++ b/src/process/membership_fleet.cpp
@@ -97,4 +97,17 @@
   return member == nullptr ? std::string() : member->mInfo.mControlAddress;
 }
 
+fleet_losses
+membership_fleet::Losses() const
+{
+  const auto& members = mMembership.Members();
+  fleet_losses losses;
+  losses.mMembers = members.size() + 1;
+  for (const auto& member : members) {
+    losses.mLost += member.mInfo.mState == member_state::Dead ||
+                    member.mInfo.mState == member_state::Left;
+  }
+  return losses;
+}
+
 } // namespace snipewalk
--- a/src/process/membership_fleet.h
+++ b/src/process/membership_fleet.h
@@ -26,6 +26,7 @@
   holder_liveness Liveness(const slot_record::holder& aHolder) const override;
   std::size_t Rank(const std::string& aService,
                    const std::vector<std::string>& aExcluded) const override;
+  fleet_losses Losses() const override;
   std::string AddressOf(const std::string& aInstance) const override;
 
   // Call about once a second: holders that neither the membership nor the
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -382,9 +382,10 @@
   aService.mOperationSent = aNow;
   aService.mOperationIsPut = false;
   mOperations[*aService.mOperation] = aService.mName;
-  aActions.push_back(slot_store_call{
-    *aService.mOperation,
-    store_get{ { std::string(kSlotsKind), aService.mName } } });
+  aActions.push_back(
+    slot_store_call{ *aService.mOperation,
+                     store_get{ { std::string(kSlotsKind), aService.mName } },
+                     PriorityOf(aService) });
 }
 
 } // namespace snipewalk
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -50,20 +50,29 @@
                              std::size_t aOpenings,
                              time_point aNow)
 {
+  NoteOpenings(aService, aOpenings);
   if (!aService.mOpeningSince) {
     aService.mOpeningSince = aNow;
-    aService.mNextStoreCall =
-      std::max(aService.mNextStoreCall, aNow + Random(mOptions.mClaimJitter));
+    aService.mClaimPart = std::uniform_real_distribution<>()(mRandom);
+    aService.mExpectedClaims = 0;
   }
+  const duration spread = ClaimSpread(aService, aNow);
   std::vector<std::string> holders;
   for (const auto& holder : aService.mRecord.mHolders) {
     holders.push_back(holder.mInstance);
   }
   const std::size_t rank = mFleet.Rank(aService.mName, holders);
   time_point turn = aService.mNextStoreCall;
+  if (!aService.mTakeOver) {
+    turn =
+      std::max(turn,
+               *aService.mOpeningSince + std::chrono::duration_cast<duration>(
+                                           aService.mClaimPart * spread));
+  }
   if (rank >= aOpenings) {
+    // After the last of the candidates before this one.
     turn = std::max(turn,
-                    *aService.mOpeningSince +
+                    *aService.mOpeningSince + spread - mOptions.mClaimJitter +
                       mOptions.mRankStep *
                         static_cast<std::int64_t>(rank - aOpenings + 1));
   }
@@ -80,10 +89,14 @@
                               actions& aActions)
 {
   if (mReleasing || aService.mSlots <= 0 || aService.mOperation) {
+    if (aService.mSlots <= 0) {
+      NoteOpenings(aService, 0);
+    }
     return;
   }
   const std::vector<std::size_t> openings = Openings(aService);
   if (openings.empty()) {
+    NoteOpenings(aService, 0);
     aService.mOpeningSince.reset();
     aService.mTakeOver.reset();
     mTakeOvers.erase(aService.mName);
@@ -193,7 +206,8 @@
     slot_store_call{ *aService.mOperation,
                      store_put{ { std::string(kSlotsKind), aService.mName },
                                 EncodeSlotRecord(next),
-                                aService.mExists ? aService.mVersion : 0 } });
+                                aService.mExists ? aService.mVersion : 0 },
+                     PriorityOf(aService) });
 }
 
 void
--- a/src/version/slot_service.h
+++ b/src/version/slot_service.h
@@ -79,6 +79,12 @@
   milliseconds mBackoff{ 0 };
 
   std::optional<time_point> mOpeningSince;
+  // Slots to be claimed; zero while mOpeningSince is not set.
+  std::size_t mOpenings = 0;
+  // Part of the claim window that this instance waits, and the most claims
+  // expected in the fleet, since the opening.
+  double mClaimPart = 0;
+  std::size_t mExpectedClaims = 0;
   std::optional<take_over> mTakeOver;
   std::optional<time_point> mDue;
 
--- /dev/null
+++ b/src/version/slot_urgency.cpp
@@ -0,0 +1,86 @@
+// Implementation of slot assignment: urgency and spread of claims
+// (docs/design.md, section 6.1).
+#include "slot_service.h"
+
+#include "snipewalk/version/slot_assignment.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// The losses of the fleet are counted over all members and services.
+constexpr milliseconds kLossesInterval{ 200 };
+
+} // namespace
+
+duration
+ClaimWindow(std::size_t aClaims, std::size_t aLiveHolders, milliseconds aLeast)
+{
+  const duration window = std::chrono::duration_cast<duration>(
+    seconds(1) * static_cast<std::int64_t>(aClaims) /
+    static_cast<std::int64_t>(kClaimsPerSecond));
+  const int part = aLiveHolders == 0 ? 4 : aLiveHolders == 1 ? 2 : 1;
+  return std::max<duration>(aLeast, window / part);
+}
+
+std::size_t
+slot_assignment::LiveHolders(const slot_service& aService) const
+{
+  const auto& holders = aService.mRecord.mHolders;
+  return static_cast<std::size_t>(
+    std::count_if(holders.begin(), holders.end(), [&](const auto& aHolder) {
+      return !aHolder.mInstance.empty() &&
+             mFleet.Liveness(aHolder) == holder_liveness::Live;
+    }));
+}
+
+store_priority
+slot_assignment::PriorityOf(const slot_service& aService) const
+{
+  // A holder's authority may depend on the answer.
+  const bool holds = aService.mSlot && !mReleasing;
+  return holds || LiveHolders(aService) == 0 ? store_priority::Urgent
+                                             : store_priority::Slots;
+}
+
+void
+slot_assignment::NoteOpenings(slot_service& aService, std::size_t aOpenings)
+{
+  mOpenings += aOpenings;
+  mOpenings -= std::exchange(aService.mOpenings, aOpenings);
+}
+
+std::size_t
+slot_assignment::ExpectedClaims(time_point aNow)
+{
+  if (mLostSlotsAt == time_point::min() ||
+      aNow >= mLostSlotsAt + kLossesInterval) {
+    mLostSlotsAt = aNow;
+    std::size_t slots = 0;
+    for (const auto& [name, service] : mServices) {
+      slots += static_cast<std::size_t>(std::max(0, service->mSlots));
+    }
+    const fleet_losses losses = mFleet.Losses();
+    mLostSlots =
+      losses.mLost * slots / std::max<std::size_t>(1, losses.mMembers);
+  }
+  // Members that were lost earlier have been replaced: no more is claimed than
+  // is open.
+  return std::min(mLostSlots, mOpenings);
+}
+
+duration
+slot_assignment::ClaimSpread(slot_service& aService, time_point aNow)
+{
+  // Losses become known one by one, so the window grows; if it shrank with each
+  // claim of others, the rest would come at once.
+  aService.mExpectedClaims =
+    std::max(aService.mExpectedClaims, ExpectedClaims(aNow));
+  return ClaimWindow(
+    aService.mExpectedClaims, LiveHolders(aService), mOptions.mClaimJitter);
+}
+
+} // namespace snipewalk
--- a/tests/version/slot_model.h
+++ b/tests/version/slot_model.h
@@ -23,6 +23,8 @@
   int mConnections = 20;
   // Documents change slots and connections now and then.
   bool mChangeDocuments = false;
+  // The store refuses writes above this rate.
+  int mWritesPerSecond = 1'000'000;
   std::uint64_t mSeed = 1;
 };
 
@@ -35,6 +37,9 @@
   // Advances the time by up to 100 ms, with faults while chaos is on.
   void Step();
   void SetChaos(bool aOn);
+  // Ends the instances from `aFirst` on; all others and the platform's list
+  // learn it at once.
+  void Fail(std::size_t aFirst);
 
   // Connections to one server of a service that running processes may have.
   int OpenConnections(std::size_t aService) const;
@@ -45,6 +50,8 @@
   std::uint64_t TakeOvers() const { return mTakeOvers; }
   std::uint64_t Crashes() const { return mCrashes; }
   std::uint64_t Claims() const { return mClaims; }
+  std::uint64_t RefusedWrites() const { return mRefusedWrites; }
+  time_point Now() const { return mNow; }
 
 private:
   struct node;
@@ -66,6 +73,8 @@
   void Carry(std::size_t aNode, const slot_action& aAction);
   void CallStore(std::size_t aNode, const slot_store_call& aCall);
   store_reply Execute(const store_request& aRequest);
+  // Whether the store accepts the write at its rate.
+  bool MayWrite();
   void CountChange(const std::string& aName, const std::string& aValue);
   void InjectFaults();
   void ChangeViews();
@@ -91,6 +100,10 @@
   std::uint64_t mTakeOvers = 0;
   std::uint64_t mCrashes = 0;
   std::uint64_t mClaims = 0;
+  // Writes of the present tenth of a second.
+  time_point mWritesSince{};
+  int mWrites = 0;
+  std::uint64_t mRefusedWrites = 0;
 };
 
 } // namespace snipewalk
--- a/tests/version/slot_model_faults.cpp
+++ b/tests/version/slot_model_faults.cpp
@@ -87,6 +87,23 @@
   }
 }
 
+void
+slot_model::Fail(std::size_t aFirst)
+{
+  for (std::size_t failed = aFirst; failed < mNodes.size(); ++failed) {
+    mNodes[failed]->mRunning = false;
+    for (std::size_t i = 0; i < aFirst; ++i) {
+      mNodes[i]->mView->mBelievedDead.insert(failed);
+      mNodes[i]->mView->mEnded.insert(mNodes[failed]->mLife);
+    }
+  }
+  for (std::size_t i = 0; i < aFirst; ++i) {
+    for (std::size_t failed = aFirst; failed < mNodes.size(); ++failed) {
+      Give(i, slot_member_changed{ NodeName(failed) });
+    }
+  }
+}
+
 void
 slot_model::ChangeViews()
 {
--- a/tests/version/slot_model_nodes.h
+++ b/tests/version/slot_model_nodes.h
@@ -44,6 +44,11 @@
     return aInstance;
   }
 
+  fleet_losses Losses() const override
+  {
+    return { mBelievedDead.size(), mModel.mNodes.size() };
+  }
+
   // Beliefs that may be wrong.
   std::set<std::size_t> mBelievedDead;
   // Lives known to have ended; always true.
--- a/tests/version/slot_model_store.cpp
+++ b/tests/version/slot_model_store.cpp
@@ -38,6 +38,10 @@
     answer(Below(50), { store_status::RateLimited, {}, 0, {} });
     return;
   }
+  if (std::holds_alternative<store_put>(aCall.mRequest) && !MayWrite()) {
+    answer(Below(10), { store_status::RateLimited, {}, 0, {} });
+    return;
+  }
   const bool requestLost = mChaos && Chance(0.05);
   const bool answerLost = mChaos && Chance(0.1);
   const milliseconds delay =
@@ -56,6 +60,18 @@
   });
 }
 
+bool
+slot_model::MayWrite()
+{
+  if (mNow >= mWritesSince + milliseconds(100)) {
+    mWritesSince = mNow;
+    mWrites = 0;
+  }
+  const bool accepted = ++mWrites <= mOptions.mWritesPerSecond / 10;
+  mRefusedWrites += accepted ? 0 : 1;
+  return accepted;
+}
+
 store_reply
 slot_model::Execute(const store_request& aRequest)
 {
