Let changes of primary precede claims of served services

Change: a claim window above 500 ms starts later by half of the excess while the service has a live holder.

What remains of the promotions' time is the backoff of refused term writes in failover, which this change leaves alone.

--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -220,10 +220,18 @@
 // store is known to sustain. The other half is left to changes of primary.
 inline constexpr std::size_t kClaimsPerSecond = 200;
 
-// Time over which the claims of a service are spread when `aClaims` are
-// expected in the whole fleet, and at least `aLeast`. Services with one or no
-// live holder use a half or a quarter of it.
-duration
+// When the claims of a service are made, counted from the opening.
+struct claim_window
+{
+  duration mStart{};
+  duration mLength{};
+};
+
+// The window when `aClaims` are expected in the whole fleet. Services with one
+// or no live holder use a half or a quarter of the length, which is at least
+// `aLeast`. Longer windows of services with a live holder start later, because
+// the changes of primary of the same failure need the store first.
+claim_window
 ClaimWindow(std::size_t aClaims, std::size_t aLiveHolders, milliseconds aLeast);
 
 struct slot_service;
@@ -296,9 +304,9 @@
   void NoteOpenings(slot_service& aService, std::size_t aOpenings);
   // Claims that the fleet has to make at present, as far as is known.
   std::size_t ExpectedClaims(time_point aNow);
-  // Spread of the claims of this service; never shrinks while a slot is open,
+  // Window of the claims of this service; never shrinks while a slot is open,
   // but for a loss of holders.
-  duration ClaimSpread(slot_service& aService, time_point aNow);
+  claim_window WindowOf(slot_service& aService, time_point aNow);
   bool WaitForTurn(slot_service& aService,
                    std::size_t aOpenings,
                    time_point aNow);
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -56,23 +56,23 @@
     aService.mClaimPart = std::uniform_real_distribution<>()(mRandom);
     aService.mExpectedClaims = 0;
   }
-  const duration spread = ClaimSpread(aService, aNow);
+  const claim_window window = WindowOf(aService, aNow);
   std::vector<std::string> holders;
   for (const auto& holder : aService.mRecord.mHolders) {
     holders.push_back(holder.mInstance);
   }
   const std::size_t rank = mFleet.Rank(aService.mName, holders);
+  const time_point start = *aService.mOpeningSince + window.mStart;
   time_point turn = aService.mNextStoreCall;
   if (!aService.mTakeOver) {
-    turn =
-      std::max(turn,
-               *aService.mOpeningSince + std::chrono::duration_cast<duration>(
-                                           aService.mClaimPart * spread));
+    turn = std::max(turn,
+                    start + std::chrono::duration_cast<duration>(
+                              aService.mClaimPart * window.mLength));
   }
   if (rank >= aOpenings) {
     // After the last of the candidates before this one.
     turn = std::max(turn,
-                    *aService.mOpeningSince + spread - mOptions.mClaimJitter +
+                    start + window.mLength - mOptions.mClaimJitter +
                       mOptions.mRankStep *
                         static_cast<std::int64_t>(rank - aOpenings + 1));
   }
--- a/src/version/slot_urgency.cpp
+++ b/src/version/slot_urgency.cpp
@@ -16,14 +16,15 @@
 
 } // namespace
 
-duration
+claim_window
 ClaimWindow(std::size_t aClaims, std::size_t aLiveHolders, milliseconds aLeast)
 {
   const duration window = std::chrono::duration_cast<duration>(
     seconds(1) * static_cast<std::int64_t>(aClaims) /
     static_cast<std::int64_t>(kClaimsPerSecond));
   const int part = aLiveHolders == 0 ? 4 : aLiveHolders == 1 ? 2 : 1;
-  return std::max<duration>(aLeast, window / part);
+  const duration length = std::max<duration>(aLeast, window / part);
+  return { aLiveHolders == 0 ? duration(0) : (length - aLeast) / 2, length };
 }
 
 std::size_t
@@ -72,8 +73,8 @@
   return std::min(mLostSlots, mOpenings);
 }
 
-duration
-slot_assignment::ClaimSpread(slot_service& aService, time_point aNow)
+claim_window
+slot_assignment::WindowOf(slot_service& aService, time_point aNow)
 {
   // Losses become known one by one, so the window grows; if it shrank with each
   // claim of others, the rest would come at once.
--- a/tests/version/slot_urgency_test.cpp
+++ b/tests/version/slot_urgency_test.cpp
@@ -16,7 +16,9 @@
 {
   for (std::size_t claims = 0; claims <= 9; ++claims) {
     for (std::size_t live = 0; live <= 3; ++live) {
-      EXPECT_EQ(ClaimWindow(claims, live, kJitter), kJitter);
+      const claim_window window = ClaimWindow(claims, live, kJitter);
+      EXPECT_EQ(window.mStart, duration(0));
+      EXPECT_EQ(window.mLength, kJitter);
     }
   }
 }
@@ -25,9 +27,11 @@
 // store's rate, and against services without a holder that wait behind others.
 TEST(ClaimWindowTest, GrowsWithClaimsAndShrinksWithUrgency)
 {
-  EXPECT_EQ(ClaimWindow(1'000, 2, kJitter), seconds(5));
-  EXPECT_EQ(ClaimWindow(1'000, 1, kJitter), milliseconds(2'500));
-  EXPECT_EQ(ClaimWindow(1'000, 0, kJitter), milliseconds(1'250));
+  EXPECT_EQ(ClaimWindow(1'000, 2, kJitter).mLength, seconds(5));
+  EXPECT_EQ(ClaimWindow(1'000, 1, kJitter).mLength, milliseconds(2'500));
+  EXPECT_EQ(ClaimWindow(1'000, 0, kJitter).mLength, milliseconds(1'250));
+  EXPECT_EQ(ClaimWindow(1'000, 2, kJitter).mStart, milliseconds(2'250));
+  EXPECT_EQ(ClaimWindow(1'000, 0, kJitter).mStart, duration(0));
 }
 
 // A third of 30 instances fails with more than 300 of 1,800 slots. Guards
