Move slots to better candidates

Cause: slots moved only when a holder stopped. After rolling restarts some instances held most slots and others none, and services stayed with all holders in one data centre.

Ruled out: closing the share and vacating the slot after a fixed second as at shutdown, because busy connections are not cut off when the share ends and the next holder would exceed the limit; moving while a transaction is open, which would lose it; checking each held service at each question (the index would be rebuilt each second on each instance).

Change: every 30 to 60 s an instance considers one of its slots. It releases it for spread or balance only while members and record have been unchanged for 20 s, every slot has a live holder that asked at the present version, and no transaction is open. It asks the store first, closes the share, waits for a report of no open connections, and vacates the slot with the existing release; after 8 s the move is cancelled. It claims the slot again 30 s later at the earliest.

Not run: integration tests with real processes.

A service that always has a transaction open at a holder does not move from it.

--- a/bench/slot_assignment_bench.cpp
+++ b/bench/slot_assignment_bench.cpp
@@ -37,6 +37,26 @@
 }
 BENCHMARK(RankOfClaimant)->Arg(10)->Arg(100)->Arg(1'000)->Arg(5'000);
 
+// The index from which ranks are computed, with the first rank; it is rebuilt
+// once a second at most.
+void
+IndexOfMembers(benchmark::State& state)
+{
+  const fleet_model names;
+  const membership members =
+    Known(names, static_cast<std::size_t>(state.range(0)));
+  membership_fleet fleet(members);
+  slot_options options;
+  options.mInstance = members.Self().mName;
+  const slot_assignment slots(options, fleet);
+  fleet.SetSlots(slots);
+  for ([[maybe_unused]] auto iteration : state) {
+    fleet.Tick(time_point{}, seconds(30));
+    benchmark::DoNotOptimize(fleet.Rank("ledger", { "instance-1" }));
+  }
+}
+BENCHMARK(IndexOfMembers)->Arg(10)->Arg(100)->Arg(1'000)->Arg(5'000);
+
 // One interval in which a holder of one slot asks its co-holders and the store
 // or they answer.
 void
--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -125,6 +125,10 @@
   void ReportConnections(const std::string& aService,
                          const std::string& aServer,
                          std::size_t aConnections);
+  // Connections and transactions open to all servers of the service.
+  void ReportUse(const std::string& aService,
+                 std::size_t aConnections,
+                 std::size_t aTransactions);
   // Answers mHoldBegins.
   void ReportTransactions(const std::string& aAsker,
                           const transactions_query& aQuery,
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -50,6 +50,7 @@
 #include "snipewalk/process/fleet_messages.h"
 #include "snipewalk/process/store_client.h"
 #include "snipewalk/version/service_view.h"
+#include "snipewalk/version/slot_placement.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -87,6 +88,16 @@
   // one in the order of candidates (slot_placement.h).
   virtual std::size_t Rank(const std::string& aService,
                            const std::vector<std::string>& aExcluded) const = 0;
+  // Whether this instance should give its slot of the service to a better
+  // candidate; `aHolders` are all holders by slot.
+  virtual std::optional<release_reason> ReasonToRelease(
+    const std::string&,
+    const std::vector<std::string>&) const
+  {
+    return std::nullopt;
+  }
+  // Since when the live instances are the same; nothing while unknown.
+  virtual std::optional<time_point> StableSince() const { return std::nullopt; }
   // Control address; empty when unknown.
   virtual std::string AddressOf(const std::string& aInstance) const = 0;
 };
@@ -104,6 +115,12 @@
   milliseconds mRecoveryJitter{ 5'000 };
   // Time to close connections before a slot is released.
   milliseconds mCloseTime{ 1'000 };
+  // An instance considers the release of one slot to a better candidate after
+  // this time and a random share of it.
+  milliseconds mMoveSpacing{ 30'000 };
+  // The members and the record must not have changed for this time. At the
+  // target size an instance restarts every two minutes on average.
+  milliseconds mMoveStableTime{ 20'000 };
   std::uint64_t mSeed = 1;
 };
 
@@ -148,6 +165,14 @@
 struct slot_store_recovered
 {};
 
+// Connections and transactions that this instance has open to the servers.
+struct slot_use_reported
+{
+  std::string mService;
+  std::size_t mConnections = 0;
+  std::size_t mTransactions = 0;
+};
+
 // Release all slots and claim no more.
 struct slots_released
 {};
@@ -161,6 +186,7 @@
                                 slot_message_received,
                                 slot_store_answered,
                                 slot_store_recovered,
+                                slot_use_reported,
                                 slots_released,
                                 slot_timer>;
 
@@ -237,6 +263,8 @@
   std::size_t HeldBy(const std::string& aInstance) const;
   // Of the backend servers; empty for an unknown service.
   std::vector<std::string> ServerDataCentres(const std::string& aService) const;
+  // Slots released to better candidates so far.
+  std::uint64_t Moves() const { return mMoves; }
   // True once no slot is held; meaningful after slots_released.
   bool IsReleased() const { return HeldCount() == 0; }
   // Whether the platform's list may decide about a holder believed dead.
@@ -251,6 +279,7 @@
   void On(const slot_message_received&, time_point, actions&);
   void On(const slot_store_answered&, time_point, actions&);
   void On(const slot_store_recovered&, time_point, actions&);
+  void On(const slot_use_reported&, time_point, actions&);
   void On(const slots_released&, time_point, actions&);
   void On(const slot_timer&, time_point, actions&);
 
@@ -271,6 +300,12 @@
   void StepHolder(slot_service& aService, time_point aNow, actions& aActions);
   void StepRelease(slot_service& aService, time_point aNow, actions& aActions);
   void StepClaimant(slot_service& aService, time_point aNow, actions& aActions);
+  void StartMove(time_point aNow);
+  bool MayMove(const slot_service& aService, time_point aNow) const;
+  std::optional<release_reason> ReasonToMove(
+    const slot_service& aService) const;
+  // Whether the slot is being released, so that nothing else is to be done.
+  bool StepMove(slot_service& aService, time_point aNow, actions& aActions);
   void AskHolders(slot_service& aService, time_point aNow, actions& aActions);
   void AskStore(slot_service& aService, time_point aNow, actions& aActions);
   bool HasAuthority(const slot_service& aService, time_point aNow) const;
@@ -331,6 +366,9 @@
   std::set<std::pair<time_point, std::string>> mDue;
   std::uint64_t mNextOperation = 1;
   bool mReleasing = false;
+  // When a move is considered next; nothing before the first timer event.
+  std::optional<time_point> mNextMove;
+  std::uint64_t mMoves = 0;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/version/slot_placement.h
+++ b/include/snipewalk/version/slot_placement.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,15 @@
 slot_load
 LoadOf(std::size_t aHeld, double aMean);
 
+// Why an instance gives a slot to a better candidate.
+enum class release_reason
+{
+  // Another holder is in its data centre, and some other data centre has none.
+  Spread,
+  // It holds clearly more slots than the mean.
+  Balance
+};
+
 // A live member; the names need to live during construction only.
 struct placement_member
 {
@@ -77,6 +87,17 @@
                    const std::string& aSelf,
                    std::size_t aHeld) const;
 
+  // Whether the holder `aSelf`, which holds `aHeld` slots in all, should
+  // release its slot. Each release for spread lowers the number of holders that
+  // share a data centre; one for balance never raises it and lowers an
+  // excessive load for one that is normal or low afterwards. So moves come to
+  // an end. Of the holders in one data centre only the one of the highest slot
+  // releases.
+  std::optional<release_reason> ReasonToRelease(
+    const placement_question& aQuestion,
+    const std::string& aSelf,
+    std::size_t aHeld) const;
+
   static constexpr std::size_t kExactRanks = 16;
   static constexpr std::size_t kGroupLead = 3;
 
@@ -100,6 +121,9 @@
   using group_sizes = std::array<std::size_t, kPlaces * kLoads>;
 
   const member* Find(const std::string& aName) const;
+  // The members among the holders, without `aExcept`.
+  std::vector<const member*> Holders(const placement_question& aQuestion,
+                                     const member* aExcept) const;
   // Place of each data centre, 0 being the best one.
   std::vector<std::size_t> Places(
     const placement_question& aQuestion,
--- a/src/process/control_loop.cpp
+++ b/src/process/control_loop.cpp
@@ -63,6 +63,16 @@
     [this, aService, aEvidence] { mState->OnEvidence(aService, aEvidence); });
 }
 
+void
+control_loop::ReportUse(const std::string& aService,
+                        std::size_t aConnections,
+                        std::size_t aTransactions)
+{
+  mLoop->Post([this, aService, aConnections, aTransactions] {
+    mState->OnUse({ aService, aConnections, aTransactions });
+  });
+}
+
 void
 control_loop::ReportConnections(const std::string& aService,
                                 const std::string& aServer,
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -303,6 +303,12 @@
   mControls.OnEvidence(aService, aEvidence, mLoop.Now());
 }
 
+void
+control_state::OnUse(const slot_use_reported& aUse)
+{
+  Give(slot_event(aUse), mLoop.Now());
+}
+
 void
 control_state::OnConnections(const std::string& aService,
                              const std::string& aServer,
--- a/src/process/control_state.h
+++ b/src/process/control_state.h
@@ -58,6 +58,7 @@
   // Loop thread only.
   void Begin();
   void OnEvidence(const std::string& aService, const report_evidence&);
+  void OnUse(const slot_use_reported& aUse);
   void OnConnections(const std::string& aService,
                      const std::string& aServer,
                      std::size_t aConnections);
--- a/src/process/daemon.cpp
+++ b/src/process/daemon.cpp
@@ -90,6 +90,7 @@
   };
   hooks.mTraffic.mOnStatus = [this](const std::string& aService,
                                     const engine_status& aStatus) {
+    mControl.ReportUse(aService, aStatus.mConnections, aStatus.mTransactions);
     for (const auto& server : aStatus.mServers) {
       mControl.ReportConnections(aService, server.mName, server.mConnections);
     }
--- a/src/process/membership_fleet.cpp
+++ b/src/process/membership_fleet.cpp
@@ -37,6 +37,10 @@
 membership_fleet::Tick(time_point aNow, milliseconds aLag)
 {
   mIndex.reset();
+  if (!mStable || mLive != mMembership.LiveCount()) {
+    mStable = aNow;
+    mLive = mMembership.LiveCount();
+  }
   std::vector<std::string> changed;
   for (auto next = mStrangers.begin(); next != mStrangers.end();) {
     const std::string& name = next->first.first;
@@ -104,6 +108,16 @@
                       mSlots == nullptr ? 0 : mSlots->Load());
 }
 
+std::optional<release_reason>
+membership_fleet::ReasonToRelease(
+  const std::string& aService,
+  const std::vector<std::string>& aHolders) const
+{
+  return Index().ReasonToRelease(Question(aService, aHolders),
+                                 mMembership.Self().mName,
+                                 mSlots == nullptr ? 0 : mSlots->HeldCount());
+}
+
 std::string
 membership_fleet::AddressOf(const std::string& aInstance) const
 {
--- a/src/process/membership_fleet.h
+++ b/src/process/membership_fleet.h
@@ -28,6 +28,10 @@
   holder_liveness Liveness(const slot_record::holder& aHolder) const override;
   std::size_t Rank(const std::string& aService,
                    const std::vector<std::string>& aExcluded) const override;
+  std::optional<release_reason> ReasonToRelease(
+    const std::string& aService,
+    const std::vector<std::string>& aHolders) const override;
+  std::optional<time_point> StableSince() const override { return mStable; }
   // Held slots and the services' data centres are taken from `aSlots`, which
   // outlives this object; without it all instances count as equally loaded.
   void SetSlots(const slot_assignment& aSlots) { mSlots = &aSlots; }
@@ -55,6 +59,10 @@
   const membership& mMembership;
   const slot_assignment* mSlots = nullptr;
   mutable std::unique_ptr<placement_index> mIndex;
+  std::optional<time_point> mStable;
+  // Live members at the last Tick(); one that leaves in the same second as
+  // another joins is not noticed, which only starts a move early.
+  std::size_t mLive = 0;
   // Live members when the index was built.
   mutable std::size_t mIndexed = 0;
   // Holders asked about that the membership does not know.
--- a/src/version/slot_assignment.cpp
+++ b/src/version/slot_assignment.cpp
@@ -219,6 +219,7 @@
 void
 slot_assignment::On(const slot_timer&, time_point aNow, actions& aActions)
 {
+  StartMove(aNow);
   for (std::size_t i = 0;
        i < kServicesAtOnce && !mDue.empty() && mDue.begin()->first <= aNow;
        ++i) {
@@ -239,7 +240,7 @@
   } else if (mReleasing || *aService.mSlot >= static_cast<std::size_t>(
                                                 std::max(0, aService.mSlots))) {
     StepRelease(aService, aNow, aActions);
-  } else {
+  } else if (!StepMove(aService, aNow, aActions)) {
     aService.mReleaseAt.reset();
     StepHolder(aService, aNow, aActions);
   }
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -286,6 +286,7 @@
   Adopt(aService, object, aNow, aActions);
   aActions.push_back(record_learned{ object });
   if (object.mVersion == aService.mVersion && aService.mSlot) {
+    aService.mStoreConfirmed = aService.mOperationSent;
     aService.mAuthorityUntil = std::max(
       aService.mAuthorityUntil, aService.mOperationSent + kAuthorityTime);
   }
--- a/src/version/slot_placement.cpp
+++ b/src/version/slot_placement.cpp
@@ -83,6 +83,21 @@
   return found == mMembers.end() ? nullptr : &found->second;
 }
 
+std::vector<const placement_index::member*>
+placement_index::Holders(const placement_question& aQuestion,
+                         const member* aExcept) const
+{
+  std::vector<const member*> holders;
+  for (const auto& name : aQuestion.mHolders) {
+    const member* holder = Find(name);
+    if (holder != nullptr && holder != aExcept &&
+        std::find(holders.begin(), holders.end(), holder) == holders.end()) {
+      holders.push_back(holder);
+    }
+  }
+  return holders;
+}
+
 std::vector<std::size_t>
 placement_index::Places(const placement_question& aQuestion,
                         const std::vector<const member*>& aHolders) const
@@ -166,14 +181,7 @@
   if (known == nullptr) {
     return 0;
   }
-  std::vector<const member*> holders;
-  for (const auto& name : aQuestion.mHolders) {
-    const member* holder = Find(name);
-    if (holder != nullptr && holder != known &&
-        std::find(holders.begin(), holders.end(), holder) == holders.end()) {
-      holders.push_back(holder);
-    }
-  }
+  const std::vector<const member*> holders = Holders(aQuestion, known);
   member self = *known;
   self.mLoad = LoadOf(aHeld, mMean);
   const std::vector<std::size_t> places = Places(aQuestion, holders);
@@ -189,4 +197,44 @@
   return rank + RankAmongEquals(aQuestion, holders, places, self, sizes[group]);
 }
 
+std::optional<release_reason>
+placement_index::ReasonToRelease(const placement_question& aQuestion,
+                                 const std::string& aSelf,
+                                 std::size_t aHeld) const
+{
+  const member* self = Find(aSelf);
+  if (self == nullptr) {
+    return std::nullopt;
+  }
+  std::vector<const member*> holders = Holders(aQuestion, self);
+  const std::vector<std::size_t> places = Places(aQuestion, holders);
+  const std::size_t own = places[self->mCentre];
+  const bool shares = (own & kSharesCentre) != 0;
+  const std::vector<const member*> bySlot = Holders(aQuestion, nullptr);
+  const auto last =
+    std::find_if(bySlot.rbegin(), bySlot.rend(), [&](const auto* aEach) {
+      return aEach->mCentre == self->mCentre;
+    });
+  const bool isLast = last != bySlot.rend() && *last == self;
+  holders.push_back(self);
+  const group_sizes sizes = CountGroups(places, holders);
+  const auto first = std::find_if(
+    sizes.begin(), sizes.end(), [](std::size_t aSize) { return aSize > 0; });
+  if (first == sizes.end()) {
+    return std::nullopt;
+  }
+  const auto group = static_cast<std::size_t>(first - sizes.begin());
+  const std::size_t place = group / kLoads;
+  const auto load = static_cast<slot_load>(group % kLoads);
+  if (shares && isLast && place < kSharesCentre &&
+      load != slot_load::Excessive) {
+    return release_reason::Spread;
+  }
+  if (LoadOf(aHeld, mMean) == slot_load::Excessive && place <= own &&
+      load <= slot_load::Normal) {
+    return release_reason::Balance;
+  }
+  return std::nullopt;
+}
+
 } // namespace snipewalk
--- a/src/version/slot_rebalancing.cpp
+++ b/src/version/slot_rebalancing.cpp
@@ -1,10 +1,152 @@
-// Implementation of slot assignment: what placement asks about held slots.
+// Implementation of slot assignment: release of slots to better candidates.
+//
+// A move must not cost more than it gains, so the holder first asks the store,
+// which the release needs anyway, then closes the share, waits until the
+// traffic thread reports no open connection, and vacates the slot. A move that
+// does not get that far within kMoveLimit is cancelled.
 #include "slot_service.h"
 
 #include "snipewalk/version/slot_assignment.h"
 
+#include <algorithm>
+
 namespace snipewalk {
 
+namespace {
+
+constexpr milliseconds kMoveLimit{ 8'000 };
+// The traffic threads report each 500 ms; an older report says nothing.
+constexpr milliseconds kReportAge{ 3'000 };
+constexpr milliseconds kReportWait{ 250 };
+
+} // namespace
+
+void
+slot_assignment::On(const slot_use_reported& aEvent, time_point aNow, actions&)
+{
+  if (slot_service* service = FindService(aEvent.mService)) {
+    service->mUseReported = aNow;
+    service->mOpenConnections = aEvent.mConnections;
+    service->mOpenTransactions = aEvent.mTransactions;
+  }
+}
+
+// Whether the service can do without this holder for some seconds.
+bool
+slot_assignment::MayMove(const slot_service& aService, time_point aNow) const
+{
+  const auto& holders = aService.mRecord.mHolders;
+  const auto slots = static_cast<std::size_t>(std::max(0, aService.mSlots));
+  if (!aService.mSlot || slots < 2 || holders.size() != slots ||
+      aService.mMustRead || !HasAuthority(aService, aNow) ||
+      aNow < aService.mRecordSince + mOptions.mMoveStableTime ||
+      aNow < aService.mNoGrowBefore) {
+    return false;
+  }
+  const bool othersServe = std::all_of(
+    aService.mOthers.begin(), aService.mOthers.end(), [&](const auto& aOther) {
+      // A question at this version shows that it adopted the record.
+      return aOther.second.mAskedAt >= aService.mVersion &&
+             aOther.second.mDocument >= aService.mDocument &&
+             mFleet.Liveness({ aOther.first, aOther.second.mLife }) ==
+               holder_liveness::Live;
+    });
+  return othersServe && aService.mOthers.size() + 1 == slots;
+}
+
+std::optional<release_reason>
+slot_assignment::ReasonToMove(const slot_service& aService) const
+{
+  std::vector<std::string> holders;
+  for (const auto& holder : aService.mRecord.mHolders) {
+    holders.push_back(holder.mInstance);
+  }
+  return mFleet.ReasonToRelease(aService.mName, holders);
+}
+
+void
+slot_assignment::StartMove(time_point aNow)
+{
+  const bool due = mNextMove && aNow >= *mNextMove;
+  if (!due && mNextMove) {
+    return;
+  }
+  mNextMove = aNow + mOptions.mMoveSpacing + Random(mOptions.mMoveSpacing);
+  const auto stable = mFleet.StableSince();
+  const auto held = mByHolder.find(mOptions.mInstance);
+  if (!due || mReleasing || !stable ||
+      aNow < *stable + mOptions.mMoveStableTime || held == mByHolder.end()) {
+    return;
+  }
+  slot_service* chosen = nullptr;
+  for (const auto& name : held->second) {
+    slot_service& service = *mServices.at(name);
+    if (service.mMove) {
+      return;
+    }
+    const bool busy =
+      !service.mSlot || service.mOperation || !service.mUseReported ||
+      aNow > *service.mUseReported + kReportAge ||
+      service.mOpenTransactions > 0 ||
+      service.mShare !=
+        SlotShare(service.mConnections, service.mSlots, *service.mSlot);
+    if (busy || !MayMove(service, aNow)) {
+      continue;
+    }
+    const auto reason = ReasonToMove(service);
+    if (reason == release_reason::Spread || (reason && chosen == nullptr)) {
+      chosen = &service;
+    }
+  }
+  if (chosen != nullptr) {
+    chosen->mMove = slot_move{ aNow, {} };
+    Schedule(*chosen, aNow);
+  }
+}
+
+bool
+slot_assignment::StepMove(slot_service& aService,
+                          time_point aNow,
+                          actions& aActions)
+{
+  if (!aService.mMove) {
+    return false;
+  }
+  slot_move& move = *aService.mMove;
+  // Once the release was sent, only a version of the record ends the move: the
+  // update may have taken effect and the slot may have been claimed.
+  const bool sent =
+    aService.mMustRead || (aService.mOperation && aService.mOperationIsPut);
+  if (!sent && (!MayMove(aService, aNow) || aNow >= move.mSince + kMoveLimit)) {
+    aService.mMove.reset();
+    return false;
+  }
+  if (!move.mClosing && aService.mStoreConfirmed < move.mSince) {
+    AskStore(aService, aNow, aActions);
+    return false;
+  }
+  if (!move.mClosing) {
+    if (aService.mOpenTransactions > 0 || !ReasonToMove(aService)) {
+      aService.mMove.reset();
+      return false;
+    }
+    move.mClosing = aNow;
+    SetShare(aService, 0, aActions);
+  }
+  // A thread without connections and share may report only once.
+  const bool closed = aNow >= *move.mClosing + mOptions.mCloseTime &&
+                      *aService.mUseReported > *move.mClosing &&
+                      aService.mOpenConnections == 0;
+  if (sent || closed) {
+    StepRelease(aService, aNow, aActions);
+  }
+  if (aNow >= aService.mNextQuery) {
+    AskHolders(aService, aNow, aActions);
+  }
+  Schedule(aService, aNow + kReportWait);
+  return true;
+}
+
 std::size_t
 slot_assignment::Load() const
 {
--- a/src/version/slot_records.cpp
+++ b/src/version/slot_records.cpp
@@ -8,6 +8,14 @@
 
 namespace snipewalk {
 
+namespace {
+
+// An instance that released a slot to a better candidate claims it again only
+// when that one and the next few in the order did not.
+constexpr milliseconds kReclaimDelay{ 30'000 };
+
+} // namespace
+
 void
 slot_assignment::Index(const slot_service& aService, bool aAdd)
 {
@@ -85,6 +93,14 @@
       std::max(aService.mAuthorityUntil, aNow + kAuthorityTime);
   }
   aService.mOthers = std::move(others);
+  if (aService.mMove && !aService.mSlot) {
+    ++mMoves;
+    // The better candidate claims first.
+    aService.mNextStoreCall =
+      std::max(aService.mNextStoreCall, aNow + kReclaimDelay);
+  }
+  aService.mMove.reset();
+  aService.mRecordSince = aNow;
   if (!aService.mSlot) {
     aService.mReleaseAt.reset();
     SetShare(aService, 0, aActions);
--- a/src/version/slot_service.h
+++ b/src/version/slot_service.h
@@ -43,6 +43,14 @@
   time_point mNextAsk;
 };
 
+// Release of the slot to a better candidate.
+struct slot_move
+{
+  time_point mSince;
+  // When the share was set to zero; nothing while the store is asked.
+  std::optional<time_point> mClosing;
+};
+
 struct slot_service
 {
   std::string mName;
@@ -84,6 +92,16 @@
   std::optional<take_over> mTakeOver;
   std::optional<time_point> mDue;
 
+  std::optional<slot_move> mMove;
+  // When the present version of the record was adopted.
+  time_point mRecordSince = time_point::min();
+  // The store named this holder in response to a call sent then.
+  time_point mStoreConfirmed = time_point::min();
+  // The newest report about the connections to the servers.
+  std::optional<time_point> mUseReported;
+  std::size_t mOpenConnections = 0;
+  std::size_t mOpenTransactions = 0;
+
   bool IsHolder(const std::string& aName, std::uint64_t aLife) const
   {
     for (const auto& holder : mRecord.mHolders) {
--- a/tests/version/slot_assignment_test.cpp
+++ b/tests/version/slot_assignment_test.cpp
@@ -77,6 +77,65 @@
   }
 }
 
+// Guards against a slot that moves to a better candidate while connections of
+// its former holder are open, in diverging views, and against moves that never
+// end: once the faults are over, a few moves separate the data centres and the
+// slots rest for an hour.
+TEST(SlotAssignmentTest, MovesKeepTheLimitAndComeToAnEnd)
+{
+  std::uint64_t movesInChaos = 0;
+  for (std::uint64_t seed = 31; seed <= 34; ++seed) {
+    slot_model_options options;
+    options.mSeed = seed;
+    options.mInstances = 9;
+    options.mServices = 5;
+    options.mDataCentres = 3;
+    slot_model model(options);
+    const auto step = [&] {
+      model.Step();
+      for (std::size_t i = 0; i < options.mServices; ++i) {
+        ASSERT_LE(model.OpenConnections(i), model.Limit(i)) << "seed " << seed;
+      }
+    };
+    std::uint64_t before = 0;
+    for (int i = 0; i < 20'000; ++i) {
+      step();
+      const std::uint64_t now = model.Moves();
+      movesInChaos += now > before ? now - before : 0;
+      before = now;
+    }
+    model.SetChaos(false);
+    for (int i = 0; i < 72'000; ++i) {
+      step();
+    }
+    EXPECT_EQ(model.SharedCentres(), 0U) << "seed " << seed;
+    EXPECT_TRUE(model.IsFull()) << "seed " << seed;
+    const std::uint64_t moves = model.Moves();
+    for (int i = 0; i < 72'000; ++i) {
+      step();
+    }
+    EXPECT_EQ(model.Moves(), moves) << "seed " << seed;
+  }
+  EXPECT_GT(movesInChaos, 20U);
+}
+
+// Guards against moves where there is nothing to gain: each of three instances
+// holds a slot of each of three services.
+TEST(SlotAssignmentTest, NothingMovesAtThreeInstances)
+{
+  slot_model_options options;
+  options.mInstances = 3;
+  options.mServices = 3;
+  options.mDataCentres = 2;
+  slot_model model(options);
+  model.SetChaos(false);
+  for (int i = 0; i < 72'000; ++i) {
+    model.Step();
+  }
+  EXPECT_TRUE(model.IsFull());
+  EXPECT_EQ(model.Moves(), 0U);
+}
+
 // A fleet in which the instances "a" and "b" are alive.
 class live_fleet : public slot_fleet
 {
--- a/tests/version/slot_model.cpp
+++ b/tests/version/slot_model.cpp
@@ -61,6 +61,11 @@
   options.mInstance = NodeName(aNode);
   options.mLife = started.mLife;
   options.mSeed = mRandom();
+  started.mView->mStable = mNow;
+  if (mChaos) {
+    options.mMoveSpacing = milliseconds(2'000);
+    options.mMoveStableTime = milliseconds(500);
+  }
   started.mSlots = std::make_unique<slot_assignment>(options, *started.mView);
   started.mDocuments.clear();
   started.mRecords.clear();
@@ -160,6 +165,7 @@
   }
   ChangeViews();
   Spread();
+  ReportUse();
   for (std::size_t i = 0; i < mNodes.size(); ++i) {
     const auto due = mNodes[i]->mSlots->NextTimer();
     if (mNodes[i]->mRunning && due && *due <= mNow) {
--- a/tests/version/slot_model.h
+++ b/tests/version/slot_model.h
@@ -23,6 +23,9 @@
   int mConnections = 20;
   // Documents change slots and connections now and then.
   bool mChangeDocuments = false;
+  // Instances take turns in this many data centres; slots move between them,
+  // sooner than by default when chaos is on.
+  std::size_t mDataCentres = 0;
   std::uint64_t mSeed = 1;
 };
 
@@ -44,6 +47,10 @@
   bool IsFull() const;
   std::uint64_t TakeOvers() const { return mTakeOvers; }
   std::uint64_t Crashes() const { return mCrashes; }
+  // Slots released to better candidates by the running processes.
+  std::uint64_t Moves() const;
+  // Holders that share a data centre with another holder of the service.
+  std::size_t SharedCentres() const;
   std::uint64_t Claims() const { return mClaims; }
 
 private:
@@ -70,6 +77,8 @@
   void InjectFaults();
   void ChangeViews();
   void Spread();
+  void ReportUse();
+  placement_index Index(std::size_t aViewer) const;
 
   slot_model_options mOptions;
   std::mt19937_64 mRandom;
--- a/tests/version/slot_model_faults.cpp
+++ b/tests/version/slot_model_faults.cpp
@@ -27,6 +27,11 @@
 slot_model::view::Rank(const std::string& aService,
                        const std::vector<std::string>& aExcluded) const
 {
+  if (mModel.mOptions.mDataCentres > 0) {
+    return mModel.Index(mSelf).Rank({ aService, {}, aExcluded },
+                                    NodeName(mSelf),
+                                    mModel.mNodes[mSelf]->mSlots->Load());
+  }
   const auto hash = [&](std::size_t aNode) {
     return std::hash<std::string>{}(aService + NodeName(aNode));
   };
@@ -99,6 +104,7 @@
   const bool believedDead =
     !reachable || (mChaos && i != j && (rumoured || Chance(0.03)));
   if (believedDead ? dead.insert(j).second : dead.erase(j) > 0) {
+    mNodes[i]->mView->mStable = mNow;
     Give(i, slot_member_changed{ NodeName(j) });
   }
 }
--- a/tests/version/slot_model_nodes.h
+++ b/tests/version/slot_model_nodes.h
@@ -39,6 +39,10 @@
   holder_liveness Liveness(const slot_record::holder& aHolder) const override;
   std::size_t Rank(const std::string& aService,
                    const std::vector<std::string>& aExcluded) const override;
+  std::optional<release_reason> ReasonToRelease(
+    const std::string& aService,
+    const std::vector<std::string>& aHolders) const override;
+  std::optional<time_point> StableSince() const override { return mStable; }
   std::string AddressOf(const std::string& aInstance) const override
   {
     return aInstance;
@@ -48,6 +52,7 @@
   std::set<std::size_t> mBelievedDead;
   // Lives known to have ended; always true.
   std::set<std::uint64_t> mEnded;
+  std::optional<time_point> mStable;
 
 private:
   const slot_model& mModel;
