--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -91,6 +91,8 @@
   milliseconds mWatchAge{ 0 };
   std::uint64_t mControlBytesSent = 0;
   std::size_t mSlotsHeld = 0;
+  // Slots that it released to better candidates since its start.
+  std::uint64_t mSlotsMoved = 0;
   std::vector<service_status> mServices;
 };
 
--- a/src/process/admin_pages.cpp
+++ b/src/process/admin_pages.cpp
@@ -104,6 +104,7 @@
 {
   aValue["live_members"] = Json::UInt64(aControl.mLiveMembers);
   aValue["slots_held"] = Json::UInt64(aControl.mSlotsHeld);
+  aValue["slots_moved"] = Json::UInt64(aControl.mSlotsMoved);
   aValue["control_bytes_sent"] = Json::UInt64(aControl.mControlBytesSent);
   aValue["is_watcher"] = aControl.mIsWatcher;
   aValue["watch_age_ms"] = Json::Int64(aControl.mWatchAge.count());
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -260,6 +260,7 @@
   status->mWatchAge = mDissemination.Carried(aNow).mWatchAge;
   status->mControlBytesSent = mPort.Counters().mBytesSent;
   status->mSlotsHeld = mSlots.HeldCount();
+  status->mSlotsMoved = mSlots.Moves();
   for (const auto& [name, service] : mServices) {
     if (service.mDocument || !service.mInvalid.empty()) {
       status->mServices.push_back(StatusOf(name, service));
