--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/process/control_loop.h
@@ -94,6 +94,8 @@
   milliseconds mWatchAge{ 0 };
   std::uint64_t mControlBytesSent = 0;
   std::size_t mSlotsHeld = 0;
+  // Slots that it released to better candidates since its start.
+  std::uint64_t mSlotsMoved = 0;
   std::vector<service_status> mServices;
 };
 
@@ -128,6 +130,10 @@
   void ReportConnections(const std::string& aService,
                          const std::string& aServer,
                          std::size_t aConnections);
+  // Connections and transactions open to all servers of the service.
+  void ReportUse(const std::string& aService,
+                 std::size_t aConnections,
+                 std::size_t aTransactions);
   // Answers mHoldBegins.
   void ReportTransactions(const std::string& aAsker,
                           const transactions_query& aQuery,
--- a/tests/version/slot_model.h
+++ b/tests/version/slot_model.h
@@ -25,6 +25,9 @@
   bool mChangeDocuments = false;
   // The store refuses writes above this rate.
   int mWritesPerSecond = 1'000'000;
+  // Instances take turns in this many data centres; slots move between them,
+  // sooner than by default when chaos is on.
+  std::size_t mDataCentres = 0;
   std::uint64_t mSeed = 1;
 };
 
@@ -49,6 +52,10 @@
   bool IsFull() const;
   std::uint64_t TakeOvers() const { return mTakeOvers; }
   std::uint64_t Crashes() const { return mCrashes; }
+  // Slots released to better candidates by the running processes.
+  std::uint64_t Moves() const;
+  // Holders that share a data centre with another holder of the service.
+  std::size_t SharedCentres() const;
   std::uint64_t Claims() const { return mClaims; }
   std::uint64_t RefusedWrites() const { return mRefusedWrites; }
   time_point Now() const { return mNow; }
@@ -79,6 +86,8 @@
   void InjectFaults();
   void ChangeViews();
   void Spread();
+  void ReportUse();
+  placement_index Index(std::size_t aViewer) const;
 
   slot_model_options mOptions;
   std::mt19937_64 mRandom;
