--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -45,7 +45,7 @@
       if (send == nullptr) {
         continue;
       }
-      bytes += EncodeDatagram(send->mMessage, "key").size();
+      bytes += EncodeDatagram(send->mMessage, "key", send->mVersion).size();
       if (send->mMessage.mKind == membership_kind::Probe) {
         ++rounds;
         probe.mKind = membership_kind::Ack;
--- a/tests/process/fleet_model.h
+++ b/tests/process/fleet_model.h
@@ -59,7 +59,8 @@
              "region-" + std::to_string(aIndex % mRegions),
              Address(aIndex),
              Address(aIndex),
-             member_state::Alive };
+             member_state::Alive,
+             kBuildVersions };
   }
 
   // Starts or replaces the instance at this index.
@@ -230,7 +231,8 @@
     instance& from = *mInstances[aFrom];
     ++from.mDatagrams;
     if (mCountBytes) {
-      const std::size_t bytes = EncodeDatagram(aAction.mMessage, "key").size();
+      const std::size_t bytes =
+        EncodeDatagram(aAction.mMessage, "key", aAction.mVersion).size();
       from.mBytesSent += bytes;
       mLargestDatagram = std::max<std::uint64_t>(mLargestDatagram, bytes);
     }
--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -150,8 +150,11 @@
   // Gives an instance that does not run new ports.
   void MoveInstance(int aInstance);
 
-  // Instances started from now on have no limit.
-  void LiftProtocolVersionLimit() { mOptions.mProtocolVersionLimit.reset(); }
+  // For instances started from now on.
+  void SetProtocolVersionLimit(std::optional<int> aLimit)
+  {
+    mOptions.mProtocolVersionLimit = aLimit;
+  }
   // Starts an instance (again) under its name and ports.
   absl::Status StartInstance(int aInstance);
   static std::string InstanceName(int aInstance);
