--- a/tests/process/fleet_model.h
+++ b/tests/process/fleet_model.h
@@ -64,7 +64,8 @@
              "region-" + std::to_string(aIndex % mRegions),
              Address(aIndex),
              Address(aIndex),
-             member_state::Alive };
+             member_state::Alive,
+             kBuildVersions };
   }
 
   // Starts or replaces the instance at this index.
@@ -241,7 +242,7 @@
     ++from.mDatagrams;
     std::size_t bytes = 0;
     if (mCountBytes) {
-      bytes = EncodeDatagram(aAction.mMessage, "key").size();
+      bytes = EncodeDatagram(aAction.mMessage, "key", aAction.mVersion).size();
       from.mBytesSent += bytes;
       mLargestDatagram = std::max<std::uint64_t>(mLargestDatagram, bytes);
     }
