Correct what version 1 decoders do with additional fields, and note the cost

What stays: the decoder of the peer port refuses additional fields, and the code over the control port's hello does not cover them. So the nonces still are the place for the ranges.

Trial under AddressSanitizer and UBSan: FleetVersionsTest, FleetCodecTest, PeerVersionsTest and PeerDecoderFuzzTest pass.

--- a/include/snipewalk/base/protocol_version.h
+++ b/include/snipewalk/base/protocol_version.h
@@ -17,8 +17,8 @@
 
 namespace snipewalk {
 
-// Version 1: arrays of fixed length; nothing names a version. Its decoders
-// refuse or misread an array with additional fields.
+// Version 1: nothing names a version. On the peer port its decoder refuses an
+// array with additional fields; on the control port it ignores them.
 // Version 2: handshakes, member entries and membership messages state a range,
 // datagrams their version; decoders ignore additional fields.
 inline constexpr int kOldestProtocolVersion = 1;
--- a/src/process/wire_fields.h
+++ b/src/process/wire_fields.h
@@ -3,9 +3,8 @@
 // packing leaves the later fields out, and reading sets fields that are absent
 // to their defaults and ignores up to kMaxExtraFields unknown ones.
 //
-// msgpack's own conversion of a tuple takes the fields from the end of the
-// array, so that an array of another length is misread, and one that is too
-// short is read out of bounds.
+// msgpack's own conversion of a tuple accepts any number of additional fields
+// and an array without any field; here both are bounded.
 #ifndef SNIPEWALK_PROCESS_WIRE_FIELDS_H_
 #define SNIPEWALK_PROCESS_WIRE_FIELDS_H_
 
--- a/tests/process/fleet_versions_test.cpp
+++ b/tests/process/fleet_versions_test.cpp
@@ -138,8 +138,8 @@
   EXPECT_FALSE(DecodeDatagram(Bytes(kMembership1), { "key" }, { 2, 3 }));
 }
 
-// Guards against arrays that are read out of bounds or misread because their
-// length is another one.
+// Guards against later versions that cannot add fields, unbounded ones, and
+// messages that lack fields but are taken.
 TEST(FleetVersionsTest, IgnoresSomeExtraFieldsAndNeedsTheKnownOnes)
 {
   const auto query = [](std::uint32_t aFields) {
@@ -173,6 +173,22 @@
   return { options, kNow };
 }
 
+// Guards against a hello that lacks fields but is taken.
+TEST(FleetVersionsTest, HelloNeedsAllFields)
+{
+  for (std::uint32_t fields = 0; fields <= 5; ++fields) {
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(fields);
+    for (std::uint32_t i = 0; i < fields; ++i) {
+      packer.pack(std::string(1, static_cast<char>('a' + i)));
+    }
+    const auto hello = DecodeHello({ buffer.data(), buffer.size() });
+    EXPECT_EQ(hello.has_value(), fields >= 4) << fields;
+    EXPECT_EQ(hello ? hello->mCode : "d", "d") << fields;
+  }
+}
+
 // A probe from the instance, as the codec of `aVersion` delivers it.
 membership_event
 Probe(const version_range& aVersions, int aVersion)
