--- a/src/process/traffic_thread.cpp
+++ b/src/process/traffic_thread.cpp
@@ -46,14 +46,11 @@
 const char*
 LatencyNameOf(statement_kind aKind)
 {
-  switch (aKind) {
-    case statement_kind::Read:
-      return "read_latency";
-    case statement_kind::Write:
-      return "write_latency";
-    default:
-      return "transaction_latency";
+  if (aKind == statement_kind::Read) {
+    return "read_latency";
   }
+  return aKind == statement_kind::Write ? "write_latency"
+                                        : "transaction_latency";
 }
 
 } // namespace
