Push term records that an instance wrote itself

The store goes out some 100 ms after the first writes. The instance that coordinates the first term applies its own term records to its cache only; the others get them from watches, which the outage cuts. Once their shares open, 1 s later, their engines know no primary and refuse writes as no_primary. The watches are a little later since calls have priorities, which made an old gap show.

Ruled out: a second change of term (the log has none); a lost primary (the servers answer).

Change: what a controller wrote is given to the dissemination, which pushes it as the range of its own revision. DisseminationTest.WriterPushesItsOwnObject fails without the event and passes with it.

--- a/include/snipewalk/process/dissemination.h
+++ b/include/snipewalk/process/dissemination.h
@@ -77,6 +77,12 @@
   pull_reply mReply;
 };
 
+// This instance wrote the object to the store.
+struct object_written
+{
+  stored_object mObject;
+};
+
 // The live members changed.
 struct fleet_changed
 {};
@@ -88,6 +94,7 @@
                                          push_received,
                                          peer_seen,
                                          pull_answered,
+                                         object_written,
                                          fleet_changed,
                                          dissemination_timer>;
 
@@ -175,6 +182,7 @@
   void On(const push_received&, time_point, actions&);
   void On(const peer_seen&, time_point, actions&);
   void On(const pull_answered&, time_point, actions&);
+  void On(const object_written&, time_point, actions&);
   void On(const fleet_changed&, time_point, actions&);
   void On(const dissemination_timer&, time_point, actions&);
 
--- a/src/process/control_state.cpp
+++ b/src/process/control_state.cpp
@@ -125,7 +125,7 @@
           }
         },
         [this](const stored_object& aObject) {
-          Do(record_learned{ aObject }, mLoop.Now());
+          Give(dissemination_event(object_written{ aObject }), mLoop.Now());
         },
         mCallbacks.mHoldBegins },
       [this](const std::string& aService) {
--- a/src/process/dissemination.cpp
+++ b/src/process/dissemination.cpp
@@ -289,6 +289,27 @@
   StartPull(aNow, aActions);
 }
 
+// The watchers may lose the store before they see the change, and the others
+// need it all the same.
+void
+dissemination::On(const object_written& aEvent, time_point, actions& aActions)
+{
+  const stored_object& object = aEvent.mObject;
+  const std::string& kind = object.mKey.mKind;
+  if (object.mVersion < 2) {
+    return;
+  }
+  // A version is a revision of the whole store: it has this change only.
+  const std::uint64_t since = object.mVersion - 1;
+  objects_changed changed;
+  mCache.ApplyRange({ kind, since, object.mVersion, 0, { object } },
+                    changed.mKeys);
+  if (!changed.mKeys.empty()) {
+    Push({ kind, since, object.mVersion, { object } }, "", aActions);
+    aActions.push_back(std::move(changed));
+  }
+}
+
 void
 dissemination::On(const fleet_changed&, time_point, actions&)
 {
--- a/tests/process/dissemination_test.cpp
+++ b/tests/process/dissemination_test.cpp
@@ -47,6 +47,30 @@
   }
 }
 
+// Guards against an object that only its writer has when the store goes out
+// before a watcher sees the change.
+TEST(DisseminationTest, WriterPushesItsOwnObject)
+{
+  fleet_model fleet(2);
+  fleet.StartJoined(20);
+  fleet.Put("terms", "first", "a");
+  fleet.Run(seconds(10));
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    fleet.At(i).mStoreReachable = false;
+  }
+  // Other kinds changed meanwhile.
+  const stored_object written{
+    { "terms", "ledger" }, fleet.Revision() + 5, false, "b"
+  };
+  fleet.Give(3, object_written{ written });
+  fleet.Run(seconds(2));
+  for (std::size_t i = 0; i < fleet.Size(); ++i) {
+    const stored_object* found = fleet.At(i).mCache->Find("terms", "ledger");
+    ASSERT_NE(found, nullptr) << i;
+    EXPECT_EQ(found->mValue, "b");
+  }
+}
+
 // Guards against changes that do not reach everybody within seconds.
 TEST(DisseminationTest, ChangeReachesAllInstancesWithinSeconds)
 {
