--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,6 +14,8 @@
 START_LIMIT_S = 60
 # Time until the shares of a new service are in use.
 SETTLE_S = 9
+# Servers have to drop vanished clients within 30 s (docs/design.md, question 3).
+KEEP_ALIVE_MS = 10_000
 
 
 def http(method, port, path, body=None, headers=None, timeout=5):
@@ -76,6 +78,7 @@
         self.folder = tempfile.mkdtemp(prefix="snipewalk-fleet-")
         self.processes = {}
         self.set_up_delay_ms = set_up_delay_ms
+        self.fault_links = fault_links
         self.document_keys = document or {}
         self.settings_keys = settings or {}
         self.documents = {}
@@ -114,6 +117,7 @@
                 f"--name={name}",
                 f"--apply_lag_ms={lag_ms}",
                 f"--set_up_delay_ms={self.set_up_delay_ms}",
+                f"--keep_alive_ms={KEEP_ALIVE_MS if self.fault_links else 0}",
                 "--max_connections=20",
             )
             servers.append(
