Trust counts of open transactions only after the engines stop to begin them

The shutdown releases the slots once no transaction is open, but the traffic threads count them every 500 ms: one that began since the last count was not seen, and the instance left while it was open. With the default notice of 3 s the same can happen to a transaction that begins in the last half second of the notice.

Change: the phase that waits for callers and transactions lasts at least 1 s, so that the counts it uses are from after the begins ended. WaitsForCountsThatHaveTheLatestTransactions fails without it.

A shutdown takes up to 1 s longer.

--- a/include/snipewalk/process/shutdown.h
+++ b/include/snipewalk/process/shutdown.h
@@ -59,6 +59,9 @@
   // tells it to reconnect; closing earlier could cut a request on its way.
   milliseconds mIdleGrace{ 5'000 };
   milliseconds mRelease{ 5'000 };
+  // The traffic threads count transactions every 500 ms: one that began just
+  // before the engines were told to begin none is counted after this time.
+  milliseconds mCounting{ 1'000 };
   // Time without requests of peers after which none is expected any more.
   milliseconds mQuiet{ 500 };
 };
--- a/src/process/shutdown.cpp
+++ b/src/process/shutdown.cpp
@@ -67,7 +67,7 @@
   const bool callersDone = aLoad.mCallers == 0 || since >= mLimits.mRequests;
   const bool transactionsDone =
     aLoad.mTransactions == 0 || since >= mLimits.mTransactions;
-  if (callersDone && transactionsDone) {
+  if (callersDone && transactionsDone && since >= mLimits.mCounting) {
     Enter(shutdown_phase::Releasing, aNow);
     aActions.push_back(shutdown_action::ReleaseSlots);
     return;
--- a/tests/process/shutdown_test.cpp
+++ b/tests/process/shutdown_test.cpp
@@ -49,6 +49,22 @@
   EXPECT_TRUE(Has(taken, shutdown_action::DrainEngines));
 }
 
+// Guards against an exit that aborts a transaction which began so shortly
+// before that the first counts do not have it yet.
+TEST(ShutdownTest, WaitsForCountsThatHaveTheLatestTransactions)
+{
+  stepper steps;
+  actions taken;
+  steps.mSequence.Request(steps.mNow, taken);
+  steps.Advance(milliseconds(3'000), {});
+  EXPECT_FALSE(
+    Has(steps.Advance(milliseconds(500), {}), shutdown_action::ReleaseSlots));
+  EXPECT_FALSE(Has(steps.Advance(seconds(20), { 0, 0, 1 }),
+                   shutdown_action::ReleaseSlots));
+  EXPECT_TRUE(
+    Has(steps.Advance(milliseconds(100), {}), shutdown_action::ReleaseSlots));
+}
+
 // Guards against an exit that cuts a caller, a transaction or a peer's request.
 TEST(ShutdownTest, WaitsForCallersTransactionsAndPeers)
 {
