Decide in one place whether a member is live

Change: IsLive(member_state) stands beside the membership's types and the others call it. Behaviour is the same.

--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/process/membership.h
@@ -72,6 +72,13 @@
   std::uint64_t mSeed = 1;
 };
 
+// A suspected member counts as live until its suspicion ends.
+inline bool
+IsLive(member_state aState)
+{
+  return aState == member_state::Alive || aState == member_state::Suspect;
+}
+
 // Events -------------------------------------------------------------------
 
 struct membership_received
--- a/src/process/control_publication.cpp
+++ b/src/process/control_publication.cpp
@@ -153,8 +153,7 @@
   std::set<std::string> unknown = mListedLive;
   unknown.erase(mMembership.Self().mName);
   for (const auto& member : mMembership.Members()) {
-    const bool live = member.mInfo.mState == member_state::Alive ||
-                      member.mInfo.mState == member_state::Suspect;
+    const bool live = IsLive(member.mInfo.mState);
     if (live || unknown.contains(member.mInfo.mName)) {
       members.push_back({ member.mInfo.mName, member.mInfo.mDataCentre, live });
     }
--- a/src/process/dissemination.cpp
+++ b/src/process/dissemination.cpp
@@ -23,13 +23,6 @@
   return XXH64(aName.data(), aName.size(), kWatcherHashSeed);
 }
 
-bool
-IsLive(const known_member& aMember)
-{
-  return aMember.mInfo.mState == member_state::Alive ||
-         aMember.mInfo.mState == member_state::Suspect;
-}
-
 std::size_t
 BytesOf(const std::vector<stored_object>& aObjects)
 {
@@ -358,7 +351,8 @@
   const std::uint64_t own = WatcherHash(mMembership.Self().mName);
   std::size_t ahead = 0;
   for (const auto& member : mMembership.Members()) {
-    if (IsLive(member) && member.mInfo.mRegion == mMembership.Self().mRegion &&
+    if (IsLive(member.mInfo.mState) &&
+        member.mInfo.mRegion == mMembership.Self().mRegion &&
         WatcherHash(member.mInfo.mName) > own) {
       ++ahead;
     }
--- a/src/process/member_encoding.h
+++ b/src/process/member_encoding.h
@@ -1,4 +1,4 @@
-// Sizes and states of entries of the member table. Private to the membership.
+// Encoded sizes of entries of the member table. Private to the membership.
 #ifndef SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
 #define SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
 
@@ -21,12 +21,6 @@
          aMember.mControlAddress.size() + 5 * 3 + 11 + kVersionsFieldBytes;
 }
 
-inline bool
-IsLive(member_state aState)
-{
-  return aState == member_state::Alive || aState == member_state::Suspect;
-}
-
 } // namespace snipewalk
 
 #endif // SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
--- a/src/process/membership_fleet.cpp
+++ b/src/process/membership_fleet.cpp
@@ -79,8 +79,7 @@
   };
   add(mMembership.Self());
   for (const auto& member : mMembership.Members()) {
-    if (member.mInfo.mState == member_state::Alive ||
-        member.mInfo.mState == member_state::Suspect) {
+    if (IsLive(member.mInfo.mState)) {
       add(member.mInfo);
     }
   }
--- a/src/process/membership_probes.cpp
+++ b/src/process/membership_probes.cpp
@@ -62,9 +62,7 @@
     while (!mRound.empty()) {
       const known_member* member = Find(mRound.back());
       mRound.pop_back();
-      if (member != nullptr &&
-          (member->mInfo.mState == member_state::Alive ||
-           member->mInfo.mState == member_state::Suspect)) {
+      if (member != nullptr && IsLive(member->mInfo.mState)) {
         return member;
       }
     }
--- a/src/process/membership_versions.cpp
+++ b/src/process/membership_versions.cpp
@@ -7,13 +7,6 @@
 
 namespace {
 
-bool
-IsLive(const known_member& aMember)
-{
-  return aMember.mInfo.mState == member_state::Alive ||
-         aMember.mInfo.mState == member_state::Suspect;
-}
-
 // A datagram without a range proves one version only.
 version_range
 Joined(const version_range& aKnown, const version_range& aLearned)
@@ -43,7 +36,7 @@
          (aVersion == mFleetVersion ||
           std::all_of(
             mMembers.begin(), mMembers.end(), [&](const known_member& aMember) {
-              return !IsLive(aMember) ||
+              return !IsLive(aMember.mInfo.mState) ||
                      aMember.mInfo.mVersions.Contains(aVersion);
             }));
 }
