--- a/include/snipewalk/base/json_reader.h
+++ b/include/snipewalk/base/json_reader.h
@@ -69,6 +69,11 @@
   std::int64_t OptionalInteger(const std::string& aName,
                                std::int64_t aFallback,
                                integer_range aRange);
+  // A number of `aLow` to `aHigh`, with or without a fraction.
+  double OptionalNumber(const std::string& aName,
+                        double aFallback,
+                        double aLow,
+                        double aHigh);
   bool OptionalBool(const std::string& aName, bool aFallback);
   std::vector<std::string> OptionalStrings(const std::string& aName);
 
--- a/include/snipewalk/base/log.h
+++ b/include/snipewalk/base/log.h
@@ -31,6 +31,14 @@
   { log_level::Off, "off" },
 } };
 
+enum class log_target
+{
+  StandardError,
+  // Never blocks: lines that the reader of the output does not take, or that
+  // are above the limit, are dropped and counted.
+  BoundedStandardOutput
+};
+
 struct log_settings
 {
   // Level of modules that mModules does not name.
@@ -38,6 +46,9 @@
   std::map<std::string, log_level> mModules;
   // Written in each line; the instance's name.
   std::string mInstance;
+  log_target mTarget = log_target::StandardError;
+  // Of BoundedStandardOutput.
+  int mLinesPerSecond = 300;
 };
 
 struct log_field
@@ -46,7 +57,7 @@
   std::variant<std::string_view, std::int64_t, double, bool> mValue;
 };
 
-// Directs logs to standard error. Call once, before other threads start; until
+// Directs logs to their target. Call once, before other threads start; until
 // then warnings and errors are written with an empty instance name.
 void
 InitLogs(const log_settings& aSettings);
--- a/include/snipewalk/process/store_client.h
+++ b/include/snipewalk/process/store_client.h
@@ -49,12 +49,13 @@
 };
 
 // Waits for changes of a kind after `mFrom`; with mFrom = 0 returns all at
-// once.
+// once, or a page of them, which starts after the name `mAfter`.
 struct store_watch
 {
   std::string mKind;
   std::uint64_t mFrom = 0;
   milliseconds mWait{ 20'000 };
+  std::string mAfter = {};
 };
 
 struct store_list_instances
@@ -74,16 +75,19 @@
   // Certain that a put did not take effect.
   Refused,
   // No answer: a put may have taken effect. Read back before deciding.
-  Unknown
+  Unknown,
+  // The store has dropped the changes that a watch asked for: list again.
+  HistoryGone
 };
 
-inline constexpr name_table<store_status, 6> kStoreStatusNames{ {
+inline constexpr name_table<store_status, 7> kStoreStatusNames{ {
   { store_status::Ok, "ok" },
   { store_status::Conflict, "conflict" },
   { store_status::NotFound, "not_found" },
   { store_status::RateLimited, "rate_limited" },
   { store_status::Refused, "refused" },
   { store_status::Unknown, "unknown" },
+  { store_status::HistoryGone, "history_gone" },
 } };
 
 enum class platform_instance_state
@@ -138,7 +142,9 @@
   std::vector<stored_object> mObjects;
   // Revision that the reply reflects; the next watch starts from it.
   std::uint64_t mRevision = 0;
-  std::vector<platform_instance> mInstances;
+  std::vector<platform_instance> mInstances = {};
+  // The list goes on after the name of the last object.
+  bool mMore = false;
 };
 
 // Loop thread only. Each request gets exactly one reply, from the loop, never
--- a/include/snipewalk/process/store_http_client.h
+++ b/include/snipewalk/process/store_http_client.h
@@ -10,6 +10,7 @@
 #include "snipewalk/process/store_schedule.h"
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -20,6 +21,18 @@
 
 namespace snipewalk {
 
+// Form of the store's calls.
+struct store_dialect
+{
+  std::function<http_request(const store_request&)> mEncode;
+  std::function<store_reply(const store_request&, const http_response&)>
+    mDecode;
+};
+
+// The form that docs/design.md states in section 2.1.
+store_dialect
+OwnStoreDialect();
+
 struct store_client_options
 {
   // "IP:port", at least one; the next is tried when one fails.
@@ -32,7 +45,10 @@
   // Calls that wait for the cap or a connection; more are refused.
   std::size_t mMaxWaiting = 1'000;
   std::size_t mMaxConnections = 16;
+  // Longest pause between connection attempts after failures.
+  milliseconds mLongestBackoff{ 2'000 };
   std::uint64_t mSeed = 1;
+  store_dialect mDialect = OwnStoreDialect();
 };
 
 class store_http_client : public store_client
--- /dev/null
+++ b/include/snipewalk/session/log_position.h
@@ -0,0 +1,31 @@
+// Positions in the replicated log of a service: the term of the primary that
+// wrote an entry, then the number of the entry.
+#ifndef SNIPEWALK_SESSION_LOG_POSITION_H_
+#define SNIPEWALK_SESSION_LOG_POSITION_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace snipewalk {
+
+// Ordered by term, then number. Zero is before all entries.
+struct log_position
+{
+  std::uint64_t mTerm = 0;
+  std::uint64_t mNumber = 0;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads the defaulted operator.
+  auto operator<=>(const log_position&) const = default;
+
+  bool IsZero() const { return mTerm == 0 && mNumber == 0; }
+  // For logs only: "term.number".
+  std::string ToString() const
+  {
+    return std::to_string(mTerm) + "." + std::to_string(mNumber);
+  }
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_LOG_POSITION_H_
--- /dev/null
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -0,0 +1,93 @@
+// Datagrams between instances of the session front end, in msgpack. They speed
+// up what the store says and never replace it: a lost one costs time only.
+#ifndef SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
+#define SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
+
+#include "snipewalk/session/fleet_records.h"
+#include "snipewalk/session/primary_monitor.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+namespace snipewalk {
+
+struct health_report_entry
+{
+  std::string mService;
+  std::string mServer;
+  primary_health mHealth = primary_health::NoTraffic;
+};
+
+// To the holder of the duty.
+struct health_report
+{
+  std::string mInstance;
+  std::vector<health_report_entry> mEntries;
+};
+
+// From the holder: stop using the service's primary of a term below `mTerm`.
+struct release_request
+{
+  std::string mService;
+  std::uint64_t mTerm = 0;
+};
+
+// The sender uses no primary of a lower term any more.
+struct release_answer
+{
+  std::string mInstance;
+  // Of the sender's process.
+  std::uint64_t mStarted = 0;
+  std::string mService;
+  std::uint64_t mTerm = 0;
+};
+
+// From an instance that the store does not answer: which primaries are
+// recorded?
+struct confirmation_request
+{
+  std::string mInstance;
+  std::uint64_t mStarted = 0;
+  // Names one request of the sender.
+  std::uint64_t mNumber = 0;
+};
+
+struct confirmed_primary
+{
+  primary_record mRecord;
+  std::uint64_t mVersion = 0;
+};
+
+struct confirmation_answer
+{
+  std::uint64_t mNumber = 0;
+  // Age of the sender's own confirmation by the store when it answered.
+  std::uint64_t mAgeMs = 0;
+  // The sender's view of the store holds the asking process as live.
+  bool mRegistered = false;
+  std::vector<confirmed_primary> mPrimaries;
+};
+
+using peer_datagram = std::variant<health_report,
+                                   release_request,
+                                   release_answer,
+                                   confirmation_request,
+                                   confirmation_answer>;
+
+// Largest datagram in bytes; a larger answer is not sent.
+inline constexpr std::size_t kMaxDatagramBytes = 60'000;
+
+std::string
+EncodeDatagram(const peer_datagram& aDatagram);
+
+// Errors: InvalidArgument.
+absl::StatusOr<peer_datagram>
+DecodeDatagram(std::string_view aBytes);
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
--- /dev/null
+++ b/include/snipewalk/session/primary_change.h
@@ -0,0 +1,176 @@
+// One change of the primary of a service, as the holder of the duty carries it
+// out. A state machine without I/O: events come in, actions come out.
+//
+// Steps: ask the replicas for their status, record the change, wait until every
+// instance has let go of the old primary, step it down, pause all replicas,
+// choose the one with the newest log, record and promote it, wait until it
+// leads, record that it is stable, resume the others.
+#ifndef SNIPEWALK_SESSION_PRIMARY_CHANGE_H_
+#define SNIPEWALK_SESSION_PRIMARY_CHANGE_H_
+
+#include "snipewalk/base/name_table.h"
+#include "snipewalk/base/time.h"
+#include "snipewalk/session/fleet_records.h"
+#include "snipewalk/session/session_messages.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipewalk {
+
+// Actions. Each is answered by the event that its comment names.
+
+// OnServerStatus().
+struct ask_server
+{
+  std::string mServer;
+  server_command mCommand;
+};
+// OnRecordWritten().
+struct write_primary_record
+{
+  primary_record mRecord;
+};
+// OnInstancesReady(), once no instance uses the old primary as such.
+struct release_instances
+{
+  std::string mService;
+  std::uint64_t mTerm = 0;
+};
+// OnPromoted().
+struct order_promotion
+{
+  std::string mService;
+  std::string mServer;
+};
+
+using change_action = std::
+  variant<ask_server, write_primary_record, release_instances, order_promotion>;
+
+enum class promotion_result
+{
+  Accepted,
+  // The named server does not run.
+  Rejected,
+  // Refused or unanswered: it may still take effect.
+  Unknown
+};
+
+enum class change_step
+{
+  Probing,
+  Recording,
+  Releasing,
+  SteppingDown,
+  Pausing,
+  Choosing,
+  Promoting,
+  Settling,
+  RecordingStable,
+  Resuming,
+  Reverting,
+  Done,
+  Failed
+};
+
+inline constexpr name_table<change_step, 13> kChangeStepNames{ {
+  { change_step::Probing, "probing" },
+  { change_step::Recording, "recording" },
+  { change_step::Releasing, "releasing" },
+  { change_step::SteppingDown, "stepping_down" },
+  { change_step::Pausing, "pausing" },
+  { change_step::Choosing, "choosing" },
+  { change_step::Promoting, "promoting" },
+  { change_step::Settling, "settling" },
+  { change_step::RecordingStable, "recording_stable" },
+  { change_step::Resuming, "resuming" },
+  { change_step::Reverting, "reverting" },
+  { change_step::Done, "done" },
+  { change_step::Failed, "failed" },
+} };
+
+struct change_server
+{
+  std::string mId;
+  bool mDraining = false;
+};
+
+struct change_plan
+{
+  std::string mService;
+  // Empty when the service has no known primary.
+  std::string mOldPrimary;
+  // Every other server of the service, leaving ones too: each may hold the only
+  // copy of an acknowledged commit besides the old primary's.
+  std::vector<change_server> mReplicas;
+  // Term of the last recorded change.
+  std::uint64_t mKnownTerm = 0;
+  std::uint64_t mFence = 0;
+  // The old primary answers and is to be stepped down after open transactions
+  // had a moment to end.
+  bool mPlanned = false;
+  // A change that an earlier holder began, as it recorded it.
+  std::optional<primary_record> mResumed;
+};
+
+class primary_change
+{
+public:
+  using actions = std::vector<change_action>;
+
+  explicit primary_change(change_plan aPlan);
+
+  actions Start(time_point aNow);
+  // The answer to a command; nothing when the server did not answer.
+  actions OnServerStatus(const std::string& aServer,
+                         const std::optional<server_status>& aStatus,
+                         time_point aNow);
+  actions OnRecordWritten(bool aWritten, time_point aNow);
+  actions OnInstancesReady(time_point aNow);
+  actions OnPromoted(promotion_result aResult, time_point aNow);
+  // The server's entry was removed: nothing is left of it.
+  actions OnServerGone(const std::string& aServer, time_point aNow);
+  // Repeats what got no answer and gives up what takes too long.
+  actions OnTick(time_point aNow);
+
+  change_step Step() const { return mStep; }
+  bool IsOver() const
+  {
+    return mStep == change_step::Done || mStep == change_step::Failed;
+  }
+  const std::string& Candidate() const { return mCandidate; }
+  std::uint64_t Term() const { return mTerm; }
+  const change_plan& Plan() const { return mPlan; }
+
+private:
+  void Enter(change_step aStep, time_point aNow);
+  actions Ask(const std::vector<std::string>& aServers,
+              const server_command& aCommand);
+  actions AskReplicas(const server_command& aCommand);
+  actions Record(primary_phase aPhase, const std::string& aPrimary) const;
+  actions BeginPausing(time_point aNow);
+  actions Choose(time_point aNow);
+  actions Revert(time_point aNow);
+  bool AllReplicasAnswered() const;
+
+  change_plan mPlan;
+  change_step mStep = change_step::Probing;
+  time_point mEntered;
+  // Last time at which the actions of the step were sent.
+  time_point mAsked;
+  std::uint64_t mTerm = 0;
+  std::string mCandidate;
+  // Answers of the present step.
+  std::map<std::string, server_status> mAnswers;
+  // A record of this change was written.
+  bool mRecorded = false;
+  // The old primary confirmed that it is a replica.
+  bool mSteppedDown = false;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_PRIMARY_CHANGE_H_
--- /dev/null
+++ b/include/snipewalk/session/session_engine.h
@@ -0,0 +1,144 @@
+// Sessions of callers and their statements: pins transactions to connections,
+// places statements on backend servers, and decides what callers are told. It
+// neither reads clocks nor uses sockets: events come in through the methods,
+// orders leave through session_links. One thread.
+#ifndef SNIPEWALK_SESSION_SESSION_ENGINE_H_
+#define SNIPEWALK_SESSION_SESSION_ENGINE_H_
+
+#include "snipewalk/base/metrics.h"
+#include "snipewalk/base/time.h"
+#include "snipewalk/session/desired_state.h"
+#include "snipewalk/session/session_messages.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+using session_id = std::uint64_t;
+using server_connection_id = std::uint64_t;
+
+// Orders of the engine to the connections. None of them calls back into the
+// engine before it returns.
+class session_links
+{
+public:
+  virtual ~session_links() = default;
+
+  // Answers the opening message.
+  virtual void Opened(session_id aSession) = 0;
+  virtual void Reply(session_id aSession, const statement_reply& aReply) = 0;
+  // Answers the opening message with an error and closes the connection.
+  virtual void Refuse(session_id aSession,
+                      result_code aCode,
+                      const std::string& aText) = 0;
+  // Closes the connection after its output was sent.
+  virtual void CloseCaller(session_id aSession) = 0;
+
+  virtual void OpenServer(server_connection_id aConnection,
+                          const server_entry& aServer) = 0;
+  virtual void Send(server_connection_id aConnection,
+                    const std::vector<server_command>& aCommands) = 0;
+  virtual void CloseServer(server_connection_id aConnection) = 0;
+};
+
+// Which server is the primary of a service.
+struct service_primary
+{
+  // Empty while unknown.
+  std::string mServer;
+  std::uint64_t mTerm = 0;
+  // False while the primary is being replaced: no new work goes to it.
+  bool mAcceptsWork = false;
+};
+
+struct session_engine_options
+{
+  std::string mDataCentre;
+  // Connections to each server that are left to control connections.
+  int mReservedConnections = 2;
+};
+
+// Reachability of a server as the statements of this instance show it.
+struct server_observation
+{
+  std::string mServer;
+  // Last byte received from the server, or its last refusal to connect.
+  time_point mLastAnswer = time_point::min();
+  // Oldest command without an answer.
+  std::optional<time_point> mWaitingSince;
+  // Oldest write or commit without an answer.
+  std::optional<time_point> mWriteWaitingSince;
+  // Connection attempts that failed in a row.
+  int mFailedConnects = 0;
+};
+
+struct session_engine_counts
+{
+  std::size_t mSessions = 0;
+  std::size_t mOpenTransactions = 0;
+  std::size_t mPendingStatements = 0;
+  std::size_t mServerConnections = 0;
+};
+
+class session_engine
+{
+public:
+  session_engine(session_engine_options aOptions, session_links& aLinks);
+  ~session_engine();
+  session_engine(const session_engine&) = delete;
+  session_engine& operator=(const session_engine&) = delete;
+
+  // Control state.
+
+  void SetDesiredState(std::shared_ptr<const desired_state> aState,
+                       time_point aNow);
+  // All known servers; connections to vanished or restarted ones are closed.
+  void SetServers(const std::vector<server_entry>& aServers, time_point aNow);
+  void SetPrimary(const std::string& aService,
+                  const service_primary& aPrimary,
+                  time_point aNow);
+  // No other server takes over any service before `aUntil`.
+  void SetPrimariesConfirmed(time_point aUntil, time_point aNow);
+  // Number of instances that share the connections of a server.
+  void SetInstances(std::size_t aCount, time_point aNow);
+
+  // Callers.
+
+  void OnCaller(session_id aSession,
+                const caller_message& aMessage,
+                time_point aNow);
+  void OnCallerClosed(session_id aSession, time_point aNow);
+
+  // Connections to backend servers.
+
+  void OnServerReply(server_connection_id aConnection,
+                     const statement_reply& aReply,
+                     time_point aNow);
+  void OnServerClosed(server_connection_id aConnection, time_point aNow);
+
+  // Timeouts, and statements that wait for a connection. Call at least every
+  // 20 ms while HasWork().
+  void OnTick(time_point aNow);
+  bool HasWork() const;
+
+  // Ends sessions as soon as they are idle; see shutdown phases.
+  void CloseIdleSessions(time_point aNow);
+  // Rolls back open transactions and refuses waiting statements.
+  void AbortTransactions(time_point aNow);
+
+  std::vector<server_observation> Observations(
+    const std::string& aService) const;
+  session_engine_counts Counts() const;
+  const metrics_registry& Metrics() const;
+
+private:
+  class state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_SESSION_ENGINE_H_
--- /dev/null
+++ b/include/snipewalk/session/session_settings.h
@@ -0,0 +1,43 @@
+// Settings of a process of the session front end: JSON with comments, checked
+// as a whole.
+#ifndef SNIPEWALK_SESSION_SESSION_SETTINGS_H_
+#define SNIPEWALK_SESSION_SESSION_SETTINGS_H_
+
+#include "snipewalk/base/findings.h"
+#include "snipewalk/base/log.h"
+#include "snipewalk/base/time.h"
+
+#include <optional>
+#include <string>
+
+namespace snipewalk {
+
+struct session_settings
+{
+  std::string mInstance;
+  std::string mDataCentre;
+  // "IP:port" each.
+  std::string mCallerAddress;
+  std::string mReadyAddress;
+  // Datagrams between instances.
+  std::string mPeerAddress;
+  // Empty: metrics are not served.
+  std::string mMetricsAddress;
+  std::string mStoreAddress;
+  std::string mPromotionAddress;
+  // Calls to the store a second that this instance may make.
+  int mStoreCallsPerSecond = 40;
+  // From the request to stop until the process is ended from outside.
+  milliseconds mShutdownGrace{ 6'000 };
+  // Log lines a second; more are dropped and counted.
+  int mLogLinesPerSecond = 300;
+  log_settings mLogs;
+};
+
+// Nothing after adding findings when a setting is missing or wrong.
+std::optional<session_settings>
+LoadSessionSettings(const std::string& aPath, findings& aFindings);
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_SESSION_SETTINGS_H_
--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -223,6 +223,27 @@
   return value->asInt64();
 }
 
+double
+object_reader::OptionalNumber(const std::string& aName,
+                              double aFallback,
+                              double aLow,
+                              double aHigh)
+{
+  const Json::Value* value = Take(aName);
+  if (!value) {
+    return aFallback;
+  }
+  if (!value->isNumeric()) {
+    Report(*value, aName, "wrong_type", "must be a number");
+    return aFallback;
+  }
+  if (value->asDouble() < aLow || value->asDouble() > aHigh) {
+    Report(*value, aName, "out_of_range", "is out of range");
+    return aFallback;
+  }
+  return value->asDouble();
+}
+
 bool
 object_reader::OptionalBool(const std::string& aName, bool aFallback)
 {
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -3,14 +3,20 @@
 
 #include <json/value.h>
 #include <json/writer.h>
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <chrono>
 #include <memory>
+#include <sstream>
 #include <utility>
 
 namespace snipewalk {
@@ -79,6 +85,85 @@
   }
 };
 
+// Writes lines to standard output within a rate, and none that would block.
+class bounded_appender : public log4cplus::Appender
+{
+public:
+  explicit bounded_appender(int aLinesPerSecond)
+    : mLinesPerSecond(aLinesPerSecond)
+    , mAllowance(aLinesPerSecond)
+  {
+  }
+  ~bounded_appender() override { destructorImpl(); }
+
+  void close() override {}
+
+protected:
+  void append(const log4cplus::spi::InternalLoggingEvent& aEvent) override
+  {
+    Refill(std::chrono::steady_clock::now());
+    if (mAllowance < 1) {
+      ++mDropped;
+      return;
+    }
+    mAllowance -= 1;
+    std::ostringstream text;
+    layout->formatAndAppend(text, aEvent);
+    std::string line = text.str();
+    if (mDropped > 0) {
+      // In the object, before its closing brace and line end.
+      line.insert(line.size() - 2,
+                  ",\"dropped_before\":" + std::to_string(mDropped));
+    }
+    if (Write(line)) {
+      mDropped = 0;
+    } else {
+      ++mDropped;
+    }
+  }
+
+private:
+  // A pipe that polls as writable takes this much without blocking.
+  static constexpr std::size_t kAtomicBytes = 4'096;
+
+  void Refill(std::chrono::steady_clock::time_point aNow)
+  {
+    const std::chrono::duration<double> passed = aNow - mRefilledAt;
+    mRefilledAt = aNow;
+    mAllowance = std::min(mAllowance + passed.count() * mLinesPerSecond,
+                          static_cast<double>(mLinesPerSecond));
+  }
+
+  static bool Write(const std::string& aLine)
+  {
+    pollfd output{ STDOUT_FILENO, POLLOUT, 0 };
+    if (aLine.size() > kAtomicBytes || ::poll(&output, 1, 0) != 1 ||
+        (output.revents & POLLOUT) == 0) {
+      return false;
+    }
+    return ::write(STDOUT_FILENO, aLine.data(), aLine.size()) ==
+           static_cast<ssize_t>(aLine.size());
+  }
+
+  double mLinesPerSecond;
+  double mAllowance;
+  std::chrono::steady_clock::time_point mRefilledAt =
+    std::chrono::steady_clock::now();
+  // Lines since the last one that was written.
+  std::uint64_t mDropped = 0;
+};
+
+log4cplus::SharedAppenderPtr
+MakeAppender(const log_settings& aSettings)
+{
+  if (aSettings.mTarget == log_target::BoundedStandardOutput) {
+    return log4cplus::SharedAppenderPtr(
+      new bounded_appender(aSettings.mLinesPerSecond));
+  }
+  return log4cplus::SharedAppenderPtr(
+    new log4cplus::ConsoleAppender(true, true));
+}
+
 struct value_writer
 {
   std::string operator()(std::string_view aValue) const
@@ -106,8 +191,7 @@
 {
   InstanceName() = aSettings.mInstance;
   log4cplus::initialize();
-  log4cplus::SharedAppenderPtr appender(
-    new log4cplus::ConsoleAppender(true, true));
+  const log4cplus::SharedAppenderPtr appender = MakeAppender(aSettings);
   appender->setLayout(std::make_unique<json_layout>());
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
--- a/src/process/audit_trail.cpp
+++ b/src/process/audit_trail.cpp
@@ -248,6 +248,7 @@
       RetryLater(target, aNow);
       return;
     case store_status::Unknown:
+    case store_status::HistoryGone:
       // The entries may be written: read before writing again.
       target.mKnown = false;
       RetryLater(target, aNow);
--- a/src/process/store_http_client.cpp
+++ b/src/process/store_http_client.cpp
@@ -14,7 +14,6 @@
 // Backoff of connections: doubled after each failure, of which a random half
 // to whole is waited.
 constexpr milliseconds kFirstBackoff{ 50 };
-constexpr milliseconds kLastBackoff{ 2'000 };
 // Between looks at calls that wait for the cap, a connection or their end.
 constexpr milliseconds kPumpInterval{ 20 };
 // A watch may answer with every object of a kind.
@@ -28,6 +27,12 @@
 
 } // namespace
 
+store_dialect
+OwnStoreDialect()
+{
+  return { EncodeStoreRequest, DecodeStoreReply };
+}
+
 store_http_client::store_http_client(event_loop& aLoop,
                                      store_client_options aOptions)
   : mLoop(aLoop)
@@ -189,8 +194,8 @@
     return;
   }
   aConnection->mSent = true;
-  aConnection->mStream->Send(
-    WriteRequest(EncodeStoreRequest(aConnection->mCall->mRequest), "store"));
+  aConnection->mStream->Send(WriteRequest(
+    mOptions.mDialect.mEncode(aConnection->mCall->mRequest), "store"));
 }
 
 void
@@ -222,7 +227,7 @@
   if (!aResponse.mKeepAlive) {
     Release(aConnection);
   }
-  const store_reply reply = DecodeStoreReply(done.mRequest, aResponse);
+  const store_reply reply = mOptions.mDialect.mDecode(done.mRequest, aResponse);
   if (reply.mStatus == store_status::Unknown) {
     NoteFailure(aNow);
   } else {
@@ -309,7 +314,7 @@
     mFailingSince = aNow;
     Log(log_level::Warning, "store", "store does not answer");
   }
-  mBackoff = std::clamp(2 * mBackoff, kFirstBackoff, kLastBackoff);
+  mBackoff = std::clamp(2 * mBackoff, kFirstBackoff, mOptions.mLongestBackoff);
   std::uniform_int_distribution<std::int64_t> wait(mBackoff.count() / 2,
                                                    mBackoff.count());
   mConnectAfter = aNow + milliseconds(wait(mRandom));
--- /dev/null
+++ b/src/session/controller_duty.cpp
@@ -0,0 +1,435 @@
+// The duty to replace primaries: its lease, the monitoring of primaries, and
+// the changes under way.
+#include "snipewalk/base/log.h"
+#include "snipewalk/session/session_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr milliseconds kReportEvery{ 500 };
+constexpr milliseconds kTroubleReportEvery{ 200 };
+constexpr milliseconds kProbeTimeout{ 250 };
+constexpr milliseconds kCommandTimeout{ 400 };
+constexpr milliseconds kReleaseEvery{ 40 };
+// Clocks of two instances may run at slightly different speeds.
+constexpr milliseconds kReleaseMargin{ 100 };
+constexpr milliseconds kPauseAfterFailedChange{ 400 };
+// An instance without a report for this long is taken for dead. Until then a
+// change of primary waits for its confirmations to lapse.
+constexpr milliseconds kSilentFor{ 6'000 };
+
+} // namespace
+
+void
+session_controller::WriteDuty(const duty_write& aWrite, time_point aNow)
+{
+  mStore.Submit(
+    store_put{ { kFleetKind, kDutyRecordName },
+               EncodeFleetRecord(aWrite.mRecord),
+               aWrite.mExpectedVersion },
+    store_priority::Terms,
+    [this, aWrite, aNow, alive = std::weak_ptr<bool>(mAlive)](
+      const store_reply& aReply, time_point aThen) {
+      if (alive.expired()) {
+        return;
+      }
+      const bool written =
+        aReply.mStatus == store_status::Ok && !aReply.mObjects.empty();
+      mDuty.OnWritten(aWrite,
+                      written ? std::optional(aReply.mObjects.front().mVersion)
+                              : std::nullopt,
+                      aNow,
+                      aThen);
+    });
+}
+
+void
+session_controller::ReportHealth(time_point aNow)
+{
+  health_report report{ mOptions.mInstance, {} };
+  bool trouble = false;
+  for (const auto& [service, control] : mServices) {
+    const service_primary primary = PrimaryOf(service);
+    for (const auto& observation : mEngine.Observations(service)) {
+      if (observation.mServer != primary.mServer) {
+        continue;
+      }
+      const primary_health health = JudgeObservation(observation, aNow);
+      trouble = trouble || health == primary_health::WritesStall ||
+                health == primary_health::Unreachable;
+      report.mEntries.push_back({ service, primary.mServer, health });
+    }
+  }
+  const milliseconds every = trouble ? kTroubleReportEvery : kReportEvery;
+  const bool due = aNow >= mReportedAt + every || trouble != mReportedTrouble;
+  if (!due || report.mEntries.empty()) {
+    return;
+  }
+  mReportedAt = aNow;
+  mReportedTrouble = trouble;
+  if (mDuty.Holds(aNow)) {
+    OnHealthReport(report, aNow);
+    return;
+  }
+  const auto& duty = mDuty.Record();
+  const auto holder = duty ? mInstances.find(duty->mHolder) : mInstances.end();
+  if (holder != mInstances.end()) {
+    mLinks.SendDatagram(holder->second.mPeerAddress, report);
+  }
+}
+
+void
+session_controller::OnHealthReport(const health_report& aReport,
+                                   time_point aNow)
+{
+  mHeardAt[aReport.mInstance] = aNow;
+  for (const auto& entry : aReport.mEntries) {
+    const auto control = mServices.find(entry.mService);
+    if (control == mServices.end() ||
+        PrimaryOf(entry.mService).mServer != entry.mServer) {
+      continue;
+    }
+    control->second.mMonitor.OnReport(aReport.mInstance, entry.mHealth, aNow);
+  }
+}
+
+void
+session_controller::MonitorServices(time_point aNow)
+{
+  for (auto& [service, control] : mServices) {
+    if (control.mRunning) {
+      RunChange(service, aNow);
+      continue;
+    }
+    const bool interrupted =
+      control.mRecord && control.mRecord->mPhase != primary_phase::Stable;
+    if (control.mMonitor.WantsProbe(aNow) && !control.mProbing) {
+      Probe(service, aNow);
+    }
+    const change_reason reason =
+      interrupted ? change_reason::LostRole : control.mMonitor.Decide(aNow);
+    if (reason != change_reason::None && aNow >= control.mChangeAfter) {
+      StartChange(service, reason, aNow);
+    }
+  }
+}
+
+void
+session_controller::MarkSilentInstances(time_point aNow)
+{
+  for (const auto& [name, record] : mInstances) {
+    const auto heard = mHeardAt.try_emplace(name, aNow).first;
+    const bool silent = record.mState == instance_state::Live &&
+                        name != mOptions.mInstance &&
+                        aNow >= heard->second + kSilentFor;
+    if (silent) {
+      heard->second = aNow;
+      MarkGone(record);
+    }
+  }
+}
+
+void
+session_controller::Probe(const std::string& aService, time_point)
+{
+  const auto entry = EntryOf(PrimaryOf(aService).mServer);
+  if (!entry) {
+    return;
+  }
+  mServices[aService].mProbing = true;
+  mLinks.AskServer(
+    *entry,
+    status_command{},
+    kProbeTimeout,
+    [this, aService, alive = std::weak_ptr<bool>(mAlive)](
+      const std::optional<server_status>& aStatus, time_point aNow) {
+      if (alive.expired()) {
+        return;
+      }
+      service_control& control = mServices[aService];
+      control.mProbing = false;
+      control.mMonitor.OnProbe(aStatus.has_value(), aNow);
+    });
+}
+
+void
+session_controller::StartChange(const std::string& aService,
+                                change_reason aReason,
+                                time_point aNow)
+{
+  service_control& control = mServices[aService];
+  const service_primary primary = PrimaryOf(aService);
+  change_plan plan;
+  plan.mService = aService;
+  plan.mOldPrimary = primary.mServer;
+  plan.mKnownTerm = primary.mTerm;
+  plan.mFence = mDuty.Fence();
+  plan.mPlanned =
+    aReason == change_reason::Leaving || aReason == change_reason::CutOff;
+  if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
+    plan.mResumed = control.mRecord;
+  }
+  for (const auto& [id, entry] : mServers) {
+    if (entry.mService == aService && id != primary.mServer) {
+      plan.mReplicas.push_back({ id, entry.mDraining });
+    }
+  }
+  for (const auto& [id, removed] : mRemoved) {
+    if (removed.mEntry.mService == aService && id != primary.mServer) {
+      plan.mReplicas.push_back({ id, true });
+    }
+  }
+  Log(log_level::Info,
+      "primary",
+      "change of primary begins",
+      { { "service", aService },
+        { "reason", NameOf(kChangeReasonNames, aReason) },
+        { "primary", primary.mServer },
+        { "replicas", static_cast<std::int64_t>(plan.mReplicas.size()) } });
+  control.mRunning.emplace();
+  control.mRunning->mChange = std::make_unique<primary_change>(std::move(plan));
+  Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
+}
+
+void
+session_controller::RunChange(const std::string& aService, time_point aNow)
+{
+  service_control& control = mServices[aService];
+  if (control.mRunning->mReleasing) {
+    ContinueRelease(aService, aNow);
+  }
+  if (control.mRunning) {
+    Perform(aService, control.mRunning->mChange->OnTick(aNow), aNow);
+  }
+  if (control.mRunning && control.mRunning->mChange->IsOver()) {
+    const bool failed =
+      control.mRunning->mChange->Step() == change_step::Failed;
+    control.mRunning.reset();
+    if (failed) {
+      control.mChangeAfter = aNow + kPauseAfterFailedChange;
+    } else {
+      control.mMonitor.Reset(aNow);
+    }
+  }
+}
+
+void
+session_controller::Perform(const std::string& aService,
+                            const primary_change::actions& aActions,
+                            time_point aNow)
+{
+  for (const auto& action : aActions) {
+    if (const auto* ask = std::get_if<ask_server>(&action)) {
+      const auto entry = EntryOf(ask->mServer);
+      if (!entry) {
+        continue;
+      }
+      mLinks.AskServer(
+        *entry,
+        ask->mCommand,
+        kCommandTimeout,
+        [this,
+         aService,
+         server = ask->mServer,
+         alive = std::weak_ptr<bool>(mAlive)](
+          const std::optional<server_status>& aStatus, time_point aThen) {
+          const auto control =
+            alive.expired() ? mServices.end() : mServices.find(aService);
+          if (control != mServices.end() && control->second.mRunning) {
+            Perform(aService,
+                    control->second.mRunning->mChange->OnServerStatus(
+                      server, aStatus, aThen),
+                    aThen);
+          }
+        });
+    } else if (const auto* write = std::get_if<write_primary_record>(&action)) {
+      WriteRecord(aService, write->mRecord, aNow);
+    } else if (std::holds_alternative<release_instances>(action)) {
+      BeginRelease(aService, aNow);
+    } else if (const auto* order = std::get_if<order_promotion>(&action)) {
+      // The fence must not leave later than the lease allows.
+      if (!mDuty.Holds(aNow)) {
+        continue;
+      }
+      mLinks.OrderPromotion(
+        *order,
+        mOptions.mInstance,
+        mDuty.Fence(),
+        [this, aService, alive = std::weak_ptr<bool>(mAlive)](
+          promotion_result aResult, time_point aThen) {
+          const auto control =
+            alive.expired() ? mServices.end() : mServices.find(aService);
+          if (control != mServices.end() && control->second.mRunning) {
+            Perform(
+              aService,
+              control->second.mRunning->mChange->OnPromoted(aResult, aThen),
+              aThen);
+          }
+        });
+    }
+  }
+}
+
+void
+session_controller::WriteRecord(const std::string& aService,
+                                const primary_record& aRecord,
+                                time_point)
+{
+  const std::uint64_t expected = mServices[aService].mRecordVersion;
+  mStore.Submit(
+    store_put{ { kFleetKind, PrimaryRecordName(aService) },
+               EncodeFleetRecord(aRecord),
+               expected },
+    store_priority::Terms,
+    [this, aService, aRecord, alive = std::weak_ptr<bool>(mAlive)](
+      const store_reply& aReply, time_point aNow) {
+      if (alive.expired()) {
+        return;
+      }
+      const bool written =
+        aReply.mStatus == store_status::Ok && !aReply.mObjects.empty();
+      if (written) {
+        ApplyFleetObject({ { kFleetKind, PrimaryRecordName(aService) },
+                           aReply.mObjects.front().mVersion,
+                           false,
+                           EncodeFleetRecord(aRecord) },
+                         aNow);
+        PublishPrimaries(aNow);
+      } else {
+        Log(log_level::Warning,
+            "primary",
+            "record of a primary was not written",
+            { { "service", aService },
+              { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+      }
+      service_control& control = mServices[aService];
+      if (control.mRunning) {
+        Perform(aService,
+                control.mRunning->mChange->OnRecordWritten(written, aNow),
+                aNow);
+      }
+    });
+}
+
+void
+session_controller::BeginRelease(const std::string& aService, time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  running.mReleasing = true;
+  running.mListingInstances = true;
+  running.mUnreleased.clear();
+  running.mReleasedAt = aNow + kConfirmationLifetime + kReleaseMargin;
+  // Asked of the store after the change was recorded: an instance that is not
+  // in the answer registers later and reads the record first.
+  mStore.Submit(store_watch{ kFleetKind, 0, milliseconds(0) },
+                store_priority::Terms,
+                [this, aService, alive = std::weak_ptr<bool>(mAlive)](
+                  const store_reply& aReply, time_point aThen) {
+                  if (!alive.expired() && mServices[aService].mRunning) {
+                    OnInstancesListed(aService, aReply, aThen);
+                  }
+                });
+}
+
+void
+session_controller::OnInstancesListed(const std::string& aService,
+                                      const store_reply& aReply,
+                                      time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  if (aReply.mStatus != store_status::Ok || aReply.mMore) {
+    // Unknown instances may use the old primary until their confirmations
+    // have lapsed.
+    return;
+  }
+  for (const auto& object : aReply.mObjects) {
+    const auto record = DecodeFleetRecord(object.mKey.mName, object.mValue);
+    const auto* instance =
+      record.ok() ? std::get_if<instance_record>(&*record) : nullptr;
+    if (instance == nullptr || instance->mName == mOptions.mInstance) {
+      continue;
+    }
+    const auto gone = mGoneSince.find(instance->mName);
+    const bool lapsed = instance->mState == instance_state::Gone &&
+                        gone != mGoneSince.end() &&
+                        aNow >= gone->second + kConfirmationLifetime;
+    if (!lapsed) {
+      running.mUnreleased[instance->mName] = *instance;
+    }
+  }
+  running.mListingInstances = false;
+  running.mAskedAt = time_point::min();
+  ContinueRelease(aService, aNow);
+}
+
+void
+session_controller::ContinueRelease(const std::string& aService,
+                                    time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  const bool all = !running.mListingInstances && running.mUnreleased.empty();
+  if (all || aNow >= running.mReleasedAt) {
+    running.mReleasing = false;
+    if (!all) {
+      Log(log_level::Info,
+          "primary",
+          "instances did not answer; their confirmations have lapsed",
+          { { "service", aService },
+            { "instances",
+              static_cast<std::int64_t>(running.mUnreleased.size()) } });
+    }
+    Perform(aService, running.mChange->OnInstancesReady(aNow), aNow);
+    return;
+  }
+  if (running.mAskedAt != time_point::min() &&
+      aNow < running.mAskedAt + kReleaseEvery) {
+    return;
+  }
+  running.mAskedAt = aNow;
+  for (const auto& [name, instance] : running.mUnreleased) {
+    mLinks.SendDatagram(instance.mPeerAddress,
+                        release_request{ aService, running.mChange->Term() });
+  }
+}
+
+void
+session_controller::OnReleaseAnswer(const release_answer& aAnswer,
+                                    time_point aNow)
+{
+  const auto control = mServices.find(aAnswer.mService);
+  if (control == mServices.end() || !control->second.mRunning ||
+      !control->second.mRunning->mReleasing) {
+    return;
+  }
+  running_change& running = *control->second.mRunning;
+  const auto waiting = running.mUnreleased.find(aAnswer.mInstance);
+  if (waiting == running.mUnreleased.end() ||
+      aAnswer.mTerm != running.mChange->Term() ||
+      aAnswer.mStarted < waiting->second.mStarted) {
+    return;
+  }
+  running.mUnreleased.erase(waiting);
+  ContinueRelease(aAnswer.mService, aNow);
+}
+
+void
+session_controller::EndChanges(time_point)
+{
+  for (auto& [service, control] : mServices) {
+    if (control.mRunning) {
+      Log(log_level::Info,
+          "primary",
+          "change of primary is left to the next holder",
+          { { "service", service } });
+      control.mRunning.reset();
+    }
+  }
+  mLinks.ForgetServers();
+  mHeardAt.clear();
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/engine_callers.cpp
@@ -0,0 +1,377 @@
+// Callers' side of the session engine: sessions, transactions as callers see
+// them, and final answers.
+#include "session/engine_state.h"
+#include "snipewalk/base/log.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+std::int64_t
+MillisecondsBetween(time_point aFrom, time_point aTo)
+{
+  return ToMilliseconds(aTo - aFrom);
+}
+
+} // namespace
+
+void
+session_engine::state::OnCaller(session_id aSession,
+                                const caller_message& aMessage,
+                                time_point aNow)
+{
+  if (std::holds_alternative<end_session>(aMessage)) {
+    mLinks.CloseCaller(aSession);
+    OnCallerClosed(aSession, aNow);
+    return;
+  }
+  caller_session& session = mSessions[aSession];
+  session.mId = aSession;
+  const bool opening = std::holds_alternative<open_session>(aMessage);
+  if (opening == session.mOpened || session.mPending) {
+    // A second opening, a statement before the opening, or one sent before the
+    // answer to the last.
+    mMetrics.Count("callers_malformed");
+    mLinks.Refuse(aSession, result_code::Malformed, "unexpected message");
+    OnCallerClosed(aSession, aNow);
+    return;
+  }
+  if (const auto* open = std::get_if<open_session>(&aMessage)) {
+    OpenSession(session, *open, aNow);
+  } else if (const auto* statement =
+               std::get_if<statement_message>(&aMessage)) {
+    OnStatement(session, *statement, aNow);
+  }
+}
+
+void
+session_engine::state::OpenSession(caller_session& aSession,
+                                   const open_session& aOpen,
+                                   time_point aNow)
+{
+  if (FindRoute(aOpen.mDatabase) == nullptr) {
+    Log(log_level::Info,
+        "session",
+        "session refused: unknown database",
+        { { "database", aOpen.mDatabase },
+          { "desired_state",
+            static_cast<std::int64_t>(mDesired ? mDesired->mVersion : 0) } });
+    mMetrics.Count("sessions_unknown_database");
+    mLinks.Refuse(
+      aSession.mId, result_code::UnknownDatabase, "no such database");
+    OnCallerClosed(aSession.mId, aNow);
+    return;
+  }
+  mMetrics.Count("sessions_opened");
+  aSession.mOpened = true;
+  aSession.mDatabase = aOpen.mDatabase;
+  mLinks.Opened(aSession.mId);
+}
+
+const database_route*
+session_engine::state::FindRoute(const std::string& aDatabase) const
+{
+  if (!mDesired) {
+    return nullptr;
+  }
+  const auto found = mDesired->mRoutes.find(aDatabase);
+  return found == mDesired->mRoutes.end() ? nullptr : &found->second;
+}
+
+void
+session_engine::state::OnStatement(caller_session& aSession,
+                                   const statement_message& aMessage,
+                                   time_point aNow)
+{
+  const auto& statement = aMessage.mStatement;
+  const bool ends = std::holds_alternative<commit_statement>(statement) ||
+                    std::holds_alternative<rollback_statement>(statement);
+  if (aSession.mState == session_state::Failed) {
+    const bool told = !std::exchange(aSession.mAbortUntold, false);
+    if (!ends) {
+      AnswerError(aSession,
+                  told ? result_code::Malformed : result_code::Aborted,
+                  "the transaction failed");
+      return;
+    }
+    aSession.mState = session_state::Idle;
+    if (std::holds_alternative<commit_statement>(statement)) {
+      AnswerError(aSession, result_code::Aborted, "the transaction failed");
+    } else {
+      AnswerOk(aSession);
+    }
+    CloseIfLeaving(aSession.mId, aNow);
+    return;
+  }
+  if (!AnswerLocally(aSession, statement, aNow)) {
+    StartStatement(aSession, aMessage, aNow);
+  }
+}
+
+bool
+session_engine::state::AnswerLocally(caller_session& aSession,
+                                     const session_statement& aStatement,
+                                     time_point aNow)
+{
+  if (const auto* set = std::get_if<set_statement>(&aStatement)) {
+    aSession.mContext.mValues[set->mName] = set->mValue;
+    AnswerOk(aSession);
+    return true;
+  }
+  if (const auto* prepare = std::get_if<prepare_statement>(&aStatement)) {
+    aSession.mContext.mPrepared[prepare->mName] = *prepare;
+    AnswerOk(aSession);
+    return true;
+  }
+  if (const auto* forget = std::get_if<forget_statement>(&aStatement)) {
+    aSession.mContext.mPrepared.erase(forget->mName);
+    AnswerOk(aSession);
+    return true;
+  }
+  if (const auto* begin = std::get_if<begin_statement>(&aStatement)) {
+    Begin(aSession, begin->mReadOnly, aNow);
+    return true;
+  }
+  if (std::holds_alternative<rollback_statement>(aStatement)) {
+    DropTransaction(aSession, aNow);
+    aSession.mState = session_state::Idle;
+    AnswerOk(aSession);
+    CloseIfLeaving(aSession.mId, aNow);
+    return true;
+  }
+  if (std::holds_alternative<unknown_statement>(aStatement) ||
+      !TranslateStatement(aSession.mContext, aStatement)) {
+    AnswerError(aSession, result_code::Malformed, "unknown statement");
+    return true;
+  }
+  return false;
+}
+
+void
+session_engine::state::Begin(caller_session& aSession,
+                             bool aReadOnly,
+                             time_point aNow)
+{
+  if (aSession.mState != session_state::Idle) {
+    AnswerError(aSession, result_code::Malformed, "already in a transaction");
+    return;
+  }
+  const database_route* route = FindRoute(aSession.mDatabase);
+  if (route == nullptr) {
+    AnswerError(aSession, result_code::UnknownDatabase, "no such database");
+    return;
+  }
+  // The server's transaction begins with the first statement, so that a caller
+  // that pauses first does not hold a connection.
+  aSession.mState = session_state::InTransaction;
+  aSession.mTransaction = open_transaction{ *route, aReadOnly, aNow, 0, false };
+  AnswerOk(aSession);
+}
+
+void
+session_engine::state::StartStatement(caller_session& aSession,
+                                      const statement_message& aMessage,
+                                      time_point aNow)
+{
+  const bool commit =
+    std::holds_alternative<commit_statement>(aMessage.mStatement);
+  pending_statement pending;
+  pending.mRequestId = aMessage.mRequestId;
+  pending.mStatement = aMessage.mStatement;
+  pending.mReceived = aNow;
+  if (aSession.mTransaction) {
+    pending.mRoute = aSession.mTransaction->mRoute;
+    pending.mPurpose = aSession.mTransaction->mConnection == 0
+                         ? statement_purpose::First
+                       : commit ? statement_purpose::Commit
+                                : statement_purpose::Later;
+    aSession.mTransaction->mLastUsed = aNow;
+  } else {
+    const database_route* route = FindRoute(aSession.mDatabase);
+    if (commit || route == nullptr) {
+      AnswerError(aSession,
+                  commit ? result_code::Malformed
+                         : result_code::UnknownDatabase,
+                  commit ? "no transaction" : "no such database");
+      return;
+    }
+    pending.mRoute = *route;
+    pending.mPurpose = IsWrite(aSession.mContext, pending.mStatement)
+                         ? statement_purpose::SingleWrite
+                         : statement_purpose::SingleRead;
+  }
+  pending.mDeadline = aNow + pending.mRoute.mTimeout;
+  const bool placed = pending.mPurpose == statement_purpose::Later ||
+                      pending.mPurpose == statement_purpose::Commit;
+  aSession.mPending = std::move(pending);
+  mActive.insert(aSession.mId);
+  if (placed) {
+    SendLater(aSession, aNow);
+  } else {
+    Enqueue(aSession, aNow);
+  }
+}
+
+void
+session_engine::state::AnswerOk(caller_session& aSession)
+{
+  statement_reply reply;
+  reply.mState = aSession.mState;
+  mLinks.Reply(aSession.mId, reply);
+}
+
+void
+session_engine::state::AnswerError(caller_session& aSession,
+                                   result_code aCode,
+                                   const std::string& aText)
+{
+  Log(log_level::Info,
+      "session",
+      "statement refused",
+      { { "database", aSession.mDatabase },
+        { "code", NameOf(kResultCodeNames, aCode) },
+        { "reason", aText } });
+  statement_reply reply;
+  reply.mError = aCode;
+  reply.mErrorText = aText;
+  reply.mState = aSession.mState;
+  mLinks.Reply(aSession.mId, reply);
+}
+
+void
+session_engine::state::Finish(caller_session& aSession,
+                              statement_reply aReply,
+                              time_point aNow)
+{
+  const pending_statement pending = *std::exchange(aSession.mPending, {});
+  mActive.erase(aSession.mId);
+  aReply.mState = aSession.mState;
+  const std::string_view outcome =
+    aReply.mError ? NameOf(kResultCodeNames, *aReply.mError) : "done";
+  const auto* connection = FindConnection(pending.mConnection);
+  const std::int64_t total = MillisecondsBetween(pending.mReceived, aNow);
+  mMetrics.Count(absl::StrCat("statements_", std::string(outcome)));
+  mMetrics
+    .Get("statement_" +
+           std::string(NameOf(kStatementPurposeNames, pending.mPurpose)),
+         "ms")
+    .Record(static_cast<double>(total));
+  const std::string after = pending.mAfter ? pending.mAfter->ToString() : "-";
+  Log(log_level::Info,
+      "session",
+      "statement finished",
+      { { "request", pending.mRequestId },
+        { "outcome", outcome },
+        { "reason", aReply.mErrorText },
+        { "database", aSession.mDatabase },
+        { "service", pending.mRoute.mService },
+        { "purpose", NameOf(kStatementPurposeNames, pending.mPurpose) },
+        { "server", connection ? connection->mServer : std::string("-") },
+        { "after", after },
+        { "attempts", std::int64_t{ pending.mAttempts } },
+        { "waited_ms",
+          MillisecondsBetween(pending.mReceived,
+                              pending.mAttempts > 0 ? pending.mSentAt : aNow) },
+        { "total_ms", total },
+        { "primary_confirmed_ms",
+          mConfirmedUntil == time_point::min()
+            ? std::int64_t{ -1 }
+            : MillisecondsBetween(aNow, mConfirmedUntil) } });
+  mLinks.Reply(aSession.mId, aReply);
+  CloseIfLeaving(aSession.mId, aNow);
+}
+
+void
+session_engine::state::DropTransaction(caller_session& aSession,
+                                       time_point aNow)
+{
+  if (!aSession.mTransaction) {
+    return;
+  }
+  const server_connection_id id = aSession.mTransaction->mConnection;
+  aSession.mTransaction.reset();
+  if (server_connection* connection = FindConnection(id)) {
+    Release(*connection, aNow);
+  }
+}
+
+void
+session_engine::state::OnCallerClosed(session_id aSession, time_point aNow)
+{
+  const auto found = mSessions.find(aSession);
+  if (found == mSessions.end()) {
+    return;
+  }
+  caller_session session = std::move(found->second);
+  mSessions.erase(found);
+  mActive.erase(aSession);
+  server_connection_id used =
+    session.mTransaction ? session.mTransaction->mConnection : 0;
+  if (session.mPending) {
+    std::erase(mServices[session.mPending->mRoute.mService].mWaiting, aSession);
+    if (session.mPending->mConnection != 0) {
+      used = session.mPending->mConnection;
+    }
+    Log(
+      log_level::Info,
+      "session",
+      "caller left before the answer",
+      { { "request", session.mPending->mRequestId },
+        { "database", session.mDatabase },
+        { "age_ms", MillisecondsBetween(session.mPending->mReceived, aNow) } });
+  }
+  if (server_connection* connection = FindConnection(used)) {
+    Release(*connection, aNow);
+  }
+}
+
+void
+session_engine::state::CloseIfLeaving(session_id aSession, time_point aNow)
+{
+  caller_session* session = FindSession(aSession);
+  if (!mLeaving || session == nullptr || session->mPending) {
+    return;
+  }
+  if (session->mState != session_state::Idle) {
+    if (mAborting && session->mTransaction) {
+      ExpireTransaction(*session, aNow);
+    }
+    return;
+  }
+  mLinks.CloseCaller(aSession);
+  mSessions.erase(aSession);
+}
+
+void
+session_engine::state::CloseIdleSessions(time_point aNow)
+{
+  mLeaving = true;
+  std::vector<session_id> all;
+  for (const auto& [id, session] : mSessions) {
+    all.push_back(id);
+  }
+  for (const auto id : all) {
+    CloseIfLeaving(id, aNow);
+  }
+}
+
+void
+session_engine::state::AbortTransactions(time_point aNow)
+{
+  mAborting = true;
+  std::vector<session_id> open;
+  for (const auto& [id, session] : mSessions) {
+    if (session.mTransaction && !session.mPending) {
+      open.push_back(id);
+    }
+  }
+  for (const auto id : open) {
+    ExpireTransaction(mSessions.at(id), aNow);
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/engine_placement.cpp
@@ -0,0 +1,351 @@
+// Placement of waiting statements on connections to backend servers.
+#include "session/engine_state.h"
+#include "snipewalk/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// A position must cover commits acknowledged this long after the oldest moment
+// that the stated age allows, for the time until the server executes the read.
+constexpr milliseconds kStalenessMargin{ 50 };
+// A connection above the share is closed after this time without use.
+constexpr milliseconds kSurplusIdle{ 3'000 };
+
+// Moments as early as the clock's minimum must not underflow.
+time_point
+Earlier(time_point aMoment, duration aBy)
+{
+  return aMoment - aBy;
+}
+
+} // namespace
+
+void
+session_engine::state::Enqueue(caller_session& aSession, time_point aNow)
+{
+  const std::string service = aSession.mPending->mRoute.mService;
+  aSession.mPending->mStage = statement_stage::Waiting;
+  auto& waiting = mServices[service].mWaiting;
+  // More urgent routes first, then by the moment at which the statement stops
+  // being on time.
+  const auto rank = [this](session_id aId) {
+    const auto& pending = *mSessions.at(aId).mPending;
+    return std::make_pair(pending.mRoute.mPriority,
+                          pending.mReceived + pending.mRoute.mLatencyObjective);
+  };
+  const auto own = rank(aSession.mId);
+  const auto place =
+    std::find_if(waiting.begin(), waiting.end(), [&](session_id aOther) {
+      return own < rank(aOther);
+    });
+  waiting.insert(place, aSession.mId);
+  Dispatch(service, aNow);
+}
+
+void
+session_engine::state::DispatchAll(time_point aNow)
+{
+  std::vector<std::string> services;
+  for (const auto& [name, service] : mServices) {
+    if (!service.mWaiting.empty()) {
+      services.push_back(name);
+    }
+  }
+  for (const auto& name : services) {
+    Dispatch(name, aNow);
+  }
+}
+
+void
+session_engine::state::Dispatch(const std::string& aService, time_point aNow)
+{
+  auto& waiting = mServices[aService].mWaiting;
+  std::size_t index = 0;
+  while (index < waiting.size()) {
+    caller_session& session = mSessions.at(waiting[index]);
+    if (session.mPending->mRetryAt > aNow ||
+        Place(session, aNow) == placement::Waits) {
+      ++index;
+      continue;
+    }
+    waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+}
+
+bool
+session_engine::state::NeedsPrimary(const caller_session& aSession) const
+{
+  const pending_statement& pending = *aSession.mPending;
+  if (pending.mRoute.mConsistency == read_consistency::Primary) {
+    return true;
+  }
+  if (aSession.mTransaction) {
+    return !aSession.mTransaction->mReadOnly;
+  }
+  return pending.mPurpose == statement_purpose::SingleWrite;
+}
+
+read_requirement
+session_engine::state::RequirementOf(const caller_session& aSession,
+                                     const known_service& aService,
+                                     time_point aNow) const
+{
+  const pending_statement& pending = *aSession.mPending;
+  const duration age = pending.mRoute.mMaxStaleness;
+  const bool single = pending.mPurpose == statement_purpose::SingleWrite;
+  // A single write is refused by a server that lost its role, or waits for the
+  // replicas of the new primary; without synchronous replicas nothing shows it.
+  const bool unchecked = single && aService.mLimits.mSyncReplicas > 0;
+  read_requirement requirement;
+  requirement.mPrimaryAllowed =
+    aService.mPrimary.mAcceptsWork &&
+    (unchecked || mConfirmedUntil > Earlier(aNow, age));
+  if (NeedsPrimary(aSession)) {
+    return requirement;
+  }
+  const auto covering =
+    aService.mSamples.Covering(Earlier(aNow, age) + kStalenessMargin);
+  if (covering) {
+    requirement.mReplicasAllowed = true;
+    requirement.mPosition = *covering;
+    if (pending.mRoute.mConsistency == read_consistency::ReadYourWrites) {
+      requirement.mPosition = std::max(*covering, aSession.mWritten);
+    }
+  }
+  return requirement;
+}
+
+std::optional<std::string>
+session_engine::state::ChooseServer(const caller_session& aSession,
+                                    const read_requirement& aRequirement,
+                                    bool aOpen,
+                                    time_point aNow) const
+{
+  const pending_statement& pending = *aSession.mPending;
+  const known_service& service = mServices.at(pending.mRoute.mService);
+  std::vector<read_candidate> candidates;
+  std::vector<std::string> names;
+  for (const auto& [id, server] : mServers) {
+    const bool primary = id == service.mPrimary.mServer;
+    const bool usable = primary || !server.mEntry.mDraining;
+    if (server.mEntry.mService != pending.mRoute.mService || !usable) {
+      continue;
+    }
+    read_candidate candidate;
+    candidate.mPrimary = primary;
+    candidate.mSameDataCentre =
+      server.mEntry.mDataCentre == mOptions.mDataCentre;
+    candidate.mAnswerTime = server.mAnswerTime;
+    candidate.mApplied = server.mApplied;
+    candidate.mRefusedPosition = server.mRefusedPosition;
+    candidate.mRefusedAt = server.mRefusedAt;
+    candidate.mTried =
+      std::find(pending.mTried.begin(), pending.mTried.end(), id) !=
+      pending.mTried.end();
+    bool idle = false;
+    for (const auto connection : server.mConnections) {
+      const bool free = mConnections.at(connection).IsIdle();
+      idle = idle || free;
+      candidate.mOutstanding += free ? 0 : 1;
+    }
+    candidate.mHasConnection = aOpen ? CanOpen(server, aNow) : idle;
+    candidates.push_back(candidate);
+    names.push_back(id);
+  }
+  const auto chosen = ChooseReadServer(candidates, aRequirement, aNow);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  return names[*chosen];
+}
+
+placement
+session_engine::state::Place(caller_session& aSession, time_point aNow)
+{
+  const known_service& service = mServices[aSession.mPending->mRoute.mService];
+  const read_requirement requirement = RequirementOf(aSession, service, aNow);
+  if (const auto idle = ChooseServer(aSession, requirement, false, aNow)) {
+    known_server& server = mServers.at(*idle);
+    SendFirst(
+      aSession, *IdleConnection(server, aSession.mContext), requirement, aNow);
+    return placement::Placed;
+  }
+  if (const auto opened = ChooseServer(aSession, requirement, true, aNow)) {
+    OpenConnection(mServers.at(*opened), aNow);
+  }
+  return placement::Waits;
+}
+
+server_connection*
+session_engine::state::IdleConnection(const known_server& aServer,
+                                      const session_context& aContext)
+{
+  // The connection that needs the least setup for the session's values.
+  server_connection* best = nullptr;
+  bool bestMatches = false;
+  for (const auto id : aServer.mConnections) {
+    server_connection& connection = mConnections.at(id);
+    if (!connection.IsIdle()) {
+      continue;
+    }
+    const bool matches = connection.mContext.mValues == aContext.mValues;
+    if (best == nullptr || (matches && !bestMatches)) {
+      best = &connection;
+      bestMatches = matches;
+    }
+  }
+  return best;
+}
+
+std::size_t
+session_engine::state::ShareOf(const known_service& aService) const
+{
+  const int usable =
+    aService.mLimits.mMaxConnections - mOptions.mReservedConnections;
+  const auto total = static_cast<std::size_t>(std::max(usable, 1));
+  // Rounded up: the instances are never all at their share at once, and the
+  // server refuses what is too much without harm.
+  return std::max<std::size_t>(1, (total + mInstances - 1) / mInstances);
+}
+
+bool
+session_engine::state::CanOpen(const known_server& aServer,
+                               time_point aNow) const
+{
+  if (aNow < aServer.mOpenAfter) {
+    return false;
+  }
+  const auto service = mServices.find(aServer.mEntry.mService);
+  const std::size_t share =
+    service == mServices.end() ? 1 : ShareOf(service->second);
+  // One attempt at a time: the next statement may be served by then.
+  const bool opening =
+    std::any_of(aServer.mConnections.begin(),
+                aServer.mConnections.end(),
+                [this](server_connection_id aId) {
+                  const auto& expected = mConnections.at(aId).mExpected;
+                  return !expected.empty() &&
+                         expected.front().mKind == expected_kind::Opening;
+                });
+  return !opening && aServer.mConnections.size() < share;
+}
+
+void
+session_engine::state::OpenConnection(known_server& aServer, time_point aNow)
+{
+  const server_connection_id id = mNextConnection++;
+  server_connection& connection = mConnections[id];
+  connection.mId = id;
+  connection.mServer = aServer.mEntry.mId;
+  connection.mService = aServer.mEntry.mService;
+  connection.mExpected.push_back({ expected_kind::Opening, aNow });
+  connection.mIdleSince = aNow;
+  aServer.mConnections.insert(id);
+  aServer.mOpenAfter = aNow;
+  mMetrics.Count("server_connections_opened");
+  mLinks.OpenServer(id, aServer.mEntry);
+}
+
+void
+session_engine::state::Transmit(server_connection& aConnection,
+                                const std::vector<server_command>& aCommands,
+                                expected_kind aLast,
+                                time_point aNow)
+{
+  for (std::size_t index = 0; index < aCommands.size(); ++index) {
+    const bool last = index + 1 == aCommands.size();
+    aConnection.mExpected.push_back(
+      { last ? aLast : expected_kind::Setup, aNow });
+  }
+  mLinks.Send(aConnection.mId, aCommands);
+}
+
+void
+session_engine::state::SendFirst(caller_session& aSession,
+                                 server_connection& aConnection,
+                                 const read_requirement& aRequirement,
+                                 time_point aNow)
+{
+  pending_statement& pending = *aSession.mPending;
+  const auto& primary = mServices[aConnection.mService].mPrimary.mServer;
+  const bool atReplica = aConnection.mServer != primary;
+  pending.mAfter.reset();
+  if (atReplica) {
+    pending.mAfter = aRequirement.mPosition;
+  }
+  std::vector<server_command> commands;
+  PlanSetup(aSession.mContext,
+            pending.mStatement,
+            false,
+            aConnection.mContext,
+            commands);
+  aConnection.mSession = aSession.mId;
+  pending.mConnection = aConnection.mId;
+  pending.mStage = statement_stage::Sent;
+  pending.mSentAt = aNow;
+  ++pending.mAttempts;
+  if (aSession.mTransaction) {
+    // The statement follows once the server has begun the transaction: it must
+    // not run outside one if the begin is refused.
+    aConnection.mInTransaction = true;
+    commands.emplace_back(
+      statement_command{ "",
+                         pending.mAfter,
+                         begin_statement{ aSession.mTransaction->mReadOnly } });
+    Transmit(aConnection, commands, expected_kind::Begin, aNow);
+    return;
+  }
+  commands.emplace_back(statement_command{
+    pending.mRequestId,
+    pending.mAfter,
+    *TranslateStatement(aSession.mContext, pending.mStatement) });
+  Transmit(aConnection, commands, expected_kind::Statement, aNow);
+}
+
+void
+session_engine::state::SendLater(caller_session& aSession, time_point aNow)
+{
+  pending_statement& pending = *aSession.mPending;
+  server_connection& connection =
+    mConnections.at(aSession.mTransaction->mConnection);
+  std::vector<server_command> commands;
+  PlanSetup(
+    aSession.mContext, pending.mStatement, true, connection.mContext, commands);
+  commands.emplace_back(statement_command{
+    pending.mRequestId,
+    {},
+    *TranslateStatement(aSession.mContext, pending.mStatement) });
+  if (IsWrite(aSession.mContext, pending.mStatement)) {
+    aSession.mTransaction->mWrote = true;
+  }
+  pending.mConnection = connection.mId;
+  pending.mStage = statement_stage::Sent;
+  pending.mSentAt = aNow;
+  ++pending.mAttempts;
+  Transmit(connection, commands, expected_kind::Statement, aNow);
+}
+
+void
+session_engine::state::CloseSurplusConnections(time_point aNow)
+{
+  for (auto& [id, server] : mServers) {
+    const auto service = mServices.find(server.mEntry.mService);
+    const std::size_t share =
+      service == mServices.end() ? 1 : ShareOf(service->second);
+    const std::set<server_connection_id> connections = server.mConnections;
+    for (const auto connection : connections) {
+      const server_connection& held = mConnections.at(connection);
+      const bool surplus = server.mConnections.size() > share &&
+                           aNow >= held.mIdleSince + kSurplusIdle;
+      if (held.IsIdle() && (surplus || server.mEntry.mDraining)) {
+        Discard(connection);
+      }
+    }
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/fleet_records.cpp
@@ -0,0 +1,165 @@
+// Implementation of the fleet's records in the store.
+#include "snipewalk/session/fleet_records.h"
+
+#include "snipewalk/base/json_text.h"
+#include "version/record_json.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr const char* kPrimaryPrefix = "primary.";
+constexpr const char* kInstancePrefix = "instance.";
+
+struct name_of
+{
+  std::string operator()(const duty_record&) const { return kDutyRecordName; }
+  std::string operator()(const primary_record& aRecord) const
+  {
+    return PrimaryRecordName(aRecord.mService);
+  }
+  std::string operator()(const instance_record& aRecord) const
+  {
+    return InstanceRecordName(aRecord.mName);
+  }
+};
+
+Json::Value
+Number(std::uint64_t aValue)
+{
+  return Json::Value(Json::UInt64{ aValue });
+}
+
+struct encoder
+{
+  Json::Value operator()(const duty_record& aRecord) const
+  {
+    Json::Value value;
+    value["holder"] = aRecord.mHolder;
+    value["started"] = Number(aRecord.mStarted);
+    value["fence"] = Number(aRecord.mFence);
+    value["renewal"] = Number(aRecord.mRenewal);
+    return value;
+  }
+  Json::Value operator()(const primary_record& aRecord) const
+  {
+    Json::Value value;
+    value["service"] = aRecord.mService;
+    value["primary"] = aRecord.mPrimary;
+    value["term"] = Number(aRecord.mTerm);
+    value["phase"] = std::string(NameOf(kPrimaryPhaseNames, aRecord.mPhase));
+    value["fence"] = Number(aRecord.mFence);
+    return value;
+  }
+  Json::Value operator()(const instance_record& aRecord) const
+  {
+    Json::Value value;
+    value["name"] = aRecord.mName;
+    value["peer_address"] = aRecord.mPeerAddress;
+    value["started"] = Number(aRecord.mStarted);
+    value["state"] = std::string(NameOf(kInstanceStateNames, aRecord.mState));
+    return value;
+  }
+};
+
+fleet_record
+ReadDuty(record_reader& aReader)
+{
+  duty_record record;
+  record.mHolder = aReader.Text("holder");
+  record.mStarted = aReader.Number("started");
+  record.mFence = aReader.Number("fence");
+  record.mRenewal = aReader.Number("renewal");
+  return record;
+}
+
+fleet_record
+ReadPrimary(record_reader& aReader)
+{
+  primary_record record;
+  record.mService = aReader.Text("service");
+  record.mPrimary = aReader.Text("primary");
+  record.mTerm = aReader.Number("term");
+  const auto phase = ValueOf(kPrimaryPhaseNames, aReader.Text("phase"));
+  if (!phase) {
+    aReader.Fail("unknown phase");
+  }
+  record.mPhase = phase.value_or(primary_phase::Changing);
+  record.mFence = aReader.Number("fence");
+  return record;
+}
+
+fleet_record
+ReadInstance(record_reader& aReader)
+{
+  instance_record record;
+  record.mName = aReader.Text("name");
+  record.mPeerAddress = aReader.Text("peer_address");
+  record.mStarted = aReader.Number("started");
+  const auto state = ValueOf(kInstanceStateNames, aReader.Text("state"));
+  if (!state) {
+    aReader.Fail("unknown state");
+  }
+  record.mState = state.value_or(instance_state::Live);
+  return record;
+}
+
+} // namespace
+
+std::string
+FleetRecordName(const fleet_record& aRecord)
+{
+  return std::visit(name_of{}, aRecord);
+}
+
+std::string
+PrimaryRecordName(const std::string& aService)
+{
+  return kPrimaryPrefix + aService;
+}
+
+std::string
+InstanceRecordName(const std::string& aInstance)
+{
+  return kInstancePrefix + aInstance;
+}
+
+std::string
+EncodeFleetRecord(const fleet_record& aRecord)
+{
+  return WriteJson(std::visit(encoder{}, aRecord));
+}
+
+absl::StatusOr<fleet_record>
+DecodeFleetRecord(const std::string& aName, const std::string& aValue)
+{
+  const auto value = ParseRecord(aValue);
+  if (!value.ok()) {
+    return value.status();
+  }
+  record_reader reader(*value);
+  std::optional<fleet_record> record;
+  if (aName == kDutyRecordName) {
+    record = ReadDuty(reader);
+  } else if (absl::StartsWith(aName, kPrimaryPrefix)) {
+    record = ReadPrimary(reader);
+  } else if (absl::StartsWith(aName, kInstancePrefix)) {
+    record = ReadInstance(reader);
+  } else {
+    return absl::InvalidArgumentError(
+      absl::StrCat("unknown fleet record ", aName));
+  }
+  if (const auto status = reader.Finish(); !status.ok()) {
+    return status;
+  }
+  if (FleetRecordName(*record) != aName) {
+    return absl::InvalidArgumentError(
+      absl::StrCat("fleet record under a wrong name: ", aName));
+  }
+  return *record;
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/freshness.cpp
@@ -0,0 +1,45 @@
+// Implementation of the samples of a primary's log positions.
+#include "snipewalk/session/freshness.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+void
+freshness_samples::Add(time_point aSent, log_position aPosition)
+{
+  // Answers of several connections arrive out of order. An older sample is not
+  // needed, and a position below a known one says less than that one.
+  if (!mSamples.empty() && (aSent <= mSamples.back().mSent ||
+                            aPosition < mSamples.back().mPosition)) {
+    return;
+  }
+  while (!mSamples.empty() && mSamples.front().mSent + mHorizon < aSent) {
+    mSamples.pop_front();
+  }
+  const bool crowded =
+    mSamples.size() >= 2 &&
+    mSamples.back().mSent - mSamples[mSamples.size() - 2].mSent < kSpacing;
+  if (crowded) {
+    mSamples.pop_back();
+  }
+  mSamples.push_back({ aSent, aPosition });
+}
+
+std::optional<log_position>
+freshness_samples::Covering(time_point aMoment) const
+{
+  const auto found =
+    std::lower_bound(mSamples.begin(),
+                     mSamples.end(),
+                     aMoment,
+                     [](const sample& aSample, time_point aWhen) {
+                       return aSample.mSent < aWhen;
+                     });
+  if (found == mSamples.end()) {
+    return std::nullopt;
+  }
+  return found->mPosition;
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/metrics_page.h
@@ -0,0 +1,29 @@
+// Text of the metrics address: counters, gauges and latency distributions.
+#ifndef SNIPEWALK_SESSION_METRICS_PAGE_H_
+#define SNIPEWALK_SESSION_METRICS_PAGE_H_
+
+#include "snipewalk/base/metrics.h"
+#include "snipewalk/base/time.h"
+#include "snipewalk/session/session_engine.h"
+
+#include <optional>
+#include <string>
+
+namespace snipewalk {
+
+struct metrics_sources
+{
+  const metrics_registry& mRegistry;
+  session_engine_counts mCounts;
+  bool mHoldsDuty = false;
+  bool mReady = false;
+  std::optional<duration> mConfirmationAge;
+};
+
+// One line a value: `name{labels} value`.
+std::string
+WriteMetricsPage(const metrics_sources& aSources);
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_METRICS_PAGE_H_
--- /dev/null
+++ b/src/session/peer_datagrams.cpp
@@ -0,0 +1,193 @@
+// Implementation of the datagrams' msgpack form: an array of the type's number
+// and an array of its fields.
+#include "snipewalk/session/peer_datagrams.h"
+
+#include <msgpack.hpp>
+
+#include <tuple>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+using wire_report_entry = std::tuple<std::string, std::string, int>;
+using wire_report = std::tuple<std::string, std::vector<wire_report_entry>>;
+using wire_release = std::tuple<std::string, std::uint64_t>;
+using wire_release_answer =
+  std::tuple<std::string, std::uint64_t, std::string, std::uint64_t>;
+using wire_question = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+using wire_primary = std::tuple<std::string,
+                                std::string,
+                                std::uint64_t,
+                                int,
+                                std::uint64_t,
+                                std::uint64_t>;
+using wire_confirmation =
+  std::tuple<std::uint64_t, std::uint64_t, bool, std::vector<wire_primary>>;
+
+// Limits of what one datagram may unpack to.
+const msgpack::unpack_limit kLimits(/*array=*/20'000,
+                                    /*map=*/0,
+                                    /*str=*/4'096,
+                                    /*bin=*/0,
+                                    /*ext=*/0,
+                                    /*depth=*/8);
+
+// Order of the types in peer_datagram; part of the protocol.
+enum class wire_type
+{
+  Report,
+  Release,
+  ReleaseAnswer,
+  Confirmation,
+  ConfirmationAnswer
+};
+
+template<typename Enum>
+Enum
+ToEnum(int aValue, Enum aLast)
+{
+  if (aValue < 0 || aValue > static_cast<int>(aLast)) {
+    throw msgpack::type_error();
+  }
+  return static_cast<Enum>(aValue);
+}
+
+template<typename Wire>
+std::string
+Pack(wire_type aType, const Wire& aWire)
+{
+  msgpack::sbuffer buffer;
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(2);
+  packer.pack(static_cast<int>(aType));
+  packer.pack(aWire);
+  return { buffer.data(), buffer.size() };
+}
+
+struct encoder
+{
+  std::string operator()(const health_report& aReport) const
+  {
+    wire_report wire{ aReport.mInstance, {} };
+    for (const auto& entry : aReport.mEntries) {
+      std::get<1>(wire).emplace_back(
+        entry.mService, entry.mServer, static_cast<int>(entry.mHealth));
+    }
+    return Pack(wire_type::Report, wire);
+  }
+  std::string operator()(const release_request& aRequest) const
+  {
+    return Pack(wire_type::Release,
+                wire_release{ aRequest.mService, aRequest.mTerm });
+  }
+  std::string operator()(const release_answer& aAnswer) const
+  {
+    return Pack(
+      wire_type::ReleaseAnswer,
+      wire_release_answer{
+        aAnswer.mInstance, aAnswer.mStarted, aAnswer.mService, aAnswer.mTerm });
+  }
+  std::string operator()(const confirmation_request& aRequest) const
+  {
+    return Pack(
+      wire_type::Confirmation,
+      wire_question{ aRequest.mInstance, aRequest.mStarted, aRequest.mNumber });
+  }
+  std::string operator()(const confirmation_answer& aAnswer) const
+  {
+    wire_confirmation wire{
+      aAnswer.mNumber, aAnswer.mAgeMs, aAnswer.mRegistered, {}
+    };
+    for (const auto& [record, version] : aAnswer.mPrimaries) {
+      std::get<3>(wire).emplace_back(record.mService,
+                                     record.mPrimary,
+                                     record.mTerm,
+                                     static_cast<int>(record.mPhase),
+                                     record.mFence,
+                                     version);
+    }
+    return Pack(wire_type::ConfirmationAnswer, wire);
+  }
+};
+
+health_report
+ReadReport(const msgpack::object& aObject)
+{
+  const auto wire = aObject.as<wire_report>();
+  health_report report{ std::get<0>(wire), {} };
+  for (const auto& [service, server, health] : std::get<1>(wire)) {
+    report.mEntries.push_back(
+      { service, server, ToEnum(health, primary_health::Unreachable) });
+  }
+  return report;
+}
+
+confirmation_answer
+ReadConfirmation(const msgpack::object& aObject)
+{
+  const auto wire = aObject.as<wire_confirmation>();
+  confirmation_answer answer{
+    std::get<0>(wire), std::get<1>(wire), std::get<2>(wire), {}
+  };
+  for (const auto& [service, primary, term, phase, fence, version] :
+       std::get<3>(wire)) {
+    answer.mPrimaries.push_back({ { service,
+                                    primary,
+                                    term,
+                                    ToEnum(phase, primary_phase::Promoting),
+                                    fence },
+                                  version });
+  }
+  return answer;
+}
+
+peer_datagram
+Read(wire_type aType, const msgpack::object& aObject)
+{
+  switch (aType) {
+    case wire_type::Report:
+      return ReadReport(aObject);
+    case wire_type::Release: {
+      const auto [service, term] = aObject.as<wire_release>();
+      return release_request{ service, term };
+    }
+    case wire_type::ReleaseAnswer: {
+      const auto [instance, started, service, term] =
+        aObject.as<wire_release_answer>();
+      return release_answer{ instance, started, service, term };
+    }
+    case wire_type::Confirmation: {
+      const auto [instance, started, number] = aObject.as<wire_question>();
+      return confirmation_request{ instance, started, number };
+    }
+    case wire_type::ConfirmationAnswer:
+      return ReadConfirmation(aObject);
+  }
+  throw msgpack::type_error();
+}
+
+} // namespace
+
+std::string
+EncodeDatagram(const peer_datagram& aDatagram)
+{
+  return std::visit(encoder{}, aDatagram);
+}
+
+absl::StatusOr<peer_datagram>
+DecodeDatagram(std::string_view aBytes)
+{
+  try {
+    const msgpack::object_handle handle =
+      msgpack::unpack(aBytes.data(), aBytes.size(), nullptr, nullptr, kLimits);
+    const auto [type, fields] =
+      handle.get().as<std::tuple<int, msgpack::object>>();
+    return Read(ToEnum(type, wire_type::ConfirmationAnswer), fields);
+  } catch (const std::exception& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/primary_change.cpp
@@ -0,0 +1,381 @@
+// Implementation of the change of a primary.
+#include "snipewalk/session/primary_change.h"
+
+#include "snipewalk/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Questions without an answer are repeated.
+constexpr milliseconds kAskEvery{ 150 };
+// A repeated order of promotion changes nothing where the first took effect.
+constexpr milliseconds kPromoteEvery{ 1'200 };
+// A change that cannot reach all replicas ends, so that a primary that is still
+// alive serves again.
+constexpr milliseconds kProbeLimit{ 500 };
+constexpr milliseconds kPauseLimit{ 2'000 };
+constexpr milliseconds kStepDownLimit{ 300 };
+// Time for open transactions before a planned change ends them.
+constexpr milliseconds kTransactionGrace{ 150 };
+// Servers take over some hundred milliseconds after the order; questions before
+// that are pointless.
+constexpr milliseconds kFirstSettleQuestion{ 200 };
+constexpr milliseconds kSettleEvery{ 60 };
+// Without the promised effect the order is given again.
+constexpr milliseconds kSettleLimit{ 3'000 };
+constexpr milliseconds kResumeLimit{ 1'000 };
+
+} // namespace
+
+primary_change::primary_change(change_plan aPlan)
+  : mPlan(std::move(aPlan))
+{
+}
+
+void
+primary_change::Enter(change_step aStep, time_point aNow)
+{
+  Log(log_level::Info,
+      "primary",
+      "change of primary",
+      { { "service", mPlan.mService },
+        { "step", NameOf(kChangeStepNames, aStep) },
+        { "old", mPlan.mOldPrimary },
+        { "candidate", mCandidate },
+        { "term", static_cast<std::int64_t>(mTerm) },
+        { "fence", static_cast<std::int64_t>(mPlan.mFence) },
+        { "previous_step_ms", ToMilliseconds(aNow - mEntered) } });
+  mStep = aStep;
+  mEntered = aNow;
+  mAsked = aNow;
+  mAnswers.clear();
+}
+
+primary_change::actions
+primary_change::Ask(const std::vector<std::string>& aServers,
+                    const server_command& aCommand)
+{
+  actions asked;
+  for (const auto& server : aServers) {
+    if (!mAnswers.contains(server)) {
+      asked.emplace_back(ask_server{ server, aCommand });
+    }
+  }
+  return asked;
+}
+
+primary_change::actions
+primary_change::AskReplicas(const server_command& aCommand)
+{
+  std::vector<std::string> servers;
+  for (const auto& replica : mPlan.mReplicas) {
+    servers.push_back(replica.mId);
+  }
+  return Ask(servers, aCommand);
+}
+
+primary_change::actions
+primary_change::Record(primary_phase aPhase, const std::string& aPrimary) const
+{
+  return { write_primary_record{
+    { mPlan.mService, aPrimary, mTerm, aPhase, mPlan.mFence } } };
+}
+
+bool
+primary_change::AllReplicasAnswered() const
+{
+  return std::all_of(
+    mPlan.mReplicas.begin(), mPlan.mReplicas.end(), [this](const auto& aIt) {
+      return mAnswers.contains(aIt.mId);
+    });
+}
+
+primary_change::actions
+primary_change::Start(time_point aNow)
+{
+  mEntered = aNow;
+  if (mPlan.mResumed && mPlan.mResumed->mPhase == primary_phase::Promoting) {
+    mTerm = mPlan.mResumed->mTerm;
+    mCandidate = mPlan.mResumed->mPrimary;
+    mRecorded = true;
+    Enter(change_step::Choosing, aNow);
+    return Record(primary_phase::Promoting, mCandidate);
+  }
+  if (mPlan.mResumed) {
+    mTerm = mPlan.mResumed->mTerm;
+    mRecorded = true;
+  }
+  if (mPlan.mReplicas.empty()) {
+    Enter(change_step::Failed, aNow);
+    return {};
+  }
+  Enter(change_step::Probing, aNow);
+  return AskReplicas(status_command{});
+}
+
+primary_change::actions
+primary_change::OnServerStatus(const std::string& aServer,
+                               const std::optional<server_status>& aStatus,
+                               time_point aNow)
+{
+  if (!aStatus) {
+    return {};
+  }
+  mAnswers[aServer] = *aStatus;
+  const bool counts =
+    aServer == mPlan.mOldPrimary || aServer == mCandidate ||
+    std::any_of(mPlan.mReplicas.begin(),
+                mPlan.mReplicas.end(),
+                [&](const auto& aIt) { return aIt.mId == aServer; });
+  if (!counts) {
+    return {};
+  }
+  switch (mStep) {
+    case change_step::Probing: {
+      if (!AllReplicasAnswered()) {
+        return {};
+      }
+      std::uint64_t newest = mPlan.mKnownTerm;
+      for (const auto& [server, status] : mAnswers) {
+        newest = std::max({ newest, status.mTerm, status.mReceived.mTerm });
+      }
+      mTerm = newest + 1;
+      Enter(change_step::Recording, aNow);
+      return Record(primary_phase::Changing, mPlan.mOldPrimary);
+    }
+    case change_step::SteppingDown:
+      if (aServer == mPlan.mOldPrimary) {
+        mSteppedDown = aStatus->mRole == server_role::Replica;
+        return BeginPausing(aNow);
+      }
+      return {};
+    case change_step::Pausing:
+      return AllReplicasAnswered() ? Choose(aNow) : actions{};
+    case change_step::Settling:
+      if (aServer == mCandidate && aStatus->mRole == server_role::Primary) {
+        mTerm = std::max(mTerm, aStatus->mTerm);
+        Enter(change_step::RecordingStable, aNow);
+        return Record(primary_phase::Stable, mCandidate);
+      }
+      return {};
+    case change_step::Resuming:
+      if (AllReplicasAnswered()) {
+        Enter(change_step::Done, aNow);
+      }
+      return {};
+    default:
+      return {};
+  }
+}
+
+primary_change::actions
+primary_change::OnRecordWritten(bool aWritten, time_point aNow)
+{
+  if (!aWritten) {
+    // Another holder wrote, or the store does not answer. The next change reads
+    // the record and goes on from it.
+    Enter(change_step::Failed, aNow);
+    return {};
+  }
+  mRecorded = true;
+  switch (mStep) {
+    case change_step::Recording:
+      Enter(change_step::Releasing, aNow);
+      return { release_instances{ mPlan.mService, mTerm } };
+    case change_step::Choosing:
+      Enter(change_step::Promoting, aNow);
+      return { order_promotion{ mPlan.mService, mCandidate } };
+    case change_step::RecordingStable: {
+      Enter(change_step::Resuming, aNow);
+      mAnswers[mCandidate] = {};
+      actions last = AskReplicas(resume_command{});
+      if (!mPlan.mOldPrimary.empty() && mPlan.mOldPrimary != mCandidate) {
+        last.emplace_back(
+          ask_server{ mPlan.mOldPrimary, step_down_command{ mTerm } });
+      }
+      if (AllReplicasAnswered()) {
+        Enter(change_step::Done, aNow);
+      }
+      return last;
+    }
+    case change_step::Reverting:
+      Enter(change_step::Failed, aNow);
+      return {};
+    default:
+      return {};
+  }
+}
+
+primary_change::actions
+primary_change::OnInstancesReady(time_point aNow)
+{
+  if (mStep != change_step::Releasing) {
+    return {};
+  }
+  if (mPlan.mPlanned) {
+    // OnTick() asks the old primary after the grace.
+    Enter(change_step::SteppingDown, aNow);
+    return {};
+  }
+  actions all = BeginPausing(aNow);
+  if (!mPlan.mOldPrimary.empty()) {
+    // Not waited for: without its replicas it acknowledges nothing.
+    all.emplace_back(
+      ask_server{ mPlan.mOldPrimary, step_down_command{ mTerm } });
+  }
+  return all;
+}
+
+primary_change::actions
+primary_change::OnServerGone(const std::string& aServer, time_point aNow)
+{
+  std::erase_if(mPlan.mReplicas, [&](const change_server& aReplica) {
+    return aReplica.mId == aServer;
+  });
+  mAnswers.erase(aServer);
+  if (mPlan.mReplicas.empty() && mStep < change_step::Promoting) {
+    Enter(change_step::Failed, aNow);
+    return {};
+  }
+  if (mStep == change_step::Pausing && AllReplicasAnswered()) {
+    return Choose(aNow);
+  }
+  return {};
+}
+
+primary_change::actions
+primary_change::BeginPausing(time_point aNow)
+{
+  Enter(change_step::Pausing, aNow);
+  return AskReplicas(pause_command{ mTerm });
+}
+
+primary_change::actions
+primary_change::Choose(time_point aNow)
+{
+  // All replicas have stopped receiving, so that every commit that was or will
+  // be acknowledged by the old primary is in the newest of their logs. Among
+  // equal logs a server that stays is better than a leaving one.
+  const change_server* best = nullptr;
+  for (const auto& replica : mPlan.mReplicas) {
+    if (best == nullptr) {
+      best = &replica;
+      continue;
+    }
+    const log_position held = mAnswers.at(replica.mId).mReceived;
+    const log_position bestHeld = mAnswers.at(best->mId).mReceived;
+    if (held > bestHeld ||
+        (held == bestHeld && best->mDraining && !replica.mDraining)) {
+      best = &replica;
+    }
+  }
+  mCandidate = best->mId;
+  for (const auto& [server, status] : mAnswers) {
+    const std::string received = status.mReceived.ToString();
+    Log(log_level::Info,
+        "primary",
+        "candidate",
+        { { "service", mPlan.mService },
+          { "server", server },
+          { "received", received },
+          { "chosen", server == mCandidate } });
+  }
+  Enter(change_step::Choosing, aNow);
+  return Record(primary_phase::Promoting, mCandidate);
+}
+
+primary_change::actions
+primary_change::OnPromoted(promotion_result aResult, time_point aNow)
+{
+  if (mStep != change_step::Promoting) {
+    return {};
+  }
+  switch (aResult) {
+    case promotion_result::Accepted:
+      Enter(change_step::Settling, aNow);
+      return {};
+    case promotion_result::Rejected:
+    case promotion_result::Unknown:
+      // OnTick() orders it again: the candidate alone is known to hold every
+      // acknowledged commit, and an order without an answer may take effect.
+      return {};
+  }
+  return {};
+}
+
+primary_change::actions
+primary_change::Revert(time_point aNow)
+{
+  if (!mRecorded || mPlan.mOldPrimary.empty()) {
+    Enter(change_step::Failed, aNow);
+    return {};
+  }
+  actions all = AskReplicas(resume_command{});
+  Enter(change_step::Reverting, aNow);
+  for (auto& record : Record(primary_phase::Stable, mPlan.mOldPrimary)) {
+    all.push_back(std::move(record));
+  }
+  return all;
+}
+
+primary_change::actions
+primary_change::OnTick(time_point aNow)
+{
+  const duration spent = aNow - mEntered;
+  const duration sinceAsked = aNow - mAsked;
+  const auto again = [&](duration aEvery) {
+    const bool due = sinceAsked >= aEvery;
+    if (due) {
+      mAsked = aNow;
+    }
+    return due;
+  };
+  switch (mStep) {
+    case change_step::Probing:
+      if (spent >= kProbeLimit) {
+        return Revert(aNow);
+      }
+      return again(kAskEvery) ? AskReplicas(status_command{}) : actions{};
+    case change_step::SteppingDown:
+      if (spent >= kTransactionGrace + kStepDownLimit) {
+        return BeginPausing(aNow);
+      }
+      if (spent >= kTransactionGrace && again(kAskEvery)) {
+        return Ask({ mPlan.mOldPrimary }, step_down_command{ mTerm });
+      }
+      return {};
+    case change_step::Pausing:
+      // A stepped down primary serves no more: only a promotion helps then.
+      if (spent >= kPauseLimit && !mSteppedDown) {
+        mAnswers.clear();
+        return Revert(aNow);
+      }
+      return again(kAskEvery) ? AskReplicas(pause_command{ mTerm }) : actions{};
+    case change_step::Promoting:
+      return again(kPromoteEvery)
+               ? actions{ order_promotion{ mPlan.mService, mCandidate } }
+               : actions{};
+    case change_step::Settling:
+      if (spent >= kSettleLimit) {
+        Enter(change_step::Promoting, aNow);
+        return { order_promotion{ mPlan.mService, mCandidate } };
+      }
+      return spent >= kFirstSettleQuestion && again(kSettleEvery)
+               ? Ask({ mCandidate }, status_command{})
+               : actions{};
+    case change_step::Resuming:
+      if (spent >= kResumeLimit) {
+        Enter(change_step::Done, aNow);
+        return {};
+      }
+      return again(kAskEvery) ? AskReplicas(resume_command{}) : actions{};
+    default:
+      return {};
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/primary_monitor.cpp
@@ -0,0 +1,160 @@
+// Implementation of the monitor of primaries.
+#include "snipewalk/session/primary_monitor.h"
+
+#include <algorithm>
+
+namespace snipewalk {
+
+namespace {
+
+// Silence of all connections to a server while an answer is due. Longer than
+// the slowest statements and a full queue of the server take.
+constexpr milliseconds kSilence{ 500 };
+constexpr int kRefusals = 2;
+// A write or commit waits for a replica's confirmation no longer than this
+// while the primary answers reads.
+constexpr milliseconds kWriteStall{ 600 };
+// How long several instances report the same before a primary that the holder
+// still reaches is replaced.
+constexpr milliseconds kCutOffFor{ 500 };
+constexpr milliseconds kStallFor{ 200 };
+// Share of the reporting instances, as one in so many.
+constexpr int kCutOffDivisor = 3;
+constexpr int kFailedProbesForDead = 2;
+constexpr milliseconds kProbeEvery{ 150 };
+// Entries lapse while the store is away and return within two seconds.
+constexpr milliseconds kMissingFor{ 2'500 };
+constexpr milliseconds kNotPrimaryFor{ 1'500 };
+constexpr milliseconds kQuietAfterChange{ 1'500 };
+
+} // namespace
+
+primary_health
+JudgeObservation(const server_observation& aObservation, time_point aNow)
+{
+  const bool silent = aObservation.mWaitingSince &&
+                      aNow >= *aObservation.mWaitingSince + kSilence &&
+                      aNow >= aObservation.mLastAnswer + kSilence;
+  if (silent || aObservation.mFailedConnects >= kRefusals) {
+    return primary_health::Unreachable;
+  }
+  const bool stalled = aObservation.mWriteWaitingSince &&
+                       aNow >= *aObservation.mWriteWaitingSince + kWriteStall;
+  if (stalled) {
+    return primary_health::WritesStall;
+  }
+  return aNow < aObservation.mLastAnswer + kSilence ? primary_health::Answers
+                                                    : primary_health::NoTraffic;
+}
+
+void
+primary_monitor::OnReport(const std::string& aInstance,
+                          primary_health aHealth,
+                          time_point aNow)
+{
+  report& held = mReports[aInstance];
+  const bool goesOn =
+    held.mHealth == aHealth && aNow < held.mAt + kReportLifetime;
+  if (!goesOn) {
+    held.mSince = aNow;
+  }
+  held.mHealth = aHealth;
+  held.mAt = aNow;
+}
+
+void
+primary_monitor::OnEntry(const std::optional<server_entry>& aEntry,
+                         time_point aNow)
+{
+  mEntry = aEntry;
+  if (aEntry) {
+    mMissingSince.reset();
+  } else if (!mMissingSince) {
+    mMissingSince = aNow;
+  }
+  if (!aEntry || aEntry->mPrimary) {
+    mNotPrimarySince.reset();
+  } else if (!mNotPrimarySince) {
+    mNotPrimarySince = aNow;
+  }
+}
+
+void
+primary_monitor::OnProbe(bool aAnswered, time_point aNow)
+{
+  mProbe = aAnswered ? probe_result::Answered : probe_result::Failed;
+  mProbedAt = aNow;
+  mFailedProbes = aAnswered ? 0 : mFailedProbes + 1;
+}
+
+void
+primary_monitor::Reset(time_point aNow)
+{
+  *this = {};
+  mQuietUntil = aNow + kQuietAfterChange;
+}
+
+int
+primary_monitor::Count(primary_health aHealth,
+                       duration aFor,
+                       time_point aNow) const
+{
+  return static_cast<int>(
+    std::count_if(mReports.begin(), mReports.end(), [&](const auto& aIt) {
+      const report& held = aIt.second;
+      return held.mHealth == aHealth && aNow < held.mAt + kReportLifetime &&
+             aNow >= held.mSince + aFor;
+    }));
+}
+
+bool
+primary_monitor::WantsProbe(time_point aNow) const
+{
+  const bool suspected =
+    Count(primary_health::Unreachable, duration(0), aNow) > 0 ||
+    Count(primary_health::WritesStall, duration(0), aNow) > 0 ||
+    mMissingSince.has_value();
+  return suspected && aNow >= mProbedAt + kProbeEvery;
+}
+
+change_reason
+primary_monitor::Decide(time_point aNow) const
+{
+  if (aNow < mQuietUntil) {
+    return change_reason::None;
+  }
+  if (mEntry && mEntry->mDraining) {
+    return change_reason::Leaving;
+  }
+  const bool probeFresh = aNow < mProbedAt + kReportLifetime;
+  const bool probeFailed = probeFresh && mProbe == probe_result::Failed &&
+                           mFailedProbes >= kFailedProbesForDead;
+  const bool probeAnswered = probeFresh && mProbe == probe_result::Answered;
+  const int unreachable = Count(primary_health::Unreachable, duration(0), aNow);
+  const int answers = Count(primary_health::Answers, duration(0), aNow) +
+                      Count(primary_health::WritesStall, duration(0), aNow);
+  if (probeFailed && unreachable >= std::max(answers, 1)) {
+    return change_reason::Dead;
+  }
+  if (probeFailed && answers == 0 && mMissingSince &&
+      aNow >= *mMissingSince + kMissingFor) {
+    return change_reason::Dead;
+  }
+  const int cutOff = Count(primary_health::Unreachable, kCutOffFor, aNow);
+  if (probeAnswered && cutOff >= 2 &&
+      cutOff * kCutOffDivisor >= cutOff + answers) {
+    return change_reason::CutOff;
+  }
+  if (probeAnswered &&
+      Count(primary_health::WritesStall, kStallFor, aNow) > 0 &&
+      Count(primary_health::Answers, duration(0), aNow) <=
+        Count(primary_health::WritesStall, kStallFor, aNow)) {
+    return change_reason::WritesStall;
+  }
+  if (mNotPrimarySince && aNow >= *mNotPrimarySince + kNotPrimaryFor) {
+    return change_reason::LostRole;
+  }
+  return change_reason::None;
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/server_control.h
@@ -0,0 +1,72 @@
+// Connections for control commands to backend servers: at most one a server,
+// one command at a time.
+#ifndef SNIPEWALK_SESSION_SERVER_CONTROL_H_
+#define SNIPEWALK_SESSION_SERVER_CONTROL_H_
+
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/connection/stream_connection.h"
+#include "snipewalk/session/session_controller.h"
+#include "snipewalk/session/session_protocol.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace snipewalk {
+
+class server_control
+{
+public:
+  server_control(event_loop& aLoop, const session_protocol& aProtocol);
+  ~server_control();
+  server_control(const server_control&) = delete;
+  server_control& operator=(const server_control&) = delete;
+
+  void Ask(const server_entry& aServer,
+           const server_command& aCommand,
+           milliseconds aTimeout,
+           control_links::status_handler aOnStatus);
+  void CloseAll();
+
+private:
+  struct question
+  {
+    server_command mCommand;
+    control_links::status_handler mOnStatus;
+    time_point mDeadline;
+    bool mSent = false;
+  };
+  struct channel
+  {
+    server_entry mServer;
+    std::unique_ptr<stream_connection> mStream;
+    bool mOpened = false;
+    std::deque<question> mQuestions;
+    // Tells the streams of one server apart.
+    std::uint64_t mGeneration = 0;
+  };
+
+  void Connect(channel& aChannel);
+  void SendNext(channel& aChannel);
+  void OnInput(const std::string& aServer,
+               std::string& aInput,
+               time_point aNow);
+  // Ends the stream and answers all questions with nothing.
+  void Fail(const std::string& aServer, time_point aNow);
+  void Bury(std::unique_ptr<stream_connection> aStream);
+  void CheckDeadlines(time_point aNow);
+  void ScheduleCheck();
+
+  event_loop& mLoop;
+  const session_protocol& mProtocol;
+  // By server id.
+  std::map<std::string, channel> mChannels;
+  std::uint64_t mNextGeneration = 1;
+  event_loop::timer_id mTimer = 0;
+  std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_SERVER_CONTROL_H_
--- /dev/null
+++ b/src/session/session_controller.cpp
@@ -0,0 +1,557 @@
+// Views of the store, registration and confirmations of the session front end.
+#include "snipewalk/session/session_controller.h"
+
+#include "snipewalk/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Bounds how long a silent connection to the store can hide a new desired
+// state.
+constexpr milliseconds kDesiredStateWait{ 1'500 };
+constexpr milliseconds kServerWait{ 3'000 };
+// The answers also confirm the recorded primaries.
+constexpr milliseconds kFleetWait{ 1'000 };
+// A vanished entry is kept this long: entries that lapse while the store is
+// away return within two seconds.
+constexpr milliseconds kRemovalDelay{ 2'200 };
+constexpr milliseconds kRegisterRetry{ 200 };
+// A confirmation older than this is renewed through other instances.
+constexpr milliseconds kConfirmationWanted{ 1'700 };
+constexpr milliseconds kAskPeersEvery{ 250 };
+// Other instances asked at a time.
+constexpr std::size_t kPeersAsked = 3;
+// Answers to older questions say less than the store soon will.
+constexpr std::size_t kMaxQuestions = 32;
+
+} // namespace
+
+session_controller::session_controller(event_loop& aLoop,
+                                       store_client& aStore,
+                                       session_engine& aEngine,
+                                       control_links& aLinks,
+                                       platform_objects aObjects,
+                                       controller_options aOptions)
+  : mLoop(aLoop)
+  , mStore(aStore)
+  , mEngine(aEngine)
+  , mLinks(aLinks)
+  , mObjects(std::move(aObjects))
+  , mOptions(std::move(aOptions))
+  , mDesiredWatcher(
+      aLoop,
+      aStore,
+      mObjects.mDesiredStateKind,
+      kDesiredStateWait,
+      [this](bool, time_point, time_point aNow) { OnDesiredState(aNow); })
+  , mServerWatcher(aLoop,
+                   aStore,
+                   mObjects.mServerKind,
+                   kServerWait,
+                   [this](bool aChanged, time_point, time_point aNow) {
+                     if (aChanged) {
+                       OnServers(aNow);
+                     }
+                   })
+  , mFleetWatcher(
+      aLoop,
+      aStore,
+      kFleetKind,
+      kFleetWait,
+      [this](bool, time_point aAsOf, time_point aNow) { OnFleet(aAsOf, aNow); })
+  , mDuty(mOptions.mInstance, mOptions.mStarted, mOptions.mClaimStagger)
+{
+}
+
+void
+session_controller::Start()
+{
+  mDesiredWatcher.Start();
+  mServerWatcher.Start();
+  mFleetWatcher.Start();
+}
+
+bool
+session_controller::IsReady() const
+{
+  return mDesired != nullptr && mServerWatcher.IsListed() &&
+         mFleetWatcher.IsListed();
+}
+
+std::optional<duration>
+session_controller::ConfirmationAge(time_point aNow) const
+{
+  if (mConfirmedAt == time_point::min()) {
+    return std::nullopt;
+  }
+  return aNow - mConfirmedAt;
+}
+
+void
+session_controller::OnDesiredState(time_point aNow)
+{
+  const auto found = mDesiredWatcher.Objects().find(mObjects.mDesiredStateName);
+  if (found == mDesiredWatcher.Objects().end() ||
+      found->second.mVersion <= mDesiredRevision) {
+    return;
+  }
+  auto decoded = mObjects.mDecodeDesiredState(found->second.mValue);
+  mDesiredRevision = found->second.mVersion;
+  if (!decoded.ok()) {
+    Log(log_level::Error,
+        "control",
+        "desired state is not readable; the previous one stays",
+        { { "revision", static_cast<std::int64_t>(mDesiredRevision) },
+          { "error", decoded.status().ToString() } });
+    return;
+  }
+  Log(log_level::Info,
+      "control",
+      "desired state in force",
+      { { "version", static_cast<std::int64_t>(decoded->mVersion) },
+        { "revision", static_cast<std::int64_t>(mDesiredRevision) },
+        { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) } });
+  mDesired = std::make_shared<const desired_state>(*std::move(decoded));
+  for (const auto& [name, limits] : mDesired->mServices) {
+    mServices.try_emplace(name);
+  }
+  mEngine.SetDesiredState(mDesired, aNow);
+  PublishPrimaries(aNow);
+}
+
+void
+session_controller::OnServers(time_point aNow)
+{
+  std::map<std::string, server_entry> present;
+  for (const auto& [id, object] : mServerWatcher.Objects()) {
+    const auto entry = mObjects.mDecodeServer(id, object.mValue);
+    if (entry.ok()) {
+      present[id] = *entry;
+      continue;
+    }
+    if (!mServers.contains(id)) {
+      Log(log_level::Info,
+          "control",
+          "entry names no server",
+          { { "entry", id }, { "error", entry.status().ToString() } });
+    }
+  }
+  for (const auto& [id, entry] : mServers) {
+    if (!present.contains(id)) {
+      mRemoved.try_emplace(id, removed_server{ entry, aNow });
+    }
+  }
+  for (const auto& [id, entry] : present) {
+    const auto known = mServers.find(id);
+    if (known == mServers.end() || !(known->second == entry)) {
+      Log(log_level::Info,
+          "control",
+          "server entry changed",
+          { { "server", id },
+            { "service", entry.mService },
+            { "address", entry.mAddress },
+            { "primary", entry.mPrimary },
+            { "draining", entry.mDraining } });
+    }
+    mRemoved.erase(id);
+  }
+  mServers = std::move(present);
+  PublishServers(aNow);
+}
+
+void
+session_controller::PublishServers(time_point aNow)
+{
+  std::vector<server_entry> all;
+  for (const auto& [id, entry] : mServers) {
+    all.push_back(entry);
+  }
+  for (const auto& [id, removed] : mRemoved) {
+    all.push_back(removed.mEntry);
+  }
+  mEngine.SetServers(all, aNow);
+  PublishPrimaries(aNow);
+}
+
+std::optional<server_entry>
+session_controller::EntryOf(const std::string& aServer) const
+{
+  if (const auto found = mServers.find(aServer); found != mServers.end()) {
+    return found->second;
+  }
+  if (const auto lost = mRemoved.find(aServer); lost != mRemoved.end()) {
+    return lost->second.mEntry;
+  }
+  return std::nullopt;
+}
+
+service_primary
+session_controller::PrimaryOf(const std::string& aService) const
+{
+  const service_control& control = mServices.at(aService);
+  if (!control.mRecord) {
+    // No change was ever ordered: the server that calls itself primary.
+    service_primary first;
+    for (const auto& [id, entry] : mServers) {
+      if (entry.mService == aService && entry.mPrimary) {
+        first = { id, 0, control.mReleasedTerm == 0 };
+      }
+    }
+    return first;
+  }
+  const primary_record& record = *control.mRecord;
+  const auto entry = EntryOf(record.mPrimary);
+  const bool leads =
+    record.mPhase == primary_phase::Stable ||
+    (record.mPhase == primary_phase::Promoting && entry && entry->mPrimary);
+  return { record.mPrimary,
+           record.mTerm,
+           leads && record.mTerm >= control.mReleasedTerm };
+}
+
+void
+session_controller::PublishPrimaries(time_point aNow)
+{
+  for (auto& [service, control] : mServices) {
+    const service_primary primary = PrimaryOf(service);
+    mEngine.SetPrimary(service, primary, aNow);
+    control.mMonitor.OnEntry(
+      primary.mServer.empty() ? std::nullopt : EntryOf(primary.mServer), aNow);
+  }
+}
+
+void
+session_controller::ApplyFleetObject(const stored_object& aObject,
+                                     time_point aNow)
+{
+  const auto record = DecodeFleetRecord(aObject.mKey.mName, aObject.mValue);
+  if (!record.ok()) {
+    Log(log_level::Warning,
+        "control",
+        "fleet record is not readable",
+        { { "record", aObject.mKey.mName },
+          { "error", record.status().ToString() } });
+    return;
+  }
+  if (const auto* duty = std::get_if<duty_record>(&*record)) {
+    mDuty.OnRecord(*duty, aObject.mVersion, aNow);
+  } else if (const auto* primary = std::get_if<primary_record>(&*record)) {
+    service_control& control = mServices[primary->mService];
+    if (aObject.mVersion > control.mRecordVersion) {
+      const bool other =
+        control.mRecord && control.mRecord->mPrimary != primary->mPrimary;
+      control.mRecord = *primary;
+      control.mRecordVersion = aObject.mVersion;
+      if (other) {
+        control.mMonitor.Reset(aNow);
+      }
+      Log(log_level::Info,
+          "primary",
+          "primary recorded",
+          { { "service", primary->mService },
+            { "primary", primary->mPrimary },
+            { "term", static_cast<std::int64_t>(primary->mTerm) },
+            { "phase", NameOf(kPrimaryPhaseNames, primary->mPhase) },
+            { "revision", static_cast<std::int64_t>(aObject.mVersion) } });
+    }
+  } else if (const auto* instance = std::get_if<instance_record>(&*record)) {
+    mInstances[instance->mName] = *instance;
+    if (instance->mState == instance_state::Gone) {
+      mGoneSince.try_emplace(instance->mName, aNow);
+    } else {
+      mGoneSince.erase(instance->mName);
+    }
+  }
+}
+
+void
+session_controller::OnFleet(time_point aAsOf, time_point aNow)
+{
+  const auto& objects = mFleetWatcher.Objects();
+  for (const auto& [name, object] : objects) {
+    ApplyFleetObject(object, aNow);
+  }
+  if (!objects.contains(kDutyRecordName)) {
+    mDuty.OnRecord(std::nullopt, 0, aNow);
+  }
+  const auto live = static_cast<std::size_t>(
+    std::count_if(mInstances.begin(), mInstances.end(), [](const auto& aIt) {
+      return aIt.second.mState == instance_state::Live;
+    }));
+  mEngine.SetInstances(live, aNow);
+  PublishPrimaries(aNow);
+  if (IsRegistered()) {
+    Confirm(aAsOf, aNow);
+  } else {
+    Register(aNow);
+  }
+}
+
+bool
+session_controller::IsRegistered() const
+{
+  const auto own = mInstances.find(mOptions.mInstance);
+  return own != mInstances.end() && own->second.mStarted == mOptions.mStarted &&
+         own->second.mState == instance_state::Live;
+}
+
+void
+session_controller::Confirm(time_point aAsOf, time_point aNow)
+{
+  if (aAsOf <= mConfirmedAt || mLeft) {
+    return;
+  }
+  const bool lapsed = aNow >= mConfirmedAt + kConfirmationLifetime ||
+                      mConfirmedAt == time_point::min();
+  mConfirmedAt = aAsOf;
+  if (lapsed) {
+    Log(log_level::Info, "control", "recorded primaries are confirmed again");
+  }
+  mEngine.SetPrimariesConfirmed(aAsOf + kConfirmationLifetime, aNow);
+}
+
+void
+session_controller::OnSuspended(time_point aNow)
+{
+  Log(log_level::Warning, "control", "process was suspended");
+  mConfirmedAt = time_point::min();
+  mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
+  mQuestions.clear();
+}
+
+void
+session_controller::Register(time_point aNow)
+{
+  if (mRegistering || mLeft || aNow < mRegisterAfter) {
+    return;
+  }
+  mRegistering = true;
+  const instance_record record{ mOptions.mInstance,
+                                mOptions.mPeerAddress,
+                                mOptions.mStarted };
+  const std::string name = FleetRecordName(record);
+  const auto& objects = mFleetWatcher.Objects();
+  const auto held = objects.find(name);
+  const std::uint64_t version =
+    held == objects.end() ? 0 : held->second.mVersion;
+  mStore.Submit(
+    store_put{ { kFleetKind, name }, EncodeFleetRecord(record), version },
+    store_priority::Urgent,
+    [this, alive = std::weak_ptr<bool>(mAlive)](const store_reply& aReply,
+                                                time_point aThen) {
+      if (alive.expired()) {
+        return;
+      }
+      // Registered once the watch shows it, after all earlier changes.
+      mRegistering = false;
+      mRegisterAfter = aThen + kRegisterRetry;
+      if (aReply.mStatus != store_status::Ok) {
+        Log(log_level::Info,
+            "control",
+            "registration failed",
+            { { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+      }
+    });
+}
+
+void
+session_controller::AskPeersForConfirmation(time_point aNow)
+{
+  if (mLeft || aNow < mAskedPeersAt + kAskPeersEvery ||
+      (mConfirmedAt != time_point::min() &&
+       aNow < mConfirmedAt + kConfirmationWanted)) {
+    return;
+  }
+  mAskedPeersAt = aNow;
+  std::vector<std::string> peers;
+  for (const auto& [name, record] : mInstances) {
+    if (name != mOptions.mInstance && record.mState == instance_state::Live) {
+      peers.push_back(record.mPeerAddress);
+    }
+  }
+  if (peers.empty()) {
+    return;
+  }
+  if (mQuestions.size() >= kMaxQuestions) {
+    mQuestions.erase(mQuestions.begin());
+  }
+  mQuestions[++mQuestion] = aNow;
+  const confirmation_request request{ mOptions.mInstance,
+                                      mOptions.mStarted,
+                                      mQuestion };
+  for (std::size_t i = 0; i < std::min(kPeersAsked, peers.size()); ++i) {
+    mLinks.SendDatagram(peers[(mQuestion * kPeersAsked + i) % peers.size()],
+                        request);
+  }
+}
+
+confirmation_answer
+session_controller::AnswerConfirmation(const confirmation_request& aRequest,
+                                       time_point aNow) const
+{
+  confirmation_answer answer;
+  answer.mNumber = aRequest.mNumber;
+  answer.mAgeMs =
+    static_cast<std::uint64_t>(ToMilliseconds(aNow - mConfirmedAt)) + 1;
+  const auto asking = mInstances.find(aRequest.mInstance);
+  answer.mRegistered = asking != mInstances.end() &&
+                       asking->second.mStarted == aRequest.mStarted &&
+                       asking->second.mState == instance_state::Live;
+  for (const auto& [service, control] : mServices) {
+    if (control.mRecord) {
+      answer.mPrimaries.push_back({ *control.mRecord, control.mRecordVersion });
+    }
+  }
+  return answer;
+}
+
+void
+session_controller::OnConfirmation(const confirmation_answer& aAnswer,
+                                   time_point aNow)
+{
+  const auto asked = mQuestions.find(aAnswer.mNumber);
+  if (asked == mQuestions.end() || !aAnswer.mRegistered) {
+    return;
+  }
+  for (const auto& [record, version] : aAnswer.mPrimaries) {
+    ApplyFleetObject({ { kFleetKind, PrimaryRecordName(record.mService) },
+                       version,
+                       false,
+                       EncodeFleetRecord(record) },
+                     aNow);
+  }
+  PublishPrimaries(aNow);
+  // The answer was made after the question was sent.
+  Confirm(asked->second - milliseconds(aAnswer.mAgeMs), aNow);
+}
+
+void
+session_controller::OnDatagram(const std::string& aFrom,
+                               const peer_datagram& aDatagram,
+                               time_point aNow)
+{
+  if (const auto* report = std::get_if<health_report>(&aDatagram)) {
+    OnHealthReport(*report, aNow);
+  } else if (const auto* release = std::get_if<release_request>(&aDatagram)) {
+    service_control& control = mServices[release->mService];
+    control.mReleasedTerm = std::max(control.mReleasedTerm, release->mTerm);
+    PublishPrimaries(aNow);
+    mLinks.SendDatagram(aFrom,
+                        release_answer{ mOptions.mInstance,
+                                        mOptions.mStarted,
+                                        release->mService,
+                                        release->mTerm });
+  } else if (const auto* answer = std::get_if<release_answer>(&aDatagram)) {
+    OnReleaseAnswer(*answer, aNow);
+  } else if (const auto* request =
+               std::get_if<confirmation_request>(&aDatagram)) {
+    if (mConfirmedAt != time_point::min() && !mLeft &&
+        aNow < mConfirmedAt + kConfirmationLifetime) {
+      mLinks.SendDatagram(aFrom, AnswerConfirmation(*request, aNow));
+    }
+  } else if (const auto* confirmed =
+               std::get_if<confirmation_answer>(&aDatagram)) {
+    OnConfirmation(*confirmed, aNow);
+  }
+}
+
+void
+session_controller::OnTick(time_point aNow)
+{
+  bool removed = false;
+  for (auto it = mRemoved.begin(); it != mRemoved.end();) {
+    if (aNow < it->second.mSince + kRemovalDelay) {
+      ++it;
+      continue;
+    }
+    Log(log_level::Info,
+        "control",
+        "server is gone",
+        { { "server", it->first } });
+    removed = true;
+    for (auto& [service, control] : mServices) {
+      if (control.mRunning) {
+        Perform(service,
+                control.mRunning->mChange->OnServerGone(it->first, aNow),
+                aNow);
+      }
+    }
+    it = mRemoved.erase(it);
+  }
+  if (removed) {
+    PublishServers(aNow);
+  }
+  if (mFleetWatcher.IsListed() && !IsRegistered()) {
+    Register(aNow);
+  }
+  AskPeersForConfirmation(aNow);
+  if (const auto write = mDuty.Due(aNow)) {
+    WriteDuty(*write, aNow);
+  }
+  ReportHealth(aNow);
+  const bool holds = mDuty.Holds(aNow);
+  if (holds != std::exchange(mHeldDuty, holds)) {
+    Log(log_level::Info,
+        "primary",
+        holds ? "duty held" : "duty lost",
+        { { "fence", static_cast<std::int64_t>(mDuty.Fence()) } });
+    if (!holds) {
+      EndChanges(aNow);
+    }
+  }
+  if (holds) {
+    MonitorServices(aNow);
+    MarkSilentInstances(aNow);
+  }
+}
+
+void
+session_controller::Resign(time_point aNow)
+{
+  EndChanges(aNow);
+  if (const auto write = mDuty.Resign()) {
+    WriteDuty(*write, aNow);
+  }
+}
+
+void
+session_controller::Unregister(time_point aNow)
+{
+  mLeft = true;
+  // The record states that this process uses no primary any more.
+  mConfirmedAt = time_point::min();
+  mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
+  if (const auto own = mInstances.find(mOptions.mInstance);
+      own != mInstances.end()) {
+    MarkGone(own->second);
+  }
+}
+
+void
+session_controller::MarkGone(const instance_record& aInstance)
+{
+  instance_record gone = aInstance;
+  gone.mState = instance_state::Gone;
+  const std::string name = FleetRecordName(gone);
+  const auto held = mFleetWatcher.Objects().find(name);
+  if (held == mFleetWatcher.Objects().end()) {
+    return;
+  }
+  mStore.Submit(
+    store_put{
+      { kFleetKind, name }, EncodeFleetRecord(gone), held->second.mVersion },
+    store_priority::Urgent,
+    [name](const store_reply& aReply, time_point) {
+      Log(log_level::Info,
+          "control",
+          "instance marked as gone",
+          { { "record", name },
+            { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+    });
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/session_daemon.cpp
@@ -0,0 +1,334 @@
+// Implementation of a process of the session front end.
+#include "snipewalk/session/session_daemon.h"
+
+#include "session/connection_table.h"
+#include "session/http_responder.h"
+#include "session/metrics_page.h"
+#include "session/peer_socket.h"
+#include "session/server_control.h"
+#include "snipewalk/base/log.h"
+
+#include <absl/hash/hash.h>
+
+#include <atomic>
+#include <ctime>
+#include <optional>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Resolution of timeouts of statements.
+constexpr milliseconds kEngineTick{ 20 };
+// While no statement is under way.
+constexpr milliseconds kIdleTick{ 60 };
+// New sessions arrive until the load balancer has noticed two failed probes,
+// one a second.
+constexpr milliseconds kRotationDelay{ 2'300 };
+// Kept for the last writes to the store before the process is ended.
+constexpr milliseconds kExitReserve{ 600 };
+constexpr milliseconds kLastWrites{ 150 };
+// A smaller difference of the clocks is their reading time.
+constexpr std::chrono::nanoseconds kSuspension{ milliseconds(20) };
+constexpr milliseconds kStoreCallTimeout{ 1'000 };
+constexpr milliseconds kStoreWatchMargin{ 700 };
+constexpr milliseconds kStoreBackoff{ 200 };
+// Spread of the first claims of the duty over the instances.
+constexpr std::size_t kClaimSpreadMs = 250;
+
+std::chrono::nanoseconds
+ReadClock(clockid_t aClock)
+{
+  timespec now{};
+  ::clock_gettime(aClock, &now);
+  return seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+// Time that the machine was suspended since its start, which the steady clock
+// does not count.
+std::chrono::nanoseconds
+SuspendedTime()
+{
+  return ReadClock(CLOCK_BOOTTIME) - ReadClock(CLOCK_MONOTONIC);
+}
+
+store_client_options
+StoreOptions(const session_settings& aSettings, store_dialect aDialect)
+{
+  store_client_options options;
+  options.mAddresses = { aSettings.mStoreAddress };
+  options.mCallTimeout = kStoreCallTimeout;
+  options.mWatchMargin = kStoreWatchMargin;
+  options.mLongestBackoff = kStoreBackoff;
+  options.mCallsPerSecond = aSettings.mStoreCallsPerSecond;
+  options.mSeed = absl::HashOf(aSettings.mInstance);
+  options.mDialect = std::move(aDialect);
+  return options;
+}
+
+enum class daemon_phase
+{
+  Serving,
+  // Not ready any more; still accepts sessions.
+  LeavingRotation,
+  // Sessions are closed when idle.
+  Draining,
+  // Transactions are ended.
+  Aborting,
+  Exiting
+};
+
+inline constexpr name_table<daemon_phase, 5> kDaemonPhaseNames{ {
+  { daemon_phase::Serving, "serving" },
+  { daemon_phase::LeavingRotation, "leaving_rotation" },
+  { daemon_phase::Draining, "draining" },
+  { daemon_phase::Aborting, "aborting" },
+  { daemon_phase::Exiting, "exiting" },
+} };
+
+} // namespace
+
+class session_daemon::impl : public control_links
+{
+public:
+  impl(session_settings aSettings,
+       session_adapter aAdapter,
+       std::uint64_t aStarted)
+    : mSettings(std::move(aSettings))
+    , mAdapter(std::move(aAdapter))
+    , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
+    , mTable(mLoop, *mAdapter.mProtocol)
+    , mEngine({ mSettings.mDataCentre }, mTable)
+    , mControl(mLoop, *mAdapter.mProtocol)
+    , mPromotion(
+        mAdapter.mMakePromotionClient(mLoop, mSettings.mPromotionAddress))
+    , mPeers(mLoop,
+             [this](const std::string& aFrom,
+                    const peer_datagram& aDatagram,
+                    time_point aNow) {
+               CheckSuspension(aNow);
+               mController.OnDatagram(aFrom, aDatagram, aNow);
+             })
+    , mReady(mLoop,
+             [this](const http_request& aRequest) { return Ready(aRequest); })
+    , mMetrics(mLoop, [this](const http_request&) { return MetricsPage(); })
+    , mController(mLoop,
+                  mStore,
+                  mEngine,
+                  *this,
+                  mAdapter.mObjects,
+                  { mSettings.mInstance,
+                    aStarted,
+                    mSettings.mPeerAddress,
+                    milliseconds(static_cast<std::int64_t>(
+                      absl::HashOf(mSettings.mInstance) % kClaimSpreadMs)) })
+    , mSuspended(SuspendedTime())
+  {
+    mTable.SetEngine(mEngine);
+    mTable.SetBeforeInput([this](time_point aNow) { CheckSuspension(aNow); });
+  }
+
+  absl::Status Start()
+  {
+    absl::Status status = mTable.Listen(mSettings.mCallerAddress);
+    status.Update(mReady.Listen(mSettings.mReadyAddress));
+    status.Update(mPeers.Open(mSettings.mPeerAddress));
+    if (!mSettings.mMetricsAddress.empty()) {
+      status.Update(mMetrics.Listen(mSettings.mMetricsAddress));
+    }
+    return status;
+  }
+
+  void Run()
+  {
+    Log(log_level::Info,
+        "process",
+        "started",
+        { { "data_centre", mSettings.mDataCentre },
+          { "callers", mSettings.mCallerAddress },
+          { "store", mSettings.mStoreAddress } });
+    mController.Start();
+    Tick(mLoop.Now());
+    mLoop.Run();
+    Log(log_level::Info, "process", "stopped");
+  }
+
+  void RequestShutdown() { mShutdownAsked.store(true); }
+  void RequestReload() { mReloadAsked.store(true); }
+
+  // control_links
+  void AskServer(const server_entry& aServer,
+                 const server_command& aCommand,
+                 milliseconds aTimeout,
+                 status_handler aOnStatus) override
+  {
+    mControl.Ask(aServer, aCommand, aTimeout, std::move(aOnStatus));
+  }
+  void ForgetServers() override { mControl.CloseAll(); }
+  void OrderPromotion(const order_promotion& aOrder,
+                      const std::string& aHolder,
+                      std::uint64_t aFence,
+                      promotion_handler aOnResult) override
+  {
+    mPromotion->Order(aOrder, aHolder, aFence, std::move(aOnResult));
+  }
+  void SendDatagram(const std::string& aAddress,
+                    const peer_datagram& aDatagram) override
+  {
+    mPeers.Send(aAddress, aDatagram);
+  }
+
+private:
+  http_response Ready(const http_request& aRequest) const
+  {
+    http_response response;
+    const bool known = aRequest.mTarget == mAdapter.mReadyPath;
+    const bool ready = mPhase == daemon_phase::Serving && mController.IsReady();
+    response.mStatus = !known ? 404 : ready ? 200 : 503;
+    return response;
+  }
+
+  http_response MetricsPage() const
+  {
+    http_response response;
+    response.mHeaders.Add("Content-Type", "text/plain; version=0.0.4");
+    response.mBody =
+      WriteMetricsPage({ mEngine.Metrics(),
+                         mEngine.Counts(),
+                         mController.HoldsDuty(mLoop.Now()),
+                         mController.IsReady(),
+                         mController.ConfirmationAge(mLoop.Now()) });
+    return response;
+  }
+
+  void CheckSuspension(time_point aNow)
+  {
+    const auto suspended = SuspendedTime();
+    if (suspended > mSuspended + kSuspension) {
+      mController.OnSuspended(aNow);
+    }
+    mSuspended = suspended;
+  }
+
+  void Tick(time_point aNow)
+  {
+    CheckSuspension(aNow);
+    mEngine.OnTick(aNow);
+    mController.OnTick(aNow);
+    if (mReloadAsked.exchange(false)) {
+      // The settings that may change while a process runs come from the store;
+      // the file is read again at the next start.
+      Log(log_level::Info, "process", "reload requested; nothing to reload");
+    }
+    if (mShutdownAsked.load()) {
+      AdvanceShutdown(aNow);
+    }
+    const duration next = mEngine.HasWork() ? kEngineTick : kIdleTick;
+    mLoop.RunAt(aNow + next, [this](time_point aThen) { Tick(aThen); });
+  }
+
+  void Enter(daemon_phase aPhase)
+  {
+    mPhase = aPhase;
+    const auto counts = mEngine.Counts();
+    Log(log_level::Info,
+        "process",
+        "shutdown",
+        { { "phase", NameOf(kDaemonPhaseNames, aPhase) },
+          { "sessions", static_cast<std::int64_t>(counts.mSessions) },
+          { "transactions",
+            static_cast<std::int64_t>(counts.mOpenTransactions) } });
+  }
+
+  void AdvanceShutdown(time_point aNow)
+  {
+    const milliseconds grace = mSettings.mShutdownGrace;
+    switch (mPhase) {
+      case daemon_phase::Serving:
+        mShutdownBegan = aNow;
+        mController.Resign(aNow);
+        Enter(daemon_phase::LeavingRotation);
+        return;
+      case daemon_phase::LeavingRotation:
+        if (aNow >= mShutdownBegan + std::min(kRotationDelay, grace / 2)) {
+          Enter(daemon_phase::Draining);
+          mTable.StopListening(aNow);
+          mEngine.CloseIdleSessions(aNow);
+        }
+        return;
+      case daemon_phase::Draining:
+      case daemon_phase::Aborting: {
+        const bool late = aNow >= mShutdownBegan + grace - kExitReserve;
+        if (mEngine.Counts().mSessions == 0 || late) {
+          Enter(daemon_phase::Exiting);
+          mController.Unregister(aNow);
+          mLoop.RunAt(aNow + kLastWrites, [this](time_point) { mLoop.Stop(); });
+        } else if (mPhase == daemon_phase::Draining &&
+                   aNow >= mShutdownBegan + grace / 2) {
+          // Open transactions have had their half of the grace.
+          Enter(daemon_phase::Aborting);
+          mEngine.AbortTransactions(aNow);
+        }
+        return;
+      }
+      case daemon_phase::Exiting:
+        return;
+    }
+  }
+
+  session_settings mSettings;
+  session_adapter mAdapter;
+  event_loop mLoop;
+  store_http_client mStore;
+  connection_table mTable;
+  session_engine mEngine;
+  server_control mControl;
+  std::unique_ptr<promotion_client> mPromotion;
+  peer_socket mPeers;
+  http_responder mReady;
+  http_responder mMetrics;
+  session_controller mController;
+  std::chrono::nanoseconds mSuspended;
+  daemon_phase mPhase = daemon_phase::Serving;
+  time_point mShutdownBegan;
+  std::atomic<bool> mShutdownAsked{ false };
+  std::atomic<bool> mReloadAsked{ false };
+};
+
+session_daemon::session_daemon(session_settings aSettings,
+                               session_adapter aAdapter,
+                               std::uint64_t aStartedMs)
+  : mImpl(std::make_unique<impl>(std::move(aSettings),
+                                 std::move(aAdapter),
+                                 aStartedMs))
+{
+}
+
+session_daemon::~session_daemon() = default;
+
+absl::Status
+session_daemon::Start()
+{
+  return mImpl->Start();
+}
+
+void
+session_daemon::Run()
+{
+  mImpl->Run();
+}
+
+void
+session_daemon::RequestShutdown()
+{
+  mImpl->RequestShutdown();
+}
+
+void
+session_daemon::RequestReload()
+{
+  mImpl->RequestReload();
+}
+
+} // namespace snipewalk
--- a/src/version/failover.cpp
+++ b/src/version/failover.cpp
@@ -122,6 +122,7 @@
       return;
     case store_status::NotFound:
     case store_status::Unknown:
+    case store_status::HistoryGone:
       // The update may have taken effect: read back before deciding.
       mSynced = false;
       RetryStoreLater(aEvent.mStatus, aNow);
--- a/src/version/slot_claims.cpp
+++ b/src/version/slot_claims.cpp
@@ -258,6 +258,7 @@
       }
       break;
     case store_status::Unknown:
+    case store_status::HistoryGone:
       aService.mMustRead = true;
       BackOff(aService, aNow);
       break;
