Free connections early and leave dark or lagging servers sooner

Change: idle connections above one a server close after 400 ms; openings wait for the desired state; a server that has answered nothing for 300 ms loses its repeatable statements, and its silence counts as its answer time; a refusing replica is left out for 30 to 500 ms, doubling; refusals for a position are no attempts; the candidate is asked until it leads; a silent primary is reported after 350 ms and probed for 200 ms. Tests: SessionEngineTest and PrimaryChangeTest.AsksTheCandidateUntilItLeads.

--- a/include/snipewalk/session/server_choice.h
+++ b/include/snipewalk/session/server_choice.h
@@ -22,13 +22,15 @@
   bool mHasConnection = false;
   // Statements of this instance under way.
   int mOutstanding = 0;
-  // Moving average of answer times; zero before the first answer.
+  // Moving average of answer times, or the present silence if that is longer;
+  // zero before the first answer.
   duration mAnswerTime{ 0 };
   // Newest position that reads at this server have seen.
   log_position mApplied;
-  // Position that it last refused for lack of it, and when.
+  // Position that it last refused for lack of it, and until when neither it nor
+  // a later one is worth asking for.
   log_position mRefusedPosition;
-  time_point mRefusedAt = time_point::min();
+  time_point mRefusedUntil = time_point::min();
   // The request already failed there.
   bool mTried = false;
 };
@@ -42,8 +44,10 @@
   log_position mPosition;
 };
 
-// After a refusal for lack of a position the replica is left out so long.
-inline constexpr milliseconds kBehindPause{ 60 };
+// Pause after another refusal for lack of a position: replicas that lag by
+// seconds are not asked for each read.
+milliseconds
+NextRefusedPause(milliseconds aLast);
 
 // Index of the best candidate that has a connection; nothing when the read has
 // to wait.
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -12,7 +12,7 @@
 
 constexpr milliseconds kReportEvery{ 500 };
 constexpr milliseconds kTroubleReportEvery{ 200 };
-constexpr milliseconds kProbeTimeout{ 250 };
+constexpr milliseconds kProbeTimeout{ 200 };
 constexpr milliseconds kCommandTimeout{ 400 };
 constexpr milliseconds kReleaseEvery{ 40 };
 // Clocks of two instances may run at slightly different speeds.
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -53,6 +53,13 @@
                                    const open_session& aOpen,
                                    time_point aNow)
 {
+  if (!mDesired) {
+    // A new process; the desired state is a call to the store away.
+    aSession.mOpened = true;
+    aSession.mDatabase = aOpen.mDatabase;
+    mUnopened.push_back(aSession.mId);
+    return;
+  }
   if (FindRoute(aOpen.mDatabase) == nullptr) {
     Log(log_level::Info,
         "session",
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -12,8 +12,10 @@
 // A position must cover commits acknowledged this long after the oldest moment
 // that the stated age allows, for the time until the server executes the read.
 constexpr milliseconds kStalenessMargin{ 50 };
-// A connection above the share is closed after this time without use.
-constexpr milliseconds kSurplusIdle{ 3'000 };
+// All but one connection to a server are closed after this time without use.
+// When all instances lose power, servers keep their connections for seconds,
+// and the restarted instances need places beside them.
+constexpr milliseconds kSurplusIdle{ 400 };
 
 // Moments as early as the clock's minimum must not underflow.
 time_point
@@ -139,10 +141,10 @@
     candidate.mPrimary = primary;
     candidate.mSameDataCentre =
       server.mEntry.mDataCentre == mOptions.mDataCentre;
-    candidate.mAnswerTime = server.mAnswerTime;
+    candidate.mAnswerTime = std::max(server.mAnswerTime, Silence(server, aNow));
     candidate.mApplied = server.mApplied;
     candidate.mRefusedPosition = server.mRefusedPosition;
-    candidate.mRefusedAt = server.mRefusedAt;
+    candidate.mRefusedUntil = server.mRefusedUntil;
     candidate.mTried =
       std::find(pending.mTried.begin(), pending.mTried.end(), id) !=
       pending.mTried.end();
@@ -163,6 +165,24 @@
   return names[*chosen];
 }
 
+duration
+session_engine::state::Silence(const known_server& aServer,
+                               time_point aNow) const
+{
+  std::optional<time_point> oldest;
+  for (const auto id : aServer.mConnections) {
+    const auto& expected = mConnections.at(id).mExpected;
+    if (!expected.empty() && expected.front().mKind != expected_kind::Opening) {
+      const time_point sent = expected.front().mSent;
+      oldest = std::min(oldest.value_or(sent), sent);
+    }
+  }
+  if (!oldest) {
+    return duration(0);
+  }
+  return aNow - std::max(*oldest, aServer.mLastAnswer);
+}
+
 placement
 session_engine::state::Place(caller_session& aSession, time_point aNow)
 {
@@ -333,13 +353,10 @@
 session_engine::state::CloseSurplusConnections(time_point aNow)
 {
   for (auto& [id, server] : mServers) {
-    const auto service = mServices.find(server.mEntry.mService);
-    const std::size_t share =
-      service == mServices.end() ? 1 : ShareOf(service->second);
     const std::set<server_connection_id> connections = server.mConnections;
     for (const auto connection : connections) {
       const server_connection& held = mConnections.at(connection);
-      const bool surplus = server.mConnections.size() > share &&
+      const bool surplus = server.mConnections.size() > 1 &&
                            aNow >= held.mIdleSince + kSurplusIdle;
       if (held.IsIdle() && (surplus || server.mEntry.mDraining)) {
         Discard(connection);
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -19,6 +19,9 @@
 // Share of the statement's time limit after which a server's silence ends an
 // attempt that may be repeated or safely aborted.
 constexpr double kSilenceShare = 0.6;
+// A server that has answered nothing at all for this long while a statement is
+// under way is taken as dark: the statement goes elsewhere.
+constexpr milliseconds kDarkAfter{ 300 };
 // Pause before a statement that was refused is placed again.
 constexpr milliseconds kRepeatPause{ 15 };
 // Pause before connecting again to a server that refused.
@@ -186,11 +189,17 @@
     return;
   }
   if (!aReply.mError) {
+    if (server != mServers.end() && session->mPending->mAfter) {
+      server->second.mRefusedPause = milliseconds(0);
+    }
     Succeed(*session, aConnection, aReply, aNow);
     return;
   }
   if (server != mServers.end() && *aReply.mError == result_code::Behind) {
-    server->second.mRefusedAt = aNow;
+    server->second.mRefusedPause =
+      NextRefusedPause(server->second.mRefusedPause);
+    server->second.mRefusedUntil = aNow + server->second.mRefusedPause;
+    --session->mPending->mAttempts;
     server->second.mRefusedPosition =
       session->mPending->mAfter.value_or(log_position{});
   }
@@ -420,6 +429,19 @@
   Fail(aSession, facts, server, text, aNow);
 }
 
+bool
+session_engine::state::IsDark(const pending_statement& aPending,
+                              time_point aNow) const
+{
+  const auto connection = mConnections.find(aPending.mConnection);
+  if (connection == mConnections.end()) {
+    return false;
+  }
+  const auto server = mServers.find(connection->second.mServer);
+  return server != mServers.end() && aNow >= aPending.mSentAt + kDarkAfter &&
+         aNow >= server->second.mLastAnswer + kDarkAfter;
+}
+
 void
 session_engine::state::OnTick(time_point aNow)
 {
@@ -436,8 +458,9 @@
        session->mTransaction->mWrote);
     const auto silence = std::chrono::duration_cast<duration>(
       pending.mRoute.mTimeout * kSilenceShare);
-    const bool silent = pending.mStage == statement_stage::Sent &&
-                        !outcomeUnknown && aNow >= pending.mSentAt + silence;
+    const bool silent =
+      pending.mStage == statement_stage::Sent && !outcomeUnknown &&
+      (aNow >= pending.mSentAt + silence || IsDark(pending, aNow));
     if (aNow >= pending.mDeadline || silent) {
       OnSilence(*session, aNow);
     } else if (pending.mStage == statement_stage::Pausing &&
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -43,6 +43,7 @@
   time_point mRetryAt = time_point::min();
   time_point mSentAt;
   server_connection_id mConnection = 0;
+  // Refusals for lack of a position do not count.
   int mAttempts = 0;
   // Servers where an attempt failed.
   std::vector<std::string> mTried;
@@ -120,7 +121,10 @@
   duration mAnswerTime{ 0 };
   log_position mApplied;
   log_position mRefusedPosition;
-  time_point mRefusedAt = time_point::min();
+  // It is not asked for mRefusedPosition or later ones before.
+  time_point mRefusedUntil = time_point::min();
+  // Last pause after a refusal; doubled while refusals go on.
+  milliseconds mRefusedPause{ 0 };
   // No connection is opened before.
   time_point mOpenAfter = time_point::min();
   time_point mLastAnswer = time_point::min();
@@ -182,6 +186,8 @@
   // Until when no server but the known primaries takes over.
   time_point mConfirmedUntil = time_point::min();
   std::size_t mInstances = 1;
+  // Sessions that opened before the desired state was known.
+  std::vector<session_id> mUnopened;
   // Sessions with a statement under way.
   std::set<session_id> mActive;
   metrics_registry mMetrics;
@@ -225,6 +231,8 @@
                                           const read_requirement& aRequirement,
                                           bool aOpen,
                                           time_point aNow) const;
+  // How long the server has owed an answer without giving any.
+  duration Silence(const known_server& aServer, time_point aNow) const;
   // Whether the statement must run on the primary.
   bool NeedsPrimary(const caller_session& aSession) const;
   server_connection* IdleConnection(const known_server& aServer,
@@ -273,6 +281,8 @@
   void Release(server_connection& aConnection, time_point aNow);
   // Closes the connection; its statement, if any, is not told.
   void Discard(server_connection_id aConnection);
+  // The server has been silent since the statement was sent.
+  bool IsDark(const pending_statement& aPending, time_point aNow) const;
   void OnSilence(caller_session& aSession, time_point aNow);
   void ExpireTransaction(caller_session& aSession, time_point aNow);
 
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -391,7 +391,7 @@
         return { order_promotion{ mPlan.mService, mCandidate } };
       }
       return spent >= kFirstSettleQuestion && again(kSettleEvery)
-               ? Ask({ mCandidate }, status_command{})
+               ? actions{ ask_server{ mCandidate, status_command{} } }
                : actions{};
     case change_step::Resuming:
       if (spent >= kResumeLimit) {
--- a/src/session/primary_monitor.cpp
+++ b/src/session/primary_monitor.cpp
@@ -9,7 +9,7 @@
 
 // Silence of all connections to a server while an answer is due. Longer than
 // the slowest statements and a full queue of the server take.
-constexpr milliseconds kSilence{ 500 };
+constexpr milliseconds kSilence{ 350 };
 constexpr int kRefusals = 2;
 // A write or commit waits for a replica's confirmation no longer than this
 // while the primary answers reads.
@@ -21,7 +21,7 @@
 // Share of the reporting instances, as one in so many.
 constexpr int kCutOffDivisor = 3;
 constexpr int kFailedProbesForDead = 2;
-constexpr milliseconds kProbeEvery{ 150 };
+constexpr milliseconds kProbeEvery{ 50 };
 // Entries lapse while the store is away and return within two seconds.
 constexpr milliseconds kMissingFor{ 2'500 };
 constexpr milliseconds kNotPrimaryFor{ 1'500 };
--- a/src/session/server_choice.cpp
+++ b/src/session/server_choice.cpp
@@ -1,12 +1,16 @@
 // Implementation of the choice of a server for reads.
 #include "snipewalk/session/server_choice.h"
 
+#include <algorithm>
 #include <limits>
 
 namespace snipewalk {
 
 namespace {
 
+// Pauses after refusals; the first is about a usual replication delay.
+constexpr milliseconds kFirstRefusedPause{ 30 };
+constexpr milliseconds kLongestRefusedPause{ 500 };
 // Assumed before a server's first answer.
 constexpr milliseconds kDefaultAnswerTime{ 20 };
 // Weight of the primary's load: it alone executes writes.
@@ -29,7 +33,7 @@
   if (aCandidate.mPrimary) {
     return aRequirement.mPrimaryAllowed;
   }
-  const bool behind = aNow < aCandidate.mRefusedAt + kBehindPause &&
+  const bool behind = aNow < aCandidate.mRefusedUntil &&
                       aRequirement.mPosition >= aCandidate.mRefusedPosition;
   return aRequirement.mReplicasAllowed && !behind;
 }
@@ -60,6 +64,12 @@
 
 } // namespace
 
+milliseconds
+NextRefusedPause(milliseconds aLast)
+{
+  return std::clamp(2 * aLast, kFirstRefusedPause, kLongestRefusedPause);
+}
+
 std::optional<std::size_t>
 ChooseReadServer(std::span<const read_candidate> aCandidates,
                  const read_requirement& aRequirement,
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -25,6 +25,11 @@
   for (const auto& [name, limits] : mDesired->mServices) {
     mServices[name].mLimits = limits;
   }
+  for (const auto id : std::exchange(mUnopened, {})) {
+    if (caller_session* session = FindSession(id)) {
+      OpenSession(*session, { session->mDatabase }, aNow);
+    }
+  }
   DispatchAll(aNow);
 }
 
--- /dev/null
+++ b/tests/session/engine_fixture.h
@@ -0,0 +1,257 @@
+// A session engine with recorded orders, driven by typed messages and a clock
+// of its own.
+#ifndef SNIPEWALK_TESTS_SESSION_ENGINE_FIXTURE_H_
+#define SNIPEWALK_TESTS_SESSION_ENGINE_FIXTURE_H_
+
+#include "snipewalk/session/session_engine.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+// Connections and answers that the engine ordered.
+class recorded_links : public session_links
+{
+public:
+  struct opened_server
+  {
+    std::string mServer;
+    bool mClosed = false;
+    std::vector<server_command> mCommands;
+  };
+
+  void Opened(session_id aSession) override { mOpened.insert(aSession); }
+  void Reply(session_id aSession, const statement_reply& aReply) override
+  {
+    mReplies[aSession].push_back(aReply);
+  }
+  void Refuse(session_id aSession,
+              result_code aCode,
+              const std::string&) override
+  {
+    mRefused[aSession] = aCode;
+  }
+  void CloseCaller(session_id aSession) override { mClosed.insert(aSession); }
+  void OpenServer(server_connection_id aConnection,
+                  const server_entry& aServer) override
+  {
+    mServers[aConnection].mServer = aServer.mId;
+  }
+  void Send(server_connection_id aConnection,
+            const std::vector<server_command>& aCommands) override
+  {
+    auto& commands = mServers[aConnection].mCommands;
+    commands.insert(commands.end(), aCommands.begin(), aCommands.end());
+  }
+  void CloseServer(server_connection_id aConnection) override
+  {
+    mServers[aConnection].mClosed = true;
+  }
+
+  std::set<session_id> mOpened;
+  std::set<session_id> mClosed;
+  std::map<session_id, result_code> mRefused;
+  std::map<session_id, std::vector<statement_reply>> mReplies;
+  std::map<server_connection_id, opened_server> mServers;
+};
+
+// Service "s": primary "p", replicas "a" and "b". Databases "main" (primary),
+// "old" (bounded staleness), "own" (read your writes).
+class SessionEngineTest : public testing::Test
+{
+protected:
+  SessionEngineTest()
+    : mEngine({ "dc1" }, mLinks)
+  {
+  }
+
+  void Configure()
+  {
+    mEngine.SetDesiredState(DesiredState(), mNow);
+    mEngine.SetServers({ Server("p"), Server("a"), Server("b") }, mNow);
+    mEngine.SetPrimary("s", { "p", 1, true }, mNow);
+    Confirm();
+  }
+
+  static std::shared_ptr<const desired_state> DesiredState()
+  {
+    auto state = std::make_shared<desired_state>();
+    state->mServices["s"] = { 23, 1 };
+    const auto add = [&](const std::string& aDatabase,
+                         read_consistency aConsistency,
+                         int aStalenessMs) {
+      database_route route;
+      route.mName = "r-" + aDatabase;
+      route.mDatabase = aDatabase;
+      route.mService = "s";
+      route.mConsistency = aConsistency;
+      route.mTimeout = milliseconds(800);
+      route.mMaxStaleness = milliseconds(aStalenessMs);
+      state->mRoutes[aDatabase] = route;
+    };
+    add("main", read_consistency::Primary, 0);
+    add("old", read_consistency::BoundedStaleness, 1'500);
+    add("own", read_consistency::ReadYourWrites, 2'500);
+    return state;
+  }
+
+  static server_entry Server(const std::string& aId)
+  {
+    server_entry entry;
+    entry.mId = aId;
+    entry.mService = "s";
+    entry.mAddress = "10.0.0.1:1";
+    entry.mDataCentre = "dc1";
+    entry.mPrimary = aId == "p";
+    return entry;
+  }
+
+  void Confirm(milliseconds aFor = milliseconds(3'000))
+  {
+    mEngine.SetPrimariesConfirmed(mNow + aFor, mNow);
+  }
+
+  // Moves the clock with ticks every 20 ms, as the daemon does.
+  void Pass(int aMs)
+  {
+    for (int ms = 0; ms < aMs; ms += 20) {
+      mNow += milliseconds(20);
+      mEngine.OnTick(mNow);
+    }
+  }
+
+  session_id Open(const std::string& aDatabase)
+  {
+    const session_id id = mNextSession++;
+    mEngine.OnCaller(id, open_session{ aDatabase }, mNow);
+    return id;
+  }
+
+  void Ask(session_id aSession, session_statement aStatement)
+  {
+    mEngine.OnCaller(aSession,
+                     statement_message{ "q" + std::to_string(++mRequests),
+                                        std::move(aStatement) },
+                     mNow);
+  }
+
+  // Connections to a server that the engine has not closed.
+  std::vector<server_connection_id> Connections(
+    const std::string& aServer) const
+  {
+    std::vector<server_connection_id> open;
+    for (const auto& [id, server] : mLinks.mServers) {
+      if (server.mServer == aServer && !server.mClosed) {
+        open.push_back(id);
+      }
+    }
+    return open;
+  }
+
+  // Accepts all connections that are being opened.
+  void AcceptAll()
+  {
+    bool more = true;
+    while (more) {
+      more = false;
+      for (const auto& [id, server] : mLinks.mServers) {
+        if (!server.mClosed && mAccepted.insert(id).second) {
+          more = true;
+          mEngine.OnServerReply(id, {}, mNow);
+          break;
+        }
+      }
+    }
+  }
+
+  // The connection that carries the last request, if any.
+  std::optional<server_connection_id> CarrierOf(
+    const std::string& aRequestId) const
+  {
+    std::optional<server_connection_id> carrier;
+    for (const auto& [id, server] : mLinks.mServers) {
+      for (const auto& command : server.mCommands) {
+        const auto* statement = std::get_if<statement_command>(&command);
+        if (statement != nullptr && statement->mRequestId == aRequestId &&
+            !server.mClosed) {
+          carrier = id;
+        }
+      }
+    }
+    return carrier;
+  }
+  // A connection on which the request was sent since the last call.
+  std::optional<server_connection_id> NextCarrier(const std::string& aRequestId)
+  {
+    for (const auto& [id, server] : mLinks.mServers) {
+      for (std::size_t i = mSeen[id]; i < server.mCommands.size(); ++i) {
+        const auto* statement =
+          std::get_if<statement_command>(&server.mCommands[i]);
+        if (statement != nullptr && statement->mRequestId == aRequestId) {
+          mSeen[id] = i + 1;
+          return id;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+  std::optional<server_connection_id> Carrier() const
+  {
+    return CarrierOf("q" + std::to_string(mRequests));
+  }
+  const std::string& ServerOf(server_connection_id aConnection) const
+  {
+    return mLinks.mServers.at(aConnection).mServer;
+  }
+
+  static statement_reply Done(std::uint64_t aNumber,
+                              session_state aState = session_state::Idle)
+  {
+    statement_reply reply;
+    reply.mSignature = "signed";
+    reply.mState = aState;
+    reply.mPosition = log_position{ 1, aNumber };
+    return reply;
+  }
+  static statement_reply Error(result_code aCode,
+                               session_state aState = session_state::Idle)
+  {
+    statement_reply reply;
+    reply.mError = aCode;
+    reply.mErrorCode = std::string(NameOf(kResultCodeNames, aCode));
+    reply.mState = aState;
+    return reply;
+  }
+
+  // Answers the command that is due on the connection.
+  void Answer(server_connection_id aConnection, const statement_reply& aReply)
+  {
+    mEngine.OnServerReply(aConnection, aReply, mNow);
+  }
+
+  const statement_reply& LastReply(session_id aSession)
+  {
+    return mLinks.mReplies.at(aSession).back();
+  }
+
+  recorded_links mLinks;
+  session_engine mEngine;
+  time_point mNow = time_point() + std::chrono::hours(1);
+  session_id mNextSession = 1;
+  int mRequests = 0;
+  std::set<server_connection_id> mAccepted;
+  // Commands of each connection that NextCarrier() has passed.
+  std::map<server_connection_id, std::size_t> mSeen;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_TESTS_SESSION_ENGINE_FIXTURE_H_
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -220,6 +220,25 @@
   EXPECT_EQ(change.Step(), change_step::Done);
 }
 
+// The first answer comes before the server leads.
+TEST(PrimaryChangeTest, AsksTheCandidateUntilItLeads)
+{
+  primary_change change(Plan());
+  ToPausing(change);
+  Answer(change, "a", Status(server_role::Replica, 4, 10), At(21));
+  Answer(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  change.OnRecordWritten(true, At(30));
+  change.OnPromoted(promotion_result::Accepted, At(40));
+  int questions = 0;
+  for (int ms = 40; ms < 1'000; ms += 20) {
+    for (const auto& ask : Only<ask_server>(change.OnTick(At(ms)))) {
+      ++questions;
+      Answer(change, ask.mServer, Status(server_role::Replica, 4, 12), At(ms));
+    }
+  }
+  EXPECT_GE(questions, 5);
+}
+
 TEST(PrimaryChangeTest, GoesOnFromARecordedPromotion)
 {
   change_plan plan = Plan();
--- a/tests/session/primary_monitor_test.cpp
+++ b/tests/session/primary_monitor_test.cpp
@@ -130,8 +130,8 @@
   server_observation observation;
   observation.mWaitingSince = At(0);
   observation.mLastAnswer = At(400);
-  EXPECT_EQ(JudgeObservation(observation, At(800)), primary_health::Answers);
-  EXPECT_EQ(JudgeObservation(observation, At(900)),
+  EXPECT_EQ(JudgeObservation(observation, At(700)), primary_health::Answers);
+  EXPECT_EQ(JudgeObservation(observation, At(800)),
             primary_health::Unreachable);
 }
 
--- a/tests/session/server_choice_test.cpp
+++ b/tests/session/server_choice_test.cpp
@@ -64,12 +64,27 @@
 TEST(ServerChoiceTest, LeavesOutAReplicaThatRefusedThePosition)
 {
   read_candidate behind = Replica();
-  behind.mRefusedAt = kNow - milliseconds(10);
+  behind.mRefusedUntil = kNow + milliseconds(10);
   behind.mRefusedPosition = kNeeded;
   const std::vector<read_candidate> all{ behind };
   EXPECT_FALSE(ChooseReadServer(all, kAny, kNow));
   EXPECT_EQ(ChooseReadServer(all, { true, true, { 3, 99 } }, kNow), 0U);
-  EXPECT_EQ(ChooseReadServer(all, kAny, kNow + kBehindPause), 0U);
+  EXPECT_EQ(ChooseReadServer(all, kAny, kNow + milliseconds(10)), 0U);
+}
+
+// Load pattern: a replica lags by seconds. It must not be asked for each read,
+// but soon again after a short lag.
+TEST(ServerChoiceTest, AsksALaggingReplicaLessAndLess)
+{
+  milliseconds pause(0);
+  milliseconds total(0);
+  int questions = 0;
+  for (; total < milliseconds(5'000); ++questions) {
+    pause = NextRefusedPause(pause);
+    total += pause;
+  }
+  EXPECT_LE(NextRefusedPause(milliseconds(0)), milliseconds(60));
+  EXPECT_LE(questions, 20);
 }
 
 // Load pattern: one of two replicas turns five times slower while reads keep
