End the session front end without the log library's exit handlers

A line after the daemon's destruction is written at once, so the time is lost in exit handlers of static objects, where the log library joins its thread pool. Ruled out: the event loop and the destructors of the daemon. Change: quick_exit after the last line.

--- a/src/apps/snipewalk_sessions.cpp
+++ b/src/apps/snipewalk_sessions.cpp
@@ -86,6 +86,24 @@
   return given.empty() && named != nullptr ? named : given;
 }
 
+int
+Serve(const session_settings& aSettings)
+{
+  const platform::line_protocol protocol;
+  session_daemon server(aSettings, Adapter(protocol), StartMs());
+  const absl::Status started = server.Start();
+  if (!started.ok()) {
+    Log(log_level::Error,
+        "process",
+        "cannot start",
+        { { "error", std::string(started.message()) } });
+    return kExitFailure;
+  }
+  InstallSignals(server);
+  server.Run();
+  return 0;
+}
+
 } // namespace
 
 int
@@ -110,17 +128,9 @@
   logs.mTarget = log_target::BoundedStandardOutput;
   logs.mLinesPerSecond = settings->mLogLinesPerSecond;
   InitLogs(logs);
-  const platform::line_protocol protocol;
-  session_daemon server(*settings, Adapter(protocol), StartMs());
-  const absl::Status started = server.Start();
-  if (!started.ok()) {
-    Log(log_level::Error,
-        "process",
-        "cannot start",
-        { { "error", std::string(started.message()) } });
-    return kExitFailure;
-  }
-  InstallSignals(server);
-  server.Run();
-  return 0;
+  const int code = Serve(*settings);
+  Log(log_level::Info, "process", "resources released");
+  // Exit handlers of the log library join its threads and can take longer than
+  // the platform's grace; all lines are written already.
+  std::quick_exit(code);
 }
