Ask the servers about primaries while the store is away

Ruled out: confirmations by other instances, since none reached the store; a longer lifetime of confirmations, which every change of primary with an unreachable instance would wait for. Change: while no confirmation is valid, an instance asks the servers of a service that has statements waiting. If the primary and enough replicas are in one term, no commit of a newer primary was acknowledged before the questions. Tests: ReadsWithoutTheStoreAfterAskingTheServers fails without the change; DoesNotTrustAPrimaryThatAReplicaHasLeft guards the condition.

--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -11,10 +11,13 @@
 #include "snipewalk/session/session_messages.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <absl/status/statusor.h>
+
 namespace snipewalk {
 
 using session_id = std::uint64_t;
@@ -59,6 +62,9 @@
   std::string mDataCentre;
   // Connections to each server that are left to control connections.
   int mReservedConnections = 2;
+  // Reads the answer to a status command.
+  std::function<absl::StatusOr<server_status>(const statement_reply&)>
+    mParseStatus;
 };
 
 // Reachability of a server as the statements of this instance show it.
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -105,7 +105,7 @@
   read_requirement requirement;
   requirement.mPrimaryAllowed =
     aService.mPrimary.mAcceptsWork &&
-    (unchecked || mConfirmedUntil > Earlier(aNow, age));
+    (unchecked || IsPrimaryKnown(aService, Earlier(pending.mReceived, age)));
   if (NeedsPrimary(aSession)) {
     return requirement;
   }
@@ -197,6 +197,11 @@
   if (const auto opened = ChooseServer(aSession, requirement, true, aNow)) {
     OpenConnection(mServers.at(*opened), aNow);
   }
+  const bool unknown = !requirement.mPrimaryAllowed &&
+                       service.mPrimary.mAcceptsWork && mConfirmedUntil <= aNow;
+  if (unknown) {
+    StartCheck(aSession.mPending->mRoute.mService, aNow);
+  }
   return placement::Waits;
 }
 
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -117,6 +117,10 @@
     case expected_kind::Statement:
       OnStatementReply(*connection, aReply, expected.mSent, aNow);
       return;
+    case expected_kind::Check:
+      OnCheckReply(*connection, aReply, expected.mSent);
+      Release(*connection, aNow);
+      return;
     case expected_kind::Rollback:
       connection->mInTransaction = aReply.mState != session_state::Idle;
       Release(*connection, aNow);
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -85,7 +85,9 @@
   Setup,
   Begin,
   Statement,
-  Rollback
+  Rollback,
+  // Status of the server, for a check of the primary.
+  Check
 };
 
 struct expected_reply
@@ -131,11 +133,23 @@
   int mFailedConnects = 0;
 };
 
+// Questions to the primary and to replicas that show, without the store,
+// whether a newer primary can have acknowledged anything.
+struct primary_check
+{
+  time_point mStarted;
+  std::map<std::string, server_status> mAnswers;
+};
+
 struct known_service
 {
   service_limits mLimits;
   service_primary mPrimary;
   freshness_samples mSamples;
+  // The last check, under way or over.
+  std::optional<primary_check> mCheck;
+  // No commit of a newer primary was acknowledged before this moment.
+  time_point mCheckedAt = time_point::min();
   // Sessions whose statement waits, in order of service.
   std::vector<session_id> mWaiting;
 };
@@ -250,6 +264,14 @@
                 expected_kind aLast,
                 time_point aNow);
 
+  // engine_check.cpp
+  // Whether no newer primary had acknowledged a commit at `aMoment`.
+  bool IsPrimaryKnown(const known_service& aService, time_point aMoment) const;
+  void StartCheck(const std::string& aService, time_point aNow);
+  void OnCheckReply(const server_connection& aConnection,
+                    const statement_reply& aReply,
+                    time_point aSent);
+
   // engine_replies.cpp
   void OnOpened(server_connection& aConnection,
                 const statement_reply& aReply,
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -67,6 +67,18 @@
   return options;
 }
 
+session_engine_options
+EngineOptions(const session_settings& aSettings,
+              const session_protocol& aProtocol)
+{
+  session_engine_options options;
+  options.mDataCentre = aSettings.mDataCentre;
+  options.mParseStatus = [&aProtocol](const statement_reply& aReply) {
+    return aProtocol.ParseStatus(aReply);
+  };
+  return options;
+}
+
 enum class daemon_phase
 {
   Serving,
@@ -99,7 +111,7 @@
     , mAdapter(std::move(aAdapter))
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
     , mTable(mLoop, *mAdapter.mProtocol)
-    , mEngine({ mSettings.mDataCentre }, mTable)
+    , mEngine(EngineOptions(mSettings, *mAdapter.mProtocol), mTable)
     , mControl(mLoop, *mAdapter.mProtocol)
     , mPromotion(
         mAdapter.mMakePromotionClient(mLoop, mSettings.mPromotionAddress))
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/session/session_engine.h"
 
+#include <absl/status/statusor.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -69,10 +70,30 @@
 {
 protected:
   SessionEngineTest()
-    : mEngine({ "dc1" }, mLinks)
+    : mEngine(Options(), mLinks)
   {
   }
 
+  // Status rows of these tests: role, term, number of the last entry.
+  static session_engine_options Options()
+  {
+    session_engine_options options;
+    options.mDataCentre = "dc1";
+    options.mParseStatus =
+      [](const statement_reply& aReply) -> absl::StatusOr<server_status> {
+      if (aReply.mRows.size() != 3) {
+        return absl::InvalidArgumentError("no status");
+      }
+      server_status status;
+      status.mRole = aReply.mRows[0] == "primary" ? server_role::Primary
+                                                  : server_role::Replica;
+      status.mTerm = std::stoull(aReply.mRows[1]);
+      status.mReceived = { status.mTerm, std::stoull(aReply.mRows[2]) };
+      return status;
+    };
+    return options;
+  }
+
   void Configure()
   {
     mEngine.SetDesiredState(DesiredState(), mNow);
@@ -172,6 +193,27 @@
     }
   }
 
+  // Answers the status questions to a server since the last call; false when
+  // there was none.
+  bool AnswerStatus(const std::string& aServer,
+                    const std::string& aRole,
+                    int aTerm,
+                    int aNumber)
+  {
+    for (const auto id : Connections(aServer)) {
+      auto& commands = mLinks.mServers.at(id).mCommands;
+      if (!commands.empty() &&
+          std::holds_alternative<status_command>(commands.back())) {
+        commands.pop_back();
+        statement_reply reply;
+        reply.mRows = { aRole, std::to_string(aTerm), std::to_string(aNumber) };
+        Answer(id, reply);
+        return true;
+      }
+    }
+    return false;
+  }
+
   // The connection that carries the last request, if any.
   std::optional<server_connection_id> CarrierOf(
     const std::string& aRequestId) const
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -41,6 +41,8 @@
   Ask(session, read_statement{ "2" });
   EXPECT_FALSE(Carrier());
   Confirm();
+  // The idle connection may be busy with a question to the server.
+  AcceptAll();
   EXPECT_TRUE(Carrier());
 }
 
@@ -269,6 +271,47 @@
   EXPECT_EQ(Connections("p").size(), 1U);
 }
 
+// The store is away for long: the servers themselves show that nobody has
+// replaced the primary.
+TEST_F(SessionEngineTest, ReadsWithoutTheStoreAfterAskingTheServers)
+{
+  Configure();
+  const session_id session = Open("main");
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Answer(*Carrier(), Done(5));
+  Pass(3'000);
+  Ask(session, read_statement{ "2" });
+  EXPECT_FALSE(Carrier());
+  Pass(300);
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("p", "primary", 1, 9));
+  EXPECT_FALSE(Carrier());
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 8));
+  ASSERT_TRUE(Carrier());
+  EXPECT_EQ(ServerOf(*Carrier()), "p");
+}
+
+// A replica in a newer term may belong to a newer primary, whose commits the
+// known one lacks.
+TEST_F(SessionEngineTest, DoesNotTrustAPrimaryThatAReplicaHasLeft)
+{
+  Configure();
+  const session_id session = Open("main");
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Answer(*Carrier(), Done(5));
+  Pass(3'000);
+  Ask(session, read_statement{ "2" });
+  Pass(300);
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("p", "primary", 1, 9));
+  ASSERT_TRUE(AnswerStatus("a", "replica", 2, 9));
+  EXPECT_FALSE(Carrier());
+}
+
 TEST_F(SessionEngineTest, ClosesIdleSessionsWhenLeaving)
 {
   Configure();
