Read missed desired states, and read from replicas while a primary is replaced

Three instances were not told of version 10 (revision 24) by their watches, and the look for unexplained revisions compared with the newest version of any kind, which a later record of the fleet (27) had passed. Change 1: who reads the fleet's records reads the desired state with them, and the others learn its version from the confirmations. Change 2: all replicas together hold every acknowledged commit; their answers to status questions give a position that replicas can serve reads from. Also: confirmations live 2.2 s instead of 3 s and the duty is used for 1.5 s, which shortens the waits of a change; silent instances are marked after 2.5 s. Tests: SessionControllerTest.FindsADesiredStateThatTheWatchesMissed and FindsAMissedDesiredStateWithoutOtherInstances fail without change 1 (run with the read removed); ReadsFromReplicasWhileThePrimaryIsReplaced fails without change 2.

--- a/include/snipewalk/connection/event_loop.h
+++ b/include/snipewalk/connection/event_loop.h
@@ -63,6 +63,9 @@
   // Used to hand over work collected during the round. Loop thread only.
   void SetAfterRound(timer_task aTask);
 
+  // Waits for one round of events, 100 ms at most, and handles it.
+  void RunOnce();
+
   // Blocks until Stop(). Tasks posted before Stop() still run.
   void Run();
 
--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -24,12 +24,12 @@
 {
 public:
   // The duty is used for this long after the moment of which a read speaks.
-  static constexpr milliseconds kUseFor{ 2'000 };
+  static constexpr milliseconds kUseFor{ 1'500 };
   // A holder that replaced another one waits this long: kUseFor and the time
   // limit of the other's last call to the platform.
-  static constexpr milliseconds kWaitAfterTakeover{ 3'100 };
+  static constexpr milliseconds kWaitAfterTakeover{ 2'600 };
   // A holder that no instance hears for this long is replaced.
-  static constexpr milliseconds kSilence{ 1'500 };
+  static constexpr milliseconds kSilence{ 1'300 };
 
   // `aStagger` delays this instance's claims, so that not all claim at once.
   duty_lease(std::string aInstance, std::uint64_t aStarted, duration aStagger);
--- a/include/snipewalk/session/freshness.h
+++ b/include/snipewalk/session/freshness.h
@@ -23,8 +23,9 @@
   {
   }
 
-  // The primary answered a command sent at `aSent` with `aPosition`. Only for
-  // answers of a server that was known to be the primary at `aSent`.
+  // Every commit that was acknowledged before `aSent` is at or below
+  // `aPosition`, as the answer of a server shows that was known to be the
+  // primary at `aSent`.
   void Add(time_point aSent, log_position aPosition);
 
   // Smallest known position that contains every commit acknowledged up to
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -81,7 +81,7 @@
   // An instance uses a primary as such for this long after the moment of which
   // a confirmation speaks; a change waits as long for instances that it cannot
   // ask.
-  static constexpr milliseconds kConfirmationLifetime{ 3'000 };
+  static constexpr milliseconds kConfirmationLifetime{ 2'200 };
 
   session_controller(event_loop& aLoop,
                      store_client& aStore,
@@ -105,6 +105,11 @@
   // The desired state, the servers and the fleet are known.
   bool IsReady() const;
   bool HoldsDuty(time_point aNow) const { return mDuty.Holds(aNow); }
+  // Zero while no desired state is in force.
+  std::uint64_t DesiredVersion() const
+  {
+    return mDesired ? mDesired->mVersion : 0;
+  }
   std::optional<duration> ConfirmationAge(time_point aNow) const;
 
 private:
@@ -166,11 +171,8 @@
   // Reads the records for the whole fleet, or for itself when nobody else does.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
-  // Starts watches again that have missed what others have seen.
-  void FollowHints(time_point aNow);
-  // True when it started the watch again.
-  static bool FollowHint(version_hint& aHint,
-                         bool aUnexplained,
+  // Starts a watch again that has missed what another instance has seen.
+  static void FollowHint(version_hint& aHint,
                          kind_watcher& aWatcher,
                          time_point aNow);
   void OnConfirmation(const confirmation_answer& aAnswer, time_point aNow);
@@ -241,8 +243,6 @@
   time_point mFleetReadAt = time_point::min();
   version_hint mDesiredHint;
   version_hint mServerHint;
-  // Revision of the store up to which unexplained changes were looked for.
-  std::uint64_t mFollowedRevision = 0;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
 
--- a/src/connection/event_loop.cpp
+++ b/src/connection/event_loop.cpp
@@ -181,16 +181,22 @@
   mAfterRound = std::move(aTask);
 }
 
+void
+event_loop::RunOnce()
+{
+  Dispatch();
+  RunPosted();
+  RunTimers();
+  if (mAfterRound) {
+    mAfterRound(mNow);
+  }
+}
+
 void
 event_loop::Run()
 {
   while (!mStopped.load()) {
-    Dispatch();
-    RunPosted();
-    RunTimers();
-    if (mAfterRound) {
-      mAfterRound(mNow);
-    }
+    RunOnce();
   }
   // Tasks posted before Stop() run, such as a last message to the peers.
   RunPosted();
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds kPauseAfterFailedChange{ 400 };
 // An instance without a report for this long is taken for dead. Until then a
 // change of primary waits for its confirmations to lapse.
-constexpr milliseconds kSilentFor{ 6'000 };
+constexpr milliseconds kSilentFor{ 2'500 };
 
 } // namespace
 
--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -1,10 +1,13 @@
-// Checks of primaries by questions to the servers, for times without
-// confirmations by the store.
+// Questions to the servers that tell, without the store or the primary, which
+// position of the log holds every acknowledged commit.
 //
 // A commit is acknowledged once its primary and k replicas have received it (k
-// is the service's number of synchronous replicas). If all but k servers of the
-// service, the known primary among them, still are in its term, then no commit
-// of a newer primary can have been acknowledged before they were asked.
+// is the service's number of synchronous replicas). Two proofs follow:
+// - All but k servers, the known primary among them, still are in its term: no
+//   commit of a newer primary was acknowledged before they were asked, and the
+//   primary's log holds all others.
+// - All servers but the known primary answer as replicas: every commit that was
+//   acknowledged before is in one of their logs (for k of at least 1).
 #include "session/engine_state.h"
 #include "snipewalk/base/log.h"
 
@@ -60,35 +63,60 @@
   }
   auto& answers = service.mCheck->mAnswers;
   answers[aConnection.mServer] = *status;
-  const auto primary = answers.find(service.mPrimary.mServer);
-  if (primary == answers.end() ||
-      primary->second.mRole != server_role::Primary) {
+  if (service.mCheckedAt >= service.mCheck->mStarted) {
     return;
   }
-  const std::uint64_t term = primary->second.mTerm;
-  const auto inTerm =
-    std::count_if(answers.begin(), answers.end(), [&](const auto& aIt) {
-      return aIt.second.mTerm <= term && aIt.second.mReceived.mTerm <= term;
-    });
   const auto servers =
     std::count_if(mServers.begin(), mServers.end(), [&](const auto& aIt) {
       return aIt.second.mEntry.mService == aConnection.mService;
     });
-  const auto needed =
-    std::max<std::int64_t>(1, servers - service.mLimits.mSyncReplicas);
-  if (inTerm < needed || service.mCheckedAt >= service.mCheck->mStarted) {
+  const int copies = service.mLimits.mSyncReplicas;
+  const auto primary = answers.find(service.mPrimary.mServer);
+  if (primary != answers.end() &&
+      primary->second.mRole == server_role::Primary) {
+    const std::uint64_t term = primary->second.mTerm;
+    const auto inTerm =
+      std::count_if(answers.begin(), answers.end(), [&](const auto& aIt) {
+        return aIt.second.mTerm <= term && aIt.second.mReceived.mTerm <= term;
+      });
+    if (inTerm >= std::max<std::int64_t>(1, servers - copies)) {
+      OnChecked(service,
+                aConnection.mService,
+                primary->second.mReceived,
+                "primary in its term");
+    }
     return;
   }
-  service.mCheckedAt = service.mCheck->mStarted;
-  service.mSamples.Add(service.mCheckedAt, primary->second.mReceived);
-  const std::string position = primary->second.mReceived.ToString();
+  const auto replicas =
+    std::count_if(answers.begin(), answers.end(), [&](const auto& aIt) {
+      return aIt.first != service.mPrimary.mServer &&
+             aIt.second.mRole == server_role::Replica;
+    });
+  const bool known = mServers.contains(service.mPrimary.mServer);
+  if (copies >= 1 && replicas >= servers - (known ? 1 : 0)) {
+    log_position newest;
+    for (const auto& [id, answer] : answers) {
+      newest = std::max(newest, answer.mReceived);
+    }
+    OnChecked(service, aConnection.mService, newest, "all replicas");
+  }
+}
+
+void
+session_engine::state::OnChecked(known_service& aService,
+                                 const std::string& aName,
+                                 log_position aPosition,
+                                 const char* aProof)
+{
+  aService.mCheckedAt = aService.mCheck->mStarted;
+  aService.mSamples.Add(aService.mCheckedAt, aPosition);
+  const std::string position = aPosition.ToString();
   Log(log_level::Info,
       "session",
-      "servers confirm the primary",
-      { { "service", aConnection.mService },
-        { "primary", service.mPrimary.mServer },
-        { "term", static_cast<std::int64_t>(term) },
-        { "servers", static_cast<std::int64_t>(inTerm) },
+      "servers confirm a position",
+      { { "service", aName },
+        { "primary", aService.mPrimary.mServer },
+        { "proof", aProof },
         { "position", position } });
 }
 
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -24,6 +24,13 @@
   return aMoment - aBy;
 }
 
+bool
+HasTried(const pending_statement& aPending, const std::string& aServer)
+{
+  return std::find(aPending.mTried.begin(), aPending.mTried.end(), aServer) !=
+         aPending.mTried.end();
+}
+
 } // namespace
 
 void
@@ -95,14 +102,10 @@
 bool
 session_engine::state::NeedsPrimary(const caller_session& aSession) const
 {
-  const pending_statement& pending = *aSession.mPending;
-  if (pending.mRoute.mConsistency == read_consistency::Primary) {
-    return true;
-  }
   if (aSession.mTransaction) {
     return !aSession.mTransaction->mReadOnly;
   }
-  return pending.mPurpose == statement_purpose::SingleWrite;
+  return aSession.mPending->mPurpose == statement_purpose::SingleWrite;
 }
 
 read_requirement
@@ -123,8 +126,14 @@
   if (NeedsPrimary(aSession)) {
     return requirement;
   }
-  const auto covering =
-    aService.mSamples.Covering(Earlier(aNow, age) + kStalenessMargin);
+  const bool anyCommit =
+    pending.mRoute.mConsistency == read_consistency::Primary;
+  if (anyCommit && requirement.mPrimaryAllowed &&
+      !HasTried(pending, aService.mPrimary.mServer)) {
+    return requirement;
+  }
+  const auto covering = aService.mSamples.Covering(
+    anyCommit ? pending.mReceived : Earlier(aNow, age) + kStalenessMargin);
   if (covering) {
     requirement.mReplicasAllowed = true;
     requirement.mPosition = *covering;
@@ -135,6 +144,21 @@
   return requirement;
 }
 
+bool
+session_engine::state::WantsCheck(const caller_session& aSession,
+                                  const read_requirement& aRequirement,
+                                  const known_service& aService) const
+{
+  const pending_statement& pending = *aSession.mPending;
+  if (NeedsPrimary(aSession)) {
+    // A check helps only where nothing but the confirmation is missing.
+    return !aRequirement.mPrimaryAllowed && aService.mPrimary.mAcceptsWork;
+  }
+  const bool primary = aRequirement.mPrimaryAllowed &&
+                       !HasTried(pending, aService.mPrimary.mServer);
+  return !primary && !aRequirement.mReplicasAllowed;
+}
+
 std::optional<std::string>
 session_engine::state::ChooseServer(const caller_session& aSession,
                                     const read_requirement& aRequirement,
@@ -211,9 +235,7 @@
   if (const auto opened = ChooseServer(aSession, requirement, true, aNow)) {
     OpenConnection(mServers.at(*opened), aNow);
   }
-  const bool unknown = !requirement.mPrimaryAllowed &&
-                       service.mPrimary.mAcceptsWork && mConfirmedUntil <= aNow;
-  if (unknown) {
+  if (WantsCheck(aSession, requirement, service)) {
     StartCheck(aSession.mPending->mRoute.mService, aNow);
   }
   return placement::Waits;
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -250,8 +250,13 @@
                                           time_point aNow) const;
   // How long the server has owed an answer without giving any.
   duration Silence(const known_server& aServer, time_point aNow) const;
-  // Whether the statement must run on the primary.
+  // Whether the statement must run on the primary: writes and transactions that
+  // may write.
   bool NeedsPrimary(const caller_session& aSession) const;
+  // Whether a check of the primary could make the statement placeable.
+  bool WantsCheck(const caller_session& aSession,
+                  const read_requirement& aRequirement,
+                  const known_service& aService) const;
   server_connection* IdleConnection(const known_server& aServer,
                                     const session_context& aContext);
   bool CanOpen(const known_server& aServer, time_point aNow) const;
@@ -268,6 +273,10 @@
                 time_point aNow);
 
   // engine_check.cpp
+  void OnChecked(known_service& aService,
+                 const std::string& aName,
+                 log_position aPosition,
+                 const char* aProof);
   // Whether no newer primary had acknowledged a commit at `aMoment`.
   bool IsPrimaryKnown(const known_service& aService, time_point aMoment) const;
   void StartCheck(const std::string& aService, time_point aNow);
--- a/src/session/freshness.cpp
+++ b/src/session/freshness.cpp
@@ -8,12 +8,16 @@
 void
 freshness_samples::Add(time_point aSent, log_position aPosition)
 {
-  // Answers of several connections arrive out of order. An older sample is not
-  // needed, and a position below a known one says less than that one.
-  if (!mSamples.empty() && (aSent <= mSamples.back().mSent ||
-                            aPosition < mSamples.back().mPosition)) {
+  // Answers of several connections arrive out of order; an older sample is not
+  // needed.
+  if (!mSamples.empty() && aSent <= mSamples.back().mSent) {
     return;
   }
+  // What holds all commits up to a later moment holds those up to an earlier
+  // one, so larger positions of earlier samples say less.
+  while (!mSamples.empty() && mSamples.back().mPosition >= aPosition) {
+    mSamples.pop_back();
+  }
   while (!mSamples.empty() && mSamples.front().mSent + mHorizon < aSent) {
     mSamples.pop_front();
   }
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -13,6 +13,7 @@
 // Bounds how long a silent connection to the store can hide a new desired
 // state.
 constexpr milliseconds kWatchWait{ 10'000 };
+constexpr milliseconds kServerWatchWait{ 4'000 };
 // How often the holder of the duty reads the fleet's records. The age of what
 // it tells the other instances is at most this and a call.
 constexpr milliseconds kHolderReadsEvery{ 700 };
@@ -28,10 +29,10 @@
 // Questions for confirmations: to the holder, and to some others when its last
 // one is old.
 constexpr milliseconds kAskEvery{ 400 };
-constexpr milliseconds kConfirmationOld{ 1'300 };
+constexpr milliseconds kConfirmationOld{ 1'000 };
 constexpr std::size_t kPeersAsked = 2;
 // From this age on the instance reads the records itself.
-constexpr milliseconds kConfirmationMissing{ 1'600 };
+constexpr milliseconds kConfirmationMissing{ 1'300 };
 // Answers to older questions say less than the store soon will.
 constexpr std::size_t kMaxQuestions = 32;
 
@@ -58,7 +59,7 @@
   , mServerWatcher(aLoop,
                    aStore,
                    mObjects.mServerKind,
-                   kWatchWait,
+                   kServerWatchWait,
                    [this](bool aChanged, time_point, time_point aNow) {
                      if (aChanged) {
                        OnServers(aNow);
@@ -375,9 +376,14 @@
   const bool due = mDuty.IsOwn()
                      ? aNow >= mFleetReadAt + kHolderReadsEvery
                      : missing && aNow >= mFleetReadAt + kOwnReadEvery;
-  if (due && mFleetWatcher.IsListed() && !mLeft) {
-    mFleetReadAt = aNow;
-    mFleetWatcher.Refresh();
+  if (!due || !mFleetWatcher.IsListed() || mLeft) {
+    return;
+  }
+  mFleetReadAt = aNow;
+  mFleetWatcher.Refresh();
+  // A watch can miss a change for its whole waiting time, with all others.
+  if (mDesiredWatcher.IsListed()) {
+    mDesiredWatcher.Refresh();
   }
 }
 
@@ -476,44 +482,21 @@
   Confirm(sent - milliseconds(aAnswer.mAgeMs), aNow);
 }
 
-bool
+void
 session_controller::FollowHint(version_hint& aHint,
-                               bool aUnexplained,
                                kind_watcher& aWatcher,
                                time_point aNow)
 {
-  if (!aUnexplained && aHint.mVersion <= aWatcher.NewestVersion()) {
+  if (aHint.mVersion <= aWatcher.NewestVersion()) {
     aHint.mBehindSince.reset();
-    return false;
+    return;
   }
   if (!aHint.mBehindSince) {
     aHint.mBehindSince = aNow;
   }
-  if (aNow < *aHint.mBehindSince + kVersionDelay) {
-    return false;
-  }
-  aHint.mBehindSince.reset();
-  aWatcher.Restart();
-  return true;
-}
-
-void
-session_controller::FollowHints(time_point aNow)
-{
-  // The store's revision at the last read of the fleet's records: beyond all
-  // known versions, something else has changed.
-  const std::uint64_t revision = mFleetWatcher.Revision();
-  const bool unexplained =
-    revision > std::max({ mDesiredWatcher.NewestVersion(),
-                          mServerWatcher.NewestVersion(),
-                          mFleetWatcher.NewestVersion(),
-                          mFollowedRevision });
-  const bool desired =
-    FollowHint(mDesiredHint, unexplained, mDesiredWatcher, aNow);
-  const bool servers =
-    FollowHint(mServerHint, unexplained, mServerWatcher, aNow);
-  if (unexplained && desired && servers) {
-    mFollowedRevision = revision;
+  if (aNow >= *aHint.mBehindSince + kVersionDelay) {
+    aHint.mBehindSince.reset();
+    aWatcher.Restart();
   }
 }
 
@@ -578,7 +561,8 @@
   }
   ReadFleet(aNow);
   AskForConfirmation(aNow);
-  FollowHints(aNow);
+  FollowHint(mDesiredHint, mDesiredWatcher, aNow);
+  FollowHint(mServerHint, mServerWatcher, aNow);
   if (const auto write = mDuty.Due(aNow)) {
     WriteDuty(*write);
   }
--- /dev/null
+++ b/tests/session/fake_store.h
@@ -0,0 +1,131 @@
+// An object store in memory behind the client's interface: linearizable calls,
+// waiting watches, and the faults that the tests need.
+#ifndef SNIPEWALK_TESTS_SESSION_FAKE_STORE_H_
+#define SNIPEWALK_TESTS_SESSION_FAKE_STORE_H_
+
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/process/store_client.h"
+
+#include <list>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace snipewalk {
+
+class fake_store : public store_client
+{
+public:
+  explicit fake_store(event_loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  void Submit(store_request aRequest,
+              store_priority,
+              reply_handler aOnReply) override
+  {
+    mLoop.Post([this,
+                request = std::move(aRequest),
+                onReply = std::move(aOnReply)] { Execute(request, onReply); });
+  }
+
+  // A write of the operator or of a server.
+  void Write(const std::string& aKind,
+             const std::string& aName,
+             const std::string& aValue)
+  {
+    mObjects[{ aKind, aName }] = {
+      { aKind, aName }, ++mRevision, false, aValue
+    };
+    if (!mDeaf) {
+      AnswerWatches();
+    }
+  }
+
+  // Waiting watches hear of no change, as when the store drops its history.
+  bool mDeaf = false;
+  // All calls are refused.
+  bool mDown = false;
+  int mCalls = 0;
+
+private:
+  struct watch
+  {
+    store_watch mRequest;
+    reply_handler mOnReply;
+  };
+
+  void Execute(const store_request& aRequest, const reply_handler& aOnReply)
+  {
+    ++mCalls;
+    if (mDown) {
+      store_reply refused;
+      refused.mStatus = store_status::Refused;
+      aOnReply(refused, mLoop.Now());
+    } else if (const auto* put = std::get_if<store_put>(&aRequest)) {
+      aOnReply(Put(*put), mLoop.Now());
+    } else if (const auto* watched = std::get_if<store_watch>(&aRequest)) {
+      if (watched->mFrom == 0) {
+        aOnReply(Changes(*watched), mLoop.Now());
+      } else {
+        mWatches.push_back({ *watched, aOnReply });
+        if (!mDeaf) {
+          AnswerWatches();
+        }
+      }
+    }
+  }
+
+  store_reply Put(const store_put& aPut)
+  {
+    const auto held = mObjects.find(aPut.mKey);
+    const std::uint64_t version =
+      held == mObjects.end() ? 0 : held->second.mVersion;
+    store_reply reply;
+    reply.mStatus = store_status::Conflict;
+    if (version == aPut.mExpectedVersion) {
+      Write(aPut.mKey.mKind, aPut.mKey.mName, aPut.mValue);
+      reply.mStatus = store_status::Ok;
+    }
+    reply.mObjects = { mObjects.at(aPut.mKey) };
+    reply.mRevision = mRevision;
+    return reply;
+  }
+
+  store_reply Changes(const store_watch& aWatch) const
+  {
+    store_reply reply;
+    reply.mStatus = store_status::Ok;
+    reply.mRevision = mRevision;
+    for (const auto& [key, object] : mObjects) {
+      if (key.mKind == aWatch.mKind && object.mVersion > aWatch.mFrom) {
+        reply.mObjects.push_back(object);
+      }
+    }
+    return reply;
+  }
+
+  void AnswerWatches()
+  {
+    for (auto it = mWatches.begin(); it != mWatches.end();) {
+      const store_reply reply = Changes(it->mRequest);
+      if (reply.mObjects.empty()) {
+        ++it;
+        continue;
+      }
+      mLoop.Post(
+        [this, reply, onReply = it->mOnReply] { onReply(reply, mLoop.Now()); });
+      it = mWatches.erase(it);
+    }
+  }
+
+  event_loop& mLoop;
+  std::map<object_key, stored_object> mObjects;
+  std::uint64_t mRevision = 1;
+  std::list<watch> mWatches;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_TESTS_SESSION_FAKE_STORE_H_
--- /dev/null
+++ b/tests/session/session_controller_test.cpp
@@ -0,0 +1,238 @@
+// Tests of the control side: several instances around one store, in real time.
+#include "snipewalk/session/session_controller.h"
+
+#include "session/engine_fixture.h"
+#include "session/fake_store.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+namespace snipewalk {
+namespace {
+
+// Decodes values that only name a version.
+platform_objects
+Objects()
+{
+  platform_objects objects;
+  objects.mDesiredStateKind = "config";
+  objects.mDesiredStateName = "main";
+  objects.mServerKind = "servers";
+  objects.mDecodeDesiredState =
+    [](const std::string& aValue) -> absl::StatusOr<desired_state> {
+    desired_state state;
+    state.mVersion = std::stoull(aValue);
+    state.mServices["s"] = { 23, 1 };
+    return state;
+  };
+  objects.mDecodeServer =
+    [](const std::string& aId,
+       const std::string& aValue) -> absl::StatusOr<server_entry> {
+    server_entry entry;
+    entry.mId = aId;
+    entry.mService = "s";
+    entry.mAddress = "10.0.0.1:1";
+    entry.mPrimary = aValue == "primary";
+    return entry;
+  };
+  return objects;
+}
+
+class instance;
+
+// Delivers datagrams between the instances of a test.
+struct network
+{
+  event_loop& mLoop;
+  std::map<std::string, instance*> mInstances;
+};
+
+class instance : public control_links
+{
+public:
+  instance(network& aNetwork, store_client& aStore, const std::string& aName)
+    : mNetwork(aNetwork)
+    , mName(aName)
+    , mEngine(session_engine_options{}, mConnections)
+    , mController(aNetwork.mLoop,
+                  aStore,
+                  mEngine,
+                  *this,
+                  Objects(),
+                  { aName, 1, aName, milliseconds(5) })
+  {
+    mNetwork.mInstances[aName] = this;
+    mController.Start();
+  }
+
+  void AskServer(const server_entry&,
+                 const server_command&,
+                 milliseconds,
+                 status_handler aOnStatus) override
+  {
+    mNetwork.mLoop.Post(
+      [this, aOnStatus] { aOnStatus(std::nullopt, mNetwork.mLoop.Now()); });
+  }
+  void ForgetServers() override {}
+  void OrderPromotion(const order_promotion&,
+                      const std::string&,
+                      std::uint64_t,
+                      promotion_handler) override
+  {
+  }
+  void SendDatagram(const std::string& aAddress,
+                    const peer_datagram& aDatagram) override
+  {
+    const auto to = mNetwork.mInstances.find(aAddress);
+    if (to == mNetwork.mInstances.end() || mSilent || to->second->mSilent) {
+      return;
+    }
+    mNetwork.mLoop.Post([this, receiver = to->second, aDatagram] {
+      receiver->mController.OnDatagram(mName, aDatagram, mNetwork.mLoop.Now());
+    });
+  }
+
+  network& mNetwork;
+  std::string mName;
+  // Neither sends nor receives datagrams.
+  bool mSilent = false;
+  recorded_links mConnections;
+  session_engine mEngine;
+  session_controller mController;
+};
+
+class SessionControllerTest : public testing::Test
+{
+protected:
+  SessionControllerTest()
+    : mNetwork{ mLoop, {} }
+    , mStore(mLoop)
+  {
+    mStore.Write("config", "main", "1");
+    mStore.Write("servers", "p", "primary");
+    for (const std::string name : { "i1", "i2", "i3" }) {
+      mInstances.push_back(std::make_unique<instance>(mNetwork, mStore, name));
+    }
+  }
+
+  void Run(int aMs)
+  {
+    const time_point until =
+      std::chrono::steady_clock::now() + milliseconds(aMs);
+    bool over = false;
+    std::function<void(time_point)> tick = [&](time_point aNow) {
+      for (const auto& one : mInstances) {
+        one->mController.OnTick(aNow);
+      }
+      if (aNow < until) {
+        mLoop.RunAt(aNow + milliseconds(10), tick);
+      } else {
+        over = true;
+      }
+    };
+    tick(mLoop.Now());
+    // Run() ends with Stop(), which a loop obeys once only.
+    while (!over) {
+      mLoop.RunOnce();
+    }
+  }
+
+  int Holders() const
+  {
+    int holders = 0;
+    for (const auto& one : mInstances) {
+      holders += one->mController.HoldsDuty(mLoop.Now()) ? 1 : 0;
+    }
+    return holders;
+  }
+  int Confirmed() const
+  {
+    int confirmed = 0;
+    for (const auto& one : mInstances) {
+      const auto age = one->mController.ConfirmationAge(mLoop.Now());
+      confirmed +=
+        age && *age < session_controller::kConfirmationLifetime ? 1 : 0;
+    }
+    return confirmed;
+  }
+
+  event_loop mLoop;
+  network mNetwork;
+  fake_store mStore;
+  std::vector<std::unique_ptr<instance>> mInstances;
+};
+
+TEST_F(SessionControllerTest, ElectsOneHolderAndConfirmsAllInstances)
+{
+  Run(1'200);
+  EXPECT_EQ(Holders(), 1);
+  EXPECT_EQ(Confirmed(), 3);
+}
+
+// Reads of the store must grow more slowly than the fleet: only the holder
+// reads while nothing changes.
+TEST_F(SessionControllerTest, ReadsTheStoreThroughTheHolder)
+{
+  Run(1'500);
+  const int before = mStore.mCalls;
+  Run(2'100);
+  // Two calls each 700 ms.
+  EXPECT_LE(mStore.mCalls - before, 8);
+  EXPECT_EQ(Confirmed(), 3);
+}
+
+// The store turns some instances away: others confirm to them.
+TEST_F(SessionControllerTest, KeepsServingWhenOnlyTheHolderReachesTheStore)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  EXPECT_EQ(Confirmed(), 3);
+}
+
+// A watch that hears nothing hides a new desired state for its whole waiting
+// time, and fleet records may be written after it.
+TEST_F(SessionControllerTest, FindsADesiredStateThatTheWatchesMissed)
+{
+  Run(1'500);
+  mStore.mDeaf = true;
+  mStore.Write("config", "main", "2");
+  mStore.Write(kFleetKind,
+               "instance.other",
+               EncodeFleetRecord(instance_record{ "other", "nowhere", 1 }));
+  Run(2'000);
+  for (const auto& one : mInstances) {
+    EXPECT_EQ(one->mController.DesiredVersion(), 2U) << one->mName;
+  }
+}
+
+// The same while no instance hears another.
+TEST_F(SessionControllerTest, FindsAMissedDesiredStateWithoutOtherInstances)
+{
+  Run(1'500);
+  for (const auto& one : mInstances) {
+    one->mSilent = true;
+  }
+  mStore.mDeaf = true;
+  mStore.Write("config", "main", "2");
+  mStore.Write(kFleetKind,
+               "instance.other",
+               EncodeFleetRecord(instance_record{ "other", "nowhere", 1 }));
+  Run(2'600);
+  for (const auto& one : mInstances) {
+    EXPECT_EQ(one->mController.DesiredVersion(), 2U) << one->mName;
+  }
+}
+
+TEST_F(SessionControllerTest, StopsConfirmingWhenTheStoreIsAway)
+{
+  Run(1'500);
+  mStore.mDown = true;
+  Run(static_cast<int>(session_controller::kConfirmationLifetime.count()) +
+      300);
+  EXPECT_EQ(Confirmed(), 0);
+  EXPECT_EQ(Holders(), 0);
+}
+
+} // namespace
+} // namespace snipewalk
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -312,6 +312,46 @@
   EXPECT_FALSE(Carrier());
 }
 
+// The primary is gone and not yet replaced: the replicas together hold every
+// acknowledged commit, so reads need not wait for its successor.
+TEST_F(SessionEngineTest, ReadsFromReplicasWhileThePrimaryIsReplaced)
+{
+  Configure();
+  const session_id session = Open("main");
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Answer(*Carrier(), Done(5));
+  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  Pass(20);
+  Ask(session, read_statement{ "2" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  EXPECT_FALSE(Carrier());
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 7));
+  Pass(20);
+  ASSERT_TRUE(Carrier());
+  const auto& command = std::get<statement_command>(
+    mLinks.mServers.at(*Carrier()).mCommands.back());
+  EXPECT_NE(ServerOf(*Carrier()), "p");
+  EXPECT_EQ(command.mAfter, (log_position{ 1, 9 }));
+}
+
+// One of the others leads already: the replicas' logs prove nothing.
+TEST_F(SessionEngineTest, TakesNoProofFromReplicasBesideANewPrimary)
+{
+  Configure();
+  const session_id session = Open("main");
+  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "primary", 2, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 2, 9));
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+}
+
 TEST_F(SessionEngineTest, ClosesIdleSessionsWhenLeaving)
 {
   Configure();
