Limit the statements that an instance has under way at a server

Ruled out: fewer connections, since open transactions hold them while idle. Change: send_window narrows on refusals and slow answers, widens on quick ones; statements of open transactions are not limited. Test: SendWindowTest.KeepsACrowdedServersQueueFromOverflowing replays it with and without the window.

--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -187,12 +187,15 @@
       std::find(pending.mTried.begin(), pending.mTried.end(), id) !=
       pending.mTried.end();
     bool idle = false;
+    int underWay = 0;
     for (const auto connection : server.mConnections) {
-      const bool free = mConnections.at(connection).IsIdle();
-      idle = idle || free;
-      candidate.mOutstanding += free ? 0 : 1;
+      const server_connection& held = mConnections.at(connection);
+      idle = idle || held.IsIdle();
+      candidate.mOutstanding += held.IsIdle() ? 0 : 1;
+      underWay += held.mExpected.empty() ? 0 : 1;
     }
-    candidate.mHasConnection = aOpen ? CanOpen(server, aNow) : idle;
+    candidate.mHasConnection =
+      server.mWindow.Admits(underWay) && (aOpen ? CanOpen(server, aNow) : idle);
     candidates.push_back(candidate);
     names.push_back(id);
   }
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -179,8 +179,11 @@
 {
   aConnection.mInTransaction = aReply.mState != session_state::Idle;
   const auto server = mServers.find(aConnection.mServer);
-  if (server != mServers.end()) {
+  if (server != mServers.end() && aReply.mError == result_code::Busy) {
+    server->second.mWindow.OnRefusal(aNow);
+  } else if (server != mServers.end()) {
     const duration took = aNow - aSent;
+    server->second.mWindow.OnAnswer(took);
     duration& average = server->second.mAnswerTime;
     average = average == duration(0)
                 ? took
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -6,6 +6,7 @@
 #include "snipewalk/session/connection_context.h"
 #include "snipewalk/session/failure_answer.h"
 #include "snipewalk/session/freshness.h"
+#include "snipewalk/session/send_window.h"
 #include "snipewalk/session/server_choice.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/wait_order.h"
@@ -121,6 +122,7 @@
 {
   server_entry mEntry;
   std::set<server_connection_id> mConnections;
+  send_window mWindow;
   duration mAnswerTime{ 0 };
   log_position mApplied;
   log_position mRefusedPosition;
--- /dev/null
+++ b/tests/session/send_window_test.cpp
@@ -0,0 +1,109 @@
+// Tests of the window of statements at one server, with a replay of many
+// instances at a crowded server.
+#include "snipewalk/session/send_window.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <vector>
+
+namespace snipewalk {
+namespace {
+
+time_point
+At(int aMs)
+{
+  return time_point() + milliseconds(100'000 + aMs);
+}
+
+TEST(SendWindowTest, AlwaysAdmitsOne)
+{
+  send_window window;
+  for (int ms = 0; ms < 10'000; ms += 200) {
+    window.OnRefusal(At(ms));
+  }
+  EXPECT_TRUE(window.Admits(0));
+  EXPECT_FALSE(window.Admits(1));
+}
+
+TEST(SendWindowTest, CountsRefusalsOfOneOverflowOnce)
+{
+  send_window window;
+  const double before = window.Size();
+  for (int i = 0; i < 20; ++i) {
+    window.OnRefusal(At(i));
+  }
+  EXPECT_GE(window.Size(), before / 2);
+}
+
+TEST(SendWindowTest, WidensWhileAnswersAreQuick)
+{
+  send_window window;
+  for (int i = 0; i < 100; ++i) {
+    window.OnAnswer(milliseconds(15));
+  }
+  EXPECT_TRUE(window.Admits(7));
+}
+
+struct replay_counts
+{
+  int mDone = 0;
+  int mRefused = 0;
+};
+
+// Seven instances with endless work and six connections each at a server with
+// three slots of 18 ms and a queue of 24, for ten seconds.
+replay_counts
+ReplayCrowd(bool aWithWindow)
+{
+  constexpr int kInstances = 7;
+  constexpr int kConnections = 6;
+  constexpr std::size_t kQueue = 24;
+  std::vector<send_window> windows(kInstances);
+  std::vector<int> underWay(kInstances, 0);
+  std::deque<std::pair<int, int>> queue;
+  std::vector<std::pair<int, std::pair<int, int>>> slots;
+  replay_counts counts;
+  for (int ms = 0; ms < 10'000; ++ms) {
+    std::erase_if(slots, [&](const auto& aSlot) {
+      if (aSlot.first > ms) {
+        return false;
+      }
+      const auto [instance, sent] = aSlot.second;
+      --underWay[static_cast<std::size_t>(instance)];
+      windows[static_cast<std::size_t>(instance)].OnAnswer(
+        milliseconds(ms - sent));
+      ++counts.mDone;
+      return true;
+    });
+    while (slots.size() < 3 && !queue.empty()) {
+      slots.emplace_back(ms + 18, queue.front());
+      queue.pop_front();
+    }
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      if (underWay[i] >= kConnections ||
+          (aWithWindow && !windows[i].Admits(underWay[i]))) {
+        continue;
+      }
+      if (queue.size() >= kQueue) {
+        ++counts.mRefused;
+        windows[i].OnRefusal(At(ms));
+      } else {
+        ++underWay[i];
+        queue.emplace_back(static_cast<int>(i), ms);
+      }
+    }
+  }
+  return counts;
+}
+
+TEST(SendWindowTest, KeepsACrowdedServersQueueFromOverflowing)
+{
+  const replay_counts free = ReplayCrowd(false);
+  const replay_counts windowed = ReplayCrowd(true);
+  EXPECT_LT(windowed.mRefused * 10, free.mRefused);
+  EXPECT_GE(windowed.mDone * 100, free.mDone * 98);
+}
+
+} // namespace
+} // namespace snipewalk
