Count a server under promotion among the replicas that prove a position

The old primary's entry had gone, so one lagging replica alone (1.139) proved a position, and reads missed commit 1.194, which only the candidate had. Ruled out: the pause of the replica (it stops receiving, as it should). Change: only a server that has led is left out; records carry the term in which the last stable primary leads, and neither the proof nor a promotion takes logs that have not reached it. Tests: AsksTheServerThatIsBeingPromotedToo, TakesNoProofFromReplicasThatHaveNotReachedTheTerm and RevertsWhenNoReplicaHasReachedTheLeadTerm fail without the change.

--- a/include/snipewalk/session/fleet_records.h
+++ b/include/snipewalk/session/fleet_records.h
@@ -54,8 +54,11 @@
 {
   std::string mService;
   std::string mPrimary;
-  // Term of the change; the term of mPrimary once it is stable.
+  // Term of the change. Instances let go of primaries of lower terms.
   std::uint64_t mTerm = 0;
+  // Term in which the last stable primary leads; zero before the first change.
+  // A log without an entry of this term may lack commits of earlier ones.
+  std::uint64_t mLeadTerm = 0;
   primary_phase mPhase = primary_phase::Stable;
   // Fence number of the duty that wrote the record.
   std::uint64_t mFence = 0;
--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -108,6 +108,8 @@
   std::vector<change_server> mReplicas;
   // Term of the last recorded change.
   std::uint64_t mKnownTerm = 0;
+  // Term in which the old primary leads; zero before the first change.
+  std::uint64_t mLeadTerm = 0;
   std::uint64_t mFence = 0;
   // The old primary answers and is to be stepped down after open transactions
   // had a moment to end.
@@ -157,6 +159,9 @@
   actions BeginPausing(time_point aNow);
   actions Choose(time_point aNow);
   actions Revert(time_point aNow);
+  // Term in which mPrimary of a record with this phase leads.
+  std::uint64_t LeadTerm(primary_phase aPhase,
+                         const std::string& aPrimary) const;
   bool AllReplicasAnswered() const;
   // Whether the present step asked for it.
   bool IsExpected(const std::string& aServer,
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -130,6 +130,8 @@
   // One change under way, and the instances that it waits for.
   struct running_change
   {
+    running_change();
+
     std::unique_ptr<primary_change> mChange;
     // Instances that have to let go of the old primary, by name.
     std::map<std::string, instance_record> mUnreleased;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -52,9 +52,13 @@
 {
   // Empty while unknown.
   std::string mServer;
-  std::uint64_t mTerm = 0;
+  // Term in which the last stable primary leads; zero before the first change.
+  std::uint64_t mLeadTerm = 0;
   // False while the primary is being replaced: no new work goes to it.
   bool mAcceptsWork = false;
+  // mServer led when the last commits were acknowledged; not so a server that
+  // is only being promoted.
+  bool mHasLed = true;
 };
 
 struct session_engine_options
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -24,6 +24,8 @@
 
 } // namespace
 
+session_controller::running_change::running_change() = default;
+
 void
 session_controller::WriteDuty(const duty_write& aWrite)
 {
@@ -165,7 +167,8 @@
   change_plan plan;
   plan.mService = aService;
   plan.mOldPrimary = primary.mServer;
-  plan.mKnownTerm = primary.mTerm;
+  plan.mKnownTerm = control.mRecord ? control.mRecord->mTerm : 0;
+  plan.mLeadTerm = primary.mLeadTerm;
   plan.mFence = mDuty.Fence();
   plan.mPlanned =
     aReason == change_reason::Leaving || aReason == change_reason::CutOff;
--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -6,8 +6,9 @@
 // - All but k servers, the known primary among them, still are in its term: no
 //   commit of a newer primary was acknowledged before they were asked, and the
 //   primary's log holds all others.
-// - All servers but the known primary answer as replicas: every commit that was
-//   acknowledged before is in one of their logs (for k of at least 1).
+// - All servers but the one that led last answer as replicas: every commit that
+//   it acknowledged is in one of their logs (for k of at least 1). Commits of
+//   earlier terms are so too once one of them has an entry of its term.
 #include "session/engine_state.h"
 #include "snipewalk/base/log.h"
 
@@ -87,17 +88,17 @@
     }
     return;
   }
-  const auto replicas =
-    std::count_if(answers.begin(), answers.end(), [&](const auto& aIt) {
-      return aIt.first != service.mPrimary.mServer &&
-             aIt.second.mRole == server_role::Replica;
-    });
-  const bool known = mServers.contains(service.mPrimary.mServer);
-  if (copies >= 1 && replicas >= servers - (known ? 1 : 0)) {
-    log_position newest;
-    for (const auto& [id, answer] : answers) {
-      newest = std::max(newest, answer.mReceived);
-    }
+  const std::string led =
+    service.mPrimary.mHasLed ? service.mPrimary.mServer : std::string();
+  log_position newest;
+  std::int64_t replicas = 0;
+  for (const auto& [id, answer] : answers) {
+    newest = std::max(newest, answer.mReceived);
+    replicas += id != led && answer.mRole == server_role::Replica ? 1 : 0;
+  }
+  const std::int64_t needed = servers - (mServers.contains(led) ? 1 : 0);
+  if (copies >= 1 && replicas >= needed &&
+      newest.mTerm >= service.mPrimary.mLeadTerm) {
     OnChecked(service, aConnection.mService, newest, "all replicas");
   }
 }
--- a/src/session/fleet_records.cpp
+++ b/src/session/fleet_records.cpp
@@ -49,6 +49,7 @@
     value["service"] = aRecord.mService;
     value["primary"] = aRecord.mPrimary;
     value["term"] = Number(aRecord.mTerm);
+    value["lead_term"] = Number(aRecord.mLeadTerm);
     value["phase"] = std::string(NameOf(kPrimaryPhaseNames, aRecord.mPhase));
     value["fence"] = Number(aRecord.mFence);
     return value;
@@ -81,6 +82,7 @@
   record.mService = aReader.Text("service");
   record.mPrimary = aReader.Text("primary");
   record.mTerm = aReader.Number("term");
+  record.mLeadTerm = aReader.Number("lead_term");
   const auto phase = ValueOf(kPrimaryPhaseNames, aReader.Text("phase"));
   if (!phase) {
     aReader.Fail("unknown phase");
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -20,6 +20,7 @@
 using wire_primary = std::tuple<std::string,
                                 std::string,
                                 std::uint64_t,
+                                std::uint64_t,
                                 int,
                                 std::uint64_t,
                                 std::uint64_t>;
@@ -114,6 +115,7 @@
       primaries.emplace_back(record.mService,
                              record.mPrimary,
                              record.mTerm,
+                             record.mLeadTerm,
                              static_cast<int>(record.mPhase),
                              record.mFence,
                              version);
@@ -149,11 +151,12 @@
   confirmation_answer answer{ number,         age,           registered,
                               instance,       holder,        holderAge,
                               desiredVersion, serverVersion, {} };
-  for (const auto& [service, primary, term, phase, fence, version] :
+  for (const auto& [service, primary, term, leadTerm, phase, fence, version] :
        primaries) {
     answer.mPrimaries.push_back({ { service,
                                     primary,
                                     term,
+                                    leadTerm,
                                     ToEnum(phase, primary_phase::Promoting),
                                     fence },
                                   version });
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -81,8 +81,22 @@
 primary_change::actions
 primary_change::Record(primary_phase aPhase, const std::string& aPrimary) const
 {
-  return { write_primary_record{
-    { mPlan.mService, aPrimary, mTerm, aPhase, mPlan.mFence } } };
+  return { write_primary_record{ { mPlan.mService,
+                                   aPrimary,
+                                   mTerm,
+                                   LeadTerm(aPhase, aPrimary),
+                                   aPhase,
+                                   mPlan.mFence } } };
+}
+
+std::uint64_t
+primary_change::LeadTerm(primary_phase aPhase,
+                         const std::string& aPrimary) const
+{
+  // Before the candidate leads, and after a change that was given up, the term
+  // of the old primary still counts.
+  const bool leads = aPhase == primary_phase::Stable && aPrimary == mCandidate;
+  return leads ? mTerm : mPlan.mLeadTerm;
 }
 
 bool
@@ -299,6 +313,11 @@
       best = &replica;
     }
   }
+  if (mAnswers.at(best->mId).mReceived.mTerm < mPlan.mLeadTerm) {
+    // The old primary took over with commits that no other log has received
+    // since: only it can lead again.
+    return Revert(aNow);
+  }
   mCandidate = best->mId;
   for (const auto& [server, status] : mAnswers) {
     const std::string received = status.mReceived.ToString();
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -206,7 +206,7 @@
     service_primary first;
     for (const auto& [id, entry] : mServers) {
       if (entry.mService == aService && entry.mPrimary) {
-        first = { id, 0, control.mReleasedTerm == 0 };
+        first = { id, 0, control.mReleasedTerm == 0, true };
       }
     }
     return first;
@@ -217,8 +217,9 @@
     record.mPhase == primary_phase::Stable ||
     (record.mPhase == primary_phase::Promoting && entry && entry->mPrimary);
   return { record.mPrimary,
-           record.mTerm,
-           leads && record.mTerm >= control.mReleasedTerm };
+           record.mLeadTerm,
+           leads && record.mTerm >= control.mReleasedTerm,
+           record.mPhase != primary_phase::Promoting };
 }
 
 void
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -98,7 +98,7 @@
   {
     mEngine.SetDesiredState(DesiredState(), mNow);
     mEngine.SetServers({ Server("p"), Server("a"), Server("b") }, mNow);
-    mEngine.SetPrimary("s", { "p", 1, true }, mNow);
+    mEngine.SetPrimary("s", { "p", 0, true }, mNow);
     Confirm();
   }
 
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -12,7 +12,7 @@
 {
   const std::vector<fleet_record> records{
     duty_record{ "i1", 1'700'000'000'000, 4 },
-    primary_record{ "s", "p", 3, primary_phase::Promoting, 4 },
+    primary_record{ "s", "p", 3, 2, primary_phase::Promoting, 4 },
     instance_record{ "i1", "10.0.0.1:7440", 5, instance_state::Gone },
   };
   for (const auto& record : records) {
@@ -35,7 +35,7 @@
 
 TEST(FleetRecordsTest, RefusesARecordUnderAnotherName)
 {
-  const primary_record record{ "s", "p", 3, primary_phase::Stable, 4 };
+  const primary_record record{ "s", "p", 3, 3, primary_phase::Stable, 4 };
   EXPECT_FALSE(DecodeFleetRecord("primary.t", EncodeFleetRecord(record)).ok());
 }
 
@@ -46,7 +46,7 @@
   answer.mAgeMs = 1'200;
   answer.mRegistered = true;
   answer.mPrimaries.push_back(
-    { { "s", "p", 3, primary_phase::Changing, 4 }, 99 });
+    { { "s", "p", 3, 2, primary_phase::Changing, 4 }, 99 });
   const auto decoded = DecodeDatagram(EncodeDatagram(answer));
   ASSERT_TRUE(decoded.ok());
   const auto& kept = std::get<confirmation_answer>(*decoded);
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -158,6 +158,30 @@
   EXPECT_EQ(Only<ask_server>(reverted).size(), 2U);
 }
 
+// The old primary was promoted with commits that it alone has; no replica has
+// received anything of its term yet.
+TEST(PrimaryChangeTest, RevertsWhenNoReplicaHasReachedTheLeadTerm)
+{
+  change_plan plan = Plan();
+  plan.mLeadTerm = 3;
+  primary_change change(plan);
+  ToPausing(change);
+  change.OnServerStatus("a",
+                        pause_command{ change.Term() },
+                        server_status{ server_role::Replica, 4, { 2, 50 }, {} },
+                        At(21));
+  const auto reverted = change.OnServerStatus(
+    "b",
+    pause_command{ change.Term() },
+    server_status{ server_role::Replica, 4, { 2, 51 }, {} },
+    At(22));
+  const auto writes = Only<write_primary_record>(reverted);
+  ASSERT_EQ(writes.size(), 1U);
+  EXPECT_EQ(writes[0].mRecord.mPrimary, "p");
+  EXPECT_EQ(writes[0].mRecord.mPhase, primary_phase::Stable);
+  EXPECT_EQ(writes[0].mRecord.mLeadTerm, 3U);
+}
+
 TEST(PrimaryChangeTest, GoesOnWithoutAReplicaThatIsGone)
 {
   primary_change change(Plan());
@@ -242,7 +266,7 @@
 TEST(PrimaryChangeTest, GoesOnFromARecordedPromotion)
 {
   change_plan plan = Plan();
-  plan.mResumed = primary_record{ "s", "b", 7, primary_phase::Promoting, 8 };
+  plan.mResumed = primary_record{ "s", "b", 7, 3, primary_phase::Promoting, 8 };
   primary_change change(plan);
   const auto first = change.Start(At(0));
   const auto writes = Only<write_primary_record>(first);
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -49,7 +49,7 @@
 TEST_F(SessionEngineTest, RefusesTruthfullyWhenNoServerCanTakeTheStatement)
 {
   Configure();
-  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
   const session_id session = Open("main");
   Ask(session, write_statement{ "1", "x" });
   Pass(820);
@@ -216,7 +216,7 @@
   Ask(writer, write_statement{ "1", "x" });
   AcceptAll();
   Answer(*Carrier(), Done(40));
-  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
   const session_id reader = Open("old");
   Ask(reader, read_statement{ "1" });
   int refusals = 0;
@@ -321,7 +321,7 @@
   Ask(session, read_statement{ "1" });
   AcceptAll();
   Answer(*Carrier(), Done(5));
-  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
   Pass(20);
   Ask(session, read_statement{ "2" });
   AcceptAll();
@@ -342,7 +342,7 @@
 {
   Configure();
   const session_id session = Open("main");
-  mEngine.SetPrimary("s", { "p", 1, false }, mNow);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
   Ask(session, read_statement{ "1" });
   AcceptAll();
   Pass(300);
@@ -352,6 +352,44 @@
   EXPECT_FALSE(Carrier());
 }
 
+// A server that is being promoted may hold the only copy of a commit that the
+// old primary acknowledged: it counts like the other replicas.
+TEST_F(SessionEngineTest, AsksTheServerThatIsBeingPromotedToo)
+{
+  Configure();
+  const session_id session = Open("main");
+  mEngine.SetServers({ Server("a"), Server("b") }, mNow);
+  mEngine.SetPrimary("s", { "a", 0, false, false }, mNow);
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 7));
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  Pass(20);
+  ASSERT_TRUE(Carrier());
+  const auto& command = std::get<statement_command>(
+    mLinks.mServers.at(*Carrier()).mCommands.back());
+  EXPECT_EQ(command.mAfter, (log_position{ 1, 9 }));
+}
+
+// No replica has received anything of the primary's term: commits that it
+// brought along may be in no other log.
+TEST_F(SessionEngineTest, TakesNoProofFromReplicasThatHaveNotReachedTheTerm)
+{
+  Configure();
+  const session_id session = Open("main");
+  mEngine.SetPrimary("s", { "p", 2, false, true }, mNow);
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 9));
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+}
+
 TEST_F(SessionEngineTest, ClosesIdleSessionsWhenLeaving)
 {
   Configure();
