Hold writes back while a primary confirms none; keep control connections open

Ruled out: refusing writes at once, since the successor may lead within their time. Change: write_gate admits one write at a time until one is confirmed, and none while the primary is silent for 120 ms; the holder keeps a control connection to each server.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -55,6 +55,9 @@
                          const server_command& aCommand,
                          milliseconds aTimeout,
                          status_handler aOnStatus) = 0;
+  // Keeps a connection for control commands open, so that a change of primary
+  // does not have to win one from the callers' statements.
+  virtual void KeepConnected(const server_entry& aServer) = 0;
   // Ends all connections for control commands.
   virtual void ForgetServers() = 0;
   virtual void OrderPromotion(const order_promotion& aOrder,
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -101,6 +101,9 @@
 void
 session_controller::MonitorServices(time_point aNow)
 {
+  for (const auto& [id, entry] : mServers) {
+    mLinks.KeepConnected(entry);
+  }
   for (auto& [service, control] : mServices) {
     if (control.mRunning) {
       RunChange(service, aNow);
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -124,6 +124,8 @@
     aService.mPrimary.mAcceptsWork &&
     (unchecked || IsPrimaryKnown(aService, Earlier(pending.mReceived, age)));
   if (NeedsPrimary(aSession)) {
+    requirement.mPrimaryAllowed =
+      requirement.mPrimaryAllowed && AdmitsWrite(aService, aNow);
     return requirement;
   }
   const bool anyCommit =
@@ -152,7 +154,10 @@
   const pending_statement& pending = *aSession.mPending;
   if (NeedsPrimary(aSession)) {
     // A check helps only where nothing but the confirmation is missing.
-    return !aRequirement.mPrimaryAllowed && aService.mPrimary.mAcceptsWork;
+    return aService.mPrimary.mAcceptsWork &&
+           !IsPrimaryKnown(
+             aService,
+             Earlier(pending.mReceived, pending.mRoute.mMaxStaleness));
   }
   const bool primary = aRequirement.mPrimaryAllowed &&
                        !HasTried(pending, aService.mPrimary.mServer);
@@ -206,6 +211,30 @@
   return names[*chosen];
 }
 
+bool
+session_engine::state::AdmitsWrite(const known_service& aService,
+                                   time_point aNow) const
+{
+  const auto primary = mServers.find(aService.mPrimary.mServer);
+  if (primary == mServers.end()) {
+    return true;
+  }
+  write_gate_facts facts;
+  facts.mSilence = Silence(primary->second, aNow);
+  for (const auto id : mActive) {
+    const pending_statement& pending = *mSessions.at(id).mPending;
+    const bool write = pending.mPurpose == statement_purpose::SingleWrite ||
+                       pending.mPurpose == statement_purpose::Commit;
+    if (write && pending.mStage == statement_stage::Sent &&
+        pending.mRoute.mService == primary->second.mEntry.mService) {
+      ++facts.mUnderWay;
+      facts.mOldestSent =
+        std::min(facts.mOldestSent.value_or(pending.mSentAt), pending.mSentAt);
+    }
+  }
+  return aService.mWriteGate.Admits(facts, aNow);
+}
+
 duration
 session_engine::state::Silence(const known_server& aServer,
                                time_point aNow) const
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -238,6 +238,9 @@
     std::holds_alternative<commit_statement>(aSession.mPending->mStatement);
   const bool wrote = purpose == statement_purpose::SingleWrite ||
                      (commit && aSession.mTransaction->mWrote);
+  if (wrote) {
+    mServices[aConnection.mService].mWriteGate.OnConfirmed(aNow);
+  }
   if (wrote && aReply.mPosition) {
     aSession.mWritten = std::max(aSession.mWritten, *aReply.mPosition);
   }
@@ -430,6 +433,11 @@
   if (pending.mStage == statement_stage::Waiting) {
     std::erase(mServices[pending.mRoute.mService].mWaiting, aSession.mId);
   }
+  const bool write = pending.mPurpose == statement_purpose::SingleWrite ||
+                     pending.mPurpose == statement_purpose::Commit;
+  if (write && pending.mStage == statement_stage::Sent) {
+    mServices[pending.mRoute.mService].mWriteGate.OnUnanswered();
+  }
   const std::string text =
     pending.mStage == statement_stage::Sent ? "no answer" : "no capacity";
   Discard(id);
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -10,6 +10,7 @@
 #include "snipewalk/session/server_choice.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/wait_order.h"
+#include "snipewalk/session/write_gate.h"
 
 #include <deque>
 #include <map>
@@ -149,6 +150,7 @@
   service_limits mLimits;
   service_primary mPrimary;
   freshness_samples mSamples;
+  write_gate mWriteGate;
   // The last check, under way or over.
   std::optional<primary_check> mCheck;
   // No commit of a newer primary was acknowledged before this moment.
@@ -250,6 +252,7 @@
                                           const read_requirement& aRequirement,
                                           bool aOpen,
                                           time_point aNow) const;
+  bool AdmitsWrite(const known_service& aService, time_point aNow) const;
   // How long the server has owed an answer without giving any.
   duration Silence(const known_server& aServer, time_point aNow) const;
   // Whether the statement must run on the primary: writes and transactions that
--- a/src/session/server_control.cpp
+++ b/src/session/server_control.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr milliseconds kCheckEvery{ 20 };
+// Between attempts to keep a connection open.
+constexpr milliseconds kReconnectAfter{ 700 };
 
 } // namespace
 
@@ -50,9 +52,22 @@
   ScheduleCheck();
 }
 
+void
+server_control::KeepConnected(const server_entry& aServer)
+{
+  channel& kept = mChannels[aServer.mId];
+  const bool recent = kept.mConnectedAt != time_point::min() &&
+                      mLoop.Now() < kept.mConnectedAt + kReconnectAfter;
+  if (!kept.mStream && !recent) {
+    kept.mServer = aServer;
+    Connect(kept);
+  }
+}
+
 void
 server_control::Connect(channel& aChannel)
 {
+  aChannel.mConnectedAt = mLoop.Now();
   const std::string id = aChannel.mServer.mId;
   const std::uint64_t generation = mNextGeneration++;
   aChannel.mGeneration = generation;
--- a/src/session/server_control.h
+++ b/src/session/server_control.h
@@ -27,6 +27,8 @@
            const server_command& aCommand,
            milliseconds aTimeout,
            control_links::status_handler aOnStatus);
+  // Opens a connection unless there is one, with pauses between attempts.
+  void KeepConnected(const server_entry& aServer);
   void CloseAll();
 
 private:
@@ -42,6 +44,7 @@
     server_entry mServer;
     std::unique_ptr<stream_connection> mStream;
     bool mOpened = false;
+    time_point mConnectedAt = time_point::min();
     std::deque<question> mQuestions;
     // Tells the streams of one server apart.
     std::uint64_t mGeneration = 0;
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -177,6 +177,10 @@
   {
     mControl.Ask(aServer, aCommand, aTimeout, std::move(aOnStatus));
   }
+  void KeepConnected(const server_entry& aServer) override
+  {
+    mControl.KeepConnected(aServer);
+  }
   void ForgetServers() override { mControl.CloseAll(); }
   void OrderPromotion(const order_promotion& aOrder,
                       const std::string& aHolder,
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -64,7 +64,11 @@
                                   const service_primary& aPrimary,
                                   time_point aNow)
 {
-  mServices[aService].mPrimary = aPrimary;
+  known_service& service = mServices[aService];
+  if (service.mPrimary.mServer != aPrimary.mServer) {
+    service.mWriteGate.Reset();
+  }
+  service.mPrimary = aPrimary;
   Dispatch(aService, aNow);
 }
 
--- /dev/null
+++ b/src/session/write_gate.cpp
@@ -0,0 +1,46 @@
+// Implementation of holding writes back.
+#include "snipewalk/session/write_gate.h"
+
+namespace snipewalk {
+
+namespace {
+
+// Most statements take less; a long one only delays the writes behind it.
+constexpr milliseconds kSilence{ 120 };
+// Confirmation by a replica takes a few milliseconds.
+constexpr milliseconds kUnconfirmedFor{ 300 };
+
+} // namespace
+
+bool
+write_gate::Admits(const write_gate_facts& aFacts, time_point aNow) const
+{
+  if (aFacts.mSilence > kSilence) {
+    return false;
+  }
+  const bool unconfirmed = aFacts.mOldestSent &&
+                           aNow > *aFacts.mOldestSent + kUnconfirmedFor &&
+                           mConfirmedAt < *aFacts.mOldestSent;
+  return aFacts.mUnderWay == 0 || (!mStalled && !unconfirmed);
+}
+
+void
+write_gate::OnConfirmed(time_point aNow)
+{
+  mConfirmedAt = aNow;
+  mStalled = false;
+}
+
+void
+write_gate::OnUnanswered()
+{
+  mStalled = true;
+}
+
+void
+write_gate::Reset()
+{
+  *this = {};
+}
+
+} // namespace snipewalk
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -74,6 +74,7 @@
     mNetwork.mLoop.Post(
       [this, aOnStatus] { aOnStatus(std::nullopt, mNetwork.mLoop.Now()); });
   }
+  void KeepConnected(const server_entry&) override {}
   void ForgetServers() override {}
   void OrderPromotion(const order_promotion&,
                       const std::string&,
