--- a/tests/integration/command_line_test.cpp
+++ b/tests/integration/command_line_test.cpp
@@ -29,10 +29,14 @@
 TEST(CommandLineTest, HelpListsTheFlagsOfEachProgram)
 {
   const std::vector<std::pair<std::string, std::string>> programs = {
-    { "snipewalkd", "--settings" },          { "snipewalkctl", "--store" },
-    { "snipewalk-load", "--sessions" },      { "snipewalk-check", "--history" },
-    { "standin-backend", "--apply_lag_ms" }, { "standin-store", "--port" },
+    { "snipewalkd", "--settings" },
+    { "snipewalkctl", "--store" },
+    { "snipewalk-load", "--sessions" },
+    { "snipewalk-check", "--history" },
+    { "standin-backend", "--apply_lag_ms" },
+    { "standin-store", "--port" },
     { "standin-faults", "--links" },
+    { "snipewalk-sessions", "--check" },
   };
   for (const auto& [program, flag] : programs) {
     const std::string help = HelpOf(program);
--- /dev/null
+++ b/tests/integration/session_front_test.cpp
@@ -0,0 +1,244 @@
+// The session front end as real processes in front of a stand-in of the
+// platform.
+#include "standins/platform_standin.h"
+#include "standins/process_fleet.h"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <fstream>
+
+namespace snipewalk::standins {
+namespace {
+
+// A caller's session over a blocking socket.
+class caller
+{
+public:
+  explicit caller(std::uint16_t aPort)
+    : mSocket(Poco::Net::SocketAddress("127.0.0.1", aPort))
+  {
+    mSocket.setReceiveTimeout(Poco::Timespan(8, 0));
+  }
+
+  // Sends one line and returns the answer up to its READY or its end.
+  std::string Call(const std::string& aLine)
+  {
+    const std::string bytes = aLine + "\r\n";
+    mSocket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    std::string answer;
+    char chunk[4096];
+    while (answer.find("READY ") == std::string::npos ||
+           !absl::EndsWith(answer, "\r\n")) {
+      int received = 0;
+      try {
+        received = mSocket.receiveBytes(chunk, sizeof(chunk));
+      } catch (const Poco::Exception&) {
+        return answer;
+      }
+      if (received <= 0) {
+        return answer;
+      }
+      answer.append(chunk, static_cast<std::size_t>(received));
+    }
+    return answer;
+  }
+
+  std::string Query(const std::string& aText)
+  {
+    return Call(absl::StrCat("QUERY q", ++mRequests, " ", aText));
+  }
+
+private:
+  Poco::Net::StreamSocket mSocket;
+  int mRequests = 0;
+};
+
+class SessionFrontTest : public testing::Test
+{
+protected:
+  SessionFrontTest()
+    : mPlatform(3)
+    , mFleet(SNIPEWALK_BINARY_DIR)
+  {
+  }
+
+  struct instance
+  {
+    std::uint16_t mCallers = 0;
+    std::uint16_t mReady = 0;
+    std::uint16_t mMetrics = 0;
+  };
+
+  instance Start(const std::string& aName)
+  {
+    const auto ports = FreePorts(4);
+    const instance started{ ports[0], ports[1], ports[2] };
+    const std::string path =
+      absl::StrCat(testing::TempDir(), "/session_front_", aName, ".json");
+    std::ofstream(path) << "{ \"instance\": \"" << aName
+                        << "\", \"data_centre\": \"dc1\",\n"
+                        << "\"caller_address\": \"127.0.0.1:" << ports[0]
+                        << "\", \"ready_address\": \"127.0.0.1:" << ports[1]
+                        << "\", \"metrics_address\": \"127.0.0.1:" << ports[2]
+                        << "\", \"peer_address\": \"127.0.0.1:" << ports[3]
+                        << "\",\n// One stand-in serves both.\n"
+                        << "\"store_address\": \"" << mPlatform.StoreAddress()
+                        << "\", \"promotion_address\": \""
+                        << mPlatform.StoreAddress()
+                        << "\", \"shutdown_grace_seconds\": 4 }";
+    EXPECT_TRUE(
+      mFleet.Start(aName, "snipewalk-sessions", { "--settings=" + path }).ok());
+    EXPECT_TRUE(WaitFor([&] {
+      const auto probe = HttpCall(started.mReady, "GET", "/v1/readyz");
+      return probe.ok() && probe->mStatus == 200;
+    }));
+    return started;
+  }
+
+  platform_standin mPlatform;
+  process_fleet mFleet;
+};
+
+TEST_F(SessionFrontTest, ServesReadsWritesAndTransactions)
+{
+  const instance one = Start("i1");
+  caller session(one.mCallers);
+  EXPECT_EQ(session.Call("STARTUP own app"), "READY I -\r\n");
+  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v1"), "COMPLETE s1."));
+  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v1\r\n"));
+  EXPECT_TRUE(absl::StrContains(session.Query("BEGIN"), "READY T"));
+  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v2"), "READY T"));
+  EXPECT_TRUE(absl::StrContains(session.Query("ROLLBACK"), "READY I"));
+  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v1\r\n"));
+  session.Query("BEGIN");
+  session.Query("WRITE k v3");
+  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT"), "COMPLETE s1."));
+  EXPECT_EQ(mPlatform.Items().at("k"), "v3");
+}
+
+TEST_F(SessionFrontTest, RefusesUnknownDatabasesAndMalformedInput)
+{
+  const instance one = Start("i1");
+  caller unknown(one.mCallers);
+  EXPECT_TRUE(
+    absl::StartsWith(unknown.Call("STARTUP absent app"), "ERROR NODATABASE"));
+  caller malformed(one.mCallers);
+  EXPECT_TRUE(absl::StartsWith(malformed.Call("HELLO"), "ERROR MALFORMED"));
+}
+
+// The primary dies: another server is promoted once, with every acknowledged
+// write, and callers go on.
+TEST_F(SessionFrontTest, ReplacesACrashedPrimary)
+{
+  const instance one = Start("i1");
+  const instance two = Start("i2");
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  std::map<std::string, std::string> acknowledged;
+  for (int i = 0; i < 20; ++i) {
+    const std::string key = absl::StrCat("k", i);
+    if (absl::StrContains(session.Query("WRITE " + key + " v"), "COMPLETE s")) {
+      acknowledged[key] = "v";
+    }
+  }
+  EXPECT_EQ(acknowledged.size(), 20U);
+  mPlatform.Crash("s1");
+  caller other(two.mCallers);
+  other.Call("STARTUP main app");
+  EXPECT_TRUE(WaitFor([&] {
+    return absl::StrContains(other.Query("WRITE after v"), "COMPLETE s");
+  }));
+  EXPECT_EQ(mPlatform.Promotions(), 1);
+  EXPECT_NE(mPlatform.Primary(), "s1");
+  const auto items = mPlatform.Items();
+  for (const auto& [key, value] : acknowledged) {
+    EXPECT_EQ(items.count(key), 1U) << key;
+  }
+  EXPECT_TRUE(absl::StrContains(session.Query("READ after"), "DATAROW v\r\n"));
+}
+
+// A primary that is to leave hands over while it still runs.
+TEST_F(SessionFrontTest, ReplacesALeavingPrimary)
+{
+  const instance one = Start("i1");
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  session.Query("WRITE k v");
+  mPlatform.Drain("s1");
+  EXPECT_TRUE(WaitFor([&] {
+    return mPlatform.Promotions() == 1 && mPlatform.Primary() != "s1";
+  }));
+  EXPECT_TRUE(WaitFor([&] {
+    return absl::StrContains(session.Query("WRITE k v2"), "COMPLETE s");
+  }));
+  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v2\r\n"));
+}
+
+// The store is away for longer than confirmations live.
+TEST_F(SessionFrontTest, ServesWhileTheStoreIsAway)
+{
+  const instance one = Start("i1");
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  session.Query("WRITE k v");
+  mPlatform.SetStoreDown(true);
+  const auto until = std::chrono::steady_clock::now() + seconds(4);
+  int served = 0;
+  int asked = 0;
+  while (std::chrono::steady_clock::now() < until) {
+    ++asked;
+    served +=
+      absl::StrContains(session.Query("READ k"), "DATAROW v\r\n") ? 1 : 0;
+  }
+  EXPECT_EQ(served, asked);
+}
+
+// Open transactions get half of the grace; the process ends within all of it.
+TEST_F(SessionFrontTest, EndsWithinItsGrace)
+{
+  const instance one = Start("i1");
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  session.Query("BEGIN");
+  session.Query("WRITE k v");
+  mFleet.At("i1").Signal(SIGTERM);
+  EXPECT_TRUE(WaitFor([&] {
+    const auto probe = HttpCall(one.mReady, "GET", "/v1/readyz");
+    return !probe.ok() || probe->mStatus == 503;
+  }));
+  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT"), "COMPLETE s1."));
+  EXPECT_EQ(mFleet.At("i1").Wait(milliseconds(4'500)), 0);
+}
+
+TEST_F(SessionFrontTest, ServesMetrics)
+{
+  const instance one = Start("i1");
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  session.Query("WRITE k v");
+  const auto page = HttpCall(one.mMetrics, "GET", "/metrics");
+  ASSERT_TRUE(page.ok());
+  EXPECT_TRUE(absl::StrContains(page->mBody, "snipewalk_sessions 1\n"));
+  EXPECT_TRUE(
+    absl::StrContains(page->mBody, "snipewalk_statements_done_total 1\n"));
+}
+
+TEST(SessionSettingsTest, ReportsAllMistakesTogether)
+{
+  const std::string path = testing::TempDir() + "/session_front_bad.json";
+  std::ofstream(path) << R"({ "instance": "i1", "caller_address": "nowhere",
+    "log_level": "loud", "surplus": 1 })";
+  auto process = child_process::Start(
+    absl::StrCat(SNIPEWALK_BINARY_DIR, "/snipewalk-sessions"),
+    { "--settings=" + path, "--check" });
+  ASSERT_TRUE(process.ok());
+  EXPECT_EQ(process->Wait(seconds(10)), 2);
+}
+
+} // namespace
+} // namespace snipewalk::standins
