Divide scarce connections between instances, and batch registrations

Ruled out: a handshake for each statement (12 ms of a slot each). Change: where instances outnumber connections, each keeps an idle connection to one replica of a service only, by its rank, and leaves others after 60 ms; a watch that brought registrations only goes on after 500 ms; an instance that has registered reads the records at once. Tests: LeavesScarceConnectionsToOtherInstances and WaitsBeforeItWatchesOn fail without the change.

--- a/include/snipewalk/session/fleet_records.h
+++ b/include/snipewalk/session/fleet_records.h
@@ -98,6 +98,8 @@
 PrimaryRecordName(const std::string& aService);
 std::string
 InstanceRecordName(const std::string& aInstance);
+bool
+IsInstanceRecordName(const std::string& aName);
 inline constexpr const char* kDutyRecordName = "duty";
 
 std::string
--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -30,6 +30,11 @@
                milliseconds aWait,
                update_handler aOnUpdate);
 
+  // How long to wait after an answer before watching on, so that changes that
+  // nobody waits for arrive together. Without it the watch goes on at once.
+  using pause_function = std::function<duration(const store_reply&)>;
+  void SetPause(pause_function aPause) { mPause = std::move(aPause); }
+
   void Start();
   // Lists once more, beside the watch: an answer that is not older than the
   // call, without waiting for a change.
@@ -66,6 +71,8 @@
 
   void List(listing aListing);
   void Watch();
+  // Goes on after a pause: with a list when one is needed.
+  void WatchAfter(duration aPause, time_point aNow);
   void OnListed(const store_reply& aReply, listing aListing, time_point aNow);
   void OnWatched(const store_reply& aReply, time_point aAsOf, time_point aNow);
   void Retry(store_status aStatus, time_point aNow);
@@ -76,6 +83,7 @@
   std::string mKind;
   milliseconds mWait;
   update_handler mOnUpdate;
+  pause_function mPause;
   std::map<std::string, stored_object> mObjects;
   // Revision that mObjects reflects; zero: a list is needed.
   std::uint64_t mRevision = 0;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -112,8 +112,9 @@
                   time_point aNow);
   // No other server takes over any service before `aUntil`.
   void SetPrimariesConfirmed(time_point aUntil, time_point aNow);
-  // Number of instances that share the connections of a server.
-  void SetInstances(std::size_t aCount, time_point aNow);
+  // Number of instances that share the connections of a server, and this one's
+  // rank among them, from zero.
+  void SetInstances(std::size_t aCount, std::size_t aRank, time_point aNow);
 
   // Callers.
 
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -16,6 +16,9 @@
 // When all instances lose power, servers keep their connections for seconds,
 // and the restarted instances need places beside them.
 constexpr milliseconds kSurplusIdle{ 400 };
+// Where a server has fewer connections than there are instances, a connection
+// that this instance does not keep is left to others after this time.
+constexpr milliseconds kScarceIdle{ 60 };
 
 // Moments as early as the clock's minimum must not underflow.
 time_point
@@ -422,15 +425,46 @@
   Transmit(connection, commands, expected_kind::Statement, aNow);
 }
 
+bool
+session_engine::state::IsScarce(const known_service& aService) const
+{
+  return static_cast<int>(mInstances) >
+         aService.mLimits.mMaxConnections - mOptions.mReservedConnections;
+}
+
+bool
+session_engine::state::KeepsIdle(const known_server& aServer) const
+{
+  const auto service = mServices.find(aServer.mEntry.mService);
+  if (service == mServices.end() || !IsScarce(service->second)) {
+    return true;
+  }
+  // The replicas are divided between the instances; the primary's connections
+  // go to whoever writes.
+  const std::string& primary = service->second.mPrimary.mServer;
+  std::vector<std::string> replicas;
+  for (const auto& [id, server] : mServers) {
+    if (server.mEntry.mService == aServer.mEntry.mService && id != primary &&
+        !server.mEntry.mDraining) {
+      replicas.push_back(id);
+    }
+  }
+  return !replicas.empty() &&
+         replicas[mRank % replicas.size()] == aServer.mEntry.mId;
+}
+
 void
 session_engine::state::CloseSurplusConnections(time_point aNow)
 {
   for (auto& [id, server] : mServers) {
+    const bool keeps = KeepsIdle(server);
+    const milliseconds limit = keeps ? kSurplusIdle : kScarceIdle;
+    const std::size_t kept = keeps ? 1 : 0;
     const std::set<server_connection_id> connections = server.mConnections;
     for (const auto connection : connections) {
       const server_connection& held = mConnections.at(connection);
-      const bool surplus = server.mConnections.size() > 1 &&
-                           aNow >= held.mIdleSince + kSurplusIdle;
+      const bool surplus =
+        server.mConnections.size() > kept && aNow >= held.mIdleSince + limit;
       if (held.IsIdle() && (surplus || server.mEntry.mDraining)) {
         Discard(connection);
       }
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -27,6 +27,8 @@
 // Pause before connecting again to a server that refused.
 constexpr milliseconds kRefusedPause{ 100 };
 constexpr milliseconds kFullPause{ 300 };
+// The same where connections are scarce and change hands quickly.
+constexpr milliseconds kScarcePause{ 40 };
 // An opening without an answer for this long is given up.
 constexpr milliseconds kOpeningTimeout{ 600 };
 // Weight of the newest answer time in the average.
@@ -146,7 +148,8 @@
       "server refused a connection",
       { { "server", aConnection.mServer }, { "code", aReply.mErrorCode } });
   if (server != mServers.end()) {
-    server->second.mOpenAfter = aNow + kFullPause;
+    const bool scarce = IsScarce(mServices[service]);
+    server->second.mOpenAfter = aNow + (scarce ? kScarcePause : kFullPause);
   }
   Discard(aConnection.mId);
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -205,6 +205,8 @@
   // Until when no server but the known primaries takes over.
   time_point mConfirmedUntil = time_point::min();
   std::size_t mInstances = 1;
+  // This instance's rank among them, from zero.
+  std::size_t mRank = 0;
   // Sessions that opened before the desired state was known.
   std::vector<session_id> mUnopened;
   // Sessions with a statement under way.
@@ -265,6 +267,10 @@
   server_connection* IdleConnection(const known_server& aServer,
                                     const session_context& aContext);
   bool CanOpen(const known_server& aServer, time_point aNow) const;
+  // Whether a server has fewer connections than there are instances.
+  bool IsScarce(const known_service& aService) const;
+  // Whether this instance keeps a connection to the server without use.
+  bool KeepsIdle(const known_server& aServer) const;
   void OpenConnection(known_server& aServer, time_point aNow);
   std::size_t ShareOf(const known_service& aService) const;
   void SendFirst(caller_session& aSession,
--- a/src/session/fleet_records.cpp
+++ b/src/session/fleet_records.cpp
@@ -127,6 +127,12 @@
   return kInstancePrefix + aInstance;
 }
 
+bool
+IsInstanceRecordName(const std::string& aName)
+{
+  return absl::StartsWith(aName, kInstancePrefix);
+}
+
 std::string
 EncodeFleetRecord(const fleet_record& aRecord)
 {
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -170,7 +170,12 @@
     mNewestVersion = std::max(mNewestVersion, object.mVersion);
   }
   mRevision = std::max(mRevision, aReply.mRevision);
-  Watch();
+  const duration pause = mPause ? mPause(aReply) : duration(0);
+  if (pause == duration(0)) {
+    Watch();
+  } else {
+    WatchAfter(pause, aNow);
+  }
   mOnUpdate(changed, aAsOf, aNow);
 }
 
@@ -187,8 +192,14 @@
   }
   const duration pause =
     aStatus == store_status::HistoryGone ? duration(0) : duration(kRetryPause);
+  WatchAfter(pause, aNow);
+}
+
+void
+kind_watcher::WatchAfter(duration aPause, time_point aNow)
+{
   const std::uint64_t number = mWatchNumber;
-  mLoop.RunAt(aNow + pause,
+  mLoop.RunAt(aNow + aPause,
               [this, number, alive = std::weak_ptr<bool>(mAlive)](time_point) {
                 if (alive.expired() || number != mWatchNumber) {
                   return;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -26,6 +26,8 @@
 // away return within two seconds.
 constexpr milliseconds kRemovalDelay{ 2'200 };
 constexpr milliseconds kRegisterRetry{ 200 };
+// Registrations within this time reach the other instances together.
+constexpr milliseconds kRegistrationBatch{ 500 };
 // Questions for confirmations: to the holder, and to some others when its last
 // one is old.
 constexpr milliseconds kAskEvery{ 400 };
@@ -78,6 +80,16 @@
 void
 session_controller::Start()
 {
+  // When all instances start, each registration would wake every watch.
+  mFleetWatcher.SetPause([](const store_reply& aReply) {
+    const bool onlyInstances = std::all_of(
+      aReply.mObjects.begin(), aReply.mObjects.end(), [](const auto& aObject) {
+        return IsInstanceRecordName(aObject.mKey.mName);
+      });
+    return !aReply.mObjects.empty() && onlyInstances
+             ? duration(kRegistrationBatch)
+             : duration(0);
+  });
   mDesiredWatcher.Start();
   mServerWatcher.Start();
   mFleetWatcher.Start();
@@ -292,7 +304,13 @@
     std::count_if(mInstances.begin(), mInstances.end(), [](const auto& aIt) {
       return aIt.second.mState == instance_state::Live;
     }));
-  mEngine.SetInstances(live, aNow);
+  std::size_t rank = 0;
+  for (const auto& [name, record] : mInstances) {
+    rank += record.mState == instance_state::Live && name < mOptions.mInstance
+              ? 1
+              : 0;
+  }
+  mEngine.SetInstances(live, rank, aNow);
   PublishPrimaries(aNow);
   if (IsRegistered()) {
     Confirm(aAsOf, aNow);
@@ -357,9 +375,13 @@
       if (alive.expired()) {
         return;
       }
-      // Registered once the watch shows it, after all earlier changes.
       mRegistering = false;
       mRegisterAfter = aThen + kRegisterRetry;
+      if (aReply.mStatus == store_status::Ok) {
+        // Registered once a read shows it, after all earlier changes. The watch
+        // may wait for further registrations.
+        mFleetWatcher.Refresh();
+      }
       if (aReply.mStatus != store_status::Ok) {
         Log(log_level::Info,
             "control",
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -180,9 +180,12 @@
 }
 
 void
-session_engine::SetInstances(std::size_t aCount, time_point aNow)
+session_engine::SetInstances(std::size_t aCount,
+                             std::size_t aRank,
+                             time_point aNow)
 {
   mState->mInstances = std::max<std::size_t>(1, aCount);
+  mState->mRank = aRank;
   mState->DispatchAll(aNow);
 }
 
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -108,6 +108,22 @@
   EXPECT_EQ(mStore.mCalls.front().first.mFrom, 12U);
 }
 
+// Load pattern: all instances register at once; without a pause each of them
+// would be woken by each of the others.
+TEST_F(KindWatcherTest, WaitsBeforeItWatchesOn)
+{
+  mWatcher.SetPause([](const store_reply&) { return milliseconds(30); });
+  mStore.Answer(Reply(10, { { "a", 3 } }), mLoop.Now());
+  mStore.Answer(Reply(11, { { "b", 11 } }), mLoop.Now());
+  EXPECT_TRUE(mWatcher.Objects().contains("b"));
+  EXPECT_TRUE(mStore.mCalls.empty());
+  mLoop.RunAt(mLoop.Now() + milliseconds(60),
+              [this](time_point) { mLoop.Stop(); });
+  mLoop.Run();
+  ASSERT_EQ(mStore.mCalls.size(), 1U);
+  EXPECT_EQ(mStore.mCalls.front().first.mFrom, 11U);
+}
+
 // A refresh runs beside the watch and never takes back what that has shown.
 TEST_F(KindWatcherTest, KeepsNewerObjectsOverARefresh)
 {
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -171,6 +171,14 @@
   EXPECT_EQ(Confirmed(), 3);
 }
 
+// Each registration pauses the watch, so that a fleet that restarts as a whole
+// must not wait for the pause before it is confirmed.
+TEST_F(SessionControllerTest, ConfirmsAllInstancesSoonAfterACommonStart)
+{
+  Run(300);
+  EXPECT_EQ(Confirmed(), 3);
+}
+
 // Reads of the store must grow more slowly than the fleet: only the holder
 // reads while nothing changes.
 TEST_F(SessionControllerTest, ReadsTheStoreThroughTheHolder)
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -390,6 +390,30 @@
   EXPECT_FALSE(Carrier());
 }
 
+// Load pattern: more instances than a server has connections. Those that came
+// first would keep them all, and the others could not serve.
+TEST_F(SessionEngineTest, LeavesScarceConnectionsToOtherInstances)
+{
+  Configure();
+  mEngine.SetInstances(60, 1, mNow);
+  const session_id session = Open("own");
+  Ask(session, write_statement{ "1", "x" });
+  AcceptAll();
+  Answer(*Carrier(), Done(40));
+  Pass(100);
+  EXPECT_TRUE(Connections("p").empty());
+  // Of the replicas each instance keeps a connection to one.
+  for (int i = 0; i < 4; ++i) {
+    Ask(session, read_statement{ "1" });
+    AcceptAll();
+    if (Carrier()) {
+      Answer(*Carrier(), Done(40));
+    }
+    Pass(100);
+  }
+  EXPECT_LE(Connections("a").size() + Connections("b").size(), 1U);
+}
+
 TEST_F(SessionEngineTest, ClosesIdleSessionsWhenLeaving)
 {
   Configure();
