Batch the first entries of servers, and search the holder before its use

Change: a watch that brought only unknown servers goes on after 500 ms. Test: SessionControllerTest.BatchesTheFirstEntriesOfServers.

--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -77,7 +77,7 @@
     return;
   }
   const auto& duty = mDuty.Record();
-  const auto holder = duty ? mInstances.find(duty->mHolder) : mInstances.end();
+  const auto holder = mInstances.find(duty ? duty->mHolder : std::string());
   if (holder != mInstances.end()) {
     mLinks.SendDatagram(holder->second.mPeerAddress, report);
   }
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -90,6 +90,17 @@
              ? duration(kRegistrationBatch)
              : duration(0);
   });
+  // Likewise the servers' first entries; changes of known ones are urgent.
+  mServerWatcher.SetPause([this](const store_reply& aReply) {
+    const bool onlyNew =
+      std::none_of(aReply.mObjects.begin(),
+                   aReply.mObjects.end(),
+                   [this](const auto& aObject) {
+                     return mServers.contains(aObject.mKey.mName);
+                   });
+    return !aReply.mObjects.empty() && onlyNew ? duration(kRegistrationBatch)
+                                               : duration(0);
+  });
   mDesiredWatcher.Start();
   mServerWatcher.Start();
   mFleetWatcher.Start();
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -191,6 +191,21 @@
   EXPECT_EQ(Confirmed(), 3);
 }
 
+// Load pattern: all servers register at once, and each entry would wake the
+// watches of all instances.
+TEST_F(SessionControllerTest, BatchesTheFirstEntriesOfServers)
+{
+  Run(1'500);
+  const int before = mStore.mCalls;
+  for (int i = 0; i < 20; ++i) {
+    mStore.Write("servers", "r" + std::to_string(i), "replica");
+    Run(20);
+  }
+  Run(600);
+  // Three instances, about two batches, and the holder's reads.
+  EXPECT_LE(mStore.mCalls - before, 18);
+}
+
 // The store turns some instances away: others confirm to them.
 TEST_F(SessionControllerTest, KeepsServingWhenOnlyTheHolderReachesTheStore)
 {
