--- /dev/null
+++ b/src/session/controller_confirmation.cpp
@@ -0,0 +1,274 @@
+// Registration of this instance, and confirmations of the recorded primaries by
+// the store and by other instances.
+#include "snipewalk/base/log.h"
+#include "snipewalk/session/session_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+constexpr milliseconds kRegisterRetry{ 200 };
+// How often the holder of the duty reads the fleet's records. The age of what
+// it tells the other instances is at most this and a call.
+constexpr milliseconds kHolderReadsEvery{ 700 };
+// How often another instance reads them while nobody confirms them to it.
+constexpr milliseconds kOwnReadEvery{ 1'000 };
+// A version that others have seen reaches this instance's watch within this
+// time, or the watch is started again.
+constexpr milliseconds kVersionDelay{ 250 };
+// Questions for confirmations: to the holder, and to some others when its last
+// one is old.
+constexpr milliseconds kAskEvery{ 400 };
+constexpr milliseconds kConfirmationOld{ 1'000 };
+constexpr std::size_t kPeersAsked = 2;
+// From this age on the instance reads the records itself.
+constexpr milliseconds kConfirmationMissing{ 1'300 };
+// Answers to older questions say less than the store soon will.
+constexpr std::size_t kMaxQuestions = 32;
+
+} // namespace
+
+bool
+session_controller::IsRegistered() const
+{
+  const auto own = mInstances.find(mOptions.mInstance);
+  return own != mInstances.end() && own->second.mStarted == mOptions.mStarted &&
+         own->second.mState == instance_state::Live;
+}
+
+void
+session_controller::Confirm(time_point aAsOf, time_point aNow)
+{
+  if (aAsOf <= mConfirmedAt || mLeft) {
+    return;
+  }
+  const bool lapsed = aNow >= mConfirmedAt + kConfirmationLifetime ||
+                      mConfirmedAt == time_point::min();
+  mConfirmedAt = aAsOf;
+  if (lapsed) {
+    Log(log_level::Info, "control", "recorded primaries are confirmed again");
+  }
+  mEngine.SetPrimariesConfirmed(aAsOf + kConfirmationLifetime, aNow);
+}
+
+void
+session_controller::OnSuspended(time_point aNow)
+{
+  Log(log_level::Warning, "control", "process was suspended");
+  mConfirmedAt = time_point::min();
+  mDuty.OnSuspended();
+  mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
+  mQuestions.clear();
+}
+
+void
+session_controller::Register(time_point aNow)
+{
+  if (mRegistering || mLeft || aNow < mRegisterAfter) {
+    return;
+  }
+  mRegistering = true;
+  const instance_record record{ mOptions.mInstance,
+                                mOptions.mPeerAddress,
+                                mOptions.mStarted };
+  const std::string name = FleetRecordName(record);
+  const auto& objects = mFleetWatcher.Objects();
+  const auto held = objects.find(name);
+  const std::uint64_t version =
+    held == objects.end() ? 0 : held->second.mVersion;
+  mStore.Submit(
+    store_put{ { kFleetKind, name }, EncodeFleetRecord(record), version },
+    store_priority::Urgent,
+    [this, alive = std::weak_ptr<bool>(mAlive)](const store_reply& aReply,
+                                                time_point aThen) {
+      if (alive.expired()) {
+        return;
+      }
+      mRegistering = false;
+      mRegisterAfter = aThen + kRegisterRetry;
+      if (aReply.mStatus == store_status::Ok) {
+        // Registered once a read shows it, after all earlier changes. The watch
+        // may wait for further registrations.
+        mFleetWatcher.Refresh();
+      }
+      if (aReply.mStatus != store_status::Ok) {
+        Log(log_level::Info,
+            "control",
+            "registration failed",
+            { { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+      }
+    });
+}
+
+void
+session_controller::ReadFleet(time_point aNow)
+{
+  const bool missing = mConfirmedAt == time_point::min() ||
+                       aNow >= mConfirmedAt + kConfirmationMissing;
+  const bool due = mDuty.IsOwn()
+                     ? aNow >= mFleetReadAt + kHolderReadsEvery
+                     : missing && aNow >= mFleetReadAt + kOwnReadEvery;
+  if (!due || !mFleetWatcher.IsListed() || mLeft) {
+    return;
+  }
+  mFleetReadAt = aNow;
+  mFleetWatcher.Refresh();
+  // A watch can miss a change for its whole waiting time, with all others.
+  if (mDesiredWatcher.IsListed()) {
+    mDesiredWatcher.Refresh();
+  }
+}
+
+void
+session_controller::AskForConfirmation(time_point aNow)
+{
+  if (mLeft || mDuty.IsOwn() || aNow < mAskedAt + kAskEvery) {
+    return;
+  }
+  mAskedAt = aNow;
+  std::vector<std::string> asked;
+  std::vector<std::string> others;
+  const std::string holder = mDuty.Record() ? mDuty.Record()->mHolder : "";
+  for (const auto& [name, record] : mInstances) {
+    if (name == mOptions.mInstance || record.mState != instance_state::Live) {
+      continue;
+    }
+    (name == holder ? asked : others).push_back(record.mPeerAddress);
+  }
+  if (mQuestions.size() >= kMaxQuestions) {
+    mQuestions.erase(mQuestions.begin());
+  }
+  mQuestions[++mQuestion] = aNow;
+  const bool old = mConfirmedAt == time_point::min() ||
+                   aNow >= mConfirmedAt + kConfirmationOld;
+  const std::size_t more = old ? std::min(kPeersAsked, others.size()) : 0;
+  for (std::size_t i = 0; i < more; ++i) {
+    asked.push_back(others[(mQuestion * kPeersAsked + i) % others.size()]);
+  }
+  const confirmation_request request{ mOptions.mInstance,
+                                      mOptions.mStarted,
+                                      mQuestion };
+  for (const auto& address : asked) {
+    mLinks.SendDatagram(address, request);
+  }
+}
+
+confirmation_answer
+session_controller::AnswerConfirmation(const confirmation_request& aRequest,
+                                       time_point aNow) const
+{
+  // Ages are rounded up: they must not claim more than is known.
+  const auto age = [&](time_point aSince) {
+    return static_cast<std::uint64_t>(ToMilliseconds(aNow - aSince)) + 1;
+  };
+  confirmation_answer answer;
+  answer.mNumber = aRequest.mNumber;
+  answer.mAgeMs = age(mConfirmedAt);
+  answer.mInstance = mOptions.mInstance;
+  if (mDuty.Record()) {
+    answer.mHolder = mDuty.Record()->mHolder;
+    answer.mHolderAgeMs = age(mDuty.HolderHeardAt());
+  }
+  answer.mDesiredVersion = mDesiredWatcher.NewestVersion();
+  answer.mServerVersion = mServerWatcher.NewestVersion();
+  const auto asking = mInstances.find(aRequest.mInstance);
+  answer.mRegistered = asking != mInstances.end() &&
+                       asking->second.mStarted == aRequest.mStarted &&
+                       asking->second.mState == instance_state::Live;
+  for (const auto& [service, control] : mServices) {
+    if (control.mRecord) {
+      answer.mPrimaries.push_back({ *control.mRecord, control.mRecordVersion });
+    }
+  }
+  return answer;
+}
+
+void
+session_controller::OnConfirmation(const confirmation_answer& aAnswer,
+                                   time_point aNow)
+{
+  const auto asked = mQuestions.find(aAnswer.mNumber);
+  if (asked == mQuestions.end()) {
+    return;
+  }
+  // The answer was made after the question was sent.
+  const time_point sent = asked->second;
+  mDuty.OnHolderHeard(aAnswer.mInstance, sent);
+  mDuty.OnHolderHeard(aAnswer.mHolder,
+                      sent - milliseconds(aAnswer.mHolderAgeMs));
+  mDesiredHint.mVersion =
+    std::max(mDesiredHint.mVersion, aAnswer.mDesiredVersion);
+  mServerHint.mVersion = std::max(mServerHint.mVersion, aAnswer.mServerVersion);
+  if (!aAnswer.mRegistered) {
+    return;
+  }
+  for (const auto& [record, version] : aAnswer.mPrimaries) {
+    ApplyFleetObject({ { kFleetKind, PrimaryRecordName(record.mService) },
+                       version,
+                       false,
+                       EncodeFleetRecord(record) },
+                     sent,
+                     aNow);
+  }
+  PublishPrimaries(aNow);
+  Confirm(sent - milliseconds(aAnswer.mAgeMs), aNow);
+}
+
+void
+session_controller::FollowHint(version_hint& aHint,
+                               kind_watcher& aWatcher,
+                               time_point aNow)
+{
+  if (aHint.mVersion <= aWatcher.NewestVersion()) {
+    aHint.mBehindSince.reset();
+    return;
+  }
+  if (!aHint.mBehindSince) {
+    aHint.mBehindSince = aNow;
+  }
+  if (aNow >= *aHint.mBehindSince + kVersionDelay) {
+    aHint.mBehindSince.reset();
+    aWatcher.Restart();
+  }
+}
+
+void
+session_controller::Unregister(time_point aNow)
+{
+  mLeft = true;
+  // The record states that this process uses no primary any more.
+  mConfirmedAt = time_point::min();
+  mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
+  if (const auto own = mInstances.find(mOptions.mInstance);
+      own != mInstances.end()) {
+    MarkGone(own->second);
+  }
+}
+
+void
+session_controller::MarkGone(const instance_record& aInstance)
+{
+  instance_record gone = aInstance;
+  gone.mState = instance_state::Gone;
+  const std::string name = FleetRecordName(gone);
+  const auto held = mFleetWatcher.Objects().find(name);
+  if (held == mFleetWatcher.Objects().end()) {
+    return;
+  }
+  mStore.Submit(
+    store_put{
+      { kFleetKind, name }, EncodeFleetRecord(gone), held->second.mVersion },
+    store_priority::Urgent,
+    [name](const store_reply& aReply, time_point) {
+      Log(log_level::Info,
+          "control",
+          "instance marked as gone",
+          { { "record", name },
+            { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+    });
+}
+
+} // namespace snipewalk
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -1,5 +1,5 @@
-// Servers' side of the session engine: replies, lost connections, timeouts and
-// what they mean for the statement under way.
+// Servers' side of the session engine: replies, lost connections, and what they
+// mean for the statement under way.
 #include "session/engine_state.h"
 #include "snipewalk/base/log.h"
 
@@ -16,12 +16,6 @@
 constexpr int kMaxAttempts = 6;
 // A repeat needs at least this much time before the deadline.
 constexpr milliseconds kLeastTimeToRepeat{ 20 };
-// Share of the statement's time limit after which a server's silence ends an
-// attempt that may be repeated or safely aborted.
-constexpr double kSilenceShare = 0.6;
-// A server that has answered nothing at all for this long while a statement is
-// under way is taken as dark: the statement goes elsewhere.
-constexpr milliseconds kDarkAfter{ 300 };
 // Pause before a statement that was refused is placed again.
 constexpr milliseconds kRepeatPause{ 15 };
 // Pause before connecting again to a server that refused.
@@ -29,8 +23,6 @@
 constexpr milliseconds kFullPause{ 300 };
 // The same where connections are scarce and change hands quickly.
 constexpr milliseconds kScarcePause{ 40 };
-// An opening without an answer for this long is given up.
-constexpr milliseconds kOpeningTimeout{ 600 };
 // Weight of the newest answer time in the average.
 constexpr int kAverageDivisor = 8;
 // Suggested to callers whose request was not executed.
@@ -404,114 +396,4 @@
   Dispatch(connection.mService, aNow);
 }
 
-void
-session_engine::state::ExpireTransaction(caller_session& aSession,
-                                         time_point aNow)
-{
-  Log(
-    log_level::Info,
-    "session",
-    "transaction ended between statements",
-    { { "database", aSession.mDatabase },
-      { "idle_ms", ToMilliseconds(aNow - aSession.mTransaction->mLastUsed) } });
-  mMetrics.Count("transactions_ended");
-  DropTransaction(aSession, aNow);
-  aSession.mState = session_state::Failed;
-  aSession.mAbortUntold = true;
-}
-
-void
-session_engine::state::OnSilence(caller_session& aSession, time_point aNow)
-{
-  const pending_statement& pending = *aSession.mPending;
-  const server_connection_id id = pending.mConnection;
-  const server_connection* connection = FindConnection(id);
-  const std::string server = connection ? connection->mServer : std::string();
-  failure_facts facts = FactsOf(aSession, aNow);
-  facts.mFailure = pending.mStage == statement_stage::Sent
-                     ? statement_failure::NoAnswer
-                     : statement_failure::NotSent;
-  facts.mMayRepeat =
-    facts.mMayRepeat && pending.mStage == statement_stage::Sent;
-  if (pending.mStage == statement_stage::Waiting) {
-    std::erase(mServices[pending.mRoute.mService].mWaiting, aSession.mId);
-  }
-  const bool write = pending.mPurpose == statement_purpose::SingleWrite ||
-                     pending.mPurpose == statement_purpose::Commit;
-  if (write && pending.mStage == statement_stage::Sent) {
-    mServices[pending.mRoute.mService].mWriteGate.OnUnanswered();
-  }
-  const std::string text =
-    pending.mStage == statement_stage::Sent ? "no answer" : "no capacity";
-  Discard(id);
-  Fail(aSession, facts, server, text, aNow);
-}
-
-bool
-session_engine::state::IsDark(const pending_statement& aPending,
-                              time_point aNow) const
-{
-  const auto connection = mConnections.find(aPending.mConnection);
-  if (connection == mConnections.end()) {
-    return false;
-  }
-  const auto server = mServers.find(connection->second.mServer);
-  return server != mServers.end() && aNow >= aPending.mSentAt + kDarkAfter &&
-         aNow >= server->second.mLastAnswer + kDarkAfter;
-}
-
-void
-session_engine::state::OnTick(time_point aNow)
-{
-  const std::set<session_id> active = mActive;
-  for (const auto id : active) {
-    caller_session* session = FindSession(id);
-    if (session == nullptr || !session->mPending) {
-      continue;
-    }
-    const pending_statement& pending = *session->mPending;
-    const bool outcomeUnknown =
-      pending.mPurpose == statement_purpose::SingleWrite ||
-      (pending.mPurpose == statement_purpose::Commit &&
-       session->mTransaction->mWrote);
-    const auto silence = std::chrono::duration_cast<duration>(
-      pending.mRoute.mTimeout * kSilenceShare);
-    const bool silent =
-      pending.mStage == statement_stage::Sent && !outcomeUnknown &&
-      (aNow >= pending.mSentAt + silence || IsDark(pending, aNow));
-    if (aNow >= pending.mDeadline || silent) {
-      OnSilence(*session, aNow);
-    } else if (pending.mStage == statement_stage::Pausing &&
-               aNow >= pending.mRetryAt) {
-      SendLater(*session, aNow);
-    }
-  }
-  std::vector<server_connection_id> stuck;
-  for (const auto& [id, connection] : mConnections) {
-    // An opening or rollback without an answer; statements have limits above.
-    const bool waits =
-      !connection.mExpected.empty() && connection.mSession == 0 &&
-      aNow >= connection.mExpected.front().mSent + kOpeningTimeout;
-    if (waits) {
-      stuck.push_back(id);
-    }
-  }
-  for (const auto id : stuck) {
-    OnServerClosed(id, aNow);
-    mLinks.CloseServer(id);
-  }
-  std::vector<session_id> expired;
-  for (const auto& [id, session] : mSessions) {
-    if (session.mTransaction && !session.mPending && mDesired &&
-        aNow >= session.mTransaction->mLastUsed + mDesired->mTransactionIdle) {
-      expired.push_back(id);
-    }
-  }
-  for (const auto id : expired) {
-    ExpireTransaction(mSessions.at(id), aNow);
-  }
-  CloseSurplusConnections(aNow);
-  DispatchAll(aNow);
-}
-
 } // namespace snipewalk
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -189,6 +189,8 @@
                      const statement_reply& aReply,
                      time_point aNow);
   void OnServerClosed(server_connection_id aConnection, time_point aNow);
+
+  // engine_timeouts.cpp
   void OnTick(time_point aNow);
 
   // session_engine.cpp
@@ -326,6 +328,8 @@
   void Release(server_connection& aConnection, time_point aNow);
   // Closes the connection; its statement, if any, is not told.
   void Discard(server_connection_id aConnection);
+
+  // engine_timeouts.cpp
   // The server has been silent since the statement was sent.
   bool IsDark(const pending_statement& aPending, time_point aNow) const;
   void OnSilence(caller_session& aSession, time_point aNow);
