--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -194,7 +194,7 @@
                           const std::string& aText)
 {
   const std::string refused = "ERROR READONLY " + aServer.mId + "\r\n";
-  const std::string signature =
+  std::string signature =
     absl::StrCat("COMPLETE ", aServer.mId, ".", aServer.mNumber, "\r\n");
   std::vector<std::string> words = absl::StrSplit(aText, ' ');
   if (words[0] == "AFTERLSN") {
