--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -193,7 +193,7 @@
                           connection& aConnection,
                           const std::string& aText)
 {
-  const std::string refused = "ERROR READONLY " + aServer.mId + "\r\n";
+  std::string refused = "ERROR READONLY " + aServer.mId + "\r\n";
   std::string signature =
     absl::StrCat("COMPLETE ", aServer.mId, ".", aServer.mNumber, "\r\n");
   std::vector<std::string> words = absl::StrSplit(aText, ' ');
