Ask in one place whether a write is unanswered

Found on rereading the change: the observations for the monitor, the write gate and the timeouts each spelled out the same condition; a fallback for an absent desired state could not be reached. No behaviour changes. Checked: 123 unit and 7 integration tests of the session front end, clang-format, clang-tidy of the four files, cppcheck of src/session.

--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -65,8 +65,7 @@
         "session",
         "session refused: unknown database",
         { { "database", aOpen.mDatabase },
-          { "desired_state",
-            static_cast<std::int64_t>(mDesired ? mDesired->mVersion : 0) } });
+          { "desired_state", static_cast<std::int64_t>(mDesired->mVersion) } });
     mMetrics.Count("sessions_unknown_database");
     mLinks.Refuse(
       aSession.mId, result_code::UnknownDatabase, "no such database");
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -226,9 +226,7 @@
   facts.mSilence = Silence(primary->second, aNow);
   for (const auto id : mActive) {
     const pending_statement& pending = *mSessions.at(id).mPending;
-    const bool write = pending.mPurpose == statement_purpose::SingleWrite ||
-                       pending.mPurpose == statement_purpose::Commit;
-    if (write && pending.mStage == statement_stage::Sent &&
+    if (IsUnansweredWrite(pending) &&
         pending.mRoute.mService == primary->second.mEntry.mService) {
       ++facts.mUnderWay;
       facts.mOldestSent =
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -54,6 +54,15 @@
   std::optional<log_position> mAfter;
 };
 
+// A write, or a commit, that a server has not answered yet.
+inline bool
+IsUnansweredWrite(const pending_statement& aPending)
+{
+  return aPending.mStage == statement_stage::Sent &&
+         (aPending.mPurpose == statement_purpose::SingleWrite ||
+          aPending.mPurpose == statement_purpose::Commit);
+}
+
 struct open_transaction
 {
   database_route mRoute;
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -53,9 +53,7 @@
   if (pending.mStage == statement_stage::Waiting) {
     std::erase(mServices[pending.mRoute.mService].mWaiting, aSession.mId);
   }
-  const bool write = pending.mPurpose == statement_purpose::SingleWrite ||
-                     pending.mPurpose == statement_purpose::Commit;
-  if (write && pending.mStage == statement_stage::Sent) {
+  if (IsUnansweredWrite(pending)) {
     mServices[pending.mRoute.mService].mWriteGate.OnUnanswered();
   }
   const std::string text =
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -94,9 +94,7 @@
   }
   for (const auto session : mActive) {
     const auto& pending = mSessions.at(session).mPending;
-    const bool write = pending->mPurpose == statement_purpose::SingleWrite ||
-                       pending->mPurpose == statement_purpose::Commit;
-    if (!write || pending->mStage != statement_stage::Sent) {
+    if (!IsUnansweredWrite(*pending)) {
       continue;
     }
     const auto connection = mConnections.find(pending->mConnection);
