--- a/bench/dissemination_bench.cpp
+++ b/bench/dissemination_bench.cpp
@@ -1,6 +1,6 @@
 // Time and bytes until a push has reached a whole fleet, stepped in one
 // process.
-#include "process/fleet_model.h"
+#include "fleet/fleet_model.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -1,6 +1,6 @@
 // Cost of the membership at fleets of different sizes: time and bytes of a
 // second of one instance, and memory per member.
-#include "process/fleet_model.h"
+#include "fleet/fleet_model.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/partition_bench.cpp
+++ b/bench/partition_bench.cpp
@@ -1,7 +1,7 @@
 // Recovery of a fleet whose regions were cut from each other for five minutes,
 // in simulated time: times, bytes and exchanges do not depend on the load of
 // the machine. Needs about 1 KB of memory per pair of members.
-#include "process/partition_trial.h"
+#include "fleet/partition_trial.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/slot_assignment_bench.cpp
+++ b/bench/slot_assignment_bench.cpp
@@ -1,6 +1,6 @@
 // Cost of slot assignment for a holder and for the choice of a claimant.
-#include "process/fleet_model.h"
-#include "process/membership_fleet.h"
+#include "fleet/fleet_model.h"
+#include "fleet/membership_fleet.h"
 
 #include "snipewalk/version/term_record.h"
 
--- a/bench/snapshot_bench.cpp
+++ b/bench/snapshot_bench.cpp
@@ -1,9 +1,9 @@
 // Cost of a routing snapshot by the number of services: memory of cached
 // objects and views, and time to publish one change.
 #include "snipewalk/base/findings.h"
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/version/document_validation.h"
 #include "snipewalk/version/object_cache.h"
-#include "snipewalk/version/service_view.h"
 
 #include <benchmark/benchmark.h>
 
--- a/bench/statement_path_bench.cpp
+++ b/bench/statement_path_bench.cpp
@@ -1,6 +1,6 @@
 // Measures the statement path over loopback: statements per second of one
 // traffic thread, and the latency that an instance adds.
-#include "process/traffic_fixture.h"
+#include "traffic/traffic_fixture.h"
 
 #include <Poco/Net/ServerSocket.h>
 
--- a/bench/store_pressure_bench.cpp
+++ b/bench/store_pressure_bench.cpp
@@ -1,8 +1,8 @@
 // A data centre fails: changes of primary, slot claims and audit entries of
 // many instances against one store that refuses writes above its limit, in
 // simulated time. Compares FIFO order with a fixed jitter to priority classes
-// with a spread by the expected claims (docs/design.md, section 6.1).
-#include "snipewalk/process/store_schedule.h"
+// with a spread by the expected claims (docs/large-fleets.md, section 1).
+#include "snipewalk/store/store_schedule.h"
 #include "snipewalk/version/slot_assignment.h"
 
 #include <benchmark/benchmark.h>
--- a/include/snipewalk/process/admin_server.h
+++ b/include/snipewalk/administration/admin_server.h
@@ -1,10 +1,10 @@
 // The admin port: HTTP with few threads. Reads published data only.
-#ifndef SNIPEWALK_PROCESS_ADMIN_SERVER_H_
-#define SNIPEWALK_PROCESS_ADMIN_SERVER_H_
+#ifndef SNIPEWALK_ADMINISTRATION_ADMIN_SERVER_H_
+#define SNIPEWALK_ADMINISTRATION_ADMIN_SERVER_H_
 
-#include "snipewalk/process/traffic_thread.h"
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/request/service_engine.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/traffic/traffic_thread.h"
 
 #include <absl/status/status.h>
 
@@ -83,4 +83,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_ADMIN_SERVER_H_
+#endif // SNIPEWALK_ADMINISTRATION_ADMIN_SERVER_H_
--- a/include/snipewalk/process/http_fetch.h
+++ b/include/snipewalk/administration/http_fetch.h
@@ -1,7 +1,7 @@
 // One blocking HTTP exchange, for the command-line tools. Instances never use
 // it: their sockets do not block.
-#ifndef SNIPEWALK_PROCESS_HTTP_FETCH_H_
-#define SNIPEWALK_PROCESS_HTTP_FETCH_H_
+#ifndef SNIPEWALK_ADMINISTRATION_HTTP_FETCH_H_
+#define SNIPEWALK_ADMINISTRATION_HTTP_FETCH_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/http_codec.h"
@@ -23,4 +23,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_HTTP_FETCH_H_
+#endif // SNIPEWALK_ADMINISTRATION_HTTP_FETCH_H_
--- a/include/snipewalk/process/operator_commands.h
+++ b/include/snipewalk/administration/operator_commands.h
@@ -1,10 +1,10 @@
 // Commands of the operators' tool. Each writes its result to a stream and
 // returns the exit code of the process.
-#ifndef SNIPEWALK_PROCESS_OPERATOR_COMMANDS_H_
-#define SNIPEWALK_PROCESS_OPERATOR_COMMANDS_H_
+#ifndef SNIPEWALK_ADMINISTRATION_OPERATOR_COMMANDS_H_
+#define SNIPEWALK_ADMINISTRATION_OPERATOR_COMMANDS_H_
 
+#include "snipewalk/administration/operator_store.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/operator_store.h"
 
 #include <cstdint>
 #include <optional>
@@ -67,4 +67,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_OPERATOR_COMMANDS_H_
+#endif // SNIPEWALK_ADMINISTRATION_OPERATOR_COMMANDS_H_
--- a/include/snipewalk/process/operator_store.h
+++ b/include/snipewalk/administration/operator_store.h
@@ -1,9 +1,9 @@
 // Blocking access of the operators' tool to the platform's object store.
-#ifndef SNIPEWALK_PROCESS_OPERATOR_STORE_H_
-#define SNIPEWALK_PROCESS_OPERATOR_STORE_H_
+#ifndef SNIPEWALK_ADMINISTRATION_OPERATOR_STORE_H_
+#define SNIPEWALK_ADMINISTRATION_OPERATOR_STORE_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 #include <optional>
 #include <string>
@@ -40,4 +40,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_OPERATOR_STORE_H_
+#endif // SNIPEWALK_ADMINISTRATION_OPERATOR_STORE_H_
--- a/include/snipewalk/connection/address_translation.h
+++ b/include/snipewalk/connection/address_translation.h
@@ -3,7 +3,7 @@
 #ifndef SNIPEWALK_CONNECTION_ADDRESS_TRANSLATION_H_
 #define SNIPEWALK_CONNECTION_ADDRESS_TRANSLATION_H_
 
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 
 #include <map>
 #include <string>
--- a/include/snipewalk/connection/backend_adapter.h
+++ b/include/snipewalk/connection/backend_adapter.h
@@ -1,10 +1,10 @@
-// The backend servers' HTTP protocol (docs/design.md, section 2.1). The only
+// The backend servers' HTTP protocol (docs/protocols.md). The only
 // part besides backend_connection that knows it.
 #ifndef SNIPEWALK_CONNECTION_BACKEND_ADAPTER_H_
 #define SNIPEWALK_CONNECTION_BACKEND_ADAPTER_H_
 
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 
 #include <string>
 #include <string_view>
--- a/include/snipewalk/connection/backend_connection.h
+++ b/include/snipewalk/connection/backend_connection.h
@@ -6,7 +6,7 @@
 #include "snipewalk/connection/backend_adapter.h"
 #include "snipewalk/connection/http_codec.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 
 #include <functional>
 #include <memory>
--- a/include/snipewalk/connection/caller_adapter.h
+++ b/include/snipewalk/connection/caller_adapter.h
@@ -1,11 +1,11 @@
-// The callers' HTTP protocol (docs/design.md, section 2.1): HTTP requests
+// The callers' HTTP protocol (docs/protocols.md): HTTP requests
 // become typed requests, typed responses become HTTP responses.
 #ifndef SNIPEWALK_CONNECTION_CALLER_ADAPTER_H_
 #define SNIPEWALK_CONNECTION_CALLER_ADAPTER_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/messages/statement.h"
 
 #include <cstdint>
 #include <functional>
--- a/include/snipewalk/connection/peer_messages.h
+++ b/include/snipewalk/connection/peer_messages.h
@@ -9,7 +9,7 @@
 
 #include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/messages/statement.h"
 
 #include <optional>
 #include <string>
--- a/include/snipewalk/process/control_loop.h
+++ b/include/snipewalk/control/control_loop.h
@@ -1,18 +1,18 @@
 // The control thread of an instance: membership, dissemination, object cache,
 // slots, and the control of the services held. It publishes immutable routing
 // snapshots to the traffic threads and a status to the admin port.
-#ifndef SNIPEWALK_PROCESS_CONTROL_LOOP_H_
-#define SNIPEWALK_PROCESS_CONTROL_LOOP_H_
+#ifndef SNIPEWALK_CONTROL_CONTROL_LOOP_H_
+#define SNIPEWALK_CONTROL_CONTROL_LOOP_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/settings.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/control_messages.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/request/service_engine.h"
-#include "snipewalk/version/control_messages.h"
+#include "snipewalk/settings/settings.h"
 #include "snipewalk/version/drain.h"
 #include "snipewalk/version/object_cache.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <functional>
@@ -167,4 +167,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_CONTROL_LOOP_H_
+#endif // SNIPEWALK_CONTROL_CONTROL_LOOP_H_
--- a/include/snipewalk/process/control_port.h
+++ b/include/snipewalk/control/control_port.h
@@ -2,13 +2,13 @@
 // and TCP connections for pushes, pulls and service messages, on one port
 // number. Each datagram carries an HMAC, each connection starts with a
 // challenge in both directions; without the fleet key nothing gets through.
-#ifndef SNIPEWALK_PROCESS_CONTROL_PORT_H_
-#define SNIPEWALK_PROCESS_CONTROL_PORT_H_
+#ifndef SNIPEWALK_CONTROL_CONTROL_PORT_H_
+#define SNIPEWALK_CONTROL_CONTROL_PORT_H_
 
 #include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/fleet_messages.h"
+#include "snipewalk/version/fleet_messages.h"
 
 #include <cstdint>
 #include <functional>
@@ -131,4 +131,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_CONTROL_PORT_H_
+#endif // SNIPEWALK_CONTROL_CONTROL_PORT_H_
--- a/include/snipewalk/process/service_controller.h
+++ b/include/snipewalk/control/service_controller.h
@@ -1,17 +1,17 @@
 // Controls one service on one instance: joins the failure detector, failover,
 // drain and the control connections to the backend servers.
-#ifndef SNIPEWALK_PROCESS_SERVICE_CONTROLLER_H_
-#define SNIPEWALK_PROCESS_SERVICE_CONTROLLER_H_
+#ifndef SNIPEWALK_CONTROL_SERVICE_CONTROLLER_H_
+#define SNIPEWALK_CONTROL_SERVICE_CONTROLLER_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/address_translation.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/control_messages.h"
+#include "snipewalk/messages/service_document.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/request/service_engine.h"
-#include "snipewalk/version/control_messages.h"
 #include "snipewalk/version/drain.h"
-#include "snipewalk/version/service_document.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <functional>
@@ -149,4 +149,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SERVICE_CONTROLLER_H_
+#endif // SNIPEWALK_CONTROL_SERVICE_CONTROLLER_H_
--- a/include/snipewalk/process/daemon.h
+++ b/include/snipewalk/daemon/daemon.h
@@ -1,13 +1,13 @@
 // A whole instance: traffic threads, admin port and control thread, joined by
 // their callbacks.
-#ifndef SNIPEWALK_PROCESS_DAEMON_H_
-#define SNIPEWALK_PROCESS_DAEMON_H_
+#ifndef SNIPEWALK_DAEMON_DAEMON_H_
+#define SNIPEWALK_DAEMON_DAEMON_H_
 
-#include "snipewalk/process/control_loop.h"
-#include "snipewalk/process/instance.h"
-#include "snipewalk/process/secret_files.h"
-#include "snipewalk/process/settings.h"
-#include "snipewalk/process/tls_files.h"
+#include "snipewalk/control/control_loop.h"
+#include "snipewalk/daemon/instance.h"
+#include "snipewalk/settings/secret_files.h"
+#include "snipewalk/settings/settings.h"
+#include "snipewalk/settings/tls_files.h"
 
 #include <atomic>
 #include <memory>
@@ -74,4 +74,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_DAEMON_H_
+#endif // SNIPEWALK_DAEMON_DAEMON_H_
--- a/include/snipewalk/process/instance.h
+++ b/include/snipewalk/daemon/instance.h
@@ -1,11 +1,11 @@
 // An instance: traffic threads, admin port and shutdown. The source of routing
 // snapshots, the control thread, is attached by hooks.
-#ifndef SNIPEWALK_PROCESS_INSTANCE_H_
-#define SNIPEWALK_PROCESS_INSTANCE_H_
+#ifndef SNIPEWALK_DAEMON_INSTANCE_H_
+#define SNIPEWALK_DAEMON_INSTANCE_H_
 
-#include "snipewalk/process/admin_server.h"
-#include "snipewalk/process/shutdown.h"
-#include "snipewalk/process/traffic_group.h"
+#include "snipewalk/administration/admin_server.h"
+#include "snipewalk/daemon/shutdown.h"
+#include "snipewalk/traffic/traffic_group.h"
 
 #include <absl/status/status.h>
 
@@ -91,4 +91,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_INSTANCE_H_
+#endif // SNIPEWALK_DAEMON_INSTANCE_H_
--- a/include/snipewalk/process/shutdown.h
+++ b/include/snipewalk/daemon/shutdown.h
@@ -1,7 +1,7 @@
-// Graceful shutdown of an instance (docs/design.md, question 19). A state
+// Graceful shutdown of an instance (docs/decisions.md, question 19). A state
 // machine without I/O: it is told the load at each tick and says what to do.
-#ifndef SNIPEWALK_PROCESS_SHUTDOWN_H_
-#define SNIPEWALK_PROCESS_SHUTDOWN_H_
+#ifndef SNIPEWALK_DAEMON_SHUTDOWN_H_
+#define SNIPEWALK_DAEMON_SHUTDOWN_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
@@ -111,4 +111,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SHUTDOWN_H_
+#endif // SNIPEWALK_DAEMON_SHUTDOWN_H_
--- a/include/snipewalk/process/byte_budget.h
+++ b/include/snipewalk/fleet/byte_budget.h
@@ -1,7 +1,7 @@
 // Bytes that may be spent: a constant rate, saved up to a limit. A transfer
 // whose size is known only afterwards may leave a debt.
-#ifndef SNIPEWALK_PROCESS_BYTE_BUDGET_H_
-#define SNIPEWALK_PROCESS_BYTE_BUDGET_H_
+#ifndef SNIPEWALK_FLEET_BYTE_BUDGET_H_
+#define SNIPEWALK_FLEET_BYTE_BUDGET_H_
 
 #include "snipewalk/base/time.h"
 
@@ -50,4 +50,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_BYTE_BUDGET_H_
+#endif // SNIPEWALK_FLEET_BYTE_BUDGET_H_
--- a/include/snipewalk/process/dissemination.h
+++ b/include/snipewalk/fleet/dissemination.h
@@ -14,13 +14,13 @@
 //   (see object_cache.h); chunks of different peers are never mixed.
 // By induction over the ranges that an instance applied, its head never covers
 // a change that its cache lacks, in whatever order messages arrive.
-#ifndef SNIPEWALK_PROCESS_DISSEMINATION_H_
-#define SNIPEWALK_PROCESS_DISSEMINATION_H_
+#ifndef SNIPEWALK_FLEET_DISSEMINATION_H_
+#define SNIPEWALK_FLEET_DISSEMINATION_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/fleet_messages.h"
-#include "snipewalk/process/membership.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/fleet/membership.h"
+#include "snipewalk/messages/store_client.h"
+#include "snipewalk/version/fleet_messages.h"
 #include "snipewalk/version/object_cache.h"
 
 #include <array>
@@ -220,4 +220,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_DISSEMINATION_H_
+#endif // SNIPEWALK_FLEET_DISSEMINATION_H_
--- a/include/snipewalk/process/member_digest.h
+++ b/include/snipewalk/fleet/member_digest.h
@@ -1,7 +1,7 @@
 // Digest of a member table in ranges by the hash of the names, so that two
 // instances that differ transfer only the ranges that do.
-#ifndef SNIPEWALK_PROCESS_MEMBER_DIGEST_H_
-#define SNIPEWALK_PROCESS_MEMBER_DIGEST_H_
+#ifndef SNIPEWALK_FLEET_MEMBER_DIGEST_H_
+#define SNIPEWALK_FLEET_MEMBER_DIGEST_H_
 
 #include <array>
 #include <cstddef>
@@ -50,4 +50,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_MEMBER_DIGEST_H_
+#endif // SNIPEWALK_FLEET_MEMBER_DIGEST_H_
--- a/include/snipewalk/process/membership.h
+++ b/include/snipewalk/fleet/membership.h
@@ -18,14 +18,14 @@
 // deaths. Once a dead member answers a probe of it, it takes members back for a
 // minute at the incarnation at which it held them dead; no older incarnation is
 // ever taken back.
-#ifndef SNIPEWALK_PROCESS_MEMBERSHIP_H_
-#define SNIPEWALK_PROCESS_MEMBERSHIP_H_
+#ifndef SNIPEWALK_FLEET_MEMBERSHIP_H_
+#define SNIPEWALK_FLEET_MEMBERSHIP_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/byte_budget.h"
-#include "snipewalk/process/fleet_messages.h"
-#include "snipewalk/process/member_digest.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/fleet/byte_budget.h"
+#include "snipewalk/fleet/member_digest.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/version/fleet_messages.h"
 
 #include <cstdint>
 #include <functional>
@@ -385,4 +385,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_MEMBERSHIP_H_
+#endif // SNIPEWALK_FLEET_MEMBERSHIP_H_
--- a/include/snipewalk/process/history.h
+++ b/include/snipewalk/load/history.h
@@ -1,10 +1,10 @@
 // History of the requests of a load run: what was asked, when, and what the
 // answer claimed. Kept as JSON lines; snipewalk-check verifies it.
-#ifndef SNIPEWALK_PROCESS_HISTORY_H_
-#define SNIPEWALK_PROCESS_HISTORY_H_
+#ifndef SNIPEWALK_LOAD_HISTORY_H_
+#define SNIPEWALK_LOAD_HISTORY_H_
 
 #include "snipewalk/base/name_table.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/messages/statement.h"
 
 #include <cstdint>
 #include <istream>
@@ -114,4 +114,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_HISTORY_H_
+#endif // SNIPEWALK_LOAD_HISTORY_H_
--- a/include/snipewalk/process/history_check.h
+++ b/include/snipewalk/load/history_check.h
@@ -1,10 +1,10 @@
 // Verifies a load run's history against the guarantees of the design (section
 // 1.2). Reports all findings together.
-#ifndef SNIPEWALK_PROCESS_HISTORY_CHECK_H_
-#define SNIPEWALK_PROCESS_HISTORY_CHECK_H_
+#ifndef SNIPEWALK_LOAD_HISTORY_CHECK_H_
+#define SNIPEWALK_LOAD_HISTORY_CHECK_H_
 
 #include "snipewalk/base/name_table.h"
-#include "snipewalk/process/history.h"
+#include "snipewalk/load/history.h"
 
 #include <cstddef>
 #include <map>
@@ -79,4 +79,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_HISTORY_CHECK_H_
+#endif // SNIPEWALK_LOAD_HISTORY_CHECK_H_
--- a/include/snipewalk/process/history_file.h
+++ b/include/snipewalk/load/history_file.h
@@ -1,6 +1,6 @@
 // File that the threads of a load run append their history to.
-#ifndef SNIPEWALK_PROCESS_HISTORY_FILE_H_
-#define SNIPEWALK_PROCESS_HISTORY_FILE_H_
+#ifndef SNIPEWALK_LOAD_HISTORY_FILE_H_
+#define SNIPEWALK_LOAD_HISTORY_FILE_H_
 
 #include <fstream>
 #include <mutex>
@@ -28,4 +28,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_HISTORY_FILE_H_
+#endif // SNIPEWALK_LOAD_HISTORY_FILE_H_
--- a/include/snipewalk/process/load_session.h
+++ b/include/snipewalk/load/load_session.h
@@ -1,12 +1,12 @@
 // One caller of a load run: decides the next request and keeps what the answer
 // brought. A state machine without sockets or clocks.
-#ifndef SNIPEWALK_PROCESS_LOAD_SESSION_H_
-#define SNIPEWALK_PROCESS_LOAD_SESSION_H_
+#ifndef SNIPEWALK_LOAD_LOAD_SESSION_H_
+#define SNIPEWALK_LOAD_LOAD_SESSION_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/history.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/load/history.h"
+#include "snipewalk/messages/statement.h"
 
 #include <cstdint>
 #include <deque>
@@ -163,4 +163,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_LOAD_SESSION_H_
+#endif // SNIPEWALK_LOAD_LOAD_SESSION_H_
--- a/include/snipewalk/process/load_statistics.h
+++ b/include/snipewalk/load/load_statistics.h
@@ -1,9 +1,9 @@
 // Figures of a load run: latencies, throughput, where reads were served and
 // how long writes stood still.
-#ifndef SNIPEWALK_PROCESS_LOAD_STATISTICS_H_
-#define SNIPEWALK_PROCESS_LOAD_STATISTICS_H_
+#ifndef SNIPEWALK_LOAD_LOAD_STATISTICS_H_
+#define SNIPEWALK_LOAD_LOAD_STATISTICS_H_
 
-#include "snipewalk/process/history.h"
+#include "snipewalk/load/history.h"
 
 #include <cstdint>
 #include <map>
@@ -81,4 +81,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_LOAD_STATISTICS_H_
+#endif // SNIPEWALK_LOAD_LOAD_STATISTICS_H_
--- a/include/snipewalk/process/load_worker.h
+++ b/include/snipewalk/load/load_worker.h
@@ -1,12 +1,12 @@
 // Drives the callers of one thread of a load run over HTTP connections to the
 // instances. A caller switches the instance at each request.
-#ifndef SNIPEWALK_PROCESS_LOAD_WORKER_H_
-#define SNIPEWALK_PROCESS_LOAD_WORKER_H_
+#ifndef SNIPEWALK_LOAD_LOAD_WORKER_H_
+#define SNIPEWALK_LOAD_LOAD_WORKER_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/history_file.h"
-#include "snipewalk/process/load_session.h"
-#include "snipewalk/process/load_statistics.h"
+#include "snipewalk/load/history_file.h"
+#include "snipewalk/load/load_session.h"
+#include "snipewalk/load/load_statistics.h"
 
 #include <cstdint>
 #include <memory>
@@ -72,4 +72,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_LOAD_WORKER_H_
+#endif // SNIPEWALK_LOAD_LOAD_WORKER_H_
--- a/include/snipewalk/request/backend_messages.h
+++ b/include/snipewalk/messages/backend_messages.h
@@ -1,11 +1,11 @@
 // Typed requests to and replies from a backend server. The adapter turns them
 // into the server's own protocol; everything else works on these types.
-#ifndef SNIPEWALK_REQUEST_BACKEND_MESSAGES_H_
-#define SNIPEWALK_REQUEST_BACKEND_MESSAGES_H_
+#ifndef SNIPEWALK_MESSAGES_BACKEND_MESSAGES_H_
+#define SNIPEWALK_MESSAGES_BACKEND_MESSAGES_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/messages/statement.h"
 
 #include <cstdint>
 #include <optional>
@@ -164,4 +164,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_REQUEST_BACKEND_MESSAGES_H_
+#endif // SNIPEWALK_MESSAGES_BACKEND_MESSAGES_H_
--- a/include/snipewalk/version/control_messages.h
+++ b/include/snipewalk/messages/control_messages.h
@@ -1,7 +1,7 @@
 // Typed messages that the control threads of different instances exchange
 // about the primary of a service and the transactions open there.
-#ifndef SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
-#define SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
+#ifndef SNIPEWALK_MESSAGES_CONTROL_MESSAGES_H_
+#define SNIPEWALK_MESSAGES_CONTROL_MESSAGES_H_
 
 #include "snipewalk/base/name_table.h"
 
@@ -82,4 +82,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_VERSION_CONTROL_MESSAGES_H_
+#endif // SNIPEWALK_MESSAGES_CONTROL_MESSAGES_H_
--- a/include/snipewalk/version/service_document.h
+++ b/include/snipewalk/messages/service_document.h
@@ -1,6 +1,6 @@
 // The document by which operators describe a service, in typed form.
-#ifndef SNIPEWALK_VERSION_SERVICE_DOCUMENT_H_
-#define SNIPEWALK_VERSION_SERVICE_DOCUMENT_H_
+#ifndef SNIPEWALK_MESSAGES_SERVICE_DOCUMENT_H_
+#define SNIPEWALK_MESSAGES_SERVICE_DOCUMENT_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
@@ -93,4 +93,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_VERSION_SERVICE_DOCUMENT_H_
+#endif // SNIPEWALK_MESSAGES_SERVICE_DOCUMENT_H_
--- a/include/snipewalk/version/service_view.h
+++ b/include/snipewalk/messages/service_view.h
@@ -1,10 +1,10 @@
 // What the control thread publishes to the traffic threads about a service:
 // the document, the term, the holders and the state of the servers.
-#ifndef SNIPEWALK_VERSION_SERVICE_VIEW_H_
-#define SNIPEWALK_VERSION_SERVICE_VIEW_H_
+#ifndef SNIPEWALK_MESSAGES_SERVICE_VIEW_H_
+#define SNIPEWALK_MESSAGES_SERVICE_VIEW_H_
 
 #include "snipewalk/base/protocol_version.h"
-#include "snipewalk/version/service_document.h"
+#include "snipewalk/messages/service_document.h"
 
 #include <cstdint>
 #include <map>
@@ -130,4 +130,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_VERSION_SERVICE_VIEW_H_
+#endif // SNIPEWALK_MESSAGES_SERVICE_VIEW_H_
--- a/include/snipewalk/request/statement.h
+++ b/include/snipewalk/messages/statement.h
@@ -1,6 +1,6 @@
 // Typed messages between a caller's edge and the code that serves a statement.
-#ifndef SNIPEWALK_REQUEST_STATEMENT_H_
-#define SNIPEWALK_REQUEST_STATEMENT_H_
+#ifndef SNIPEWALK_MESSAGES_STATEMENT_H_
+#define SNIPEWALK_MESSAGES_STATEMENT_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
@@ -141,4 +141,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_REQUEST_STATEMENT_H_
+#endif // SNIPEWALK_MESSAGES_STATEMENT_H_
--- a/include/snipewalk/process/store_client.h
+++ b/include/snipewalk/messages/store_client.h
@@ -1,7 +1,7 @@
 // Client of the platform's object store. Requests and replies are typed; the
 // implementation speaks the store's HTTP API on an event loop.
-#ifndef SNIPEWALK_PROCESS_STORE_CLIENT_H_
-#define SNIPEWALK_PROCESS_STORE_CLIENT_H_
+#ifndef SNIPEWALK_MESSAGES_STORE_CLIENT_H_
+#define SNIPEWALK_MESSAGES_STORE_CLIENT_H_
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
@@ -163,4 +163,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_STORE_CLIENT_H_
+#endif // SNIPEWALK_MESSAGES_STORE_CLIENT_H_
--- a/include/snipewalk/connection/connection_pool.h
+++ b/include/snipewalk/request/connection_pool.h
@@ -1,10 +1,10 @@
 // Connections to the backend servers of one service: how many are open, which
 // are idle and what each is used for. Decides without sockets; the actions say
 // what to open and close.
-#ifndef SNIPEWALK_CONNECTION_CONNECTION_POOL_H_
-#define SNIPEWALK_CONNECTION_CONNECTION_POOL_H_
+#ifndef SNIPEWALK_REQUEST_CONNECTION_POOL_H_
+#define SNIPEWALK_REQUEST_CONNECTION_POOL_H_
 
-#include "snipewalk/connection/half_closed_connections.h"
+#include "snipewalk/request/half_closed_connections.h"
 #include "snipewalk/request/service_engine.h"
 
 #include <array>
@@ -217,4 +217,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_CONNECTION_CONNECTION_POOL_H_
+#endif // SNIPEWALK_REQUEST_CONNECTION_POOL_H_
--- a/include/snipewalk/request/forwarder.h
+++ b/include/snipewalk/request/forwarder.h
@@ -4,9 +4,9 @@
 #define SNIPEWALK_REQUEST_FORWARDER_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/statement.h"
 #include "snipewalk/request/retry_budget.h"
-#include "snipewalk/request/statement.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <map>
--- a/include/snipewalk/connection/half_closed_connections.h
+++ b/include/snipewalk/request/half_closed_connections.h
@@ -1,7 +1,7 @@
 // Connections to one backend server that were closed without a sign that the
 // server noticed, so that it may still count them. Decides without sockets.
-#ifndef SNIPEWALK_CONNECTION_HALF_CLOSED_CONNECTIONS_H_
-#define SNIPEWALK_CONNECTION_HALF_CLOSED_CONNECTIONS_H_
+#ifndef SNIPEWALK_REQUEST_HALF_CLOSED_CONNECTIONS_H_
+#define SNIPEWALK_REQUEST_HALF_CLOSED_CONNECTIONS_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/request/service_engine.h"
@@ -52,4 +52,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_CONNECTION_HALF_CLOSED_CONNECTIONS_H_
+#endif // SNIPEWALK_REQUEST_HALF_CLOSED_CONNECTIONS_H_
--- a/include/snipewalk/request/read_router.h
+++ b/include/snipewalk/request/read_router.h
@@ -4,9 +4,9 @@
 #define SNIPEWALK_REQUEST_READ_ROUTER_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/request/session_token.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/snipewalk/request/service_engine.h
+++ b/include/snipewalk/request/service_engine.h
@@ -6,9 +6,9 @@
 #define SNIPEWALK_REQUEST_SERVICE_ENGINE_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/backend_messages.h"
-#include "snipewalk/request/statement.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/messages/backend_messages.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/statement.h"
 
 #include <cstdint>
 #include <memory>
--- a/include/snipewalk/request/transaction_id.h
+++ b/include/snipewalk/request/transaction_id.h
@@ -4,7 +4,7 @@
 #define SNIPEWALK_REQUEST_TRANSACTION_ID_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/messages/service_view.h"
 
 #include <cstdint>
 #include <string>
--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -5,7 +5,7 @@
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 #include <functional>
 #include <map>
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -5,7 +5,7 @@
 #define SNIPEWALK_SESSION_SESSION_CONTROLLER_H_
 
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/session/desired_state.h"
 #include "snipewalk/session/duty_lease.h"
 #include "snipewalk/session/fleet_records.h"
--- a/include/snipewalk/session/session_daemon.h
+++ b/include/snipewalk/session/session_daemon.h
@@ -4,10 +4,10 @@
 #define SNIPEWALK_SESSION_SESSION_DAEMON_H_
 
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/store_http_client.h"
 #include "snipewalk/session/session_controller.h"
 #include "snipewalk/session/session_protocol.h"
 #include "snipewalk/session/session_settings.h"
+#include "snipewalk/store/store_http_client.h"
 
 #include <functional>
 #include <memory>
--- a/include/snipewalk/process/secret_files.h
+++ b/include/snipewalk/settings/secret_files.h
@@ -1,6 +1,6 @@
 // Rotation of the fleet key and the admin token when their files change.
-#ifndef SNIPEWALK_PROCESS_SECRET_FILES_H_
-#define SNIPEWALK_PROCESS_SECRET_FILES_H_
+#ifndef SNIPEWALK_SETTINGS_SECRET_FILES_H_
+#define SNIPEWALK_SETTINGS_SECRET_FILES_H_
 
 #include "snipewalk/base/time.h"
 
@@ -69,4 +69,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SECRET_FILES_H_
+#endif // SNIPEWALK_SETTINGS_SECRET_FILES_H_
--- a/include/snipewalk/process/settings.h
+++ b/include/snipewalk/settings/settings.h
@@ -1,12 +1,12 @@
 // Settings of an instance: JSON with comments, checked as a whole.
-#ifndef SNIPEWALK_PROCESS_SETTINGS_H_
-#define SNIPEWALK_PROCESS_SETTINGS_H_
+#ifndef SNIPEWALK_SETTINGS_SETTINGS_H_
+#define SNIPEWALK_SETTINGS_SETTINGS_H_
 
 #include "snipewalk/base/findings.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/base/protocol_version.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/tls_files.h"
+#include "snipewalk/settings/tls_files.h"
 
 #include <map>
 #include <optional>
@@ -88,4 +88,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SETTINGS_H_
+#endif // SNIPEWALK_SETTINGS_SETTINGS_H_
--- a/include/snipewalk/process/tls_files.h
+++ b/include/snipewalk/settings/tls_files.h
@@ -1,7 +1,7 @@
 // Replacement of the caller port's certificate, key and authorities when their
 // files change.
-#ifndef SNIPEWALK_PROCESS_TLS_FILES_H_
-#define SNIPEWALK_PROCESS_TLS_FILES_H_
+#ifndef SNIPEWALK_SETTINGS_TLS_FILES_H_
+#define SNIPEWALK_SETTINGS_TLS_FILES_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/tls_context.h"
@@ -67,4 +67,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_TLS_FILES_H_
+#endif // SNIPEWALK_SETTINGS_TLS_FILES_H_
--- a/include/snipewalk/process/audit_trail.h
+++ b/include/snipewalk/store/audit_trail.h
@@ -1,10 +1,10 @@
 // Audit trail: who changed what of a service, kept in a ring in the store
 // object `audit/<service>`. Decisions never wait for it.
-#ifndef SNIPEWALK_PROCESS_AUDIT_TRAIL_H_
-#define SNIPEWALK_PROCESS_AUDIT_TRAIL_H_
+#ifndef SNIPEWALK_STORE_AUDIT_TRAIL_H_
+#define SNIPEWALK_STORE_AUDIT_TRAIL_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 #include <cstdint>
 #include <deque>
@@ -122,4 +122,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_AUDIT_TRAIL_H_
+#endif // SNIPEWALK_STORE_AUDIT_TRAIL_H_
--- a/include/snipewalk/process/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -1,13 +1,13 @@
-// Store client over the store's HTTP API (docs/design.md, section 2.1).
-#ifndef SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
-#define SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
+// Store client over the store's HTTP API (docs/protocols.md).
+#ifndef SNIPEWALK_STORE_STORE_HTTP_CLIENT_H_
+#define SNIPEWALK_STORE_STORE_HTTP_CLIENT_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/http_codec.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/process/store_client.h"
-#include "snipewalk/process/store_schedule.h"
+#include "snipewalk/messages/store_client.h"
+#include "snipewalk/store/store_schedule.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,7 +29,7 @@
     mDecode;
 };
 
-// The form that docs/design.md states in section 2.1.
+// The form that docs/protocols.md states.
 store_dialect
 OwnStoreDialect();
 
@@ -140,4 +140,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_STORE_HTTP_CLIENT_H_
+#endif // SNIPEWALK_STORE_STORE_HTTP_CLIENT_H_
--- a/include/snipewalk/process/store_schedule.h
+++ b/include/snipewalk/store/store_schedule.h
@@ -1,5 +1,6 @@
-// Decides which waiting store call of an instance is sent next (docs/design.md,
-// section 6.1). A state machine without sockets, threads or clocks.
+// Decides which waiting store call of an instance is sent next
+// (docs/large-fleets.md, section 1). A state machine without sockets, threads
+// or clocks.
 //
 // - All calls together stay within the instance's limit.
 // - A class is sent only while no higher class waits. Exceptions: a watch is
@@ -14,11 +15,11 @@
 //
 // The rate of a class never falls below kMinRate, so that the first call of a
 // class waits for a bounded time.
-#ifndef SNIPEWALK_PROCESS_STORE_SCHEDULE_H_
-#define SNIPEWALK_PROCESS_STORE_SCHEDULE_H_
+#ifndef SNIPEWALK_STORE_STORE_SCHEDULE_H_
+#define SNIPEWALK_STORE_STORE_SCHEDULE_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 #include <array>
 #include <cstdint>
@@ -103,4 +104,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_STORE_SCHEDULE_H_
+#endif // SNIPEWALK_STORE_STORE_SCHEDULE_H_
--- a/include/snipewalk/process/caller_connection.h
+++ b/include/snipewalk/traffic/caller_connection.h
@@ -1,7 +1,7 @@
 // One caller's HTTP connection: requests are answered one at a time and in
 // order. An idle connection keeps no buffers.
-#ifndef SNIPEWALK_PROCESS_CALLER_CONNECTION_H_
-#define SNIPEWALK_PROCESS_CALLER_CONNECTION_H_
+#ifndef SNIPEWALK_TRAFFIC_CALLER_CONNECTION_H_
+#define SNIPEWALK_TRAFFIC_CALLER_CONNECTION_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/caller_adapter.h"
@@ -110,4 +110,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_CALLER_CONNECTION_H_
+#endif // SNIPEWALK_TRAFFIC_CALLER_CONNECTION_H_
--- a/include/snipewalk/process/engine_host.h
+++ b/include/snipewalk/traffic/engine_host.h
@@ -1,7 +1,7 @@
 // Connects one service_engine with the event loop: timers, connections to
 // backend servers and the routes that responses take back.
-#ifndef SNIPEWALK_PROCESS_ENGINE_HOST_H_
-#define SNIPEWALK_PROCESS_ENGINE_HOST_H_
+#ifndef SNIPEWALK_TRAFFIC_ENGINE_HOST_H_
+#define SNIPEWALK_TRAFFIC_ENGINE_HOST_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/address_translation.h"
@@ -84,4 +84,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_ENGINE_HOST_H_
+#endif // SNIPEWALK_TRAFFIC_ENGINE_HOST_H_
--- a/include/snipewalk/process/peer_hub.h
+++ b/include/snipewalk/traffic/peer_hub.h
@@ -1,13 +1,13 @@
 // The links of one traffic thread to other instances: outgoing ones carry this
 // instance's requests, incoming ones those of other instances.
-#ifndef SNIPEWALK_PROCESS_PEER_HUB_H_
-#define SNIPEWALK_PROCESS_PEER_HUB_H_
+#ifndef SNIPEWALK_TRAFFIC_PEER_HUB_H_
+#define SNIPEWALK_TRAFFIC_PEER_HUB_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/peer_link.h"
-#include "snipewalk/process/engine_host.h"
 #include "snipewalk/request/forwarder.h"
+#include "snipewalk/traffic/engine_host.h"
 
 #include <cstdint>
 #include <functional>
@@ -96,4 +96,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_PEER_HUB_H_
+#endif // SNIPEWALK_TRAFFIC_PEER_HUB_H_
--- a/include/snipewalk/process/traffic_group.h
+++ b/include/snipewalk/traffic/traffic_group.h
@@ -1,10 +1,10 @@
 // All traffic threads of an instance. The control thread publishes snapshots to
 // them and receives evidence and status through the callbacks.
-#ifndef SNIPEWALK_PROCESS_TRAFFIC_GROUP_H_
-#define SNIPEWALK_PROCESS_TRAFFIC_GROUP_H_
+#ifndef SNIPEWALK_TRAFFIC_TRAFFIC_GROUP_H_
+#define SNIPEWALK_TRAFFIC_TRAFFIC_GROUP_H_
 
-#include "snipewalk/process/traffic_thread.h"
-#include "snipewalk/version/control_messages.h"
+#include "snipewalk/messages/control_messages.h"
+#include "snipewalk/traffic/traffic_thread.h"
 
 #include <absl/status/status.h>
 
@@ -76,4 +76,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_TRAFFIC_GROUP_H_
+#endif // SNIPEWALK_TRAFFIC_TRAFFIC_GROUP_H_
--- a/include/snipewalk/process/traffic_thread.h
+++ b/include/snipewalk/traffic/traffic_thread.h
@@ -1,18 +1,18 @@
 // One traffic thread: accepts callers and peers, owns the engines of its
 // services and moves statements between them.
-#ifndef SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
-#define SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
+#ifndef SNIPEWALK_TRAFFIC_TRAFFIC_THREAD_H_
+#define SNIPEWALK_TRAFFIC_TRAFFIC_THREAD_H_
 
 #include "snipewalk/base/metrics.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/address_translation.h"
 #include "snipewalk/connection/caller_adapter.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/caller_connection.h"
-#include "snipewalk/process/engine_host.h"
-#include "snipewalk/process/peer_hub.h"
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/request/forwarder.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/traffic/caller_connection.h"
+#include "snipewalk/traffic/engine_host.h"
+#include "snipewalk/traffic/peer_hub.h"
 
 #include <absl/status/status.h>
 
@@ -206,4 +206,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_TRAFFIC_THREAD_H_
+#endif // SNIPEWALK_TRAFFIC_TRAFFIC_THREAD_H_
--- a/include/snipewalk/version/candidate_selection.h
+++ b/include/snipewalk/version/candidate_selection.h
@@ -3,8 +3,8 @@
 #ifndef SNIPEWALK_VERSION_CANDIDATE_SELECTION_H_
 #define SNIPEWALK_VERSION_CANDIDATE_SELECTION_H_
 
-#include "snipewalk/request/backend_messages.h"
-#include "snipewalk/version/service_document.h"
+#include "snipewalk/messages/backend_messages.h"
+#include "snipewalk/messages/service_document.h"
 
 #include <map>
 #include <optional>
--- a/include/snipewalk/version/document_validation.h
+++ b/include/snipewalk/version/document_validation.h
@@ -4,8 +4,8 @@
 
 #include "snipewalk/base/findings.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/version/service_document.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/messages/service_document.h"
+#include "snipewalk/messages/service_view.h"
 
 #include <optional>
 #include <string>
--- a/include/snipewalk/version/drain.h
+++ b/include/snipewalk/version/drain.h
@@ -6,11 +6,11 @@
 
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
+#include "snipewalk/messages/control_messages.h"
+#include "snipewalk/messages/service_document.h"
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/version/candidate_selection.h"
-#include "snipewalk/version/control_messages.h"
-#include "snipewalk/version/service_document.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/include/snipewalk/version/failover.h
+++ b/include/snipewalk/version/failover.h
@@ -5,11 +5,11 @@
 #define SNIPEWALK_VERSION_FAILOVER_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/store_client.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
+#include "snipewalk/messages/service_document.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/version/candidate_selection.h"
-#include "snipewalk/version/service_document.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <map>
--- a/include/snipewalk/version/failure_detector.h
+++ b/include/snipewalk/version/failure_detector.h
@@ -5,8 +5,8 @@
 #define SNIPEWALK_VERSION_FAILURE_DETECTOR_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/messages/control_messages.h"
 #include "snipewalk/request/service_engine.h"
-#include "snipewalk/version/control_messages.h"
 
 #include <cstdint>
 #include <deque>
--- a/include/snipewalk/process/fleet_messages.h
+++ b/include/snipewalk/version/fleet_messages.h
@@ -1,12 +1,12 @@
 // Typed messages between instances: datagrams of the membership and of the
 // holders of slots, and frames of the TCP control port.
-#ifndef SNIPEWALK_PROCESS_FLEET_MESSAGES_H_
-#define SNIPEWALK_PROCESS_FLEET_MESSAGES_H_
+#ifndef SNIPEWALK_VERSION_FLEET_MESSAGES_H_
+#define SNIPEWALK_VERSION_FLEET_MESSAGES_H_
 
-#include "snipewalk/process/store_client.h"
-#include "snipewalk/version/control_messages.h"
+#include "snipewalk/messages/control_messages.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/version/object_cache.h"
-#include "snipewalk/version/service_view.h"
 
 #include <cstdint>
 #include <optional>
@@ -154,4 +154,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_FLEET_MESSAGES_H_
+#endif // SNIPEWALK_VERSION_FLEET_MESSAGES_H_
--- a/include/snipewalk/version/object_cache.h
+++ b/include/snipewalk/version/object_cache.h
@@ -26,7 +26,7 @@
 #ifndef SNIPEWALK_VERSION_OBJECT_CACHE_H_
 #define SNIPEWALK_VERSION_OBJECT_CACHE_H_
 
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 #include "snipewalk/version/term_record.h"
 
 #include <array>
--- a/include/snipewalk/version/session_keys.h
+++ b/include/snipewalk/version/session_keys.h
@@ -4,7 +4,7 @@
 #define SNIPEWALK_VERSION_SESSION_KEYS_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/messages/service_view.h"
 
 #include <optional>
 #include <string>
--- a/include/snipewalk/version/slot_assignment.h
+++ b/include/snipewalk/version/slot_assignment.h
@@ -47,9 +47,9 @@
 #define SNIPEWALK_VERSION_SLOT_ASSIGNMENT_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/fleet_messages.h"
-#include "snipewalk/process/store_client.h"
-#include "snipewalk/version/service_view.h"
+#include "snipewalk/messages/service_view.h"
+#include "snipewalk/messages/store_client.h"
+#include "snipewalk/version/fleet_messages.h"
 #include "snipewalk/version/slot_placement.h"
 
 #include <cstddef>
--- a/include/snipewalk/version/term_record.h
+++ b/include/snipewalk/version/term_record.h
@@ -3,8 +3,8 @@
 #ifndef SNIPEWALK_VERSION_TERM_RECORD_H_
 #define SNIPEWALK_VERSION_TERM_RECORD_H_
 
+#include "snipewalk/messages/service_view.h"
 #include "snipewalk/version/drain.h"
-#include "snipewalk/version/service_view.h"
 
 #include <string>
 #include <vector>
--- a/src/process/admin_pages.cpp
+++ b/src/administration/admin_pages.cpp
@@ -4,7 +4,7 @@
 #include "snipewalk/base/hmac.h"
 #include "snipewalk/base/json_text.h"
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/control_loop.h"
+#include "snipewalk/control/control_loop.h"
 #include "version/record_json.h"
 
 #include <absl/strings/numbers.h>
--- a/src/process/admin_pages.h
+++ b/src/administration/admin_pages.h
@@ -1,8 +1,8 @@
 // The JSON answers of the admin port.
-#ifndef SNIPEWALK_PROCESS_ADMIN_PAGES_H_
-#define SNIPEWALK_PROCESS_ADMIN_PAGES_H_
+#ifndef SNIPEWALK_ADMINISTRATION_ADMIN_PAGES_H_
+#define SNIPEWALK_ADMINISTRATION_ADMIN_PAGES_H_
 
-#include "snipewalk/process/admin_server.h"
+#include "snipewalk/administration/admin_server.h"
 
 #include <string>
 
@@ -23,4 +23,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_ADMIN_PAGES_H_
+#endif // SNIPEWALK_ADMINISTRATION_ADMIN_PAGES_H_
--- a/src/process/admin_server.cpp
+++ b/src/administration/admin_server.cpp
@@ -1,5 +1,5 @@
 // Implementation of the admin port on Poco::Net::HTTPServer.
-#include "snipewalk/process/admin_server.h"
+#include "snipewalk/administration/admin_server.h"
 
 #include "admin_pages.h"
 
--- a/src/process/http_fetch.cpp
+++ b/src/administration/http_fetch.cpp
@@ -1,5 +1,5 @@
 // Implementation of the blocking HTTP exchange on POCO sockets.
-#include "snipewalk/process/http_fetch.h"
+#include "snipewalk/administration/http_fetch.h"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/NetException.h>
--- a/src/process/operator_commands.cpp
+++ b/src/administration/operator_commands.cpp
@@ -1,9 +1,9 @@
 // Implementation of the commands of the operators' tool.
-#include "snipewalk/process/operator_commands.h"
+#include "snipewalk/administration/operator_commands.h"
 
+#include "snipewalk/administration/http_fetch.h"
 #include "snipewalk/base/findings.h"
-#include "snipewalk/process/audit_trail.h"
-#include "snipewalk/process/http_fetch.h"
+#include "snipewalk/store/audit_trail.h"
 #include "snipewalk/version/document_validation.h"
 #include "snipewalk/version/term_record.h"
 
--- a/src/process/operator_store.cpp
+++ b/src/administration/operator_store.cpp
@@ -1,8 +1,8 @@
 // Implementation of the blocking store access.
-#include "snipewalk/process/operator_store.h"
+#include "snipewalk/administration/operator_store.h"
 
+#include "snipewalk/administration/http_fetch.h"
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/http_fetch.h"
 
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
--- a/src/apps/snipewalk_check.cpp
+++ b/src/apps/snipewalk_check.cpp
@@ -1,7 +1,7 @@
 // Program: checks the history of a load run. Exit code 0 when it is correct, 1
 // on a violation, 2 on bad input.
 #include "snipewalk/base/command_line.h"
-#include "snipewalk/process/history_check.h"
+#include "snipewalk/load/history_check.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
--- a/src/apps/snipewalk_load.cpp
+++ b/src/apps/snipewalk_load.cpp
@@ -1,8 +1,8 @@
 // Program: load generator. Drives callers against a list of instances, records
 // the history and prints the figures.
 #include "snipewalk/base/command_line.h"
-#include "snipewalk/process/load_worker.h"
-#include "snipewalk/process/tls_files.h"
+#include "snipewalk/load/load_worker.h"
+#include "snipewalk/settings/tls_files.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
--- a/src/apps/snipewalkctl.cpp
+++ b/src/apps/snipewalkctl.cpp
@@ -1,7 +1,7 @@
 // The operators' tool.
+#include "snipewalk/administration/operator_commands.h"
 #include "snipewalk/base/command_line.h"
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/operator_commands.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
--- a/src/apps/snipewalkd.cpp
+++ b/src/apps/snipewalkd.cpp
@@ -1,9 +1,9 @@
 // Program: an instance of snipewalk.
 #include "snipewalk/base/command_line.h"
 #include "snipewalk/base/log.h"
-#include "snipewalk/process/daemon.h"
-#include "snipewalk/process/secret_files.h"
-#include "snipewalk/process/settings.h"
+#include "snipewalk/daemon/daemon.h"
+#include "snipewalk/settings/secret_files.h"
+#include "snipewalk/settings/settings.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
--- a/src/process/control_link.cpp
+++ b/src/control/control_link.cpp
@@ -1,7 +1,7 @@
 // Implementation of a connection of the control port.
 #include "control_link.h"
 
-#include "fleet_codec.h"
+#include "fleet/fleet_codec.h"
 
 #include "snipewalk/base/hmac.h"
 #include "snipewalk/base/log.h"
--- a/src/process/control_link.h
+++ b/src/control/control_link.h
@@ -12,12 +12,12 @@
 // The nonces state the range of versions, because version 1 knows no other
 // variable part of this handshake; the codes cover both nonces. Each end
 // encodes for the highest common version.
-#ifndef SNIPEWALK_PROCESS_CONTROL_LINK_H_
-#define SNIPEWALK_PROCESS_CONTROL_LINK_H_
+#ifndef SNIPEWALK_CONTROL_CONTROL_LINK_H_
+#define SNIPEWALK_CONTROL_CONTROL_LINK_H_
 
 #include "snipewalk/base/protocol_version.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/process/control_port.h"
+#include "snipewalk/control/control_port.h"
 
 #include <memory>
 #include <string>
@@ -91,4 +91,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_CONTROL_LINK_H_
+#endif // SNIPEWALK_CONTROL_CONTROL_LINK_H_
--- a/src/process/control_loop.cpp
+++ b/src/control/control_loop.cpp
@@ -1,6 +1,6 @@
 // Implementation of the control loop: the thread and the functions that other
 // threads call.
-#include "snipewalk/process/control_loop.h"
+#include "snipewalk/control/control_loop.h"
 
 #include "control_state.h"
 
--- a/src/process/control_port.cpp
+++ b/src/control/control_port.cpp
@@ -1,8 +1,8 @@
 // Implementation of the control port.
-#include "snipewalk/process/control_port.h"
+#include "snipewalk/control/control_port.h"
 
 #include "control_link.h"
-#include "fleet_codec.h"
+#include "fleet/fleet_codec.h"
 
 #include "snipewalk/base/log.h"
 
--- a/src/process/control_state.h
+++ b/src/control/control_state.h
@@ -1,16 +1,16 @@
 // What the control thread owns: joins the state machines of the fleet with the
 // control port, the store client and the service controllers.
-#ifndef SNIPEWALK_PROCESS_CONTROL_STATE_H_
-#define SNIPEWALK_PROCESS_CONTROL_STATE_H_
+#ifndef SNIPEWALK_CONTROL_CONTROL_STATE_H_
+#define SNIPEWALK_CONTROL_CONTROL_STATE_H_
 
-#include "membership_fleet.h"
-#include "platform_list_schedule.h"
+#include "fleet/membership_fleet.h"
 #include "service_controls.h"
+#include "store/platform_list_schedule.h"
 
-#include "snipewalk/process/control_loop.h"
-#include "snipewalk/process/control_port.h"
-#include "snipewalk/process/dissemination.h"
-#include "snipewalk/process/membership.h"
+#include "snipewalk/control/control_loop.h"
+#include "snipewalk/control/control_port.h"
+#include "snipewalk/fleet/dissemination.h"
+#include "snipewalk/fleet/membership.h"
 #include "snipewalk/version/object_cache.h"
 #include "snipewalk/version/slot_assignment.h"
 
@@ -168,4 +168,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_CONTROL_STATE_H_
+#endif // SNIPEWALK_CONTROL_CONTROL_STATE_H_
--- a/src/process/server_link.cpp
+++ b/src/control/server_link.cpp
@@ -1,5 +1,5 @@
 // Implementation of the control connection to a backend server.
-#include "process/server_link.h"
+#include "control/server_link.h"
 
 #include <iterator>
 #include <utility>
--- a/src/process/server_link.h
+++ b/src/control/server_link.h
@@ -5,13 +5,13 @@
 // over it counts it on. Until the server has closed it too, or takes and keeps
 // a later one, the link is in doubt and closes each connection after its
 // answer: the server may have room for few replacements, which statements need.
-#ifndef SNIPEWALK_PROCESS_SERVER_LINK_H_
-#define SNIPEWALK_PROCESS_SERVER_LINK_H_
+#ifndef SNIPEWALK_CONTROL_SERVER_LINK_H_
+#define SNIPEWALK_CONTROL_SERVER_LINK_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/backend_connection.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 
 #include <cstdint>
 #include <deque>
@@ -111,4 +111,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SERVER_LINK_H_
+#endif // SNIPEWALK_CONTROL_SERVER_LINK_H_
--- a/src/process/service_controller.cpp
+++ b/src/control/service_controller.cpp
@@ -1,7 +1,7 @@
 // Interface of the service controller: events of the control loop.
-#include "snipewalk/process/service_controller.h"
+#include "snipewalk/control/service_controller.h"
 
-#include "process/service_controller_state.h"
+#include "control/service_controller_state.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/version/term_record.h"
 
--- a/src/process/service_controller_actions.cpp
+++ b/src/control/service_controller_actions.cpp
@@ -1,5 +1,5 @@
 // Carries out the actions of the service controller's state machines.
-#include "process/service_controller_state.h"
+#include "control/service_controller_state.h"
 
 #include "snipewalk/base/log.h"
 #include "snipewalk/version/term_record.h"
--- a/src/process/service_controller_state.h
+++ b/src/control/service_controller_state.h
@@ -1,10 +1,10 @@
 // State of a service controller: carries out the actions of its state machines.
-#ifndef SNIPEWALK_PROCESS_SERVICE_CONTROLLER_STATE_H_
-#define SNIPEWALK_PROCESS_SERVICE_CONTROLLER_STATE_H_
+#ifndef SNIPEWALK_CONTROL_SERVICE_CONTROLLER_STATE_H_
+#define SNIPEWALK_CONTROL_SERVICE_CONTROLLER_STATE_H_
 
-#include "process/server_link.h"
-#include "snipewalk/process/audit_trail.h"
-#include "snipewalk/process/service_controller.h"
+#include "control/server_link.h"
+#include "snipewalk/control/service_controller.h"
+#include "snipewalk/store/audit_trail.h"
 #include "snipewalk/version/failover.h"
 #include "snipewalk/version/failure_detector.h"
 
@@ -112,4 +112,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SERVICE_CONTROLLER_STATE_H_
+#endif // SNIPEWALK_CONTROL_SERVICE_CONTROLLER_STATE_H_
--- a/src/process/service_controls.h
+++ b/src/control/service_controls.h
@@ -1,13 +1,13 @@
 // The service controllers of an instance: one for each service that it holds a
 // slot of or was asked about lately.
-#ifndef SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
-#define SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
+#ifndef SNIPEWALK_CONTROL_SERVICE_CONTROLS_H_
+#define SNIPEWALK_CONTROL_SERVICE_CONTROLS_H_
 
 #include "snipewalk/base/time.h"
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/audit_trail.h"
-#include "snipewalk/process/service_controller.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/control/service_controller.h"
+#include "snipewalk/messages/store_client.h"
+#include "snipewalk/store/audit_trail.h"
 
 #include <functional>
 #include <map>
@@ -101,4 +101,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_SERVICE_CONTROLS_H_
+#endif // SNIPEWALK_CONTROL_SERVICE_CONTROLS_H_
--- a/src/process/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -1,8 +1,8 @@
 // Implementation of the whole instance.
-#include "snipewalk/process/daemon.h"
+#include "snipewalk/daemon/daemon.h"
 
 #include "snipewalk/base/log.h"
-#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/store/store_http_client.h"
 
 #include <utility>
 
--- a/src/process/instance.cpp
+++ b/src/daemon/instance.cpp
@@ -1,5 +1,5 @@
 // Implementation of the instance.
-#include "snipewalk/process/instance.h"
+#include "snipewalk/daemon/instance.h"
 
 #include "snipewalk/base/log.h"
 
--- a/src/process/shutdown.cpp
+++ b/src/daemon/shutdown.cpp
@@ -1,5 +1,5 @@
 // Implementation of the shutdown sequence.
-#include "snipewalk/process/shutdown.h"
+#include "snipewalk/daemon/shutdown.h"
 
 namespace snipewalk {
 
--- a/src/process/dissemination.cpp
+++ b/src/fleet/dissemination.cpp
@@ -1,5 +1,5 @@
 // Implementation of the dissemination.
-#include "snipewalk/process/dissemination.h"
+#include "snipewalk/fleet/dissemination.h"
 
 #include <xxhash.h>
 
--- a/src/process/fleet_codec.h
+++ b/src/fleet/fleet_codec.h
@@ -1,10 +1,10 @@
 // Encodes the messages between instances as msgpack. Decoding bounds sizes and
 // nesting before it allocates, so that a faulty or hostile peer cannot make
 // this instance spend memory.
-#ifndef SNIPEWALK_PROCESS_FLEET_CODEC_H_
-#define SNIPEWALK_PROCESS_FLEET_CODEC_H_
+#ifndef SNIPEWALK_FLEET_FLEET_CODEC_H_
+#define SNIPEWALK_FLEET_FLEET_CODEC_H_
 
-#include "snipewalk/process/fleet_messages.h"
+#include "snipewalk/version/fleet_messages.h"
 
 #include <optional>
 #include <string>
@@ -62,4 +62,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_FLEET_CODEC_H_
+#endif // SNIPEWALK_FLEET_FLEET_CODEC_H_
--- a/src/process/fleet_wire.h
+++ b/src/fleet/fleet_wire.h
@@ -1,9 +1,9 @@
 // The msgpack form of the messages between instances: arrays of fields in a
 // fixed order. Private to fleet_codec.
-#ifndef SNIPEWALK_PROCESS_FLEET_WIRE_H_
-#define SNIPEWALK_PROCESS_FLEET_WIRE_H_
+#ifndef SNIPEWALK_FLEET_FLEET_WIRE_H_
+#define SNIPEWALK_FLEET_FLEET_WIRE_H_
 
-#include "snipewalk/process/fleet_messages.h"
+#include "snipewalk/version/fleet_messages.h"
 
 #include <msgpack.hpp>
 
@@ -130,4 +130,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_FLEET_WIRE_H_
+#endif // SNIPEWALK_FLEET_FLEET_WIRE_H_
--- a/src/process/member_digest.cpp
+++ b/src/fleet/member_digest.cpp
@@ -1,5 +1,5 @@
 // Implementation of the digest of a member table.
-#include "snipewalk/process/member_digest.h"
+#include "snipewalk/fleet/member_digest.h"
 
 #include <xxhash.h>
 
--- a/src/process/member_encoding.h
+++ b/src/fleet/member_encoding.h
@@ -1,8 +1,8 @@
 // Encoded sizes of entries of the member table. Private to the membership.
-#ifndef SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
-#define SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
+#ifndef SNIPEWALK_FLEET_MEMBER_ENCODING_H_
+#define SNIPEWALK_FLEET_MEMBER_ENCODING_H_
 
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 namespace snipewalk {
 
@@ -23,4 +23,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_MEMBER_ENCODING_H_
+#endif // SNIPEWALK_FLEET_MEMBER_ENCODING_H_
--- a/src/process/membership.cpp
+++ b/src/fleet/membership.cpp
@@ -1,5 +1,5 @@
 // Implementation of the membership: events and timers.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 #include <algorithm>
 
--- a/src/process/membership_exchange.cpp
+++ b/src/fleet/membership_exchange.cpp
@@ -1,5 +1,5 @@
 // Implementation of the membership: comparison and exchange of member tables.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 #include "member_encoding.h"
 
--- a/src/process/membership_fleet.h
+++ b/src/fleet/membership_fleet.h
@@ -1,8 +1,8 @@
 // Answers the questions of slot assignment from the membership.
-#ifndef SNIPEWALK_PROCESS_MEMBERSHIP_FLEET_H_
-#define SNIPEWALK_PROCESS_MEMBERSHIP_FLEET_H_
+#ifndef SNIPEWALK_FLEET_MEMBERSHIP_FLEET_H_
+#define SNIPEWALK_FLEET_MEMBERSHIP_FLEET_H_
 
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 #include "snipewalk/version/slot_assignment.h"
 #include "snipewalk/version/slot_placement.h"
 
@@ -72,4 +72,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_MEMBERSHIP_FLEET_H_
+#endif // SNIPEWALK_FLEET_MEMBERSHIP_FLEET_H_
--- a/src/process/membership_probes.cpp
+++ b/src/fleet/membership_probes.cpp
@@ -1,5 +1,5 @@
 // Implementation of the membership: probes and contact with seeds.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 #include <algorithm>
 
--- a/src/process/membership_table.cpp
+++ b/src/fleet/membership_table.cpp
@@ -1,6 +1,6 @@
 // Implementation of the membership: the member table and the updates that are
 // passed on.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 #include "member_encoding.h"
 
--- a/src/process/membership_versions.cpp
+++ b/src/fleet/membership_versions.cpp
@@ -1,5 +1,5 @@
 // Implementation of the membership: protocol versions of the members.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
 #include <algorithm>
 
--- a/src/process/wire_fields.h
+++ b/src/fleet/wire_fields.h
@@ -5,8 +5,8 @@
 //
 // msgpack's own conversion of a tuple accepts any number of additional fields
 // and an array without any field; here both are bounded.
-#ifndef SNIPEWALK_PROCESS_WIRE_FIELDS_H_
-#define SNIPEWALK_PROCESS_WIRE_FIELDS_H_
+#ifndef SNIPEWALK_FLEET_WIRE_FIELDS_H_
+#define SNIPEWALK_FLEET_WIRE_FIELDS_H_
 
 #include "fleet_wire.h"
 
@@ -197,4 +197,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_WIRE_FIELDS_H_
+#endif // SNIPEWALK_FLEET_WIRE_FIELDS_H_
--- a/src/process/history.cpp
+++ b/src/load/history.cpp
@@ -1,5 +1,5 @@
 // Implementation of the history's JSON lines.
-#include "snipewalk/process/history.h"
+#include "snipewalk/load/history.h"
 
 #include "snipewalk/base/json_text.h"
 
--- a/src/process/history_check.cpp
+++ b/src/load/history_check.cpp
@@ -1,7 +1,7 @@
 // Checks the reads of a history against the fates of its writes.
-#include "snipewalk/process/history_check.h"
+#include "snipewalk/load/history_check.h"
 
-#include "process/history_fates.h"
+#include "load/history_fates.h"
 
 #include <algorithm>
 #include <unordered_set>
--- a/src/process/history_fates.cpp
+++ b/src/load/history_fates.cpp
@@ -1,5 +1,5 @@
 // Derives the fate of each write from all answers that concern it.
-#include "process/history_fates.h"
+#include "load/history_fates.h"
 
 #include <algorithm>
 
--- a/src/process/history_fates.h
+++ b/src/load/history_fates.h
@@ -1,9 +1,9 @@
 // What the history says about each write: acknowledged, not run, or unknown.
 // Shared by the checks of reads and of final logs.
-#ifndef SNIPEWALK_PROCESS_HISTORY_FATES_H_
-#define SNIPEWALK_PROCESS_HISTORY_FATES_H_
+#ifndef SNIPEWALK_LOAD_HISTORY_FATES_H_
+#define SNIPEWALK_LOAD_HISTORY_FATES_H_
 
-#include "snipewalk/process/history_check.h"
+#include "snipewalk/load/history_check.h"
 
 #include <cstdint>
 #include <limits>
@@ -73,4 +73,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_HISTORY_FATES_H_
+#endif // SNIPEWALK_LOAD_HISTORY_FATES_H_
--- a/src/process/history_file.cpp
+++ b/src/load/history_file.cpp
@@ -1,5 +1,5 @@
 // Implementation of the history file.
-#include "snipewalk/process/history_file.h"
+#include "snipewalk/load/history_file.h"
 
 namespace snipewalk {
 
--- a/src/process/history_log_check.cpp
+++ b/src/load/history_log_check.cpp
@@ -1,5 +1,5 @@
 // Checks the log that a service ends with against the fates of its writes.
-#include "process/history_fates.h"
+#include "load/history_fates.h"
 
 #include <algorithm>
 #include <map>
--- a/src/process/load_http.cpp
+++ b/src/load/load_http.cpp
@@ -1,5 +1,5 @@
 // Implementation of a load run's HTTP form.
-#include "process/load_http.h"
+#include "load/load_http.h"
 
 #include "snipewalk/base/json_text.h"
 
--- a/src/process/load_http.h
+++ b/src/load/load_http.h
@@ -1,10 +1,10 @@
-// HTTP form of a load run's requests and answers (design section 2.1, caller
+// HTTP form of a load run's requests and answers (docs/protocols.md, caller
 // API).
-#ifndef SNIPEWALK_PROCESS_LOAD_HTTP_H_
-#define SNIPEWALK_PROCESS_LOAD_HTTP_H_
+#ifndef SNIPEWALK_LOAD_LOAD_HTTP_H_
+#define SNIPEWALK_LOAD_LOAD_HTTP_H_
 
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/load_session.h"
+#include "snipewalk/load/load_session.h"
 
 #include <string>
 
@@ -29,4 +29,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_LOAD_HTTP_H_
+#endif // SNIPEWALK_LOAD_LOAD_HTTP_H_
--- a/src/process/load_links.cpp
+++ b/src/load/load_links.cpp
@@ -1,5 +1,5 @@
 // Connections of one thread of a load run.
-#include "process/load_worker_state.h"
+#include "load/load_worker_state.h"
 
 #include "snipewalk/connection/tls_session.h"
 
--- a/src/process/load_session.cpp
+++ b/src/load/load_session.cpp
@@ -1,5 +1,5 @@
 // Implementation of a load run's caller.
-#include "snipewalk/process/load_session.h"
+#include "snipewalk/load/load_session.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/process/load_statistics.cpp
+++ b/src/load/load_statistics.cpp
@@ -1,5 +1,5 @@
 // Implementation of a load run's figures.
-#include "snipewalk/process/load_statistics.h"
+#include "snipewalk/load/load_statistics.h"
 
 #include "snipewalk/base/json_text.h"
 
--- a/src/process/load_worker.cpp
+++ b/src/load/load_worker.cpp
@@ -1,7 +1,7 @@
 // Implementation of a load run's thread.
-#include "snipewalk/process/load_worker.h"
+#include "snipewalk/load/load_worker.h"
 
-#include "process/load_worker_state.h"
+#include "load/load_worker_state.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/process/load_worker_state.h
+++ b/src/load/load_worker_state.h
@@ -1,11 +1,11 @@
 // Callers and connections of one thread of a load run.
-#ifndef SNIPEWALK_PROCESS_LOAD_WORKER_STATE_H_
-#define SNIPEWALK_PROCESS_LOAD_WORKER_STATE_H_
+#ifndef SNIPEWALK_LOAD_LOAD_WORKER_STATE_H_
+#define SNIPEWALK_LOAD_LOAD_WORKER_STATE_H_
 
-#include "process/load_http.h"
+#include "load/load_http.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/process/load_worker.h"
+#include "snipewalk/load/load_worker.h"
 
 #include <atomic>
 #include <map>
@@ -99,4 +99,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_LOAD_WORKER_STATE_H_
+#endif // SNIPEWALK_LOAD_LOAD_WORKER_STATE_H_
--- a/src/connection/connection_pool.cpp
+++ b/src/request/connection_pool.cpp
@@ -1,5 +1,5 @@
 // Implementation of the pool of connections to backend servers.
-#include "snipewalk/connection/connection_pool.h"
+#include "snipewalk/request/connection_pool.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/connection/half_closed_connections.cpp
+++ b/src/request/half_closed_connections.cpp
@@ -1,5 +1,5 @@
 // Implementation of the set of half-closed connections.
-#include "snipewalk/connection/half_closed_connections.h"
+#include "snipewalk/request/half_closed_connections.h"
 
 #include <algorithm>
 
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -4,8 +4,8 @@
 #define SNIPEWALK_REQUEST_SERVICE_ENGINE_STATE_H_
 
 #include "request/service_time.h"
-#include "snipewalk/connection/connection_pool.h"
 #include "snipewalk/request/admission_queue.h"
+#include "snipewalk/request/connection_pool.h"
 #include "snipewalk/request/read_router.h"
 #include "snipewalk/request/retry_budget.h"
 #include "snipewalk/request/service_engine.h"
--- a/src/process/secret_files.cpp
+++ b/src/settings/secret_files.cpp
@@ -1,5 +1,5 @@
 // Implementation of the rotation of secrets.
-#include "snipewalk/process/secret_files.h"
+#include "snipewalk/settings/secret_files.h"
 
 #include <absl/strings/ascii.h>
 
--- a/src/process/settings.cpp
+++ b/src/settings/settings.cpp
@@ -1,5 +1,5 @@
 // Implementation of reading and checking the settings of an instance.
-#include "snipewalk/process/settings.h"
+#include "snipewalk/settings/settings.h"
 
 #include "snipewalk/base/json_reader.h"
 
--- a/src/process/tls_files.cpp
+++ b/src/settings/tls_files.cpp
@@ -1,7 +1,7 @@
 // Implementation of the replacement of TLS files.
-#include "snipewalk/process/tls_files.h"
+#include "snipewalk/settings/tls_files.h"
 
-#include "snipewalk/process/secret_files.h"
+#include "snipewalk/settings/secret_files.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/src/process/audit_trail.cpp
+++ b/src/store/audit_trail.cpp
@@ -1,5 +1,5 @@
 // Implementation of the audit trail.
-#include "snipewalk/process/audit_trail.h"
+#include "snipewalk/store/audit_trail.h"
 
 #include "snipewalk/base/json_text.h"
 #include "snipewalk/base/log.h"
--- a/src/process/platform_list_schedule.cpp
+++ b/src/store/platform_list_schedule.cpp
@@ -1,5 +1,5 @@
 // Implementation of the schedule of the platform's list.
-#include "process/platform_list_schedule.h"
+#include "store/platform_list_schedule.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/platform_list_schedule.h
+++ b/src/store/platform_list_schedule.h
@@ -1,7 +1,7 @@
 // When to ask the store for the platform's list of instances. The list is long
 // and each call counts, so that it is asked rarely unless a slot waits for it.
-#ifndef SNIPEWALK_PROCESS_PLATFORM_LIST_SCHEDULE_H_
-#define SNIPEWALK_PROCESS_PLATFORM_LIST_SCHEDULE_H_
+#ifndef SNIPEWALK_STORE_PLATFORM_LIST_SCHEDULE_H_
+#define SNIPEWALK_STORE_PLATFORM_LIST_SCHEDULE_H_
 
 #include "snipewalk/base/time.h"
 
@@ -37,4 +37,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_PLATFORM_LIST_SCHEDULE_H_
+#endif // SNIPEWALK_STORE_PLATFORM_LIST_SCHEDULE_H_
--- a/src/process/store_http_client.cpp
+++ b/src/store/store_http_client.cpp
@@ -1,8 +1,8 @@
 // Implementation of the store client over HTTP.
-#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/store/store_http_client.h"
 
-#include "process/store_http_codec.h"
 #include "snipewalk/base/log.h"
+#include "store/store_http_codec.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/process/store_http_codec.cpp
+++ b/src/store/store_http_codec.cpp
@@ -1,5 +1,5 @@
 // Implementation of the store's HTTP form.
-#include "process/store_http_codec.h"
+#include "store/store_http_codec.h"
 
 #include "version/record_json.h"
 
--- a/src/process/store_http_codec.h
+++ b/src/store/store_http_codec.h
@@ -1,9 +1,9 @@
 // HTTP form of store requests and replies.
-#ifndef SNIPEWALK_PROCESS_STORE_HTTP_CODEC_H_
-#define SNIPEWALK_PROCESS_STORE_HTTP_CODEC_H_
+#ifndef SNIPEWALK_STORE_STORE_HTTP_CODEC_H_
+#define SNIPEWALK_STORE_STORE_HTTP_CODEC_H_
 
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 namespace snipewalk {
 
@@ -19,4 +19,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_STORE_HTTP_CODEC_H_
+#endif // SNIPEWALK_STORE_STORE_HTTP_CODEC_H_
--- a/src/process/store_schedule.cpp
+++ b/src/store/store_schedule.cpp
@@ -1,5 +1,5 @@
 // Implementation of the schedule of store calls.
-#include "snipewalk/process/store_schedule.h"
+#include "snipewalk/store/store_schedule.h"
 
 #include <algorithm>
 
--- a/src/process/caller_connection.cpp
+++ b/src/traffic/caller_connection.cpp
@@ -1,5 +1,5 @@
 // Implementation of a caller's connection.
-#include "snipewalk/process/caller_connection.h"
+#include "snipewalk/traffic/caller_connection.h"
 
 #include <Poco/Net/StreamSocket.h>
 
--- a/src/process/engine_host.cpp
+++ b/src/traffic/engine_host.cpp
@@ -1,5 +1,5 @@
 // Implementation of the host of a service engine.
-#include "snipewalk/process/engine_host.h"
+#include "snipewalk/traffic/engine_host.h"
 
 #include "snipewalk/connection/backend_connection.h"
 
--- a/src/process/peer_hub.cpp
+++ b/src/traffic/peer_hub.cpp
@@ -1,5 +1,5 @@
 // Implementation of the links to other instances.
-#include "snipewalk/process/peer_hub.h"
+#include "snipewalk/traffic/peer_hub.h"
 
 #include <Poco/Net/StreamSocket.h>
 
--- a/src/process/traffic_engines.cpp
+++ b/src/traffic/traffic_engines.cpp
@@ -1,5 +1,5 @@
 // The engines of a traffic thread, and the tasks that other threads post to it.
-#include "snipewalk/process/traffic_thread.h"
+#include "snipewalk/traffic/traffic_thread.h"
 
 #include "snipewalk/connection/listener.h"
 
--- a/src/process/traffic_group.cpp
+++ b/src/traffic/traffic_group.cpp
@@ -1,5 +1,5 @@
 // Implementation of the group of traffic threads.
-#include "snipewalk/process/traffic_group.h"
+#include "snipewalk/traffic/traffic_group.h"
 
 #include <xxhash.h>
 
--- a/src/process/traffic_thread.cpp
+++ b/src/traffic/traffic_thread.cpp
@@ -1,5 +1,5 @@
 // Implementation of the traffic thread: callers, routes and rounds.
-#include "snipewalk/process/traffic_thread.h"
+#include "snipewalk/traffic/traffic_thread.h"
 
 #include "snipewalk/base/log.h"
 #include "snipewalk/connection/listener.h"
--- a/src/version/slot_urgency.cpp
+++ b/src/version/slot_urgency.cpp
@@ -1,5 +1,5 @@
 // Implementation of slot assignment: urgency and spread of claims
-// (docs/design.md, section 6.1).
+// (docs/large-fleets.md, section 1).
 #include "slot_service.h"
 
 #include "snipewalk/version/slot_assignment.h"
--- a/tests/process/admin_server_test.cpp
+++ b/tests/administration/admin_server_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the admin port.
-#include "process/traffic_fixture.h"
-#include "snipewalk/process/admin_server.h"
-#include "snipewalk/process/control_loop.h"
+#include "snipewalk/administration/admin_server.h"
+#include "snipewalk/control/control_loop.h"
+#include "traffic/traffic_fixture.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/operator_commands_test.cpp
+++ b/tests/administration/operator_commands_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the commands of the operators' tool against the stand-in store.
-#include "snipewalk/process/audit_trail.h"
-#include "snipewalk/process/operator_commands.h"
+#include "snipewalk/administration/operator_commands.h"
+#include "snipewalk/store/audit_trail.h"
 #include "snipewalk/version/document_validation.h"
 #include "standins/store_service.h"
 
--- a/tests/process/control_link_test.cpp
+++ b/tests/control/control_link_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the handshake of the control port between versions.
-#include "snipewalk/process/control_port.h"
+#include "snipewalk/control/control_port.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/control_loop_test.cpp
+++ b/tests/control/control_loop_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the control loop over sockets, against the stand-in store.
-#include "snipewalk/process/control_loop.h"
+#include "snipewalk/control/control_loop.h"
 
-#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/store/store_http_client.h"
 #include "standins/process_fleet.h"
 #include "standins/store_service.h"
 
--- a/tests/process/service_controller_test.cpp
+++ b/tests/control/service_controller_test.cpp
@@ -1,8 +1,8 @@
 // Tests of the service controller against stand-ins of the platform in the
 // same process.
-#include "snipewalk/process/audit_trail.h"
-#include "snipewalk/process/service_controller.h"
-#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/control/service_controller.h"
+#include "snipewalk/store/audit_trail.h"
+#include "snipewalk/store/store_http_client.h"
 #include "snipewalk/version/term_record.h"
 #include "standins/backend_service.h"
 #include "standins/store_service.h"
--- a/tests/process/shutdown_test.cpp
+++ b/tests/daemon/shutdown_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the shutdown sequence.
-#include "snipewalk/process/shutdown.h"
+#include "snipewalk/daemon/shutdown.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/dissemination_test.cpp
+++ b/tests/fleet/dissemination_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the dissemination and of the revisions that instances claim.
-#include "snipewalk/process/dissemination.h"
+#include "snipewalk/fleet/dissemination.h"
 
-#include "process/fleet_model.h"
+#include "fleet/fleet_model.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/fleet_codec_test.cpp
+++ b/tests/fleet/fleet_codec_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the codec of messages between instances.
-#include "process/fleet_codec.h"
+#include "fleet/fleet_codec.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -1,13 +1,13 @@
 // Many instances with membership, object cache and dissemination in one
 // process: messages are delivered by a simulated network, time is stepped.
 // Used by tests and benchmarks.
-#ifndef SNIPEWALK_PROCESS_FLEET_MODEL_H_
-#define SNIPEWALK_PROCESS_FLEET_MODEL_H_
+#ifndef SNIPEWALK_FLEET_FLEET_MODEL_H_
+#define SNIPEWALK_FLEET_FLEET_MODEL_H_
 
-#include "snipewalk/process/dissemination.h"
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/dissemination.h"
+#include "snipewalk/fleet/membership.h"
 
-#include "process/fleet_codec.h"
+#include "fleet/fleet_codec.h"
 
 #include <functional>
 #include <map>
@@ -415,4 +415,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_FLEET_MODEL_H_
+#endif // SNIPEWALK_FLEET_FLEET_MODEL_H_
--- a/tests/process/fleet_versions_test.cpp
+++ b/tests/fleet/fleet_versions_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the versions of the messages between instances: recorded bytes, and
 // what a member learns of others.
-#include "process/fleet_codec.h"
-#include "snipewalk/process/membership.h"
+#include "fleet/fleet_codec.h"
+#include "snipewalk/fleet/membership.h"
 
 #include <absl/strings/escaping.h>
 
--- a/tests/process/membership_partition_test.cpp
+++ b/tests/fleet/membership_partition_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the membership and the dissemination after a partition.
-#include "process/partition_trial.h"
+#include "fleet/partition_trial.h"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::size_t kMembers = 200;
-// The bounds of section 6.4 of the design page.
+// The bounds of docs/large-fleets.md, section 4.
 constexpr double kKnownS = 60;
 constexpr double kDocumentS = 8;
 constexpr double kBytesPerS = 11'000;
--- a/tests/process/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -1,7 +1,7 @@
 // Tests of the membership.
-#include "snipewalk/process/membership.h"
+#include "snipewalk/fleet/membership.h"
 
-#include "process/fleet_model.h"
+#include "fleet/fleet_model.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/partition_trial.h
+++ b/tests/fleet/partition_trial.h
@@ -1,9 +1,9 @@
 // Cuts the regions of a simulated fleet from each other, reconnects them and
 // measures how the fleet recovers. Used by tests and the benchmark.
-#ifndef SNIPEWALK_PROCESS_PARTITION_TRIAL_H_
-#define SNIPEWALK_PROCESS_PARTITION_TRIAL_H_
+#ifndef SNIPEWALK_FLEET_PARTITION_TRIAL_H_
+#define SNIPEWALK_FLEET_PARTITION_TRIAL_H_
 
-#include "process/fleet_model.h"
+#include "fleet/fleet_model.h"
 
 #include <algorithm>
 #include <cstdint>
@@ -212,4 +212,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_PARTITION_TRIAL_H_
+#endif // SNIPEWALK_FLEET_PARTITION_TRIAL_H_
--- a/tests/integration/upgrade_test.cpp
+++ b/tests/integration/upgrade_test.cpp
@@ -1,6 +1,6 @@
 // A fleet whose instances are replaced by a build with a later version of the
 // messages between instances, with real processes under load.
-#include "snipewalk/process/history_check.h"
+#include "snipewalk/load/history_check.h"
 #include "standins/system_fleet.h"
 
 #include <gtest/gtest.h>
--- a/tests/process/fake_instance.h
+++ b/tests/load/fake_instance.h
@@ -1,7 +1,7 @@
 // Instance of the caller API on a thread of the test: executes statements on
 // one map and can be told to break a guarantee.
-#ifndef SNIPEWALK_PROCESS_FAKE_INSTANCE_H_
-#define SNIPEWALK_PROCESS_FAKE_INSTANCE_H_
+#ifndef SNIPEWALK_LOAD_FAKE_INSTANCE_H_
+#define SNIPEWALK_LOAD_FAKE_INSTANCE_H_
 
 #include "standins/backend_transaction.h"
 #include "standins/http_service.h"
@@ -121,4 +121,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_PROCESS_FAKE_INSTANCE_H_
+#endif // SNIPEWALK_LOAD_FAKE_INSTANCE_H_
--- a/tests/process/history_check_test.cpp
+++ b/tests/load/history_check_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the history check: a clean history passes, and each planted
 // violation is found.
-#include "snipewalk/process/history_check.h"
+#include "snipewalk/load/history_check.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/load_statistics_test.cpp
+++ b/tests/load/load_statistics_test.cpp
@@ -1,6 +1,6 @@
 // Tests of a load run's figures and of its callers' decisions.
-#include "snipewalk/process/load_session.h"
-#include "snipewalk/process/load_statistics.h"
+#include "snipewalk/load/load_session.h"
+#include "snipewalk/load/load_statistics.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/load_worker_test.cpp
+++ b/tests/load/load_worker_test.cpp
@@ -1,7 +1,7 @@
 // Tests of a load run against an instance of the test, together with the check
 // of its history.
-#include "process/load_worker_state.h"
-#include "snipewalk/process/history_check.h"
+#include "load/load_worker_state.h"
+#include "snipewalk/load/history_check.h"
 
 #include "fake_instance.h"
 
--- a/tests/request/caller_ledger.h
+++ b/tests/request/caller_ledger.h
@@ -4,7 +4,7 @@
 #define SNIPEWALK_TESTS_REQUEST_CALLER_LEDGER_H_
 
 #include "request/backend_model.h"
-#include "snipewalk/request/statement.h"
+#include "snipewalk/messages/statement.h"
 
 #include <map>
 #include <optional>
--- a/tests/session/fake_store.h
+++ b/tests/session/fake_store.h
@@ -4,7 +4,7 @@
 #define SNIPEWALK_TESTS_SESSION_FAKE_STORE_H_
 
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/process/store_client.h"
+#include "snipewalk/messages/store_client.h"
 
 #include <list>
 #include <map>
--- a/tests/process/secret_files_test.cpp
+++ b/tests/settings/secret_files_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the rotation of secrets.
-#include "snipewalk/process/secret_files.h"
+#include "snipewalk/settings/secret_files.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the settings of an instance.
-#include "snipewalk/process/settings.h"
+#include "snipewalk/settings/settings.h"
 
 #include "standins/certificate_maker.h"
 
--- a/tests/process/tls_files_test.cpp
+++ b/tests/settings/tls_files_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the replacement of TLS files.
-#include "snipewalk/process/tls_files.h"
+#include "snipewalk/settings/tls_files.h"
 
 #include "standins/certificate_maker.h"
 
--- a/tests/standins/backend_http.h
+++ b/tests/standins/backend_http.h
@@ -1,11 +1,11 @@
-// HTTP form of the stand-in backend server's requests and replies (design
-// section 2.1).
+// HTTP form of the stand-in backend server's requests and replies
+// (docs/protocols.md).
 #ifndef SNIPEWALK_STANDINS_BACKEND_HTTP_H_
 #define SNIPEWALK_STANDINS_BACKEND_HTTP_H_
 
 #include "snipewalk/base/json_text.h"
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 
 #include <optional>
 #include <string>
--- a/tests/standins/backend_server.h
+++ b/tests/standins/backend_server.h
@@ -5,7 +5,7 @@
 #define SNIPEWALK_STANDINS_BACKEND_SERVER_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/request/backend_messages.h"
+#include "snipewalk/messages/backend_messages.h"
 #include "standins/backend_log.h"
 #include "standins/backend_transaction.h"
 
--- a/tests/standins/store_service.h
+++ b/tests/standins/store_service.h
@@ -1,4 +1,4 @@
-// HTTP adapter of the stand-in for the platform's store (design section 2.1).
+// HTTP adapter of the stand-in for the platform's store (docs/protocols.md).
 // Serves /standin/ also on a control port, which works during outages.
 #ifndef SNIPEWALK_STANDINS_STORE_SERVICE_H_
 #define SNIPEWALK_STANDINS_STORE_SERVICE_H_
--- a/tests/standins/store_state.h
+++ b/tests/standins/store_state.h
@@ -110,7 +110,7 @@
 
   std::map<std::string, std::uint64_t> mByKind;
   std::uint64_t mRefused = 0;
-  // Limits that the platform sustains (design, section 1.3).
+  // Limits that the platform sustains (docs/design.md, section 1.3).
   window mReads{ {}, 0, 2'000 };
   window mWrites{ {}, 0, 500 };
   window mAll;
--- a/tests/standins/system_fleet.h
+++ b/tests/standins/system_fleet.h
@@ -4,7 +4,7 @@
 #define SNIPEWALK_STANDINS_SYSTEM_FLEET_H_
 
 #include "snipewalk/base/time.h"
-#include "snipewalk/process/history.h"
+#include "snipewalk/load/history.h"
 #include "standins/certificate_maker.h"
 #include "standins/process_fleet.h"
 
--- a/tests/process/audit_trail_test.cpp
+++ b/tests/store/audit_trail_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the audit trail against a store in memory.
-#include "snipewalk/process/audit_trail.h"
+#include "snipewalk/store/audit_trail.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/store_http_client_test.cpp
+++ b/tests/store/store_http_client_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the store client over sockets.
-#include "snipewalk/process/store_http_client.h"
+#include "snipewalk/store/store_http_client.h"
 #include "standins/store_service.h"
 
 #include <Poco/Net/ServerSocket.h>
--- a/tests/process/store_schedule_test.cpp
+++ b/tests/store/store_schedule_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the schedule of store calls in simulated time.
-#include "snipewalk/process/store_schedule.h"
+#include "snipewalk/store/store_schedule.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/process/caller_connection_test.cpp
+++ b/tests/traffic/caller_connection_test.cpp
@@ -1,9 +1,9 @@
 // Tests of a caller's connection with TLS on real sockets.
-#include "snipewalk/process/caller_connection.h"
+#include "snipewalk/traffic/caller_connection.h"
 
-#include "process/traffic_fixture.h"
 #include "standins/certificate_maker.h"
 #include "standins/tls_caller.h"
+#include "traffic/traffic_fixture.h"
 
 #include <Poco/Net/ServerSocket.h>
 
--- a/tests/process/traffic_fixture.h
+++ b/tests/traffic/traffic_fixture.h
@@ -1,10 +1,10 @@
 // Two instances in one process in front of three stand-in servers. Only the
 // first instance holds the slot of the service.
-#ifndef SNIPEWALK_TESTS_PROCESS_TRAFFIC_FIXTURE_H_
-#define SNIPEWALK_TESTS_PROCESS_TRAFFIC_FIXTURE_H_
+#ifndef SNIPEWALK_TESTS_TRAFFIC_TRAFFIC_FIXTURE_H_
+#define SNIPEWALK_TESTS_TRAFFIC_TRAFFIC_FIXTURE_H_
 
 #include "snipewalk/connection/http_codec.h"
-#include "snipewalk/process/traffic_group.h"
+#include "snipewalk/traffic/traffic_group.h"
 #include "standins/backend_service.h"
 
 #include <Poco/Net/SocketAddress.h>
@@ -231,4 +231,4 @@
 
 } // namespace snipewalk
 
-#endif // SNIPEWALK_TESTS_PROCESS_TRAFFIC_FIXTURE_H_
+#endif // SNIPEWALK_TESTS_TRAFFIC_TRAFFIC_FIXTURE_H_
--- a/tests/process/traffic_path_test.cpp
+++ b/tests/traffic/traffic_path_test.cpp
@@ -1,5 +1,5 @@
 // Tests of the path of a statement over sockets: caller, entry, holder, server.
-#include "process/traffic_fixture.h"
+#include "traffic/traffic_fixture.h"
 
 #include <gtest/gtest.h>
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -14,7 +14,7 @@
 START_LIMIT_S = 60
 # Time until the shares of a new service are in use.
 SETTLE_S = 9
-# Servers have to drop vanished clients within 30 s (docs/design.md, question 3).
+# Servers have to drop vanished clients within 30 s (docs/decisions.md, question 3).
 KEEP_ALIVE_MS = 10_000
 
 
