Add a fault soak of the session front end

Cause: the platform's stand-in lost no answers, executed nothing late and had no lag, and real processes met faults in a handful of scripted tests only.

Change: the stand-in is split into a group of servers (logs, lag, crash and return, replacement, lost answers) and an object store (deletions, dropped history, lost answers). tests/soak draws faults from a seed and applies them from outside: signals to processes, cuts, freezes, delays, resets and silence on links, crashes and replacement of servers, troubles of the store.

Tests: PromiseChecksTest shows that each kind of violation is found; SessionSoakTest runs one seed with all faults and one with planned work only. Callers and instances of SessionFrontTest moved to standins.

--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -2,9 +2,9 @@
 // platform.
 #include "standins/platform_standin.h"
 #include "standins/process_fleet.h"
+#include "standins/session_caller.h"
+#include "standins/session_fleet.h"
 
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <gtest/gtest.h>
@@ -15,134 +15,75 @@
 namespace snipewalk::standins {
 namespace {
 
-// A caller's session over a blocking socket.
-class caller
-{
-public:
-  explicit caller(std::uint16_t aPort)
-    : mSocket(Poco::Net::SocketAddress("127.0.0.1", aPort))
-  {
-    mSocket.setReceiveTimeout(Poco::Timespan(8, 0));
-  }
-
-  // Sends one line and returns the answer up to its READY or its end.
-  std::string Call(const std::string& aLine)
-  {
-    const std::string bytes = aLine + "\r\n";
-    mSocket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
-    std::string answer;
-    char chunk[4096];
-    while (answer.find("READY ") == std::string::npos ||
-           !absl::EndsWith(answer, "\r\n")) {
-      int received = 0;
-      try {
-        received = mSocket.receiveBytes(chunk, sizeof(chunk));
-      } catch (const Poco::Exception&) {
-        return answer;
-      }
-      if (received <= 0) {
-        return answer;
-      }
-      answer.append(chunk, static_cast<std::size_t>(received));
-    }
-    return answer;
-  }
-
-  std::string Query(const std::string& aText)
-  {
-    return Call(absl::StrCat("QUERY q", ++mRequests, " ", aText));
-  }
-
-private:
-  Poco::Net::StreamSocket mSocket;
-  int mRequests = 0;
-};
+using caller = session_caller;
 
 class SessionFrontTest : public testing::Test
 {
 protected:
   SessionFrontTest()
     : mPlatform(3)
-    , mFleet(SNIPEWALK_BINARY_DIR)
+    , mFleet(SNIPEWALK_BINARY_DIR, testing::TempDir())
   {
   }
 
-  struct instance
-  {
-    std::uint16_t mCallers = 0;
-    std::uint16_t mReady = 0;
-    std::uint16_t mMetrics = 0;
-  };
-
-  instance Start(const std::string& aName)
+  // Returns once the instance is ready.
+  session_fleet::ports Start(const std::string& aName)
   {
-    const auto ports = FreePorts(4);
-    const instance started{ ports[0], ports[1], ports[2] };
-    const std::string path =
-      absl::StrCat(testing::TempDir(), "/session_front_", aName, ".json");
-    std::ofstream(path) << "{ \"instance\": \"" << aName
-                        << "\", \"data_centre\": \"dc1\",\n"
-                        << "\"caller_address\": \"127.0.0.1:" << ports[0]
-                        << "\", \"ready_address\": \"127.0.0.1:" << ports[1]
-                        << "\", \"metrics_address\": \"127.0.0.1:" << ports[2]
-                        << "\", \"peer_address\": \"127.0.0.1:" << ports[3]
-                        << "\",\n// One stand-in serves both.\n"
-                        << "\"store_address\": \"" << mPlatform.StoreAddress()
-                        << "\", \"promotion_address\": \""
-                        << mPlatform.StoreAddress()
-                        << "\", \"shutdown_grace_seconds\": 4 }";
-    EXPECT_TRUE(
-      mFleet.Start(aName, "snipewalk-sessions", { "--settings=" + path }).ok());
-    EXPECT_TRUE(WaitFor([&] {
-      const auto probe = HttpCall(started.mReady, "GET", "/v1/readyz");
-      return probe.ok() && probe->mStatus == 200;
-    }));
+    const std::string platform = mPlatform.StoreAddress();
+    const auto started = mFleet.Configure(aName, platform, platform);
+    EXPECT_TRUE(mFleet.Start(aName).ok());
+    EXPECT_TRUE(WaitFor([&] { return mFleet.IsReady(aName); }));
     return started;
   }
 
   platform_standin mPlatform;
-  process_fleet mFleet;
+  session_fleet mFleet;
 };
 
 TEST_F(SessionFrontTest, ServesReadsWritesAndTransactions)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller session(one.mCallers);
-  EXPECT_EQ(session.Call("STARTUP own app"), "READY I -\r\n");
-  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v1"), "COMPLETE s1."));
-  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v1\r\n"));
-  EXPECT_TRUE(absl::StrContains(session.Query("BEGIN"), "READY T"));
-  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v2"), "READY T"));
-  EXPECT_TRUE(absl::StrContains(session.Query("ROLLBACK"), "READY I"));
-  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v1\r\n"));
+  EXPECT_EQ(session.Call("STARTUP own app").mText, "READY I -\r\n");
+  EXPECT_TRUE(
+    absl::StrContains(session.Query("WRITE k v1").mText, "COMPLETE s1."));
+  EXPECT_TRUE(
+    absl::StrContains(session.Query("READ k").mText, "DATAROW v1\r\n"));
+  EXPECT_TRUE(absl::StrContains(session.Query("BEGIN").mText, "READY T"));
+  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v2").mText, "READY T"));
+  EXPECT_TRUE(absl::StrContains(session.Query("ROLLBACK").mText, "READY I"));
+  EXPECT_TRUE(
+    absl::StrContains(session.Query("READ k").mText, "DATAROW v1\r\n"));
   session.Query("BEGIN");
   session.Query("WRITE k v3");
-  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT"), "COMPLETE s1."));
+  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT").mText, "COMPLETE s1."));
   EXPECT_EQ(mPlatform.Items().at("k"), "v3");
 }
 
 TEST_F(SessionFrontTest, RefusesUnknownDatabasesAndMalformedInput)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller unknown(one.mCallers);
-  EXPECT_TRUE(
-    absl::StartsWith(unknown.Call("STARTUP absent app"), "ERROR NODATABASE"));
+  EXPECT_TRUE(absl::StartsWith(unknown.Call("STARTUP absent app").mText,
+                               "ERROR NODATABASE"));
   caller malformed(one.mCallers);
-  EXPECT_TRUE(absl::StartsWith(malformed.Call("HELLO"), "ERROR MALFORMED"));
+  EXPECT_TRUE(
+    absl::StartsWith(malformed.Call("HELLO").mText, "ERROR MALFORMED"));
 }
 
 // The primary dies: another server is promoted once, with every acknowledged
 // write, and callers go on.
 TEST_F(SessionFrontTest, ReplacesACrashedPrimary)
 {
-  const instance one = Start("i1");
-  const instance two = Start("i2");
+  const auto one = Start("i1");
+  const auto two = Start("i2");
   caller session(one.mCallers);
   session.Call("STARTUP main app");
   std::map<std::string, std::string> acknowledged;
   for (int i = 0; i < 20; ++i) {
     const std::string key = absl::StrCat("k", i);
-    if (absl::StrContains(session.Query("WRITE " + key + " v"), "COMPLETE s")) {
+    if (absl::StrContains(session.Query("WRITE " + key + " v").mText,
+                          "COMPLETE s")) {
       acknowledged[key] = "v";
     }
   }
@@ -151,7 +92,7 @@
   caller other(two.mCallers);
   other.Call("STARTUP main app");
   EXPECT_TRUE(WaitFor([&] {
-    return absl::StrContains(other.Query("WRITE after v"), "COMPLETE s");
+    return absl::StrContains(other.Query("WRITE after v").mText, "COMPLETE s");
   }));
   EXPECT_EQ(mPlatform.Promotions(), 1);
   EXPECT_NE(mPlatform.Primary(), "s1");
@@ -159,13 +100,14 @@
   for (const auto& [key, value] : acknowledged) {
     EXPECT_EQ(items.count(key), 1U) << key;
   }
-  EXPECT_TRUE(absl::StrContains(session.Query("READ after"), "DATAROW v\r\n"));
+  EXPECT_TRUE(
+    absl::StrContains(session.Query("READ after").mText, "DATAROW v\r\n"));
 }
 
 // A primary that is to leave hands over while it still runs.
 TEST_F(SessionFrontTest, ReplacesALeavingPrimary)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller session(one.mCallers);
   session.Call("STARTUP main app");
   session.Query("WRITE k v");
@@ -174,15 +116,16 @@
     return mPlatform.Promotions() == 1 && mPlatform.Primary() != "s1";
   }));
   EXPECT_TRUE(WaitFor([&] {
-    return absl::StrContains(session.Query("WRITE k v2"), "COMPLETE s");
+    return absl::StrContains(session.Query("WRITE k v2").mText, "COMPLETE s");
   }));
-  EXPECT_TRUE(absl::StrContains(session.Query("READ k"), "DATAROW v2\r\n"));
+  EXPECT_TRUE(
+    absl::StrContains(session.Query("READ k").mText, "DATAROW v2\r\n"));
 }
 
 // The store is away for longer than confirmations live.
 TEST_F(SessionFrontTest, ServesWhileTheStoreIsAway)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller session(one.mCallers);
   session.Call("STARTUP main app");
   session.Query("WRITE k v");
@@ -193,7 +136,7 @@
   while (std::chrono::steady_clock::now() < until) {
     ++asked;
     served +=
-      absl::StrContains(session.Query("READ k"), "DATAROW v\r\n") ? 1 : 0;
+      absl::StrContains(session.Query("READ k").mText, "DATAROW v\r\n") ? 1 : 0;
   }
   EXPECT_EQ(served, asked);
 }
@@ -201,7 +144,7 @@
 // Open transactions get half of the grace; the process ends within all of it.
 TEST_F(SessionFrontTest, EndsWithinItsGrace)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller session(one.mCallers);
   session.Call("STARTUP main app");
   session.Query("BEGIN");
@@ -211,13 +154,13 @@
     const auto probe = HttpCall(one.mReady, "GET", "/v1/readyz");
     return !probe.ok() || probe->mStatus == 503;
   }));
-  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT"), "COMPLETE s1."));
+  EXPECT_TRUE(absl::StrContains(session.Query("COMMIT").mText, "COMPLETE s1."));
   EXPECT_EQ(mFleet.At("i1").Wait(milliseconds(4'500)), 0);
 }
 
 TEST_F(SessionFrontTest, ServesMetrics)
 {
-  const instance one = Start("i1");
+  const auto one = Start("i1");
   caller session(one.mCallers);
   session.Call("STARTUP main app");
   session.Query("WRITE k v");
--- /dev/null
+++ b/tests/soak/link_network.cpp
@@ -0,0 +1,109 @@
+// Implementation of the links of a soak run.
+#include "soak/link_network.h"
+
+#include <future>
+
+namespace snipewalk::soak {
+
+link_network::link_network(std::uint64_t aSeed)
+  : mSeed(aSeed)
+  , mThread([this] { mLoop.Run(); })
+{
+}
+
+link_network::~link_network()
+{
+  // The links leave the loop on its thread.
+  Run([this] { mLinks.clear(); });
+  mLoop.Stop();
+  mThread.join();
+}
+
+void
+link_network::Run(const std::function<void()>& aTask)
+{
+  std::promise<void> done;
+  mLoop.Post([&] {
+    aTask();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
+std::uint16_t
+link_network::Open(const std::string& aAddress)
+{
+  mLinks.push_back(std::make_unique<standins::fault_link>(
+    mLoop, aAddress, std::uint16_t{ 0 }, mSeed + mLinks.size()));
+  return mLinks.back()->Port();
+}
+
+std::uint16_t
+link_network::LinkTo(const std::string& aAddress)
+{
+  std::uint16_t port = 0;
+  Run([&] {
+    for (const auto& link : mLinks) {
+      if (link->Target() == aAddress) {
+        port = link->Port();
+        return;
+      }
+    }
+    port = Open(aAddress);
+  });
+  return port;
+}
+
+std::uint16_t
+link_network::Add(const std::string& aAddress)
+{
+  std::uint16_t port = 0;
+  Run([&] { port = Open(aAddress); });
+  return port;
+}
+
+std::size_t
+link_network::Size()
+{
+  std::size_t size = 0;
+  Run([&] { size = mLinks.size(); });
+  return size;
+}
+
+void
+link_network::SetFaults(std::size_t aLink, const standins::link_faults& aFaults)
+{
+  Run([&] { mLinks.at(aLink)->SetFaults(aFaults, mLoop.Now()); });
+}
+
+void
+link_network::Reset(std::size_t aLink)
+{
+  Run([&] { mLinks.at(aLink)->Reset(); });
+}
+
+void
+link_network::Silence(std::size_t aLink)
+{
+  Run([&] { mLinks.at(aLink)->SilenceEstablished(); });
+}
+
+void
+link_network::Heal()
+{
+  Run([&] {
+    for (const auto& link : mLinks) {
+      link->SetFaults({}, mLoop.Now());
+    }
+  });
+}
+
+std::string
+link_network::Target(std::size_t aLink)
+{
+  std::string target;
+  Run([&] { target = mLinks.at(aLink)->Target(); });
+  return target;
+}
+
+} // namespace snipewalk::soak
--- /dev/null
+++ b/tests/soak/promise_checks.cpp
@@ -0,0 +1,186 @@
+// Implementation of the checks of the promises.
+#include "soak/promise_checks.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace snipewalk::soak {
+
+namespace {
+
+// Violations kept: the first ones show the cause.
+constexpr std::size_t kMostViolations = 20;
+// What a server answers for an item that was never written.
+constexpr const char* kAbsent = "none";
+
+// Number of a value of the key; zero for an absent item, nothing for a value
+// of another key.
+std::optional<std::uint64_t>
+NumberOf(const std::string& aKey, absl::string_view aValue)
+{
+  if (aValue == kAbsent || aValue.empty()) {
+    return 0;
+  }
+  std::uint64_t number = 0;
+  const bool own = absl::ConsumePrefix(&aValue, absl::StrCat(aKey, "=")) &&
+                   absl::SimpleAtoi(aValue, &number);
+  return own ? std::optional(number) : std::nullopt;
+}
+
+} // namespace
+
+std::string
+ValueOf(const std::string& aKey, std::uint64_t aNumber)
+{
+  return absl::StrCat(aKey, "=", aNumber);
+}
+
+void
+promise_checks::Begin(const std::string& aKey, std::uint64_t aNumber)
+{
+  const std::lock_guard lock(mMutex);
+  mKeys[aKey].mWrites[aNumber] = write_fate::Unknown;
+}
+
+void
+promise_checks::End(const std::string& aKey,
+                    std::uint64_t aNumber,
+                    write_fate aFate,
+                    time_point aNow)
+{
+  const std::lock_guard lock(mMutex);
+  key_history& history = mKeys[aKey];
+  history.mWrites[aNumber] = aFate;
+  if (aFate == write_fate::Acknowledged) {
+    history.mAcknowledged.emplace_back(aNow, aNumber);
+  }
+}
+
+std::uint64_t
+promise_checks::Acknowledged(const std::string& aKey, time_point aBy) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto found = mKeys.find(aKey);
+  if (found == mKeys.end()) {
+    return 0;
+  }
+  const auto& acknowledged = found->second.mAcknowledged;
+  const auto after = std::partition_point(
+    acknowledged.begin(), acknowledged.end(), [&](const auto& aEntry) {
+      return aEntry.first <= aBy;
+    });
+  return after == acknowledged.begin() ? 0 : std::prev(after)->second;
+}
+
+void
+promise_checks::Read(const std::string& aKey,
+                     std::uint64_t aFloor,
+                     const std::string& aValue,
+                     const std::string& aSource)
+{
+  const std::lock_guard lock(mMutex);
+  ++mReads;
+  const auto number = NumberOf(aKey, aValue);
+  if (!number) {
+    Violate(absl::StrCat(aSource, ": ", aKey, " read as ", aValue));
+  } else if (*number < aFloor) {
+    Violate(absl::StrCat(
+      aSource, ": ", aKey, " stale, ", *number, " where ", aFloor, " is due"));
+  } else {
+    CheckHeld(aKey, mKeys[aKey], aValue);
+  }
+}
+
+void
+promise_checks::CheckHeld(const std::string& aKey,
+                          const key_history& aHistory,
+                          const std::string& aValue)
+{
+  const std::uint64_t number = NumberOf(aKey, aValue).value_or(0);
+  if (number == 0) {
+    return;
+  }
+  const auto write = aHistory.mWrites.find(number);
+  if (write == aHistory.mWrites.end()) {
+    Violate(absl::StrCat(aValue, " was never sent"));
+  } else if (write->second == write_fate::NotRun) {
+    Violate(absl::StrCat(aValue, " was kept though not run"));
+  }
+}
+
+void
+promise_checks::Finish(const std::map<std::string, std::string>& aItems,
+                       const std::map<std::string, int>& aCommits)
+{
+  const std::lock_guard lock(mMutex);
+  for (const auto& [key, history] : mKeys) {
+    const auto item = aItems.find(key);
+    const std::string value = item == aItems.end() ? kAbsent : item->second;
+    const auto number = NumberOf(key, value);
+    const std::uint64_t due =
+      history.mAcknowledged.empty() ? 0 : history.mAcknowledged.back().second;
+    if (!number || *number < due) {
+      Violate(absl::StrCat(
+        "lost: ", key, " holds ", value, " where ", due, " was acknowledged"));
+    }
+    for (const auto& [sent, fate] : history.mWrites) {
+      const auto commits = aCommits.find(ValueOf(key, sent));
+      if (commits == aCommits.end()) {
+        continue;
+      }
+      if (commits->second > 1) {
+        Violate(absl::StrCat(ValueOf(key, sent), " was committed twice"));
+      }
+      CheckHeld(key, history, ValueOf(key, sent));
+    }
+  }
+}
+
+void
+promise_checks::AddViolation(const std::string& aWhat)
+{
+  const std::lock_guard lock(mMutex);
+  Violate(aWhat);
+}
+
+void
+promise_checks::Violate(const std::string& aWhat)
+{
+  if (mViolations.size() < kMostViolations) {
+    mViolations.push_back(aWhat);
+  }
+}
+
+std::vector<std::string>
+promise_checks::Violations() const
+{
+  const std::lock_guard lock(mMutex);
+  return mViolations;
+}
+
+std::size_t
+promise_checks::Count(write_fate aFate) const
+{
+  const std::lock_guard lock(mMutex);
+  std::size_t count = 0;
+  for (const auto& [key, history] : mKeys) {
+    for (const auto& [number, fate] : history.mWrites) {
+      count += fate == aFate ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+std::size_t
+promise_checks::Reads() const
+{
+  const std::lock_guard lock(mMutex);
+  return mReads;
+}
+
+} // namespace snipewalk::soak
--- /dev/null
+++ b/tests/soak/session_soak.cpp
@@ -0,0 +1,487 @@
+// Implementation of a soak run.
+#include "soak/session_soak.h"
+
+#include "soak/link_network.h"
+#include "soak/promise_checks.h"
+#include "soak/soak_callers.h"
+#include "standins/platform_standin.h"
+#include "standins/session_caller.h"
+#include "standins/session_fleet.h"
+
+#include <Poco/Exception.h>
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <csignal>
+#include <deque>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <memory>
+#include <thread>
+#include <utility>
+
+namespace snipewalk::soak {
+
+namespace {
+
+using standins::line_server_group;
+using standins::platform_store;
+
+constexpr milliseconds kStep{ 10 };
+// The platform starts a process again after a short delay.
+constexpr milliseconds kRestartDelay{ 200 };
+// Beyond the grace, for a loaded machine.
+constexpr milliseconds kExitMargin{ 1'000 };
+// Of docs/platform.md: all services are served this long after the last fault.
+constexpr milliseconds kRecovery{ 12'000 };
+// A leaving server serves this long before it ends.
+constexpr milliseconds kDrainTime{ 5'000 };
+// A server that failed has all commits again before the next one fails.
+constexpr milliseconds kServerRest{ 1'500 };
+constexpr milliseconds kLongestDelay{ 300 };
+constexpr milliseconds kLongestLag{ 1'500 };
+constexpr int kLostAnswerPercent = 5;
+constexpr int kLostWritePercent = 30;
+constexpr int kFinalWrites = 20;
+constexpr seconds kSetUp{ 10 };
+
+// An instance's process as the platform sees it.
+enum class process_phase
+{
+  Running,
+  Terminating,
+  Down
+};
+
+class soak_run
+{
+public:
+  soak_run(const soak_options& aOptions, std::ostream& aLog)
+    : mOptions(aOptions)
+    , mLog(aLog)
+    , mNetwork(aOptions.mPlan.mSeed)
+    , mPlatform(static_cast<int>(aOptions.mServers),
+                [this](const std::string& aAddress) {
+                  return absl::StrCat("127.0.0.1:", mNetwork.LinkTo(aAddress));
+                })
+    , mFleet(aOptions.mBinaryDir, aOptions.mFolder)
+  {
+  }
+
+  soak_result Run()
+  {
+    const auto ports = StartInstances();
+    mStart = std::chrono::steady_clock::now();
+    {
+      soak_callers callers(
+        { mOptions.mPlan.mSeed, 10, ports, mOptions.mPlan.mPlannedWorkOnly },
+        mChecks);
+      for (const auto& step : DrawFaults(mOptions.mPlan)) {
+        At(step.mAt, [this, step] { Begin(step); });
+      }
+      RunUntilIdle();
+      CheckRecovery();
+      callers.Stop();
+    }
+    return Finish();
+  }
+
+private:
+  struct instance
+  {
+    std::string mName;
+    std::uint16_t mCallerPort = 0;
+    process_phase mPhase = process_phase::Running;
+    milliseconds mTerminatedAt{ 0 };
+    // Paused or cut off since SIGTERM: the grace need not be kept.
+    bool mDisturbed = false;
+    bool mPaused = false;
+    std::ofstream mOutput;
+  };
+
+  milliseconds Elapsed() const
+  {
+    return std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - mStart);
+  }
+
+  void At(milliseconds aWhen, std::function<void()> aTask)
+  {
+    mTasks.emplace(aWhen, std::move(aTask));
+  }
+  void After(milliseconds aDelay, std::function<void()> aTask)
+  {
+    At(Elapsed() + aDelay, std::move(aTask));
+  }
+
+  void Note(const std::string& aWhat)
+  {
+    mLog << Elapsed().count() << " ms: " << aWhat << "\n";
+  }
+
+  std::vector<std::uint16_t> StartInstances()
+  {
+    std::vector<std::uint16_t> callers;
+    for (std::size_t i = 1; i <= mOptions.mInstances; ++i) {
+      auto& added = mInstances.emplace_back();
+      added.mName = absl::StrCat("i", i);
+      const std::string store =
+        absl::StrCat("127.0.0.1:", mNetwork.Add(mPlatform.StoreAddress()));
+      const auto& ports = mFleet.Configure(added.mName, store, store);
+      added.mCallerPort =
+        mNetwork.Add(absl::StrCat("127.0.0.1:", ports.mCallers));
+      added.mOutput.open(
+        absl::StrCat(mOptions.mFolder, "/", added.mName, ".log"));
+      Start(added);
+      callers.push_back(added.mCallerPort);
+    }
+    for (const auto& one : mInstances) {
+      const bool ready =
+        standins::WaitFor([&] { return mFleet.IsReady(one.mName); }, kSetUp);
+      if (!ready) {
+        mChecks.AddViolation(one.mName + " did not become ready");
+      }
+    }
+    return callers;
+  }
+
+  void Start(instance& aInstance)
+  {
+    const auto started = mFleet.Start(aInstance.mName);
+    if (!started.ok()) {
+      mChecks.AddViolation(
+        absl::StrCat(aInstance.mName, " cannot start: ", started.message()));
+    }
+    aInstance.mPhase = process_phase::Running;
+    aInstance.mDisturbed = false;
+    aInstance.mPaused = false;
+  }
+
+  void RunUntilIdle()
+  {
+    while (!mTasks.empty() || IsAnyTerminating()) {
+      RunOnce();
+    }
+  }
+
+  bool IsAnyTerminating() const
+  {
+    for (const auto& one : mInstances) {
+      if (one.mPhase != process_phase::Running) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  void RunOnce()
+  {
+    while (!mTasks.empty() && mTasks.begin()->first <= Elapsed()) {
+      const auto task = std::move(mTasks.begin()->second);
+      mTasks.erase(mTasks.begin());
+      task();
+    }
+    for (auto& one : mInstances) {
+      Watch(one);
+    }
+    std::this_thread::sleep_for(kStep);
+  }
+
+  // Reads the output of a process and notices its end.
+  void Watch(instance& aInstance)
+  {
+    if (aInstance.mPhase == process_phase::Down) {
+      return;
+    }
+    auto& process = mFleet.At(aInstance.mName);
+    while (const auto line = process.ReadLine(milliseconds(0))) {
+      aInstance.mOutput << *line << "\n";
+    }
+    const auto code = process.Wait(milliseconds(0));
+    const bool terminating = aInstance.mPhase == process_phase::Terminating;
+    const bool late =
+      terminating && Elapsed() > aInstance.mTerminatedAt +
+                                   standins::session_fleet::kGrace +
+                                   kExitMargin;
+    if (!code && late && !aInstance.mDisturbed) {
+      mChecks.AddViolation(aInstance.mName + " outlived its grace");
+      aInstance.mDisturbed = true;
+    }
+    if (!code && late) {
+      process.Kill();
+      Restart(aInstance);
+    }
+    if (!code) {
+      return;
+    }
+    if (!terminating || *code != 0) {
+      mChecks.AddViolation(
+        absl::StrCat(aInstance.mName, " ended by itself with ", *code));
+    }
+    Restart(aInstance);
+  }
+
+  void Restart(instance& aInstance)
+  {
+    aInstance.mPhase = process_phase::Down;
+    After(kRestartDelay, [this, &aInstance] { Start(aInstance); });
+  }
+
+  void Begin(const fault_step& aStep)
+  {
+    switch (aStep.mKind) {
+      case fault_kind::Kill:
+      case fault_kind::Pause:
+      case fault_kind::Terminate:
+      case fault_kind::HangUp:
+        BeginAtInstance(aStep);
+        return;
+      case fault_kind::Cut:
+      case fault_kind::Freeze:
+      case fault_kind::Delay:
+      case fault_kind::Reset:
+      case fault_kind::Silence:
+        BeginAtLink(aStep);
+        return;
+      case fault_kind::Crash:
+      case fault_kind::Replace:
+      case fault_kind::Lag:
+      case fault_kind::LoseAnswers:
+        BeginAtServer(aStep);
+        return;
+      case fault_kind::StoreDown:
+      case fault_kind::StoreLosesAnswers:
+      case fault_kind::StoreCompacts:
+        BeginAtStore(aStep);
+        return;
+    }
+  }
+
+  void NoteFault(const fault_step& aStep, const std::string& aTarget)
+  {
+    Note(absl::StrCat(std::string(NameOf(kFaultKindNames, aStep.mKind)),
+                      " of ",
+                      aTarget,
+                      " for ",
+                      aStep.mFor.count(),
+                      " ms"));
+  }
+
+  void BeginAtInstance(const fault_step& aStep)
+  {
+    instance& target = mInstances[aStep.mTarget % mInstances.size()];
+    if (target.mPhase == process_phase::Down) {
+      return;
+    }
+    NoteFault(aStep, target.mName);
+    auto& process = mFleet.At(target.mName);
+    if (aStep.mKind == fault_kind::Kill) {
+      process.Kill();
+      Restart(target);
+    } else if (aStep.mKind == fault_kind::Pause) {
+      process.Pause();
+      target.mPaused = true;
+      target.mDisturbed = true;
+      After(aStep.mFor, [this, &target] {
+        if (target.mPhase != process_phase::Down) {
+          mFleet.At(target.mName).Resume();
+        }
+        target.mPaused = false;
+      });
+    } else if (aStep.mKind == fault_kind::HangUp) {
+      process.Signal(SIGHUP);
+    } else if (target.mPhase == process_phase::Running) {
+      process.Terminate();
+      target.mPhase = process_phase::Terminating;
+      target.mTerminatedAt = Elapsed();
+      target.mDisturbed = target.mPaused;
+    }
+  }
+
+  void BeginAtLink(const fault_step& aStep)
+  {
+    const std::size_t link = aStep.mTarget % mNetwork.Size();
+    NoteFault(aStep,
+              absl::StrCat("link ", link, " to ", mNetwork.Target(link)));
+    standins::link_faults faults;
+    switch (aStep.mKind) {
+      case fault_kind::Reset:
+        mNetwork.Reset(link);
+        return;
+      case fault_kind::Silence:
+        mNetwork.Silence(link);
+        return;
+      case fault_kind::Cut:
+        faults.mCut = aStep.mCut;
+        break;
+      case fault_kind::Freeze:
+        faults.mFrozen = true;
+        break;
+      default:
+        faults.mDelay = std::min(aStep.mFor, kLongestDelay);
+        break;
+    }
+    mNetwork.SetFaults(link, faults);
+    After(aStep.mFor, [this, link] { mNetwork.SetFaults(link, {}); });
+  }
+
+  void BeginAtServer(const fault_step& aStep)
+  {
+    std::vector<std::string> running;
+    mPlatform.Change([&](const line_server_group& aServers, platform_store&) {
+      running = aServers.Running();
+    });
+    const std::string id = running[aStep.mTarget % running.size()];
+    if (aStep.mKind == fault_kind::Crash) {
+      if (TakeServerTurn(aStep.mFor)) {
+        NoteFault(aStep, id);
+        mPlatform.Crash(id);
+        After(aStep.mFor, [this, id] {
+          mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+            aServers.Restart(id);
+          });
+        });
+      }
+    } else if (aStep.mKind == fault_kind::Replace) {
+      if (TakeServerTurn(kDrainTime)) {
+        NoteFault(aStep, id);
+        Replace(id);
+      }
+    } else {
+      NoteFault(aStep, id);
+      const bool lag = aStep.mKind == fault_kind::Lag;
+      SetServer(id, lag, true, aStep.mFor);
+      After(aStep.mFor,
+            [this, id, lag] { SetServer(id, lag, false, milliseconds(0)); });
+    }
+  }
+
+  // At most one server of the group fails at a time: a commit that only the
+  // failed ones received would be lost on the platform, too.
+  bool TakeServerTurn(milliseconds aLength)
+  {
+    if (Elapsed() < mServersWhole) {
+      return false;
+    }
+    mServersWhole = Elapsed() + aLength + kServerRest;
+    return true;
+  }
+
+  void Replace(const std::string& aId)
+  {
+    mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+      aServers.Add();
+      aServers.Drain(aId);
+    });
+    After(kDrainTime, [this, aId] {
+      mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+        aServers.Remove(aId);
+      });
+    });
+  }
+
+  void SetServer(const std::string& aId,
+                 bool aLag,
+                 bool aFaulty,
+                 milliseconds aFor)
+  {
+    mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+      if (aLag) {
+        aServers.SetLag(aId, std::min(aFor, kLongestLag));
+      } else {
+        aServers.SetLostAnswers(aId, aFaulty ? kLostAnswerPercent : 0);
+      }
+    });
+  }
+
+  void BeginAtStore(const fault_step& aStep)
+  {
+    NoteFault(aStep, "the store");
+    if (aStep.mKind == fault_kind::StoreDown) {
+      mPlatform.SetStoreDown(true);
+      After(aStep.mFor, [this] { mPlatform.SetStoreDown(false); });
+      return;
+    }
+    if (aStep.mKind == fault_kind::StoreCompacts) {
+      mPlatform.Change(
+        [](line_server_group&, platform_store& aStore) { aStore.Compact(); });
+      return;
+    }
+    const auto lose = [this](int aPercent) {
+      mPlatform.Change([&](line_server_group&, platform_store& aStore) {
+        aStore.SetLostAnswers(aPercent);
+      });
+    };
+    lose(kLostWritePercent);
+    After(aStep.mFor, [lose] { lose(0); });
+  }
+
+  // After the last fault: each instance serves writes and reads again.
+  void CheckRecovery()
+  {
+    Note("all faults are over");
+    const milliseconds until = Elapsed() + kRecovery;
+    while (Elapsed() < until) {
+      RunOnce();
+    }
+    for (const auto& one : mInstances) {
+      int served = 0;
+      try {
+        standins::session_caller session(one.mCallerPort);
+        session.Start("main");
+        for (int i = 0; i < kFinalWrites; ++i) {
+          const std::string value = absl::StrCat("final.", one.mName, ".", i);
+          served +=
+            session.Query("WRITE final." + one.mName + " " + value).mCompleted
+              ? 1
+              : 0;
+        }
+      } catch (const Poco::Exception& error) {
+        Note(absl::StrCat(one.mName, ": ", error.displayText()));
+      }
+      if (served < kFinalWrites) {
+        mChecks.AddViolation(absl::StrCat(
+          one.mName, " served ", served, " of ", kFinalWrites, " after all"));
+      }
+    }
+  }
+
+  soak_result Finish()
+  {
+    soak_result result;
+    mPlatform.Change([&](const line_server_group& aServers, platform_store&) {
+      mChecks.Finish(aServers.Items(), aServers.Commits());
+      result.mPromotions = aServers.Promotions();
+    });
+    result.mViolations = mChecks.Violations();
+    result.mAcknowledged = mChecks.Count(write_fate::Acknowledged);
+    result.mNotRun = mChecks.Count(write_fate::NotRun);
+    result.mUnknown = mChecks.Count(write_fate::Unknown);
+    result.mReads = mChecks.Reads();
+    return result;
+  }
+
+  soak_options mOptions;
+  std::ostream& mLog;
+  promise_checks mChecks;
+  link_network mNetwork;
+  standins::platform_standin mPlatform;
+  standins::session_fleet mFleet;
+  // Not moved once callbacks refer to them.
+  std::deque<instance> mInstances;
+  time_point mStart;
+  std::multimap<milliseconds, std::function<void()>> mTasks;
+  // When the servers have recovered from the last failure of one.
+  milliseconds mServersWhole{ 0 };
+};
+
+} // namespace
+
+soak_result
+RunSoak(const soak_options& aOptions, std::ostream& aLog)
+{
+  return soak_run(aOptions, aLog).Run();
+}
+
+} // namespace snipewalk::soak
--- /dev/null
+++ b/tests/soak/session_soak_test.cpp
@@ -0,0 +1,46 @@
+// Short soak runs with fixed seeds, and the seeds that ever failed.
+#include "soak/session_soak.h"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <sstream>
+
+namespace snipewalk::soak {
+namespace {
+
+// Violations of a run with the faults that led to them; empty when all promises
+// were kept.
+std::string
+Violations(std::uint64_t aSeed, bool aPlannedWorkOnly)
+{
+  soak_options options;
+  options.mPlan.mSeed = aSeed;
+  options.mPlan.mPlannedWorkOnly = aPlannedWorkOnly;
+  options.mBinaryDir = SNIPEWALK_BINARY_DIR;
+  options.mFolder =
+    testing::TempDir() + "/session_soak_" + std::to_string(aSeed);
+  std::filesystem::create_directories(options.mFolder);
+  std::ostringstream faults;
+  const auto result = RunSoak(options, faults);
+  EXPECT_GT(result.mAcknowledged, 0U);
+  EXPECT_GT(result.mReads, 0U);
+  std::string text;
+  for (const auto& violation : result.mViolations) {
+    text += violation + "\n";
+  }
+  return text.empty() ? text : text + faults.str();
+}
+
+TEST(SessionSoakTest, KeepsItsPromisesUnderRandomFaults)
+{
+  EXPECT_EQ(Violations(1, false), "");
+}
+
+TEST(SessionSoakTest, CutsNoAnswerByPlannedWork)
+{
+  EXPECT_EQ(Violations(2, true), "");
+}
+
+} // namespace
+} // namespace snipewalk::soak
--- /dev/null
+++ b/tests/soak/soak_callers.cpp
@@ -0,0 +1,232 @@
+// Implementation of the callers of a soak run.
+#include "soak/soak_callers.h"
+
+#include "standins/session_caller.h"
+
+#include <Poco/Exception.h>
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <random>
+#include <set>
+#include <string>
+
+namespace snipewalk::soak {
+
+namespace {
+
+constexpr const char* kPrimaryDatabase = "main";
+constexpr const char* kOwnWritesDatabase = "own";
+// Of the stand-in's desired state.
+constexpr milliseconds kMaxStaleness{ 2'500 };
+constexpr milliseconds kAnswerTimeout{ 5'000 };
+constexpr milliseconds kPause{ 4 };
+constexpr milliseconds kReconnectPause{ 50 };
+constexpr int kLongestSession = 60;
+// A request that was not read yet when the instance closed an idle session is
+// noticed at once.
+constexpr milliseconds kIdleCloseNoticed{ 200 };
+
+// Codes that promise that nothing was kept.
+bool
+IsPromise(const std::string& aCode)
+{
+  static const std::set<std::string> kPromises{ "BUSY",      "ABORTED",
+                                                "LAGGING",   "READONLY",
+                                                "WRONGNODE", "TOOMANYCON" };
+  return kPromises.contains(aCode);
+}
+
+time_point
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
+// One caller: a key of its own, sessions one after the other.
+class soak_caller
+{
+public:
+  soak_caller(const caller_options& aOptions,
+              std::size_t aNumber,
+              promise_checks& aChecks)
+    : mOptions(aOptions)
+    , mChecks(aChecks)
+    , mNumber(aNumber)
+    , mRandom(aOptions.mSeed * 1'000 + aNumber)
+  {
+    TakeNextKey();
+  }
+
+  // False when no session could be opened.
+  bool RunSession(const std::atomic<bool>& aStopped)
+  {
+    const std::uint16_t port = mOptions.mPorts[Draw(mOptions.mPorts.size())];
+    const bool primary = Draw(2) == 0;
+    try {
+      standins::session_caller session(port, kAnswerTimeout);
+      if (!session.Start(primary ? kPrimaryDatabase : kOwnWritesDatabase)
+             .mError.empty()) {
+        return false;
+      }
+      mOwnAcknowledged = 0;
+      mOwnKey.clear();
+      bool open = true;
+      for (int i = 0; open && i < kLongestSession && !aStopped; ++i) {
+        open = RunOperation(session, primary);
+        std::this_thread::sleep_for(kPause);
+      }
+      return open;
+    } catch (const Poco::Exception&) {
+      return false;
+    }
+  }
+
+private:
+  std::size_t Draw(std::size_t aBelow) { return mRandom() % aBelow; }
+
+  // A write whose fate is unknown may still run; its key is not written again.
+  void TakeNextKey()
+  {
+    mKey = absl::StrCat("c", mNumber, ".", ++mKeys);
+    mNext = 1;
+  }
+
+  standins::session_answer Ask(standins::session_caller& aSession,
+                               const std::string& aText)
+  {
+    const time_point sent = Now();
+    auto answer = aSession.Query(aText);
+    if (mOptions.mNoAnswerMayBeCut && !answer.mWhole &&
+        Now() > sent + kIdleCloseNoticed) {
+      mChecks.AddViolation(absl::StrCat("answer cut: ", aText));
+    }
+    return answer;
+  }
+
+  // False when the session is over.
+  bool RunOperation(standins::session_caller& aSession, bool aPrimary)
+  {
+    switch (Draw(8)) {
+      case 0:
+      case 1:
+        return Write(aSession);
+      case 2:
+        return Transaction(aSession);
+      default:
+        return Read(aSession, aPrimary);
+    }
+  }
+
+  bool Write(standins::session_caller& aSession)
+  {
+    const std::uint64_t number = mNext++;
+    mChecks.Begin(mKey, number);
+    return Settle(
+      Ask(aSession, absl::StrCat("WRITE ", mKey, " ", ValueOf(mKey, number))),
+      number);
+  }
+
+  // Records the fate of a write or commit that was sent.
+  bool Settle(const standins::session_answer& aAnswer, std::uint64_t aNumber)
+  {
+    if (aAnswer.mWhole && aAnswer.mCompleted) {
+      mChecks.End(mKey, aNumber, write_fate::Acknowledged, Now());
+      mOwnKey = mKey;
+      mOwnAcknowledged = aNumber;
+    } else if (aAnswer.mWhole && IsPromise(aAnswer.mError)) {
+      mChecks.End(mKey, aNumber, write_fate::NotRun, Now());
+    } else {
+      TakeNextKey();
+    }
+    return aAnswer.mWhole;
+  }
+
+  bool Transaction(standins::session_caller& aSession)
+  {
+    const auto begun = Ask(aSession, "BEGIN");
+    if (!begun.mWhole || !begun.mCompleted) {
+      return begun.mWhole;
+    }
+    const std::uint64_t number = mNext++;
+    mChecks.Begin(mKey, number);
+    const auto written =
+      Ask(aSession, absl::StrCat("WRITE ", mKey, " ", ValueOf(mKey, number)));
+    const bool rollBack = Draw(4) == 0;
+    if (written.mWhole && written.mCompleted && !rollBack) {
+      return Settle(Ask(aSession, "COMMIT"), number);
+    }
+    // No commit is asked for.
+    mChecks.End(mKey, number, write_fate::NotRun, Now());
+    return written.mWhole && Ask(aSession, "ROLLBACK").mWhole;
+  }
+
+  bool Read(standins::session_caller& aSession, bool aPrimary)
+  {
+    const bool own = Draw(2) == 0 && !mOwnKey.empty();
+    const std::string key =
+      own ? mOwnKey : absl::StrCat("c", Draw(mOptions.mCallers), ".1");
+    std::uint64_t floor =
+      mChecks.Acknowledged(key, aPrimary ? Now() : Now() - kMaxStaleness);
+    if (own) {
+      floor = std::max(floor, mOwnAcknowledged);
+    }
+    const auto answer = Ask(aSession, "READ " + key);
+    if (answer.mWhole && answer.mCompleted) {
+      mChecks.Read(
+        key, floor, answer.mRow, aPrimary ? "primary" : "own writes");
+    }
+    return answer.mWhole;
+  }
+
+  const caller_options& mOptions;
+  promise_checks& mChecks;
+  std::size_t mNumber;
+  std::mt19937_64 mRandom;
+  std::string mKey;
+  std::uint64_t mKeys = 0;
+  std::uint64_t mNext = 1;
+  // Newest acknowledged write of the present session.
+  std::string mOwnKey;
+  std::uint64_t mOwnAcknowledged = 0;
+};
+
+} // namespace
+
+soak_callers::soak_callers(caller_options aOptions, promise_checks& aChecks)
+  : mOptions(std::move(aOptions))
+  , mChecks(aChecks)
+{
+  for (std::size_t i = 0; i < mOptions.mCallers; ++i) {
+    mThreads.emplace_back([this, i] { Run(i); });
+  }
+}
+
+soak_callers::~soak_callers()
+{
+  Stop();
+}
+
+void
+soak_callers::Run(std::size_t aCaller)
+{
+  soak_caller self(mOptions, aCaller, mChecks);
+  while (!mStopped) {
+    if (!self.RunSession(mStopped)) {
+      std::this_thread::sleep_for(kReconnectPause);
+    }
+  }
+}
+
+void
+soak_callers::Stop()
+{
+  mStopped = true;
+  for (auto& thread : mThreads) {
+    if (thread.joinable()) {
+      thread.join();
+    }
+  }
+}
+
+} // namespace snipewalk::soak
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -1,24 +1,18 @@
 // Stand-in of the users' platform in one thread: the object store and the
-// promotion call over HTTP, and the backend servers of one service, which speak
-// the line protocol. Replicas receive commits at once unless they are paused or
-// stopped.
+// promotion call over HTTP, and the backend servers of one service.
 #ifndef SNIPEWALK_STANDINS_PLATFORM_STANDIN_H_
 #define SNIPEWALK_STANDINS_PLATFORM_STANDIN_H_
 
 #include "snipewalk/connection/event_loop.h"
-#include "snipewalk/connection/listener.h"
-#include "snipewalk/connection/stream_connection.h"
 #include "standins/http_service.h"
+#include "standins/line_server_group.h"
+#include "standins/platform_store.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <thread>
-#include <vector>
-
-#include <json/json.h>
 
 namespace snipewalk::standins {
 
@@ -28,8 +22,11 @@
   static constexpr const char* kService = "ledger";
 
   // Starts servers "s1" (the primary) to "s<n>", and the desired state with the
-  // databases "main" (primary) and "own" (read your writes).
-  explicit platform_standin(int aServers);
+  // databases "main" (primary) and "own" (read your writes). `aAddress` maps
+  // the address of a server to the one that its entry names.
+  explicit platform_standin(
+    int aServers,
+    std::function<std::string(const std::string&)> aAddress = {});
   ~platform_standin();
   platform_standin(const platform_standin&) = delete;
   platform_standin& operator=(const platform_standin&) = delete;
@@ -38,7 +35,10 @@
 
   // Any thread; each waits until it is done.
 
-  // Ends a server without a word: its connections are reset.
+  // Runs a task that changes the servers or the store on their thread.
+  void Change(
+    const std::function<void(line_server_group&, platform_store&)>& aTask);
+  // Ends a server without a word: its connections are closed.
   void Crash(const std::string& aServer);
   // A server reports that it leaves soon.
   void Drain(const std::string& aServer);
@@ -52,78 +52,14 @@
   std::map<std::string, std::string> Items();
 
 private:
-  struct connection;
-
-  struct server
-  {
-    std::string mId;
-    std::unique_ptr<listener> mListener;
-    std::string mAddress;
-    bool mAlive = true;
-    bool mPrimary = false;
-    bool mDraining = false;
-    std::uint64_t mTerm = 1;
-    // Term of a pause; zero while the server receives.
-    std::uint64_t mHeld = 0;
-    std::uint64_t mNumber = 0;
-    std::map<std::string, std::string> mItems;
-    std::vector<std::shared_ptr<connection>> mConnections;
-  };
-
-  struct connection
-  {
-    std::unique_ptr<stream_connection> mStream;
-    bool mOpen = false;
-    bool mInTransaction = false;
-    std::map<std::string, std::string> mWrites;
-    std::map<std::string, std::string> mPrepared;
-  };
-
-  struct stored
-  {
-    std::uint64_t mRevision = 0;
-    Json::Value mSpec;
-  };
-
-  struct waiting_watch
-  {
-    connection_number mConnection = 0;
-    std::string mKind;
-    std::uint64_t mFrom = 0;
-  };
-
-  void Run(const std::function<void()>& aTask);
-  void StartServer(int aNumber);
-  void Accept(server& aServer, const Poco::Net::StreamSocket& aSocket);
-  void OnLine(server& aServer,
-              connection& aConnection,
-              const std::string& aLine);
-  std::string Execute(server& aServer,
-                      connection& aConnection,
-                      const std::string& aText);
-  std::string ControlRow(const server& aServer) const;
-  std::string Position(const server& aServer) const;
-  // False when no replica could receive the commit.
-  bool Commit(server& aServer,
-              const std::map<std::string, std::string>& aWrites);
-  void PublishServer(const server& aServer);
-  void Write(const std::string& aKind,
-             const std::string& aName,
-             const Json::Value& aSpec);
-  void OnStoreCall(connection_number aConnection, const http_request& aRequest);
-  void AnswerWatches();
-  Json::Value ObjectJson(const std::string& aName, const stored& aObject) const;
-  void Promote(const std::string& aServer);
+  void OnCall(connection_number aConnection, const http_request& aRequest);
+  void OnPromotion(connection_number aConnection, const http_request& aRequest);
 
   event_loop mLoop;
   http_service mHttp;
+  platform_store mStore;
+  line_server_group mServers;
   std::uint16_t mHttpPort = 0;
-  std::map<std::string, std::unique_ptr<server>> mServers;
-  std::map<std::string, std::map<std::string, stored>> mObjects;
-  std::uint64_t mRevision = 1;
-  std::vector<waiting_watch> mWatches;
-  bool mStoreDown = false;
-  int mPromotions = 0;
   std::thread mThread;
 };
 
