Replace a primary that vanished before any change was recorded

Cause: without a recorded change the primary is the registered server that calls itself primary.

Change: a service that has servers but no known primary for 2.5 s, the time in which lapsed entries return, is changed with reason "unknown". The change pauses all replicas as always, so that a primary whose entry only lapsed acknowledges nothing more. ReadLine(0) of a child process reads what is there; the soak's logs of instances were empty before.

--- a/include/snipewalk/session/primary_monitor.h
+++ b/include/snipewalk/session/primary_monitor.h
@@ -48,16 +48,19 @@
   // Its commits are not confirmed by replicas.
   WritesStall,
   // It runs, but not as primary.
-  LostRole
+  LostRole,
+  // No change was ever recorded, and no server calls itself primary.
+  Unknown
 };
 
-inline constexpr name_table<change_reason, 6> kChangeReasonNames{ {
+inline constexpr name_table<change_reason, 7> kChangeReasonNames{ {
   { change_reason::None, "none" },
   { change_reason::Leaving, "leaving" },
   { change_reason::Dead, "dead" },
   { change_reason::CutOff, "cut_off" },
   { change_reason::WritesStall, "writes_stall" },
   { change_reason::LostRole, "lost_role" },
+  { change_reason::Unknown, "unknown" },
 } };
 
 // What the holder's own questions show.
@@ -79,6 +82,8 @@
                 time_point aNow);
   // The primary as its registration shows it; nothing while it has none.
   void OnEntry(const std::optional<server_entry>& aEntry, time_point aNow);
+  // No primary is recorded and no registered server calls itself primary.
+  void OnUnknown(time_point aNow);
   void OnProbe(bool aAnswered, time_point aNow);
   // Starts anew, for another primary.
   void Reset(time_point aNow);
@@ -104,6 +109,8 @@
   // Since when the entry is missing, or names another role.
   std::optional<time_point> mMissingSince;
   std::optional<time_point> mNotPrimarySince;
+  // Since when no primary is known at all.
+  std::optional<time_point> mUnknownSince;
   probe_result mProbe = probe_result::None;
   time_point mProbedAt = time_point::min();
   // Failed probes in a row.
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -168,6 +168,7 @@
   void Confirm(time_point aAsOf, time_point aNow);
   void PublishServers(time_point aNow);
   void PublishPrimaries(time_point aNow);
+  bool HasServers(const std::string& aService) const;
   service_primary PrimaryOf(const std::string& aService) const;
   std::optional<server_entry> EntryOf(const std::string& aServer) const;
 
--- a/src/session/primary_monitor.cpp
+++ b/src/session/primary_monitor.cpp
@@ -67,6 +67,7 @@
                          time_point aNow)
 {
   mEntry = aEntry;
+  mUnknownSince.reset();
   if (aEntry) {
     mMissingSince.reset();
   } else if (!mMissingSince) {
@@ -79,6 +80,15 @@
   }
 }
 
+void
+primary_monitor::OnUnknown(time_point aNow)
+{
+  mEntry.reset();
+  mMissingSince.reset();
+  mNotPrimarySince.reset();
+  mUnknownSince = mUnknownSince.value_or(aNow);
+}
+
 void
 primary_monitor::OnProbe(bool aAnswered, time_point aNow)
 {
@@ -126,6 +136,9 @@
   if (mEntry && mEntry->mDraining) {
     return change_reason::Leaving;
   }
+  if (mUnknownSince && aNow >= *mUnknownSince + kMissingFor) {
+    return change_reason::Unknown;
+  }
   const bool probeFresh = aNow < mProbedAt + kReportLifetime;
   const bool probeFailed = probeFresh && mProbe == probe_result::Failed &&
                            mFailedProbes >= kFailedProbesForDead;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -203,6 +203,14 @@
   return std::nullopt;
 }
 
+bool
+session_controller::HasServers(const std::string& aService) const
+{
+  return std::any_of(mServers.begin(), mServers.end(), [&](const auto& aIt) {
+    return aIt.second.mService == aService;
+  });
+}
+
 service_primary
 session_controller::PrimaryOf(const std::string& aService) const
 {
@@ -234,8 +242,11 @@
   for (auto& [service, control] : mServices) {
     const service_primary primary = PrimaryOf(service);
     mEngine.SetPrimary(service, primary, aNow);
-    control.mMonitor.OnEntry(
-      primary.mServer.empty() ? std::nullopt : EntryOf(primary.mServer), aNow);
+    if (!primary.mServer.empty()) {
+      control.mMonitor.OnEntry(EntryOf(primary.mServer), aNow);
+    } else if (HasServers(service)) {
+      control.mMonitor.OnUnknown(aNow);
+    }
   }
 }
 
--- a/tests/session/primary_monitor_test.cpp
+++ b/tests/session/primary_monitor_test.cpp
@@ -31,6 +31,25 @@
   return monitor;
 }
 
+// The first primary ended before any change was recorded, while nobody held the
+// duty: the service had no primary for ever.
+TEST(PrimaryMonitorTest, ReplacesAPrimaryThatVanishedBeforeItWasRecorded)
+{
+  primary_monitor monitor = Monitor();
+  monitor.OnUnknown(At(100));
+  EXPECT_EQ(monitor.Decide(At(2'500)), change_reason::None);
+  monitor.OnUnknown(At(2'500));
+  EXPECT_EQ(monitor.Decide(At(2'600)), change_reason::Unknown);
+}
+
+TEST(PrimaryMonitorTest, WaitsForTheEntryOfAPrimaryThatReturns)
+{
+  primary_monitor monitor = Monitor();
+  monitor.OnUnknown(At(100));
+  monitor.OnEntry(Entry(), At(2'000));
+  EXPECT_EQ(monitor.Decide(At(2'600)), change_reason::None);
+}
+
 TEST(PrimaryMonitorTest, ReplacesAServerThatNobodyReaches)
 {
   primary_monitor monitor = Monitor();
--- a/tests/standins/process_fleet.cpp
+++ b/tests/standins/process_fleet.cpp
@@ -20,6 +20,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <thread>
@@ -153,7 +154,8 @@
     }
     const auto left = ToMilliseconds(deadline - Now());
     pollfd waiting{ mOutput, POLLIN, 0 };
-    if (left <= 0 || ::poll(&waiting, 1, static_cast<int>(left)) <= 0) {
+    const auto wait = static_cast<int>(std::max<std::int64_t>(left, 0));
+    if (::poll(&waiting, 1, wait) <= 0) {
       return std::nullopt;
     }
     std::array<char, 4096> chunk{};
