--- a/include/snipewalk/session/desired_state.h
+++ b/include/snipewalk/session/desired_state.h
@@ -6,6 +6,8 @@
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -45,12 +47,22 @@
   milliseconds mMaxStaleness{ 0 };
 };
 
+// Connections to each server that are left to control connections.
+inline constexpr int kControlConnections = 2;
+
 struct service_limits
 {
   // Connections to each server from all instances together.
   int mMaxConnections = 1;
   // Replicas that must have received a commit before it is acknowledged.
   int mSyncReplicas = 0;
+
+  // Connections to each server for statements.
+  std::size_t StatementConnections() const
+  {
+    return static_cast<std::size_t>(
+      std::max(mMaxConnections - kControlConnections, 1));
+  }
 };
 
 struct desired_state
--- a/include/snipewalk/session/fleet_records.h
+++ b/include/snipewalk/session/fleet_records.h
@@ -81,7 +81,9 @@
 struct instance_record
 {
   std::string mName;
-  // "IP:port" for datagrams of other instances.
+  std::string mDataCentre;
+  // "IP:port" for datagrams of other instances (UDP) and for the sessions that
+  // they forward (TCP).
   std::string mPeerAddress;
   std::uint64_t mStarted = 0;
   instance_state mState = instance_state::Live;
--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -50,6 +50,8 @@
     return mObjects;
   }
   bool IsListed() const { return mListed; }
+  // A refresh is under way.
+  bool IsRefreshing() const { return mRefreshing > 0; }
   // The store's revision that the last answer reflects.
   std::uint64_t Revision() const { return mRevision; }
   // Newest version of an object of the kind that was seen.
@@ -89,6 +91,8 @@
   std::uint64_t mRevision = 0;
   std::uint64_t mNewestVersion = 0;
   bool mListed = false;
+  // Refreshes without an answer yet.
+  int mRefreshing = 0;
   // Answers to earlier watches are ignored.
   std::uint64_t mWatchNumber = 0;
   // The last call failed.
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -9,11 +9,13 @@
 #include "snipewalk/session/desired_state.h"
 #include "snipewalk/session/duty_lease.h"
 #include "snipewalk/session/fleet_records.h"
+#include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/kind_watcher.h"
 #include "snipewalk/session/peer_datagrams.h"
 #include "snipewalk/session/primary_change.h"
 #include "snipewalk/session/primary_monitor.h"
 #include "snipewalk/session/session_engine.h"
+#include "snipewalk/session/session_hosts.h"
 
 #include <functional>
 #include <map>
@@ -73,6 +75,7 @@
   std::string mInstance;
   // Unix milliseconds of the process's start.
   std::uint64_t mStarted = 0;
+  std::string mDataCentre;
   std::string mPeerAddress;
   // Spreads this instance's claims; differs between instances.
   milliseconds mClaimStagger{ 0 };
@@ -108,6 +111,33 @@
   // The desired state, the servers and the fleet are known.
   bool IsReady() const;
   bool HoldsDuty(time_point aNow) const { return mDuty.Holds(aNow); }
+  // Instance that serves new sessions of a database; nothing for this one, and
+  // for a database without a route.
+  std::optional<host_candidate> HostFor(const std::string& aDatabase,
+                                        time_point aNow) const;
+  void OnHostFailed(const std::string& aInstance, time_point aNow)
+  {
+    mHosts.OnHostFailed(aInstance, aNow);
+  }
+  // Store revision of the desired state in force.
+  std::uint64_t DesiredRevision() const { return mDesiredRevision; }
+  // Reads the desired state if it is older than another instance's.
+  void WantDesiredRevision(std::uint64_t aRevision, time_point aNow);
+  // The desired state in force, for instances that the store turns away; and
+  // one that another instance has in force.
+  relayed_state DesiredState() const;
+  void LearnDesiredState(const relayed_state& aState, time_point aNow);
+  void SetOnDesiredState(std::function<void()> aHandler)
+  {
+    mOnDesiredState = std::move(aHandler);
+  }
+  // Asks an instance for a sign of life; the handler set below hears of it.
+  void AskInstance(const std::string& aPeerAddress, time_point aNow);
+  void SetOnInstanceHeard(
+    std::function<void(const std::string& aInstance, time_point)> aHandler)
+  {
+    mOnInstanceHeard = std::move(aHandler);
+  }
   // Zero while no desired state is in force.
   std::uint64_t DesiredVersion() const
   {
@@ -165,6 +195,9 @@
   void ApplyFleetObject(const stored_object& aObject,
                         time_point aAsOf,
                         time_point aNow);
+  // Divides the services between the instances.
+  void PublishHosts(time_point aNow);
+  confirmation_request NewQuestion(time_point aNow);
   void Confirm(time_point aAsOf, time_point aNow);
   void PublishServers(time_point aNow);
   void PublishPrimaries(time_point aNow);
@@ -230,6 +263,10 @@
   std::map<std::string, removed_server> mRemoved;
   std::map<std::string, service_control> mServices;
   std::map<std::string, instance_record> mInstances;
+  session_hosts mHosts;
+  std::function<void(const std::string&, time_point)> mOnInstanceHeard;
+  std::function<void()> mOnDesiredState;
+  time_point mDesiredReadAt = time_point::min();
   // When each instance was first seen as gone.
   std::map<std::string, time_point> mGoneSince;
   // The view of the fleet's records was right at this moment.
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -8,6 +8,7 @@
 #include "snipewalk/base/metrics.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/session/desired_state.h"
+#include "snipewalk/session/session_hosts.h"
 #include "snipewalk/session/session_messages.h"
 
 #include <cstdint>
@@ -64,8 +65,6 @@
 struct session_engine_options
 {
   std::string mDataCentre;
-  // Connections to each server that are left to control connections.
-  int mReservedConnections = 2;
   // Reads the answer to a status command.
   std::function<absl::StatusOr<server_status>(const statement_reply&)>
     mParseStatus;
@@ -112,9 +111,10 @@
                   time_point aNow);
   // No other server takes over any service before `aUntil`.
   void SetPrimariesConfirmed(time_point aUntil, time_point aNow);
-  // Number of instances that share the connections of a server, and this one's
-  // rank among them, from zero.
-  void SetInstances(std::size_t aCount, std::size_t aRank, time_point aNow);
+  // Number of instances that share the connections of a server.
+  void SetInstances(std::size_t aCount, time_point aNow);
+  // How the connections of a service are divided.
+  void SetHosting(const std::string& aService, const service_hosting& aHosting);
 
   // Callers.
 
--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -2,30 +2,96 @@
 #include "session/connection_table.h"
 
 #include "snipewalk/base/log.h"
+#include "snipewalk/session/forwarded_messages.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace snipewalk {
 
+namespace {
+
+// A desired state that another instance knows of is a call to the store away.
+constexpr milliseconds kDesiredStateDelay{ 600 };
+// The store has not told it by then: it may turn this instance away.
+constexpr milliseconds kAskForStateAfter{ 150 };
+
+} // namespace
+
 connection_table::connection_table(event_loop& aLoop,
-                                   const session_protocol& aProtocol)
+                                   const session_protocol& aProtocol,
+                                   forwarding_links& aLinks)
   : mLoop(aLoop)
   , mProtocol(aProtocol)
+  , mLinks(aLinks)
+  , mForwarder(aLoop, aProtocol, ForwarderHandlers())
+{
+}
+
+session_forwarder::handlers
+connection_table::ForwarderHandlers()
 {
+  session_forwarder::handlers handlers;
+  handlers.mServeHere =
+    [this](session_id aSession, const open_session& aOpen, time_point aNow) {
+      mEngine->OnCaller(aSession, aOpen, aNow);
+    };
+  handlers.mSendToCaller = [this](session_id aSession,
+                                  const std::string& aBytes) {
+    SendToCaller(aSession, aBytes);
+  };
+  handlers.mCloseCaller = [this](session_id aSession) {
+    CloseCaller(aSession);
+  };
+  handlers.mOnHostFailed = [this](const std::string& aHost, time_point aNow) {
+    mLinks.OnHostFailed(aHost, aNow);
+  };
+  handlers.mAskHost = [this](const host_candidate& aHost, time_point aNow) {
+    mLinks.AskHost(aHost, aNow);
+  };
+  handlers.mDesiredRevision = [this] { return mLinks.DesiredRevision(); };
+  handlers.mWantDesiredRevision = [this](std::uint64_t aRevision,
+                                         time_point aNow) {
+    mLinks.WantDesiredRevision(aRevision, aNow);
+  };
+  handlers.mDesiredState = [this] { return mLinks.DesiredState(); };
+  handlers.mLearnDesiredState = [this](const relayed_state& aState,
+                                       time_point aNow) {
+    mLinks.LearnDesiredState(aState, aNow);
+  };
+  return handlers;
+}
+
+absl::StatusOr<std::unique_ptr<listener>>
+connection_table::Open(const std::string& aAddress, bool aFromPeers)
+{
+  return listener::Open(
+    mLoop,
+    aAddress,
+    [this, aFromPeers](const Poco::Net::StreamSocket& aSocket, time_point) {
+      Accept(aSocket, aFromPeers);
+    });
 }
 
 absl::Status
 connection_table::Listen(const std::string& aAddress)
 {
-  auto opened = listener::Open(mLoop,
-                               aAddress,
-                               [this](const Poco::Net::StreamSocket& aSocket,
-                                      time_point) { Accept(aSocket); });
-  if (!opened.ok()) {
-    return opened.status();
+  auto opened = Open(aAddress, false);
+  if (opened.ok()) {
+    mListener = *std::move(opened);
   }
-  mListener = *std::move(opened);
-  return absl::OkStatus();
+  return opened.status();
+}
+
+absl::Status
+connection_table::ListenForPeers(const std::string& aAddress)
+{
+  auto opened = Open(aAddress, true);
+  if (opened.ok()) {
+    mPeerListener = *std::move(opened);
+  }
+  return opened.status();
 }
 
 void
@@ -37,10 +103,20 @@
 }
 
 void
-connection_table::Accept(const Poco::Net::StreamSocket& aSocket)
+connection_table::StopListeningForPeers(time_point aNow)
+{
+  if (mPeerListener) {
+    mPeerListener->Close(aNow);
+  }
+}
+
+void
+connection_table::Accept(const Poco::Net::StreamSocket& aSocket, bool aFromPeer)
 {
   const session_id id = mNextSession++;
-  mCallers[id].mStream = stream_connection::Adopt(
+  caller& accepted = mCallers[id];
+  accepted.mFromPeer = aFromPeer;
+  accepted.mStream = stream_connection::Adopt(
     mLoop,
     aSocket,
     { {},
@@ -48,11 +124,180 @@
         OnCallerInput(id, aInput, aNow);
       },
       [this, id](close_cause, time_point aNow) {
+        mForwarder.OnCallerClosed(id);
         mEngine->OnCallerClosed(id, aNow);
         CloseCaller(id);
       } });
 }
 
+absl::StatusOr<std::optional<connection_table::received_message>>
+connection_table::TakeMessage(session_id aSession,
+                              std::string& aInput,
+                              time_point aNow)
+{
+  if (mCallers.at(aSession).mFromPeer) {
+    return TakeFromPeer(aSession, aInput, aNow);
+  }
+  received_message received;
+  received.mBytes = aInput;
+  auto message = mProtocol.ReadCaller(aInput);
+  if (!message.ok()) {
+    return message.status();
+  }
+  if (!*message) {
+    return std::nullopt;
+  }
+  received.mBytes.resize(received.mBytes.size() - aInput.size());
+  received.mMessage = **std::move(message);
+  return received;
+}
+
+absl::StatusOr<std::optional<connection_table::received_message>>
+connection_table::TakeFromPeer(session_id aSession,
+                               std::string& aInput,
+                               time_point aNow)
+{
+  while (true) {
+    std::size_t frameBytes = 0;
+    auto frame = PeekForwarded(aInput, frameBytes);
+    if (!frame.ok()) {
+      return frame.status();
+    }
+    if (!*frame) {
+      return std::nullopt;
+    }
+    aInput.erase(0, frameBytes);
+    caller& peer = mCallers.at(aSession);
+    if ((*frame)->mState) {
+      mLinks.LearnDesiredState(*(*frame)->mState, aNow);
+    }
+    if ((*frame)->AsksForState()) {
+      peer.mStream->Send(EncodeForwarded(
+        { mLinks.DesiredRevision(), {}, mLinks.DesiredState() }));
+    }
+    if ((*frame)->mBytes.empty()) {
+      continue;
+    }
+    if (peer.mHeld) {
+      return absl::InvalidArgumentError("a message before the last answer");
+    }
+    if ((*frame)->mDesiredRevision <= mLinks.DesiredRevision()) {
+      return Unframe((*frame)->mBytes);
+    }
+    mLinks.WantDesiredRevision((*frame)->mDesiredRevision, aNow);
+    peer.mHeld = **std::move(frame);
+    mParked[aSession] = { aNow };
+  }
+}
+
+absl::StatusOr<std::optional<connection_table::received_message>>
+connection_table::Unframe(std::string aBytes) const
+{
+  auto message = mProtocol.ReadCaller(aBytes);
+  if (!message.ok()) {
+    return message.status();
+  }
+  if (!*message) {
+    return absl::InvalidArgumentError("a frame without a whole message");
+  }
+  return received_message{ **std::move(message), {} };
+}
+
+void
+connection_table::OnDesiredState()
+{
+  // Not within the handler that learnt of it.
+  mLoop.Post([this] {
+    std::vector<session_id> held;
+    for (const auto& [session, parked] : mParked) {
+      held.push_back(session);
+    }
+    for (const auto session : held) {
+      ReleaseHeld(session, mLoop.Now());
+    }
+  });
+}
+
+void
+connection_table::ReleaseHeld(session_id aSession, time_point aNow)
+{
+  const auto found = mCallers.find(aSession);
+  const bool due =
+    found != mCallers.end() && found->second.mHeld &&
+    found->second.mHeld->mDesiredRevision <= mLinks.DesiredRevision();
+  if (!due) {
+    return;
+  }
+  const auto received = Unframe(std::move(found->second.mHeld->mBytes));
+  found->second.mHeld.reset();
+  mParked.erase(aSession);
+  if (received.ok()) {
+    Deliver(aSession, **received, aNow);
+  } else {
+    EndMalformed(aSession, received.status(), aNow);
+  }
+}
+
+void
+connection_table::OnTick(time_point aNow)
+{
+  mForwarder.OnTick(aNow);
+  std::vector<session_id> late;
+  bool asked = false;
+  for (auto& [session, parked] : mParked) {
+    if (aNow >= parked.mSince + kDesiredStateDelay) {
+      late.push_back(session);
+    } else if (!asked && !parked.mAsked &&
+               aNow >= parked.mSince + kAskForStateAfter) {
+      // One answer helps all of them.
+      asked = true;
+      parked.mAsked = true;
+      mCallers.at(session).mStream->Send(
+        EncodeForwarded({ mLinks.DesiredRevision(), {}, std::nullopt }));
+    }
+  }
+  for (const auto session : late) {
+    Log(log_level::Warning,
+        "session",
+        "forwarded session ended: its desired state is not known here");
+    mEngine->OnCallerClosed(session, aNow);
+    CloseCaller(session);
+  }
+}
+
+void
+connection_table::Deliver(session_id aSession,
+                          const received_message& aReceived,
+                          time_point aNow)
+{
+  if (mForwarder.Holds(aSession)) {
+    mForwarder.OnCaller(aSession, aReceived.mMessage, aReceived.mBytes, aNow);
+    return;
+  }
+  const auto* open = std::get_if<open_session>(&aReceived.mMessage);
+  if (open != nullptr && !mCallers.at(aSession).mFromPeer) {
+    if (const auto host = mLinks.HostFor(open->mDatabase, aNow)) {
+      mForwarder.Open(aSession, *host, *open, aReceived.mBytes, aNow);
+      return;
+    }
+  }
+  mEngine->OnCaller(aSession, aReceived.mMessage, aNow);
+}
+
+void
+connection_table::EndMalformed(session_id aSession,
+                               const absl::Status& aStatus,
+                               time_point aNow)
+{
+  Log(log_level::Info,
+      "session",
+      "malformed input of a caller",
+      { { "error", std::string(aStatus.message()) } });
+  mForwarder.OnCallerClosed(aSession);
+  mEngine->OnCallerClosed(aSession, aNow);
+  Refuse(aSession, result_code::Malformed, "malformed message");
+}
+
 void
 connection_table::OnCallerInput(session_id aSession,
                                 std::string& aInput,
@@ -62,20 +307,15 @@
     mBeforeInput(aNow);
   }
   while (mCallers.contains(aSession)) {
-    const auto message = mProtocol.ReadCaller(aInput);
-    if (message.ok() && !*message) {
+    const auto received = TakeMessage(aSession, aInput, aNow);
+    if (!received.ok()) {
+      EndMalformed(aSession, received.status(), aNow);
       return;
     }
-    if (!message.ok()) {
-      Log(log_level::Info,
-          "session",
-          "malformed input of a caller",
-          { { "error", std::string(message.status().message()) } });
-      mEngine->OnCallerClosed(aSession, aNow);
-      Refuse(aSession, result_code::Malformed, "malformed message");
+    if (!*received) {
       return;
     }
-    mEngine->OnCaller(aSession, **message, aNow);
+    Deliver(aSession, **received, aNow);
   }
   aInput.clear();
 }
@@ -84,9 +324,14 @@
 connection_table::SendToCaller(session_id aSession, const std::string& aBytes)
 {
   const auto found = mCallers.find(aSession);
-  if (found != mCallers.end()) {
-    found->second.mStream->Send(aBytes);
+  if (found == mCallers.end()) {
+    return;
   }
+  caller& to = found->second;
+  to.mStream->Send(
+    to.mFromPeer
+      ? EncodeForwarded({ mLinks.DesiredRevision(), aBytes, std::nullopt })
+      : aBytes);
 }
 
 void
@@ -119,6 +364,7 @@
   }
   std::unique_ptr<stream_connection> stream = std::move(found->second.mStream);
   mCallers.erase(found);
+  mParked.erase(aSession);
   stream->CloseAfterOutput();
   Bury(std::move(stream));
 }
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -72,6 +72,7 @@
   }
   mRegistering = true;
   const instance_record record{ mOptions.mInstance,
+                                mOptions.mDataCentre,
                                 mOptions.mPeerAddress,
                                 mOptions.mStarted };
   const std::string name = FleetRecordName(record);
@@ -138,24 +139,35 @@
     }
     (name == holder ? asked : others).push_back(record.mPeerAddress);
   }
-  if (mQuestions.size() >= kMaxQuestions) {
-    mQuestions.erase(mQuestions.begin());
-  }
-  mQuestions[++mQuestion] = aNow;
   const bool old = mConfirmedAt == time_point::min() ||
                    aNow >= mConfirmedAt + kConfirmationOld;
   const std::size_t more = old ? std::min(kPeersAsked, others.size()) : 0;
   for (std::size_t i = 0; i < more; ++i) {
     asked.push_back(others[(mQuestion * kPeersAsked + i) % others.size()]);
   }
-  const confirmation_request request{ mOptions.mInstance,
-                                      mOptions.mStarted,
-                                      mQuestion };
+  const confirmation_request request = NewQuestion(aNow);
   for (const auto& address : asked) {
     mLinks.SendDatagram(address, request);
   }
 }
 
+confirmation_request
+session_controller::NewQuestion(time_point aNow)
+{
+  if (mQuestions.size() >= kMaxQuestions) {
+    mQuestions.erase(mQuestions.begin());
+  }
+  mQuestions[++mQuestion] = aNow;
+  return { mOptions.mInstance, mOptions.mStarted, mQuestion };
+}
+
+void
+session_controller::AskInstance(const std::string& aPeerAddress,
+                                time_point aNow)
+{
+  mLinks.SendDatagram(aPeerAddress, NewQuestion(aNow));
+}
+
 confirmation_answer
 session_controller::AnswerConfirmation(const confirmation_request& aRequest,
                                        time_point aNow) const
@@ -196,6 +208,9 @@
   }
   // The answer was made after the question was sent.
   const time_point sent = asked->second;
+  if (mOnInstanceHeard) {
+    mOnInstanceHeard(aAnswer.mInstance, aNow);
+  }
   mDuty.OnHolderHeard(aAnswer.mInstance, sent);
   mDuty.OnHolderHeard(aAnswer.mHolder,
                       sent - milliseconds(aAnswer.mHolderAgeMs));
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -16,8 +16,8 @@
 // When all instances lose power, servers keep their connections for seconds,
 // and the restarted instances need places beside them.
 constexpr milliseconds kSurplusIdle{ 400 };
-// Where a server has fewer connections than there are instances, a connection
-// that this instance does not keep is left to others after this time.
+// An instance that does not host a service leaves its connection to the hosts
+// after this time.
 constexpr milliseconds kScarceIdle{ 60 };
 
 // Moments as early as the clock's minimum must not underflow.
@@ -298,12 +298,15 @@
 std::size_t
 session_engine::state::ShareOf(const known_service& aService) const
 {
-  const int usable =
-    aService.mLimits.mMaxConnections - mOptions.mReservedConnections;
-  const auto total = static_cast<std::size_t>(std::max(usable, 1));
-  // Rounded up: the instances are never all at their share at once, and the
+  const std::size_t total = aService.mLimits.StatementConnections();
+  const service_hosting& hosting = aService.mHosting;
+  if (!hosting.HasShare()) {
+    return 1;
+  }
+  // Rounded up: those that share are never all at their share at once, and the
   // server refuses what is too much without harm.
-  return std::max<std::size_t>(1, (total + mInstances - 1) / mInstances);
+  const std::size_t sharing = hosting.mHosts > 0 ? hosting.mHosts : mInstances;
+  return std::max<std::size_t>(1, (total + sharing - 1) / sharing);
 }
 
 bool
@@ -423,32 +426,11 @@
   Transmit(connection, commands, expected_kind::Statement, aNow);
 }
 
-bool
-session_engine::state::IsScarce(const known_service& aService) const
-{
-  return static_cast<int>(mInstances) >
-         aService.mLimits.mMaxConnections - mOptions.mReservedConnections;
-}
-
 bool
 session_engine::state::KeepsIdle(const known_server& aServer) const
 {
   const auto service = mServices.find(aServer.mEntry.mService);
-  if (service == mServices.end() || !IsScarce(service->second)) {
-    return true;
-  }
-  // The replicas are divided between the instances; the primary's connections
-  // go to whoever writes.
-  const std::string& primary = service->second.mPrimary.mServer;
-  std::vector<std::string> replicas;
-  for (const auto& [id, server] : mServers) {
-    if (server.mEntry.mService == aServer.mEntry.mService && id != primary &&
-        !server.mEntry.mDraining) {
-      replicas.push_back(id);
-    }
-  }
-  return !replicas.empty() &&
-         replicas[mRank % replicas.size()] == aServer.mEntry.mId;
+  return service == mServices.end() || service->second.mHosting.HasShare();
 }
 
 void
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -21,8 +21,9 @@
 // Pause before connecting again to a server that refused.
 constexpr milliseconds kRefusedPause{ 100 };
 constexpr milliseconds kFullPause{ 300 };
-// The same where connections are scarce and change hands quickly.
-constexpr milliseconds kScarcePause{ 40 };
+// The same for an instance that does not host the service: the hosts' idle
+// connections are closed soon.
+constexpr milliseconds kGuestPause{ 40 };
 // Weight of the newest answer time in the average.
 constexpr int kAverageDivisor = 8;
 // Suggested to callers whose request was not executed.
@@ -140,8 +141,8 @@
       "server refused a connection",
       { { "server", aConnection.mServer }, { "code", aReply.mErrorCode } });
   if (server != mServers.end()) {
-    const bool scarce = IsScarce(mServices[service]);
-    server->second.mOpenAfter = aNow + (scarce ? kScarcePause : kFullPause);
+    const bool guest = !mServices[service].mHosting.HasShare();
+    server->second.mOpenAfter = aNow + (guest ? kGuestPause : kFullPause);
   }
   Discard(aConnection.mId);
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -157,6 +157,7 @@
 struct known_service
 {
   service_limits mLimits;
+  service_hosting mHosting;
   service_primary mPrimary;
   freshness_samples mSamples;
   write_gate mWriteGate;
@@ -209,6 +210,7 @@
   void SetPrimary(const std::string& aService,
                   const service_primary& aPrimary,
                   time_point aNow);
+  void SetHosting(const std::string& aService, const service_hosting& aHosting);
   std::vector<server_observation> Observations(
     const std::string& aService) const;
   session_engine_counts Counts() const;
@@ -216,8 +218,6 @@
   // Until when no server but the known primaries takes over.
   time_point mConfirmedUntil = time_point::min();
   std::size_t mInstances = 1;
-  // This instance's rank among them, from zero.
-  std::size_t mRank = 0;
   // Sessions that opened before the desired state was known.
   std::vector<session_id> mUnopened;
   // Sessions with a statement under way.
@@ -278,8 +278,6 @@
   server_connection* IdleConnection(const known_server& aServer,
                                     const session_context& aContext);
   bool CanOpen(const known_server& aServer, time_point aNow) const;
-  // Whether a server has fewer connections than there are instances.
-  bool IsScarce(const known_service& aService) const;
   // Whether this instance keeps a connection to the server without use.
   bool KeepsIdle(const known_server& aServer) const;
   void OpenConnection(known_server& aServer, time_point aNow);
--- a/src/session/fleet_records.cpp
+++ b/src/session/fleet_records.cpp
@@ -58,6 +58,7 @@
   {
     Json::Value value;
     value["name"] = aRecord.mName;
+    value["data_centre"] = aRecord.mDataCentre;
     value["peer_address"] = aRecord.mPeerAddress;
     value["started"] = Number(aRecord.mStarted);
     value["state"] = std::string(NameOf(kInstanceStateNames, aRecord.mState));
@@ -97,6 +98,7 @@
 {
   instance_record record;
   record.mName = aReader.Text("name");
+  record.mDataCentre = aReader.Text("data_centre");
   record.mPeerAddress = aReader.Text("peer_address");
   record.mStarted = aReader.Number("started");
   const auto state = ValueOf(kInstanceStateNames, aReader.Text("state"));
--- /dev/null
+++ b/src/session/forwarded_messages.cpp
@@ -0,0 +1,78 @@
+// Implementation of the messages of forwarded sessions.
+#include "snipewalk/session/forwarded_messages.h"
+
+#include "snipewalk/connection/frame_codec.h"
+
+#include <msgpack.hpp>
+
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Revision known of, bytes, and the relayed state: revision zero for none.
+using wire_message =
+  std::tuple<std::uint64_t, std::string, std::uint64_t, std::string>;
+
+// Two texts of the size of the store's values at most.
+constexpr std::size_t kFrameLimit = 2 * kFrameLimitBytes;
+
+const msgpack::unpack_limit kLimits(/*array=*/4,
+                                    /*map=*/0,
+                                    /*str=*/kFrameLimitBytes,
+                                    /*bin=*/0,
+                                    /*ext=*/0,
+                                    /*depth=*/1);
+
+} // namespace
+
+std::string
+EncodeForwarded(const forwarded_message& aMessage)
+{
+  msgpack::sbuffer packed;
+  const relayed_state state = aMessage.mState.value_or(relayed_state{});
+  msgpack::pack(packed,
+                wire_message{ aMessage.mDesiredRevision,
+                              aMessage.mBytes,
+                              state.mRevision,
+                              state.mValue });
+  std::string frame;
+  AppendFrame(frame, { packed.data(), packed.size() });
+  return frame;
+}
+
+absl::StatusOr<std::optional<forwarded_message>>
+PeekForwarded(const std::string& aInput, std::size_t& aFrameBytes)
+{
+  std::string_view rest = aInput;
+  const auto payload = TakeFrame(rest, kFrameLimit);
+  if (!payload.ok()) {
+    return payload.status();
+  }
+  if (!*payload) {
+    return std::nullopt;
+  }
+  aFrameBytes = aInput.size() - rest.size();
+  try {
+    const auto unpacked = msgpack::unpack(
+      (*payload)->data(), (*payload)->size(), nullptr, nullptr, kLimits);
+    auto message = unpacked.get().as<wire_message>();
+    forwarded_message taken{ std::get<0>(message),
+                             std::move(std::get<1>(message)),
+                             std::nullopt };
+    if (std::get<2>(message) != 0) {
+      taken.mState =
+        relayed_state{ std::get<2>(message), std::move(std::get<3>(message)) };
+    }
+    return taken;
+  } catch (const msgpack::unpack_error& error) {
+    return absl::InvalidArgumentError(error.what());
+  } catch (const msgpack::type_error& error) {
+    return absl::InvalidArgumentError(error.what());
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/forwarded_session.cpp
@@ -0,0 +1,88 @@
+// Implementation of the state of a forwarded session.
+#include "snipewalk/session/forwarded_session.h"
+
+#include "snipewalk/session/failure_answer.h"
+
+#include <utility>
+#include <variant>
+
+namespace snipewalk {
+
+namespace {
+
+// Statements that no server executes are answered like a read: nothing of them
+// is kept.
+statement_purpose
+PurposeOf(const session_context& aContext,
+          const session_statement& aStatement,
+          bool aInTransaction)
+{
+  if (std::holds_alternative<commit_statement>(aStatement)) {
+    return statement_purpose::Commit;
+  }
+  if (aInTransaction) {
+    return statement_purpose::Later;
+  }
+  return IsWrite(aContext, aStatement) ? statement_purpose::SingleWrite
+                                       : statement_purpose::SingleRead;
+}
+
+} // namespace
+
+void
+forwarded_session::OnStatement(const statement_message& aMessage,
+                               time_point aNow)
+{
+  mDue = due_answer{ aMessage, aNow };
+}
+
+void
+forwarded_session::OnReply(const statement_reply& aReply)
+{
+  mState = aReply.mState;
+  if (!mDue) {
+    return;
+  }
+  const session_statement statement = std::move(mDue->mMessage.mStatement);
+  mDue.reset();
+  if (aReply.mError) {
+    return;
+  }
+  if (const auto* prepare = std::get_if<prepare_statement>(&statement)) {
+    mContext.mPrepared[prepare->mName] = *prepare;
+  } else if (const auto* forget = std::get_if<forget_statement>(&statement)) {
+    mContext.mPrepared.erase(forget->mName);
+  }
+}
+
+bool
+forwarded_session::IsIdle() const
+{
+  return !mDue && !InTransaction();
+}
+
+std::optional<time_point>
+forwarded_session::WaitingSince() const
+{
+  return mDue ? std::optional(mDue->mSince) : std::nullopt;
+}
+
+std::optional<statement_reply>
+forwarded_session::AnswerWhenLost() const
+{
+  if (!mDue) {
+    return std::nullopt;
+  }
+  failure_facts facts;
+  facts.mPurpose =
+    PurposeOf(mContext, mDue->mMessage.mStatement, InTransaction());
+  facts.mFailure = statement_failure::NoAnswer;
+  // The transaction's statements are not remembered.
+  facts.mTransactionWrote = true;
+  statement_reply reply;
+  reply.mError = DecideFailureAnswer(facts).mCode;
+  reply.mErrorText = "the instance that served the session is lost";
+  return reply;
+}
+
+} // namespace snipewalk
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -37,6 +37,7 @@
 void
 kind_watcher::Refresh()
 {
+  ++mRefreshing;
   List({ true, mLoop.Now() });
 }
 
@@ -97,6 +98,11 @@
                        listing aListing,
                        time_point aNow)
 {
+  const bool last = aReply.mStatus != store_status::Ok || !aReply.mMore ||
+                    aReply.mObjects.empty();
+  if (aListing.mRefresh && last) {
+    --mRefreshing;
+  }
   if (aReply.mStatus != store_status::Ok) {
     if (!aListing.mRefresh) {
       Retry(aReply.mStatus, aNow);
--- a/src/session/metrics_page.cpp
+++ b/src/session/metrics_page.cpp
@@ -32,6 +32,7 @@
 {
   std::string page;
   AppendLine(page, "sessions", aSources.mCounts.mSessions);
+  AppendLine(page, "sessions_forwarded", aSources.mForwardedSessions);
   AppendLine(page, "open_transactions", aSources.mCounts.mOpenTransactions);
   AppendLine(page, "pending_statements", aSources.mCounts.mPendingStatements);
   AppendLine(page, "server_connections", aSources.mCounts.mServerConnections);
--- a/src/session/metrics_page.h
+++ b/src/session/metrics_page.h
@@ -15,6 +15,8 @@
 {
   const metrics_registry& mRegistry;
   session_engine_counts mCounts;
+  // Sessions that other instances serve.
+  std::size_t mForwardedSessions = 0;
   bool mHoldsDuty = false;
   bool mReady = false;
   std::optional<duration> mConfirmationAge;
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -101,7 +101,9 @@
 
 } // namespace
 
-class session_daemon::impl : public control_links
+class session_daemon::impl
+  : public control_links
+  , public forwarding_links
 {
 public:
   impl(session_settings aSettings,
@@ -110,7 +112,7 @@
     : mSettings(std::move(aSettings))
     , mAdapter(std::move(aAdapter))
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
-    , mTable(mLoop, *mAdapter.mProtocol)
+    , mTable(mLoop, *mAdapter.mProtocol, *this)
     , mEngine(EngineOptions(mSettings, *mAdapter.mProtocol), mTable)
     , mControl(mLoop, *mAdapter.mProtocol)
     , mPromotion(
@@ -132,6 +134,7 @@
                   mAdapter.mObjects,
                   { mSettings.mInstance,
                     aStarted,
+                    mSettings.mDataCentre,
                     mSettings.mPeerAddress,
                     milliseconds(static_cast<std::int64_t>(
                       absl::HashOf(mSettings.mInstance) % kClaimSpreadMs)) })
@@ -139,6 +142,11 @@
   {
     mTable.SetEngine(mEngine);
     mTable.SetBeforeInput([this](time_point aNow) { CheckSuspension(aNow); });
+    mController.SetOnDesiredState([this] { mTable.OnDesiredState(); });
+    mController.SetOnInstanceHeard(
+      [this](const std::string& aInstance, time_point aNow) {
+        mTable.Forwarder().OnHostHeard(aInstance, aNow);
+      });
   }
 
   absl::Status Start()
@@ -146,6 +154,7 @@
     absl::Status status = mTable.Listen(mSettings.mCallerAddress);
     status.Update(mReady.Listen(mSettings.mReadyAddress));
     status.Update(mPeers.Open(mSettings.mPeerAddress));
+    status.Update(mTable.ListenForPeers(mSettings.mPeerAddress));
     if (!mSettings.mMetricsAddress.empty()) {
       status.Update(mMetrics.Listen(mSettings.mMetricsAddress));
     }
@@ -195,6 +204,37 @@
     mPeers.Send(aAddress, aDatagram);
   }
 
+  // forwarding_links
+  std::optional<host_candidate> HostFor(const std::string& aDatabase,
+                                        time_point aNow) override
+  {
+    return mController.HostFor(aDatabase, aNow);
+  }
+  void OnHostFailed(const std::string& aHost, time_point aNow) override
+  {
+    mController.OnHostFailed(aHost, aNow);
+  }
+  void AskHost(const host_candidate& aHost, time_point aNow) override
+  {
+    mController.AskInstance(aHost.mAddress, aNow);
+  }
+  std::uint64_t DesiredRevision() const override
+  {
+    return mController.DesiredRevision();
+  }
+  void WantDesiredRevision(std::uint64_t aRevision, time_point aNow) override
+  {
+    mController.WantDesiredRevision(aRevision, aNow);
+  }
+  relayed_state DesiredState() const override
+  {
+    return mController.DesiredState();
+  }
+  void LearnDesiredState(const relayed_state& aState, time_point aNow) override
+  {
+    mController.LearnDesiredState(aState, aNow);
+  }
+
 private:
   http_response Ready(const http_request& aRequest) const
   {
@@ -205,13 +245,14 @@
     return response;
   }
 
-  http_response MetricsPage() const
+  http_response MetricsPage()
   {
     http_response response;
     response.mHeaders.Add("Content-Type", "text/plain; version=0.0.4");
     response.mBody =
       WriteMetricsPage({ mEngine.Metrics(),
                          mEngine.Counts(),
+                         mTable.Forwarder().Sessions(),
                          mController.HoldsDuty(mLoop.Now()),
                          mController.IsReady(),
                          mController.ConfirmationAge(mLoop.Now()) });
@@ -231,6 +272,7 @@
   {
     CheckSuspension(aNow);
     mEngine.OnTick(aNow);
+    mTable.OnTick(aNow);
     mController.OnTick(aNow);
     if (mReloadAsked.exchange(false)) {
       // The settings that may change while a process runs come from the store;
@@ -253,6 +295,8 @@
         "shutdown",
         { { "phase", NameOf(kDaemonPhaseNames, aPhase) },
           { "sessions", static_cast<std::int64_t>(counts.mSessions) },
+          { "forwarded",
+            static_cast<std::int64_t>(mTable.Forwarder().Sessions()) },
           { "transactions",
             static_cast<std::int64_t>(counts.mOpenTransactions) } });
   }
@@ -264,6 +308,8 @@
       case daemon_phase::Serving:
         mShutdownBegan = aNow;
         mController.Resign(aNow);
+        // Other instances choose another host at once.
+        mTable.StopListeningForPeers(aNow);
         Enter(daemon_phase::LeavingRotation);
         return;
       case daemon_phase::LeavingRotation:
@@ -271,12 +317,15 @@
           Enter(daemon_phase::Draining);
           mTable.StopListening(aNow);
           mEngine.CloseIdleSessions(aNow);
+          mTable.Forwarder().CloseIdleSessions();
         }
         return;
       case daemon_phase::Draining:
       case daemon_phase::Aborting: {
         const bool late = aNow >= mShutdownBegan + grace - kExitReserve;
-        if (mEngine.Counts().mSessions == 0 || late) {
+        const bool empty =
+          mEngine.Counts().mSessions == 0 && mTable.Forwarder().Sessions() == 0;
+        if (empty || late) {
           Enter(daemon_phase::Exiting);
           mController.Unregister(aNow);
           mLoop.RunAt(aNow + kLastWrites, [this](time_point) { mLoop.Stop(); });
@@ -285,6 +334,7 @@
           // Open transactions have had their half of the grace.
           Enter(daemon_phase::Aborting);
           mEngine.AbortTransactions(aNow);
+          mTable.Forwarder().AbortTransactions();
         }
         return;
       }
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -72,6 +72,13 @@
   Dispatch(aService, aNow);
 }
 
+void
+session_engine::state::SetHosting(const std::string& aService,
+                                  const service_hosting& aHosting)
+{
+  mServices[aService].mHosting = aHosting;
+}
+
 std::vector<server_observation>
 session_engine::state::Observations(const std::string& aService) const
 {
@@ -178,15 +185,19 @@
 }
 
 void
-session_engine::SetInstances(std::size_t aCount,
-                             std::size_t aRank,
-                             time_point aNow)
+session_engine::SetInstances(std::size_t aCount, time_point aNow)
 {
   mState->mInstances = std::max<std::size_t>(1, aCount);
-  mState->mRank = aRank;
   mState->DispatchAll(aNow);
 }
 
+void
+session_engine::SetHosting(const std::string& aService,
+                           const service_hosting& aHosting)
+{
+  mState->SetHosting(aService, aHosting);
+}
+
 void
 session_engine::OnCaller(session_id aSession,
                          const caller_message& aMessage,
--- /dev/null
+++ b/src/session/session_forwarder.cpp
@@ -0,0 +1,338 @@
+// Implementation of the connections of forwarded sessions.
+#include "session/session_forwarder.h"
+
+#include "snipewalk/base/log.h"
+#include "snipewalk/session/forwarded_messages.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace snipewalk {
+
+namespace {
+
+// A caller waits longer than this for its session to open.
+constexpr milliseconds kOpenTimeout{ 400 };
+// A host that has sent nothing for this long while an answer is due is asked
+// for a sign of life, and again.
+constexpr milliseconds kAskAfter{ 300 };
+// From the first question until the host counts as lost: time for three
+// questions, as datagrams are lost now and then.
+constexpr milliseconds kHostSilence{ 900 };
+// The store has not told a newer desired state by then.
+constexpr milliseconds kAskForStateAfter{ 150 };
+
+} // namespace
+
+session_forwarder::session_forwarder(event_loop& aLoop,
+                                     const session_protocol& aProtocol,
+                                     handlers aHandlers)
+  : mLoop(aLoop)
+  , mProtocol(aProtocol)
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+session_forwarder::~session_forwarder() = default;
+
+void
+session_forwarder::Open(session_id aSession,
+                        const host_candidate& aHost,
+                        const open_session& aOpen,
+                        const std::string& aBytes,
+                        time_point aNow)
+{
+  Log(log_level::Info,
+      "session",
+      "session forwarded",
+      { { "database", aOpen.mDatabase }, { "host", aHost.mName } });
+  session& opened = mSessions[aSession];
+  opened.mHost = aHost;
+  opened.mOpen = aOpen;
+  opened.mSince = aNow;
+  mWaiting.insert(aSession);
+  opened.mStream = stream_connection::Connect(
+    mLoop,
+    aHost.mAddress,
+    { [this, aSession, aBytes](time_point) {
+       const auto found = mSessions.find(aSession);
+       if (found != mSessions.end()) {
+         found->second.mStream->Send(Frame(aBytes));
+       }
+     },
+      [this, aSession](std::string& aInput, time_point aThen) {
+        OnHostInput(aSession, aInput, aThen);
+      },
+      [this, aSession](close_cause, time_point aThen) {
+        OnLost(aSession, aThen);
+      } });
+}
+
+void
+session_forwarder::OnCaller(session_id aSession,
+                            const caller_message& aMessage,
+                            const std::string& aBytes,
+                            time_point aNow)
+{
+  session& held = mSessions.at(aSession);
+  // Nothing may be sent before the session is open.
+  if (std::holds_alternative<end_session>(aMessage) || !held.mOpened) {
+    End(aSession);
+    return;
+  }
+  if (const auto* statement = std::get_if<statement_message>(&aMessage)) {
+    held.mState.OnStatement(*statement, aNow);
+    mWaiting.insert(aSession);
+  }
+  held.mStream->Send(Frame(aBytes));
+}
+
+std::string
+session_forwarder::Frame(const std::string& aBytes) const
+{
+  return EncodeForwarded(
+    { std::max(mHandlers.mDesiredRevision(), mSeenRevision),
+      aBytes,
+      std::nullopt });
+}
+
+void
+session_forwarder::OnRevision(const session& aSession,
+                              std::uint64_t aRevision,
+                              time_point aNow)
+{
+  if (aRevision <= mHandlers.mDesiredRevision()) {
+    mBehindSince.reset();
+    return;
+  }
+  mSeenRevision = std::max(mSeenRevision, aRevision);
+  mHandlers.mWantDesiredRevision(aRevision, aNow);
+  if (!mBehindSince) {
+    mBehindSince = aNow;
+  } else if (aNow >= *mBehindSince + kAskForStateAfter) {
+    // The store may turn this instance away.
+    mBehindSince = aNow;
+    aSession.mStream->Send(
+      EncodeForwarded({ mHandlers.mDesiredRevision(), {}, std::nullopt }));
+  }
+}
+
+void
+session_forwarder::OnHostInput(session_id aSession,
+                               std::string& aInput,
+                               time_point aNow)
+{
+  const absl::Status status = PassAnswers(aSession, aInput, aNow);
+  if (!status.ok()) {
+    Log(log_level::Warning,
+        "session",
+        "malformed answer of an instance",
+        { { "host", mSessions.at(aSession).mHost.mName },
+          { "error", std::string(status.message()) } });
+    OnLost(aSession, aNow);
+  }
+  if (!Holds(aSession)) {
+    aInput.clear();
+  }
+}
+
+absl::Status
+session_forwarder::PassAnswers(session_id aSession,
+                               std::string& aInput,
+                               time_point aNow)
+{
+  while (Holds(aSession)) {
+    session& held = mSessions.at(aSession);
+    OnHostHeard(held.mHost.mName, aNow);
+    std::size_t frameBytes = 0;
+    auto frame = PeekForwarded(aInput, frameBytes);
+    if (!frame.ok()) {
+      return frame.status();
+    }
+    if (!*frame) {
+      return absl::OkStatus();
+    }
+    aInput.erase(0, frameBytes);
+    OnRevision(held, (*frame)->mDesiredRevision, aNow);
+    if ((*frame)->mState) {
+      mHandlers.mLearnDesiredState(*(*frame)->mState, aNow);
+    }
+    if ((*frame)->AsksForState()) {
+      held.mStream->Send(EncodeForwarded(
+        { mHandlers.mDesiredRevision(), {}, mHandlers.mDesiredState() }));
+    }
+    if ((*frame)->mBytes.empty()) {
+      continue;
+    }
+    const std::string bytes = (*frame)->mBytes;
+    const auto reply = mProtocol.ReadReply((*frame)->mBytes, !held.mOpened);
+    if (!reply.ok()) {
+      return reply.status();
+    }
+    if (!*reply) {
+      return absl::InvalidArgumentError("a frame without a whole answer");
+    }
+    mHandlers.mSendToCaller(aSession, bytes);
+    mWaiting.erase(aSession);
+    held.mOpened = true;
+    held.mState.OnReply(**reply);
+    CloseIfLeaving(aSession);
+  }
+  return absl::OkStatus();
+}
+
+std::unique_ptr<stream_connection>
+session_forwarder::Take(session_id aSession)
+{
+  const auto found = mSessions.find(aSession);
+  std::unique_ptr<stream_connection> stream = std::move(found->second.mStream);
+  mSessions.erase(found);
+  mWaiting.erase(aSession);
+  stream->Close();
+  return stream;
+}
+
+void
+session_forwarder::End(session_id aSession)
+{
+  // One of the stream's handlers may be running.
+  mLoop.Post([stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
+  mHandlers.mCloseCaller(aSession);
+}
+
+void
+session_forwarder::OnCallerClosed(session_id aSession)
+{
+  if (Holds(aSession)) {
+    mLoop.Post(
+      [stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
+  }
+}
+
+void
+session_forwarder::OnLost(session_id aSession, time_point aNow)
+{
+  if (!Holds(aSession)) {
+    return;
+  }
+  const session& held = mSessions.at(aSession);
+  const std::string host = held.mHost.mName;
+  if (!held.mOpened) {
+    const open_session open = held.mOpen;
+    Log(log_level::Warning,
+        "session",
+        "host takes no session; served here",
+        { { "host", host }, { "database", open.mDatabase } });
+    mHandlers.mOnHostFailed(host, aNow);
+    mLoop.Post(
+      [stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
+    mHandlers.mServeHere(aSession, open, aNow);
+    return;
+  }
+  if (const auto answer = held.mState.AnswerWhenLost()) {
+    Log(log_level::Warning,
+        "session",
+        "host of a session is lost",
+        { { "host", host },
+          { "answer", NameOf(kResultCodeNames, *answer->mError) } });
+    mHandlers.mSendToCaller(aSession, mProtocol.WriteReply(*answer));
+  }
+  End(aSession);
+}
+
+void
+session_forwarder::OnHostHeard(const std::string& aHost, time_point aNow)
+{
+  known_host& host = mHosts[aHost];
+  host.mHeardAt = aNow;
+  host.mAskedSince.reset();
+}
+
+void
+session_forwarder::OnTick(time_point aNow)
+{
+  std::vector<session_id> unopened;
+  std::set<std::string> silent;
+  for (const auto id : mWaiting) {
+    const session& held = mSessions.at(id);
+    if (!held.mOpened) {
+      if (aNow >= held.mSince + kOpenTimeout) {
+        unopened.push_back(id);
+      }
+      continue;
+    }
+    known_host& host = mHosts[held.mHost.mName];
+    const auto waiting = held.mState.WaitingSince();
+    const time_point quiet = std::max(waiting.value_or(aNow), host.mHeardAt);
+    if (host.mAskedSince && aNow >= *host.mAskedSince + kHostSilence) {
+      silent.insert(held.mHost.mName);
+    } else if (aNow >= std::max(quiet, host.mAskedAt) + kAskAfter) {
+      host.mAskedAt = aNow;
+      host.mAskedSince = host.mAskedSince.value_or(aNow);
+      mHandlers.mAskHost(held.mHost, aNow);
+    }
+  }
+  for (const auto id : unopened) {
+    OnLost(id, aNow);
+  }
+  for (const auto& host : silent) {
+    FailHost(host, aNow);
+  }
+}
+
+void
+session_forwarder::FailHost(const std::string& aHost, time_point aNow)
+{
+  Log(log_level::Warning,
+      "session",
+      "host is silent; its sessions end",
+      { { "host", aHost } });
+  mHandlers.mOnHostFailed(aHost, aNow);
+  mHosts.erase(aHost);
+  std::vector<session_id> lost;
+  for (const auto& [id, held] : mSessions) {
+    if (held.mHost.mName == aHost) {
+      lost.push_back(id);
+    }
+  }
+  for (const auto id : lost) {
+    OnLost(id, aNow);
+  }
+}
+
+void
+session_forwarder::CloseIfLeaving(session_id aSession)
+{
+  if (!mLeaving || !Holds(aSession)) {
+    return;
+  }
+  const forwarded_session& state = mSessions.at(aSession).mState;
+  if (state.IsIdle() || (mAborting && !state.WaitingSince())) {
+    End(aSession);
+  }
+}
+
+void
+session_forwarder::CloseIdleSessions()
+{
+  mLeaving = true;
+  std::vector<session_id> all;
+  for (const auto& [id, held] : mSessions) {
+    if (held.mOpened) {
+      all.push_back(id);
+    }
+  }
+  for (const auto id : all) {
+    CloseIfLeaving(id);
+  }
+}
+
+void
+session_forwarder::AbortTransactions()
+{
+  mAborting = true;
+  CloseIdleSessions();
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/session_hosts.cpp
@@ -0,0 +1,160 @@
+// Implementation of the choice of a service's hosts.
+#include "snipewalk/session/session_hosts.h"
+
+#include <absl/strings/str_cat.h>
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Enough for a burst on one service; fewer would queue beside idle ones.
+constexpr std::size_t kConnectionsPerHost = 6;
+// One may fail.
+constexpr std::size_t kFewestHosts = 2;
+
+std::uint64_t
+Weight(const std::string& aService, const std::string& aInstance)
+{
+  const std::string text = absl::StrCat(aService, "/", aInstance);
+  return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+std::size_t
+HostCount(std::size_t aConnections, std::size_t aInstances)
+{
+  if (aInstances <= aConnections) {
+    return 0;
+  }
+  return std::max(kFewestHosts, aConnections / kConnectionsPerHost);
+}
+
+std::vector<host_candidate>
+ChooseHosts(const std::string& aService,
+            const std::vector<host_candidate>& aCandidates,
+            std::size_t aCount)
+{
+  // By data centre, the best first.
+  std::map<std::string, std::vector<std::pair<std::uint64_t, host_candidate>>>
+    centres;
+  for (const auto& candidate : aCandidates) {
+    centres[candidate.mDataCentre].emplace_back(
+      Weight(aService, candidate.mName), candidate);
+  }
+  std::vector<std::vector<std::pair<std::uint64_t, host_candidate>>> ranked;
+  for (auto& [name, members] : centres) {
+    std::sort(members.begin(),
+              members.end(),
+              [](const auto& aLeft, const auto& aRight) {
+                return aLeft.first > aRight.first;
+              });
+    ranked.push_back(std::move(members));
+  }
+  // Where there are fewer hosts than data centres, the best ones decide.
+  std::sort(
+    ranked.begin(), ranked.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.front().first > aRight.front().first;
+    });
+  std::vector<host_candidate> hosts;
+  const std::size_t wanted = std::min(aCount, aCandidates.size());
+  for (std::size_t round = 0; hosts.size() < wanted; ++round) {
+    for (const auto& members : ranked) {
+      if (round < members.size() && hosts.size() < wanted) {
+        hosts.push_back(members[round].second);
+      }
+    }
+  }
+  return hosts;
+}
+
+session_hosts::session_hosts(std::string aInstance, std::string aDataCentre)
+  : mInstance(std::move(aInstance))
+  , mDataCentre(std::move(aDataCentre))
+{
+}
+
+void
+session_hosts::SetInstances(std::vector<host_candidate> aInstances)
+{
+  if (aInstances == mInstances) {
+    return;
+  }
+  mInstances = std::move(aInstances);
+  for (auto& [name, known] : mServices) {
+    Choose(name, known);
+  }
+}
+
+void
+session_hosts::SetService(const std::string& aService, std::size_t aConnections)
+{
+  service& known = mServices[aService];
+  if (known.mConnections != aConnections) {
+    known.mConnections = aConnections;
+    Choose(aService, known);
+  }
+}
+
+void
+session_hosts::Choose(const std::string& aName, service& aService) const
+{
+  aService.mHosts = ChooseHosts(
+    aName, mInstances, HostCount(aService.mConnections, mInstances.size()));
+}
+
+service_hosting
+session_hosts::HostingOf(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return {};
+  }
+  const auto& hosts = found->second.mHosts;
+  const bool own =
+    std::any_of(hosts.begin(), hosts.end(), [this](const auto& aHost) {
+      return aHost.mName == mInstance;
+    });
+  return { hosts.size(), own };
+}
+
+std::optional<host_candidate>
+session_hosts::HostFor(const std::string& aService, time_point aNow) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end() || HostingOf(aService).mOwn) {
+    return std::nullopt;
+  }
+  std::optional<host_candidate> chosen;
+  std::uint64_t best = 0;
+  bool bestNear = false;
+  for (const auto& host : found->second.mHosts) {
+    const auto avoided = mAvoidedUntil.find(host.mName);
+    if (avoided != mAvoidedUntil.end() && aNow < avoided->second) {
+      continue;
+    }
+    // The instances spread over the hosts.
+    const std::uint64_t weight = Weight(mInstance, host.mName);
+    const bool near = host.mDataCentre == mDataCentre;
+    if (!chosen ||
+        std::make_pair(near, weight) > std::make_pair(bestNear, best)) {
+      chosen = host;
+      best = weight;
+      bestNear = near;
+    }
+  }
+  return chosen;
+}
+
+void
+session_hosts::OnHostFailed(const std::string& aInstance, time_point aNow)
+{
+  mAvoidedUntil[aInstance] = aNow + kAvoidance;
+}
+
+} // namespace snipewalk
--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/line_protocol.h"
 #include "platform/store_dialect.h"
 #include "snipewalk/session/fleet_records.h"
+#include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/peer_datagrams.h"
 
 #include <gtest/gtest.h>
@@ -138,5 +139,20 @@
   }
 }
 
+TEST(PlatformFuzzTest, ForwardedMessages)
+{
+  mutator inputs(16,
+                 { EncodeForwarded({ 7, "QUERY q READ k\r\n", std::nullopt }),
+                   EncodeForwarded({ 7, {}, relayed_state{ 8, "{}" } }) });
+  for (int i = 0; i < kInputs; ++i) {
+    const std::string text = inputs.Next();
+    std::size_t frameBytes = 0;
+    const auto message = PeekForwarded(text, frameBytes);
+    if (message.ok() && *message) {
+      EXPECT_LE(frameBytes, text.size());
+    }
+  }
+}
+
 } // namespace
 } // namespace snipewalk::platform
--- /dev/null
+++ b/tests/session/forwarded_messages_test.cpp
@@ -0,0 +1,52 @@
+// Tests of the messages on connections of forwarded sessions.
+#include "snipewalk/session/forwarded_messages.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+TEST(ForwardedMessagesTest, ReturnsWhatWasEncoded)
+{
+  const std::string one = EncodeForwarded({ 7, "bytes", std::nullopt });
+  std::size_t frameBytes = 0;
+  const auto message = PeekForwarded(one + "rest", frameBytes);
+  ASSERT_TRUE(message.ok() && *message);
+  EXPECT_EQ((*message)->mDesiredRevision, 7U);
+  EXPECT_EQ((*message)->mBytes, "bytes");
+  EXPECT_FALSE((*message)->mState);
+  EXPECT_EQ(frameBytes, one.size());
+}
+
+TEST(ForwardedMessagesTest, CarriesADesiredState)
+{
+  std::size_t frameBytes = 0;
+  const auto message = PeekForwarded(
+    EncodeForwarded({ 9, {}, relayed_state{ 8, "{}" } }), frameBytes);
+  ASSERT_TRUE(message.ok() && *message && (*message)->mState);
+  EXPECT_EQ((*message)->mState->mRevision, 8U);
+  EXPECT_EQ((*message)->mState->mValue, "{}");
+  EXPECT_FALSE((*message)->AsksForState());
+}
+
+TEST(ForwardedMessagesTest, AsksForAStateWithAnEmptyMessage)
+{
+  std::size_t frameBytes = 0;
+  const auto message =
+    PeekForwarded(EncodeForwarded({ 9, {}, std::nullopt }), frameBytes);
+  ASSERT_TRUE(message.ok() && *message);
+  EXPECT_TRUE((*message)->AsksForState());
+}
+
+TEST(ForwardedMessagesTest, WaitsForTheWholeFrame)
+{
+  std::string frame = EncodeForwarded({ 7, "bytes", std::nullopt });
+  frame.pop_back();
+  std::size_t frameBytes = 0;
+  const auto message = PeekForwarded(frame, frameBytes);
+  ASSERT_TRUE(message.ok());
+  EXPECT_FALSE(*message);
+}
+
+} // namespace
+} // namespace snipewalk
--- /dev/null
+++ b/tests/session/session_hosts_test.cpp
@@ -0,0 +1,157 @@
+// Tests of the choice of a service's hosts.
+#include "snipewalk/session/session_hosts.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace snipewalk {
+namespace {
+
+constexpr std::size_t kInstances = 60;
+
+std::vector<host_candidate>
+Candidates(std::size_t aCount)
+{
+  std::vector<host_candidate> candidates;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    const std::string name = "i" + std::to_string(i);
+    candidates.push_back({ name, "dc" + std::to_string(i % 3), name + ":1" });
+  }
+  return candidates;
+}
+
+std::set<std::string>
+Names(const std::vector<host_candidate>& aHosts)
+{
+  std::set<std::string> names;
+  for (const auto& host : aHosts) {
+    names.insert(host.mName);
+  }
+  return names;
+}
+
+TEST(HostCountTest, IsZeroWhileAllInstancesHaveAConnection)
+{
+  EXPECT_EQ(HostCount(18, 9), 0U);
+  EXPECT_EQ(HostCount(18, 18), 0U);
+  EXPECT_EQ(HostCount(18, 19), 3U);
+}
+
+TEST(HostCountTest, LeavesOneWhenAHostFails)
+{
+  EXPECT_EQ(HostCount(1, 300), 2U);
+}
+
+TEST(ChooseHostsTest, SpreadsOverDataCentres)
+{
+  for (int service = 0; service < 20; ++service) {
+    const auto hosts =
+      ChooseHosts("s" + std::to_string(service), Candidates(kInstances), 3);
+    std::set<std::string> centres;
+    for (const auto& host : hosts) {
+      centres.insert(host.mDataCentre);
+    }
+    EXPECT_EQ(centres.size(), 3U);
+  }
+}
+
+TEST(ChooseHostsTest, DependsNotOnTheOrderOfTheCandidates)
+{
+  auto reversed = Candidates(kInstances);
+  std::reverse(reversed.begin(), reversed.end());
+  EXPECT_EQ(Names(ChooseHosts("s", Candidates(kInstances), 5)),
+            Names(ChooseHosts("s", reversed, 5)));
+}
+
+// Otherwise each failure of an instance would move the sessions of all
+// services.
+TEST(ChooseHostsTest, ReplacesOnlyTheHostThatWentAway)
+{
+  const auto all = Candidates(kInstances);
+  const auto before = ChooseHosts("s", all, 3);
+  auto left = all;
+  std::erase(left, before.front());
+  const auto after = Names(ChooseHosts("s", left, 3));
+  EXPECT_TRUE(after.contains(before[1].mName));
+  EXPECT_TRUE(after.contains(before[2].mName));
+}
+
+// Load pattern: all sessions of many services; no instance may host most.
+TEST(ChooseHostsTest, SpreadsServicesOverInstances)
+{
+  std::map<std::string, int> hosted;
+  for (int service = 0; service < 200; ++service) {
+    for (const auto& host : ChooseHosts(
+           "s" + std::to_string(service), Candidates(kInstances), 3)) {
+      ++hosted[host.mName];
+    }
+  }
+  for (const auto& [name, count] : hosted) {
+    EXPECT_LE(count, 30) << name;
+  }
+}
+
+class SessionHostsTest : public testing::Test
+{
+protected:
+  SessionHostsTest()
+    : mHosts("i0", "dc0")
+  {
+    mHosts.SetInstances(Candidates(kInstances));
+    mHosts.SetService("s", 18);
+  }
+
+  session_hosts mHosts;
+  time_point mNow{ seconds(100) };
+};
+
+TEST_F(SessionHostsTest, ServesUnknownServicesHere)
+{
+  EXPECT_FALSE(mHosts.HostFor("absent", mNow));
+}
+
+TEST_F(SessionHostsTest, ServesHereWhileConnectionsSuffice)
+{
+  mHosts.SetInstances(Candidates(9));
+  EXPECT_FALSE(mHosts.HostFor("s", mNow));
+  EXPECT_EQ(mHosts.HostingOf("s").mHosts, 0U);
+}
+
+TEST_F(SessionHostsTest, PrefersTheOwnDataCentre)
+{
+  for (int i = 1; i < 20; ++i) {
+    const std::string service = "t" + std::to_string(i);
+    mHosts.SetService(service, 18);
+    const auto host = mHosts.HostFor(service, mNow);
+    EXPECT_EQ(host.has_value(), !mHosts.HostingOf(service).mOwn);
+    if (host) {
+      EXPECT_EQ(host->mDataCentre, "dc0");
+    }
+  }
+}
+
+// A host that does not answer costs each new session its time limit otherwise.
+TEST_F(SessionHostsTest, AvoidsAHostThatFailed)
+{
+  const auto first = mHosts.HostFor("s", mNow);
+  ASSERT_TRUE(first);
+  mHosts.OnHostFailed(first->mName, mNow);
+  const auto second = mHosts.HostFor("s", mNow);
+  ASSERT_TRUE(second);
+  EXPECT_NE(second->mName, first->mName);
+  EXPECT_EQ(mHosts.HostFor("s", mNow + session_hosts::kAvoidance), first);
+}
+
+TEST_F(SessionHostsTest, ServesHereWhenNoHostIsLeft)
+{
+  while (const auto host = mHosts.HostFor("s", mNow)) {
+    mHosts.OnHostFailed(host->mName, mNow);
+  }
+  EXPECT_EQ(mHosts.HostingOf("s").mHosts, 3U);
+}
+
+} // namespace
+} // namespace snipewalk
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -62,6 +62,7 @@
     , mLog(aLog)
     , mNetwork(aOptions.mPlan.mSeed)
     , mPlatform(static_cast<int>(aOptions.mServers),
+                aOptions.mMaxConnections,
                 [this](const std::string& aAddress) {
                   return absl::StrCat("127.0.0.1:", mNetwork.LinkTo(aAddress));
                 })
--- a/tests/soak/session_soak.h
+++ b/tests/soak/session_soak.h
@@ -5,6 +5,7 @@
 #define SNIPEWALK_SOAK_SESSION_SOAK_H_
 
 #include "soak/fault_plan.h"
+#include "standins/platform_standin.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +20,9 @@
   fault_plan_options mPlan;
   std::size_t mInstances = 4;
   std::size_t mServers = 3;
+  // Connections that each server takes. Sessions are forwarded where they are
+  // fewer than the instances and the two for control.
+  int mMaxConnections = standins::platform_standin::kMaxConnections;
   // Holds snipewalk-sessions.
   std::string mBinaryDir;
   // Takes settings files and the logs of the instances.
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -16,6 +16,11 @@
 ABSL_FLAG(int, runs, 1, "runs with seeds one after the other");
 ABSL_FLAG(int, seconds, 12, "seconds in which faults begin");
 ABSL_FLAG(bool, planned, false, "planned work only: no answer may be cut");
+ABSL_FLAG(
+  int,
+  connections,
+  20,
+  "connections that each server takes; 5 or fewer: sessions are forwarded");
 ABSL_FLAG(std::string, folder, "soak", "folder of the logs of each run");
 ABSL_FLAG(std::string, binary_dir, SNIPEWALK_BINARY_DIR, "folder of programs");
 
@@ -31,6 +36,7 @@
   options.mPlan.mSeed = aSeed;
   options.mPlan.mLength = seconds(absl::GetFlag(FLAGS_seconds));
   options.mPlan.mPlannedWorkOnly = absl::GetFlag(FLAGS_planned);
+  options.mMaxConnections = absl::GetFlag(FLAGS_connections);
   options.mBinaryDir = absl::GetFlag(FLAGS_binary_dir);
   const std::filesystem::path folder =
     std::filesystem::path(absl::GetFlag(FLAGS_folder)) /
--- a/tests/standins/line_server_group.cpp
+++ b/tests/standins/line_server_group.cpp
@@ -33,9 +33,11 @@
 
 line_server_group::line_server_group(event_loop& aLoop,
                                      std::string aService,
+                                     int aMaxConnections,
                                      handlers aHandlers)
   : mLoop(aLoop)
   , mService(std::move(aService))
+  , mMaxConnections(aMaxConnections)
   , mHandlers(std::move(aHandlers))
 {
 }
@@ -177,6 +179,15 @@
     return;
   }
   if (!aConnection.mOpen) {
+    const auto open = std::count_if(
+      aServer.mConnections.begin(),
+      aServer.mConnections.end(),
+      [](const auto& aOther) { return aOther->mStream->IsOpen(); });
+    if (open > mMaxConnections) {
+      aConnection.mStream->Send("ERROR TOOMANYCON full\r\n");
+      aConnection.mStream->CloseAfterOutput();
+      return;
+    }
     aConnection.mOpen = true;
     aConnection.mStream->Send(
       absl::StrCat("READY I ", Applied(aServer), "\r\n"));
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -37,6 +37,7 @@
 
   line_server_group(event_loop& aLoop,
                     std::string aService,
+                    int aMaxConnections,
                     handlers aHandlers);
   line_server_group(const line_server_group&) = delete;
   line_server_group& operator=(const line_server_group&) = delete;
@@ -143,6 +144,8 @@
 
   event_loop& mLoop;
   std::string mService;
+  // Further connections to a server are refused.
+  int mMaxConnections;
   handlers mHandlers;
   std::map<std::string, std::unique_ptr<server>> mServers;
   std::map<std::string, int> mCommits;
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -21,11 +21,15 @@
 public:
   static constexpr const char* kService = "ledger";
 
-  // Starts servers "s1" (the primary) to "s<n>", and the desired state with the
-  // databases "main" (primary) and "own" (read your writes). `aAddress` maps
-  // the address of a server to the one that its entry names.
+  static constexpr int kMaxConnections = 20;
+
+  // Starts servers "s1" (the primary) to "s<n>", which take `aMaxConnections`
+  // each, and the desired state with the databases "main" (primary) and "own"
+  // (read your writes). `aAddress` maps the address of a server to the one that
+  // its entry names.
   explicit platform_standin(
     int aServers,
+    int aMaxConnections = kMaxConnections,
     std::function<std::string(const std::string&)> aAddress = {});
   ~platform_standin();
   platform_standin(const platform_standin&) = delete;
