Close inherited sockets in the processes of tests

Cause: child processes of tests inherited the sockets of the soak's links, as accepted sockets are not marked close-on-exec.

Ruled out: a fault of the session front end (its own table held no server connection); the silenced links alone (the failure stayed after the target dropped those).

Change: posix_spawn closes all descriptors above standard error. Servers drop silenced connections after 3 s, as the platform's do. The forwarding code is split by subject, and the line about a lost host has the request's id.

--- a/include/snipewalk/session/forwarded_session.h
+++ b/include/snipewalk/session/forwarded_session.h
@@ -9,6 +9,7 @@
 #include "snipewalk/session/session_messages.h"
 
 #include <optional>
+#include <string>
 
 namespace snipewalk {
 
@@ -24,6 +25,8 @@
   bool IsIdle() const;
   // When the statement was passed on whose answer is due.
   std::optional<time_point> WaitingSince() const;
+  // Id of that statement; empty without one.
+  std::string DueRequest() const;
   bool InTransaction() const { return mState != session_state::Idle; }
 
   // Answer to the statement whose answer is due if none can come any more;
--- /dev/null
+++ b/src/session/controller_hosts.cpp
@@ -0,0 +1,87 @@
+// Hosts of the services, and desired states that instances tell each other.
+#include "snipewalk/session/session_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// While another instance knows a newer desired state.
+constexpr milliseconds kDesiredReadEvery{ 60 };
+
+} // namespace
+
+void
+session_controller::WantDesiredRevision(std::uint64_t aRevision,
+                                        time_point aNow)
+{
+  mDesiredHint.mVersion = std::max(mDesiredHint.mVersion, aRevision);
+  const bool due = aNow >= mDesiredReadAt + kDesiredReadEvery;
+  // One at a time: a store that does not answer must not gather more calls than
+  // it can take when it returns.
+  if (aRevision > mDesiredRevision && due && mDesiredWatcher.IsListed() &&
+      !mDesiredWatcher.IsRefreshing()) {
+    mDesiredReadAt = aNow;
+    mDesiredWatcher.Refresh();
+  }
+}
+
+relayed_state
+session_controller::DesiredState() const
+{
+  const auto found = mDesiredWatcher.Objects().find(mObjects.mDesiredStateName);
+  return found == mDesiredWatcher.Objects().end()
+           ? relayed_state{}
+           : relayed_state{ found->second.mVersion, found->second.mValue };
+}
+
+void
+session_controller::LearnDesiredState(const relayed_state& aState,
+                                      time_point aNow)
+{
+  if (aState.mRevision <= mDesiredRevision) {
+    return;
+  }
+  mDesiredWatcher.Learn(
+    { { mObjects.mDesiredStateKind, mObjects.mDesiredStateName },
+      aState.mRevision,
+      false,
+      aState.mValue });
+  OnDesiredState(aNow);
+}
+
+void
+session_controller::PublishHosts(time_point aNow)
+{
+  std::vector<host_candidate> live;
+  for (const auto& [name, record] : mInstances) {
+    if (record.mState == instance_state::Live) {
+      live.push_back({ name, record.mDataCentre, record.mPeerAddress });
+    }
+  }
+  mEngine.SetInstances(live.size(), aNow);
+  mHosts.SetInstances(std::move(live));
+  if (!mDesired) {
+    return;
+  }
+  for (const auto& [service, limits] : mDesired->mServices) {
+    mHosts.SetService(service, limits.StatementConnections());
+    mEngine.SetHosting(service, mHosts.HostingOf(service));
+  }
+}
+
+std::optional<host_candidate>
+session_controller::HostFor(const std::string& aDatabase, time_point aNow) const
+{
+  if (!mDesired) {
+    return std::nullopt;
+  }
+  const auto route = mDesired->mRoutes.find(aDatabase);
+  return route == mDesired->mRoutes.end()
+           ? std::nullopt
+           : mHosts.HostFor(route->second.mService, aNow);
+}
+
+} // namespace snipewalk
--- a/src/session/forwarded_session.cpp
+++ b/src/session/forwarded_session.cpp
@@ -67,6 +67,12 @@
   return mDue ? std::optional(mDue->mSince) : std::nullopt;
 }
 
+std::string
+forwarded_session::DueRequest() const
+{
+  return mDue ? mDue->mMessage.mRequestId : std::string();
+}
+
 std::optional<statement_reply>
 forwarded_session::AnswerWhenLost() const
 {
--- a/src/session/session_forwarder.cpp
+++ b/src/session/session_forwarder.cpp
@@ -234,7 +234,8 @@
     Log(log_level::Warning,
         "session",
         "host of a session is lost",
-        { { "host", host },
+        { { "request", held.mState.DueRequest() },
+          { "host", host },
           { "answer", NameOf(kResultCodeNames, *answer->mError) } });
     mHandlers.mSendToCaller(aSession, mProtocol.WriteReply(*answer));
   }
--- a/tests/soak/link_network.cpp
+++ b/tests/soak/link_network.cpp
@@ -88,6 +88,12 @@
   Run([&] { mLinks.at(aLink)->SilenceEstablished(); });
 }
 
+void
+link_network::DropSilencedAtTarget(std::size_t aLink)
+{
+  Run([&] { mLinks.at(aLink)->DropSilencedAtTarget(); });
+}
+
 void
 link_network::Heal()
 {
--- a/tests/soak/link_network.h
+++ b/tests/soak/link_network.h
@@ -33,6 +33,8 @@
   void Reset(std::size_t aLink);
   // Present connections carry nothing any more; new ones work.
   void Silence(std::size_t aLink);
+  // The target drops the silenced connections.
+  void DropSilencedAtTarget(std::size_t aLink);
   // Ends all faults.
   void Heal();
   // Target of a link, for logs.
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -39,6 +39,8 @@
 constexpr milliseconds kDrainTime{ 5'000 };
 // A server that failed has all commits again before the next one fails.
 constexpr milliseconds kServerRest{ 1'500 };
+// The platform's servers drop a connection whose other end is unreachable.
+constexpr milliseconds kUnreachableDropped{ 3'000 };
 constexpr milliseconds kLongestDelay{ 300 };
 constexpr milliseconds kLongestLag{ 1'500 };
 constexpr int kLostAnswerPercent = 5;
@@ -118,7 +120,7 @@
 
   void Note(const std::string& aWhat)
   {
-    mLog << Elapsed().count() << " ms: " << aWhat << "\n";
+    mLog << Elapsed().count() << " ms: " << aWhat << std::endl;
   }
 
   std::vector<std::uint16_t> StartInstances()
@@ -312,6 +314,8 @@
         return;
       case fault_kind::Silence:
         mNetwork.Silence(link);
+        After(kUnreachableDropped,
+              [this, link] { mNetwork.DropSilencedAtTarget(link); });
         return;
       case fault_kind::Cut:
         faults.mCut = aStep.mCut;
--- a/tests/standins/fault_link.cpp
+++ b/tests/standins/fault_link.cpp
@@ -278,4 +278,15 @@
   }
 }
 
+void
+fault_link::DropSilencedAtTarget()
+{
+  for (auto& [number, opened] : mPairs) {
+    half& end = opened.mEnds[ToTarget];
+    if (opened.mSilent && end.mStream) {
+      end.mStream->Close();
+    }
+  }
+}
+
 } // namespace snipewalk::standins
--- a/tests/standins/fault_link.h
+++ b/tests/standins/fault_link.h
@@ -79,6 +79,9 @@
   void Reset();
   // All present connections stay open and carry nothing any more.
   void SilenceEstablished();
+  // The target drops the silenced connections, as a server does after some time
+  // without a sign of life; the client's side learns nothing of it.
+  void DropSilencedAtTarget();
 
 private:
   enum direction : std::size_t
--- a/tests/standins/process_fleet.cpp
+++ b/tests/standins/process_fleet.cpp
@@ -130,6 +130,9 @@
   }
   pointers.push_back(nullptr);
   pid_t id = 0;
+  // A socket of this process that a child inherits stays open when it is closed
+  // here, and the other end learns nothing of it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int failure = ::posix_spawn(
     &id, aProgram.c_str(), &actions, nullptr, pointers.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
