Read from replicas that are found after the primary failed

The read came to an instance that did not know yet that any replica follows the term, so it went to the primary's lane; the primary died before it was sent, and nothing took the read out of that lane until its deadline.

Ruled out: a replica without the entry (the write was acknowledged by a majority), and the store's outage (no part of the way of a read).

Change: while the primary is not ready, reads in its lane return to the replicas as soon as one serves the term.

The new unit test failed before the change.

--- a/src/request/engine_dispatch.cpp
+++ b/src/request/engine_dispatch.cpp
@@ -127,6 +127,10 @@
       continue;
     }
     if (!PrimaryReady()) {
+      if (aLane == queue_lane::PrimaryRead &&
+          ReturnToReplicas(EntryOf(*node))) {
+        continue;
+      }
       return;
     }
     const std::size_t primary = *mRouter.Primary();
@@ -241,6 +245,30 @@
   Enqueue(aEntry, false);
 }
 
+// A read that came to the primary's lane while no replica was known to follow
+// the term need not wait for the next primary. Returns false if it has to.
+bool
+service_engine_state::ReturnToReplicas(request_entry& aEntry)
+{
+  const queue_lane lane = LaneOf(aEntry.mRequest);
+  if (lane == queue_lane::PrimaryRead) {
+    return false;
+  }
+  // A replica that lagged before may have caught up.
+  const auto route =
+    RouteOf(aEntry.mRequest, aEntry.mPosition, /*aTried=*/0, mNow);
+  if (lane == queue_lane::SessionRead &&
+      route.mVerdict != route_verdict::Send) {
+    return false;
+  }
+  mQueue.Remove(aEntry);
+  aEntry.mTriedServers = 0;
+  aEntry.mLane = lane;
+  Enqueue(aEntry, true);
+  DispatchRead(aEntry);
+  return true;
+}
+
 // No replica is known to be fresh enough: learns positions, then falls back to
 // the primary while a majority confirms its term, else refuses. Returns false
 // while the read is held.
--- a/src/request/service_engine_state.h
+++ b/src/request/service_engine_state.h
@@ -206,6 +206,7 @@
   // New transactions wait for the successor of the primary, or for the term.
   bool HoldsBegins() const;
   void MoveToPrimaryLane(request_entry& aEntry);
+  bool ReturnToReplicas(request_entry& aEntry);
   bool HoldAgedRead(request_entry& aEntry);
   void SendStatement(request_entry& aEntry,
                      pooled_connection& aConnection,
--- a/tests/request/service_engine_test.cpp
+++ b/tests/request/service_engine_test.cpp
@@ -35,6 +35,30 @@
   EXPECT_EQ(read->first.mServer, "a");
 }
 
+// Guards against reads that wait for a failed primary to be replaced because
+// no replica was known to follow its term when they came.
+TEST(ServiceEngineTest, ReadsFromReplicasFoundAfterThePrimaryFailed)
+{
+  engine_driver driver;
+  driver.Publish();
+  std::erase_if(driver.mOpening,
+                [](const auto& aOpening) { return aOpening.second == "a"; });
+  auto request = driver.Request(statement_kind::Read);
+  request.mSession = driver.Token(1, 3);
+  driver.Submit(request);
+  EXPECT_FALSE(driver.Take<backend_statement>());
+  driver.mView.mSuspected = { "a" };
+  driver.Publish();
+  std::erase_if(driver.mOpening,
+                [](const auto& aOpening) { return aOpening.second == "a"; });
+  driver.mApplied = { { "b", 3 }, { "c", 3 } };
+  driver.Settle();
+  const auto read = driver.Take<backend_statement>();
+  ASSERT_TRUE(read);
+  EXPECT_NE(read->first.mServer, "a");
+  EXPECT_EQ(read->second.mMinIndex, 3U);
+}
+
 // Guards against acknowledging a write that only the primary holds.
 TEST(ServiceEngineTest, AnswersAWriteOnlyAfterAMajorityHoldsIt)
 {
