Claim blocks of ports for each process of tests

Cause: test processes chose their first port by their process id modulo 200, so two of them could choose the same, and the check of single ports bound with SO_REUSEPORT, which succeeds beside a listener of callers that has set it too. Programs of two tests then shared a port: callers reached another fleet's instance or its admin port.

Change: a process claims a block of 100 ports by a socket that it keeps open at the block's first port, and single ports are checked without SO_REUSEPORT.

--- a/tests/standins/line_server_group.cpp
+++ b/tests/standins/line_server_group.cpp
@@ -1,7 +1,7 @@
 // Implementation of the stand-ins of the platform's backend servers.
 #include "standins/line_server_group.h"
 
-#include "standins/process_fleet.h"
+#include "standins/free_ports.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
--- a/tests/standins/process_fleet.cpp
+++ b/tests/standins/process_fleet.cpp
@@ -4,11 +4,9 @@
 #include "standins/backend_http.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/DatagramSocket.h>
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/StreamCopier.h>
 
@@ -34,34 +32,12 @@
 constexpr milliseconds kPollInterval{ 5 };
 constexpr milliseconds kFirstLineTimeout{ 10'000 };
 
-// Below the range from which the kernel takes ports of outgoing connections,
-// so that none of those takes a port between the check and its use. Test
-// processes that run side by side start at different blocks: with ports from
-// the kernel, one fleet's caller port became another one's admin port.
-constexpr std::uint16_t kFirstPort = 10'000;
-constexpr int kPortCount = 20'000;
-constexpr int kPortBlock = 100;
-
 time_point
 Now()
 {
   return std::chrono::steady_clock::now();
 }
 
-// For TCP and UDP: a control port uses both.
-bool
-IsFree(std::uint16_t aPort)
-{
-  const Poco::Net::SocketAddress address("127.0.0.1", aPort);
-  try {
-    const Poco::Net::ServerSocket stream(address);
-    const Poco::Net::DatagramSocket datagram(address);
-    return true;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 int
 ExitCode(int aStatus)
 {
@@ -282,23 +258,6 @@
   return true;
 }
 
-std::vector<std::uint16_t>
-FreePorts(std::size_t aCount)
-{
-  static std::uint16_t next = static_cast<std::uint16_t>(
-    kFirstPort + getpid() % (kPortCount / kPortBlock) * kPortBlock);
-  std::vector<std::uint16_t> ports;
-  for (int tried = 0; ports.size() < aCount && tried < kPortCount; ++tried) {
-    if (IsFree(next)) {
-      ports.push_back(next);
-    }
-    next = next + 1 < kFirstPort + kPortCount
-             ? static_cast<std::uint16_t>(next + 1)
-             : kFirstPort;
-  }
-  return ports;
-}
-
 process_fleet::process_fleet(std::string aBinaryDir)
   : mBinaryDir(std::move(aBinaryDir))
 {
--- a/tests/standins/process_fleet.h
+++ b/tests/standins/process_fleet.h
@@ -87,11 +87,6 @@
 WaitFor(const std::function<bool()>& aCondition,
         milliseconds aTimeout = milliseconds(10'000));
 
-// Ports that were free a moment ago, all different; fewer when not as many are
-// free.
-std::vector<std::uint16_t>
-FreePorts(std::size_t aCount);
-
 // The processes of one test, by name.
 class process_fleet
 {
--- a/tests/standins/session_fleet.cpp
+++ b/tests/standins/session_fleet.cpp
@@ -1,6 +1,8 @@
 // Implementation of the instances of the session front end in tests.
 #include "standins/session_fleet.h"
 
+#include "standins/free_ports.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <fstream>
--- a/tests/standins/system_fleet.cpp
+++ b/tests/standins/system_fleet.cpp
@@ -1,6 +1,8 @@
 // Implementation of a whole system of processes for a test.
 #include "standins/system_fleet.h"
 
+#include "standins/free_ports.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <cstdlib>
