Give the session forwarder interfaces in place of ten callbacks

The forwarder and the connection table exchanged desired states by the same lines, and the forwarder took a struct of ten functions that its owner filled. It now takes the control side (forwarding_links) and its callers as interfaces; TakeForwarded() and AskForState() are the one place that exchanges desired states. Held messages and their times are one record. A host counts as heard once per input.

--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -14,41 +14,38 @@
   : mLoop(aLoop)
   , mProtocol(aProtocol)
   , mLinks(aLinks)
-  , mForwarder(aLoop, aProtocol, ForwarderHandlers())
+  , mForwarder(aLoop, aProtocol, aLinks, *this)
 {
 }
 
-absl::StatusOr<std::unique_ptr<listener>>
-connection_table::Open(const std::string& aAddress, bool aFromPeers)
+absl::Status
+connection_table::Open(const std::string& aAddress,
+                       bool aFromPeers,
+                       std::unique_ptr<listener>& aListener)
 {
-  return listener::Open(
+  auto opened = listener::Open(
     mLoop,
     aAddress,
     [this, aFromPeers](const Poco::Net::StreamSocket& aSocket, time_point) {
       Accept(aSocket, aFromPeers);
     });
+  if (!opened.ok()) {
+    return opened.status();
+  }
+  aListener = *std::move(opened);
+  return absl::OkStatus();
 }
 
 absl::Status
 connection_table::Listen(const std::string& aAddress)
 {
-  auto opened = Open(aAddress, false);
-  if (!opened.ok()) {
-    return opened.status();
-  }
-  mListener = *std::move(opened);
-  return absl::OkStatus();
+  return Open(aAddress, false, mListener);
 }
 
 absl::Status
 connection_table::ListenForPeers(const std::string& aAddress)
 {
-  auto opened = Open(aAddress, true);
-  if (!opened.ok()) {
-    return opened.status();
-  }
-  mPeerListener = *std::move(opened);
-  return absl::OkStatus();
+  return Open(aAddress, true, mPeerListener);
 }
 
 void
@@ -73,6 +70,7 @@
   const session_id id = mNextSession++;
   caller& accepted = mCallers[id];
   accepted.mFromPeer = aFromPeer;
+  accepted.mServedHere = aFromPeer;
   accepted.mStream = stream_connection::Adopt(
     mLoop,
     aSocket,
@@ -92,11 +90,14 @@
                               std::string& aInput,
                               time_point aNow)
 {
-  if (mCallers.at(aSession).mFromPeer) {
+  const caller& from = mCallers.at(aSession);
+  if (from.mFromPeer) {
     return TakeFromPeer(aSession, aInput, aNow);
   }
   received_message received;
-  received.mBytes = aInput;
+  if (!from.mServedHere) {
+    received.mBytes = aInput;
+  }
   auto message = mProtocol.ReadCaller(aInput);
   if (!message.ok()) {
     return message.status();
@@ -104,7 +105,9 @@
   if (!*message) {
     return std::nullopt;
   }
-  received.mBytes.resize(received.mBytes.size() - aInput.size());
+  if (!from.mServedHere) {
+    received.mBytes.resize(received.mBytes.size() - aInput.size());
+  }
   received.mMessage = **std::move(message);
   return received;
 }
@@ -118,13 +121,15 @@
     mForwarder.OnCaller(aSession, aReceived.mMessage, aReceived.mBytes, aNow);
     return;
   }
+  caller& from = mCallers.at(aSession);
   const auto* open = std::get_if<open_session>(&aReceived.mMessage);
-  if (open != nullptr && !mCallers.at(aSession).mFromPeer) {
+  if (open != nullptr && !from.mServedHere) {
     if (const auto host = mLinks.HostFor(open->mDatabase, aNow)) {
       mForwarder.Open(aSession, *host, *open, aReceived.mBytes, aNow);
       return;
     }
   }
+  from.mServedHere = true;
   mEngine->OnCaller(aSession, aReceived.mMessage, aNow);
 }
 
@@ -208,7 +213,7 @@
   }
   std::unique_ptr<stream_connection> stream = std::move(found->second.mStream);
   mCallers.erase(found);
-  mParked.erase(aSession);
+  mHeld.erase(aSession);
   stream->CloseAfterOutput();
   Bury(std::move(stream));
 }
--- a/src/session/connection_table.h
+++ b/src/session/connection_table.h
@@ -8,7 +8,6 @@
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/listener.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/session_protocol.h"
 
@@ -22,31 +21,9 @@
 
 namespace snipewalk {
 
-// What the table asks the control side about forwarded sessions.
-class forwarding_links
-{
-public:
-  virtual ~forwarding_links() = default;
-
-  // Instance that serves a new session of a database; nothing for this one.
-  virtual std::optional<host_candidate> HostFor(const std::string& aDatabase,
-                                                time_point aNow) = 0;
-  virtual void OnHostFailed(const std::string& aHost, time_point aNow) = 0;
-  // Asks for a sign of life, which session_forwarder::OnHostHeard() tells.
-  virtual void AskHost(const host_candidate& aHost, time_point aNow) = 0;
-  // Revision of the desired state in force; connection_table::OnDesiredState()
-  // tells of a new one.
-  virtual std::uint64_t DesiredRevision() const = 0;
-  // Another instance knows of this revision.
-  virtual void WantDesiredRevision(std::uint64_t aRevision,
-                                   time_point aNow) = 0;
-  // The desired state in force, and one that another instance has in force.
-  virtual relayed_state DesiredState() const = 0;
-  virtual void LearnDesiredState(const relayed_state& aState,
-                                 time_point aNow) = 0;
-};
-
-class connection_table : public session_links
+class connection_table
+  : public session_links
+  , public forwarding_callers
 {
 public:
   connection_table(event_loop& aLoop,
@@ -82,6 +59,10 @@
               result_code aCode,
               const std::string& aText) override;
   void CloseCaller(session_id aSession) override;
+  void ServeHere(session_id aSession,
+                 const open_session& aOpen,
+                 time_point aNow) override;
+  void SendToCaller(session_id aSession, const std::string& aBytes) override;
   void OpenServer(server_connection_id aConnection,
                   const server_entry& aServer) override;
   void Send(server_connection_id aConnection,
@@ -92,17 +73,26 @@
   struct caller
   {
     std::unique_ptr<stream_connection> mStream;
-    // Another instance accepted the caller: the session stays here.
+    // Another instance accepted the caller and forwards the session.
     bool mFromPeer = false;
-    // Message that waits for the desired state that it rests on.
-    std::optional<forwarded_message> mHeld;
+    // The session stays here: nobody needs its messages as received.
+    bool mServedHere = false;
   };
   struct received_message
   {
     caller_message mMessage;
-    // As received.
+    // As received; empty where the session is served here.
     std::string mBytes;
   };
+  // Message of a forwarded session that waits for the desired state that it
+  // rests on.
+  struct held_message
+  {
+    forwarded_message mMessage;
+    time_point mSince;
+    // The other instance was asked for its desired state.
+    bool mAsked = false;
+  };
   struct server
   {
     std::unique_ptr<stream_connection> mStream;
@@ -110,8 +100,9 @@
     bool mOpening = true;
   };
 
-  absl::StatusOr<std::unique_ptr<listener>> Open(const std::string& aAddress,
-                                                 bool aFromPeers);
+  absl::Status Open(const std::string& aAddress,
+                    bool aFromPeers,
+                    std::unique_ptr<listener>& aListener);
   void Accept(const Poco::Net::StreamSocket& aSocket, bool aFromPeer);
   // Passes a message to the engine or to the instance that serves the session.
   void Deliver(session_id aSession,
@@ -128,14 +119,12 @@
   void EndMalformed(session_id aSession,
                     const absl::Status& aStatus,
                     time_point aNow);
-  session_forwarder::handlers ForwarderHandlers();
   void OnCallerInput(session_id aSession, std::string& aInput, time_point aNow);
   void OnServerInput(server_connection_id aConnection,
                      std::string& aInput,
                      time_point aNow);
   // Hands a held message on if its desired state is in force.
   void ReleaseHeld(session_id aSession, time_point aNow);
-  void SendToCaller(session_id aSession, const std::string& aBytes);
   // Destroys a stream once none of its handlers runs.
   void Bury(std::unique_ptr<stream_connection> aStream);
 
@@ -150,14 +139,7 @@
   std::unordered_map<session_id, caller> mCallers;
   std::unordered_map<server_connection_id, server> mServers;
   session_id mNextSession = 1;
-  struct parked_session
-  {
-    time_point mSince;
-    // The other instance was asked for its desired state.
-    bool mAsked = false;
-  };
-  // Forwarded sessions with a held message.
-  std::map<session_id, parked_session> mParked;
+  std::map<session_id, held_message> mHeld;
 };
 
 } // namespace snipewalk
--- a/src/session/connection_table_peers.cpp
+++ b/src/session/connection_table_peers.cpp
@@ -1,6 +1,6 @@
 // Forwarded sessions on the side of the sockets: messages from other instances,
-// which wait until the desired state that they rest on is in force, and the
-// forwarder's access to callers.
+// which wait until the desired state that they rest on is in force, and
+// sessions that no host took.
 #include "session/connection_table.h"
 
 #include "snipewalk/base/log.h"
@@ -14,43 +14,16 @@
 
 // A desired state that another instance knows of is a call to the store away.
 constexpr milliseconds kDesiredStateDelay{ 600 };
-// The store has not told it by then: it may turn this instance away.
-constexpr milliseconds kAskForStateAfter{ 150 };
 
 } // namespace
 
-session_forwarder::handlers
-connection_table::ForwarderHandlers()
+void
+connection_table::ServeHere(session_id aSession,
+                            const open_session& aOpen,
+                            time_point aNow)
 {
-  session_forwarder::handlers handlers;
-  handlers.mServeHere =
-    [this](session_id aSession, const open_session& aOpen, time_point aNow) {
-      mEngine->OnCaller(aSession, aOpen, aNow);
-    };
-  handlers.mSendToCaller = [this](session_id aSession,
-                                  const std::string& aBytes) {
-    SendToCaller(aSession, aBytes);
-  };
-  handlers.mCloseCaller = [this](session_id aSession) {
-    CloseCaller(aSession);
-  };
-  handlers.mOnHostFailed = [this](const std::string& aHost, time_point aNow) {
-    mLinks.OnHostFailed(aHost, aNow);
-  };
-  handlers.mAskHost = [this](const host_candidate& aHost, time_point aNow) {
-    mLinks.AskHost(aHost, aNow);
-  };
-  handlers.mDesiredRevision = [this] { return mLinks.DesiredRevision(); };
-  handlers.mWantDesiredRevision = [this](std::uint64_t aRevision,
-                                         time_point aNow) {
-    mLinks.WantDesiredRevision(aRevision, aNow);
-  };
-  handlers.mDesiredState = [this] { return mLinks.DesiredState(); };
-  handlers.mLearnDesiredState = [this](const relayed_state& aState,
-                                       time_point aNow) {
-    mLinks.LearnDesiredState(aState, aNow);
-  };
-  return handlers;
+  mCallers.at(aSession).mServedHere = true;
+  mEngine->OnCaller(aSession, aOpen, aNow);
 }
 
 absl::StatusOr<std::optional<connection_table::received_message>>
@@ -59,35 +32,22 @@
                                time_point aNow)
 {
   while (true) {
-    std::size_t frameBytes = 0;
-    auto frame = PeekForwarded(aInput, frameBytes);
+    auto frame =
+      TakeForwarded(aInput, mLinks, *mCallers.at(aSession).mStream, aNow);
     if (!frame.ok()) {
       return frame.status();
     }
     if (!*frame) {
       return std::nullopt;
     }
-    aInput.erase(0, frameBytes);
-    caller& peer = mCallers.at(aSession);
-    if ((*frame)->mState) {
-      mLinks.LearnDesiredState(*(*frame)->mState, aNow);
-    }
-    if ((*frame)->AsksForState()) {
-      peer.mStream->Send(EncodeForwarded(
-        { mLinks.DesiredRevision(), {}, mLinks.DesiredState() }));
-    }
-    if ((*frame)->mBytes.empty()) {
-      continue;
-    }
-    if (peer.mHeld) {
+    if (mHeld.contains(aSession)) {
       return absl::InvalidArgumentError("a message before the last answer");
     }
     if ((*frame)->mDesiredRevision <= mLinks.DesiredRevision()) {
-      return Unframe((*frame)->mBytes);
+      return Unframe(std::move((*frame)->mBytes));
     }
     mLinks.WantDesiredRevision((*frame)->mDesiredRevision, aNow);
-    peer.mHeld = **std::move(frame);
-    mParked[aSession] = { aNow };
+    mHeld[aSession] = { **std::move(frame), aNow };
   }
 }
 
@@ -109,11 +69,11 @@
 {
   // Not within the handler that learnt of it.
   mLoop.Post([this] {
-    std::vector<session_id> held;
-    for (const auto& [session, parked] : mParked) {
-      held.push_back(session);
+    std::vector<session_id> sessions;
+    for (const auto& [session, held] : mHeld) {
+      sessions.push_back(session);
     }
-    for (const auto session : held) {
+    for (const auto session : sessions) {
       ReleaseHeld(session, mLoop.Now());
     }
   });
@@ -122,16 +82,13 @@
 void
 connection_table::ReleaseHeld(session_id aSession, time_point aNow)
 {
-  const auto found = mCallers.find(aSession);
-  const bool due =
-    found != mCallers.end() && found->second.mHeld &&
-    found->second.mHeld->mDesiredRevision <= mLinks.DesiredRevision();
-  if (!due) {
+  const auto found = mHeld.find(aSession);
+  if (found == mHeld.end() ||
+      found->second.mMessage.mDesiredRevision > mLinks.DesiredRevision()) {
     return;
   }
-  const auto received = Unframe(std::move(found->second.mHeld->mBytes));
-  found->second.mHeld.reset();
-  mParked.erase(aSession);
+  const auto received = Unframe(std::move(found->second.mMessage.mBytes));
+  mHeld.erase(found);
   if (received.ok()) {
     Deliver(aSession, **received, aNow);
   } else {
@@ -145,16 +102,15 @@
   mForwarder.OnTick(aNow);
   std::vector<session_id> late;
   bool asked = false;
-  for (auto& [session, parked] : mParked) {
-    if (aNow >= parked.mSince + kDesiredStateDelay) {
+  for (auto& [session, held] : mHeld) {
+    if (aNow >= held.mSince + kDesiredStateDelay) {
       late.push_back(session);
-    } else if (!asked && !parked.mAsked &&
-               aNow >= parked.mSince + kAskForStateAfter) {
+    } else if (!asked && !held.mAsked &&
+               aNow >= held.mSince + kAskForStateAfter) {
       // One answer helps all of them.
       asked = true;
-      parked.mAsked = true;
-      mCallers.at(session).mStream->Send(
-        EncodeForwarded({ mLinks.DesiredRevision(), {}, std::nullopt }));
+      held.mAsked = true;
+      AskForState(mLinks, *mCallers.at(session).mStream);
     }
   }
   for (const auto session : late) {
--- /dev/null
+++ b/src/session/forwarding_links.cpp
@@ -0,0 +1,38 @@
+// Implementation of the exchange of desired states between instances.
+#include "session/forwarding_links.h"
+
+namespace snipewalk {
+
+void
+AskForState(const forwarding_links& aLinks, stream_connection& aStream)
+{
+  aStream.Send(EncodeForwarded({ aLinks.DesiredRevision(), {}, std::nullopt }));
+}
+
+absl::StatusOr<std::optional<forwarded_message>>
+TakeForwarded(std::string& aInput,
+              forwarding_links& aLinks,
+              stream_connection& aStream,
+              time_point aNow)
+{
+  while (true) {
+    std::size_t frameBytes = 0;
+    auto message = PeekForwarded(aInput, frameBytes);
+    if (!message.ok() || !*message) {
+      return message;
+    }
+    aInput.erase(0, frameBytes);
+    if ((*message)->mState) {
+      aLinks.LearnDesiredState(*(*message)->mState, aNow);
+    }
+    if ((*message)->AsksForState()) {
+      aStream.Send(EncodeForwarded(
+        { aLinks.DesiredRevision(), {}, aLinks.DesiredState() }));
+    }
+    if (!(*message)->mBytes.empty()) {
+      return message;
+    }
+  }
+}
+
+} // namespace snipewalk
--- a/src/session/session_forwarder.cpp
+++ b/src/session/session_forwarder.cpp
@@ -2,7 +2,6 @@
 #include "session/session_forwarder.h"
 
 #include "snipewalk/base/log.h"
-#include "snipewalk/session/forwarded_messages.h"
 
 #include <algorithm>
 #include <utility>
@@ -20,17 +19,17 @@
 // From the first question until the host counts as lost: time for three
 // questions, as datagrams are lost now and then.
 constexpr milliseconds kHostSilence{ 900 };
-// The store has not told a newer desired state by then.
-constexpr milliseconds kAskForStateAfter{ 150 };
 
 } // namespace
 
 session_forwarder::session_forwarder(event_loop& aLoop,
                                      const session_protocol& aProtocol,
-                                     handlers aHandlers)
+                                     forwarding_links& aLinks,
+                                     forwarding_callers& aCallers)
   : mLoop(aLoop)
   , mProtocol(aProtocol)
-  , mHandlers(std::move(aHandlers))
+  , mLinks(aLinks)
+  , mCallers(aCallers)
 {
 }
 
@@ -91,10 +90,9 @@
 std::string
 session_forwarder::Frame(const std::string& aBytes) const
 {
-  return EncodeForwarded(
-    { std::max(mHandlers.mDesiredRevision(), mSeenRevision),
-      aBytes,
-      std::nullopt });
+  return EncodeForwarded({ std::max(mLinks.DesiredRevision(), mSeenRevision),
+                           aBytes,
+                           std::nullopt });
 }
 
 void
@@ -102,19 +100,17 @@
                               std::uint64_t aRevision,
                               time_point aNow)
 {
-  if (aRevision <= mHandlers.mDesiredRevision()) {
+  if (aRevision <= mLinks.DesiredRevision()) {
     mBehindSince.reset();
     return;
   }
   mSeenRevision = std::max(mSeenRevision, aRevision);
-  mHandlers.mWantDesiredRevision(aRevision, aNow);
+  mLinks.WantDesiredRevision(aRevision, aNow);
   if (!mBehindSince) {
     mBehindSince = aNow;
   } else if (aNow >= *mBehindSince + kAskForStateAfter) {
-    // The store may turn this instance away.
     mBehindSince = aNow;
-    aSession.mStream->Send(
-      EncodeForwarded({ mHandlers.mDesiredRevision(), {}, std::nullopt }));
+    AskForState(mLinks, *aSession.mStream);
   }
 }
 
@@ -123,6 +119,9 @@
                                std::string& aInput,
                                time_point aNow)
 {
+  if (Holds(aSession)) {
+    OnHostHeard(mSessions.at(aSession).mHost.mName, aNow);
+  }
   const absl::Status status = PassAnswers(aSession, aInput, aNow);
   if (!status.ok()) {
     Log(log_level::Warning,
@@ -144,27 +143,14 @@
 {
   while (Holds(aSession)) {
     session& held = mSessions.at(aSession);
-    OnHostHeard(held.mHost.mName, aNow);
-    std::size_t frameBytes = 0;
-    auto frame = PeekForwarded(aInput, frameBytes);
+    auto frame = TakeForwarded(aInput, mLinks, *held.mStream, aNow);
     if (!frame.ok()) {
       return frame.status();
     }
     if (!*frame) {
       return absl::OkStatus();
     }
-    aInput.erase(0, frameBytes);
     OnRevision(held, (*frame)->mDesiredRevision, aNow);
-    if ((*frame)->mState) {
-      mHandlers.mLearnDesiredState(*(*frame)->mState, aNow);
-    }
-    if ((*frame)->AsksForState()) {
-      held.mStream->Send(EncodeForwarded(
-        { mHandlers.mDesiredRevision(), {}, mHandlers.mDesiredState() }));
-    }
-    if ((*frame)->mBytes.empty()) {
-      continue;
-    }
     const std::string bytes = (*frame)->mBytes;
     const auto reply = mProtocol.ReadReply((*frame)->mBytes, !held.mOpened);
     if (!reply.ok()) {
@@ -173,7 +159,7 @@
     if (!*reply) {
       return absl::InvalidArgumentError("a frame without a whole answer");
     }
-    mHandlers.mSendToCaller(aSession, bytes);
+    mCallers.SendToCaller(aSession, bytes);
     mWaiting.erase(aSession);
     held.mOpened = true;
     held.mState.OnReply(**reply);
@@ -182,31 +168,30 @@
   return absl::OkStatus();
 }
 
-std::unique_ptr<stream_connection>
-session_forwarder::Take(session_id aSession)
+void
+session_forwarder::Drop(session_id aSession)
 {
   const auto found = mSessions.find(aSession);
-  std::unique_ptr<stream_connection> stream = std::move(found->second.mStream);
+  const std::shared_ptr<stream_connection> stream =
+    std::move(found->second.mStream);
   mSessions.erase(found);
   mWaiting.erase(aSession);
   stream->Close();
-  return stream;
+  mLoop.Post([stream] {});
 }
 
 void
 session_forwarder::End(session_id aSession)
 {
-  // One of the stream's handlers may be running.
-  mLoop.Post([stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
-  mHandlers.mCloseCaller(aSession);
+  Drop(aSession);
+  mCallers.CloseCaller(aSession);
 }
 
 void
 session_forwarder::OnCallerClosed(session_id aSession)
 {
   if (Holds(aSession)) {
-    mLoop.Post(
-      [stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
+    Drop(aSession);
   }
 }
 
@@ -224,10 +209,9 @@
         "session",
         "host takes no session; served here",
         { { "host", host }, { "database", open.mDatabase } });
-    mHandlers.mOnHostFailed(host, aNow);
-    mLoop.Post(
-      [stream = std::shared_ptr<stream_connection>(Take(aSession))] {});
-    mHandlers.mServeHere(aSession, open, aNow);
+    mLinks.OnHostFailed(host, aNow);
+    Drop(aSession);
+    mCallers.ServeHere(aSession, open, aNow);
     return;
   }
   if (const auto answer = held.mState.AnswerWhenLost()) {
@@ -237,7 +221,7 @@
         { { "request", held.mState.DueRequest() },
           { "host", host },
           { "answer", NameOf(kResultCodeNames, *answer->mError) } });
-    mHandlers.mSendToCaller(aSession, mProtocol.WriteReply(*answer));
+    mCallers.SendToCaller(aSession, mProtocol.WriteReply(*answer));
   }
   End(aSession);
 }
@@ -271,7 +255,7 @@
     } else if (aNow >= std::max(quiet, host.mAskedAt) + kAskAfter) {
       host.mAskedAt = aNow;
       host.mAskedSince = host.mAskedSince.value_or(aNow);
-      mHandlers.mAskHost(held.mHost, aNow);
+      mLinks.AskHost(held.mHost, aNow);
     }
   }
   for (const auto id : unopened) {
@@ -289,7 +273,7 @@
       "session",
       "host is silent; its sessions end",
       { { "host", aHost } });
-  mHandlers.mOnHostFailed(aHost, aNow);
+  mLinks.OnHostFailed(aHost, aNow);
   mHosts.erase(aHost);
   std::vector<session_id> lost;
   for (const auto& [id, held] : mSessions) {
--- a/src/session/session_forwarder.h
+++ b/src/session/session_forwarder.h
@@ -3,16 +3,15 @@
 #ifndef SNIPEWALK_SESSION_SESSION_FORWARDER_H_
 #define SNIPEWALK_SESSION_SESSION_FORWARDER_H_
 
+#include "session/forwarding_links.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/stream_connection.h"
-#include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/forwarded_session.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/session_hosts.h"
 #include "snipewalk/session/session_protocol.h"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,31 +23,28 @@
 
 namespace snipewalk {
 
-class session_forwarder
+// The callers of forwarded sessions. None of the functions calls back before it
+// returns.
+class forwarding_callers
 {
 public:
-  // None of them calls back before it returns.
-  struct handlers
-  {
-    // The host took no session; the opening message is to be handled here.
-    std::function<void(session_id, const open_session&, time_point)> mServeHere;
-    std::function<void(session_id, const std::string& aBytes)> mSendToCaller;
-    std::function<void(session_id)> mCloseCaller;
-    std::function<void(const std::string& aHost, time_point)> mOnHostFailed;
-    // A sign of life is wanted: OnHostHeard() follows if the host runs.
-    std::function<void(const host_candidate& aHost, time_point)> mAskHost;
-    // Revision of the desired state in force here.
-    std::function<std::uint64_t()> mDesiredRevision;
-    // A host knows of this revision.
-    std::function<void(std::uint64_t aRevision, time_point)>
-      mWantDesiredRevision;
-    std::function<relayed_state()> mDesiredState;
-    std::function<void(const relayed_state&, time_point)> mLearnDesiredState;
-  };
+  virtual ~forwarding_callers() = default;
+
+  // The host took no session; the opening message is to be handled here.
+  virtual void ServeHere(session_id aSession,
+                         const open_session& aOpen,
+                         time_point aNow) = 0;
+  virtual void SendToCaller(session_id aSession, const std::string& aBytes) = 0;
+  virtual void CloseCaller(session_id aSession) = 0;
+};
 
+class session_forwarder
+{
+public:
   session_forwarder(event_loop& aLoop,
                     const session_protocol& aProtocol,
-                    handlers aHandlers);
+                    forwarding_links& aLinks,
+                    forwarding_callers& aCallers);
   ~session_forwarder();
   session_forwarder(const session_forwarder&) = delete;
   session_forwarder& operator=(const session_forwarder&) = delete;
@@ -110,12 +106,14 @@
                   time_point aNow);
   // Ends a session whose caller was told all that was due.
   void End(session_id aSession);
-  std::unique_ptr<stream_connection> Take(session_id aSession);
+  // Forgets a session and closes its stream, whose handlers may be running.
+  void Drop(session_id aSession);
   void CloseIfLeaving(session_id aSession);
 
   event_loop& mLoop;
   const session_protocol& mProtocol;
-  handlers mHandlers;
+  forwarding_links& mLinks;
+  forwarding_callers& mCallers;
   std::unordered_map<session_id, session> mSessions;
   // Sessions that wait for the host.
   std::set<session_id> mWaiting;
--- a/tests/soak/link_network.cpp
+++ b/tests/soak/link_network.cpp
@@ -94,16 +94,6 @@
   Run([&] { mLinks.at(aLink)->DropSilencedAtTarget(); });
 }
 
-void
-link_network::Heal()
-{
-  Run([&] {
-    for (const auto& link : mLinks) {
-      link->SetFaults({}, mLoop.Now());
-    }
-  });
-}
-
 std::string
 link_network::Target(std::size_t aLink)
 {
--- a/tests/soak/link_network.h
+++ b/tests/soak/link_network.h
@@ -35,8 +35,6 @@
   void Silence(std::size_t aLink);
   // The target drops the silenced connections.
   void DropSilencedAtTarget(std::size_t aLink);
-  // Ends all faults.
-  void Heal();
   // Target of a link, for logs.
   std::string Target(std::size_t aLink);
 
--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -66,12 +66,6 @@
   Change(aKind, aName, { 0, {}, true });
 }
 
-const Json::Value&
-platform_store::Spec(const std::string& aKind, const std::string& aName)
-{
-  return mObjects[aKind][aName].mSpec;
-}
-
 void
 platform_store::Compact()
 {
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -25,7 +25,6 @@
              const std::string& aName,
              const Json::Value& aSpec);
   void Delete(const std::string& aKind, const std::string& aName);
-  const Json::Value& Spec(const std::string& aKind, const std::string& aName);
 
   // Answers a call of an instance, at once or later.
   void OnCall(connection_number aConnection, const http_request& aRequest);
