Refuse waiting statements that cannot be placed in time

One of eight services gets more than its servers execute while its replicas lag. Work that can be on time goes first, so the rest waits in vain.

Ruled out: the order of placement (the replay serves the same with each order of late work) and the send windows (servers refused 6 % of the arrivals).

Change: wait_forecast counts what a service executes while others wait, by priority and by whether it was late, and finds what will not be placed before its time limit. Nothing is refused while the queue is blocked, as during a change of primary.

--- a/include/snipewalk/session/failure_answer.h
+++ b/include/snipewalk/session/failure_answer.h
@@ -30,6 +30,15 @@
   { statement_purpose::Commit, "commit" },
 } };
 
+// Whether statements of this purpose wait in the service's queue; the others
+// have a connection.
+constexpr bool
+WaitsForPlacement(statement_purpose aPurpose)
+{
+  return aPurpose != statement_purpose::Later &&
+         aPurpose != statement_purpose::Commit;
+}
+
 enum class statement_failure
 {
   // The connection ended or was given up before any byte of the statement.
--- /dev/null
+++ b/src/session/engine_admission.cpp
@@ -0,0 +1,109 @@
+// Refusal of waiting statements that cannot be served in time.
+#include "session/engine_state.h"
+#include "snipewalk/base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Bounds of the time after which refused callers are told to come back: within
+// the shortest the queue hardly changes, and a forecast does not reach beyond
+// the longest.
+constexpr milliseconds kShortestRetryAfter{ 100 };
+constexpr milliseconds kLongestRetryAfter{ 2'000 };
+
+} // namespace
+
+wait_forecast&
+session_engine::state::ForecastOf(const caller_session& aSession)
+{
+  known_service& service = mServices[aSession.mPending->mRoute.mService];
+  return NeedsPrimary(aSession) ? service.mPrimaryForecast
+                                : service.mReadForecast;
+}
+
+void
+session_engine::state::NoteBacklog(const std::string& aService, time_point aNow)
+{
+  known_service& service = mServices[aService];
+  const auto primary = std::count_if(
+    service.mWaiting.begin(), service.mWaiting.end(), [this](session_id aId) {
+      return NeedsPrimary(mSessions.at(aId));
+    });
+  const auto onlyPrimary = static_cast<std::size_t>(primary);
+  service.mPrimaryForecast.OnBacklog(onlyPrimary, aNow);
+  service.mReadForecast.OnBacklog(service.mWaiting.size() - onlyPrimary, aNow);
+}
+
+void
+session_engine::state::RefuseAllUnservable(time_point aNow)
+{
+  std::vector<std::string> services;
+  for (const auto& [name, service] : mServices) {
+    if (!service.mWaiting.empty()) {
+      services.push_back(name);
+    }
+  }
+  for (const auto& name : services) {
+    RefuseUnservable(name, aNow);
+  }
+}
+
+void
+session_engine::state::RefuseUnservable(const std::string& aService,
+                                        time_point aNow)
+{
+  // Statements of one forecast, in the order of placement.
+  struct queue
+  {
+    const wait_forecast* mForecast = nullptr;
+    std::vector<session_id> mSessions;
+    std::vector<waiting_statement> mStatements;
+  };
+  SortWaiting(aService, aNow);
+  known_service& service = mServices[aService];
+  queue primary{ &service.mPrimaryForecast, {}, {} };
+  queue reads{ &service.mReadForecast, {}, {} };
+  for (const auto id : service.mWaiting) {
+    const caller_session& session = mSessions.at(id);
+    const pending_statement& pending = *session.mPending;
+    const wait_rank rank = RankOf(pending, aNow);
+    queue& lane = NeedsPrimary(session) ? primary : reads;
+    lane.mSessions.push_back(id);
+    lane.mStatements.push_back({ { rank.mLate, rank.mPriority },
+                                 rank.mDue - aNow,
+                                 pending.mDeadline - aNow });
+  }
+  for (const queue* lane : { &primary, &reads }) {
+    for (const auto index :
+         lane->mForecast->FindUnservable(lane->mStatements, aNow)) {
+      caller_session& session = mSessions.at(lane->mSessions[index]);
+      std::erase(service.mWaiting, session.mId);
+      failure_facts facts = FactsOf(session, aNow);
+      facts.mFailure = statement_failure::NotSent;
+      facts.mMayRepeat = false;
+      mMetrics.Count("statements_refused_early");
+      Fail(session, facts, "", "no capacity within the time limit", aNow);
+    }
+  }
+  NoteBacklog(aService, aNow);
+}
+
+milliseconds
+session_engine::state::RetryAfter(const std::string& aService,
+                                  time_point aNow) const
+{
+  const known_service& service = mServices.at(aService);
+  const auto reads = service.mReadForecast.TimeToClear(aNow);
+  const auto primary = service.mPrimaryForecast.TimeToClear(aNow);
+  const duration longest =
+    std::max(reads.value_or(duration(0)), primary.value_or(duration(0)));
+  return std::clamp(std::chrono::duration_cast<milliseconds>(longest),
+                    kShortestRetryAfter,
+                    kLongestRetryAfter);
+}
+
+} // namespace snipewalk
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -211,14 +211,13 @@
                          : statement_purpose::SingleRead;
   }
   pending.mDeadline = aNow + pending.mRoute.mTimeout;
-  const bool placed = pending.mPurpose == statement_purpose::Later ||
-                      pending.mPurpose == statement_purpose::Commit;
+  const bool waits = WaitsForPlacement(pending.mPurpose);
   aSession.mPending = std::move(pending);
   mActive.insert(aSession.mId);
-  if (placed) {
-    SendLater(aSession, aNow);
-  } else {
+  if (waits) {
     Enqueue(aSession, aNow);
+  } else {
+    SendLater(aSession, aNow);
   }
 }
 
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -64,6 +64,7 @@
 {
   auto& waiting = mServices[aService].mWaiting;
   if (waiting.empty()) {
+    NoteBacklog(aService, aNow);
     return;
   }
   SortWaiting(aService, aNow);
@@ -77,23 +78,17 @@
     }
     waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
   }
+  NoteBacklog(aService, aNow);
 }
 
 void
 session_engine::state::SortWaiting(const std::string& aService, time_point aNow)
 {
   known_service& service = mServices[aService];
-  const auto primary = mServers.find(service.mPrimary.mServer);
-  const duration expected =
-    primary == mServers.end() ? duration(0) : primary->second.mAnswerTime;
   std::vector<std::pair<wait_rank, session_id>> ranked;
   ranked.reserve(service.mWaiting.size());
   for (const auto id : service.mWaiting) {
-    const pending_statement& pending = *mSessions.at(id).mPending;
-    const waiting_work work{ pending.mRoute.mPriority,
-                             pending.mReceived,
-                             pending.mRoute.mLatencyObjective };
-    ranked.emplace_back(RankWaiting(work, expected, aNow), id);
+    ranked.emplace_back(RankOf(*mSessions.at(id).mPending, aNow), id);
   }
   std::sort(ranked.begin(), ranked.end());
   std::transform(ranked.begin(),
@@ -102,6 +97,23 @@
                  [](const auto& aRanked) { return aRanked.second; });
 }
 
+wait_rank
+session_engine::state::RankOf(const pending_statement& aPending,
+                              time_point aNow) const
+{
+  const auto service = mServices.find(aPending.mRoute.mService);
+  const auto primary = service == mServices.end()
+                         ? mServers.end()
+                         : mServers.find(service->second.mPrimary.mServer);
+  const duration expected =
+    primary == mServers.end() ? duration(0) : primary->second.mAnswerTime;
+  return RankWaiting({ aPending.mRoute.mPriority,
+                       aPending.mReceived,
+                       aPending.mRoute.mLatencyObjective },
+                     expected,
+                     aNow);
+}
+
 bool
 session_engine::state::NeedsPrimary(const caller_session& aSession) const
 {
@@ -385,6 +397,7 @@
   pending.mStage = statement_stage::Sent;
   pending.mSentAt = aNow;
   ++pending.mAttempts;
+  pending.mGroup = { RankOf(pending, aNow).mLate, pending.mRoute.mPriority };
   if (aSession.mTransaction) {
     // The statement follows once the server has begun the transaction: it must
     // not run outside one if the begin is refused.
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -26,14 +26,12 @@
 constexpr milliseconds kGuestPause{ 40 };
 // Weight of the newest answer time in the average.
 constexpr int kAverageDivisor = 8;
-// Suggested to callers whose request was not executed.
-constexpr milliseconds kRetryAfter{ 100 };
 
 std::string
-RetryText(std::string_view aReason)
+RetryText(std::string_view aReason, milliseconds aRetryAfter)
 {
   return absl::StrCat(
-    std::string(aReason), "; retry_after_ms=", kRetryAfter.count());
+    std::string(aReason), "; retry_after_ms=", aRetryAfter.count());
 }
 
 bool
@@ -237,6 +235,9 @@
   if (wrote) {
     mServices[aConnection.mService].mWriteGate.OnConfirmed(aNow);
   }
+  if (WaitsForPlacement(purpose)) {
+    ForecastOf(aSession).OnServed(aSession.mPending->mGroup, aNow);
+  }
   if (wrote && aReply.mPosition) {
     aSession.mWritten = std::max(aSession.mWritten, *aReply.mPosition);
   }
@@ -309,7 +310,9 @@
   statement_reply reply;
   reply.mError = answer.mCode;
   reply.mErrorText =
-    PromisesNothingKept(answer.mCode) ? RetryText(aText) : aText;
+    PromisesNothingKept(answer.mCode)
+      ? RetryText(aText, RetryAfter(pending.mRoute.mService, aNow))
+      : aText;
   if (aSession.mTransaction) {
     const bool ended = aFacts.mPurpose == statement_purpose::Commit;
     aSession.mTransaction.reset();
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -9,6 +9,7 @@
 #include "snipewalk/session/send_window.h"
 #include "snipewalk/session/server_choice.h"
 #include "snipewalk/session/session_engine.h"
+#include "snipewalk/session/wait_forecast.h"
 #include "snipewalk/session/wait_order.h"
 #include "snipewalk/session/write_gate.h"
 
@@ -44,6 +45,8 @@
   statement_stage mStage = statement_stage::Waiting;
   // Not placed before.
   time_point mRetryAt = time_point::min();
+  // When it was placed first.
+  wait_group mGroup;
   time_point mSentAt;
   server_connection_id mConnection = 0;
   // Refusals for lack of a position do not count.
@@ -167,6 +170,9 @@
   time_point mCheckedAt = time_point::min();
   // Sessions whose statement waits; sorted when statements are placed.
   std::vector<session_id> mWaiting;
+  // Of statements that only the primary can execute, and of the others.
+  wait_forecast mPrimaryForecast;
+  wait_forecast mReadForecast;
 };
 
 // Result of trying to place one waiting statement.
@@ -200,6 +206,9 @@
                      time_point aNow);
   void OnServerClosed(server_connection_id aConnection, time_point aNow);
 
+  // engine_admission.cpp
+  void RefuseAllUnservable(time_point aNow);
+
   // engine_timeouts.cpp
   void OnTick(time_point aNow);
 
@@ -257,6 +266,7 @@
   void Enqueue(caller_session& aSession, time_point aNow);
   // Brings the service's waiting statements into their order.
   void SortWaiting(const std::string& aService, time_point aNow);
+  wait_rank RankOf(const pending_statement& aPending, time_point aNow) const;
   placement Place(caller_session& aSession, time_point aNow);
   read_requirement RequirementOf(const caller_session& aSession,
                                  const known_service& aService,
@@ -292,6 +302,15 @@
                 expected_kind aLast,
                 time_point aNow);
 
+  // engine_admission.cpp
+  wait_forecast& ForecastOf(const caller_session& aSession);
+  // Tells the forecasts of a service how many statements wait.
+  void NoteBacklog(const std::string& aService, time_point aNow);
+  // Refuses the waiting statements that will not be placed in time.
+  void RefuseUnservable(const std::string& aService, time_point aNow);
+  // When callers of the service should come back.
+  milliseconds RetryAfter(const std::string& aService, time_point aNow) const;
+
   // engine_check.cpp
   void OnChecked(known_service& aService,
                  const std::string& aName,
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -127,6 +127,7 @@
   }
   CloseSurplusConnections(aNow);
   DispatchAll(aNow);
+  RefuseAllUnservable(aNow);
 }
 
 } // namespace snipewalk
--- a/src/session/failure_answer.cpp
+++ b/src/session/failure_answer.cpp
@@ -74,9 +74,7 @@
 {
   switch (aFacts.mFailure) {
     case statement_failure::NotSent: {
-      const bool started = aFacts.mPurpose == statement_purpose::Later ||
-                           aFacts.mPurpose == statement_purpose::Commit;
-      if (started) {
+      if (!WaitsForPlacement(aFacts.mPurpose)) {
         return Answer(result_code::Aborted);
       }
       return aFacts.mMayRepeat ? kRepeatElsewhere : Answer(result_code::Busy);
--- /dev/null
+++ b/src/session/wait_forecast.cpp
@@ -0,0 +1,141 @@
+// Implementation of the forecast of waiting times.
+#include "snipewalk/session/wait_forecast.h"
+
+#include <algorithm>
+#include <map>
+
+namespace snipewalk {
+
+namespace {
+
+// Rates are counted over at most this time, and not before the least: answers
+// of transactions and of slow servers come in bursts.
+constexpr milliseconds kWindow{ 1'000 };
+constexpr milliseconds kLeastSpan{ 200 };
+// Nothing was executed for this long: the queue is blocked.
+constexpr milliseconds kBlocked{ 250 };
+
+double
+Seconds(duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+// Statements of one group on the way through the queue.
+struct group_queue
+{
+  std::size_t mAhead = 0;
+  // Statements a second.
+  double mRate = 0;
+};
+
+// Seconds until the statement behind `aAhead` others is placed.
+double
+WaitBehind(std::size_t aAhead, double aRate)
+{
+  return static_cast<double>(aAhead + 1) / aRate;
+}
+
+} // namespace
+
+void
+wait_forecast::OnBacklog(std::size_t aWaiting, time_point aNow)
+{
+  mWaiting = aWaiting;
+  if (aWaiting == 0) {
+    mBacklogSince.reset();
+    mServed.clear();
+  } else if (!mBacklogSince) {
+    mBacklogSince = aNow;
+  }
+}
+
+void
+wait_forecast::OnServed(const wait_group& aGroup, time_point aNow)
+{
+  if (!mBacklogSince) {
+    return;
+  }
+  mServed.push_back({ aNow, aGroup });
+  while (mServed.front().mAt < aNow - kWindow) {
+    mServed.pop_front();
+  }
+}
+
+std::optional<time_point>
+wait_forecast::CountedFrom(time_point aNow) const
+{
+  if (!mBacklogSince || mServed.empty() ||
+      aNow - mServed.back().mAt > kBlocked) {
+    return std::nullopt;
+  }
+  const time_point from = std::max(*mBacklogSince, aNow - kWindow);
+  if (aNow - from < kLeastSpan) {
+    return std::nullopt;
+  }
+  return from;
+}
+
+double
+wait_forecast::RateOf(const std::optional<wait_group>& aGroup,
+                      time_point aFrom,
+                      time_point aNow) const
+{
+  const auto counted =
+    std::count_if(mServed.begin(), mServed.end(), [&](const auto& aServed) {
+      return aServed.mAt >= aFrom && (!aGroup || aServed.mGroup == *aGroup);
+    });
+  // One more than seen: a rate of zero would mean that none will ever follow.
+  return static_cast<double>(counted + 1) / Seconds(aNow - aFrom);
+}
+
+std::vector<std::size_t>
+wait_forecast::FindUnservable(std::span<const waiting_statement> aWaiting,
+                              time_point aNow) const
+{
+  const auto from = CountedFrom(aNow);
+  if (!from) {
+    return {};
+  }
+  const double all = RateOf(std::nullopt, *from, aNow);
+  std::map<wait_group, group_queue> groups;
+  const auto waitIn = [&](const wait_group& aGroup) {
+    auto [found, added] = groups.try_emplace(aGroup);
+    if (added) {
+      found->second.mRate = RateOf(aGroup, *from, aNow);
+    }
+    return WaitBehind(found->second.mAhead, found->second.mRate);
+  };
+  std::vector<std::size_t> unservable;
+  std::size_t ahead = 0;
+  for (std::size_t index = 0; index < aWaiting.size(); ++index) {
+    const waiting_statement& statement = aWaiting[index];
+    wait_group group = statement.mGroup;
+    double wait = std::max(WaitBehind(ahead, all), waitIn(group));
+    if (!group.mLate && wait > Seconds(statement.mUntilLate)) {
+      group.mLate = true;
+      wait = std::max(wait, waitIn(group));
+    }
+    if (wait > Seconds(statement.mUntilDeadline)) {
+      unservable.push_back(index);
+      continue;
+    }
+    ++ahead;
+    ++groups[group].mAhead;
+  }
+  return unservable;
+}
+
+std::optional<duration>
+wait_forecast::TimeToClear(time_point aNow) const
+{
+  const auto from = CountedFrom(aNow);
+  if (!from) {
+    return std::nullopt;
+  }
+  const double rate = RateOf(std::nullopt, *from, aNow);
+  return std::chrono::duration_cast<duration>(
+    std::chrono::duration<double>(static_cast<double>(mWaiting) / rate));
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/tests/session/engine_admission_test.cpp
@@ -0,0 +1,84 @@
+// Tests of the refusal of statements that cannot be served in time.
+#include "engine_fixture.h"
+
+#include <set>
+
+namespace snipewalk {
+namespace {
+
+class EngineAdmissionTest : public SessionEngineTest
+{
+protected:
+  // Writes of new sessions.
+  void Write(int aCount)
+  {
+    for (int i = 0; i < aCount; ++i) {
+      mSessions.push_back(Open("main"));
+      Ask(mSessions.back(), write_statement{ "item", "data" });
+    }
+  }
+
+  // The primary executes one write each 20 ms.
+  void Serve(int aMs)
+  {
+    for (int ms = 0; ms < aMs; ms += 20) {
+      Pass(20);
+      AcceptAll();
+      for (int request = 1; request <= mRequests; ++request) {
+        const std::string id = "q" + std::to_string(request);
+        const auto carrier = CarrierOf(id);
+        if (carrier && mServed.insert(id).second) {
+          Answer(*carrier, Done(static_cast<std::uint64_t>(request)));
+          break;
+        }
+      }
+    }
+  }
+
+  // Sessions that were answered with an error.
+  std::vector<session_id> Refused() const
+  {
+    std::vector<session_id> refused;
+    for (const auto session : mSessions) {
+      const auto found = mLinks.mReplies.find(session);
+      if (found != mLinks.mReplies.end() && found->second.back().mError) {
+        refused.push_back(session);
+      }
+    }
+    return refused;
+  }
+
+  std::vector<session_id> mSessions;
+  std::set<std::string> mServed;
+};
+
+// Guards against callers that wait for their whole time limit although the
+// queue is known to be too long: 50 writes a second are executed and 200 wait.
+TEST_F(EngineAdmissionTest, RefusesWritesBehindATooLongQueue)
+{
+  Configure();
+  Write(200);
+  Serve(400);
+  const auto refused = Refused();
+  EXPECT_GT(refused.size(), 100U);
+  EXPECT_LT(refused.size() + mServed.size(), 190U);
+  ASSERT_FALSE(refused.empty());
+  const auto& reply = LastReply(refused.front());
+  EXPECT_EQ(reply.mError, result_code::Busy);
+  EXPECT_NE(reply.mErrorText.find("retry_after_ms="), std::string::npos);
+}
+
+// Guards against refusals of writes that a new primary serves soon.
+TEST_F(EngineAdmissionTest, KeepsWritesDuringAChangeOfPrimary)
+{
+  Configure();
+  Write(5);
+  Serve(400);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  Write(200);
+  Pass(600);
+  EXPECT_TRUE(Refused().empty());
+}
+
+} // namespace
+} // namespace snipewalk
--- /dev/null
+++ b/tests/session/wait_forecast_test.cpp
@@ -0,0 +1,211 @@
+// Tests of the forecast of waiting times, with a replay of an overload.
+#include "snipewalk/session/wait_forecast.h"
+
+#include "snipewalk/session/wait_order.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <vector>
+
+namespace snipewalk {
+namespace {
+
+constexpr milliseconds kTimeLimit{ 800 };
+constexpr milliseconds kExecution{ 20 };
+constexpr int kShortestObjectiveMs = 150;
+
+time_point
+At(int aMs)
+{
+  return time_point() + milliseconds(100'000 + aMs);
+}
+
+waiting_statement
+OnTime(int aUntilLateMs, int aUntilDeadlineMs)
+{
+  return { {}, milliseconds(aUntilLateMs), milliseconds(aUntilDeadlineMs) };
+}
+
+waiting_statement
+Late(int aUntilDeadlineMs)
+{
+  return { { true, 0 }, milliseconds(0), milliseconds(aUntilDeadlineMs) };
+}
+
+class WaitForecastTest : public testing::Test
+{
+protected:
+  // One statement each 10 ms for `aMs`, while others wait.
+  void Serve(int aMs, bool aLate = false)
+  {
+    mForecast.OnBacklog(1, At(0));
+    for (int ms = 10; ms <= aMs; ms += 10) {
+      mForecast.OnServed({ aLate, 0 }, At(ms));
+    }
+  }
+
+  wait_forecast mForecast;
+};
+
+// Guards against refusals before the servers' rate is known.
+TEST_F(WaitForecastTest, KeepsAllStatementsAtTheBeginOfABacklog)
+{
+  Serve(100);
+  const std::vector<waiting_statement> waiting(50, OnTime(10, 20));
+  EXPECT_TRUE(mForecast.FindUnservable(waiting, At(100)).empty());
+}
+
+TEST_F(WaitForecastTest, FindsStatementsBehindTooManyOthers)
+{
+  Serve(500);
+  const std::vector<waiting_statement> waiting(50, Late(250));
+  Serve(500, true);
+  const auto unservable = mForecast.FindUnservable(waiting, At(500));
+  EXPECT_GT(unservable.size(), 10U);
+  EXPECT_LT(unservable.size(), 40U);
+  EXPECT_EQ(unservable.back(), waiting.size() - 1);
+}
+
+// Guards against late statements that wait until their limit while none of
+// them is placed.
+TEST_F(WaitForecastTest, FindsLateStatementsThatOthersKeepOut)
+{
+  Serve(1'000);
+  const std::vector<waiting_statement> waiting(20, Late(500));
+  EXPECT_GE(mForecast.FindUnservable(waiting, At(1'000)).size(), 19U);
+}
+
+// Guards against refusals during a change of primary, after which the whole
+// queue is served quickly.
+TEST_F(WaitForecastTest, KeepsAllStatementsWhileTheQueueIsBlocked)
+{
+  Serve(500);
+  const std::vector<waiting_statement> waiting(500, Late(250));
+  EXPECT_TRUE(mForecast.FindUnservable(waiting, At(900)).empty());
+}
+
+// Guards against a rate that comes from the arrivals at an empty queue.
+TEST_F(WaitForecastTest, ForgetsTheRateOfAnEmptyQueue)
+{
+  Serve(500);
+  mForecast.OnBacklog(0, At(500));
+  mForecast.OnBacklog(1, At(510));
+  const std::vector<waiting_statement> waiting(500, Late(250));
+  EXPECT_TRUE(mForecast.FindUnservable(waiting, At(600)).empty());
+}
+
+TEST_F(WaitForecastTest, KnowsTheTimeToClearTheBacklog)
+{
+  EXPECT_FALSE(mForecast.TimeToClear(At(0)));
+  Serve(1'000);
+  mForecast.OnBacklog(100, At(1'000));
+  const auto time = mForecast.TimeToClear(At(1'000));
+  ASSERT_TRUE(time);
+  EXPECT_GT(*time, milliseconds(900));
+  EXPECT_LT(*time, milliseconds(1'100));
+}
+
+struct replayed_statement
+{
+  waiting_work mWork;
+  int mArrived = 0;
+};
+
+struct replay_result
+{
+  int mArrived = 0;
+  int mOnTime = 0;
+  int mServed = 0;
+  // Not served, and told so at the time limit only.
+  int mHeldToTheEnd = 0;
+  int mRefused = 0;
+  // Sum over the refused.
+  int mHeldMs = 0;
+};
+
+// Three slots of 20 ms get 210 statements a second of three routes for ten
+// seconds, 40 % more than they execute.
+replay_result
+Replay(bool aRefuse)
+{
+  std::mt19937_64 random(7);
+  const std::array<int, 3> objectives{ kShortestObjectiveMs, 250, 500 };
+  std::vector<replayed_statement> waiting;
+  std::vector<int> slots{ 0, 0, 0 };
+  wait_forecast forecast;
+  replay_result result;
+  for (int ms = 0; ms < 10'000; ++ms) {
+    if (random() % 1'000 < 210) {
+      const std::size_t route = random() % objectives.size();
+      waiting.push_back(
+        { { static_cast<int>(route), At(ms), milliseconds(objectives[route]) },
+          ms });
+      ++result.mArrived;
+    }
+    const auto rank = [&](const replayed_statement& aStatement) {
+      return RankWaiting(aStatement.mWork, kExecution, At(ms));
+    };
+    std::sort(waiting.begin(),
+              waiting.end(),
+              [&](const auto& aOne, const auto& aOther) {
+                return rank(aOne) < rank(aOther);
+              });
+    for (int& busyUntil : slots) {
+      if (busyUntil > ms || waiting.empty()) {
+        continue;
+      }
+      const replayed_statement next = waiting.front();
+      waiting.erase(waiting.begin());
+      busyUntil = ms + static_cast<int>(kExecution.count());
+      const bool onTime =
+        At(busyUntil) <= next.mWork.mReceived + next.mWork.mObjective;
+      ++result.mServed;
+      result.mOnTime += onTime ? 1 : 0;
+      forecast.OnServed({ !onTime, next.mWork.mPriority }, At(ms));
+    }
+    forecast.OnBacklog(waiting.size(), At(ms));
+    result.mHeldToTheEnd += static_cast<int>(
+      std::erase_if(waiting, [&](const replayed_statement& aStatement) {
+        return At(ms) >= aStatement.mWork.mReceived + kTimeLimit;
+      }));
+    if (!aRefuse || ms % 20 != 0) {
+      continue;
+    }
+    std::vector<waiting_statement> facts;
+    for (const auto& statement : waiting) {
+      const time_point due =
+        statement.mWork.mReceived + statement.mWork.mObjective - kExecution;
+      facts.push_back({ { rank(statement).mLate, statement.mWork.mPriority },
+                        due - At(ms),
+                        statement.mWork.mReceived + kTimeLimit - At(ms) });
+    }
+    const auto unservable = forecast.FindUnservable(facts, At(ms));
+    for (auto index = unservable.rbegin(); index != unservable.rend();
+         ++index) {
+      ++result.mRefused;
+      result.mHeldMs += ms - waiting[*index].mArrived;
+      waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(*index));
+    }
+  }
+  return result;
+}
+
+// Guards against callers that wait for their whole time limit in vain, and
+// against refusals of statements that would have been served.
+TEST(WaitForecastReplayTest, RefusesEarlyWhatCannotBeServed)
+{
+  const replay_result without = Replay(false);
+  const replay_result with = Replay(true);
+  EXPECT_GE(with.mOnTime, without.mOnTime);
+  // All slots stay in use.
+  EXPECT_GE(with.mServed * 100, without.mServed * 98);
+  EXPECT_LT(with.mHeldToTheEnd * 20, without.mHeldToTheEnd);
+  // On average within half of the shortest objective.
+  EXPECT_LT(with.mHeldMs, with.mRefused * kShortestObjectiveMs / 2);
+}
+
+} // namespace
+} // namespace snipewalk
