--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -270,6 +270,13 @@
   return facts;
 }
 
+log_position
+session_engine::state::AppliedAt(const std::string& aServer) const
+{
+  const auto found = mServers.find(aServer);
+  return found == mServers.end() ? log_position{} : found->second.mApplied;
+}
+
 void
 session_engine::state::Fail(caller_session& aSession,
                             const failure_facts& aFacts,
@@ -296,6 +303,8 @@
         { { "request", pending.mRequestId },
           { "server", aServer },
           { "reason", aText },
+          { "after", pending.mAfter ? pending.mAfter->ToString() : "-" },
+          { "server_position", AppliedAt(aServer).ToString() },
           { "attempts", std::int64_t{ pending.mAttempts } } });
     mMetrics.Count("statements_repeated");
     pending.mTried.push_back(aServer);
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -346,6 +346,8 @@
             const std::string& aText,
             time_point aNow);
   failure_facts FactsOf(const caller_session& aSession, time_point aNow) const;
+  // Newest position that the server is known to have applied.
+  log_position AppliedAt(const std::string& aServer) const;
   void LearnFrom(server_connection& aConnection,
                  const statement_reply& aReply,
                  time_point aSent,
