--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -12,16 +12,26 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipewalk {
 
 class kind_watcher
 {
 public:
-  // Called after each answer, also when nothing changed. `aAsOf` is when the
-  // call was made: the view holds every change that the store made before.
-  using update_handler =
-    std::function<void(bool aChanged, time_point aAsOf, time_point aNow)>;
+  struct update
+  {
+    // Objects that are new, have another version, or are gone.
+    std::vector<std::string> mChanged;
+    // When the call was made: the view holds every change that the store made
+    // before.
+    time_point mAsOf;
+    // The view holds every change up to this revision; zero after a watch,
+    // which may have missed changes that the store dropped.
+    std::uint64_t mCompleteTo = 0;
+  };
+  // Called after each answer, also when nothing changed.
+  using update_handler = std::function<void(const update&, time_point aNow)>;
 
   // `aWait` is the longest time that a watch waits for a change.
   kind_watcher(event_loop& aLoop,
@@ -68,6 +78,8 @@
     bool mRefresh = false;
     time_point mAsOf;
     std::string mAfter = {};
+    // Of the first page: an object of an early page may have changed since.
+    std::uint64_t mRevision = 0;
     std::map<std::string, stored_object> mObjects = {};
   };
 
--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -54,6 +54,8 @@
   std::uint64_t mStarted = 0;
   // Names one request of the sender.
   std::uint64_t mNumber = 0;
+  // The sender knows every record of a primary up to this store revision.
+  std::uint64_t mKnownRevision = 0;
 };
 
 struct confirmed_primary
@@ -78,7 +80,10 @@
   // sender has seen: a watch of the receiver may be silent.
   std::uint64_t mDesiredVersion = 0;
   std::uint64_t mServerVersion = 0;
+  // Those of a later version than the request's known revision.
   std::vector<confirmed_primary> mPrimaries;
+  // The sender knows every record of a primary up to this store revision.
+  std::uint64_t mKnownRevision = 0;
 };
 
 using peer_datagram = std::variant<health_report,
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -14,6 +14,7 @@
 #include "snipewalk/session/peer_datagrams.h"
 #include "snipewalk/session/primary_change.h"
 #include "snipewalk/session/primary_monitor.h"
+#include "snipewalk/session/server_directory.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/session_hosts.h"
 
@@ -111,6 +112,10 @@
   // The desired state, the servers and the fleet are known.
   bool IsReady() const;
   bool HoldsDuty(time_point aNow) const { return mDuty.Holds(aNow); }
+  service_hosting HostingOf(const std::string& aService) const
+  {
+    return mHosts.HostingOf(aService);
+  }
   // Instance that serves new sessions of a database; nothing for this one, and
   // for a database without a route.
   std::optional<host_candidate> HostFor(const std::string& aDatabase,
@@ -154,12 +159,6 @@
     std::optional<time_point> mBehindSince;
   };
 
-  struct removed_server
-  {
-    server_entry mEntry;
-    time_point mSince;
-  };
-
   // One change under way, and the instances that it waits for.
   struct running_change
   {
@@ -190,20 +189,24 @@
   };
 
   void OnDesiredState(time_point aNow);
-  void OnServers(time_point aNow);
-  void OnFleet(time_point aAsOf, time_point aNow);
+  void OnServers(const kind_watcher::update& aUpdate, time_point aNow);
+  // Takes over the entry of one server, or its end; its services are added to
+  // `aServices`.
+  void ApplyServer(const std::string& aServer,
+                   std::set<std::string>& aServices,
+                   time_point aNow);
+  void ForgetExpiredServers(time_point aNow);
+  void OnFleet(const kind_watcher::update& aUpdate, time_point aNow);
   void ApplyFleetObject(const stored_object& aObject,
                         time_point aAsOf,
                         time_point aNow);
-  // Divides the services between the instances.
-  void PublishHosts(time_point aNow);
+  // The instances between which the services are divided.
+  void PublishInstances(time_point aNow);
   confirmation_request NewQuestion(time_point aNow);
   void Confirm(time_point aAsOf, time_point aNow);
-  void PublishServers(time_point aNow);
-  void PublishPrimaries(time_point aNow);
-  bool HasServers(const std::string& aService) const;
+  // The primary of one service, after something that decides it has changed.
+  void PublishPrimary(const std::string& aService, time_point aNow);
   service_primary PrimaryOf(const std::string& aService) const;
-  std::optional<server_entry> EntryOf(const std::string& aServer) const;
 
   void Register(time_point aNow);
   bool IsRegistered() const;
@@ -257,10 +260,7 @@
 
   std::shared_ptr<const desired_state> mDesired;
   std::uint64_t mDesiredRevision = 0;
-  // By id.
-  std::map<std::string, server_entry> mServers;
-  // Entries that vanished lately and may come back.
-  std::map<std::string, removed_server> mRemoved;
+  server_directory mServers;
   std::map<std::string, service_control> mServices;
   std::map<std::string, instance_record> mInstances;
   session_hosts mHosts;
@@ -269,6 +269,8 @@
   time_point mDesiredReadAt = time_point::min();
   // When each instance was first seen as gone.
   std::map<std::string, time_point> mGoneSince;
+  // Every record of a primary up to this store revision is known.
+  std::uint64_t mKnownRevision = 0;
   // The view of the fleet's records was right at this moment.
   time_point mConfirmedAt = time_point::min();
   bool mRegistering = false;
@@ -279,6 +281,8 @@
   std::map<std::string, time_point> mHeardAt;
   time_point mReportedAt = time_point::min();
   bool mReportedTrouble = false;
+  // Services of the last report whose primary showed anything.
+  std::set<std::string> mReportedServices;
   // The last confirmation request and when it was sent.
   std::uint64_t mQuestion = 0;
   std::map<std::uint64_t, time_point> mQuestions;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -68,6 +68,9 @@
   // Reads the answer to a status command.
   std::function<absl::StatusOr<server_status>(const statement_reply&)>
     mParseStatus;
+  // How the connections of a service are divided; without it between all
+  // instances.
+  std::function<service_hosting(const std::string&)> mHostingOf;
 };
 
 // Reachability of a server as the statements of this instance show it.
@@ -84,6 +87,12 @@
   int mFailedConnects = 0;
 };
 
+struct primary_observation
+{
+  std::string mService;
+  server_observation mPrimary;
+};
+
 struct session_engine_counts
 {
   std::size_t mSessions = 0;
@@ -104,8 +113,11 @@
 
   void SetDesiredState(std::shared_ptr<const desired_state> aState,
                        time_point aNow);
-  // All known servers; connections to vanished or restarted ones are closed.
-  void SetServers(const std::vector<server_entry>& aServers, time_point aNow);
+  // A server is known or has changed; connections to one that restarted or has
+  // another address are closed.
+  void PutServer(const server_entry& aServer, time_point aNow);
+  // A server is gone; connections to it are closed.
+  void RemoveServer(const std::string& aServer, time_point aNow);
   void SetPrimary(const std::string& aService,
                   const service_primary& aPrimary,
                   time_point aNow);
@@ -113,8 +125,6 @@
   void SetPrimariesConfirmed(time_point aUntil, time_point aNow);
   // Number of instances that share the connections of a server.
   void SetInstances(std::size_t aCount, time_point aNow);
-  // How the connections of a service are divided.
-  void SetHosting(const std::string& aService, const service_hosting& aHosting);
 
   // Callers.
 
@@ -140,8 +150,9 @@
   // Rolls back open transactions and refuses waiting statements.
   void AbortTransactions(time_point aNow);
 
-  std::vector<server_observation> Observations(
-    const std::string& aService) const;
+  // What the statements of this instance show of the services' primaries;
+  // services without a connection to theirs are left out.
+  std::vector<primary_observation> ObservePrimaries() const;
   session_engine_counts Counts() const;
   const metrics_registry& Metrics() const;
 
--- a/include/snipewalk/session/session_hosts.h
+++ b/include/snipewalk/session/session_hosts.h
@@ -39,9 +39,12 @@
 };
 
 // Number of hosts of a service whose servers take `aConnections` statement
-// connections each; zero when they are enough for all instances.
+// connections each; zero when they are enough for all instances. With more
+// hosts than data centres, each data centre gets the same number.
 std::size_t
-HostCount(std::size_t aConnections, std::size_t aInstances);
+HostCount(std::size_t aConnections,
+          std::size_t aInstances,
+          std::size_t aDataCentres);
 
 // Hosts of a service: the same on each instance with the same candidates, in no
 // more of them than needed different when candidates come or go (rendezvous
@@ -76,14 +79,18 @@
   struct service
   {
     std::size_t mConnections = 0;
-    std::vector<host_candidate> mHosts;
+    // Chosen when they are first asked for: an instance serves few of the
+    // services.
+    mutable std::optional<std::vector<host_candidate>> mHosts;
   };
 
-  void Choose(const std::string& aName, service& aService) const;
+  const std::vector<host_candidate>& HostsOf(const std::string& aName,
+                                             const service& aService) const;
 
   std::string mInstance;
   std::string mDataCentre;
   std::vector<host_candidate> mInstances;
+  std::size_t mDataCentres = 0;
   std::map<std::string, service> mServices;
   // By name of the instance.
   std::map<std::string, time_point> mAvoidedUntil;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -158,7 +158,7 @@
     mQuestions.erase(mQuestions.begin());
   }
   mQuestions[++mQuestion] = aNow;
-  return { mOptions.mInstance, mOptions.mStarted, mQuestion };
+  return { mOptions.mInstance, mOptions.mStarted, mQuestion, mKnownRevision };
 }
 
 void
@@ -191,10 +191,11 @@
                        asking->second.mStarted == aRequest.mStarted &&
                        asking->second.mState == instance_state::Live;
   for (const auto& [service, control] : mServices) {
-    if (control.mRecord) {
+    if (control.mRecord && control.mRecordVersion > aRequest.mKnownRevision) {
       answer.mPrimaries.push_back({ *control.mRecord, control.mRecordVersion });
     }
   }
+  answer.mKnownRevision = mKnownRevision;
   return answer;
 }
 
@@ -228,7 +229,8 @@
                      sent,
                      aNow);
   }
-  PublishPrimaries(aNow);
+  // The answer follows on what this instance knew when it asked.
+  mKnownRevision = std::max(mKnownRevision, aAnswer.mKnownRevision);
   Confirm(sent - milliseconds(aAnswer.mAgeMs), aNow);
 }
 
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -52,26 +52,29 @@
 session_controller::ReportHealth(time_point aNow)
 {
   health_report report{ mOptions.mInstance, {} };
+  std::set<std::string> services;
   bool trouble = false;
-  for (const auto& [service, control] : mServices) {
-    const service_primary primary = PrimaryOf(service);
-    for (const auto& observation : mEngine.Observations(service)) {
-      if (observation.mServer != primary.mServer) {
-        continue;
-      }
-      const primary_health health = JudgeObservation(observation, aNow);
-      trouble = trouble || health == primary_health::WritesStall ||
-                health == primary_health::Unreachable;
-      report.mEntries.push_back({ service, primary.mServer, health });
+  for (const auto& [service, observation] : mEngine.ObservePrimaries()) {
+    const primary_health health = JudgeObservation(observation, aNow);
+    trouble = trouble || health == primary_health::WritesStall ||
+              health == primary_health::Unreachable;
+    const bool shows = health != primary_health::NoTraffic;
+    // Without traffic only the end of a report is worth telling.
+    if (shows || mReportedServices.contains(service)) {
+      report.mEntries.push_back({ service, observation.mServer, health });
+    }
+    if (shows) {
+      services.insert(service);
     }
   }
   const milliseconds every = trouble ? kTroubleReportEvery : kReportEvery;
   const bool due = aNow >= mReportedAt + every || trouble != mReportedTrouble;
-  if (!due || report.mEntries.empty()) {
+  if (!due) {
     return;
   }
   mReportedAt = aNow;
   mReportedTrouble = trouble;
+  mReportedServices = std::move(services);
   if (mDuty.Holds(aNow)) {
     OnHealthReport(report, aNow);
     return;
@@ -101,7 +104,7 @@
 void
 session_controller::MonitorServices(time_point aNow)
 {
-  for (const auto& [id, entry] : mServers) {
+  for (const auto& entry : mServers.All()) {
     mLinks.KeepConnected(entry);
   }
   for (auto& [service, control] : mServices) {
@@ -140,7 +143,7 @@
 void
 session_controller::Probe(const std::string& aService, time_point)
 {
-  const auto entry = EntryOf(PrimaryOf(aService).mServer);
+  const auto entry = mServers.Find(PrimaryOf(aService).mServer);
   if (!entry) {
     return;
   }
@@ -178,14 +181,14 @@
   if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
     plan.mResumed = control.mRecord;
   }
-  for (const auto& [id, entry] : mServers) {
-    if (entry.mService == aService && id != primary.mServer) {
-      plan.mReplicas.push_back({ id, entry.mDraining });
+  for (const auto& entry : mServers.Present(aService)) {
+    if (entry.mId != primary.mServer) {
+      plan.mReplicas.push_back({ entry.mId, entry.mDraining });
     }
   }
-  for (const auto& [id, removed] : mRemoved) {
-    if (removed.mEntry.mService == aService && id != primary.mServer) {
-      plan.mReplicas.push_back({ id, true });
+  for (const auto& entry : mServers.Vanished(aService)) {
+    if (entry.mId != primary.mServer) {
+      plan.mReplicas.push_back({ entry.mId, true });
     }
   }
   Log(log_level::Info,
@@ -218,6 +221,7 @@
       control.mChangeAfter = aNow + kPauseAfterFailedChange;
     } else {
       control.mMonitor.Reset(aNow);
+      PublishPrimary(aService, aNow);
     }
   }
 }
@@ -229,7 +233,7 @@
 {
   for (const auto& action : aActions) {
     if (const auto* ask = std::get_if<ask_server>(&action)) {
-      const auto entry = EntryOf(ask->mServer);
+      const auto entry = mServers.Find(ask->mServer);
       if (!entry) {
         continue;
       }
@@ -305,7 +309,6 @@
                            EncodeFleetRecord(aRecord) },
                          aNow,
                          aNow);
-        PublishPrimaries(aNow);
       } else {
         Log(log_level::Warning,
             "primary",
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -53,7 +53,7 @@
 }
 
 void
-session_controller::PublishHosts(time_point aNow)
+session_controller::PublishInstances(time_point aNow)
 {
   std::vector<host_candidate> live;
   for (const auto& [name, record] : mInstances) {
@@ -61,15 +61,9 @@
       live.push_back({ name, record.mDataCentre, record.mPeerAddress });
     }
   }
-  mEngine.SetInstances(live.size(), aNow);
+  const std::size_t count = live.size();
   mHosts.SetInstances(std::move(live));
-  if (!mDesired) {
-    return;
-  }
-  for (const auto& [service, limits] : mDesired->mServices) {
-    mHosts.SetService(service, limits.StatementConnections());
-    mEngine.SetHosting(service, mHosts.HostingOf(service));
-  }
+  mEngine.SetInstances(count, aNow);
 }
 
 std::optional<host_candidate>
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -189,10 +189,10 @@
   const known_service& service = mServices.at(pending.mRoute.mService);
   std::vector<read_candidate> candidates;
   std::vector<std::string> names;
-  for (const auto& [id, server] : mServers) {
+  for (const auto& id : service.mServers) {
+    const known_server& server = mServers.at(id);
     const bool primary = id == service.mPrimary.mServer;
-    const bool usable = primary || !server.mEntry.mDraining;
-    if (server.mEntry.mService != pending.mRoute.mService || !usable) {
+    if (!primary && server.mEntry.mDraining) {
       continue;
     }
     read_candidate candidate;
@@ -307,14 +307,22 @@
   return best;
 }
 
+service_hosting
+session_engine::state::HostingOf(const std::string& aService) const
+{
+  return mOptions.mHostingOf ? mOptions.mHostingOf(aService)
+                             : service_hosting{};
+}
+
 std::size_t
-session_engine::state::ShareOf(const known_service& aService) const
+session_engine::state::ShareOf(const std::string& aService) const
 {
-  const std::size_t total = aService.mLimits.StatementConnections();
-  const service_hosting& hosting = aService.mHosting;
-  if (!hosting.HasShare()) {
+  const auto service = mServices.find(aService);
+  const service_hosting hosting = HostingOf(aService);
+  if (service == mServices.end() || !hosting.HasShare()) {
     return 1;
   }
+  const std::size_t total = service->second.mLimits.StatementConnections();
   // Rounded up: those that share are never all at their share at once, and the
   // server refuses what is too much without harm.
   const std::size_t sharing = hosting.mHosts > 0 ? hosting.mHosts : mInstances;
@@ -328,9 +336,7 @@
   if (aNow < aServer.mOpenAfter) {
     return false;
   }
-  const auto service = mServices.find(aServer.mEntry.mService);
-  const std::size_t share =
-    service == mServices.end() ? 1 : ShareOf(service->second);
+  const std::size_t share = ShareOf(aServer.mEntry.mService);
   // One attempt at a time: the next statement may be served by then.
   const bool opening =
     std::any_of(aServer.mConnections.begin(),
@@ -442,14 +448,22 @@
 bool
 session_engine::state::KeepsIdle(const known_server& aServer) const
 {
-  const auto service = mServices.find(aServer.mEntry.mService);
-  return service == mServices.end() || service->second.mHosting.HasShare();
+  return HostingOf(aServer.mEntry.mService).HasShare();
 }
 
 void
 session_engine::state::CloseSurplusConnections(time_point aNow)
 {
-  for (auto& [id, server] : mServers) {
+  std::set<std::string> connected;
+  for (const auto& [id, connection] : mConnections) {
+    connected.insert(connection.mServer);
+  }
+  for (const auto& name : connected) {
+    const auto found = mServers.find(name);
+    if (found == mServers.end()) {
+      continue;
+    }
+    const known_server& server = found->second;
     const bool keeps = KeepsIdle(server);
     const milliseconds limit = keeps ? kSurplusIdle : kScarceIdle;
     const std::size_t kept = keeps ? 1 : 0;
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -139,7 +139,7 @@
       "server refused a connection",
       { { "server", aConnection.mServer }, { "code", aReply.mErrorCode } });
   if (server != mServers.end()) {
-    const bool guest = !mServices[service].mHosting.HasShare();
+    const bool guest = !HostingOf(service).HasShare();
     server->second.mOpenAfter = aNow + (guest ? kGuestPause : kFullPause);
   }
   Discard(aConnection.mId);
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -160,7 +160,8 @@
 struct known_service
 {
   service_limits mLimits;
-  service_hosting mHosting;
+  // Ids of its servers.
+  std::set<std::string> mServers;
   service_primary mPrimary;
   freshness_samples mSamples;
   write_gate mWriteGate;
@@ -215,13 +216,12 @@
   // session_engine.cpp
   void SetDesiredState(std::shared_ptr<const desired_state> aState,
                        time_point aNow);
-  void SetServers(const std::vector<server_entry>& aServers, time_point aNow);
+  void PutServer(const server_entry& aServer, time_point aNow);
+  void RemoveServer(const std::string& aServer, time_point aNow);
   void SetPrimary(const std::string& aService,
                   const service_primary& aPrimary,
                   time_point aNow);
-  void SetHosting(const std::string& aService, const service_hosting& aHosting);
-  std::vector<server_observation> Observations(
-    const std::string& aService) const;
+  std::vector<primary_observation> ObservePrimaries() const;
   session_engine_counts Counts() const;
 
   // Until when no server but the known primaries takes over.
@@ -291,7 +291,8 @@
   // Whether this instance keeps a connection to the server without use.
   bool KeepsIdle(const known_server& aServer) const;
   void OpenConnection(known_server& aServer, time_point aNow);
-  std::size_t ShareOf(const known_service& aService) const;
+  std::size_t ShareOf(const std::string& aService) const;
+  service_hosting HostingOf(const std::string& aService) const;
   void SendFirst(caller_session& aSession,
                  server_connection& aConnection,
                  const read_requirement& aRequirement,
@@ -362,6 +363,8 @@
   bool IsDark(const pending_statement& aPending, time_point aNow) const;
   void OnSilence(caller_session& aSession, time_point aNow);
   void ExpireTransaction(caller_session& aSession, time_point aNow);
+  void ExpireIdleTransactions(time_point aNow);
+  void CloseStuckConnections(time_point aNow);
 
   caller_session* FindSession(session_id aId);
   server_connection* FindConnection(server_connection_id aId);
@@ -372,9 +375,11 @@
   std::unordered_map<session_id, caller_session> mSessions;
   std::unordered_map<server_connection_id, server_connection> mConnections;
   server_connection_id mNextConnection = 1;
-  // By server id; exactly the servers of the last SetServers().
+  // By server id; mServers of the services name exactly these.
   std::map<std::string, known_server> mServers;
   std::map<std::string, known_service> mServices;
+  // When idle transactions were last looked for.
+  time_point mTransactionsCheckedAt = time_point::min();
   // Idle sessions are closed.
   bool mLeaving = false;
   // Transactions are ended between statements.
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -16,6 +16,8 @@
 // A server that has answered nothing at all for this long while a statement is
 // under way is taken as dark: the statement goes elsewhere.
 constexpr milliseconds kDarkAfter{ 300 };
+// All sessions are looked at; the limit of idle transactions is seconds.
+constexpr milliseconds kTransactionCheckEvery{ 200 };
 // An opening without an answer for this long is given up.
 constexpr milliseconds kOpeningTimeout{ 600 };
 
@@ -101,6 +103,16 @@
       SendLater(*session, aNow);
     }
   }
+  CloseStuckConnections(aNow);
+  ExpireIdleTransactions(aNow);
+  CloseSurplusConnections(aNow);
+  DispatchAll(aNow);
+  RefuseAllUnservable(aNow);
+}
+
+void
+session_engine::state::CloseStuckConnections(time_point aNow)
+{
   std::vector<server_connection_id> stuck;
   for (const auto& [id, connection] : mConnections) {
     // An opening or rollback without an answer; statements have limits above.
@@ -115,9 +127,19 @@
     OnServerClosed(id, aNow);
     mLinks.CloseServer(id);
   }
+}
+
+void
+session_engine::state::ExpireIdleTransactions(time_point aNow)
+{
+  if (!mDesired || (mTransactionsCheckedAt != time_point::min() &&
+                    aNow < mTransactionsCheckedAt + kTransactionCheckEvery)) {
+    return;
+  }
+  mTransactionsCheckedAt = aNow;
   std::vector<session_id> expired;
   for (const auto& [id, session] : mSessions) {
-    if (session.mTransaction && !session.mPending && mDesired &&
+    if (session.mTransaction && !session.mPending &&
         aNow >= session.mTransaction->mLastUsed + mDesired->mTransactionIdle) {
       expired.push_back(id);
     }
@@ -125,9 +147,6 @@
   for (const auto id : expired) {
     ExpireTransaction(mSessions.at(id), aNow);
   }
-  CloseSurplusConnections(aNow);
-  DispatchAll(aNow);
-  RefuseAllUnservable(aNow);
 }
 
 } // namespace snipewalk
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -13,6 +13,26 @@
 // Pause after a call that failed.
 constexpr milliseconds kRetryPause{ 100 };
 
+using object_map = std::map<std::string, stored_object>;
+
+std::vector<std::string>
+ChangedNames(const object_map& aBefore, const object_map& aAfter)
+{
+  std::vector<std::string> changed;
+  for (const auto& [name, object] : aAfter) {
+    const auto before = aBefore.find(name);
+    if (before == aBefore.end() || before->second.mVersion != object.mVersion) {
+      changed.push_back(name);
+    }
+  }
+  for (const auto& [name, object] : aBefore) {
+    if (!aAfter.contains(name)) {
+      changed.push_back(name);
+    }
+  }
+  return changed;
+}
+
 } // namespace
 
 kind_watcher::kind_watcher(event_loop& aLoop,
@@ -109,6 +129,9 @@
     }
     return;
   }
+  if (aListing.mRevision == 0) {
+    aListing.mRevision = aReply.mRevision;
+  }
   auto& listed = aListing.mObjects;
   for (const auto& object : aReply.mObjects) {
     listed[object.mKey.mName] = object;
@@ -124,20 +147,23 @@
   for (const auto& [name, held] : mObjects) {
     const auto found = listed.find(name);
     const bool newer = found == listed.end()
-                         ? held.mVersion > aReply.mRevision
+                         ? held.mVersion > aListing.mRevision
                          : held.mVersion > found->second.mVersion;
     if (newer) {
       listed[name] = held;
     }
   }
+  const update changes{ ChangedNames(mObjects, listed),
+                        aListing.mAsOf,
+                        aListing.mRevision };
   mObjects = std::move(listed);
-  mRevision = std::max(mRevision, aReply.mRevision);
+  mRevision = std::max(mRevision, aListing.mRevision);
   if (!aListing.mRefresh) {
     mFailing = false;
     mListed = true;
     Watch();
   }
-  mOnUpdate(true, aListing.mAsOf, aNow);
+  mOnUpdate(changes, aNow);
 }
 
 void
@@ -170,9 +196,11 @@
   if (std::exchange(mFailing, false)) {
     Log(log_level::Info, "store", "watch goes on", { { "kind", mKind } });
   }
-  bool changed = false;
+  update changes{ {}, aAsOf, 0 };
   for (const auto& object : aReply.mObjects) {
-    changed = Apply(object) || changed;
+    if (Apply(object)) {
+      changes.mChanged.push_back(object.mKey.mName);
+    }
     mNewestVersion = std::max(mNewestVersion, object.mVersion);
   }
   mRevision = std::max(mRevision, aReply.mRevision);
@@ -182,7 +210,7 @@
   } else {
     WatchAfter(pause, aNow);
   }
-  mOnUpdate(changed, aAsOf, aNow);
+  mOnUpdate(changes, aNow);
 }
 
 void
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -16,7 +16,8 @@
 using wire_release = std::tuple<std::string, std::uint64_t>;
 using wire_release_answer =
   std::tuple<std::string, std::uint64_t, std::string, std::uint64_t>;
-using wire_question = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+using wire_question =
+  std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
 using wire_primary = std::tuple<std::string,
                                 std::string,
                                 std::uint64_t,
@@ -32,7 +33,8 @@
                                      std::uint64_t,
                                      std::uint64_t,
                                      std::uint64_t,
-                                     std::vector<wire_primary>>;
+                                     std::vector<wire_primary>,
+                                     std::uint64_t>;
 
 // Limits of what one datagram may unpack to.
 const msgpack::unpack_limit kLimits(/*array=*/20'000,
@@ -99,16 +101,19 @@
   }
   std::string operator()(const confirmation_request& aRequest) const
   {
-    return Pack(
-      wire_type::Confirmation,
-      wire_question{ aRequest.mInstance, aRequest.mStarted, aRequest.mNumber });
+    return Pack(wire_type::Confirmation,
+                wire_question{ aRequest.mInstance,
+                               aRequest.mStarted,
+                               aRequest.mNumber,
+                               aRequest.mKnownRevision });
   }
   std::string operator()(const confirmation_answer& aAnswer) const
   {
     wire_confirmation wire{
       aAnswer.mNumber,         aAnswer.mAgeMs,         aAnswer.mRegistered,
       aAnswer.mInstance,       aAnswer.mHolder,        aAnswer.mHolderAgeMs,
-      aAnswer.mDesiredVersion, aAnswer.mServerVersion, {}
+      aAnswer.mDesiredVersion, aAnswer.mServerVersion, {},
+      aAnswer.mKnownRevision
     };
     auto& primaries = std::get<std::vector<wire_primary>>(wire);
     for (const auto& [record, version] : aAnswer.mPrimaries) {
@@ -147,10 +152,12 @@
               holderAge,
               desiredVersion,
               serverVersion,
-              primaries] = aObject.as<wire_confirmation>();
+              primaries,
+              knownRevision] = aObject.as<wire_confirmation>();
   confirmation_answer answer{ number,         age,           registered,
                               instance,       holder,        holderAge,
-                              desiredVersion, serverVersion, {} };
+                              desiredVersion, serverVersion, {},
+                              knownRevision };
   for (const auto& [service, primary, term, leadTerm, phase, fence, version] :
        primaries) {
     answer.mPrimaries.push_back({ { service,
@@ -180,8 +187,9 @@
       return release_answer{ instance, started, service, term };
     }
     case wire_type::Confirmation: {
-      const auto [instance, started, number] = aObject.as<wire_question>();
-      return confirmation_request{ instance, started, number };
+      const auto [instance, started, number, knownRevision] =
+        aObject.as<wire_question>();
+      return confirmation_request{ instance, started, number, knownRevision };
     }
     case wire_type::ConfirmationAnswer:
       return ReadConfirmation(aObject);
--- /dev/null
+++ b/src/session/server_directory.cpp
@@ -0,0 +1,125 @@
+// Implementation of the directory of backend servers.
+#include "snipewalk/session/server_directory.h"
+
+namespace snipewalk {
+
+namespace {
+
+// Entries that lapse while the store is away return within two seconds.
+constexpr milliseconds kRemovalDelay{ 2'200 };
+
+} // namespace
+
+bool
+server_directory::Put(const server_entry& aEntry)
+{
+  const auto known = mEntries.find(aEntry.mId);
+  if (known != mEntries.end() && !known->second.mVanishedAt &&
+      known->second.mEntry == aEntry) {
+    return false;
+  }
+  Forget(aEntry.mId);
+  mEntries[aEntry.mId] = { aEntry, std::nullopt };
+  mServices[aEntry.mService].insert(aEntry.mId);
+  return true;
+}
+
+void
+server_directory::Vanish(const std::string& aServer, time_point aNow)
+{
+  const auto known = mEntries.find(aServer);
+  if (known != mEntries.end() && !known->second.mVanishedAt) {
+    known->second.mVanishedAt = aNow;
+    mVanished.insert(aServer);
+  }
+}
+
+std::vector<server_entry>
+server_directory::TakeExpired(time_point aNow)
+{
+  std::vector<server_entry> expired;
+  for (const auto& id : mVanished) {
+    const known_entry& known = mEntries.at(id);
+    if (aNow >= *known.mVanishedAt + kRemovalDelay) {
+      expired.push_back(known.mEntry);
+    }
+  }
+  for (const auto& entry : expired) {
+    Forget(entry.mId);
+  }
+  return expired;
+}
+
+void
+server_directory::Forget(const std::string& aServer)
+{
+  const auto known = mEntries.find(aServer);
+  if (known == mEntries.end()) {
+    return;
+  }
+  const auto service = mServices.find(known->second.mEntry.mService);
+  service->second.erase(aServer);
+  if (service->second.empty()) {
+    mServices.erase(service);
+  }
+  mVanished.erase(aServer);
+  mEntries.erase(known);
+}
+
+bool
+server_directory::IsPresent(const std::string& aServer) const
+{
+  const auto known = mEntries.find(aServer);
+  return known != mEntries.end() && !known->second.mVanishedAt;
+}
+
+std::optional<server_entry>
+server_directory::Find(const std::string& aServer) const
+{
+  const auto known = mEntries.find(aServer);
+  return known == mEntries.end() ? std::nullopt
+                                 : std::optional(known->second.mEntry);
+}
+
+std::vector<server_entry>
+server_directory::OfService(const std::string& aService, bool aPresent) const
+{
+  std::vector<server_entry> entries;
+  const auto service = mServices.find(aService);
+  if (service == mServices.end()) {
+    return entries;
+  }
+  for (const auto& id : service->second) {
+    const known_entry& known = mEntries.at(id);
+    if (known.mVanishedAt.has_value() != aPresent) {
+      entries.push_back(known.mEntry);
+    }
+  }
+  return entries;
+}
+
+std::vector<server_entry>
+server_directory::Present(const std::string& aService) const
+{
+  return OfService(aService, true);
+}
+
+std::vector<server_entry>
+server_directory::Vanished(const std::string& aService) const
+{
+  return OfService(aService, false);
+}
+
+std::vector<server_entry>
+server_directory::All() const
+{
+  std::vector<server_entry> entries;
+  for (const auto& [id, known] : mEntries) {
+    if (!known.mVanishedAt) {
+      entries.push_back(known.mEntry);
+    }
+  }
+  return entries;
+}
+
+} // namespace snipewalk
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -15,9 +15,6 @@
 // state.
 constexpr milliseconds kWatchWait{ 10'000 };
 constexpr milliseconds kServerWatchWait{ 4'000 };
-// A vanished entry is kept this long: entries that lapse while the store is
-// away return within two seconds.
-constexpr milliseconds kRemovalDelay{ 2'200 };
 // Registrations within this time reach the other instances together.
 constexpr milliseconds kRegistrationBatch{ 500 };
 
@@ -35,27 +32,26 @@
   , mLinks(aLinks)
   , mObjects(std::move(aObjects))
   , mOptions(std::move(aOptions))
-  , mDesiredWatcher(
-      aLoop,
-      aStore,
-      mObjects.mDesiredStateKind,
-      kWatchWait,
-      [this](bool, time_point, time_point aNow) { OnDesiredState(aNow); })
+  , mDesiredWatcher(aLoop,
+                    aStore,
+                    mObjects.mDesiredStateKind,
+                    kWatchWait,
+                    [this](const kind_watcher::update&, time_point aNow) {
+                      OnDesiredState(aNow);
+                    })
   , mServerWatcher(aLoop,
                    aStore,
                    mObjects.mServerKind,
                    kServerWatchWait,
-                   [this](bool aChanged, time_point, time_point aNow) {
-                     if (aChanged) {
-                       OnServers(aNow);
-                     }
-                   })
-  , mFleetWatcher(
-      aLoop,
-      aStore,
-      kFleetKind,
-      kWatchWait,
-      [this](bool, time_point aAsOf, time_point aNow) { OnFleet(aAsOf, aNow); })
+                   [this](const kind_watcher::update& aUpdate,
+                          time_point aNow) { OnServers(aUpdate, aNow); })
+  , mFleetWatcher(aLoop,
+                  aStore,
+                  kFleetKind,
+                  kWatchWait,
+                  [this](const kind_watcher::update& aUpdate, time_point aNow) {
+                    OnFleet(aUpdate, aNow);
+                  })
   , mDuty(mOptions.mInstance, mOptions.mStarted, mOptions.mClaimStagger)
   , mHosts(mOptions.mInstance, mOptions.mDataCentre)
 {
@@ -80,7 +76,7 @@
       std::none_of(aReply.mObjects.begin(),
                    aReply.mObjects.end(),
                    [this](const auto& aObject) {
-                     return mServers.contains(aObject.mKey.mName);
+                     return mServers.IsPresent(aObject.mKey.mName);
                    });
     return !aReply.mObjects.empty() && onlyNew ? duration(kRegistrationBatch)
                                                : duration(0);
@@ -131,89 +127,89 @@
         { "revision", static_cast<std::int64_t>(mDesiredRevision) },
         { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) } });
   mDesired = std::make_shared<const desired_state>(*std::move(decoded));
+  mEngine.SetDesiredState(mDesired, aNow);
   for (const auto& [name, limits] : mDesired->mServices) {
-    mServices.try_emplace(name);
+    mHosts.SetService(name, limits.StatementConnections());
+    if (mServices.try_emplace(name).second) {
+      PublishPrimary(name, aNow);
+    }
   }
-  mEngine.SetDesiredState(mDesired, aNow);
-  PublishHosts(aNow);
-  PublishPrimaries(aNow);
   if (mOnDesiredState) {
     mOnDesiredState();
   }
 }
 
 void
-session_controller::OnServers(time_point aNow)
+session_controller::OnServers(const kind_watcher::update& aUpdate,
+                              time_point aNow)
 {
-  std::map<std::string, server_entry> present;
-  for (const auto& [id, object] : mServerWatcher.Objects()) {
-    const auto entry = mObjects.mDecodeServer(id, object.mValue);
-    if (entry.ok()) {
-      present[id] = *entry;
-      continue;
-    }
-    if (!mServers.contains(id)) {
-      Log(log_level::Info,
-          "control",
-          "entry names no server",
-          { { "entry", id }, { "error", entry.status().ToString() } });
-    }
+  std::set<std::string> services;
+  for (const auto& id : aUpdate.mChanged) {
+    ApplyServer(id, services, aNow);
   }
-  for (const auto& [id, entry] : mServers) {
-    if (!present.contains(id)) {
-      mRemoved.try_emplace(id, removed_server{ entry, aNow });
-    }
+  for (const auto& service : services) {
+    PublishPrimary(service, aNow);
   }
-  for (const auto& [id, entry] : present) {
-    const auto known = mServers.find(id);
-    if (known == mServers.end() || !(known->second == entry)) {
-      Log(log_level::Info,
-          "control",
-          "server entry changed",
-          { { "server", id },
-            { "service", entry.mService },
-            { "address", entry.mAddress },
-            { "primary", entry.mPrimary },
-            { "draining", entry.mDraining } });
-    }
-    mRemoved.erase(id);
-  }
-  mServers = std::move(present);
-  PublishServers(aNow);
 }
 
 void
-session_controller::PublishServers(time_point aNow)
+session_controller::ApplyServer(const std::string& aServer,
+                                std::set<std::string>& aServices,
+                                time_point aNow)
 {
-  std::vector<server_entry> all;
-  for (const auto& [id, entry] : mServers) {
-    all.push_back(entry);
+  const auto before = mServers.Find(aServer);
+  if (before) {
+    aServices.insert(before->mService);
   }
-  for (const auto& [id, removed] : mRemoved) {
-    all.push_back(removed.mEntry);
+  const auto object = mServerWatcher.Objects().find(aServer);
+  if (object == mServerWatcher.Objects().end()) {
+    mServers.Vanish(aServer, aNow);
+    return;
   }
-  mEngine.SetServers(all, aNow);
-  PublishPrimaries(aNow);
-}
-
-std::optional<server_entry>
-session_controller::EntryOf(const std::string& aServer) const
-{
-  if (const auto found = mServers.find(aServer); found != mServers.end()) {
-    return found->second;
+  const auto entry = mObjects.mDecodeServer(aServer, object->second.mValue);
+  if (!entry.ok()) {
+    Log(log_level::Info,
+        "control",
+        "entry names no server",
+        { { "entry", aServer }, { "error", entry.status().ToString() } });
+    mServers.Vanish(aServer, aNow);
+    return;
   }
-  if (const auto lost = mRemoved.find(aServer); lost != mRemoved.end()) {
-    return lost->second.mEntry;
+  if (!mServers.Put(*entry)) {
+    return;
   }
-  return std::nullopt;
+  aServices.insert(entry->mService);
+  if (!before || !(*before == *entry)) {
+    Log(log_level::Info,
+        "control",
+        "server entry changed",
+        { { "server", aServer },
+          { "service", entry->mService },
+          { "address", entry->mAddress },
+          { "primary", entry->mPrimary },
+          { "draining", entry->mDraining } });
+  }
+  mEngine.PutServer(*entry, aNow);
 }
 
-bool
-session_controller::HasServers(const std::string& aService) const
+void
+session_controller::ForgetExpiredServers(time_point aNow)
 {
-  return std::any_of(mServers.begin(), mServers.end(), [&](const auto& aIt) {
-    return aIt.second.mService == aService;
-  });
+  for (const auto& entry : mServers.TakeExpired(aNow)) {
+    Log(log_level::Info,
+        "control",
+        "server is gone",
+        { { "server", entry.mId } });
+    for (auto& [service, control] : mServices) {
+      if (control.mRunning) {
+        Perform(service,
+                control.mRunning->mChange->OnServerGone(entry.mId, aNow),
+                aNow);
+      }
+    }
+    mEngine.RemoveServer(entry.mId, aNow);
+    PublishPrimary(entry.mService, aNow);
+  }
 }
 
 service_primary
@@ -223,15 +219,15 @@
   if (!control.mRecord) {
     // No change was ever ordered: the server that calls itself primary.
     service_primary first;
-    for (const auto& [id, entry] : mServers) {
-      if (entry.mService == aService && entry.mPrimary) {
-        first = { id, 0, control.mReleasedTerm == 0, true };
+    for (const auto& entry : mServers.Present(aService)) {
+      if (entry.mPrimary) {
+        first = { entry.mId, 0, control.mReleasedTerm == 0, true };
       }
     }
     return first;
   }
   const primary_record& record = *control.mRecord;
-  const auto entry = EntryOf(record.mPrimary);
+  const auto entry = mServers.Find(record.mPrimary);
   const bool leads =
     record.mPhase == primary_phase::Stable ||
     (record.mPhase == primary_phase::Promoting && entry && entry->mPrimary);
@@ -242,16 +238,19 @@
 }
 
 void
-session_controller::PublishPrimaries(time_point aNow)
+session_controller::PublishPrimary(const std::string& aService, time_point aNow)
 {
-  for (auto& [service, control] : mServices) {
-    const service_primary primary = PrimaryOf(service);
-    mEngine.SetPrimary(service, primary, aNow);
-    if (!primary.mServer.empty()) {
-      control.mMonitor.OnEntry(EntryOf(primary.mServer), aNow);
-    } else if (HasServers(service)) {
-      control.mMonitor.OnUnknown(aNow);
-    }
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return;
+  }
+  primary_monitor& monitor = found->second.mMonitor;
+  const service_primary primary = PrimaryOf(aService);
+  mEngine.SetPrimary(aService, primary, aNow);
+  if (!primary.mServer.empty()) {
+    monitor.OnEntry(mServers.Find(primary.mServer), aNow);
+  } else if (!mServers.Present(aService).empty()) {
+    monitor.OnUnknown(aNow);
   }
 }
 
@@ -289,6 +288,7 @@
             { "term", static_cast<std::int64_t>(primary->mTerm) },
             { "phase", NameOf(kPrimaryPhaseNames, primary->mPhase) },
             { "revision", static_cast<std::int64_t>(aObject.mVersion) } });
+      PublishPrimary(primary->mService, aNow);
     }
   } else if (const auto* instance = std::get_if<instance_record>(&*record)) {
     mInstances[instance->mName] = *instance;
@@ -301,19 +301,30 @@
 }
 
 void
-session_controller::OnFleet(time_point aAsOf, time_point aNow)
+session_controller::OnFleet(const kind_watcher::update& aUpdate,
+                            time_point aNow)
 {
   const auto& objects = mFleetWatcher.Objects();
-  for (const auto& [name, object] : objects) {
-    ApplyFleetObject(object, aAsOf, aNow);
+  mKnownRevision = std::max(mKnownRevision, aUpdate.mCompleteTo);
+  bool instances = false;
+  for (const auto& name : aUpdate.mChanged) {
+    const auto object = objects.find(name);
+    if (object != objects.end() && name != kDutyRecordName) {
+      ApplyFleetObject(object->second, aUpdate.mAsOf, aNow);
+      instances = instances || IsInstanceRecordName(name);
+    }
+  }
+  // Also an unchanged record tells that the duty has the same holder.
+  if (const auto duty = objects.find(kDutyRecordName); duty != objects.end()) {
+    ApplyFleetObject(duty->second, aUpdate.mAsOf, aNow);
+  } else {
+    mDuty.OnRecord(std::nullopt, 0, aUpdate.mAsOf, aNow);
   }
-  if (!objects.contains(kDutyRecordName)) {
-    mDuty.OnRecord(std::nullopt, 0, aAsOf, aNow);
+  if (instances) {
+    PublishInstances(aNow);
   }
-  PublishHosts(aNow);
-  PublishPrimaries(aNow);
   if (IsRegistered()) {
-    Confirm(aAsOf, aNow);
+    Confirm(aUpdate.mAsOf, aNow);
   } else {
     Register(aNow);
   }
@@ -329,7 +340,7 @@
   } else if (const auto* release = std::get_if<release_request>(&aDatagram)) {
     service_control& control = mServices[release->mService];
     control.mReleasedTerm = std::max(control.mReleasedTerm, release->mTerm);
-    PublishPrimaries(aNow);
+    PublishPrimary(release->mService, aNow);
     mLinks.SendDatagram(aFrom,
                         release_answer{ mOptions.mInstance,
                                         mOptions.mStarted,
@@ -352,29 +363,7 @@
 void
 session_controller::OnTick(time_point aNow)
 {
-  bool removed = false;
-  for (auto it = mRemoved.begin(); it != mRemoved.end();) {
-    if (aNow < it->second.mSince + kRemovalDelay) {
-      ++it;
-      continue;
-    }
-    Log(log_level::Info,
-        "control",
-        "server is gone",
-        { { "server", it->first } });
-    removed = true;
-    for (auto& [service, control] : mServices) {
-      if (control.mRunning) {
-        Perform(service,
-                control.mRunning->mChange->OnServerGone(it->first, aNow),
-                aNow);
-      }
-    }
-    it = mRemoved.erase(it);
-  }
-  if (removed) {
-    PublishServers(aNow);
-  }
+  ForgetExpiredServers(aNow);
   if (mFleetWatcher.IsListed() && !IsRegistered()) {
     Register(aNow);
   }
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -67,18 +67,6 @@
   return options;
 }
 
-session_engine_options
-EngineOptions(const session_settings& aSettings,
-              const session_protocol& aProtocol)
-{
-  session_engine_options options;
-  options.mDataCentre = aSettings.mDataCentre;
-  options.mParseStatus = [&aProtocol](const statement_reply& aReply) {
-    return aProtocol.ParseStatus(aReply);
-  };
-  return options;
-}
-
 enum class daemon_phase
 {
   Serving,
@@ -113,7 +101,7 @@
     , mAdapter(std::move(aAdapter))
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
     , mTable(mLoop, *mAdapter.mProtocol, *this)
-    , mEngine(EngineOptions(mSettings, *mAdapter.mProtocol), mTable)
+    , mEngine(EngineOptions(), mTable)
     , mControl(mLoop, *mAdapter.mProtocol)
     , mPromotion(
         mAdapter.mMakePromotionClient(mLoop, mSettings.mPromotionAddress))
@@ -236,6 +224,19 @@
   }
 
 private:
+  session_engine_options EngineOptions()
+  {
+    session_engine_options options;
+    options.mDataCentre = mSettings.mDataCentre;
+    options.mParseStatus = [this](const statement_reply& aReply) {
+      return mAdapter.mProtocol->ParseStatus(aReply);
+    };
+    options.mHostingOf = [this](const std::string& aService) {
+      return mController.HostingOf(aService);
+    };
+    return options;
+  }
+
   http_response Ready(const http_request& aRequest) const
   {
     http_response response;
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -34,29 +34,36 @@
 }
 
 void
-session_engine::state::SetServers(const std::vector<server_entry>& aServers,
-                                  time_point aNow)
+session_engine::state::PutServer(const server_entry& aServer, time_point aNow)
 {
-  std::map<std::string, known_server> previous = std::exchange(mServers, {});
-  for (const auto& entry : aServers) {
-    const auto old = previous.find(entry.mId);
-    const bool same = old != previous.end() &&
-                      old->second.mEntry.mStarted == entry.mStarted &&
-                      old->second.mEntry.mAddress == entry.mAddress;
-    if (same) {
-      mServers[entry.mId] = std::move(old->second);
-      previous.erase(old);
-    }
-    mServers[entry.mId].mEntry = entry;
+  const auto old = mServers.find(aServer.mId);
+  const bool other =
+    old != mServers.end() && (old->second.mEntry.mStarted != aServer.mStarted ||
+                              old->second.mEntry.mAddress != aServer.mAddress ||
+                              old->second.mEntry.mService != aServer.mService);
+  if (other) {
+    RemoveServer(aServer.mId, aNow);
   }
-  for (const auto& [id, gone] : previous) {
-    const std::set<server_connection_id> connections = gone.mConnections;
-    for (const auto connection : connections) {
-      OnServerClosed(connection, aNow);
-      mLinks.CloseServer(connection);
-    }
+  mServers[aServer.mId].mEntry = aServer;
+  mServices[aServer.mService].mServers.insert(aServer.mId);
+  Dispatch(aServer.mService, aNow);
+}
+
+void
+session_engine::state::RemoveServer(const std::string& aServer, time_point aNow)
+{
+  const auto found = mServers.find(aServer);
+  if (found == mServers.end()) {
+    return;
   }
-  DispatchAll(aNow);
+  const known_server gone = std::move(found->second);
+  mServers.erase(found);
+  mServices[gone.mEntry.mService].mServers.erase(aServer);
+  for (const auto connection : gone.mConnections) {
+    OnServerClosed(connection, aNow);
+    mLinks.CloseServer(connection);
+  }
+  Dispatch(gone.mEntry.mService, aNow);
 }
 
 void
@@ -72,24 +79,34 @@
   Dispatch(aService, aNow);
 }
 
-void
-session_engine::state::SetHosting(const std::string& aService,
-                                  const service_hosting& aHosting)
-{
-  mServices[aService].mHosting = aHosting;
-}
-
-std::vector<server_observation>
-session_engine::state::Observations(const std::string& aService) const
+std::vector<primary_observation>
+session_engine::state::ObservePrimaries() const
 {
-  std::vector<server_observation> observations;
-  for (const auto& [id, server] : mServers) {
-    if (server.mEntry.mService != aService) {
+  std::map<std::string, time_point> oldestWrites;
+  for (const auto session : mActive) {
+    const auto& pending = mSessions.at(session).mPending;
+    const auto connection = mConnections.find(pending->mConnection);
+    if (!IsUnansweredWrite(*pending) || connection == mConnections.end()) {
       continue;
     }
-    server_observation observation{ id, server.mLastAnswer, {}, {}, 0 };
-    observation.mFailedConnects = server.mFailedConnects;
-    for (const auto connection : server.mConnections) {
+    const auto oldest =
+      oldestWrites.try_emplace(connection->second.mServer, pending->mSentAt);
+    oldest.first->second = std::min(oldest.first->second, pending->mSentAt);
+  }
+  std::vector<primary_observation> observations;
+  for (const auto& [name, service] : mServices) {
+    const auto server = mServers.find(service.mPrimary.mServer);
+    if (server == mServers.end()) {
+      continue;
+    }
+    const known_server& primary = server->second;
+    if (primary.mConnections.empty() && primary.mFailedConnects == 0) {
+      continue;
+    }
+    server_observation observation{
+      server->first, primary.mLastAnswer, {}, {}, primary.mFailedConnects
+    };
+    for (const auto connection : primary.mConnections) {
       const auto& expected = mConnections.at(connection).mExpected;
       if (!expected.empty()) {
         const time_point sent = expected.front().mSent;
@@ -97,21 +114,11 @@
         oldest = std::min(oldest.value_or(sent), sent);
       }
     }
-    observations.push_back(std::move(observation));
-  }
-  for (const auto session : mActive) {
-    const auto& pending = mSessions.at(session).mPending;
-    if (!IsUnansweredWrite(*pending)) {
-      continue;
-    }
-    const auto connection = mConnections.find(pending->mConnection);
-    for (auto& observation : observations) {
-      if (connection != mConnections.end() &&
-          connection->second.mServer == observation.mServer) {
-        auto& oldest = observation.mWriteWaitingSince;
-        oldest = std::min(oldest.value_or(pending->mSentAt), pending->mSentAt);
-      }
+    if (const auto write = oldestWrites.find(server->first);
+        write != oldestWrites.end()) {
+      observation.mWriteWaitingSince = write->second;
     }
+    observations.push_back({ name, std::move(observation) });
   }
   return observations;
 }
@@ -160,10 +167,15 @@
 }
 
 void
-session_engine::SetServers(const std::vector<server_entry>& aServers,
-                           time_point aNow)
+session_engine::PutServer(const server_entry& aServer, time_point aNow)
 {
-  mState->SetServers(aServers, aNow);
+  mState->PutServer(aServer, aNow);
+}
+
+void
+session_engine::RemoveServer(const std::string& aServer, time_point aNow)
+{
+  mState->RemoveServer(aServer, aNow);
 }
 
 void
@@ -187,15 +199,10 @@
 void
 session_engine::SetInstances(std::size_t aCount, time_point aNow)
 {
-  mState->mInstances = std::max<std::size_t>(1, aCount);
-  mState->DispatchAll(aNow);
-}
-
-void
-session_engine::SetHosting(const std::string& aService,
-                           const service_hosting& aHosting)
-{
-  mState->SetHosting(aService, aHosting);
+  const std::size_t count = std::max<std::size_t>(1, aCount);
+  if (std::exchange(mState->mInstances, count) != count) {
+    mState->DispatchAll(aNow);
+  }
 }
 
 void
@@ -251,10 +258,10 @@
   mState->AbortTransactions(aNow);
 }
 
-std::vector<server_observation>
-session_engine::Observations(const std::string& aService) const
+std::vector<primary_observation>
+session_engine::ObservePrimaries() const
 {
-  return mState->Observations(aService);
+  return mState->ObservePrimaries();
 }
 
 session_engine_counts
--- a/src/session/session_hosts.cpp
+++ b/src/session/session_hosts.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <set>
 #include <utility>
 
 namespace snipewalk {
@@ -27,12 +28,21 @@
 } // namespace
 
 std::size_t
-HostCount(std::size_t aConnections, std::size_t aInstances)
+HostCount(std::size_t aConnections,
+          std::size_t aInstances,
+          std::size_t aDataCentres)
 {
   if (aInstances <= aConnections) {
     return 0;
   }
-  return std::max(kFewestHosts, aConnections / kConnectionsPerHost);
+  const std::size_t wanted =
+    std::max(kFewestHosts, aConnections / kConnectionsPerHost);
+  if (wanted <= aDataCentres) {
+    return wanted;
+  }
+  // As many in each data centre: callers keep to the hosts of theirs.
+  const std::size_t rounds = (wanted + aDataCentres - 1) / aDataCentres;
+  return std::min(rounds * aDataCentres, aConnections);
 }
 
 std::vector<host_candidate>
@@ -86,8 +96,13 @@
     return;
   }
   mInstances = std::move(aInstances);
+  std::set<std::string> centres;
+  for (const auto& instance : mInstances) {
+    centres.insert(instance.mDataCentre);
+  }
+  mDataCentres = centres.size();
   for (auto& [name, known] : mServices) {
-    Choose(name, known);
+    known.mHosts.reset();
   }
 }
 
@@ -97,15 +112,20 @@
   service& known = mServices[aService];
   if (known.mConnections != aConnections) {
     known.mConnections = aConnections;
-    Choose(aService, known);
+    known.mHosts.reset();
   }
 }
 
-void
-session_hosts::Choose(const std::string& aName, service& aService) const
+const std::vector<host_candidate>&
+session_hosts::HostsOf(const std::string& aName, const service& aService) const
 {
-  aService.mHosts = ChooseHosts(
-    aName, mInstances, HostCount(aService.mConnections, mInstances.size()));
+  if (!aService.mHosts) {
+    aService.mHosts = ChooseHosts(
+      aName,
+      mInstances,
+      HostCount(aService.mConnections, mInstances.size(), mDataCentres));
+  }
+  return *aService.mHosts;
 }
 
 service_hosting
@@ -115,7 +135,7 @@
   if (found == mServices.end()) {
     return {};
   }
-  const auto& hosts = found->second.mHosts;
+  const auto& hosts = HostsOf(aService, found->second);
   const bool own =
     std::any_of(hosts.begin(), hosts.end(), [this](const auto& aHost) {
       return aHost.mName == mInstance;
@@ -133,7 +153,7 @@
   std::optional<host_candidate> chosen;
   std::uint64_t best = 0;
   bool bestNear = false;
-  for (const auto& host : found->second.mHosts) {
+  for (const auto& host : HostsOf(aService, found->second)) {
     const auto avoided = mAvoidedUntil.find(host.mName);
     if (avoided != mAvoidedUntil.end() && aNow < avoided->second) {
       continue;
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -70,7 +70,7 @@
 {
 protected:
   SessionEngineTest()
-    : mEngine(Options(), mLinks)
+    : mEngine(HostedOptions(), mLinks)
   {
   }
 
@@ -94,10 +94,19 @@
     return options;
   }
 
+  session_engine_options HostedOptions()
+  {
+    session_engine_options options = Options();
+    options.mHostingOf = [this](const std::string&) { return mHosting; };
+    return options;
+  }
+
   void Configure()
   {
     mEngine.SetDesiredState(DesiredState(), mNow);
-    mEngine.SetServers({ Server("p"), Server("a"), Server("b") }, mNow);
+    for (const std::string id : { "p", "a", "b" }) {
+      mEngine.PutServer(Server(id), mNow);
+    }
     mEngine.SetPrimary("s", { "p", 0, true }, mNow);
     Confirm();
   }
@@ -284,6 +293,8 @@
     return mLinks.mReplies.at(aSession).back();
   }
 
+  // How the connections of all services are divided.
+  service_hosting mHosting;
   recorded_links mLinks;
   session_engine mEngine;
   time_point mNow = time_point() + std::chrono::hours(1);
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -66,7 +66,7 @@
     report,
     release_request{ "s", 4 },
     release_answer{ "i1", 5, "s", 4 },
-    confirmation_request{ "i1", 5, 6 },
+    confirmation_request{ "i1", 5, 6, 7 },
   };
   for (const auto& datagram : datagrams) {
     const auto decoded = DecodeDatagram(EncodeDatagram(datagram));
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -54,7 +54,11 @@
                mStore,
                "k",
                milliseconds(10'000),
-               [this](bool, time_point, time_point) { ++mUpdates; })
+               [this](const kind_watcher::update& aUpdate, time_point) {
+                 ++mUpdates;
+                 mChanged = aUpdate.mChanged;
+                 mCompleteTo = aUpdate.mCompleteTo;
+               })
   {
     mWatcher.Start();
   }
@@ -62,6 +66,8 @@
   event_loop mLoop;
   scripted_store mStore;
   int mUpdates = 0;
+  std::vector<std::string> mChanged;
+  std::uint64_t mCompleteTo = 0;
   kind_watcher mWatcher;
 };
 
@@ -73,7 +79,7 @@
   mStore.Answer(Reply(11, { { "b", 4 } }), mLoop.Now());
   EXPECT_TRUE(mWatcher.IsListed());
   EXPECT_EQ(mWatcher.Objects().size(), 2U);
-  EXPECT_EQ(mStore.mCalls.front().first.mFrom, 11U);
+  EXPECT_EQ(mStore.mCalls.front().first.mFrom, 10U);
 }
 
 TEST_F(KindWatcherTest, ListsAnewWhenTheHistoryIsGone)
@@ -138,5 +144,39 @@
   EXPECT_EQ(mStore.mCalls.size(), 1U);
 }
 
+// Guards against views that decode every object of a kind for each change.
+TEST_F(KindWatcherTest, NamesOnlyWhatChanged)
+{
+  mStore.Answer(Reply(10, { { "a", 3 }, { "b", 4 } }), mLoop.Now());
+  EXPECT_EQ(mChanged.size(), 2U);
+  mStore.Answer(Reply(11, { { "b", 11 } }), mLoop.Now());
+  EXPECT_EQ(mChanged, std::vector<std::string>{ "b" });
+  mWatcher.Refresh();
+  const auto refresh = mStore.mCalls.back().second;
+  refresh(Reply(12, { { "b", 11 }, { "c", 12 } }), mLoop.Now());
+  EXPECT_EQ(mChanged, (std::vector<std::string>{ "c", "a" }));
+}
+
+// Guards against changes of an object of the first page that are made while
+// the later pages are read.
+TEST_F(KindWatcherTest, WatchesFromTheRevisionOfTheFirstPage)
+{
+  mStore.Answer(Reply(10, { { "a", 3 } }, true), mLoop.Now());
+  mStore.Answer(Reply(14, { { "b", 4 } }), mLoop.Now());
+  ASSERT_EQ(mStore.mCalls.size(), 1U);
+  EXPECT_EQ(mStore.mCalls.front().first.mFrom, 10U);
+  EXPECT_EQ(mCompleteTo, 10U);
+}
+
+// Guards against records that others do not tell because a watch that missed
+// them has gone on to a later revision.
+TEST_F(KindWatcherTest, IsNotCompleteAfterAWatch)
+{
+  mStore.Answer(Reply(10, { { "a", 3 } }), mLoop.Now());
+  EXPECT_EQ(mCompleteTo, 10U);
+  mStore.Answer(Reply(15, { { "b", 15 } }), mLoop.Now());
+  EXPECT_EQ(mCompleteTo, 0U);
+}
+
 } // namespace
 } // namespace snipewalk
--- /dev/null
+++ b/tests/session/server_directory_test.cpp
@@ -0,0 +1,71 @@
+// Tests of the directory of backend servers.
+#include "snipewalk/session/server_directory.h"
+
+#include <gtest/gtest.h>
+
+namespace snipewalk {
+namespace {
+
+class ServerDirectoryTest : public testing::Test
+{
+protected:
+  static server_entry Entry(const std::string& aId, const std::string& aService)
+  {
+    server_entry entry;
+    entry.mId = aId;
+    entry.mService = aService;
+    return entry;
+  }
+
+  server_directory mDirectory;
+  time_point mNow{ seconds(100) };
+};
+
+TEST_F(ServerDirectoryTest, FindsServersByService)
+{
+  EXPECT_TRUE(mDirectory.Put(Entry("a", "s")));
+  EXPECT_TRUE(mDirectory.Put(Entry("b", "t")));
+  EXPECT_FALSE(mDirectory.Put(Entry("b", "t")));
+  ASSERT_EQ(mDirectory.Present("s").size(), 1U);
+  EXPECT_EQ(mDirectory.Present("s")[0].mId, "a");
+  EXPECT_TRUE(mDirectory.Present("u").empty());
+}
+
+// Guards against a server that stays with the service that it left.
+TEST_F(ServerDirectoryTest, MovesAServerToItsNewService)
+{
+  mDirectory.Put(Entry("a", "s"));
+  EXPECT_TRUE(mDirectory.Put(Entry("a", "t")));
+  EXPECT_TRUE(mDirectory.Present("s").empty());
+  EXPECT_EQ(mDirectory.Present("t").size(), 1U);
+}
+
+// Guards against connections that are closed when entries lapse while the
+// store is away.
+TEST_F(ServerDirectoryTest, KeepsVanishedEntriesForAWhile)
+{
+  mDirectory.Put(Entry("a", "s"));
+  mDirectory.Vanish("a", mNow);
+  EXPECT_FALSE(mDirectory.IsPresent("a"));
+  EXPECT_TRUE(mDirectory.Find("a"));
+  EXPECT_EQ(mDirectory.Vanished("s").size(), 1U);
+  EXPECT_TRUE(mDirectory.TakeExpired(mNow + milliseconds(2'000)).empty());
+  EXPECT_TRUE(mDirectory.Put(Entry("a", "s")));
+  EXPECT_TRUE(mDirectory.TakeExpired(mNow + milliseconds(9'000)).empty());
+}
+
+TEST_F(ServerDirectoryTest, ForgetsServersThatStayAway)
+{
+  mDirectory.Put(Entry("a", "s"));
+  mDirectory.Vanish("a", mNow);
+  // Only the first time counts.
+  mDirectory.Vanish("a", mNow + milliseconds(1'000));
+  const auto gone = mDirectory.TakeExpired(mNow + milliseconds(2'300));
+  ASSERT_EQ(gone.size(), 1U);
+  EXPECT_EQ(gone[0].mId, "a");
+  EXPECT_FALSE(mDirectory.Find("a"));
+  EXPECT_TRUE(mDirectory.Vanished("s").empty());
+}
+
+} // namespace
+} // namespace snipewalk
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -358,7 +358,7 @@
 {
   Configure();
   const session_id session = Open("main");
-  mEngine.SetServers({ Server("a"), Server("b") }, mNow);
+  mEngine.RemoveServer("p", mNow);
   mEngine.SetPrimary("s", { "a", 0, false, false }, mNow);
   Ask(session, read_statement{ "1" });
   AcceptAll();
@@ -397,7 +397,7 @@
 {
   Configure();
   mEngine.SetInstances(60, mNow);
-  mEngine.SetHosting("s", { 3, false });
+  mHosting = { 3, false };
   const session_id session = Open("own");
   Ask(session, write_statement{ "1", "x" });
   AcceptAll();
@@ -411,7 +411,7 @@
 {
   Configure();
   mEngine.SetInstances(60, mNow);
-  mEngine.SetHosting("s", { 3, true });
+  mHosting = { 3, true };
   std::vector<session_id> sessions;
   for (int i = 0; i < 3; ++i) {
     sessions.push_back(Open("own"));
@@ -446,7 +446,7 @@
   Answer(*Carrier(), Done(5));
   server_entry restarted = Server("p");
   restarted.mStarted = 77;
-  mEngine.SetServers({ restarted, Server("a"), Server("b") }, mNow);
+  mEngine.PutServer(restarted, mNow);
   EXPECT_TRUE(Connections("p").empty());
 }
 
--- a/tests/session/session_hosts_test.cpp
+++ b/tests/session/session_hosts_test.cpp
@@ -35,14 +35,43 @@
 
 TEST(HostCountTest, IsZeroWhileAllInstancesHaveAConnection)
 {
-  EXPECT_EQ(HostCount(18, 9), 0U);
-  EXPECT_EQ(HostCount(18, 18), 0U);
-  EXPECT_EQ(HostCount(18, 19), 3U);
+  EXPECT_EQ(HostCount(18, 9, 3), 0U);
+  EXPECT_EQ(HostCount(18, 18, 3), 0U);
+  EXPECT_EQ(HostCount(18, 19, 3), 3U);
 }
 
 TEST(HostCountTest, LeavesOneWhenAHostFails)
 {
-  EXPECT_EQ(HostCount(1, 300), 2U);
+  EXPECT_EQ(HostCount(1, 300, 3), 2U);
+}
+
+// Guards against a data centre whose callers share one host while the others
+// have two: callers keep to the hosts of their data centre.
+TEST(HostCountTest, GivesEachDataCentreAsManyHosts)
+{
+  EXPECT_EQ(HostCount(30, 59, 3), 6U);
+  EXPECT_EQ(HostCount(30, 59, 5), 5U);
+  EXPECT_EQ(HostCount(30, 59, 4), 8U);
+  EXPECT_EQ(HostCount(18, 59, 5), 3U);
+}
+
+TEST(HostCountTest, GivesNoHostWithoutAConnection)
+{
+  EXPECT_EQ(HostCount(3, 59, 2), 2U);
+  EXPECT_EQ(HostCount(13, 59, 2), 2U);
+}
+
+// Guards against hosts that the rest of a data centre's callers does not use.
+TEST(ChooseHostsTest, GivesEachDataCentreItsShare)
+{
+  const auto hosts = ChooseHosts("s", Candidates(kInstances), 6);
+  std::map<std::string, int> centres;
+  for (const auto& host : hosts) {
+    ++centres[host.mDataCentre];
+  }
+  for (const auto& [name, count] : centres) {
+    EXPECT_EQ(count, 2) << name;
+  }
 }
 
 TEST(ChooseHostsTest, SpreadsOverDataCentres)
