Read the settings again on SIGHUP

Cause: SIGHUP was only logged; a changed grace or log level took effect at the next start, and a mistake in the file was noticed there only.

Change: the daemon reads and checks the file; the grace and the log level are adopted, other keys that differ are named in the log as taking effect at the next start, and a file that is not valid changes nothing.

--- a/include/snipewalk/base/log.h
+++ b/include/snipewalk/base/log.h
@@ -62,6 +62,10 @@
 void
 InitLogs(const log_settings& aSettings);
 
+// Changes the level of the modules without one of their own. Any thread.
+void
+SetLogLevel(log_level aLevel);
+
 // Writes one event. Any thread.
 void
 Log(log_level aLevel,
--- a/include/snipewalk/session/session_daemon.h
+++ b/include/snipewalk/session/session_daemon.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <absl/status/status.h>
@@ -44,7 +45,13 @@
 class session_daemon
 {
 public:
+  // Reads the settings again; nothing after adding findings when they are not
+  // valid.
+  using settings_reader =
+    std::function<std::optional<session_settings>(findings&)>;
+
   session_daemon(session_settings aSettings,
+                 settings_reader aReadSettings,
                  session_adapter aAdapter,
                  std::uint64_t aStartedMs);
   ~session_daemon();
@@ -57,6 +64,7 @@
   void Run();
   // From a signal handler.
   void RequestShutdown();
+  // Valid settings replace those that may change while the process runs.
   void RequestReload();
 
 private:
--- a/include/snipewalk/session/session_settings.h
+++ b/include/snipewalk/session/session_settings.h
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipewalk {
 
@@ -34,6 +35,19 @@
   log_settings mLogs;
 };
 
+// Keys of the settings file whose values differ.
+struct settings_difference
+{
+  // Take effect while the process runs.
+  std::vector<std::string> mAdopted;
+  // Take effect at the next start.
+  std::vector<std::string> mPostponed;
+};
+
+settings_difference
+CompareSettings(const session_settings& aInForce,
+                const session_settings& aRead);
+
 // Nothing after adding findings when a setting is missing or wrong.
 std::optional<session_settings>
 LoadSessionSettings(const std::string& aPath, findings& aFindings);
--- a/src/apps/snipewalk_sessions.cpp
+++ b/src/apps/snipewalk_sessions.cpp
@@ -90,7 +90,13 @@
 Serve(const session_settings& aSettings)
 {
   const platform::line_protocol protocol;
-  session_daemon server(aSettings, Adapter(protocol), StartMs());
+  session_daemon server(
+    aSettings,
+    [](findings& aFindings) {
+      return LoadSessionSettings(SettingsPath(), aFindings);
+    },
+    Adapter(protocol),
+    StartMs());
   const absl::Status started = server.Start();
   if (!started.ok()) {
     Log(log_level::Error,
--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -202,6 +202,12 @@
   }
 }
 
+void
+SetLogLevel(log_level aLevel)
+{
+  log4cplus::Logger::getRoot().setLogLevel(LevelOf(aLevel));
+}
+
 void
 Log(log_level aLevel,
     std::string_view aModule,
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -9,6 +9,7 @@
 #include "snipewalk/base/log.h"
 
 #include <absl/hash/hash.h>
+#include <absl/strings/str_join.h>
 
 #include <atomic>
 #include <ctime>
@@ -95,9 +96,11 @@
 {
 public:
   impl(session_settings aSettings,
+       settings_reader aReadSettings,
        session_adapter aAdapter,
        std::uint64_t aStarted)
     : mSettings(std::move(aSettings))
+    , mReadSettings(std::move(aReadSettings))
     , mAdapter(std::move(aAdapter))
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
     , mTable(mLoop, *mAdapter.mProtocol, *this)
@@ -276,9 +279,7 @@
     mTable.OnTick(aNow);
     mController.OnTick(aNow);
     if (mReloadAsked.exchange(false)) {
-      // The settings that may change while a process runs come from the store;
-      // the file is read again at the next start.
-      Log(log_level::Info, "process", "reload requested; nothing to reload");
+      Reload();
     }
     if (mShutdownAsked.load()) {
       AdvanceShutdown(aNow);
@@ -287,6 +288,28 @@
     mLoop.RunAt(aNow + next, [this](time_point aThen) { Tick(aThen); });
   }
 
+  void Reload()
+  {
+    findings found;
+    const auto read = mReadSettings(found);
+    if (!read) {
+      Log(log_level::Error,
+          "process",
+          "settings are not valid; the previous ones stay",
+          { { "findings", found.ToString() } });
+      return;
+    }
+    const settings_difference difference = CompareSettings(mSettings, *read);
+    mSettings.mShutdownGrace = read->mShutdownGrace;
+    mSettings.mLogs.mLevel = read->mLogs.mLevel;
+    SetLogLevel(mSettings.mLogs.mLevel);
+    Log(log_level::Info,
+        "process",
+        "settings read again",
+        { { "adopted", absl::StrJoin(difference.mAdopted, ",") },
+          { "at_next_start", absl::StrJoin(difference.mPostponed, ",") } });
+  }
+
   void Enter(daemon_phase aPhase)
   {
     mPhase = aPhase;
@@ -345,6 +368,7 @@
   }
 
   session_settings mSettings;
+  settings_reader mReadSettings;
   session_adapter mAdapter;
   event_loop mLoop;
   store_http_client mStore;
@@ -364,9 +388,11 @@
 };
 
 session_daemon::session_daemon(session_settings aSettings,
+                               settings_reader aReadSettings,
                                session_adapter aAdapter,
                                std::uint64_t aStartedMs)
   : mImpl(std::make_unique<impl>(std::move(aSettings),
+                                 std::move(aReadSettings),
                                  std::move(aAdapter),
                                  aStartedMs))
 {
--- a/src/session/session_settings.cpp
+++ b/src/session/session_settings.cpp
@@ -3,6 +3,7 @@
 
 #include "snipewalk/base/json_reader.h"
 
+#include <array>
 #include <fstream>
 #include <sstream>
 
@@ -44,8 +45,50 @@
   return settings;
 }
 
+struct text_setting
+{
+  const char* mKey;
+  std::string session_settings::*mValue;
+};
+
+// Sockets are bound and the store is followed under these.
+constexpr std::array<text_setting, 8> kTextSettings{ {
+  { "instance", &session_settings::mInstance },
+  { "data_centre", &session_settings::mDataCentre },
+  { "caller_address", &session_settings::mCallerAddress },
+  { "ready_address", &session_settings::mReadyAddress },
+  { "peer_address", &session_settings::mPeerAddress },
+  { "metrics_address", &session_settings::mMetricsAddress },
+  { "store_address", &session_settings::mStoreAddress },
+  { "promotion_address", &session_settings::mPromotionAddress },
+} };
+
 } // namespace
 
+settings_difference
+CompareSettings(const session_settings& aInForce, const session_settings& aRead)
+{
+  settings_difference difference;
+  if (aInForce.mShutdownGrace != aRead.mShutdownGrace) {
+    difference.mAdopted.emplace_back("shutdown_grace_seconds");
+  }
+  if (aInForce.mLogs.mLevel != aRead.mLogs.mLevel) {
+    difference.mAdopted.emplace_back("log_level");
+  }
+  for (const auto& setting : kTextSettings) {
+    if (aInForce.*setting.mValue != aRead.*setting.mValue) {
+      difference.mPostponed.emplace_back(setting.mKey);
+    }
+  }
+  if (aInForce.mStoreCallsPerSecond != aRead.mStoreCallsPerSecond) {
+    difference.mPostponed.emplace_back("store_calls_per_second");
+  }
+  if (aInForce.mLogLinesPerSecond != aRead.mLogLinesPerSecond) {
+    difference.mPostponed.emplace_back("log_lines_per_second");
+  }
+  return difference;
+}
+
 std::optional<session_settings>
 LoadSessionSettings(const std::string& aPath, findings& aFindings)
 {
--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -7,16 +7,21 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <gtest/gtest.h>
 
 #include <csignal>
 #include <fstream>
+#include <thread>
 
 namespace snipewalk::standins {
 namespace {
 
 using caller = session_caller;
 
+// Ample for a process to take a signal and to read its settings.
+constexpr milliseconds kReloadTime{ 500 };
+
 class SessionFrontTest : public testing::Test
 {
 protected:
@@ -213,6 +218,43 @@
   EXPECT_EQ(mFleet.At("i1").Wait(milliseconds(4'500)), 0);
 }
 
+// Guards against a shutdown that outlasts a grace that was shortened while the
+// process ran: an open transaction would be given half of the former 4 s.
+TEST_F(SessionFrontTest, AdoptsAShorterGraceOnHangUp)
+{
+  const auto one = Start("i1");
+  const std::string settings = mFleet.Settings("i1");
+  mFleet.WriteSettings(
+    "i1",
+    absl::StrReplaceAll(settings,
+                        { { "\"shutdown_grace_seconds\": 4",
+                            "\"shutdown_grace_seconds\": 1" } }));
+  mFleet.At("i1").Signal(SIGHUP);
+  std::this_thread::sleep_for(kReloadTime);
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  session.Query("BEGIN");
+  session.Query("WRITE k v");
+  mFleet.At("i1").Signal(SIGTERM);
+  EXPECT_EQ(mFleet.At("i1").Wait(milliseconds(1'500)), 0);
+}
+
+// Guards against a process that stops, or forgets its settings, when the file
+// is not valid.
+TEST_F(SessionFrontTest, KeepsItsSettingsWhenTheFileIsNotValid)
+{
+  const auto one = Start("i1");
+  mFleet.WriteSettings("i1", "{ \"instance\": 7 }");
+  mFleet.At("i1").Signal(SIGHUP);
+  std::this_thread::sleep_for(kReloadTime);
+  EXPECT_TRUE(mFleet.IsReady("i1"));
+  caller session(one.mCallers);
+  session.Call("STARTUP main app");
+  EXPECT_TRUE(absl::StrContains(session.Query("WRITE k v").mText, "COMPLETE"));
+  mFleet.At("i1").Signal(SIGTERM);
+  EXPECT_EQ(mFleet.At("i1").Wait(milliseconds(4'500)), 0);
+}
+
 TEST_F(SessionFrontTest, ServesMetrics)
 {
   const auto one = Start("i1");
--- a/tests/standins/session_fleet.cpp
+++ b/tests/standins/session_fleet.cpp
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace snipewalk::standins {
@@ -44,6 +45,21 @@
   return mPorts[aName] = drawn;
 }
 
+void
+session_fleet::WriteSettings(const std::string& aName,
+                             const std::string& aText) const
+{
+  std::ofstream(SettingsPath(aName)) << aText;
+}
+
+std::string
+session_fleet::Settings(const std::string& aName) const
+{
+  std::stringstream text;
+  text << std::ifstream(SettingsPath(aName)).rdbuf();
+  return text.str();
+}
+
 absl::Status
 session_fleet::Start(const std::string& aName)
 {
--- a/tests/standins/session_fleet.h
+++ b/tests/standins/session_fleet.h
@@ -32,6 +32,10 @@
   const ports& Configure(const std::string& aName,
                          const std::string& aStoreAddress,
                          const std::string& aPromotionAddress);
+  // Replaces the settings file of a configured instance.
+  void WriteSettings(const std::string& aName, const std::string& aText) const;
+  // The text of its settings file.
+  std::string Settings(const std::string& aName) const;
   // Starts a configured instance, also once more after its end.
   absl::Status Start(const std::string& aName);
   // Whether its readiness probe answers 200.
