Test that a view of the store never goes back and knows when it is complete

120,000 seeded steps with late, lost and reordered answers, watches that missed a change, versions learned from other instances and restarts.

--- /dev/null
+++ b/tests/session/kind_watcher_property_test.cpp
@@ -0,0 +1,196 @@
+// Property test of the view of a kind: late, lost and repeated answers, watches
+// that missed a change, versions learned from other instances, restarts.
+#include "snipewalk/session/kind_watcher.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <utility>
+#include <vector>
+
+namespace snipewalk {
+namespace {
+
+constexpr int kSteps = 120'000;
+constexpr const char* kName = "main";
+
+// A store with one object that the operator changes. A call is executed some
+// time after it was made, and its answer arrives some time after that, or
+// never.
+class delaying_store : public store_client
+{
+public:
+  void Submit(store_request aRequest,
+              store_priority,
+              reply_handler aOnReply) override
+  {
+    mCalls.push_back({ std::get<store_watch>(aRequest), std::move(aOnReply) });
+  }
+
+  void Write() { mHistory[++mRevision] = mRevision; }
+
+  // Changes of other kinds.
+  void WriteElsewhere() { ++mRevision; }
+
+  // Newest version of the object at a revision.
+  std::uint64_t VersionAt(std::uint64_t aRevision) const
+  {
+    const auto after = mHistory.upper_bound(aRevision);
+    return after == mHistory.begin() ? 0 : std::prev(after)->second;
+  }
+
+  stored_object Object(std::uint64_t aVersion) const
+  {
+    return { { "k", kName }, aVersion, false, std::to_string(aVersion) };
+  }
+
+  // Executes the call at `aIndex`; a watch without a change waits on.
+  void Execute(std::size_t aIndex, bool aMissesChange)
+  {
+    call& chosen = mCalls.at(aIndex);
+    store_reply reply;
+    reply.mStatus = store_status::Ok;
+    reply.mRevision = mRevision;
+    const std::uint64_t version = VersionAt(mRevision);
+    const bool list = chosen.mRequest.mFrom == 0;
+    const bool changed = version > chosen.mRequest.mFrom;
+    if (!list && !changed) {
+      return;
+    }
+    // A watch that the store left deaf goes on behind the change.
+    if (list || !aMissesChange) {
+      reply.mObjects.push_back(Object(version));
+    }
+    mAnswers.emplace_back(std::move(reply), std::move(chosen.mOnReply));
+    mCalls.erase(mCalls.begin() + static_cast<std::ptrdiff_t>(aIndex));
+  }
+
+  // Delivers an answer, or loses it.
+  void Deliver(std::size_t aIndex, bool aLost, time_point aNow)
+  {
+    const auto answer = std::move(mAnswers.at(aIndex));
+    mAnswers.erase(mAnswers.begin() + static_cast<std::ptrdiff_t>(aIndex));
+    if (!aLost) {
+      answer.second(answer.first, aNow);
+    }
+  }
+
+  struct call
+  {
+    store_watch mRequest;
+    reply_handler mOnReply;
+  };
+
+  std::uint64_t mRevision = 1;
+  // Versions by the revision that made them, which is also their number.
+  std::map<std::uint64_t, std::uint64_t> mHistory;
+  std::vector<call> mCalls;
+  std::vector<std::pair<store_reply, reply_handler>> mAnswers;
+};
+
+class KindWatcherPropertyTest : public testing::Test
+{
+protected:
+  KindWatcherPropertyTest()
+    : mWatcher(mLoop,
+               mStore,
+               "k",
+               milliseconds(10'000),
+               [this](const kind_watcher::update& aUpdate, time_point) {
+                 Check(aUpdate);
+               })
+  {
+    mStore.Write();
+    mWatcher.Start();
+  }
+
+  std::uint64_t InForce() const
+  {
+    const auto found = mWatcher.Objects().find(kName);
+    return found == mWatcher.Objects().end() ? 0 : found->second.mVersion;
+  }
+
+  void Check(const kind_watcher::update& aUpdate)
+  {
+    ASSERT_GE(InForce(), mLast) << "step " << mStep;
+    mLast = InForce();
+    ASSERT_GE(InForce(), mStore.VersionAt(aUpdate.mCompleteTo))
+      << "step " << mStep << ", complete to " << aUpdate.mCompleteTo;
+  }
+
+  bool Draw(int aPercent)
+  {
+    return static_cast<int>(mRandom() % 100) < aPercent;
+  }
+
+  std::size_t Pick(std::size_t aSize) { return mRandom() % aSize; }
+
+  void Step()
+  {
+    switch (mRandom() % 8) {
+      case 0:
+        Draw(50) ? mStore.Write() : mStore.WriteElsewhere();
+        return;
+      case 1:
+        if (mWatcher.IsListed() && mStore.mCalls.size() < 8) {
+          mWatcher.Refresh();
+        }
+        return;
+      case 2:
+        // Another instance has some version in force.
+        mWatcher.Learn(
+          mStore.Object(mStore.VersionAt(1 + mRandom() % mStore.mRevision)));
+        return;
+      case 3:
+        if (Draw(20)) {
+          mWatcher.Restart();
+        }
+        return;
+      case 4:
+      case 5:
+        if (!mStore.mCalls.empty()) {
+          mStore.Execute(Pick(mStore.mCalls.size()), Draw(10));
+        }
+        return;
+      default:
+        if (!mStore.mAnswers.empty()) {
+          mStore.Deliver(Pick(mStore.mAnswers.size()), Draw(10), mLoop.Now());
+        }
+        return;
+    }
+  }
+
+  std::mt19937_64 mRandom{ 20'261'204 };
+  event_loop mLoop;
+  delaying_store mStore;
+  int mStep = 0;
+  std::uint64_t mLast = 0;
+  kind_watcher mWatcher;
+};
+
+// Guards against a desired state, or a recorded primary, that is followed by an
+// older one, and against a view that claims to be complete and is not.
+TEST_F(KindWatcherPropertyTest, NeverGoesBackAndIsCompleteWhereItSaysSo)
+{
+  for (; mStep < kSteps && !HasFatalFailure(); ++mStep) {
+    Step();
+    ASSERT_GE(InForce(), mLast) << "step " << mStep;
+    mLast = InForce();
+  }
+  // With answers again, one list brings the newest version.
+  mWatcher.Restart();
+  while (!mStore.mCalls.empty() && !HasFatalFailure()) {
+    const std::size_t before = mStore.mCalls.size();
+    mStore.Execute(mStore.mCalls.size() - 1, false);
+    if (mStore.mCalls.size() == before) {
+      break;
+    }
+    mStore.Deliver(mStore.mAnswers.size() - 1, false, mLoop.Now());
+  }
+  EXPECT_EQ(InForce(), mStore.VersionAt(mStore.mRevision));
+}
+
+} // namespace
+} // namespace snipewalk
