Split connections and the release of primaries into files of their own

engine_placement.cpp (482 lines) held the placement of statements and the connections to servers; controller_duty.cpp (445 lines) the duty and the release of primaries by other instances.

--- /dev/null
+++ b/src/session/controller_release.cpp
@@ -0,0 +1,117 @@
+// Release of a primary before its replacement: the holder of the duty asks each
+// instance to stop using it, or waits until their confirmations have lapsed.
+#include "snipewalk/base/log.h"
+#include "snipewalk/session/session_controller.h"
+
+namespace snipewalk {
+
+namespace {
+
+constexpr milliseconds kReleaseEvery{ 40 };
+// Clocks of two instances may run at slightly different speeds.
+constexpr milliseconds kReleaseMargin{ 100 };
+
+} // namespace
+
+void
+session_controller::BeginRelease(const std::string& aService, time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  running.mReleasing = true;
+  running.mListingInstances = true;
+  running.mUnreleased.clear();
+  running.mReleasedAt = aNow + kConfirmationLifetime + kReleaseMargin;
+  // Asked of the store after the change was recorded: an instance that is not
+  // in the answer registers later and reads the record first.
+  mStore.Submit(store_watch{ kFleetKind, 0, milliseconds(0) },
+                store_priority::Terms,
+                [this, aService, alive = std::weak_ptr<bool>(mAlive)](
+                  const store_reply& aReply, time_point aThen) {
+                  if (!alive.expired() && mServices[aService].mRunning) {
+                    OnInstancesListed(aService, aReply, aThen);
+                  }
+                });
+}
+
+void
+session_controller::OnInstancesListed(const std::string& aService,
+                                      const store_reply& aReply,
+                                      time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  if (aReply.mStatus != store_status::Ok || aReply.mMore) {
+    // Unknown instances may use the old primary until their confirmations
+    // have lapsed.
+    return;
+  }
+  for (const auto& object : aReply.mObjects) {
+    const auto record = DecodeFleetRecord(object.mKey.mName, object.mValue);
+    const auto* instance =
+      record.ok() ? std::get_if<instance_record>(&*record) : nullptr;
+    if (instance == nullptr || instance->mName == mOptions.mInstance) {
+      continue;
+    }
+    const auto gone = mGoneSince.find(instance->mName);
+    const bool lapsed = instance->mState == instance_state::Gone &&
+                        gone != mGoneSince.end() &&
+                        aNow >= gone->second + kConfirmationLifetime;
+    if (!lapsed) {
+      running.mUnreleased[instance->mName] = *instance;
+    }
+  }
+  running.mListingInstances = false;
+  running.mAskedAt = time_point::min();
+  ContinueRelease(aService, aNow);
+}
+
+void
+session_controller::ContinueRelease(const std::string& aService,
+                                    time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  const bool all = !running.mListingInstances && running.mUnreleased.empty();
+  if (all || aNow >= running.mReleasedAt) {
+    running.mReleasing = false;
+    if (!all) {
+      Log(log_level::Info,
+          "primary",
+          "instances did not answer; their confirmations have lapsed",
+          { { "service", aService },
+            { "instances",
+              static_cast<std::int64_t>(running.mUnreleased.size()) } });
+    }
+    Perform(aService, running.mChange->OnInstancesReady(aNow), aNow);
+    return;
+  }
+  if (running.mAskedAt != time_point::min() &&
+      aNow < running.mAskedAt + kReleaseEvery) {
+    return;
+  }
+  running.mAskedAt = aNow;
+  for (const auto& [name, instance] : running.mUnreleased) {
+    mLinks.SendDatagram(instance.mPeerAddress,
+                        release_request{ aService, running.mChange->Term() });
+  }
+}
+
+void
+session_controller::OnReleaseAnswer(const release_answer& aAnswer,
+                                    time_point aNow)
+{
+  const auto control = mServices.find(aAnswer.mService);
+  if (control == mServices.end() || !control->second.mRunning ||
+      !control->second.mRunning->mReleasing) {
+    return;
+  }
+  running_change& running = *control->second.mRunning;
+  const auto waiting = running.mUnreleased.find(aAnswer.mInstance);
+  if (waiting == running.mUnreleased.end() ||
+      aAnswer.mTerm != running.mChange->Term() ||
+      aAnswer.mStarted < waiting->second.mStarted) {
+    return;
+  }
+  running.mUnreleased.erase(waiting);
+  ContinueRelease(aAnswer.mService, aNow);
+}
+
+} // namespace snipewalk
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -12,14 +12,6 @@
 // A position must cover commits acknowledged this long after the oldest moment
 // that the stated age allows, for the time until the server executes the read.
 constexpr milliseconds kStalenessMargin{ 50 };
-// All but one connection to a server are closed after this time without use.
-// When all instances lose power, servers keep their connections for seconds,
-// and the restarted instances need places beside them.
-constexpr milliseconds kSurplusIdle{ 400 };
-// An instance that does not host a service leaves its connection to the hosts
-// after this time.
-constexpr milliseconds kScarceIdle{ 60 };
-
 // Moments as early as the clock's minimum must not underflow.
 time_point
 Earlier(time_point aMoment, duration aBy)
@@ -307,64 +299,6 @@
   return best;
 }
 
-service_hosting
-session_engine::state::HostingOf(const std::string& aService) const
-{
-  return mOptions.mHostingOf ? mOptions.mHostingOf(aService)
-                             : service_hosting{};
-}
-
-std::size_t
-session_engine::state::ShareOf(const std::string& aService) const
-{
-  const auto service = mServices.find(aService);
-  const service_hosting hosting = HostingOf(aService);
-  if (service == mServices.end() || !hosting.HasShare()) {
-    return 1;
-  }
-  const std::size_t total = service->second.mLimits.StatementConnections();
-  // Rounded up: those that share are never all at their share at once, and the
-  // server refuses what is too much without harm.
-  const std::size_t sharing = hosting.mHosts > 0 ? hosting.mHosts : mInstances;
-  return std::max<std::size_t>(1, (total + sharing - 1) / sharing);
-}
-
-bool
-session_engine::state::CanOpen(const known_server& aServer,
-                               time_point aNow) const
-{
-  if (aNow < aServer.mOpenAfter) {
-    return false;
-  }
-  const std::size_t share = ShareOf(aServer.mEntry.mService);
-  // One attempt at a time: the next statement may be served by then.
-  const bool opening =
-    std::any_of(aServer.mConnections.begin(),
-                aServer.mConnections.end(),
-                [this](server_connection_id aId) {
-                  const auto& expected = mConnections.at(aId).mExpected;
-                  return !expected.empty() &&
-                         expected.front().mKind == expected_kind::Opening;
-                });
-  return !opening && aServer.mConnections.size() < share;
-}
-
-void
-session_engine::state::OpenConnection(known_server& aServer, time_point aNow)
-{
-  const server_connection_id id = mNextConnection++;
-  server_connection& connection = mConnections[id];
-  connection.mId = id;
-  connection.mServer = aServer.mEntry.mId;
-  connection.mService = aServer.mEntry.mService;
-  connection.mExpected.push_back({ expected_kind::Opening, aNow });
-  connection.mIdleSince = aNow;
-  aServer.mConnections.insert(id);
-  aServer.mOpenAfter = aNow;
-  mMetrics.Count("server_connections_opened");
-  mLinks.OpenServer(id, aServer.mEntry);
-}
-
 void
 session_engine::state::Transmit(server_connection& aConnection,
                                 const std::vector<server_command>& aCommands,
@@ -445,38 +379,4 @@
   Transmit(connection, commands, expected_kind::Statement, aNow);
 }
 
-bool
-session_engine::state::KeepsIdle(const known_server& aServer) const
-{
-  return HostingOf(aServer.mEntry.mService).HasShare();
-}
-
-void
-session_engine::state::CloseSurplusConnections(time_point aNow)
-{
-  std::set<std::string> connected;
-  for (const auto& [id, connection] : mConnections) {
-    connected.insert(connection.mServer);
-  }
-  for (const auto& name : connected) {
-    const auto found = mServers.find(name);
-    if (found == mServers.end()) {
-      continue;
-    }
-    const known_server& server = found->second;
-    const bool keeps = KeepsIdle(server);
-    const milliseconds limit = keeps ? kSurplusIdle : kScarceIdle;
-    const std::size_t kept = keeps ? 1 : 0;
-    const std::set<server_connection_id> connections = server.mConnections;
-    for (const auto connection : connections) {
-      const server_connection& held = mConnections.at(connection);
-      const bool surplus =
-        server.mConnections.size() > kept && aNow >= held.mIdleSince + limit;
-      if (held.IsIdle() && (surplus || server.mEntry.mDraining)) {
-        Discard(connection);
-      }
-    }
-  }
-}
-
 } // namespace snipewalk
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -45,7 +45,7 @@
   statement_stage mStage = statement_stage::Waiting;
   // Not placed before.
   time_point mRetryAt = time_point::min();
-  // When it was placed first.
+  // As of its last placement.
   wait_group mGroup;
   time_point mSentAt;
   server_connection_id mConnection = 0;
@@ -199,7 +199,6 @@
   // engine_placement.cpp
   void Dispatch(const std::string& aService, time_point aNow);
   void DispatchAll(time_point aNow);
-  void CloseSurplusConnections(time_point aNow);
 
   // engine_replies.cpp
   void OnServerReply(server_connection_id aConnection,
@@ -287,12 +286,6 @@
                   const known_service& aService) const;
   server_connection* IdleConnection(const known_server& aServer,
                                     const session_context& aContext);
-  bool CanOpen(const known_server& aServer, time_point aNow) const;
-  // Whether this instance keeps a connection to the server without use.
-  bool KeepsIdle(const known_server& aServer) const;
-  void OpenConnection(known_server& aServer, time_point aNow);
-  std::size_t ShareOf(const std::string& aService) const;
-  service_hosting HostingOf(const std::string& aService) const;
   void SendFirst(caller_session& aSession,
                  server_connection& aConnection,
                  const read_requirement& aRequirement,
@@ -312,6 +305,18 @@
   // When callers of the service should come back.
   milliseconds RetryAfter(const std::string& aService, time_point aNow) const;
 
+  // engine_connections.cpp
+  service_hosting HostingOf(const std::string& aService) const;
+  // Connections to a server that this instance may have.
+  std::size_t ShareOf(const std::string& aService) const;
+  bool CanOpen(const known_server& aServer, time_point aNow) const;
+  void OpenConnection(known_server& aServer, time_point aNow);
+  // Whether this instance keeps a connection to the server without use.
+  bool KeepsIdle(const known_server& aServer) const;
+  void CloseSurplusConnections(time_point aNow);
+  // Openings and rollbacks that got no answer.
+  void CloseStuckConnections(time_point aNow);
+
   // engine_check.cpp
   void OnChecked(known_service& aService,
                  const std::string& aName,
@@ -364,7 +369,6 @@
   void OnSilence(caller_session& aSession, time_point aNow);
   void ExpireTransaction(caller_session& aSession, time_point aNow);
   void ExpireIdleTransactions(time_point aNow);
-  void CloseStuckConnections(time_point aNow);
 
   caller_session* FindSession(session_id aId);
   server_connection* FindConnection(server_connection_id aId);
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -18,9 +18,6 @@
 constexpr milliseconds kDarkAfter{ 300 };
 // All sessions are looked at; the limit of idle transactions is seconds.
 constexpr milliseconds kTransactionCheckEvery{ 200 };
-// An opening without an answer for this long is given up.
-constexpr milliseconds kOpeningTimeout{ 600 };
-
 } // namespace
 
 void
@@ -110,25 +107,6 @@
   RefuseAllUnservable(aNow);
 }
 
-void
-session_engine::state::CloseStuckConnections(time_point aNow)
-{
-  std::vector<server_connection_id> stuck;
-  for (const auto& [id, connection] : mConnections) {
-    // An opening or rollback without an answer; statements have limits above.
-    const bool waits =
-      !connection.mExpected.empty() && connection.mSession == 0 &&
-      aNow >= connection.mExpected.front().mSent + kOpeningTimeout;
-    if (waits) {
-      stuck.push_back(id);
-    }
-  }
-  for (const auto id : stuck) {
-    OnServerClosed(id, aNow);
-    mLinks.CloseServer(id);
-  }
-}
-
 void
 session_engine::state::ExpireIdleTransactions(time_point aNow)
 {
