Take no proof from servers before all of them were known

Instances that started while the servers' entries were lapsed knew one replica of a service and neither its primary nor the other replica. Their check of the servers counted that one as "all replicas" and took its position, 1.136, as holding every acknowledged commit, while the log stood at 1.223.

Change: the check, with both of its proofs, is made only once the instance has known the service's synchronous replicas and two more servers at the same time. A service with more servers than that is not covered, and one with fewer is not read while the store and the other instances are away.

The unit test failed before the change.

--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -9,6 +9,11 @@
 // - All servers but the one that led last answer as replicas: every commit that
 //   it acknowledged is in one of their logs (for k of at least 1). Commits of
 //   earlier terms are so too once one of them has an entry of its term.
+//
+// Both count all servers of the service. A process that starts while entries
+// are lapsed does not know them all, so that it takes no proof before it has
+// known a primary, k replicas and one more server at the same time. Of services
+// with more servers than these it may still miss one then.
 #include "session/engine_state.h"
 #include "snipewalk/base/log.h"
 
@@ -31,18 +36,24 @@
   return mConfirmedUntil > aMoment || aService.mCheckedAt >= aMoment;
 }
 
+bool
+session_engine::state::KnowsServers(const known_service& aService)
+{
+  const std::size_t copies = aService.mLimits.mSyncReplicas;
+  return aService.mMostServers >= copies + 2;
+}
+
 void
 session_engine::state::StartCheck(const std::string& aService, time_point aNow)
 {
   known_service& service = mServices[aService];
-  if (service.mCheck && aNow < service.mCheck->mStarted + kCheckEvery) {
+  if (!KnowsServers(service) ||
+      (service.mCheck && aNow < service.mCheck->mStarted + kCheckEvery)) {
     return;
   }
   service.mCheck = primary_check{ aNow, {} };
-  for (auto& [id, server] : mServers) {
-    if (server.mEntry.mService != aService) {
-      continue;
-    }
+  for (const auto& id : service.mServers) {
+    known_server& server = mServers.at(id);
     if (server_connection* idle = IdleConnection(server, {})) {
       Transmit(*idle, { status_command{} }, expected_kind::Check, aNow);
     } else if (CanOpen(server, aNow)) {
@@ -67,10 +78,7 @@
   if (service.mCheckedAt >= service.mCheck->mStarted) {
     return;
   }
-  const auto servers =
-    std::count_if(mServers.begin(), mServers.end(), [&](const auto& aIt) {
-      return aIt.second.mEntry.mService == aConnection.mService;
-    });
+  const auto servers = static_cast<std::int64_t>(service.mServers.size());
   const int copies = service.mLimits.mSyncReplicas;
   const auto primary = answers.find(service.mPrimary.mServer);
   if (primary != answers.end() &&
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -160,8 +160,9 @@
 struct known_service
 {
   service_limits mLimits;
-  // Ids of its servers.
+  // Ids of its servers, and the most that were known at the same time.
   std::set<std::string> mServers;
+  std::size_t mMostServers = 0;
   service_primary mPrimary;
   freshness_samples mSamples;
   write_gate mWriteGate;
@@ -324,6 +325,8 @@
                  const char* aProof);
   // Whether no newer primary had acknowledged a commit at `aMoment`.
   bool IsPrimaryKnown(const known_service& aService, time_point aMoment) const;
+  // Whether the servers known are enough for a proof.
+  static bool KnowsServers(const known_service& aService);
   void StartCheck(const std::string& aService, time_point aNow);
   void OnCheckReply(const server_connection& aConnection,
                     const statement_reply& aReply,
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -45,7 +45,10 @@
     RemoveServer(aServer.mId, aNow);
   }
   mServers[aServer.mId].mEntry = aServer;
-  mServices[aServer.mService].mServers.insert(aServer.mId);
+  known_service& service = mServices[aServer.mService];
+  service.mServers.insert(aServer.mId);
+  service.mMostServers =
+    std::max(service.mMostServers, service.mServers.size());
   Dispatch(aServer.mService, aNow);
 }
 
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -352,6 +352,32 @@
   EXPECT_FALSE(Carrier());
 }
 
+// A process that started while entries were lapsed knows some of the servers
+// only: the others may hold commits that these lack.
+TEST_F(SessionEngineTest, TakesNoProofBeforeItHasKnownAllServers)
+{
+  mEngine.SetDesiredState(DesiredState(), mNow);
+  mEngine.PutServer(Server("a"), mNow);
+  const session_id session = Open("own");
+  Ask(session, read_statement{ "1" });
+  Pass(300);
+  AcceptAll();
+  Pass(300);
+  AnswerStatus("a", "replica", 1, 7);
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+  // Also not with the primary's word alone.
+  mEngine.PutServer(Server("p"), mNow);
+  mEngine.SetPrimary("s", { "p", 0, true }, mNow);
+  Pass(300);
+  AcceptAll();
+  Pass(300);
+  AnswerStatus("a", "replica", 1, 7);
+  AnswerStatus("p", "primary", 1, 7);
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+}
+
 // A server that is being promoted may hold the only copy of a commit that the
 // old primary acknowledged: it counts like the other replicas.
 TEST_F(SessionEngineTest, AsksTheServerThatIsBeingPromotedToo)
