Count servers that vanished without leaving in proofs about the log

Instances that had known all three servers took two of them as gone 2.2 s after the store's return, because these did not reach it, and then read the position of the third as that of "all replicas". The entries came back 3.8 s and 4.8 s after the return; the servers had served all the while.

Change: a service expects as many servers as were known at the same time, less those that vanished after they had announced to leave. A proof by the replicas needs all but one of them, a proof by the primary all but k.

Unit tests: one replica left of three servers proves nothing; servers that left as planned do not count.

--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -10,10 +10,11 @@
 //   it acknowledged is in one of their logs (for k of at least 1). Commits of
 //   earlier terms are so too once one of them has an entry of its term.
 //
-// Both count all servers of the service. A process that starts while entries
-// are lapsed does not know them all, so that it takes no proof before it has
-// known a primary, k replicas and one more server at the same time. Of services
-// with more servers than these it may still miss one then.
+// Both count all servers of the service, also those whose entries are missing
+// though they never announced to leave: an entry is missing as well while its
+// server does not reach the store. A process that starts then does not know all
+// servers, so that it takes no proof before it has known a primary, k replicas
+// and one more server. Of services with more servers it may still miss one.
 #include "session/engine_state.h"
 #include "snipewalk/base/log.h"
 
@@ -40,7 +41,7 @@
 session_engine::state::KnowsServers(const known_service& aService)
 {
   const std::size_t copies = aService.mLimits.mSyncReplicas;
-  return aService.mMostServers >= copies + 2;
+  return aService.mExpectedServers >= copies + 2;
 }
 
 void
@@ -79,6 +80,7 @@
     return;
   }
   const auto servers = static_cast<std::int64_t>(service.mServers.size());
+  const auto expected = static_cast<std::int64_t>(service.mExpectedServers);
   const int copies = service.mLimits.mSyncReplicas;
   const auto primary = answers.find(service.mPrimary.mServer);
   if (primary != answers.end() &&
@@ -88,7 +90,7 @@
       std::count_if(answers.begin(), answers.end(), [&](const auto& aIt) {
         return aIt.second.mTerm <= term && aIt.second.mReceived.mTerm <= term;
       });
-    if (inTerm >= std::max<std::int64_t>(1, servers - copies)) {
+    if (inTerm >= std::max<std::int64_t>(1, expected - copies)) {
       OnChecked(service,
                 aConnection.mService,
                 primary->second.mReceived,
@@ -104,7 +106,9 @@
     newest = std::max(newest, answer.mReceived);
     replicas += id != led && answer.mRole == server_role::Replica ? 1 : 0;
   }
-  const std::int64_t needed = servers - (mServers.contains(led) ? 1 : 0);
+  // One that is missing may be the one that led.
+  const std::int64_t needed =
+    std::max(servers - (mServers.contains(led) ? 1 : 0), expected - 1);
   if (copies >= 1 && replicas >= needed &&
       newest.mTerm >= service.mPrimary.mLeadTerm) {
     OnChecked(service, aConnection.mService, newest, "all replicas");
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -160,9 +160,11 @@
 struct known_service
 {
   service_limits mLimits;
-  // Ids of its servers, and the most that were known at the same time.
+  // Ids of its servers.
   std::set<std::string> mServers;
-  std::size_t mMostServers = 0;
+  // At least as many: those that vanished without leaving count on until others
+  // take their place.
+  std::size_t mExpectedServers = 0;
   service_primary mPrimary;
   freshness_samples mSamples;
   write_gate mWriteGate;
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -47,8 +47,8 @@
   mServers[aServer.mId].mEntry = aServer;
   known_service& service = mServices[aServer.mService];
   service.mServers.insert(aServer.mId);
-  service.mMostServers =
-    std::max(service.mMostServers, service.mServers.size());
+  service.mExpectedServers =
+    std::max(service.mExpectedServers, service.mServers.size());
   Dispatch(aServer.mService, aNow);
 }
 
@@ -61,7 +61,11 @@
   }
   const known_server gone = std::move(found->second);
   mServers.erase(found);
-  mServices[gone.mEntry.mService].mServers.erase(aServer);
+  known_service& service = mServices[gone.mEntry.mService];
+  service.mServers.erase(aServer);
+  if (gone.mEntry.mDraining) {
+    --service.mExpectedServers;
+  }
   for (const auto connection : gone.mConnections) {
     OnServerClosed(connection, aNow);
     mLinks.CloseServer(connection);
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -378,6 +378,44 @@
   EXPECT_FALSE(Carrier());
 }
 
+// Entries of servers that do not reach the store are missing, too: one replica
+// of two proves nothing although the others are taken as gone.
+TEST_F(SessionEngineTest, CountsServersThatVanishedWithoutLeaving)
+{
+  Configure();
+  const session_id session = Open("own");
+  mEngine.RemoveServer("p", mNow);
+  mEngine.RemoveServer("b", mNow);
+  mEngine.SetPrimary("s", {}, mNow);
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 7));
+  Pass(20);
+  EXPECT_FALSE(Carrier());
+}
+
+// Guards against a service whose proofs end with its first planned release.
+TEST_F(SessionEngineTest, CountsNoServersThatHaveLeft)
+{
+  Configure();
+  mEngine.PutServer(Server("c"), mNow);
+  server_entry leaving = Server("b");
+  leaving.mDraining = true;
+  mEngine.PutServer(leaving, mNow);
+  mEngine.RemoveServer("b", mNow);
+  const session_id session = Open("own");
+  mEngine.RemoveServer("p", mNow);
+  mEngine.SetPrimary("s", {}, mNow);
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 7));
+  ASSERT_TRUE(AnswerStatus("c", "replica", 1, 6));
+  Pass(20);
+  EXPECT_TRUE(Carrier());
+}
+
 // A server that is being promoted may hold the only copy of a commit that the
 // old primary acknowledged: it counts like the other replicas.
 TEST_F(SessionEngineTest, AsksTheServerThatIsBeingPromotedToo)
