--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -27,6 +27,9 @@
 // Between two checks of a service by one instance: each costs the servers a
 // slot for a moment.
 constexpr milliseconds kCheckEvery{ 250 };
+// An entry that has been missing for this long, while the recorded primaries
+// were confirmed all the time, is that of a server that is gone.
+constexpr milliseconds kGoneAfter{ 30'000 };
 
 } // namespace
 
@@ -41,7 +44,20 @@
 session_engine::state::KnowsServers(const known_service& aService)
 {
   const std::size_t copies = aService.mLimits.mSyncReplicas;
-  return aService.mExpectedServers >= copies + 2;
+  return aService.mMostServers >= copies + 2;
+}
+
+void
+session_engine::state::SettleExpectedServers(time_point aNow)
+{
+  for (auto& [name, service] : mServices) {
+    const bool missing = service.mServers.size() < service.mExpectedServers;
+    if (!missing || mConfirmedUntil <= aNow) {
+      service.mCompleteAt = aNow;
+    } else if (aNow >= service.mCompleteAt + kGoneAfter) {
+      service.mExpectedServers = service.mServers.size();
+    }
+  }
 }
 
 void
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -163,8 +163,12 @@
   // Ids of its servers.
   std::set<std::string> mServers;
   // At least as many: those that vanished without leaving count on until others
-  // take their place.
+  // take their place, or until they have been missing for long.
   std::size_t mExpectedServers = 0;
+  // Most that were known at the same time.
+  std::size_t mMostServers = 0;
+  // Last moment at which none was missing, or nothing confirmed that.
+  time_point mCompleteAt = time_point::min();
   service_primary mPrimary;
   freshness_samples mSamples;
   write_gate mWriteGate;
@@ -327,6 +331,8 @@
                  const char* aProof);
   // Whether no newer primary had acknowledged a commit at `aMoment`.
   bool IsPrimaryKnown(const known_service& aService, time_point aMoment) const;
+  // Stops expecting servers that have been missing for long.
+  void SettleExpectedServers(time_point aNow);
   // Whether the servers known are enough for a proof.
   static bool KnowsServers(const known_service& aService);
   void StartCheck(const std::string& aService, time_point aNow);
@@ -387,8 +393,8 @@
   // By server id; mServers of the services name exactly these.
   std::map<std::string, known_server> mServers;
   std::map<std::string, known_service> mServices;
-  // When idle transactions were last looked for.
-  time_point mTransactionsCheckedAt = time_point::min();
+  // When idle transactions and missing servers were last looked for.
+  time_point mSlowTickAt = time_point::min();
   // Idle sessions are closed.
   bool mLeaving = false;
   // Transactions are ended between statements.
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -16,8 +16,8 @@
 // A server that has answered nothing at all for this long while a statement is
 // under way is taken as dark: the statement goes elsewhere.
 constexpr milliseconds kDarkAfter{ 300 };
-// All sessions are looked at; the limit of idle transactions is seconds.
-constexpr milliseconds kTransactionCheckEvery{ 200 };
+// Between two looks at all sessions and services, for limits of seconds.
+constexpr milliseconds kSlowTickEvery{ 200 };
 } // namespace
 
 void
@@ -101,7 +101,13 @@
     }
   }
   CloseStuckConnections(aNow);
-  ExpireIdleTransactions(aNow);
+  const bool slow =
+    mSlowTickAt == time_point::min() || aNow >= mSlowTickAt + kSlowTickEvery;
+  if (slow) {
+    mSlowTickAt = aNow;
+    ExpireIdleTransactions(aNow);
+    SettleExpectedServers(aNow);
+  }
   CloseSurplusConnections(aNow);
   DispatchAll(aNow);
   RefuseAllUnservable(aNow);
@@ -110,11 +116,9 @@
 void
 session_engine::state::ExpireIdleTransactions(time_point aNow)
 {
-  if (!mDesired || (mTransactionsCheckedAt != time_point::min() &&
-                    aNow < mTransactionsCheckedAt + kTransactionCheckEvery)) {
+  if (!mDesired) {
     return;
   }
-  mTransactionsCheckedAt = aNow;
   std::vector<session_id> expired;
   for (const auto& [id, session] : mSessions) {
     if (session.mTransaction && !session.mPending &&
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -47,8 +47,12 @@
   mServers[aServer.mId].mEntry = aServer;
   known_service& service = mServices[aServer.mService];
   service.mServers.insert(aServer.mId);
-  service.mExpectedServers =
-    std::max(service.mExpectedServers, service.mServers.size());
+  const std::size_t known = service.mServers.size();
+  service.mMostServers = std::max(service.mMostServers, known);
+  if (known >= service.mExpectedServers) {
+    service.mExpectedServers = known;
+    service.mCompleteAt = aNow;
+  }
   Dispatch(aServer.mService, aNow);
 }
 
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -395,6 +395,27 @@
   EXPECT_FALSE(Carrier());
 }
 
+// Guards against a service whose proofs end for good with a server that is
+// gone: after a long time with confirmed primaries it is not expected any more.
+TEST_F(SessionEngineTest, ExpectsNoServerThatHasBeenMissingForLong)
+{
+  Configure();
+  mEngine.RemoveServer("p", mNow);
+  mEngine.RemoveServer("b", mNow);
+  mEngine.SetPrimary("s", {}, mNow);
+  for (int second = 0; second < 31; ++second) {
+    Confirm();
+    Pass(1'000);
+  }
+  const session_id session = Open("own");
+  Ask(session, read_statement{ "1" });
+  AcceptAll();
+  Pass(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 7));
+  Pass(20);
+  EXPECT_TRUE(Carrier());
+}
+
 // Guards against a service whose proofs end with its first planned release.
 TEST_F(SessionEngineTest, CountsNoServersThatHaveLeft)
 {
