Number the versions of the property test's store by their revision

The assignment read the revision before it was raised, so that a version had the number of the revision before its own; g++ warns of it.

--- a/tests/session/kind_watcher_property_test.cpp
+++ b/tests/session/kind_watcher_property_test.cpp
@@ -29,7 +29,11 @@
     mCalls.push_back({ std::get<store_watch>(aRequest), std::move(aOnReply) });
   }
 
-  void Write() { mHistory[++mRevision] = mRevision; }
+  void Write()
+  {
+    ++mRevision;
+    mHistory[mRevision] = mRevision;
+  }
 
   // Changes of other kinds.
   void WriteElsewhere() { ++mRevision; }
