Collect the services with waiting statements in one place

DispatchAll() and RefuseAllUnservable() had the same loop. An include that nothing used is gone, and a comment names the function that it means.

--- a/src/session/engine_admission.cpp
+++ b/src/session/engine_admission.cpp
@@ -1,9 +1,8 @@
 // Refusal of waiting statements that cannot be served in time.
 #include "session/engine_state.h"
-#include "snipewalk/base/log.h"
 
 #include <algorithm>
-#include <utility>
+#include <vector>
 
 namespace snipewalk {
 
@@ -41,13 +40,7 @@
 void
 session_engine::state::RefuseAllUnservable(time_point aNow)
 {
-  std::vector<std::string> services;
-  for (const auto& [name, service] : mServices) {
-    if (!service.mWaiting.empty()) {
-      services.push_back(name);
-    }
-  }
-  for (const auto& name : services) {
+  for (const auto& name : ServicesWithWaiting()) {
     RefuseUnservable(name, aNow);
   }
 }
--- a/src/session/engine_connections.cpp
+++ b/src/session/engine_connections.cpp
@@ -118,7 +118,7 @@
 {
   std::vector<server_connection_id> stuck;
   for (const auto& [id, connection] : mConnections) {
-    // An opening or rollback without an answer; statements have limits above.
+    // An opening or rollback without an answer; OnTick() limits statements.
     const bool waits =
       !connection.mExpected.empty() && connection.mSession == 0 &&
       aNow >= connection.mExpected.front().mSent + kOpeningTimeout;
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -37,8 +37,8 @@
   Dispatch(service, aNow);
 }
 
-void
-session_engine::state::DispatchAll(time_point aNow)
+std::vector<std::string>
+session_engine::state::ServicesWithWaiting() const
 {
   std::vector<std::string> services;
   for (const auto& [name, service] : mServices) {
@@ -46,7 +46,13 @@
       services.push_back(name);
     }
   }
-  for (const auto& name : services) {
+  return services;
+}
+
+void
+session_engine::state::DispatchAll(time_point aNow)
+{
+  for (const auto& name : ServicesWithWaiting()) {
     Dispatch(name, aNow);
   }
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -270,6 +270,7 @@
 
   // engine_placement.cpp
   void Enqueue(caller_session& aSession, time_point aNow);
+  std::vector<std::string> ServicesWithWaiting() const;
   // Brings the service's waiting statements into their order.
   void SortWaiting(const std::string& aService, time_point aNow);
   wait_rank RankOf(const pending_statement& aPending, time_point aNow) const;
