Draw in a fixed order and answer lost calls in the property test of the view

Cause: two draws were arguments of one call, so that the compiler chose their order, and a lost reply was dropped although store_client promises one reply to each call. On aarch64 the sequence ended without an outstanding call. Change: each draw is a statement of its own; a lost reply is a failure, after which the watcher tries again, as behind store_http_client. The checks are the same; the end delivers all replies instead of the newest only.

--- a/tests/session/kind_watcher_property_test.cpp
+++ b/tests/session/kind_watcher_property_test.cpp
@@ -72,14 +72,15 @@
     mCalls.erase(mCalls.begin() + static_cast<std::ptrdiff_t>(aIndex));
   }
 
-  // Delivers a reply, or drops it if `aLost` is set.
+  // Delivers a reply. If `aLost` is set, the call ends with a failure instead:
+  // a store client replies to each call exactly once.
   void Deliver(std::size_t aIndex, bool aLost, time_point aNow)
   {
     const auto answer = std::move(mAnswers.at(aIndex));
     mAnswers.erase(mAnswers.begin() + static_cast<std::ptrdiff_t>(aIndex));
-    if (!aLost) {
-      answer.second(answer.first, aNow);
-    }
+    store_reply failure;
+    failure.mStatus = store_status::Unknown;
+    answer.second(aLost ? failure : answer.first, aNow);
   }
 
   struct call
@@ -132,9 +133,58 @@
 
   std::size_t PickIndex(std::size_t aSize) { return mRandom() % aSize; }
 
+  // A moment so far in the past that the watcher's delay before a retry, which
+  // it counts from the time of the failed reply, has already passed.
+  time_point TimeOfReply() const
+  {
+    constexpr milliseconds kLongerThanRetryDelay{ 10'000 };
+    return mLoop.Now() - kLongerThanRetryDelay;
+  }
+
+  // Starts the retries that are due.
+  void RunRetries()
+  {
+    // Keeps the loop from waiting where no retry is due.
+    mLoop.Post([] {});
+    mLoop.RunOnce();
+  }
+
+  // Draws are separate statements: the order of the arguments of a call is
+  // the compiler's.
+  void ExecuteAny()
+  {
+    const std::size_t index = PickIndex(mStore.mCalls.size());
+    const bool missesChange = Chance(10);
+    mStore.Execute(index, missesChange);
+  }
+
+  void DeliverAny()
+  {
+    const std::size_t index = PickIndex(mStore.mAnswers.size());
+    const bool lost = Chance(10);
+    mStore.Deliver(index, lost, TimeOfReply());
+  }
+
+  // Executes all calls and delivers all replies, until only a watch without a
+  // change is left.
+  void DeliverAll()
+  {
+    bool progress = true;
+    while (progress && !HasFatalFailure()) {
+      RunRetries();
+      for (std::size_t index = mStore.mCalls.size(); index > 0; --index) {
+        mStore.Execute(index - 1, false);
+      }
+      progress = !mStore.mAnswers.empty();
+      while (!mStore.mAnswers.empty()) {
+        mStore.Deliver(0, false, TimeOfReply());
+      }
+    }
+  }
+
   void Step()
   {
-    switch (mRandom() % 8) {
+    switch (mRandom() % 9) {
       case 0:
         Chance(50) ? mStore.Write() : mStore.WriteOtherKind();
         return;
@@ -156,13 +206,15 @@
       case 4:
       case 5:
         if (!mStore.mCalls.empty()) {
-          mStore.Execute(PickIndex(mStore.mCalls.size()), Chance(10));
+          ExecuteAny();
         }
         return;
+      case 6:
+        RunRetries();
+        return;
       default:
         if (!mStore.mAnswers.empty()) {
-          mStore.Deliver(
-            PickIndex(mStore.mAnswers.size()), Chance(10), mLoop.Now());
+          DeliverAny();
         }
         return;
     }
@@ -188,14 +240,7 @@
   }
   // Once replies arrive again, a single list returns the newest version.
   mWatcher.Restart();
-  while (!mStore.mCalls.empty() && !HasFatalFailure()) {
-    const std::size_t before = mStore.mCalls.size();
-    mStore.Execute(mStore.mCalls.size() - 1, false);
-    if (mStore.mCalls.size() == before) {
-      break;
-    }
-    mStore.Deliver(mStore.mAnswers.size() - 1, false, mLoop.Now());
-  }
+  DeliverAll();
   EXPECT_EQ(CurrentVersion(), mStore.VersionAt(mStore.mRevision));
 }
 
