Leave the duty to its holder after an outage of the store

Cause: while the store was away, no instance heard a confirmation from the holder of the duty, and each claimed it. Change: after a write that failed, an instance claims nothing before it has read the record again, and counts the holder's silence from then. A holder whose confirmation is older than its lease no longer counts as heard, since it cannot use the duty.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -56,7 +56,8 @@
   // until OnWritten() has been called.
   std::optional<duty_write> ClaimIfDue(time_point aNow);
   // Handles the result of a write: its version if it took effect, std::nullopt
-  // if it did not or if that is unknown.
+  // if it did not or if that is unknown. After the latter no claim is returned
+  // before a read succeeds.
   void OnWritten(const duty_write& aWrite,
                  std::optional<std::uint64_t> aVersion,
                  time_point aNow);
@@ -94,6 +95,9 @@
   time_point mConfirmedAt = time_point::min();
   time_point mHolderSeenAt = time_point::min();
   bool mWritePending = false;
+  // Time of a failed write after which no read has succeeded. Set while the
+  // store may be unavailable to this instance.
+  std::optional<time_point> mContactLostAt;
   // Earliest time of the next write; set after a write that failed or whose
   // effect is unknown.
   time_point mNextWriteAt = time_point::min();
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -227,7 +227,13 @@
   if (mOnInstanceReply) {
     mOnInstanceReply(aAnswer.mInstance, aNow);
   }
-  mDuty.OnHolderSeen(aAnswer.mInstance, sent);
+  // A holder that is confirmed no longer than its lease cannot use the duty, so
+  // hearing from it must not keep others from claiming it.
+  const auto lease =
+    static_cast<std::uint64_t>(duty_lease::kLeaseDuration.count());
+  if (aAnswer.mConfirmationAgeMs < lease) {
+    mDuty.OnHolderSeen(aAnswer.mInstance, sent);
+  }
   mDuty.OnHolderSeen(aAnswer.mDutyHolder,
                      sent - milliseconds(aAnswer.mDutyHolderSeenAgeMs));
   mDesiredHint.mVersion =
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -42,6 +42,10 @@
                       written ? std::optional(aReply.mObjects.front().mVersion)
                               : std::nullopt,
                       aThen);
+      if (!written && mFleetWatcher.IsListed()) {
+        // Shows whether the write took effect after all.
+        mFleetWatcher.Refresh();
+      }
     });
 }
 
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -58,6 +58,12 @@
                      time_point aAsOf,
                      time_point aNow)
 {
+  if (mContactLostAt && aAsOf >= *mContactLostAt) {
+    // Nobody could hear from the holder while the store was unavailable, so its
+    // silence in that time says nothing.
+    mContactLostAt.reset();
+    mHolderSeenAt = std::max(mHolderSeenAt, aNow);
+  }
   // Ignores reads that return an older version than one that this instance has
   // written or read since.
   if (!mRecordKnown || aVersion > mVersion) {
@@ -85,8 +91,8 @@
 std::optional<duty_write>
 duty_lease::ClaimIfDue(time_point aNow)
 {
-  if (mResigned || mWritePending || !mRecordKnown || IsNamedHolder() ||
-      aNow < mNextWriteAt) {
+  if (mResigned || mWritePending || mContactLostAt || !mRecordKnown ||
+      IsNamedHolder() || aNow < mNextWriteAt) {
     return std::nullopt;
   }
   // A holder with the same instance name is an earlier process that has ended:
@@ -108,6 +114,7 @@
   mWritePending = false;
   if (!aVersion) {
     mNextWriteAt = aNow + kWriteRetryDelay;
+    mContactLostAt = aNow;
     return;
   }
   if (*aVersion > mVersion) {
--- a/tests/session/duty_lease_test.cpp
+++ b/tests/session/duty_lease_test.cpp
@@ -95,6 +95,39 @@
   EXPECT_FALSE(lease.ClaimIfDue(At(60'000)));
 }
 
+// While the store is unavailable no instance can hear that the holder is
+// confirmed. When it returns, the holder regains the duty without a wait; an
+// instance that replaced it would have to wait for kTakeoverDelay.
+TEST(DutyLeaseTest, LeavesTheDutyToItsHolderAfterAnOutageOfTheStore)
+{
+  duty_lease lease("b", 1, milliseconds(0));
+  const duty_record held{ "a", 1, 1 };
+  lease.OnRecord(held, 5, At(0), At(0));
+  const auto claim = lease.ClaimIfDue(At(1'300));
+  ASSERT_TRUE(claim);
+  lease.OnWritten(*claim, std::nullopt, At(1'800));
+  EXPECT_FALSE(lease.ClaimIfDue(At(7'999)));
+  lease.OnRecord(held, 5, At(8'000), At(8'010));
+  EXPECT_FALSE(lease.ClaimIfDue(At(8'020)));
+  lease.OnHolderSeen("a", At(8'900));
+  EXPECT_FALSE(lease.ClaimIfDue(At(10'199)));
+}
+
+TEST(DutyLeaseTest, ReplacesAHolderThatStaysSilentAfterAnOutageOfTheStore)
+{
+  duty_lease lease("b", 1, milliseconds(0));
+  const duty_record held{ "a", 1, 1 };
+  lease.OnRecord(held, 5, At(0), At(0));
+  const auto claim = lease.ClaimIfDue(At(1'300));
+  ASSERT_TRUE(claim);
+  lease.OnWritten(*claim, std::nullopt, At(1'800));
+  // The reply to a read that was made before the outage proves nothing.
+  lease.OnRecord(held, 5, At(1'200), At(1'900));
+  EXPECT_FALSE(lease.ClaimIfDue(At(7'999)));
+  lease.OnRecord(held, 5, At(8'000), At(8'010));
+  EXPECT_TRUE(lease.ClaimIfDue(At(9'310)));
+}
+
 TEST(DutyLeaseTest, StopsAfterASuspension)
 {
   duty_lease lease("a", 1, milliseconds(0));
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -151,6 +151,16 @@
     }
     return holders;
   }
+  // Empty if no instance holds the duty.
+  std::string HolderName() const
+  {
+    for (const auto& each : mInstances) {
+      if (each->mController.HoldsDuty(mLoop.Now())) {
+        return each->mName;
+      }
+    }
+    return {};
+  }
   int Confirmed() const
   {
     int confirmed = 0;
@@ -265,5 +275,20 @@
   EXPECT_EQ(Holders(), 0);
 }
 
+// An instance that replaces the holder waits before it uses the duty, so the
+// duty must not move merely because the store was away for all instances.
+TEST_F(SessionControllerTest, TheHolderRegainsTheDutyAfterAnOutageOfTheStore)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::string holder = HolderName();
+  mStore.mRefusesCalls = true;
+  Run(4'000);
+  ASSERT_EQ(Holders(), 0);
+  mStore.mRefusesCalls = false;
+  Run(1'500);
+  EXPECT_EQ(HolderName(), holder);
+}
+
 } // namespace
 } // namespace snipewalk
