Report stalled writes until one is confirmed

Cause: an instance reported that writes stall only while one of its writes had waited for 600 ms. After the first time-out the write gate sends one write at a time, each ends at its time limit of about a second, and none is in flight while the queue is long. So most instances reported an answering primary most of the time, and the holder of the duty, which wants a majority, did not replace it. Change: an instance counts from the first write that timed out, until one is confirmed, as long as it has a write in flight or waiting. Measured: ReportsStalledWritesAcrossTheirTimeouts failed before and passes now.

--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -87,7 +87,9 @@
   // Time at which the oldest unanswered command was sent or the oldest
   // unanswered connection attempt was made; std::nullopt if there is none.
   std::optional<time_point> mWaitingSince;
-  // Time at which the oldest unanswered write or commit was sent.
+  // Time at which the oldest unanswered write or commit was sent, or, while
+  // other writes are pending, the first of those that have timed out since the
+  // last confirmed one.
   std::optional<time_point> mWriteWaitingSince;
   // Number of consecutive failed connection attempts.
   int mFailedConnects = 0;
--- a/include/snipewalk/session/write_gate.h
+++ b/include/snipewalk/session/write_gate.h
@@ -30,8 +30,11 @@
   bool Admits(const write_gate_facts& aFacts, time_point aNow) const;
 
   void OnConfirmed(time_point aNow);
-  // Records that a write or commit was not answered in time.
-  void OnUnanswered();
+  // Records that a write or commit sent at `aSentAt` was not answered in time.
+  void OnUnanswered(time_point aSentAt);
+  // When the first of the writes that were not answered in time was sent;
+  // std::nullopt if a write has been confirmed since.
+  std::optional<time_point> StalledSince() const { return mStalledSince; }
   // Discards the state because another server has become the primary.
   void Reset();
 
@@ -39,7 +42,7 @@
   time_point mConfirmedAt = time_point::min();
   // Set after a write was not answered in time. Until a write is confirmed,
   // only one write at a time is admitted.
-  bool mStalled = false;
+  std::optional<time_point> mStalledSince;
 };
 
 } // namespace snipewalk
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -241,6 +241,9 @@
                   const service_primary& aPrimary,
                   time_point aNow);
   std::vector<primary_observation> ObservePrimaries() const;
+  // By service: when the oldest write that its primary has not confirmed was
+  // sent. Services without a write in flight or stalled are left out.
+  std::map<std::string, time_point> OldestUnconfirmedWrites() const;
   session_engine_counts Counts() const;
 
   // Until this time only the known primaries can act as primaries.
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -55,7 +55,7 @@
     std::erase(mServices[pending.mRoute.mService].mWaiting, aSession.mId);
   }
   if (IsUnansweredWrite(pending)) {
-    mServices[pending.mRoute.mService].mWriteGate.OnUnanswered();
+    mServices[pending.mRoute.mService].mWriteGate.OnUnanswered(pending.mSentAt);
   }
   const std::string text =
     pending.mStage == statement_stage::Sent ? "no answer" : "no capacity";
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -92,20 +92,42 @@
   Dispatch(aService, aNow);
 }
 
-std::vector<primary_observation>
-session_engine::state::ObservePrimaries() const
+std::map<std::string, time_point>
+session_engine::state::OldestUnconfirmedWrites() const
 {
-  std::map<std::string, time_point> oldestWrites;
+  std::map<std::string, time_point> oldest;
+  const auto add = [&](const std::string& aService, time_point aSent) {
+    const auto entry = oldest.try_emplace(aService, aSent).first;
+    entry->second = std::min(entry->second, aSent);
+  };
   for (const auto session : mActiveSessions) {
-    const auto& pending = mSessions.at(session).mPending;
-    const auto connection = mConnections.find(pending->mConnection);
-    if (!IsUnansweredWrite(*pending) || connection == mConnections.end()) {
+    const pending_statement& pending = *mSessions.at(session).mPending;
+    const auto service = mServices.find(pending.mRoute.mService);
+    if (service == mServices.end()) {
       continue;
     }
-    const auto oldest =
-      oldestWrites.try_emplace(connection->second.mServer, pending->mSentAt);
-    oldest.first->second = std::min(oldest.first->second, pending->mSentAt);
+    const auto connection = mConnections.find(pending.mConnection);
+    const bool inFlight =
+      IsUnansweredWrite(pending) && connection != mConnections.end() &&
+      connection->second.mServer == service->second.mPrimary.mServer;
+    if (inFlight) {
+      add(service->first, pending.mSentAt);
+    }
+    // While writes stall, the gate sends few of them and each has just been
+    // sent, so those that have timed out count for the ones that wait.
+    const bool waits = pending.mPurpose == statement_purpose::SingleWrite;
+    const auto stalled = service->second.mWriteGate.StalledSince();
+    if (stalled && (inFlight || waits)) {
+      add(service->first, *stalled);
+    }
   }
+  return oldest;
+}
+
+std::vector<primary_observation>
+session_engine::state::ObservePrimaries() const
+{
+  const auto oldestWrites = OldestUnconfirmedWrites();
   std::vector<primary_observation> observations;
   for (const auto& [name, service] : mServices) {
     const auto server = mServers.find(service.mPrimary.mServer);
@@ -127,7 +149,7 @@
         oldest = std::min(oldest.value_or(sent), sent);
       }
     }
-    if (const auto write = oldestWrites.find(server->first);
+    if (const auto write = oldestWrites.find(name);
         write != oldestWrites.end()) {
       observation.mWriteWaitingSince = write->second;
     }
--- a/src/session/write_gate.cpp
+++ b/src/session/write_gate.cpp
@@ -1,6 +1,8 @@
 // Implementation of the write gate.
 #include "snipewalk/session/write_gate.h"
 
+#include <algorithm>
+
 namespace snipewalk {
 
 namespace {
@@ -24,20 +26,20 @@
   const bool unconfirmed = aFacts.mOldestSent &&
                            aNow > *aFacts.mOldestSent + kConfirmationTimeout &&
                            mConfirmedAt < *aFacts.mOldestSent;
-  return aFacts.mInFlight == 0 || (!mStalled && !unconfirmed);
+  return aFacts.mInFlight == 0 || (!mStalledSince && !unconfirmed);
 }
 
 void
 write_gate::OnConfirmed(time_point aNow)
 {
   mConfirmedAt = aNow;
-  mStalled = false;
+  mStalledSince.reset();
 }
 
 void
-write_gate::OnUnanswered()
+write_gate::OnUnanswered(time_point aSentAt)
 {
-  mStalled = true;
+  mStalledSince = std::min(mStalledSince.value_or(aSentAt), aSentAt);
 }
 
 void
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -149,6 +149,33 @@
   EXPECT_EQ(LastReply(session).mError, result_code::InDoubt);
 }
 
+// The duty holder replaces a primary whose writes stall. An instance must keep
+// reporting the stall although each single write ends at its time limit.
+TEST_F(SessionEngineTest, ReportsStalledWritesAcrossTheirTimeouts)
+{
+  Configure();
+  SendStatement(Open("own"), write_statement{ "1", "x" });
+  AcceptConnections();
+  const time_point first = mNow;
+  AdvanceClock(820);
+  SendStatement(Open("own"), write_statement{ "2", "x" });
+  AcceptConnections();
+  const auto observed = mEngine.ObservePrimaries();
+  ASSERT_EQ(observed.size(), 1U);
+  EXPECT_EQ(observed[0].mPrimary.mWriteWaitingSince, first);
+  // A write that waits because another is being tried shows the stall as well.
+  AdvanceClock(820);
+  SendStatement(Open("own"), write_statement{ "3", "x" });
+  EXPECT_EQ(mEngine.ObservePrimaries().at(0).mPrimary.mWriteWaitingSince,
+            first);
+  AcceptConnections();
+  // A confirmed write ends the stall.
+  Answer(*LastRequestConnection(), Done(4));
+  SendStatement(Open("own"), write_statement{ "4", "x" });
+  AcceptConnections();
+  EXPECT_EQ(mEngine.ObservePrimaries().at(0).mPrimary.mWriteWaitingSince, mNow);
+}
+
 TEST_F(SessionEngineTest, RepeatsARefusedWrite)
 {
   Configure();
--- a/tests/session/write_gate_test.cpp
+++ b/tests/session/write_gate_test.cpp
@@ -41,13 +41,24 @@
 TEST(WriteGateTest, AdmitsOneWriteAtATimeAfterATimeout)
 {
   write_gate gate;
-  gate.OnUnanswered();
+  gate.OnUnanswered(At(-800));
   EXPECT_TRUE(gate.Admits({ duration(0), 0, std::nullopt }, At(0)));
   EXPECT_FALSE(gate.Admits({ duration(0), 1, At(0) }, At(10)));
   gate.OnConfirmed(At(20));
   EXPECT_TRUE(gate.Admits({ duration(0), 1, At(0) }, At(30)));
 }
 
+TEST(WriteGateTest, RemembersTheFirstUnansweredWrite)
+{
+  write_gate gate;
+  EXPECT_FALSE(gate.StalledSince());
+  gate.OnUnanswered(At(100));
+  gate.OnUnanswered(At(900));
+  EXPECT_EQ(gate.StalledSince(), At(100));
+  gate.OnConfirmed(At(1'800));
+  EXPECT_FALSE(gate.StalledSince());
+}
+
 // Sends 50 writes per second for seven seconds to a primary that confirms none.
 // Each write occupies a slot for 800 ms and ends with an unknown outcome.
 TEST(WriteGateTest, SendsFewWritesToAPrimaryThatConfirmsNone)
@@ -57,7 +68,7 @@
   int sent = 0;
   for (int ms = 0; ms < 7'000; ++ms) {
     if (std::erase_if(inFlight, [&](int aAt) { return ms >= aAt + 800; }) > 0) {
-      gate.OnUnanswered();
+      gate.OnUnanswered(At(ms - 800));
     }
     write_gate_facts facts;
     facts.mInFlight = static_cast<int>(inFlight.size());
