Yield connections to the holder of the duty, and bound ages in datagrams

Cause: each instance may open its share of a server's connections, rounded up: nine times three of 22. Under load statements take all of them, and the server refuses the control connection of a new holder of the duty. Change: the holder asks the instances to keep to their share rounded down for 2 s; connections beyond it are closed when their statement or transaction ends. The holder tries again each 50 ms. Besides, ages in confirmations from other instances are bounded when they are decoded: one of 2^63 ms overflowed the time that it is subtracted from, so that a confirmation could seem to lie in the future. Measured: YieldsConnectionsBeyondItsShare, ClosesAnIdleConnectionToYieldIt, OnlyTheHolderAsksOthersToYieldConnections and BoundsAges are new.

--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -98,11 +98,20 @@
   std::uint64_t mKnownRevision = 0;
 };
 
+// Sent by the holder of the duty while the server refuses its control
+// connection because all connections are in use: requests the receiver to keep
+// to its share of the server's connections for a while.
+struct connection_yield_request
+{
+  std::string mServer;
+};
+
 using peer_datagram = std::variant<health_report,
                                    release_request,
                                    release_answer,
                                    confirmation_request,
-                                   confirmation_answer>;
+                                   confirmation_answer,
+                                   connection_yield_request>;
 
 // Size limit of a datagram in bytes; larger ones are not sent.
 inline constexpr std::size_t kMaxDatagramBytes = 60'000;
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -104,6 +104,9 @@
   void OnDatagram(const std::string& aFrom,
                   const peer_datagram& aDatagram,
                   time_point aNow);
+  // Handles the refusal of a control connection by a server whose connections
+  // are all in use: asks all instances to keep to their shares of them.
+  void OnControlConnectionRefused(const std::string& aServer, time_point aNow);
   // Called after the process was suspended for a time that the steady clock did
   // not count.
   void OnSuspended(time_point aNow);
@@ -296,6 +299,8 @@
   // Last health report of each instance to this duty holder, initially the time
   // of the first check after the duty was taken.
   std::map<std::string, time_point> mLastReportAt;
+  // When the instances were last asked to yield connections of each server.
+  std::map<std::string, time_point> mYieldRequestedAt;
   time_point mReportedAt = time_point::min();
   bool mReportedProblem = false;
   // Services that had a health other than NoTraffic in the last report.
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -134,6 +134,10 @@
   // Sets the number of instances that share the connections of a server.
   void SetInstanceCount(std::size_t aCount, time_point aNow);
 
+  // Keeps this instance to its share of the server's connections, rounded down,
+  // for a while, so that the duty holder can open a control connection.
+  void YieldConnections(const std::string& aServer, time_point aNow);
+
   // Callers.
 
   void OnCallerMessage(session_id aSession,
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kReportInterval{ 500 };
 constexpr milliseconds kProblemReportInterval{ 200 };
 constexpr milliseconds kProbeTimeout{ 200 };
+// Minimum interval between two requests to yield connections of a server.
+constexpr milliseconds kYieldRequestInterval{ 500 };
 constexpr milliseconds kCommandTimeout{ 400 };
 constexpr milliseconds kRetryDelayAfterFailedChange{ 400 };
 // An instance that has sent no health report for this long is marked as gone.
@@ -142,6 +144,27 @@
   }
 }
 
+void
+session_controller::OnControlConnectionRefused(const std::string& aServer,
+                                               time_point aNow)
+{
+  const auto requested =
+    mYieldRequestedAt.try_emplace(aServer, time_point::min()).first;
+  const bool recent = requested->second != time_point::min() &&
+                      aNow < requested->second + kYieldRequestInterval;
+  if (recent || !mDuty.Holds(aNow)) {
+    return;
+  }
+  requested->second = aNow;
+  mEngine.YieldConnections(aServer, aNow);
+  for (const auto& [name, record] : mInstances) {
+    if (name != mOptions.mInstance && record.mState == instance_state::Live) {
+      mLinks.SendDatagram(record.mPeerAddress,
+                          connection_yield_request{ aServer });
+    }
+  }
+}
+
 void
 session_controller::Probe(const std::string& aService, time_point)
 {
@@ -342,6 +365,7 @@
   }
   mLinks.CloseControlConnections();
   mLastReportAt.clear();
+  mYieldRequestedAt.clear();
 }
 
 } // namespace snipewalk
--- a/src/session/engine_connections.cpp
+++ b/src/session/engine_connections.cpp
@@ -16,6 +16,9 @@
 // An instance that does not host the service closes all its connections after
 // this idle time, to leave them to the hosts.
 constexpr milliseconds kNonHostIdleTimeout{ 60 };
+// How long the share stays rounded down after a request to yield connections.
+// A transaction may hold a connection for some time before it is released.
+constexpr milliseconds kYieldDuration{ 2'000 };
 
 // A connection whose opening, rollback or status request has not been answered
 // for this long is closed.
@@ -31,19 +34,42 @@
 }
 
 std::size_t
-session_engine::state::ConnectionShareOf(const std::string& aService) const
+session_engine::state::ConnectionShareOf(const known_server& aServer,
+                                         time_point aNow) const
 {
-  const auto service = mServices.find(aService);
-  const service_hosting hosting = HostingOf(aService);
+  const std::string& name = aServer.mEntry.mService;
+  const auto service = mServices.find(name);
+  const service_hosting hosting = HostingOf(name);
   if (service == mServices.end() || !hosting.HasConnectionShare()) {
     return 1;
   }
   const std::size_t total = service->second.mLimits.StatementConnections();
-  // Rounded up: the sharing instances do not all use their full shares at the
-  // same time, and the server refuses surplus connections without harm.
   const std::size_t sharing =
     hosting.mHostCount > 0 ? hosting.mHostCount : mInstances;
-  return std::max<std::size_t>(1, (total + sharing - 1) / sharing);
+  // Rounded up, because the sharing instances do not all use their full shares
+  // at the same time. Where they do, the server has no connection left for the
+  // duty holder, which then asks all to yield some.
+  const std::size_t rounding = aNow < aServer.mYieldsUntil ? 0 : sharing - 1;
+  return std::max<std::size_t>(1, (total + rounding) / sharing);
+}
+
+bool
+session_engine::state::ExceedsShare(const known_server& aServer,
+                                    time_point aNow) const
+{
+  return aServer.mConnections.size() > ConnectionShareOf(aServer, aNow);
+}
+
+void
+session_engine::state::YieldConnections(const std::string& aServer,
+                                        time_point aNow)
+{
+  const auto server = mServers.find(aServer);
+  if (server != mServers.end()) {
+    server->second.mYieldsUntil = aNow + kYieldDuration;
+    mMetrics.Count("connection_yield_requests");
+    CloseSurplusConnections(aNow);
+  }
 }
 
 bool
@@ -53,7 +79,7 @@
   if (aNow < aServer.mOpenAfter) {
     return false;
   }
-  const std::size_t share = ConnectionShareOf(aServer.mEntry.mService);
+  const std::size_t share = ConnectionShareOf(aServer, aNow);
   // Only one opening at a time per server: an existing connection may become
   // idle before another one is needed.
   const bool opening =
@@ -109,8 +135,10 @@
     const std::set<server_connection_id> connections = server.mConnections;
     for (const auto connection : connections) {
       const server_connection& candidate = mConnections.at(connection);
-      const bool surplus = server.mConnections.size() > kept &&
-                           aNow >= candidate.mIdleSince + limit;
+      const bool unused = server.mConnections.size() > kept &&
+                          aNow >= candidate.mIdleSince + limit;
+      const bool surplus =
+        unused || (aNow < server.mYieldsUntil && ExceedsShare(server, aNow));
       if (candidate.IsIdle() && (surplus || server.mEntry.mDraining)) {
         DiscardConnection(connection);
       }
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -358,7 +358,13 @@
     return;
   }
   aConnection.mIdleSince = aNow;
-  Dispatch(aConnection.mService, aNow);
+  const std::string service = aConnection.mService;
+  const auto server = mServers.find(aConnection.mServer);
+  if (server != mServers.end() && aNow < server->second.mYieldsUntil &&
+      ExceedsShare(server->second, aNow)) {
+    DiscardConnection(aConnection.mId);
+  }
+  Dispatch(service, aNow);
 }
 
 void
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -151,6 +151,8 @@
   time_point mRefusedUntil = time_point::min();
   // Delay applied after the last refusal; doubled on each consecutive refusal.
   milliseconds mRefusalDelay{ 0 };
+  // Until this time the share of connections is rounded down.
+  time_point mYieldsUntil = time_point::min();
   // Earliest time at which another connection may be opened.
   time_point mOpenAfter = time_point::min();
   time_point mLastAnswer = time_point::min();
@@ -229,6 +231,9 @@
   // engine_admission.cpp
   void RefuseAllUnservable(time_point aNow);
 
+  // engine_connections.cpp
+  void YieldConnections(const std::string& aServer, time_point aNow);
+
   // engine_timeouts.cpp
   void OnTick(time_point aNow);
 
@@ -336,14 +341,16 @@
 
   // engine_connections.cpp
   service_hosting HostingOf(const std::string& aService) const;
-  // Maximum number of connections that this instance may have to one server of
-  // the service.
-  std::size_t ConnectionShareOf(const std::string& aService) const;
+  // Maximum number of connections that this instance may have to the server.
+  std::size_t ConnectionShareOf(const known_server& aServer,
+                                time_point aNow) const;
   bool CanOpen(const known_server& aServer, time_point aNow) const;
   void OpenConnection(known_server& aServer, time_point aNow);
   // Whether this instance keeps one idle connection to the server.
   bool KeepsIdleConnection(const known_server& aServer) const;
   void CloseSurplusConnections(time_point aNow);
+  // Whether the instance has more connections to the server than its share.
+  bool ExceedsShare(const known_server& aServer, time_point aNow) const;
   // Closes connections whose opening, rollback or status request was not
   // answered in time.
   void CloseUnansweredConnections(time_point aNow);
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -4,6 +4,7 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -16,6 +17,7 @@
 using wire_release_request = std::tuple<std::string, std::uint64_t>;
 using wire_release_answer =
   std::tuple<std::string, std::uint64_t, std::string, std::uint64_t>;
+using wire_connection_yield_request = std::tuple<std::string>;
 using wire_confirmation_request =
   std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
 using wire_primary = std::tuple<std::string,
@@ -52,7 +54,8 @@
   Release,
   ReleaseAnswer,
   Confirmation,
-  ConfirmationAnswer
+  ConfirmationAnswer,
+  ConnectionYield
 };
 
 template<typename Enum>
@@ -132,6 +135,11 @@
     }
     return Pack(wire_type::ConfirmationAnswer, wire);
   }
+  std::string operator()(const connection_yield_request& aRequest) const
+  {
+    return Pack(wire_type::ConnectionYield,
+                wire_connection_yield_request{ aRequest.mServer });
+  }
 };
 
 health_report
@@ -146,6 +154,15 @@
   return report;
 }
 
+// Ages enter calculations of time, which must not overflow. An older sign of
+// life or confirmation is of no use to the receiver.
+std::uint64_t
+BoundedAge(std::uint64_t aAgeMs)
+{
+  constexpr std::uint64_t kOldestMs = 24 * 60 * 60 * 1'000;
+  return std::min(aAgeMs, kOldestMs);
+}
+
 confirmation_answer
 ReadConfirmation(const msgpack::object& aObject)
 {
@@ -159,10 +176,11 @@
               serverVersion,
               primaries,
               knownRevision] = aObject.as<wire_confirmation_answer>();
-  confirmation_answer answer{ number,         age,           registered,
-                              instance,       holder,        holderAge,
-                              desiredVersion, serverVersion, {},
-                              knownRevision };
+  confirmation_answer answer{
+    number, BoundedAge(age),       registered,     instance,
+    holder, BoundedAge(holderAge), desiredVersion, serverVersion,
+    {},     knownRevision
+  };
   for (const auto& [service, primary, term, leadTerm, phase, fence, version] :
        primaries) {
     answer.mPrimaries.push_back({ { service,
@@ -198,6 +216,9 @@
     }
     case wire_type::ConfirmationAnswer:
       return ReadConfirmation(aObject);
+    case wire_type::ConnectionYield:
+      return connection_yield_request{ std::get<0>(
+        aObject.as<wire_connection_yield_request>()) };
   }
   throw msgpack::type_error();
 }
@@ -218,7 +239,7 @@
       aBytes.data(), aBytes.size(), nullptr, nullptr, kUnpackLimits);
     const auto [type, fields] =
       handle.get().as<std::tuple<int, msgpack::object>>();
-    return Read(ToEnum(type, wire_type::ConfirmationAnswer), fields);
+    return Read(ToEnum(type, wire_type::ConnectionYield), fields);
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
--- a/src/session/server_control.cpp
+++ b/src/session/server_control.cpp
@@ -14,13 +14,18 @@
 constexpr milliseconds kDeadlineCheckInterval{ 20 };
 // Minimum interval between connection attempts of KeepControlConnection().
 constexpr milliseconds kReconnectInterval{ 700 };
+// The same after a refusal by a full server, where statements of other
+// instances take each connection that becomes free.
+constexpr milliseconds kFullReconnectInterval{ 50 };
 
 } // namespace
 
 server_control::server_control(event_loop& aLoop,
-                               const session_protocol& aProtocol)
+                               const session_protocol& aProtocol,
+                               full_handler aOnFull)
   : mLoop(aLoop)
   , mProtocol(aProtocol)
+  , mOnFull(std::move(aOnFull))
 {
 }
 
@@ -58,8 +63,10 @@
 server_control::KeepControlConnection(const registered_server& aServer)
 {
   channel& target = mChannels[aServer.mId];
+  const milliseconds interval =
+    target.mFull ? kFullReconnectInterval : kReconnectInterval;
   const bool recent = target.mConnectedAt != time_point::min() &&
-                      mLoop.Now() < target.mConnectedAt + kReconnectInterval;
+                      mLoop.Now() < target.mConnectedAt + interval;
   if (!target.mStream && !recent) {
     target.mServer = aServer;
     Connect(target);
@@ -139,11 +146,18 @@
           "primary",
           "server refused a control connection",
           { { "server", aServer }, { "code", code } });
+      const bool full = reply.ok() && !target.mOpened &&
+                        (*reply)->mError == result_code::TooManyConnections;
+      target.mFull = full;
       FailChannel(aServer, aNow);
+      if (full) {
+        mOnFull(aServer, aNow);
+      }
       return;
     }
     if (!target.mOpened) {
       target.mOpened = true;
+      target.mFull = false;
       SendNext(target);
       continue;
     }
--- a/src/session/server_control.h
+++ b/src/session/server_control.h
@@ -9,6 +9,7 @@
 #include "snipewalk/session/session_protocol.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,7 +19,14 @@
 class server_control
 {
 public:
-  server_control(event_loop& aLoop, const session_protocol& aProtocol);
+  // Called when a server has refused a connection because all of its
+  // connections are in use.
+  using full_handler =
+    std::function<void(const std::string& aServer, time_point aNow)>;
+
+  server_control(event_loop& aLoop,
+                 const session_protocol& aProtocol,
+                 full_handler aOnFull);
   ~server_control();
   server_control(const server_control&) = delete;
   server_control& operator=(const server_control&) = delete;
@@ -46,6 +54,8 @@
     std::unique_ptr<stream_connection> mStream;
     bool mOpened = false;
     time_point mConnectedAt = time_point::min();
+    // Whether the last connection was refused because the server was full.
+    bool mFull = false;
     std::deque<pending_command> mCommands;
     // Distinguishes successive streams to the same server, so that callbacks of
     // a replaced stream are ignored.
@@ -65,6 +75,7 @@
 
   event_loop& mLoop;
   const session_protocol& mProtocol;
+  full_handler mOnFull;
   // Channels by server id.
   std::map<std::string, channel> mChannels;
   std::uint64_t mNextGeneration = 1;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -363,6 +363,9 @@
   } else if (const auto* confirmed =
                std::get_if<confirmation_answer>(&aDatagram)) {
     OnConfirmation(*confirmed, aNow);
+  } else if (const auto* yield =
+               std::get_if<connection_yield_request>(&aDatagram)) {
+    mEngine.YieldConnections(yield->mServer, aNow);
   }
 }
 
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -111,7 +111,11 @@
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
     , mTable(mLoop, *mAdapter.mProtocol, *this)
     , mEngine(EngineOptions(), mTable)
-    , mServerControl(mLoop, *mAdapter.mProtocol)
+    , mServerControl(mLoop,
+                     *mAdapter.mProtocol,
+                     [this](const std::string& aServer, time_point aNow) {
+                       mController.OnControlConnectionRefused(aServer, aNow);
+                     })
     , mPromotion(
         mAdapter.mMakePromotionClient(mLoop, mSettings.mPromotionAddress))
     , mPeerSocket(mLoop,
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -240,6 +240,12 @@
   }
 }
 
+void
+session_engine::YieldConnections(const std::string& aServer, time_point aNow)
+{
+  mState->YieldConnections(aServer, aNow);
+}
+
 void
 session_engine::OnCallerMessage(session_id aSession,
                                 const caller_message& aMessage,
--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -127,7 +127,8 @@
                    EncodeDatagram(answer),
                    EncodeDatagram(health_report{
                      "i1", { { "s", "p", primary_health::Answers } } }),
-                   EncodeDatagram(release_answer{ "i1", 5, "s", 4 }) });
+                   EncodeDatagram(release_answer{ "i1", 5, "s", 4 }),
+                   EncodeDatagram(connection_yield_request{ "p" }) });
   for (int i = 0; i < kInputs; ++i) {
     const std::string text = inputs.Next();
     (void)DecodeFleetRecord("primary.s", text);
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+
 namespace snipewalk {
 namespace {
 
@@ -66,6 +68,7 @@
     release_request{ "s", 4 },
     release_answer{ "i1", 5, "s", 4 },
     confirmation_request{ "i1", 5, 6, 7 },
+    connection_yield_request{ "p" },
   };
   for (const auto& datagram : datagrams) {
     const auto decoded = DecodeDatagram(EncodeDatagram(datagram));
@@ -75,6 +78,21 @@
   }
 }
 
+// The receiver subtracts ages from times, which must not overflow: a
+// confirmation would otherwise seem to lie in the future.
+TEST(PeerDatagramsTest, BoundsAges)
+{
+  confirmation_answer answer;
+  answer.mConfirmationAgeMs = std::numeric_limits<std::uint64_t>::max();
+  answer.mDutyHolderSeenAgeMs = std::uint64_t{ 1 } << 63U;
+  const auto decoded = DecodeDatagram(EncodeDatagram(answer));
+  ASSERT_TRUE(decoded.ok());
+  const auto& bounded = std::get<confirmation_answer>(*decoded);
+  const time_point now = time_point() + milliseconds(100'000);
+  EXPECT_LT(now - milliseconds(bounded.mConfirmationAgeMs), now);
+  EXPECT_LT(now - milliseconds(bounded.mDutyHolderSeenAgeMs), now);
+}
+
 TEST(PeerDatagramsTest, RefusesEveryTruncation)
 {
   const std::string bytes = EncodeDatagram(release_answer{ "i1", 5, "s", 4 });
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -87,6 +87,8 @@
   void SendDatagram(const std::string& aAddress,
                     const peer_datagram& aDatagram) override
   {
+    mYieldRequests +=
+      std::holds_alternative<connection_yield_request>(aDatagram) ? 1 : 0;
     const auto to = mNetwork.mInstances.find(aAddress);
     if (to == mNetwork.mInstances.end() || mPartitioned ||
         to->second->mPartitioned) {
@@ -101,6 +103,8 @@
   std::string mName;
   // The instance neither sends nor receives datagrams.
   bool mPartitioned = false;
+  // Number of connection_yield_request datagrams sent.
+  int mYieldRequests = 0;
   recorded_links mConnections;
   session_engine mEngine;
   session_controller mController;
@@ -275,6 +279,19 @@
   EXPECT_EQ(Holders(), 0);
 }
 
+TEST_F(SessionControllerTest, OnlyTheHolderAsksOthersToYieldConnections)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::string holder = HolderName();
+  for (const auto& each : mInstances) {
+    // Repeated refusals are one request.
+    each->mController.OnControlConnectionRefused("p", mLoop.Now());
+    each->mController.OnControlConnectionRefused("p", mLoop.Now());
+    EXPECT_EQ(each->mYieldRequests, each->mName == holder ? 2 : 0);
+  }
+}
+
 // An instance that replaces the holder waits before it uses the duty, so the
 // duty must not move merely because the store was away for all instances.
 TEST_F(SessionControllerTest, TheHolderRegainsTheDutyAfterAnOutageOfTheStore)
--- a/tests/session/session_engine_test.cpp
+++ b/tests/session/session_engine_test.cpp
@@ -546,6 +546,42 @@
   EXPECT_EQ(Connections("p").size(), 3U);
 }
 
+// All instances together may use more connections than the server has. The
+// duty holder, which needs one to supervise the primary, asks them to yield.
+TEST_F(SessionEngineTest, YieldsConnectionsBeyondItsShare)
+{
+  Configure();
+  // 21 connections for statements.
+  mEngine.SetInstanceCount(9, mNow);
+  for (int i = 0; i < 3; ++i) {
+    SendStatement(Open("own"), write_statement{ "1", "x" });
+    AcceptConnections();
+  }
+  ASSERT_EQ(Connections("p").size(), 3U);
+  mEngine.YieldConnections("p", mNow);
+  // Statements in progress are not interrupted.
+  EXPECT_EQ(Connections("p").size(), 3U);
+  Answer(*LastRequestConnection(), Done(4));
+  EXPECT_EQ(Connections("p").size(), 2U);
+  SendStatement(Open("own"), write_statement{ "2", "x" });
+  AcceptConnections();
+  EXPECT_EQ(Connections("p").size(), 2U);
+}
+
+TEST_F(SessionEngineTest, ClosesAnIdleConnectionToYieldIt)
+{
+  Configure();
+  mEngine.SetInstanceCount(9, mNow);
+  for (int i = 0; i < 3; ++i) {
+    SendStatement(Open("own"), write_statement{ "1", "x" });
+    AcceptConnections();
+  }
+  Answer(*LastRequestConnection(), Done(4));
+  ASSERT_EQ(Connections("p").size(), 3U);
+  mEngine.YieldConnections("p", mNow);
+  EXPECT_EQ(Connections("p").size(), 2U);
+}
+
 TEST_F(SessionEngineTest, ClosesIdleSessionsWhenLeaving)
 {
   Configure();
