Back off after failed watches of the store

Cause: a watch that the store refused was repeated each 100 ms. Change: the delay doubles from 100 ms to 1 s, of which a random half to whole is waited, with another seed on each instance. Measured: CallsARefusingStoreAboutOnceASecond (4 to 10 calls in 3 s) is new; the delay before allows 30.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -47,6 +48,10 @@
   using pause_function = std::function<duration(const store_reply&)>;
   void SetPause(pause_function aPause) { mPause = std::move(aPause); }
 
+  // Seeds the random part of the delays after failures. Instances need
+  // different seeds.
+  void SetSeed(std::uint64_t aSeed) { mRandom.seed(aSeed); }
+
   void Start();
   // Lists the objects in addition to the running watch. The reply is at least
   // as recent as this call and does not wait for a change.
@@ -112,6 +117,9 @@
   int mActiveRefreshes = 0;
   // Number of the present watch. Replies to earlier watches are ignored.
   std::uint64_t mWatchNumber = 0;
+  // Longest delay of the present retry; zero if the last call succeeded.
+  milliseconds mRetryDelay{ 0 };
+  std::mt19937_64 mRandom;
   // Whether the last list or watch failed, except for refreshes.
   bool mLastCallFailed = false;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
-// Delay before the next call after a failed one.
-constexpr milliseconds kRetryDelay{ 100 };
+// Delay before the next call after a failed one. It doubles with each further
+// failure, and a random half to whole of it is waited: a store that refuses
+// calls for lack of capacity must not get more of them than at other times, and
+// the instances must not return together when it serves them again.
+constexpr milliseconds kFirstRetryDelay{ 100 };
+constexpr milliseconds kMaxRetryDelay{ 1'000 };
 
 using object_map = std::map<std::string, stored_object>;
 
@@ -162,6 +166,7 @@
   mRevision = std::max(mRevision, aListing.mRevision);
   if (!aListing.mRefresh) {
     mLastCallFailed = false;
+    mRetryDelay = milliseconds(0);
     mListed = true;
     Watch();
   }
@@ -195,6 +200,7 @@
     Retry(aReply.mStatus, aNow);
     return;
   }
+  mRetryDelay = milliseconds(0);
   if (std::exchange(mLastCallFailed, false)) {
     Log(log_level::Info, "store", "watch goes on", { { "kind", mKind } });
   }
@@ -226,9 +232,14 @@
           { "status", NameOf(kStoreStatusNames, aStatus) },
           { "revision", static_cast<std::int64_t>(mRevision) } });
   }
-  const duration pause =
-    aStatus == store_status::HistoryGone ? duration(0) : duration(kRetryDelay);
-  ContinueAfter(pause, aNow);
+  if (aStatus == store_status::HistoryGone) {
+    ContinueAfter(duration(0), aNow);
+    return;
+  }
+  mRetryDelay = std::clamp(2 * mRetryDelay, kFirstRetryDelay, kMaxRetryDelay);
+  std::uniform_int_distribution<std::int64_t> delay(mRetryDelay.count() / 2,
+                                                    mRetryDelay.count());
+  ContinueAfter(milliseconds(delay(mRandom)), aNow);
 }
 
 void
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -4,6 +4,8 @@
 
 #include "snipewalk/base/log.h"
 
+#include <absl/hash/hash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -85,6 +87,11 @@
              ? duration(kRegistrationBatchWindow)
              : duration(0);
   });
+  std::uint64_t seed = absl::HashOf(mOptions.mInstance);
+  for (kind_watcher* watcher :
+       { &mDesiredWatcher, &mServerWatcher, &mFleetWatcher }) {
+    watcher->SetSeed(seed++);
+  }
   mDesiredWatcher.Start();
   mServerWatcher.Start();
   mFleetWatcher.Start();
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -180,5 +180,53 @@
   EXPECT_EQ(mCompleteTo, 0U);
 }
 
+// Store that refuses all calls at once.
+class refusing_store : public store_client
+{
+public:
+  explicit refusing_store(event_loop& aLoop)
+    : mLoop(aLoop)
+  {
+  }
+
+  void Submit(store_request, store_priority, reply_handler aOnReply) override
+  {
+    ++mCalls;
+    mLoop.Post([this, onReply = std::move(aOnReply)] {
+      store_reply refused;
+      refused.mStatus = store_status::Refused;
+      onReply(refused, mLoop.Now());
+    });
+  }
+
+  int mCalls = 0;
+
+private:
+  event_loop& mLoop;
+};
+
+// A store that turns away a third of the instances must not get many more calls
+// from them than it gets from the others, whose watches wait.
+TEST(KindWatcherRetryTest, CallsARefusingStoreAboutOnceASecond)
+{
+  event_loop loop;
+  refusing_store store(loop);
+  kind_watcher watcher(loop,
+                       store,
+                       "k",
+                       milliseconds(10'000),
+                       [](const kind_watcher::update&, time_point) {});
+  watcher.SetSeed(7);
+  watcher.Start();
+  const time_point until =
+    std::chrono::steady_clock::now() + milliseconds(3'000);
+  while (std::chrono::steady_clock::now() < until) {
+    loop.RunOnce();
+  }
+  // Four while the delay grows, then one or two a second.
+  EXPECT_GE(store.mCalls, 4);
+  EXPECT_LE(store.mCalls, 10);
+}
+
 } // namespace
 } // namespace snipewalk
