Find missed changes of servers through the holder's reads

Cause: each instance ended its watch of the servers after 4 s, so that a change which the watch missed is found in time for a drain: a call each 4 s and instance, the largest part of the calls that grow with the fleet. Change: the holder of the duty lists the servers each 2.1 s and reports the newest version with its confirmations; instances that nobody confirms list them themselves. Watches last 10 s. Measured: FindsAServerThatTheWatchesMissed and FindsAMissedServerWithoutOtherInstances fail without the reads.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -162,6 +162,8 @@
     return mDesired ? mDesired->mVersion : 0;
   }
   std::optional<duration> ConfirmationAge(time_point aNow) const;
+  // Number of servers whose entries are present.
+  std::size_t ServerCount() const { return mServers.All().size(); }
 
 private:
   // Newest object version that another instance has seen.
@@ -227,8 +229,9 @@
 
   void Register(time_point aNow);
   bool IsRegistered() const;
-  // Reads the fleet records if a read is due: regularly on the duty holder,
-  // which confirms them to all instances, and on others only if no instance
+  // Reads the fleet records, the desired state and the servers if a read is
+  // due: regularly on the duty holder, which confirms the records and reports
+  // the newest versions to all instances, and on others only if no instance
   // confirms the records to them.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
@@ -311,6 +314,7 @@
   std::map<std::uint64_t, time_point> mRequestSentAt;
   time_point mRequestedAt = time_point::min();
   time_point mFleetReadAt = time_point::min();
+  time_point mServersReadAt = time_point::min();
   version_hint mDesiredHint;
   version_hint mServerHint;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -14,6 +14,10 @@
 // How often the duty holder reads the fleet records. The confirmations that it
 // sends are at most this old, plus the duration of one store call.
 constexpr milliseconds kHolderReadInterval{ 700 };
+// How often the duty holder lists the servers. The other instances learn the
+// newest version from its confirmations, so that a change which their watches
+// missed is known in time for a leaving server to be drained.
+constexpr milliseconds kHolderServerReadInterval{ 2'100 };
 // How often any other instance reads the fleet records while no instance
 // confirms them to it.
 constexpr milliseconds kFallbackReadInterval{ 1'000 };
@@ -129,6 +133,12 @@
   if (mDesiredWatcher.IsListed()) {
     mDesiredWatcher.Refresh();
   }
+  const bool serversDue =
+    unconfirmed || aNow >= mServersReadAt + kHolderServerReadInterval;
+  if (serversDue && mServerWatcher.IsListed()) {
+    mServersReadAt = aNow;
+    mServerWatcher.Refresh();
+  }
 }
 
 void
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -13,10 +13,9 @@
 
 namespace {
 
-// Long-poll timeout of watches. It bounds how long a stalled store connection
-// can hide a new desired state.
+// Long-poll timeout of watches. Changes that a watch misses are found earlier
+// through the reads of the duty holder, see ReadFleet().
 constexpr milliseconds kWatchTimeout{ 10'000 };
-constexpr milliseconds kServerWatchTimeout{ 4'000 };
 // Registrations within this window are delivered to the other instances in one
 // batch.
 constexpr milliseconds kRegistrationBatchWindow{ 500 };
@@ -45,7 +44,7 @@
   , mServerWatcher(aLoop,
                    aStore,
                    mObjects.mServerKind,
-                   kServerWatchTimeout,
+                   kWatchTimeout,
                    [this](const kind_watcher::update& aUpdate,
                           time_point aNow) { OnServers(aUpdate, aNow); })
   , mFleetWatcher(aLoop,
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -249,6 +249,33 @@
   }
 }
 
+// A server that leaves must be known to all instances within the time in which
+// it is drained, also if no watch reports its change.
+TEST_F(SessionControllerTest, FindsAServerThatTheWatchesMissed)
+{
+  Run(1'500);
+  mStore.mWatchesMissChanges = true;
+  mStore.Write("servers", "q", "replica");
+  Run(3'500);
+  for (const auto& each : mInstances) {
+    EXPECT_EQ(each->mController.ServerCount(), 2U) << each->mName;
+  }
+}
+
+TEST_F(SessionControllerTest, FindsAMissedServerWithoutOtherInstances)
+{
+  Run(1'500);
+  for (const auto& each : mInstances) {
+    each->mPartitioned = true;
+  }
+  mStore.mWatchesMissChanges = true;
+  mStore.Write("servers", "q", "replica");
+  Run(3'500);
+  for (const auto& each : mInstances) {
+    EXPECT_EQ(each->mController.ServerCount(), 2U) << each->mName;
+  }
+}
+
 // A desired state missed by all watches must be found even if the instances
 // cannot reach each other.
 TEST_F(SessionControllerTest, FindsAMissedDesiredStateWithoutOtherInstances)
