Let instances that the store refuses find the new holder of the duty

Cause: an instance sent its health reports and its requests for confirmation to the holder that its own record names. The former holder itself asked nobody. Change: reports and requests also go to the holder that the latest confirmation names; a holder whose own confirmation is stale asks like the others. So that it does not count as seen then, its answers give the time since its lease was current, instead of being a sign of life each. Measured: InstancesThatTheStoreRefusesFindTheNewHolder failed before (2 of 3 confirmed, instances marked as gone) and passes now, with the 24 other tests of controller and lease.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -64,6 +64,10 @@
 
   // Whether this instance may order changes of primary now.
   bool Holds(time_point aNow) const;
+  // Whether a recent read named this process as holder, so that no other
+  // instance needs to claim the duty. The process may still have to wait before
+  // it uses the duty.
+  bool IsLeaseCurrent(time_point aNow) const;
   // Whether the record names this process as holder, even if it may not use the
   // duty at present.
   bool IsNamedHolder() const;
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -235,6 +235,10 @@
   // confirms the records to them.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
+  // Names of the instances that may hold the duty: by the record known here and
+  // by the latest confirmation. They differ while the store refuses this
+  // instance.
+  std::set<std::string> PossibleHolders() const;
   // Restarts a watch that has missed a version seen by another instance.
   static void RestartIfBehind(version_hint& aHint,
                               kind_watcher& aWatcher,
@@ -308,6 +312,10 @@
   bool mReportedProblem = false;
   // Services that had a health other than NoTraffic in the last report.
   std::set<std::string> mReportedServices;
+  // Holder of the duty that the latest confirmation named, and the time as of
+  // which that was confirmed.
+  std::string mConfirmedHolder;
+  time_point mHolderConfirmedAt = time_point::min();
   // Number of the last confirmation request, and the send times of recent
   // requests by number.
   std::uint64_t mLastRequestNumber = 0;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -144,22 +144,25 @@
 void
 session_controller::AskForConfirmation(time_point aNow)
 {
-  if (mUnregistered || mDuty.IsNamedHolder() ||
+  const bool stale = mConfirmedAt == time_point::min() ||
+                     aNow >= mConfirmedAt + kStaleConfirmationAge;
+  // The holder itself reads the store. If the store refuses it, another
+  // instance may have taken over.
+  const bool confirmsItself = mDuty.IsNamedHolder() && !stale;
+  if (mUnregistered || confirmsItself ||
       aNow < mRequestedAt + kConfirmationRequestInterval) {
     return;
   }
   mRequestedAt = aNow;
   std::vector<std::string> asked;
   std::vector<std::string> others;
-  const std::string holder = mDuty.Record() ? mDuty.Record()->mHolder : "";
+  const std::set<std::string> holders = PossibleHolders();
   for (const auto& [name, record] : mInstances) {
     if (name == mOptions.mInstance || record.mState != instance_state::Live) {
       continue;
     }
-    (name == holder ? asked : others).push_back(record.mPeerAddress);
+    (holders.contains(name) ? asked : others).push_back(record.mPeerAddress);
   }
-  const bool stale = mConfirmedAt == time_point::min() ||
-                     aNow >= mConfirmedAt + kStaleConfirmationAge;
   const std::size_t extra =
     stale ? std::min(kExtraPeersPerRequest, others.size()) : 0;
   for (std::size_t i = 0; i < extra; ++i) {
@@ -172,6 +175,19 @@
   }
 }
 
+std::set<std::string>
+session_controller::PossibleHolders() const
+{
+  std::set<std::string> holders;
+  if (mDuty.Record()) {
+    holders.insert(mDuty.Record()->mHolder);
+  }
+  if (!mConfirmedHolder.empty()) {
+    holders.insert(mConfirmedHolder);
+  }
+  return holders;
+}
+
 confirmation_request
 session_controller::NewConfirmationRequest(time_point aNow)
 {
@@ -206,7 +222,10 @@
   answer.mInstance = mOptions.mInstance;
   if (mDuty.Record()) {
     answer.mDutyHolder = mDuty.Record()->mHolder;
-    answer.mDutyHolderSeenAgeMs = age(mDuty.HolderSeenAt());
+    // A holder that cannot read the store must not count as seen, even if other
+    // instances confirm the records to it.
+    answer.mDutyHolderSeenAgeMs =
+      age(mDuty.IsLeaseCurrent(aNow) ? aNow : mDuty.HolderSeenAt());
   }
   answer.mDesiredVersion = mDesiredWatcher.NewestVersion();
   answer.mServerVersion = mServerWatcher.NewestVersion();
@@ -237,15 +256,14 @@
   if (mOnInstanceReply) {
     mOnInstanceReply(aAnswer.mInstance, aNow);
   }
-  // A holder that is confirmed no longer than its lease cannot use the duty, so
-  // hearing from it must not keep others from claiming it.
-  const auto lease =
-    static_cast<std::uint64_t>(duty_lease::kLeaseDuration.count());
-  if (aAnswer.mConfirmationAgeMs < lease) {
-    mDuty.OnHolderSeen(aAnswer.mInstance, sent);
-  }
   mDuty.OnHolderSeen(aAnswer.mDutyHolder,
                      sent - milliseconds(aAnswer.mDutyHolderSeenAgeMs));
+  const time_point confirmedAt =
+    sent - milliseconds(aAnswer.mConfirmationAgeMs);
+  if (!aAnswer.mDutyHolder.empty() && confirmedAt > mHolderConfirmedAt) {
+    mConfirmedHolder = aAnswer.mDutyHolder;
+    mHolderConfirmedAt = confirmedAt;
+  }
   mDesiredHint.mVersion =
     std::max(mDesiredHint.mVersion, aAnswer.mDesiredVersion);
   mServerHint.mVersion = std::max(mServerHint.mVersion, aAnswer.mServerVersion);
@@ -263,7 +281,7 @@
   // The answer contains all records that are newer than the revision stated in
   // the request, so there is no gap.
   mKnownRevision = std::max(mKnownRevision, aAnswer.mKnownRevision);
-  Confirm(sent - milliseconds(aAnswer.mConfirmationAgeMs), aNow);
+  Confirm(confirmedAt, aNow);
 }
 
 void
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -83,10 +83,11 @@
     OnHealthReport(report, aNow);
     return;
   }
-  const auto& duty = mDuty.Record();
-  const auto holder = mInstances.find(duty ? duty->mHolder : std::string());
-  if (holder != mInstances.end()) {
-    mLinks.SendDatagram(holder->second.mPeerAddress, report);
+  for (const auto& name : PossibleHolders()) {
+    const auto holder = mInstances.find(name);
+    if (holder != mInstances.end() && name != mOptions.mInstance) {
+      mLinks.SendDatagram(holder->second.mPeerAddress, report);
+    }
   }
 }
 
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -125,8 +125,13 @@
 bool
 duty_lease::Holds(time_point aNow) const
 {
-  return IsNamedHolder() && !mResigned && aNow >= mUsableFrom &&
-         mConfirmedAt != time_point::min() &&
+  return IsLeaseCurrent(aNow) && aNow >= mUsableFrom;
+}
+
+bool
+duty_lease::IsLeaseCurrent(time_point aNow) const
+{
+  return IsNamedHolder() && !mResigned && mConfirmedAt != time_point::min() &&
          aNow < mConfirmedAt + kLeaseDuration;
 }
 
--- a/tests/session/fake_store.h
+++ b/tests/session/fake_store.h
@@ -43,6 +43,13 @@
     }
   }
 
+  // Value of an object; empty if there is none.
+  std::string Value(const std::string& aKind, const std::string& aName) const
+  {
+    const auto found = mObjects.find({ aKind, aName });
+    return found == mObjects.end() ? std::string() : found->second.mValue;
+  }
+
   // Waiting watches are not notified of changes, as when the store drops its
   // history.
   bool mWatchesMissChanges = false;
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -50,15 +50,45 @@
   std::map<std::string, instance*> mInstances;
 };
 
+// Path of one instance to the store, which may refuse all of its calls.
+class refusable_store : public store_client
+{
+public:
+  explicit refusable_store(store_client& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  void Submit(store_request aRequest,
+              store_priority aPriority,
+              reply_handler aOnReply) override
+  {
+    mStore.Submit(std::move(aRequest),
+                  aPriority,
+                  [this, onReply = std::move(aOnReply)](
+                    const store_reply& aReply, time_point aNow) {
+                    store_reply refused;
+                    refused.mStatus = store_status::Refused;
+                    onReply(mRefuses ? refused : aReply, aNow);
+                  });
+  }
+
+  bool mRefuses = false;
+
+private:
+  store_client& mStore;
+};
+
 class instance : public control_links
 {
 public:
   instance(network& aNetwork, store_client& aStore, const std::string& aName)
     : mNetwork(aNetwork)
     , mName(aName)
+    , mStore(aStore)
     , mEngine(session_engine_options{}, mConnections)
     , mController(aNetwork.mLoop,
-                  aStore,
+                  mStore,
                   mEngine,
                   *this,
                   Objects(),
@@ -101,6 +131,7 @@
 
   network& mNetwork;
   std::string mName;
+  refusable_store mStore;
   // The instance neither sends nor receives datagrams.
   bool mPartitioned = false;
   // Number of connection_yield_request datagrams sent.
@@ -306,6 +337,31 @@
   EXPECT_EQ(Holders(), 0);
 }
 
+// The store turns the holder and one more instance away, and the third takes
+// over. The other two still reach it: they must be confirmed by it, and must
+// not be taken for gone because their reports went to the former holder.
+TEST_F(SessionControllerTest, InstancesThatTheStoreRefusesFindTheNewHolder)
+{
+  Run(1'500);
+  const std::string holder = HolderName();
+  std::string next;
+  for (const auto& each : mInstances) {
+    const bool takesOver = each->mName != holder && next.empty();
+    each->mStore.mRefuses = !takesOver;
+    next = takesOver ? each->mName : next;
+  }
+  Run(9'000);
+  EXPECT_EQ(HolderName(), next);
+  EXPECT_EQ(Confirmed(), 3);
+  for (const auto& each : mInstances) {
+    const std::string name = InstanceRecordName(each->mName);
+    const auto record = DecodeFleetRecord(name, mStore.Value(kFleetKind, name));
+    ASSERT_TRUE(record.ok());
+    EXPECT_EQ(std::get<instance_record>(*record).mState, instance_state::Live)
+      << each->mName;
+  }
+}
+
 TEST_F(SessionControllerTest, OnlyTheHolderAsksOthersToYieldConnections)
 {
   Run(1'500);
