--- a/src/base/json_slices.cpp
+++ b/src/base/json_slices.cpp
@@ -123,7 +123,7 @@
   }
   bool more = !aScanner.Take(aClose);
   while (more) {
-    if (const absl::Status taken = aTakeMember(); !taken.ok()) {
+    if (absl::Status taken = aTakeMember(); !taken.ok()) {
       return taken;
     }
     more = aScanner.Take(',');
@@ -141,7 +141,7 @@
 {
   slice_scanner scanner(aText);
   json_member_slices members;
-  const absl::Status split = Split(scanner, '{', '}', [&]() -> absl::Status {
+  absl::Status split = Split(scanner, '{', '}', [&]() -> absl::Status {
     const auto name = scanner.TakeString();
     if (!name.ok() || !scanner.Take(':')) {
       return scanner.Malformed();
@@ -164,7 +164,7 @@
 {
   slice_scanner scanner(aText);
   std::vector<std::string_view> values;
-  const absl::Status split = Split(scanner, '[', ']', [&]() -> absl::Status {
+  absl::Status split = Split(scanner, '[', ']', [&]() -> absl::Status {
     const auto value = scanner.TakeValue();
     if (!value.ok()) {
       return value.status();
