Keep a primary whose commits may be in no other log

Cause: a commit is acknowledged once one replica has received it, and a replica that leaves may have been that one. Change: when a replica leaves or loses its log, the holder of the duty asks the primary for its position. As long as the primary is alive, no other server becomes primary whose log does not reach that position. Measured: KeepsThePrimaryWhoseCommitsNoReplicaHas is new. Not covered: a primary that is dead, and a holder that took the duty after the replica had left and finds the primary with stalled writes.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -116,6 +116,10 @@
   // Term in which the old primary leads; zero before the first change.
   std::uint64_t mLeadTerm = 0;
   std::uint64_t mFence = 0;
+  // Position that the new primary's log must contain. A replica that has left
+  // may have been the only one that received the commits up to it, so a log
+  // without them can be older than what was acknowledged.
+  log_position mRequiredPosition;
   // The old primary is reachable and is stepped down after a grace period for
   // open transactions.
   bool mPlanned = false;
@@ -171,6 +175,8 @@
   std::uint64_t LeadTerm(primary_phase aPhase,
                          const std::string& aPrimary) const;
   bool AllReplicasReplied() const;
+  // Whether one of the logs in the replies contains the required position.
+  bool HasRequiredLog() const;
   // Whether the present step is waiting for the reply to this command.
   bool IsExpected(const std::string& aServer,
                   const server_command& aCommand) const;
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -199,6 +199,13 @@
     std::uint64_t mReleasedTerm = 0;
     primary_monitor mMonitor;
     std::optional<running_change> mRunning;
+    // When a replica last left or lost its log, which may have been the only
+    // one that received the newest commits. Unset once mRequiredPosition covers
+    // these.
+    std::optional<time_point> mReplicaLeftAt;
+    // Position that the log of the next primary must contain while the present
+    // one is alive.
+    log_position mRequiredPosition;
     // A status request for the monitor is in flight.
     bool mProbing = false;
     // Earliest start of the next change; set after a failed one.
@@ -212,6 +219,9 @@
   void ApplyServer(const std::string& aServer,
                    std::set<std::string>& aServices,
                    time_point aNow);
+  // Notes that a server's log is gone, because the server has left or started
+  // again without it.
+  void OnLogLost(const registered_server& aServer, time_point aNow);
   void ForgetExpiredServers(time_point aNow);
   void OnFleet(const kind_watcher::update& aUpdate, time_point aNow);
   void ApplyFleetObject(const stored_object& aObject,
@@ -252,6 +262,11 @@
   void OnHealthReport(const health_report& aReport, time_point aNow);
   void MonitorServices(time_point aNow);
   void Probe(const std::string& aService, time_point aNow);
+  // Learns from the primary's status which position the logs of lost replicas
+  // may have reached. `aSent` is the time at which the status was requested.
+  static void UpdateRequiredPosition(service_control& aControl,
+                                     const server_status& aStatus,
+                                     time_point aSent);
   void StartChange(const std::string& aService,
                    change_reason aReason,
                    time_point aNow);
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -119,7 +119,9 @@
     }
     const bool interrupted =
       control.mRecord && control.mRecord->mPhase != primary_phase::Stable;
-    if (control.mMonitor.NeedsProbe(aNow) && !control.mProbing) {
+    const bool needsProbe =
+      control.mMonitor.NeedsProbe(aNow) || control.mReplicaLeftAt.has_value();
+    if (needsProbe && !control.mProbing) {
       Probe(service, aNow);
     }
     const change_reason reason =
@@ -167,7 +169,7 @@
 }
 
 void
-session_controller::Probe(const std::string& aService, time_point)
+session_controller::Probe(const std::string& aService, time_point aSent)
 {
   const auto entry = mServers.Find(PrimaryOf(aService).mServer);
   if (!entry) {
@@ -178,23 +180,46 @@
     *entry,
     status_command{},
     kProbeTimeout,
-    [this, aService, alive = std::weak_ptr<bool>(mAlive)](
+    [this, aService, aSent, alive = std::weak_ptr<bool>(mAlive)](
       const std::optional<server_status>& aStatus, time_point aNow) {
       if (alive.expired()) {
         return;
       }
       service_control& control = mServices[aService];
       control.mProbing = false;
+      if (aStatus) {
+        UpdateRequiredPosition(control, *aStatus, aSent);
+      }
       control.mMonitor.OnProbe(aStatus.has_value(), aNow);
     });
 }
 
+void
+session_controller::UpdateRequiredPosition(service_control& aControl,
+                                           const server_status& aStatus,
+                                           time_point aSent)
+{
+  const bool covers =
+    aControl.mReplicaLeftAt && aSent >= *aControl.mReplicaLeftAt;
+  if (covers && aStatus.mRole == server_role::Primary) {
+    aControl.mRequiredPosition =
+      std::max(aControl.mRequiredPosition, aStatus.mReceived);
+    aControl.mReplicaLeftAt.reset();
+  }
+}
+
 void
 session_controller::StartChange(const std::string& aService,
                                 change_reason aReason,
                                 time_point aNow)
 {
   service_control& control = mServices[aService];
+  const bool primaryAlive = aReason == change_reason::WritesStall ||
+                            aReason == change_reason::CutOff ||
+                            aReason == change_reason::Leaving;
+  if (primaryAlive && control.mReplicaLeftAt) {
+    return;
+  }
   const service_primary primary = PrimaryOf(aService);
   change_plan plan;
   plan.mService = aService;
@@ -202,6 +227,9 @@
   plan.mKnownTerm = control.mRecord ? control.mRecord->mTerm : 0;
   plan.mLeadTerm = primary.mLeadTerm;
   plan.mFence = mDuty.Fence();
+  if (primaryAlive) {
+    plan.mRequiredPosition = control.mRequiredPosition;
+  }
   plan.mPlanned =
     aReason == change_reason::Leaving || aReason == change_reason::CutOff;
   if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
@@ -247,6 +275,7 @@
       control.mChangeAfter = aNow + kRetryDelayAfterFailedChange;
     } else {
       control.mMonitor.Reset(aNow);
+      control.mRequiredPosition = {};
       PublishPrimary(aService, aNow);
     }
   }
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -169,6 +169,15 @@
   }
 }
 
+bool
+primary_change::HasRequiredLog() const
+{
+  return std::any_of(
+    mReplies.begin(), mReplies.end(), [this](const auto& aReply) {
+      return aReply.second.mReceived >= mPlan.mRequiredPosition;
+    });
+}
+
 primary_change::actions
 primary_change::OnServerStatus(const std::string& aServer,
                                const server_command& aCommand,
@@ -192,6 +201,11 @@
       if (!AllReplicasReplied()) {
         return {};
       }
+      if (!HasRequiredLog()) {
+        // The old primary serves on until a replica has caught up with it.
+        EnterStep(change_step::Failed, aNow);
+        return {};
+      }
       std::uint64_t newest = mPlan.mKnownTerm;
       for (const auto& [server, status] : mReplies) {
         newest = std::max({ newest, status.mTerm, status.mReceived.mTerm });
@@ -324,6 +338,9 @@
       best = &replica;
     }
   }
+  if (!HasRequiredLog()) {
+    return Revert(aNow);
+  }
   if (mReplies.at(best->mId).mReceived.mTerm < mPlan.mLeadTerm) {
     // The old primary took over with commits that no other log has received
     // since, so only the old primary can lead again.
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -174,6 +174,9 @@
   const auto object = mServerWatcher.Objects().find(aServer);
   if (object == mServerWatcher.Objects().end()) {
     mServers.MarkMissing(aServer, aNow);
+    if (before) {
+      OnLogLost(*before, aNow);
+    }
     return;
   }
   const auto entry = mObjects.mDecodeServer(aServer, object->second.mValue);
@@ -189,6 +192,9 @@
     return;
   }
   aServices.insert(entry->mService);
+  if (before && before->mStarted != entry->mStarted) {
+    OnLogLost(*before, aNow);
+  }
   if (!before || !(*before == *entry)) {
     Log(log_level::Info,
         "control",
@@ -202,6 +208,16 @@
   mEngine.PutServer(*entry, aNow);
 }
 
+void
+session_controller::OnLogLost(const registered_server& aServer, time_point aNow)
+{
+  const auto control = mServices.find(aServer.mService);
+  if (control != mServices.end() &&
+      PrimaryOf(aServer.mService).mServer != aServer.mId) {
+    control->second.mReplicaLeftAt = aNow;
+  }
+}
+
 void
 session_controller::ForgetExpiredServers(time_point aNow)
 {
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -162,6 +162,27 @@
 
 // The old primary was promoted with commits that only it holds, and no replica
 // has received anything of its term yet.
+// A replica that has left may have received commits that no other replica has.
+// While the old primary is alive, it has them and stays.
+TEST(PrimaryChangeTest, KeepsThePrimaryWhoseCommitsNoReplicaHas)
+{
+  change_plan plan = Plan();
+  plan.mRequiredPosition = { 1, 50 };
+  primary_change change(plan);
+  change.Start(At(0));
+  std::size_t actions = 0;
+  for (const auto& replica : plan.mReplicas) {
+    actions += change
+                 .OnServerStatus(replica.mId,
+                                 status_command{},
+                                 Status(server_role::Replica, 1, 49),
+                                 At(1))
+                 .size();
+  }
+  EXPECT_EQ(actions, 0U);
+  EXPECT_EQ(change.Step(), change_step::Failed);
+}
+
 TEST(PrimaryChangeTest, RevertsWhenNoReplicaHasReachedTheLeadTerm)
 {
   change_plan plan = Plan();
