--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -91,7 +91,7 @@
     response.mStatus = 200;
     response.mBody = std::move(aBody);
     const store_reply reply = StoreDialect().mDecode(mRequest, response);
-    const reply_handler onReply = std::move(mOnReply);
+    const reply_handler onReply = std::exchange(mOnReply, nullptr);
     onReply(reply, aNow);
   }
 
