--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -57,11 +57,12 @@
   return std::chrono::duration<double>(clock_type::now() - gStart).count();
 }
 
+std::mutex gWriting;
+
 void
 Record(const std::string& aLine)
 {
-  static std::mutex writing;
-  const std::lock_guard<std::mutex> lock(writing);
+  const std::lock_guard<std::mutex> lock(gWriting);
   std::fprintf(gRecord, "%8.3f %s\n", Elapsed(), aLine.c_str());
 }
 
@@ -862,7 +863,9 @@
   gStopping = true;
   gChanged.notify_all();
   EndInstances();
-  std::fclose(gRecord);
+  // Kept locked: other threads go on until the process has ended.
+  gWriting.lock();
+  std::fflush(gRecord);
   std::fflush(stdout);
   std::_Exit(aCode);
 }
