--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-g++ -std=c++20 -O1 -pthread -I/usr/include/jsoncpp review/standin/standin.cpp \
+g++ -std=c++20 -O1 -pthread -I/usr/include/jsoncpp review/standin/standin.cc \
   -ljsoncpp -o target/review/standin
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cc
@@ -3,10 +3,11 @@
 // describe them, in front of instances of snipewalk-sessions that this program
 // starts as processes.
 //
-//   standin CASE RECORD   CASE: values, fence; RECORD: file for the record
+//   standin CASE RECORD   CASE: values, fence, entry; RECORD: file for the
+//   record
 //
-// Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-// TROUBLE=0 in the environment leaves the disruption out.
+// Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't
+// run. TROUBLE=0 in the environment leaves the disruption out.
 #include <arpa/inet.h>
 #include <dirent.h>
 #include <fcntl.h>
@@ -123,8 +124,8 @@
 {
   std::size_t sent = 0;
   while (sent < aBytes.size()) {
-    const auto n = ::send(
-      aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    const auto n =
+      ::send(aSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
     if (n <= 0) {
       return false;
     }
@@ -259,8 +260,7 @@
       letter = static_cast<char>(std::tolower(letter));
     }
     const auto value = line->find_first_not_of(' ', colon + 1);
-    call.mHeaders[name] =
-      value == std::string::npos ? "" : line->substr(value);
+    call.mHeaders[name] = value == std::string::npos ? "" : line->substr(value);
     if (name == "content-length") {
       length = std::stoul(call.mHeaders[name]);
     }
@@ -347,12 +347,11 @@
     std::stoul(aCall.mQuery.count("WaitMs") ? aCall.mQuery.at("WaitMs") : "0"));
   std::unique_lock<std::mutex> lock(gMutex);
   const auto found = [&] {
-    return !gEvents.empty() && std::any_of(gEvents.begin(),
-                                           gEvents.end(),
-                                           [&](const event& aEvent) {
-                                             return aEvent.mRevision > from &&
-                                                    aEvent.mKind == aKind;
-                                           });
+    return !gEvents.empty() &&
+           std::any_of(
+             gEvents.begin(), gEvents.end(), [&](const event& aEvent) {
+               return aEvent.mRevision > from && aEvent.mKind == aKind;
+             });
   };
   gChanged.wait_for(lock, wait, [&] { return gStopping || found(); });
   Json::Value body;
@@ -485,6 +484,8 @@
 std::uint64_t gSignatures = 0;
 int gWrongValues = 0;
 int gRunStatements = 0;
+// When each backend last ran a client's statement.
+std::map<std::string, double> gLastRun;
 
 // With gMutex held.
 void
@@ -579,9 +580,10 @@
     return;
   }
   ++gRunStatements;
+  gLastRun[aBackend.mId] = Elapsed();
   const bool wrong = expected->second != aSession.mValues;
-  Record("run " + aRequest + " at " + aBackend.mId + ": " + aText +
-         " values " + Show(aSession.mValues) +
+  Record("run " + aRequest + " at " + aBackend.mId + ": " + aText + " values " +
+         Show(aSession.mValues) +
          (wrong ? " PINNED: its client has " + Show(expected->second) : ""));
   gWrongValues += wrong ? 1 : 0;
 }
@@ -646,8 +648,8 @@
   if (aBackend.mFailing > 0) {
     static std::mt19937 random(7);
     if (static_cast<int>(random() % 100) < aBackend.mFailing) {
-      aSession.mFailed = aSession.mInTransaction && verb != "COMMIT" &&
-                         verb != "ROLLBACK";
+      aSession.mFailed =
+        aSession.mInTransaction && verb != "COMMIT" && verb != "ROLLBACK";
       if (verb == "COMMIT" || verb == "ROLLBACK") {
         aSession.mInTransaction = false;
         aSession.mWrites.clear();
@@ -692,9 +694,9 @@
     aSession.mTerm = aBackend.mTerm;
     return "COMPLETE -\r\n";
   }
-  const bool lostLead = aSession.mInTransaction && aSession.mPlain &&
-                        (!aBackend.mPrimary ||
-                         aSession.mTerm != aBackend.mTerm);
+  const bool lostLead =
+    aSession.mInTransaction && aSession.mPlain &&
+    (!aBackend.mPrimary || aSession.mTerm != aBackend.mTerm);
   const bool emptyCommit = verb == "COMMIT" && aSession.mWrites.empty();
   if ((verb == "WRITE" && !aBackend.mPrimary) || (lostLead && !emptyCommit)) {
     aSession.mInTransaction = false;
@@ -776,9 +778,10 @@
     std::this_thread::sleep_for(2ms);
     std::unique_lock<std::mutex> lock(gMutex);
     std::string answer = Run(aBackend, session, request, text, lock);
-    answer += std::string("READY ") + (session.mFailed          ? "E"
-                                       : session.mInTransaction ? "T"
-                                                                : "I") +
+    answer += std::string("READY ") +
+              (session.mFailed          ? "E"
+               : session.mInTransaction ? "T"
+                                        : "I") +
               " " + aBackend.Position() + "\r\n";
     lock.unlock();
     open = SendAll(aSocket, answer);
@@ -954,8 +957,9 @@
               Parse(std::string(R"({"Version":3,"Routes":[{"Name":"r1",)") +
                     R"("DbName":")" + kDatabase + R"(","Kind":"primary",)" +
                     R"("TimeoutMs":800,"TargetLatencyMs":150,"Priority":1,)" +
-                    R"("Service":")" + kService + R"("}],"Services":[{"Name":")" +
-                    kService + R"(","SyncReplicas":1,"MaxConns":)" +
+                    R"("Service":")" + kService +
+                    R"("}],"Services":[{"Name":")" + kService +
+                    R"(","SyncReplicas":1,"MaxConns":)" +
                     std::to_string(kMaxConnections) +
                     R"(}],"Limits":{"TxIdleMs":3000}})"));
     for (const auto& started : gBackends) {
@@ -1045,13 +1049,14 @@
   ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
   reader input(fd);
   SendAll(fd,
-          std::string("STARTUP ") + kDatabase + " c" +
-            std::to_string(aNumber) + "\r\n");
+          std::string("STARTUP ") + kDatabase + " c" + std::to_string(aNumber) +
+            "\r\n");
   bool open = ReadAnswer(input).mWhole;
   values_map values;
   const std::string name = "tenant";
   const std::string own = "t" + std::to_string(aNumber);
-  if (open && Ask(fd, input, "SET " + name + " " + own, values).mError.empty()) {
+  if (open &&
+      Ask(fd, input, "SET " + name + " " + own, values).mError.empty()) {
     values[name] = own;
   } else {
     open = false;
@@ -1073,8 +1078,8 @@
           good = answer.mError.empty();
         }
       }
-      open = open &&
-             Ask(fd, input, good ? "COMMIT" : "ROLLBACK", values).mWhole;
+      open =
+        open && Ask(fd, input, good ? "COMMIT" : "ROLLBACK", values).mWhole;
     }
     std::this_thread::sleep_for(std::chrono::milliseconds(5 + random() % 30));
   }
@@ -1137,13 +1142,13 @@
     unsigned remote = 0;
     unsigned state = 0;
     unsigned long inode = 0;
-    const int read = std::sscanf(
-      line,
-      " %*d: %*x:%x %*x:%x %x %*x:%*x %*x:%*x %*x %*d %*d %lu",
-      &local,
-      &remote,
-      &state,
-      &inode);
+    const int read =
+      std::sscanf(line,
+                  " %*d: %*x:%x %*x:%x %x %*x:%*x %*x:%*x %*x %*d %*d %lu",
+                  &local,
+                  &remote,
+                  &state,
+                  &inode);
     if (read == 4 && remote == static_cast<unsigned>(aPort) && state == 2) {
       sockets.insert("socket:[" + std::to_string(inode) + "]");
     }
@@ -1188,8 +1193,8 @@
 }
 
 // A primary is to be replaced while the platform takes no new connection of the
-// promotion call for a moment, and the duty's holder freezes. Rule ONE: no order
-// with a lower fence than the platform has seen.
+// promotion call for a moment, and the duty's holder freezes. Rule ONE: no
+// order with a lower fence than the platform has seen.
 int
 RunFence(bool aTrouble)
 {
@@ -1248,10 +1253,9 @@
   const std::lock_guard<std::mutex> lock(gMutex);
   std::printf("%zu orders:", gPromotions.size());
   for (const auto& order : gPromotions) {
-    std::printf(
-      " %s/%llu",
-      order.mHolder.c_str(),
-      static_cast<unsigned long long>(order.mFence));
+    std::printf(" %s/%llu",
+                order.mHolder.c_str(),
+                static_cast<unsigned long long>(order.mFence));
   }
   std::printf("\n");
   if (gPromotions.empty()) {
@@ -1260,6 +1264,46 @@
   return FenceFell() ? 1 : 0;
 }
 
+// An entry without one of its fields stands in the store, and the primary is to
+// be replaced. Rule DRAIN: no statement reaches a backend later than DrainMs
+// after the store has acknowledged that it leaves.
+int
+RunEntry(bool aTrouble)
+{
+  constexpr double kDrainSeconds = 7.0;
+  StartDeployment(3);
+  StartClients(3);
+  std::this_thread::sleep_for(2s);
+  int silent = 0;
+  ListenOnLoopback(silent);
+  double left = 0;
+  {
+    const std::lock_guard<std::mutex> lock(gMutex);
+    if (aTrouble) {
+      Json::Value entry;
+      entry["Service"] = kService;
+      entry["Address"] = "127.0.0.1:" + std::to_string(silent);
+      entry["Zone"] = "dc1";
+      entry["Phase"] = "ready";
+      entry["DbRole"] = "replica";
+      PutObject("servers", "i-odd", entry);
+      Record("trouble: an entry without Slots, Version, Seq, ColdRemainingMs");
+    }
+    gBackends.front()->mDraining = true;
+    Publish(*gBackends.front());
+    left = Elapsed();
+    Record("backend i-1 is leaving");
+  }
+  std::this_thread::sleep_for(10s);
+  const std::lock_guard<std::mutex> lock(gMutex);
+  const double late = gLastRun["i-1"] - left;
+  std::printf("%zu orders; last statement at the leaving backend %.1f s after "
+              "its report\n",
+              gPromotions.size(),
+              late);
+  return late > kDrainSeconds ? 1 : 0;
+}
+
 } // namespace
 
 int
@@ -1268,7 +1312,7 @@
   ::signal(SIGPIPE, SIG_IGN);
   gRecord = std::fopen(argc > 2 ? argv[2] : "/dev/null", "w");
   if (argc < 3 || gRecord == nullptr) {
-    std::fprintf(stderr, "usage: standin values|fence RECORD\n");
+    std::fprintf(stderr, "usage: standin values|fence|entry RECORD\n");
     return 2;
   }
   std::thread([] {
@@ -1280,6 +1324,7 @@
   const std::string name = argv[1];
   const int code = name == "values"  ? RunValues(trouble)
                    : name == "fence" ? RunFence(trouble)
+                   : name == "entry" ? RunEntry(trouble)
                                      : 2;
   Record("result " + std::to_string(code));
   End(code);
