--- a/review/standin/standin.cc
+++ b/review/standin/standin.cc
@@ -13,6 +13,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -910,6 +911,8 @@
   const std::string log = gFolder + "/" + aName + ".log";
   const pid_t child = ::fork();
   if (child == 0) {
+    // No instance outlives this program.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = ::open(log.c_str(), O_CREAT | O_WRONLY | O_TRUNC, 0600);
     ::dup2(out, 1);
     ::dup2(out, 2);
