Let stand-in servers fail requests and hold session values

A read of the item session.NAME returns the connection's value NAME. The default is as before: no request fails, and items of other names read as they did.

--- a/tests/standins/line_server_commands.cpp
+++ b/tests/standins/line_server_commands.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <absl/strings/string_view.h>
+#include <absl/strings/strip.h>
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +16,8 @@
 
 // Multiplier of a sequence that spreads lost answers evenly over requests.
 constexpr std::uint64_t kSpread = 37;
+// Items with this prefix stand for session values of the connection.
+constexpr absl::string_view kSessionValuePrefix = "session.";
 
 // "TERM.NUMBER" as a pair that compares like a position.
 std::pair<std::uint64_t, std::uint64_t>
@@ -104,7 +108,9 @@
   }
   aConnection.mStream->Send(absl::StrCat(answer,
                                          "READY ",
-                                         aConnection.mInTransaction ? "T" : "I",
+                                         aConnection.mFailed          ? "E"
+                                         : aConnection.mInTransaction ? "T"
+                                                                      : "I",
                                          " ",
                                          Applied(aServer),
                                          "\r\n"));
@@ -127,8 +133,35 @@
       verb == "STEPDOWN") {
     return ExecuteCommand(aServer, words);
   }
+  const bool ends = verb == "COMMIT" || verb == "ROLLBACK";
+  if (DrawsFailure(aServer)) {
+    aConnection.mFailed = aConnection.mInTransaction && !ends;
+    if (ends) {
+      aConnection.mInTransaction = false;
+      aConnection.mWrites.clear();
+    }
+    return absl::StrCat("ERROR FAILED ", aServer.mId, "\r\n");
+  }
+  if (aConnection.mFailed && verb != "ROLLBACK" && verb != "DISCARD") {
+    return absl::StrCat("ERROR MALFORMED ", aServer.mId, "\r\n");
+  }
+  return ExecuteStatement(aServer, aConnection, words);
+}
+
+bool
+line_server_group::DrawsFailure(const server& aServer)
+{
+  return static_cast<int>(mRandom() % 100) < aServer.mFailedRequests;
+}
+
+std::string
+line_server_group::ExecuteStatement(server& aServer,
+                                    connection& aConnection,
+                                    const std::vector<std::string>& aWords)
+{
+  const std::string& verb = aWords[0];
   if (verb == "BEGIN") {
-    if (words.size() == 1 && !aServer.mPrimary) {
+    if (aWords.size() == 1 && !aServer.mPrimary) {
       return absl::StrCat("ERROR READONLY ", aServer.mId, "\r\n");
     }
     aConnection.mInTransaction = true;
@@ -136,16 +169,23 @@
   }
   if (verb == "ROLLBACK" || verb == "DISCARD") {
     aConnection.mInTransaction = false;
+    aConnection.mFailed = false;
     aConnection.mWrites.clear();
+    if (verb == "DISCARD") {
+      aConnection.mValues.clear();
+    }
     return "COMPLETE -\r\n";
   }
   if (verb == "READ") {
-    return ExecuteRead(aServer, aConnection, words[1]);
+    return ExecuteRead(aServer, aConnection, aWords[1]);
   }
   if (verb == "WRITE" || verb == "COMMIT") {
-    return ExecuteWrite(aServer, aConnection, words);
+    return ExecuteWrite(aServer, aConnection, aWords);
+  }
+  if (verb == "SET") {
+    aConnection.mValues[aWords[1]] = aWords[2];
   }
-  // SET, PARSE and CLOSE.
+  // PARSE and CLOSE have no effect.
   return "COMPLETE -\r\n";
 }
 
@@ -175,11 +215,14 @@
                                const connection& aConnection,
                                const std::string& aItem) const
 {
-  const auto own = aConnection.mWrites.find(aItem);
+  absl::string_view name = aItem;
+  const bool session = absl::ConsumePrefix(&name, kSessionValuePrefix);
+  const item_map& first = session ? aConnection.mValues : aConnection.mWrites;
+  const auto own = first.find(std::string(name));
   const auto held = aServer.mItems.find(aItem);
-  const std::string value = own != aConnection.mWrites.end() ? own->second
-                            : held != aServer.mItems.end()   ? held->second
-                                                             : "none";
+  const std::string value = own != first.end()             ? own->second
+                            : held != aServer.mItems.end() ? held->second
+                                                           : "none";
   return absl::StrCat("DATAROW ", value, "\r\n", Signature(aServer));
 }
 
--- a/tests/standins/line_server_group.cpp
+++ b/tests/standins/line_server_group.cpp
@@ -278,6 +278,12 @@
   At(aId).mLostAnswers = aPercent;
 }
 
+void
+line_server_group::SetFailedRequests(const std::string& aId, int aPercent)
+{
+  At(aId).mFailedRequests = aPercent;
+}
+
 bool
 line_server_group::Promote(const std::string& aId)
 {
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -1,6 +1,7 @@
 // Backend servers of one service that speak the platform's line protocol, on
 // one event loop. Replicas receive a commit at once and apply it after their
-// lag.
+// lag. A read of the item "session.NAME" returns the session value NAME of the
+// connection that it runs on, so that callers see whose values are in force.
 #ifndef SNIPEWALK_STANDINS_LINE_SERVER_GROUP_H_
 #define SNIPEWALK_STANDINS_LINE_SERVER_GROUP_H_
 
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -57,6 +59,9 @@
   // Of the requests that a server ran, how many percent lose their answer with
   // their connection.
   void SetLostAnswers(const std::string& aId, int aPercent);
+  // Of the statements sent to a server, including the setup of a connection,
+  // how many percent fail without an effect. Control commands never fail.
+  void SetFailedRequests(const std::string& aId, int aPercent);
   // The server leads the next term with what it received. False when it does
   // not run.
   bool Promote(const std::string& aId);
@@ -87,7 +92,11 @@
     std::unique_ptr<stream_connection> mStream;
     bool mOpen = false;
     bool mInTransaction = false;
+    // A statement of the transaction failed; only its end is accepted.
+    bool mFailed = false;
     item_map mWrites;
+    // Session values by name.
+    item_map mValues;
   };
 
   struct server
@@ -104,6 +113,7 @@
     std::uint64_t mHeld = 0;
     milliseconds mLag{ 0 };
     int mLostAnswers = 0;
+    int mFailedRequests = 0;
     log mLog;
     // Entries of mLog that mItems holds.
     std::size_t mApplied = 0;
@@ -124,6 +134,11 @@
                       const std::string& aText);
   std::string ExecuteCommand(server& aServer,
                              const std::vector<std::string>& aWords);
+  std::string ExecuteStatement(server& aServer,
+                               connection& aConnection,
+                               const std::vector<std::string>& aWords);
+  // Whether the next request to the server fails.
+  bool DrawsFailure(const server& aServer);
   std::string ExecuteRead(const server& aServer,
                           const connection& aConnection,
                           const std::string& aItem) const;
@@ -152,6 +167,7 @@
   int mStarted = 0;
   int mPromotions = 0;
   std::uint64_t mRequests = 0;
+  std::minstd_rand mRandom;
 };
 
 } // namespace snipewalk::standins
