Send a statement only after the setup of its connection has succeeded

Cause: an instance sent the commands that set a shared connection up for a session (DISCARD, SET, PARSE) together with the statement, or with the BEGIN of a transaction, and noted the values as set when it sent them. A server executes the commands of a connection one after the other also if one fails. The reply of a failed command only marked the connection for the time after the statement.

Why this works: the statement leaves when the last setup command has been answered and none has failed. A begin still goes out with the setup, since it depends on no value; nothing follows it if the setup failed. After a failure the connection is closed, as its values are unknown, and the statement, which was not sent, is placed again or refused as not run. The same holds for values set inside a transaction, for its commit, and for executions of a statement that could not be prepared. As time passes until the setup is confirmed, whether the server may still execute the statement and which log position it needs is decided again then. A write whose connection is lost during the setup is no longer reported as in doubt.

--- a/include/snipewalk/session/failure_answer.h
+++ b/include/snipewalk/session/failure_answer.h
@@ -44,8 +44,12 @@
 enum class statement_failure
 {
   // No attempt of the statement is outstanding at a server: it still waits for
-  // a connection, or for its repetition after the server refused it as busy.
+  // a connection or for the setup of its connection, or for its repetition
+  // after the server refused it as busy.
   NotSent,
+  // The statement was not sent because the server refused a command that sets
+  // up its connection.
+  SetupRefused,
   // The connection was lost, or no reply arrived in time, after the statement
   // was sent.
   NoAnswer,
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -220,6 +220,7 @@
   if (waits) {
     Enqueue(aSession, aNow);
   } else {
+    ++aSession.mPending->mAttempts;
     SendInTransaction(aSession, aNow);
   }
 }
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -241,7 +241,7 @@
   facts.mSilence = SilenceDuration(primary->second, aNow);
   for (const auto id : mActiveSessions) {
     const pending_statement& pending = *mSessions.at(id).mPending;
-    if (IsUnansweredWrite(pending) &&
+    if (IsPlacedWrite(pending) &&
         pending.mRoute.mService == primary->second.mEntry.mService) {
       ++facts.mInFlight;
       facts.mOldestSent =
@@ -329,6 +329,19 @@
   mLinks.SendCommands(aConnection.mId, aCommands);
 }
 
+void
+session_engine::state::SetMinPosition(
+  pending_statement& aPending,
+  const server_connection& aConnection,
+  const read_requirement& aRequirement) const
+{
+  const auto& primary = mServices.at(aConnection.mService).mPrimary.mServer;
+  aPending.mMinPosition.reset();
+  if (aConnection.mServer != primary) {
+    aPending.mMinPosition = aRequirement.mPosition;
+  }
+}
+
 void
 session_engine::state::SendPlacedStatement(caller_session& aSession,
                                            server_connection& aConnection,
@@ -336,12 +349,7 @@
                                            time_point aNow)
 {
   pending_statement& pending = *aSession.mPending;
-  const auto& primary = mServices[aConnection.mService].mPrimary.mServer;
-  const bool atReplica = aConnection.mServer != primary;
-  pending.mMinPosition.reset();
-  if (atReplica) {
-    pending.mMinPosition = aRequirement.mPosition;
-  }
+  SetMinPosition(pending, aConnection, aRequirement);
   std::vector<server_command> commands;
   PlanSetup(aSession.mContext,
             pending.mStatement,
@@ -349,14 +357,16 @@
             aConnection.mContext,
             commands);
   aConnection.mSession = aSession.mId;
-  pending.mConnection = aConnection.mId;
-  pending.mStage = statement_stage::Sent;
-  pending.mSentAt = aNow;
   ++pending.mAttempts;
   pending.mGroup = { RankOf(pending, aNow).mLate, pending.mRoute.mPriority };
   if (aSession.mTransaction) {
     // The statement is sent only after the server has confirmed the begin: if
     // the begin is refused, the statement must not run outside a transaction.
+    // The begin itself depends on no session value, so the setup need not be
+    // confirmed before it.
+    pending.mConnection = aConnection.mId;
+    pending.mStage = statement_stage::Sent;
+    pending.mSentAt = aNow;
     aConnection.mInTransaction = true;
     commands.emplace_back(
       statement_command{ "",
@@ -365,11 +375,11 @@
     SendCommands(aConnection, commands, expected_reply_kind::Begin, aNow);
     return;
   }
-  commands.emplace_back(statement_command{
-    pending.mRequestId,
-    pending.mMinPosition,
-    *TranslateStatement(aSession.mContext, pending.mStatement) });
-  SendCommands(aConnection, commands, expected_reply_kind::Statement, aNow);
+  if (commands.empty()) {
+    SendStatement(aSession, aConnection, aNow);
+  } else {
+    StartSetup(aSession, aConnection, commands, aNow);
+  }
 }
 
 void
@@ -382,18 +392,35 @@
   std::vector<server_command> commands;
   PlanSetup(
     aSession.mContext, pending.mStatement, true, connection.mContext, commands);
-  commands.emplace_back(statement_command{
-    pending.mRequestId,
-    {},
-    *TranslateStatement(aSession.mContext, pending.mStatement) });
-  if (IsWrite(aSession.mContext, pending.mStatement)) {
-    aSession.mTransaction->mWrote = true;
+  if (commands.empty()) {
+    SendStatement(aSession, connection, aNow);
+  } else {
+    StartSetup(aSession, connection, commands, aNow);
   }
-  pending.mConnection = connection.mId;
+}
+
+void
+session_engine::state::SendStatement(caller_session& aSession,
+                                     server_connection& aConnection,
+                                     time_point aNow)
+{
+  pending_statement& pending = *aSession.mPending;
+  std::optional<log_position> minPosition = pending.mMinPosition;
+  if (aSession.mTransaction) {
+    // The position was required of the server at the begin.
+    minPosition.reset();
+    aSession.mTransaction->mWrote =
+      aSession.mTransaction->mWrote ||
+      IsWrite(aSession.mContext, pending.mStatement);
+  }
+  pending.mConnection = aConnection.mId;
   pending.mStage = statement_stage::Sent;
   pending.mSentAt = aNow;
-  ++pending.mAttempts;
-  SendCommands(connection, commands, expected_reply_kind::Statement, aNow);
+  const statement_command command{ pending.mRequestId,
+                                   minPosition,
+                                   *TranslateStatement(aSession.mContext,
+                                                       pending.mStatement) };
+  SendCommands(aConnection, { command }, expected_reply_kind::Statement, aNow);
 }
 
 } // namespace snipewalk
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -100,14 +100,7 @@
       OnConnectionOpened(*connection, aReply, aNow);
       return;
     case expected_reply_kind::Setup:
-      if (aReply.mError) {
-        connection->mContextUnknown = true;
-        Log(
-          log_level::Warning,
-          "session",
-          "setup command on a server connection failed",
-          { { "server", connection->mServer }, { "code", aReply.mErrorCode } });
-      }
+      OnSetupReply(*connection, aReply, aNow);
       return;
     case expected_reply_kind::Begin:
       OnTransactionBegun(*connection, aReply, aNow);
@@ -166,8 +159,11 @@
     OnStatementReply(aConnection, aReply, session->mPending->mSentAt, aNow);
     return;
   }
+  if (aConnection.mContextUnknown) {
+    OnSetupFailed(*session, aConnection, aNow);
+    return;
+  }
   session->mTransaction->mConnection = aConnection.mId;
-  --session->mPending->mAttempts;
   SendInTransaction(*session, aNow);
 }
 
@@ -318,8 +314,9 @@
     pending.mConnection = 0;
     // After a Behind refusal or a lost connection another server can be tried
     // immediately.
-    const bool pause = aFacts.mFailure == statement_failure::Refused &&
-                       aFacts.mCode != result_code::Behind;
+    const bool pause = aFacts.mFailure == statement_failure::SetupRefused ||
+                       (aFacts.mFailure == statement_failure::Refused &&
+                        aFacts.mCode != result_code::Behind);
     pending.mRetryAt = pause ? aNow + kRepeatDelay : aNow;
     Enqueue(aSession, aNow);
     return;
@@ -414,7 +411,7 @@
   if (session != nullptr && session->mPending &&
       session->mPending->mConnection == aConnection) {
     failure_facts facts = MakeFailureFacts(*session, aNow);
-    facts.mFailure = statement_failure::NoAnswer;
+    facts.mFailure = FailureWithoutReply(*session->mPending);
     OnStatementFailed(
       *session, facts, connection.mServer, "connection lost", aNow);
   } else if (session != nullptr && session->mTransaction &&
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -27,6 +27,8 @@
 {
   // In the service's queue.
   Waiting,
+  // Not sent yet: the setup commands sent on mConnection must succeed first.
+  SettingUp,
   // Sent on mConnection; a reply is expected.
   Sent,
   // Refused as busy inside a transaction; sent again at mRetryAt.
@@ -60,14 +62,44 @@
   std::optional<log_position> mMinPosition;
 };
 
+// Returns whether a server has not answered commands sent for the statement.
+inline bool
+AwaitsServer(const pending_statement& aPending)
+{
+  return aPending.mStage == statement_stage::SettingUp ||
+         aPending.mStage == statement_stage::Sent;
+}
+
+// Returns how the statement failed if its connection is lost or its time is
+// over.
+inline statement_failure
+FailureWithoutReply(const pending_statement& aPending)
+{
+  return aPending.mStage == statement_stage::Sent ? statement_failure::NoAnswer
+                                                  : statement_failure::NotSent;
+}
+
+inline bool
+IsWriteOrCommit(const pending_statement& aPending)
+{
+  return aPending.mPurpose == statement_purpose::SingleWrite ||
+         aPending.mPurpose == statement_purpose::Commit;
+}
+
 // Returns whether the statement is a write or commit that was sent and has no
 // reply yet.
 inline bool
 IsUnansweredWrite(const pending_statement& aPending)
 {
-  return aPending.mStage == statement_stage::Sent &&
-         (aPending.mPurpose == statement_purpose::SingleWrite ||
-          aPending.mPurpose == statement_purpose::Commit);
+  return aPending.mStage == statement_stage::Sent && IsWriteOrCommit(aPending);
+}
+
+// Returns whether the statement is a write or commit that was sent, or will be
+// once its connection is set up, and has no reply yet.
+inline bool
+IsPlacedWrite(const pending_statement& aPending)
+{
+  return AwaitsServer(aPending) && IsWriteOrCommit(aPending);
 }
 
 struct open_transaction
@@ -103,6 +135,8 @@
 enum class expected_reply_kind
 {
   Opening,
+  // Session value, prepared statement or reset; no statement of the session is
+  // sent before the last of them was answered.
   Setup,
   Begin,
   Statement,
@@ -321,12 +355,43 @@
                            server_connection& aConnection,
                            const read_requirement& aRequirement,
                            time_point aNow);
+  // Sends the pending statement on the connection of its transaction, after the
+  // setup that it needs there.
   void SendInTransaction(caller_session& aSession, time_point aNow);
+  // Sends the pending statement on a connection that is set up for it.
+  void SendStatement(caller_session& aSession,
+                     server_connection& aConnection,
+                     time_point aNow);
+  // Sets the position that a replica must have applied to execute the pending
+  // statement.
+  void SetMinPosition(pending_statement& aPending,
+                      const server_connection& aConnection,
+                      const read_requirement& aRequirement) const;
   void SendCommands(server_connection& aConnection,
                     const std::vector<server_command>& aCommands,
                     expected_reply_kind aLast,
                     time_point aNow);
 
+  // engine_setup.cpp
+  // Sends the setup commands on the connection chosen for the pending
+  // statement, which follows once they have succeeded.
+  void StartSetup(caller_session& aSession,
+                  server_connection& aConnection,
+                  const std::vector<server_command>& aCommands,
+                  time_point aNow);
+  void OnSetupReply(server_connection& aConnection,
+                    const statement_reply& aReply,
+                    time_point aNow);
+  void OnSetupFinished(server_connection& aConnection, time_point aNow);
+  // Handles a pending statement that was not sent because its setup failed, and
+  // closes the connection.
+  void OnSetupFailed(caller_session& aSession,
+                     server_connection& aConnection,
+                     time_point aNow);
+  // Whether the server of the connection satisfies the requirement.
+  bool IsAllowed(const server_connection& aConnection,
+                 const read_requirement& aRequirement) const;
+
   // engine_admission.cpp
   wait_forecast& ForecastOf(const caller_session& aSession);
   // Updates the wait forecasts of a service with the number of waiting
--- a/src/session/engine_timeouts.cpp
+++ b/src/session/engine_timeouts.cpp
@@ -45,20 +45,17 @@
   const server_connection_id id = pending.mConnection;
   const server_connection* connection = FindConnection(id);
   const std::string server = connection ? connection->mServer : std::string();
+  const bool awaitsServer = AwaitsServer(pending);
   failure_facts facts = MakeFailureFacts(aSession, aNow);
-  facts.mFailure = pending.mStage == statement_stage::Sent
-                     ? statement_failure::NoAnswer
-                     : statement_failure::NotSent;
-  facts.mMayRepeat =
-    facts.mMayRepeat && pending.mStage == statement_stage::Sent;
+  facts.mFailure = FailureWithoutReply(pending);
+  facts.mMayRepeat = facts.mMayRepeat && awaitsServer;
   if (pending.mStage == statement_stage::Waiting) {
     std::erase(mServices[pending.mRoute.mService].mWaiting, aSession.mId);
   }
   if (IsUnansweredWrite(pending)) {
     mServices[pending.mRoute.mService].mWriteGate.OnUnanswered(pending.mSentAt);
   }
-  const std::string text =
-    pending.mStage == statement_stage::Sent ? "no answer" : "no capacity";
+  const std::string text = awaitsServer ? "no answer" : "no capacity";
   DiscardConnection(id);
   OnStatementFailed(aSession, facts, server, text, aNow);
 }
@@ -88,19 +85,20 @@
     }
     const pending_statement& pending = *session->mPending;
     const bool outcomeUnknown =
-      pending.mPurpose == statement_purpose::SingleWrite ||
-      (pending.mPurpose == statement_purpose::Commit &&
-       session->mTransaction->mWrote);
+      pending.mStage == statement_stage::Sent &&
+      (pending.mPurpose == statement_purpose::SingleWrite ||
+       (pending.mPurpose == statement_purpose::Commit &&
+        session->mTransaction->mWrote));
     const auto silence = std::chrono::duration_cast<duration>(
       pending.mRoute.mStatementTimeout * kSilenceTimeoutFraction);
-    const bool silent = pending.mStage == statement_stage::Sent &&
-                        !outcomeUnknown &&
+    const bool silent = AwaitsServer(pending) && !outcomeUnknown &&
                         (aNow >= pending.mSentAt + silence ||
                          IsServerUnresponsive(pending, aNow));
     if (aNow >= pending.mDeadline || silent) {
       OnStatementTimeout(*session, aNow);
     } else if (pending.mStage == statement_stage::Pausing &&
                aNow >= pending.mRetryAt) {
+      ++session->mPending->mAttempts;
       SendInTransaction(*session, aNow);
     }
   }
--- a/src/session/failure_answer.cpp
+++ b/src/session/failure_answer.cpp
@@ -75,7 +75,8 @@
 DecideFailureAnswer(const failure_facts& aFacts)
 {
   switch (aFacts.mFailure) {
-    case statement_failure::NotSent: {
+    case statement_failure::NotSent:
+    case statement_failure::SetupRefused: {
       if (!WaitsForPlacement(aFacts.mPurpose)) {
         return Answer(result_code::Aborted);
       }
--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -201,6 +201,37 @@
   EXPECT_EQ(served, asked);
 }
 
+// Guards against statements that run with the session values of another client
+// because a server failed the command that sets them.
+TEST_F(SessionFrontTest, RunsNoStatementWithTheValuesOfAnotherSession)
+{
+  constexpr int kFailedPercent = 40;
+  constexpr int kRounds = 60;
+  const auto one = Start("i1");
+  std::vector<caller> sessions;
+  for (const std::string tenant : { "t0", "t1", "t2" }) {
+    sessions.emplace_back(one.mCallers);
+    sessions.back().Start("main");
+    EXPECT_TRUE(sessions.back().Query("SET tenant " + tenant).mCompleted);
+  }
+  mPlatform.Change([](line_server_group& aServers, platform_store&) {
+    for (const auto& id : aServers.Running()) {
+      aServers.SetFailedRequests(id, kFailedPercent);
+    }
+  });
+  int completed = 0;
+  for (int round = 0; round < kRounds; ++round) {
+    for (std::size_t i = 0; i < sessions.size(); ++i) {
+      const auto answer = sessions[i].Query("READ session.tenant");
+      completed += answer.mCompleted ? 1 : 0;
+      if (answer.mCompleted) {
+        EXPECT_EQ(answer.mRow, absl::StrCat("t", i));
+      }
+    }
+  }
+  EXPECT_GE(completed, kRounds);
+}
+
 // Open transactions get half of the grace; the process ends within all of it.
 TEST_F(SessionFrontTest, EndsWithinItsGrace)
 {
--- a/tests/session/failure_answer_test.cpp
+++ b/tests/session/failure_answer_test.cpp
@@ -19,6 +19,7 @@
 {
   for (const auto& purpose : kStatementPurposeNames) {
     for (const auto failure : { statement_failure::NotSent,
+                                statement_failure::SetupRefused,
                                 statement_failure::NoAnswer,
                                 statement_failure::Refused }) {
       for (const auto& code : kResultCodeNames) {
