Soak: servers fail requests, callers check their session values

Half of the sessions set a value; callers read the value that a statement sees, also inside transactions.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -19,6 +19,11 @@
 constexpr int kMinDurationMs = 100;
 constexpr int kMaxDurationMs = 4'000;
 constexpr std::size_t kTargetIndexRange = 1'000;
+// Kinds that DrawStep() chooses from: the first ones of the table.
+constexpr int kDrawnKinds = 16;
+static_assert(kFaultKindNames[kDrawnKinds].mValue == fault_kind::FailRequests);
+// Interval between the starts of two faults of kind FailRequests.
+constexpr int kFailRequestsIntervalMs = 2'500;
 
 int
 DrawBetween(std::mt19937_64& aRandom, int aLow, int aHigh)
@@ -31,8 +36,8 @@
 {
   fault_step step;
   step.mStartOffset = milliseconds(aAtMs);
-  const auto kind = static_cast<std::size_t>(
-    DrawBetween(aRandom, 0, static_cast<int>(kFaultKindNames.size()) - 1));
+  const auto kind =
+    static_cast<std::size_t>(DrawBetween(aRandom, 0, kDrawnKinds - 1));
   step.mKind = kFaultKindNames[kind].mValue;
   step.mTarget = static_cast<std::size_t>(aRandom() % kTargetIndexRange);
   step.mDuration =
@@ -43,6 +48,21 @@
   return step;
 }
 
+// Uses a generator of its own, so that a seed's other faults do not depend on
+// whether requests fail.
+std::vector<fault_step>
+DrawFailedRequests(std::uint64_t aSeed, int aLengthMs)
+{
+  std::mt19937_64 random(aSeed);
+  std::vector<fault_step> steps;
+  for (int at = kBurstWindowMs; at < aLengthMs; at += kFailRequestsIntervalMs) {
+    fault_step step = DrawStep(random, at);
+    step.mKind = fault_kind::FailRequests;
+    steps.push_back(step);
+  }
+  return steps;
+}
+
 std::vector<fault_step>
 DrawPlannedWork(std::mt19937_64& aRandom, int aLengthMs)
 {
@@ -83,6 +103,10 @@
     at += DrawBetween(
       random, kMeanBurstIntervalMs / 2, kMeanBurstIntervalMs * 3 / 2);
   }
+  if (aOptions.mFailRequests) {
+    const auto failing = DrawFailedRequests(aOptions.mSeed, length);
+    steps.insert(steps.end(), failing.begin(), failing.end());
+  }
   std::stable_sort(
     steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mStartOffset < aRight.mStartOffset;
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -34,10 +34,12 @@
   // Faults of the store.
   StoreDown,
   StoreLosesAnswers,
-  StoreCompacts
+  StoreCompacts,
+  // A server fails a part of its requests. Only in plans with mFailRequests.
+  FailRequests
 };
 
-inline constexpr name_table<fault_kind, 16> kFaultKindNames{ {
+inline constexpr name_table<fault_kind, 17> kFaultKindNames{ {
   { fault_kind::Kill, "kill" },
   { fault_kind::Pause, "pause" },
   { fault_kind::Terminate, "terminate" },
@@ -54,6 +56,7 @@
   { fault_kind::StoreDown, "store_down" },
   { fault_kind::StoreLosesAnswers, "store_loses_answers" },
   { fault_kind::StoreCompacts, "store_compacts" },
+  { fault_kind::FailRequests, "fail_requests" },
 } };
 
 // Faults that represent planned work, which must not interrupt any reply.
@@ -80,6 +83,8 @@
   // Time from the start of the run during which faults begin.
   milliseconds mFaultPeriod{ 12'000 };
   bool mPlannedWorkOnly = false;
+  // Adds servers that fail requests; the other faults of a seed do not change.
+  bool mFailRequests = false;
 };
 
 // Returns the faults in the order of their start times.
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -48,6 +48,7 @@
 constexpr milliseconds kMaxLinkDelay{ 300 };
 constexpr milliseconds kMaxReplicaLag{ 1'500 };
 constexpr int kLostAnswerPercent = 5;
+constexpr int kFailedRequestPercent = 40;
 constexpr int kLostWritePercent = 30;
 constexpr int kFinalWrites = 20;
 constexpr seconds kReadyTimeout{ 10 };
@@ -259,6 +260,7 @@
       case fault_kind::Replace:
       case fault_kind::Lag:
       case fault_kind::LoseAnswers:
+      case fault_kind::FailRequests:
         InjectServerFault(aStep);
         return;
       case fault_kind::StoreDown:
@@ -363,10 +365,10 @@
       }
     } else {
       LogFault(aStep, id);
-      const bool lag = aStep.mKind == fault_kind::Lag;
-      SetServerFault(id, lag, true, aStep.mDuration);
-      ScheduleAfter(aStep.mDuration, [this, id, lag] {
-        SetServerFault(id, lag, false, milliseconds(0));
+      const fault_kind kind = aStep.mKind;
+      SetServerFault(id, kind, true, aStep.mDuration);
+      ScheduleAfter(aStep.mDuration, [this, id, kind] {
+        SetServerFault(id, kind, false, milliseconds(0));
       });
     }
   }
@@ -398,13 +400,15 @@
   }
 
   void SetServerFault(const std::string& aId,
-                      bool aLag,
+                      fault_kind aKind,
                       bool aFaulty,
                       milliseconds aDuration)
   {
     mPlatform.Change([&](line_server_group& aServers, platform_store&) {
-      if (aLag) {
+      if (aKind == fault_kind::Lag) {
         aServers.SetLag(aId, std::min(aDuration, kMaxReplicaLag));
+      } else if (aKind == fault_kind::FailRequests) {
+        aServers.SetFailedRequests(aId, aFaulty ? kFailedRequestPercent : 0);
       } else {
         aServers.SetLostAnswers(aId, aFaulty ? kLostAnswerPercent : 0);
       }
--- a/tests/soak/session_soak_test.cpp
+++ b/tests/soak/session_soak_test.cpp
@@ -14,11 +14,13 @@
 std::string
 Violations(std::uint64_t aSeed,
            bool aPlannedWorkOnly,
-           int aConnections = standins::platform_standin::kMaxConnections)
+           int aConnections = standins::platform_standin::kMaxConnections,
+           bool aFailRequests = false)
 {
   soak_options options;
   options.mPlan.mSeed = aSeed;
   options.mPlan.mPlannedWorkOnly = aPlannedWorkOnly;
+  options.mPlan.mFailRequests = aFailRequests;
   options.mMaxConnections = aConnections;
   options.mBinaryDir = SNIPEWALK_BINARY_DIR;
   options.mFolder =
@@ -46,6 +48,15 @@
   EXPECT_EQ(Violations(3, false, kThreeStatementConnections), "");
 }
 
+// Guards against statements that run with the session values of another client
+// because a server failed the command that sets them.
+TEST(SessionSoakTest, KeepsSessionValuesApartWhileServersFailRequests)
+{
+  EXPECT_EQ(
+    Violations(5, false, standins::platform_standin::kMaxConnections, true),
+    "");
+}
+
 // Guards against a service that stays without a primary. The initial primary
 // left while no instance held the duty and before a change of primary had been
 // recorded, so no instance started a change afterwards.
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds kOperationPause{ 4 };
 constexpr milliseconds kReconnectPause{ 50 };
 constexpr int kMaxSessionOperations = 60;
+// Session value that a server returns where none was set.
+constexpr const char* kNoTenant = "none";
 // An instance may close an idle session while a request is being sent. The
 // caller sees this within this time; such a request counts as never read, not
 // as a reply that was cut off.
@@ -75,7 +77,7 @@
       }
       mOwnAcknowledged = 0;
       mOwnKey.clear();
-      bool open = true;
+      bool open = SetTenant(session);
       for (int i = 0; open && i < kMaxSessionOperations && !aStopped; ++i) {
         open = RunOperation(session, primary);
         std::this_thread::sleep_for(kOperationPause);
@@ -118,6 +120,8 @@
         return Write(aSession);
       case 2:
         return Transaction(aSession);
+      case 3:
+        return CheckTenant(aSession);
       default:
         return Read(aSession, aPrimary);
     }
@@ -160,8 +164,10 @@
     mChecks.BeginWrite(mKey, number);
     const auto written = SendRequest(
       aSession, absl::StrCat("WRITE ", mKey, " ", ValueOf(mKey, number)));
+    const bool sound =
+      written.mWhole && written.mCompleted && CheckTenant(aSession);
     const bool rollBack = Draw(4) == 0;
-    if (written.mWhole && written.mCompleted && !rollBack) {
+    if (sound && !rollBack) {
       return RecordOutcome(SendRequest(aSession, "COMMIT"), number);
     }
     // No commit was requested, so the write must not be kept.
@@ -169,6 +175,27 @@
     return written.mWhole && SendRequest(aSession, "ROLLBACK").mWhole;
   }
 
+  // Sets a session value in half of the sessions. Returns false if the session
+  // was lost.
+  bool SetTenant(standins::session_caller& aSession)
+  {
+    mTenant = Draw(2) == 0 ? absl::StrCat("c", mNumber) : kNoTenant;
+    return mTenant == kNoTenant ||
+           SendRequest(aSession, "SET tenant " + mTenant).mCompleted;
+  }
+
+  // Checks the session value that a statement sees. Returns false if the
+  // session was lost.
+  bool CheckTenant(standins::session_caller& aSession)
+  {
+    const auto answer = SendRequest(aSession, "READ session.tenant");
+    if (answer.mWhole && answer.mCompleted && answer.mRow != mTenant) {
+      mChecks.AddViolation(
+        absl::StrCat("session value of ", mTenant, " seen as ", answer.mRow));
+    }
+    return answer.mWhole;
+  }
+
   bool Read(standins::session_caller& aSession, bool aPrimary)
   {
     const bool own = Draw(2) == 0 && !mOwnKey.empty();
@@ -197,6 +224,8 @@
   // Key of the newest acknowledged write of the current session; empty if there
   // is none.
   std::string mOwnKey;
+  // Session value of the current session, or kNoTenant.
+  std::string mTenant;
   // Number of the newest acknowledged write of the current session.
   std::uint64_t mOwnAcknowledged = 0;
 };
