Close a connection whose rollback failed

What callers saw: nothing that was reported. On a server that fails each ROLLBACK and keeps the transaction open, the instance repeated the ROLLBACK without a pause, and the connection was lost to all sessions.

Cause: the reply was read for its transaction state only.

Evidence: SessionSetupTest.ClosesAConnectionWhoseRollbackFailed failed before (a fourth command was sent and the connection stayed open).

Why this works: a server rolls back the transaction of a connection that is closed, so no further command is needed.

Measured: the test passes; 202 of 202 session tests pass.

--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -114,6 +114,8 @@
       return;
     case expected_reply_kind::Rollback:
       connection->mInTransaction = aReply.mState != session_state::Idle;
+      // Closing the connection rolls the transaction back as well.
+      connection->mContextUnknown = aReply.mError.has_value();
       ReleaseConnection(*connection, aNow);
       return;
   }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -164,8 +164,9 @@
   std::deque<expected_reply> mExpectedReplies;
   // Whether a transaction is open on the connection.
   bool mInTransaction = false;
-  // Set after a setup command failed: the session values and prepared
-  // statements on the connection are no longer known.
+  // Set after a setup command or a rollback failed: the session values, the
+  // prepared statements or the transaction on the connection are no longer
+  // known. The connection is closed instead of being used again.
   bool mContextUnknown = false;
   time_point mIdleSince;
 
--- a/tests/session/engine_setup_test.cpp
+++ b/tests/session/engine_setup_test.cpp
@@ -1,6 +1,6 @@
 // Tests of the setup of shared connections: session values and prepared
 // statements are in force on a connection before a statement of the session is
-// sent there.
+// sent there, and no transaction of the last user is open.
 #include "session/engine_fixture.h"
 
 namespace snipewalk {
@@ -302,5 +302,26 @@
   EXPECT_EQ(LastRequestConnection(), connection);
 }
 
+// Closing a connection rolls its transaction back. Guards against sending
+// rollbacks without end to a server that fails them, while the connection is
+// lost to other sessions.
+TEST_F(SessionSetupTest, ClosesAConnectionWhoseRollbackFailed)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, begin_statement{});
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  const auto connection = Connections("p").at(0);
+  Answer(connection, Done(5, session_state::InTransaction));
+  Answer(connection, Done(5, session_state::InTransaction));
+  SendStatement(session, rollback_statement{});
+  ASSERT_TRUE(LastStatement(connection));
+  const std::size_t sent = mLinks.mServers.at(connection).mCommands.size();
+  Answer(connection, Error(result_code::Failed, session_state::InTransaction));
+  EXPECT_EQ(mLinks.mServers.at(connection).mCommands.size(), sent);
+  EXPECT_TRUE(mLinks.mServers.at(connection).mClosed);
+}
+
 } // namespace
 } // namespace snipewalk
