--- a/include/snipewalk/session/connection_context.h
+++ b/include/snipewalk/session/connection_context.h
@@ -23,7 +23,7 @@
 };
 
 // Session values and prepared statements present on a connection once all
-// commands sent on it have been executed.
+// commands sent on it have succeeded.
 struct connection_context
 {
   std::map<std::string, std::string> mValues;
--- a/tests/session/failure_answer_test.cpp
+++ b/tests/session/failure_answer_test.cpp
@@ -55,6 +55,20 @@
   });
 }
 
+// A statement that was not sent cannot have run. Guards against callers that
+// are left in doubt and do not repeat it.
+TEST(FailureAnswerTest, ReportsNoEffectForAStatementThatWasNotSent)
+{
+  ForEachCase([](const failure_facts& aFacts) {
+    const bool sent = aFacts.mFailure != statement_failure::NotSent &&
+                      aFacts.mFailure != statement_failure::SetupRefused;
+    const failure_answer answer = DecideFailureAnswer(aFacts);
+    if (!sent && answer.mAction == failure_action::Answer) {
+      EXPECT_TRUE(StatesNoEffect(answer.mCode));
+    }
+  });
+}
+
 // An error of a statement that was executed must not be reported as not
 // executed, and the statement must not be repeated, since it may have written.
 TEST(FailureAnswerTest, PassesOnExecutedFailures)
