Let stand-ins show late promotion orders, deaf replicas and lost commits

The stand-in of the platform promoted whatever it was told and looked at no fence; its replicas received every commit at once; and the soak only looked at the last value of each key. So neither could break ONE, and hardly LOST.

The promotion call is a stand-in of its own now: it notes each order whose fence is lower than one before it, or is another holder's, and can be late. Replicas can receive nothing for a while, and a commit is answered once one has it. The soak has a plan of hand-overs (--handovers): a primary leaves or crashes while the holder of the duty is killed, stopped, ended or cut off, at once or as its order arrives; and it checks that the log of the last primary has every acknowledged value. A link drops what it holds back when the sender resets the connection, as TCP does, which streams therefore tell from an orderly end.

Plans of the earlier kinds of soak draw the same faults.

--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -19,8 +19,11 @@
 
 enum class close_cause
 {
-  // The other end closed or reset an established connection.
+  // The other end closed an established connection.
   ClosedByPeer,
+  // The other end reset an established connection, which takes back what it had
+  // sent and what was not delivered yet.
+  ResetByPeer,
   // The connection could not be established.
   Refused,
   // The TLS handshake failed, or a record was not valid.
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -220,16 +220,15 @@
   // One buffer a thread: idle connections keep none of their own.
   thread_local std::array<char, kReadChunkBytes> chunk;
   int received = 0;
+  close_cause cause = close_cause::ClosedByPeer;
   try {
     received =
       mSocket.receiveBytes(chunk.data(), static_cast<int>(chunk.size()));
   } catch (const Poco::Exception&) {
-    received = 0;
+    cause = close_cause::ResetByPeer;
   }
   if (received == 0) {
-    Fail(mState == state::Alerted ? close_cause::TlsFailure
-                                  : close_cause::ClosedByPeer,
-         aNow);
+    Fail(mState == state::Alerted ? close_cause::TlsFailure : cause, aNow);
     return;
   }
   if (received < 0 || mOnEnd) {
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -80,6 +80,9 @@
 std::vector<fault_step>
 DrawFaults(const fault_plan_options& aOptions)
 {
+  if (aOptions.mHandovers) {
+    return DrawHandoverFaults(aOptions);
+  }
   std::mt19937_64 random(aOptions.mSeed);
   const auto length = static_cast<int>(aOptions.mFaultPeriod.count());
   if (aOptions.mPlannedWorkOnly) {
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -36,10 +36,15 @@
   StoreLosesAnswers,
   StoreCompacts,
   // A server fails a part of its requests. Only in plans with mFailRequests.
-  FailRequests
+  FailRequests,
+  // A replica receives nothing. This one and the next only in plans of
+  // hand-overs.
+  Deaf,
+  // The platform carries out promotions late.
+  DelayPromotions
 };
 
-inline constexpr name_table<fault_kind, 17> kFaultKindNames{ {
+inline constexpr name_table<fault_kind, 19> kFaultKindNames{ {
   { fault_kind::Kill, "kill" },
   { fault_kind::Pause, "pause" },
   { fault_kind::Terminate, "terminate" },
@@ -57,6 +62,8 @@
   { fault_kind::StoreLosesAnswers, "store_loses_answers" },
   { fault_kind::StoreCompacts, "store_compacts" },
   { fault_kind::FailRequests, "fail_requests" },
+  { fault_kind::Deaf, "deaf" },
+  { fault_kind::DelayPromotions, "delay_promotions" },
 } };
 
 // Faults that represent planned work, which must not interrupt any reply.
@@ -64,13 +71,30 @@
                                                fault_kind::HangUp,
                                                fault_kind::Replace };
 
+// What a fault hits.
+enum class fault_target
+{
+  // The one that mTarget selects.
+  Selected,
+  // The instance that holds the failover duty; of links, those to the store and
+  // the promotion call.
+  Holder,
+  // The link of that instance to the promotion call alone.
+  HolderPromotions,
+  // The server that leads.
+  Primary
+};
+
 struct fault_step
 {
   // Start time, relative to the start of the run.
   milliseconds mStartOffset{ 0 };
   fault_kind mKind = fault_kind::Kill;
+  fault_target mHits = fault_target::Selected;
   // Index of the instance, link or server, modulo their number.
   std::size_t mTarget = 0;
+  // Begins when the next promotion order arrives, instead of at its start time.
+  bool mAwaitsOrder = false;
   // Duration; ignored by faults that have none.
   milliseconds mDuration{ 0 };
   // Direction of the traffic that a cut blocks.
@@ -85,12 +109,19 @@
   bool mPlannedWorkOnly = false;
   // Adds servers that fail requests; the other faults of a seed do not change.
   bool mFailRequests = false;
+  // Only faults around hand-overs of the failover duty: in each burst a primary
+  // is to be replaced, and the holder of the duty fails meanwhile.
+  bool mHandovers = false;
 };
 
 // Returns the faults in the order of their start times.
 std::vector<fault_step>
 DrawFaults(const fault_plan_options& aOptions);
 
+// The plan of DrawFaults() with mHandovers.
+std::vector<fault_step>
+DrawHandoverFaults(const fault_plan_options& aOptions);
+
 } // namespace snipewalk::soak
 
 #endif // SNIPEWALK_SOAK_FAULT_PLAN_H_
--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -158,6 +158,20 @@
   }
 }
 
+void
+promise_checks::CheckLog(const std::set<std::string>& aValues)
+{
+  const std::lock_guard lock(mMutex);
+  for (const auto& [key, history] : mKeys) {
+    for (const auto& [when, number] : history.mAcknowledged) {
+      if (!aValues.contains(ValueOf(key, number))) {
+        RecordViolation(absl::StrCat(
+          "lost: ", ValueOf(key, number), " is not in the primary's log"));
+      }
+    }
+  }
+}
+
 void
 promise_checks::AddViolation(const std::string& aWhat)
 {
--- a/tests/soak/promise_checks.h
+++ b/tests/soak/promise_checks.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +54,9 @@
   // primary, and how often each value was committed.
   void CheckFinalState(const std::map<std::string, std::string>& aItems,
                        const std::map<std::string, int>& aCommits);
+  // Checks that the values in the primary's log contain every acknowledged one,
+  // also those that were overwritten since.
+  void CheckLog(const std::set<std::string>& aValues);
   void AddViolation(const std::string& aWhat);
 
   std::vector<std::string> Violations() const;
--- a/tests/soak/promise_checks_test.cpp
+++ b/tests/soak/promise_checks_test.cpp
@@ -41,6 +41,16 @@
   EXPECT_THAT(mChecks.Violations(), ElementsAre(HasSubstr("lost: k")));
 }
 
+TEST_F(PromiseChecksTest, FindsALostWriteThatWasOverwritten)
+{
+  Write(1, write_outcome::Acknowledged);
+  Write(2, write_outcome::Acknowledged);
+  mChecks.CheckLog({ "k=1", "k=2" });
+  EXPECT_THAT(mChecks.Violations(), IsEmpty());
+  mChecks.CheckLog({ "k=2" });
+  EXPECT_THAT(mChecks.Violations(), ElementsAre(HasSubstr("lost: k=1")));
+}
+
 TEST_F(PromiseChecksTest, FindsAWriteThatWasKeptThoughNotRun)
 {
   Write(1, write_outcome::NotRun);
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -1,9 +1,9 @@
 // Implementation of a soak run.
 #include "soak/session_soak.h"
 
-#include "soak/link_network.h"
 #include "soak/promise_checks.h"
 #include "soak/soak_callers.h"
+#include "standins/link_network.h"
 #include "standins/platform_standin.h"
 #include "standins/session_caller.h"
 #include "standins/session_fleet.h"
@@ -18,6 +18,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <thread>
 #include <utility>
 
@@ -47,6 +49,8 @@
 constexpr milliseconds kUnreachableDropDelay{ 3'000 };
 constexpr milliseconds kMaxLinkDelay{ 300 };
 constexpr milliseconds kMaxReplicaLag{ 1'500 };
+// How long the platform carries out promotions late.
+constexpr milliseconds kPromotionDelayTime{ 4'000 };
 constexpr int kLostAnswerPercent = 5;
 constexpr int kFailedRequestPercent = 40;
 constexpr int kLostWritePercent = 30;
@@ -82,12 +86,24 @@
   {
     const auto ports = StartInstances();
     mStart = std::chrono::steady_clock::now();
+    mPlatform.ChangePromotions([this](standins::promotion_service& aService) {
+      aService.SetOnOrder([this](const standins::promotion_order& aOrder) {
+        const std::lock_guard lock(mOrdersMutex);
+        mNewOrders.push_back(aOrder);
+      });
+    });
     {
       soak_callers callers(
         { mOptions.mPlan.mSeed, 10, ports, mOptions.mPlan.mPlannedWorkOnly },
         mChecks);
       for (const auto& step : DrawFaults(mOptions.mPlan)) {
-        ScheduleAt(step.mStartOffset, [this, step] { InjectFault(step); });
+        ScheduleAt(step.mStartOffset, [this, step] {
+          if (step.mAwaitsOrder) {
+            mAwaitingOrder.push_back(step);
+          } else {
+            InjectFault(step);
+          }
+        });
       }
       RunUntilIdle();
       CheckRecovery();
@@ -101,6 +117,9 @@
   {
     std::string mName;
     std::uint16_t mCallerPort = 0;
+    // Links to the store and, in plans of hand-overs, to the promotion call.
+    std::size_t mStoreLink = 0;
+    std::size_t mPromotionLink = 0;
     process_phase mPhase = process_phase::Running;
     milliseconds mTerminatedAt{ 0 };
     // The process was paused during its shutdown, so it need not end within the
@@ -136,9 +155,17 @@
     for (std::size_t i = 1; i <= mOptions.mInstances; ++i) {
       auto& added = mInstances.emplace_back();
       added.mName = absl::StrCat("i", i);
+      added.mStoreLink = mNetwork.Size();
       const std::string store =
         absl::StrCat("127.0.0.1:", mNetwork.Add(mPlatform.StoreAddress()));
-      const auto& ports = mFleet.Configure(added.mName, store, store);
+      std::string promotions = store;
+      added.mPromotionLink = added.mStoreLink;
+      if (mOptions.mPlan.mHandovers) {
+        added.mPromotionLink = mNetwork.Size();
+        promotions =
+          absl::StrCat("127.0.0.1:", mNetwork.Add(mPlatform.StoreAddress()));
+      }
+      const auto& ports = mFleet.Configure(added.mName, store, promotions);
       added.mCallerPort =
         mNetwork.Add(absl::StrCat("127.0.0.1:", ports.mCallers));
       added.mOutput.open(
@@ -192,12 +219,35 @@
       mTasks.erase(mTasks.begin());
       task();
     }
+    HandleOrders();
     for (auto& one : mInstances) {
       PollProcess(one);
     }
     std::this_thread::sleep_for(kPollInterval);
   }
 
+  // Logs the promotion orders that arrived, and begins the faults that waited
+  // for one.
+  void HandleOrders()
+  {
+    std::vector<standins::promotion_order> orders;
+    {
+      const std::lock_guard lock(mOrdersMutex);
+      orders.swap(mNewOrders);
+    }
+    for (const auto& order : orders) {
+      LogEvent(absl::StrCat("order of ",
+                            order.mServer,
+                            " by ",
+                            order.mHolder,
+                            " with fence ",
+                            order.mFence));
+      for (const auto& step : std::exchange(mAwaitingOrder, {})) {
+        InjectFault(step);
+      }
+    }
+  }
+
   // Copies the output of a process to its log file, checks the time limit of a
   // shutdown, and restarts a process that has ended.
   void PollProcess(instance& aInstance)
@@ -243,6 +293,9 @@
   void InjectFault(const fault_step& aStep)
   {
     switch (aStep.mKind) {
+      case fault_kind::DelayPromotions:
+        DelayPromotions(aStep);
+        return;
       case fault_kind::Kill:
       case fault_kind::Pause:
       case fault_kind::Terminate:
@@ -261,6 +314,7 @@
       case fault_kind::Lag:
       case fault_kind::LoseAnswers:
       case fault_kind::FailRequests:
+      case fault_kind::Deaf:
         InjectServerFault(aStep);
         return;
       case fault_kind::StoreDown:
@@ -281,9 +335,46 @@
                           " ms"));
   }
 
+  instance& TargetInstance(const fault_step& aStep)
+  {
+    if (aStep.mHits != fault_target::Selected) {
+      const std::string holder = mPlatform.DutyHolder();
+      for (auto& one : mInstances) {
+        if (one.mName == holder) {
+          return one;
+        }
+      }
+    }
+    return mInstances[aStep.mTarget % mInstances.size()];
+  }
+
+  std::vector<std::size_t> TargetLinks(const fault_step& aStep)
+  {
+    if (aStep.mHits == fault_target::Selected) {
+      return { aStep.mTarget % mNetwork.Size() };
+    }
+    const instance& holder = TargetInstance(aStep);
+    if (aStep.mHits == fault_target::HolderPromotions) {
+      return { holder.mPromotionLink };
+    }
+    return { holder.mStoreLink, holder.mPromotionLink };
+  }
+
+  void DelayPromotions(const fault_step& aStep)
+  {
+    LogFault(aStep, "the platform");
+    const auto set = [this](milliseconds aDelay) {
+      mPlatform.ChangePromotions([&](standins::promotion_service& aService) {
+        aService.SetDelay(aDelay);
+      });
+    };
+    set(aStep.mDuration);
+    ScheduleAfter(kPromotionDelayTime, [set] { set(milliseconds(0)); });
+  }
+
   void InjectInstanceFault(const fault_step& aStep)
   {
-    instance& target = mInstances[aStep.mTarget % mInstances.size()];
+    instance& target = TargetInstance(aStep);
     if (target.mPhase == process_phase::Down) {
       return;
     }
@@ -314,7 +405,13 @@
 
   void InjectLinkFault(const fault_step& aStep)
   {
-    const std::size_t link = aStep.mTarget % mNetwork.Size();
+    for (const std::size_t link : TargetLinks(aStep)) {
+      InjectLinkFault(aStep, link);
+    }
+  }
+
+  void InjectLinkFault(const fault_step& aStep, std::size_t link)
+  {
     LogFault(aStep, absl::StrCat("link ", link, " to ", mNetwork.Target(link)));
     standins::link_faults faults;
     switch (aStep.mKind) {
@@ -347,9 +444,13 @@
     mPlatform.Change([&](const line_server_group& aServers, platform_store&) {
       running = aServers.Running();
     });
-    const std::string id = running[aStep.mTarget % running.size()];
+    std::string id = running[aStep.mTarget % running.size()];
+    const std::string primary = mPlatform.Primary();
+    if (aStep.mHits == fault_target::Primary && !primary.empty()) {
+      id = primary;
+    }
     if (aStep.mKind == fault_kind::Crash) {
-      if (ReserveServerFailure(aStep.mDuration)) {
+      if (ReserveServerFailure(aStep.mDuration) && !mLeaving.contains(id)) {
         LogFault(aStep, id);
         mPlatform.Crash(id);
         ScheduleAfter(aStep.mDuration, [this, id] {
@@ -359,7 +460,10 @@
         });
       }
     } else if (aStep.mKind == fault_kind::Replace) {
-      if (ReserveServerFailure(kDrainTime)) {
+      const bool allowed = mOptions.mPlan.mHandovers
+                             ? mLeaving.empty()
+                             : ReserveServerFailure(kDrainTime);
+      if (allowed) {
         LogFault(aStep, id);
         Replace(id);
       }
@@ -388,11 +492,13 @@
 
   void Replace(const std::string& aId)
   {
+    mLeaving.insert(aId);
     mPlatform.Change([&](line_server_group& aServers, platform_store&) {
       aServers.Add();
       aServers.Drain(aId);
     });
     ScheduleAfter(kDrainTime, [this, aId] {
+      mLeaving.erase(aId);
       mPlatform.Change([&](line_server_group& aServers, platform_store&) {
         aServers.Remove(aId);
       });
@@ -407,6 +513,8 @@
     mPlatform.Change([&](line_server_group& aServers, platform_store&) {
       if (aKind == fault_kind::Lag) {
         aServers.SetLag(aId, std::min(aDuration, kMaxReplicaLag));
+      } else if (aKind == fault_kind::Deaf) {
+        aServers.SetDeaf(aId, aFaulty);
       } else if (aKind == fault_kind::FailRequests) {
         aServers.SetFailedRequests(aId, aFaulty ? kFailedRequestPercent : 0);
       } else {
@@ -476,8 +584,15 @@
     soak_result result;
     mPlatform.Change([&](const line_server_group& aServers, platform_store&) {
       mChecks.CheckFinalState(aServers.Items(), aServers.Commits());
+      mChecks.CheckLog(aServers.LoggedValues());
       result.mPromotions = aServers.Promotions();
     });
+    mPlatform.ChangePromotions([&](standins::promotion_service& aService) {
+      for (const auto& violation : aService.Violations()) {
+        mChecks.AddViolation(violation);
+      }
+      aService.SetOnOrder({});
+    });
     result.mViolations = mChecks.Violations();
     result.mAcknowledged = mChecks.Count(write_outcome::Acknowledged);
     result.mNotRun = mChecks.Count(write_outcome::NotRun);
@@ -489,13 +604,20 @@
   soak_options mOptions;
   std::ostream& mLog;
   promise_checks mChecks;
-  link_network mNetwork;
+  standins::link_network mNetwork;
   standins::platform_standin mPlatform;
   standins::session_fleet mFleet;
   // A deque, since callbacks keep references to its elements.
   std::deque<instance> mInstances;
   time_point mStart;
   std::multimap<milliseconds, std::function<void()>> mTasks;
+  // Faults that begin when the next promotion order arrives.
+  std::vector<fault_step> mAwaitingOrder;
+  std::mutex mOrdersMutex;
+  // Orders that arrived since the last look; guarded by mOrdersMutex.
+  std::vector<standins::promotion_order> mNewOrders;
+  // Servers that are being replaced.
+  std::set<std::string> mLeaving;
   // Time at which the servers will have recovered from the last server failure.
   milliseconds mServersRecoveredAt{ 0 };
 };
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -15,6 +15,10 @@
 ABSL_FLAG(int, runs, 1, "number of runs, with consecutive seeds");
 ABSL_FLAG(int, seconds, 12, "time in seconds during which faults begin");
 ABSL_FLAG(bool, planned, false, "planned work only; no reply may be cut off");
+ABSL_FLAG(bool,
+          handovers,
+          false,
+          "faults around hand-overs of the failover duty only");
 ABSL_FLAG(bool, failing, true, "servers also fail a part of their requests");
 ABSL_FLAG(int,
           connections,
@@ -40,6 +44,7 @@
   options.mPlan.mSeed = aSeed;
   options.mPlan.mFaultPeriod = seconds(absl::GetFlag(FLAGS_seconds));
   options.mPlan.mPlannedWorkOnly = absl::GetFlag(FLAGS_planned);
+  options.mPlan.mHandovers = absl::GetFlag(FLAGS_handovers);
   options.mPlan.mFailRequests = absl::GetFlag(FLAGS_failing);
   options.mMaxConnections = absl::GetFlag(FLAGS_connections);
   options.mBinaryDir = absl::GetFlag(FLAGS_binary_dir);
--- a/tests/standins/fault_link.cpp
+++ b/tests/standins/fault_link.cpp
@@ -113,8 +113,9 @@
                                               time_point aNow) {
     Forward(aPair, aTowards, aInput, aNow);
   };
-  handlers.mOnClosed = [this, aPair, aTowards](close_cause, time_point aNow) {
-    EndClosed(aPair, aTowards, aNow);
+  handlers.mOnClosed = [this, aPair, aTowards](close_cause aCause,
+                                               time_point aNow) {
+    EndClosed(aPair, aTowards, aCause, aNow);
   };
   return handlers;
 }
@@ -143,12 +144,20 @@
 }
 
 void
-fault_link::EndClosed(pair_number aPair, direction aTowards, time_point aNow)
+fault_link::EndClosed(pair_number aPair,
+                      direction aTowards,
+                      close_cause aCause,
+                      time_point aNow)
 {
   const auto found = mPairs.find(aPair);
   if (found == mPairs.end()) {
     return;
   }
+  if (aCause == close_cause::ResetByPeer) {
+    // What was under way is not sent again.
+    Drop(aPair, true);
+    return;
+  }
   pair& ending = found->second;
   if (ending.mSilent || IsCut(aTowards)) {
     ending.mLostBytes = true;
--- a/tests/standins/fault_link.h
+++ b/tests/standins/fault_link.h
@@ -38,7 +38,8 @@
 struct link_faults
 {
   link_cut mCut = link_cut::None;
-  // Bytes are held and delivered once the link is no longer frozen.
+  // Bytes are held and delivered once the link is no longer frozen, also if
+  // their sender has closed the connection since, but not if it has reset it.
   bool mFrozen = false;
   // Delay of bytes in each direction.
   milliseconds mDelay{ 0 };
@@ -123,7 +124,10 @@
                direction aTowards,
                std::string& aInput,
                time_point aNow);
-  void EndClosed(pair_number aPair, direction aTowards, time_point aNow);
+  void EndClosed(pair_number aPair,
+                 direction aTowards,
+                 close_cause aCause,
+                 time_point aNow);
   // Delivers what is due to one end.
   void Deliver(pair_number aPair, direction aTowards, time_point aNow);
   void DeliverAt(pair_number aPair, direction aTowards, time_point aWhen);
--- a/tests/standins/line_server_commands.cpp
+++ b/tests/standins/line_server_commands.cpp
@@ -106,14 +106,20 @@
     aConnection.mStream->Close();
     return;
   }
-  aConnection.mStream->Send(absl::StrCat(answer,
-                                         "READY ",
-                                         aConnection.mFailed          ? "E"
-                                         : aConnection.mInTransaction ? "T"
-                                                                      : "I",
-                                         " ",
-                                         Applied(aServer),
-                                         "\r\n"));
+  if (aConnection.mUnconfirmed == 0) {
+    aConnection.mStream->Send(
+      absl::StrCat(answer, ReadyLine(aServer, aConnection)));
+  }
+}
+
+std::string
+line_server_group::ReadyLine(const server& aServer,
+                             const connection& aConnection) const
+{
+  const char* const state = aConnection.mFailed          ? "E"
+                            : aConnection.mInTransaction ? "T"
+                                                         : "I";
+  return absl::StrCat("READY ", state, " ", Applied(aServer), "\r\n");
 }
 
 std::string
@@ -245,8 +251,10 @@
   }
   const item_map writes = std::exchange(aConnection.mWrites, {});
   aConnection.mInTransaction = false;
-  const bool kept = writes.empty() || Commit(aServer, writes);
-  return kept ? Signature(aServer) : "ERROR TIMEOUT sync\r\n";
+  if (!writes.empty()) {
+    aConnection.mUnconfirmed = Commit(aServer, writes);
+  }
+  return Signature(aServer);
 }
 
 } // namespace snipewalk::standins
--- a/tests/standins/line_server_group.cpp
+++ b/tests/standins/line_server_group.cpp
@@ -117,7 +117,7 @@
       {} });
 }
 
-bool
+std::uint64_t
 line_server_group::Commit(server& aServer, const item_map& aWrites)
 {
   const std::uint64_t number =
@@ -134,13 +134,29 @@
       received = Receive(aServer, *other) || received;
     }
   }
-  return received;
+  if (received) {
+    ConfirmCommits(aServer);
+  }
+  return received ? 0 : number;
+}
+
+void
+line_server_group::ConfirmCommits(server& aPrimary)
+{
+  for (const auto& open : aPrimary.mConnections) {
+    if (open->mUnconfirmed != 0 && open->mStream->IsOpen()) {
+      open->mUnconfirmed = 0;
+      open->mStream->Send(
+        absl::StrCat(Signature(aPrimary), ReadyLine(aPrimary, *open)));
+    }
+  }
 }
 
 bool
 line_server_group::Receive(const server& aPrimary, server& aReplica)
 {
-  const bool follows = aReplica.mAlive && aReplica.mHeld <= aPrimary.mTerm &&
+  const bool follows = aReplica.mAlive && !aReplica.mDeaf &&
+                       aReplica.mHeld <= aPrimary.mTerm &&
                        aReplica.mTerm <= aPrimary.mTerm;
   if (!follows) {
     return false;
@@ -195,15 +211,19 @@
 void
 line_server_group::CatchUp()
 {
-  const server* primary = Primary();
+  server* primary = Primary();
   if (primary == nullptr || primary->mLog.empty()) {
     return;
   }
+  bool received = false;
   for (const auto& [id, other] : mServers) {
     if (!other->mPrimary) {
-      Receive(*primary, *other);
+      received = Receive(*primary, *other) || received;
     }
   }
+  if (received) {
+    ConfirmCommits(*primary);
+  }
 }
 
 void
@@ -272,6 +292,15 @@
   }
 }
 
+void
+line_server_group::SetDeaf(const std::string& aId, bool aDeaf)
+{
+  At(aId).mDeaf = aDeaf;
+  if (!aDeaf) {
+    CatchUp();
+  }
+}
+
 void
 line_server_group::SetLostAnswers(const std::string& aId, int aPercent)
 {
@@ -354,4 +383,25 @@
   return items;
 }
 
+std::set<std::string>
+line_server_group::LoggedValues() const
+{
+  const server* leading = nullptr;
+  for (const auto& [id, one] : mServers) {
+    if (one->mAlive && one->mPrimary &&
+        (leading == nullptr || one->mTerm > leading->mTerm)) {
+      leading = one.get();
+    }
+  }
+  std::set<std::string> values;
+  if (leading != nullptr) {
+    for (const auto& entry : leading->mLog) {
+      for (const auto& [item, value] : entry->mWrites) {
+        values.insert(value);
+      }
+    }
+  }
+  return values;
+}
+
 } // namespace snipewalk::standins
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -56,6 +56,8 @@
   // Ends for good; the entry goes at once.
   void Remove(const std::string& aId);
   void SetLag(const std::string& aId, milliseconds aLag);
+  // A deaf replica receives nothing, and gets all it missed afterwards.
+  void SetDeaf(const std::string& aId, bool aDeaf);
   // Of the requests that a server ran, how many percent lose their answer with
   // their connection.
   void SetLostAnswers(const std::string& aId, int aPercent);
@@ -74,6 +76,10 @@
   int Promotions() const { return mPromotions; }
   // Items as the leading server has them; empty without one.
   item_map Items() const;
+  // Values in the log of the leading server; empty without one.
+  std::set<std::string> LoggedValues() const;
+  // Position that a server's log has reached.
+  std::string Position(const std::string& aId) { return Received(At(aId)); }
   // How often each value was committed on any server.
   const std::map<std::string, int>& Commits() const { return mCommits; }
 
@@ -92,6 +98,8 @@
     std::unique_ptr<stream_connection> mStream;
     bool mOpen = false;
     bool mInTransaction = false;
+    // Number of the commit whose answer waits for a replica; zero without one.
+    std::uint64_t mUnconfirmed = 0;
     // A statement of the transaction failed; only its end is accepted.
     bool mFailed = false;
     item_map mWrites;
@@ -108,6 +116,7 @@
     bool mAlive = true;
     bool mPrimary = false;
     bool mDraining = false;
+    bool mDeaf = false;
     std::uint64_t mTerm = 1;
     // Term of a pause; zero while the server receives.
     std::uint64_t mHeld = 0;
@@ -149,8 +158,13 @@
   static std::string Received(const server& aServer);
   static std::string Applied(const server& aServer);
   static std::string Signature(const server& aServer);
-  // False when no replica received the commit.
-  bool Commit(server& aServer, const item_map& aWrites);
+  // Commits, and returns the number of the commit if no replica has received it
+  // yet, otherwise zero.
+  std::uint64_t Commit(server& aServer, const item_map& aWrites);
+  // Answers the commits of a primary that a replica has received by now.
+  void ConfirmCommits(server& aPrimary);
+  std::string ReadyLine(const server& aServer,
+                        const connection& aConnection) const;
   // True when the replica has the primary's log afterwards.
   bool Receive(const server& aPrimary, server& aReplica);
   void Apply(server& aServer, std::size_t aEntries);
--- a/tests/soak/link_network.cpp
+++ b/tests/standins/link_network.cpp
@@ -1,9 +1,9 @@
-// Implementation of the fault-injecting links of a soak run.
-#include "soak/link_network.h"
+// Implementation of the fault-injecting links of a test.
+#include "standins/link_network.h"
 
 #include <future>
 
-namespace snipewalk::soak {
+namespace snipewalk::standins {
 
 link_network::link_network(std::uint64_t aSeed)
   : mSeed(aSeed)
@@ -33,7 +33,7 @@
 std::uint16_t
 link_network::AddLink(const std::string& aAddress)
 {
-  mLinks.push_back(std::make_unique<standins::fault_link>(
+  mLinks.push_back(std::make_unique<fault_link>(
     mLoop, aAddress, std::uint16_t{ 0 }, mSeed + mLinks.size()));
   return mLinks.back()->Port();
 }
@@ -71,7 +71,7 @@
 }
 
 void
-link_network::SetFaults(std::size_t aLink, const standins::link_faults& aFaults)
+link_network::SetFaults(std::size_t aLink, const link_faults& aFaults)
 {
   RunOnLoop([&] { mLinks.at(aLink)->SetFaults(aFaults, mLoop.Now()); });
 }
@@ -94,6 +94,14 @@
   RunOnLoop([&] { mLinks.at(aLink)->DropSilencedAtTarget(); });
 }
 
+link_counts
+link_network::Counts(std::size_t aLink)
+{
+  link_counts counts;
+  RunOnLoop([&] { counts = mLinks.at(aLink)->Counts(); });
+  return counts;
+}
+
 std::string
 link_network::Target(std::size_t aLink)
 {
@@ -102,4 +110,4 @@
   return target;
 }
 
-} // namespace snipewalk::soak
+} // namespace snipewalk::standins
--- a/tests/soak/link_network.h
+++ b/tests/standins/link_network.h
@@ -1,6 +1,6 @@
-// Fault-injecting links of a soak run, which run on a separate thread.
-#ifndef SNIPEWALK_SOAK_LINK_NETWORK_H_
-#define SNIPEWALK_SOAK_LINK_NETWORK_H_
+// Fault-injecting links of a test, which run on a separate thread.
+#ifndef SNIPEWALK_STANDINS_LINK_NETWORK_H_
+#define SNIPEWALK_STANDINS_LINK_NETWORK_H_
 
 #include "snipewalk/connection/event_loop.h"
 #include "standins/fault_link.h"
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-namespace snipewalk::soak {
+namespace snipewalk::standins {
 
 // Thread-safe set of links. Each function blocks until the link thread has
 // performed it.
@@ -32,13 +32,14 @@
   // port.
   std::uint16_t Add(const std::string& aAddress);
   std::size_t Size();
-  void SetFaults(std::size_t aLink, const standins::link_faults& aFaults);
+  void SetFaults(std::size_t aLink, const link_faults& aFaults);
   void Reset(std::size_t aLink);
   // Stops all traffic on established connections without closing them; new
   // connections work.
   void Silence(std::size_t aLink);
   // Closes the silenced connections on the side of the target.
   void DropSilencedAtTarget(std::size_t aLink);
+  link_counts Counts(std::size_t aLink);
   // Returns the address of a link's target, for logs.
   std::string Target(std::size_t aLink);
 
@@ -48,10 +49,10 @@
 
   std::uint64_t mSeed;
   event_loop mLoop;
-  std::vector<std::unique_ptr<standins::fault_link>> mLinks;
+  std::vector<std::unique_ptr<fault_link>> mLinks;
   std::thread mThread;
 };
 
-} // namespace snipewalk::soak
+} // namespace snipewalk::standins
 
-#endif // SNIPEWALK_SOAK_LINK_NETWORK_H_
+#endif // SNIPEWALK_STANDINS_LINK_NETWORK_H_
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -2,10 +2,10 @@
 #include "standins/platform_standin.h"
 
 #include "snipewalk/base/json_text.h"
+#include "snipewalk/session/fleet_records.h"
 
 #include <absl/strings/str_cat.h>
 
-#include <algorithm>
 #include <future>
 #include <utility>
 
@@ -13,8 +13,6 @@
 
 namespace {
 
-// From the order of a promotion until the server leads.
-constexpr milliseconds kPromotionTime{ 100 };
 constexpr const char* kServerKind = "servers";
 
 Json::Value
@@ -58,6 +56,7 @@
                 }
               },
                std::move(aAddress) })
+  , mPromotions(mLoop, mHttp, mServers)
 {
   mHttpPort = mHttp.Listen(0);
   mStore.Write("config", "main", DesiredState(aMaxConnections));
@@ -80,44 +79,63 @@
 }
 
 void
-platform_standin::Change(
-  const std::function<void(line_server_group&, platform_store&)>& aTask)
+platform_standin::RunOnLoop(const std::function<void()>& aTask)
 {
   std::promise<void> done;
   mLoop.Post([&] {
-    aTask(mServers, mStore);
+    aTask();
     done.set_value();
   });
   done.get_future().wait();
 }
 
+void
+platform_standin::Change(
+  const std::function<void(line_server_group&, platform_store&)>& aTask)
+{
+  RunOnLoop([&] { aTask(mServers, mStore); });
+}
+
+void
+platform_standin::ChangePromotions(
+  const std::function<void(promotion_service&)>& aTask)
+{
+  RunOnLoop([&] { aTask(mPromotions); });
+}
+
+std::string
+platform_standin::RecordedPhase()
+{
+  std::string phase;
+  RunOnLoop([&] {
+    phase =
+      mStore.Spec(kFleetKind, PrimaryRecordName(kService))["phase"].asString();
+  });
+  return phase;
+}
+
+std::string
+platform_standin::DutyHolder()
+{
+  std::string holder;
+  RunOnLoop([&] {
+    holder = mStore.Spec(kFleetKind, kDutyRecordName)["holder"].asString();
+  });
+  return holder;
+}
+
 void
 platform_standin::OnCall(connection_number aConnection,
                          const http_request& aRequest)
 {
   const auto path = SplitPath(aRequest.mTarget);
   if (path.ok() && path->size() == 1 && path->front() == "promote") {
-    OnPromotion(aConnection, aRequest);
+    mPromotions.OnCall(aConnection, aRequest);
   } else {
     mStore.OnCall(aConnection, aRequest);
   }
 }
 
-void
-platform_standin::OnPromotion(connection_number aConnection,
-                              const http_request& aRequest)
-{
-  const std::string id = (*ParseJsonObject(aRequest.mBody))["Id"].asString();
-  const auto running = mServers.Running();
-  const bool runs =
-    std::find(running.begin(), running.end(), id) != running.end();
-  if (runs) {
-    mLoop.RunAt(mLoop.Now() + kPromotionTime,
-                [this, id](time_point) { mServers.Promote(id); });
-  }
-  mHttp.Answer(aConnection, JsonResponse(runs ? 200 : 409, "{}"));
-}
-
 void
 platform_standin::Crash(const std::string& aServer)
 {
--- a/tests/standins/platform_standin.h
+++ b/tests/standins/platform_standin.h
@@ -7,6 +7,7 @@
 #include "standins/http_service.h"
 #include "standins/line_server_group.h"
 #include "standins/platform_store.h"
+#include "standins/promotion_service.h"
 
 #include <cstdint>
 #include <functional>
@@ -48,6 +49,14 @@
   void Drain(const std::string& aServer);
   // The store refuses all calls.
   void SetStoreDown(bool aDown);
+  // Instance that the store's record names as the holder of the failover duty;
+  // empty if there is none.
+  std::string DutyHolder();
+  // Phase of the service's primary in the store's record; empty if there is no
+  // record.
+  std::string RecordedPhase();
+  // Runs a task that changes the promotion call on its thread.
+  void ChangePromotions(const std::function<void(promotion_service&)>& aTask);
   // Server that leads, or empty.
   std::string Primary();
   // Promotions ordered so far.
@@ -57,12 +66,13 @@
 
 private:
   void OnCall(connection_number aConnection, const http_request& aRequest);
-  void OnPromotion(connection_number aConnection, const http_request& aRequest);
+  void RunOnLoop(const std::function<void()>& aTask);
 
   event_loop mLoop;
   http_service mHttp;
   platform_store mStore;
   line_server_group mServers;
+  promotion_service mPromotions;
   std::uint16_t mHttpPort = 0;
   std::thread mThread;
 };
--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -66,6 +66,17 @@
   Change(aKind, aName, { 0, {}, true });
 }
 
+Json::Value
+platform_store::Spec(const std::string& aKind, const std::string& aName) const
+{
+  const auto kind = mObjects.find(aKind);
+  if (kind == mObjects.end()) {
+    return {};
+  }
+  const auto object = kind->second.find(aName);
+  return object == kind->second.end() ? Json::Value() : object->second.mSpec;
+}
+
 void
 platform_store::Compact()
 {
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -25,6 +25,8 @@
              const std::string& aName,
              const Json::Value& aSpec);
   void Delete(const std::string& aKind, const std::string& aName);
+  // What an object holds; null if there is none.
+  Json::Value Spec(const std::string& aKind, const std::string& aName) const;
 
   // Answers a call of an instance, at once or later.
   void OnCall(connection_number aConnection, const http_request& aRequest);
