Give each handler of the event loop the time of its call

Cause: all handlers of a round got the time of its beginning. A process that is stopped in the middle of a round goes on with that time and decides by it whether its lease holds, whether its confirmation is current and whether a commit may be acknowledged, though the replies it then reads arrived while it was stopped.

The clock is read before each handler, timer and posted task. New test: four handlers that stand still for 30 ms each got the same time before (failed), and get a later one each with the change (passed).

--- a/include/snipewalk/connection/event_loop.h
+++ b/include/snipewalk/connection/event_loop.h
@@ -72,7 +72,7 @@
   // Any thread.
   void Stop();
 
-  // Time at which the current round of events began. Loop thread only.
+  // Time at which the current handler was called. Loop thread only.
   time_point Now() const { return mNow; }
 
 private:
@@ -85,6 +85,7 @@
     bool mWantRead = true;
   };
 
+  void ReadClock();
   void RunPosted();
   void RunTimers();
   void Dispatch();
--- a/src/connection/event_loop.cpp
+++ b/src/connection/event_loop.cpp
@@ -214,11 +214,14 @@
 {
   const Poco::Timespan wait(0, static_cast<long>(WaitTime().count()) * 1000);
   const auto ready = mPollSet->poll(wait);
-  mNow = std::chrono::steady_clock::now();
+  ReadClock();
   for (const auto& [socket, mode] : ready) {
     // A handler may remove other sockets of the round, so look up each time.
     const void* key = KeyOf(socket);
     auto found = mHandlers.find(key);
+    // The process may have been stopped in the middle of the round, and then
+    // reads what arrived while it was.
+    ReadClock();
     if (found != mHandlers.end() && (mode & Poco::Net::PollSet::POLL_READ)) {
       found->second.mHandler->OnReadable(mNow);
       found = mHandlers.find(key);
@@ -242,6 +245,7 @@
     posted.swap(mPosted);
   }
   for (auto& work : posted) {
+    ReadClock();
     work();
   }
 }
@@ -249,13 +253,22 @@
 void
 event_loop::RunTimers()
 {
-  while (!mTimers.empty() && mTimers.begin()->first <= mNow) {
+  // Timers that become due in the meantime wait for the next round.
+  const time_point due = mNow;
+  while (!mTimers.empty() && mTimers.begin()->first <= due) {
     auto entry = mTimers.extract(mTimers.begin());
     mTimerDue.erase(entry.mapped().first);
+    ReadClock();
     entry.mapped().second(mNow);
   }
 }
 
+void
+event_loop::ReadClock()
+{
+  mNow = std::chrono::steady_clock::now();
+}
+
 milliseconds
 event_loop::WaitTime() const
 {
--- a/tests/connection/event_loop_test.cpp
+++ b/tests/connection/event_loop_test.cpp
@@ -44,6 +44,37 @@
   EXPECT_EQ(order, "ab");
 }
 
+// Guards against handlers that decide by a time from before the process stood
+// still.
+TEST(EventLoopTest, GivesEachHandlerTheTimeOfItsCall)
+{
+  constexpr milliseconds kPause{ 30 };
+  event_loop loop;
+  std::vector<time_point> called;
+  const auto handler = [&](time_point aNow) {
+    called.push_back(aNow);
+    std::this_thread::sleep_for(kPause);
+  };
+  loop.RunAt(loop.Now(), handler);
+  loop.RunAt(loop.Now(), handler);
+  Poco::Net::ServerSocket server(Poco::Net::SocketAddress("127.0.0.1", 0));
+  std::vector<std::unique_ptr<stream_connection>> accepted;
+  std::vector<Poco::Net::StreamSocket> clients(2);
+  for (auto& client : clients) {
+    client.connect(server.address());
+    accepted.push_back(stream_connection::Adopt(
+      loop,
+      server.acceptConnection(),
+      { {}, [&](std::string&, time_point aNow) { handler(aNow); }, {} }));
+    client.sendBytes("x", 1);
+  }
+  loop.RunOnce();
+  ASSERT_EQ(called.size(), 4U);
+  for (std::size_t i = 1; i < called.size(); ++i) {
+    EXPECT_GE(called[i], called[i - 1] + kPause) << "handler " << i;
+  }
+}
+
 // Guards against bytes lost or reordered between partial reads.
 TEST(StreamConnectionTest, CarriesBytesBothWays)
 {
