Send a promotion order only while the lease holds as its bytes are written

Cause: the lease was checked when the connection of an order was opened, and the order was written when it was made, whatever had passed since. A holder that was stopped in between sent its order after its successor's. The answer to an order was also taken for that of any change of the service that was under way.

The authority of an order (holder, fence, and whether the lease holds with that fence) goes along to the call, which asks it with the time of the clock, after a look for a suspension, immediately before it writes. What is left is a stop between that look and the system call after it.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -74,7 +74,9 @@
   // The named server is not running.
   Rejected,
   // The order was refused or got no reply, and may still take effect.
-  Unknown
+  Unknown,
+  // The order was not sent.
+  NotSent
 };
 
 enum class change_step
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -43,6 +43,17 @@
     mDecodeServer;
 };
 
+// The right of the duty holder to order a promotion.
+struct promotion_authority
+{
+  std::string mHolder;
+  std::uint64_t mFence = 0;
+  // Whether the order may be sent at the given time. The lease can end while
+  // the connection is being made, so this is asked immediately before the order
+  // is written, with the time read from the clock then.
+  std::function<bool(time_point)> mIsValid;
+};
+
 // Outgoing calls of the controller, except those to the store.
 class control_links
 {
@@ -65,8 +76,7 @@
   // Closes all control connections.
   virtual void CloseControlConnections() = 0;
   virtual void OrderPromotion(const order_promotion& aOrder,
-                              const std::string& aHolder,
-                              std::uint64_t aFence,
+                              promotion_authority aAuthority,
                               promotion_handler aOnResult) = 0;
   virtual void SendDatagram(const std::string& aAddress,
                             const peer_datagram& aDatagram) = 0;
@@ -302,6 +312,7 @@
   void Perform(const std::string& aService,
                const primary_change::actions& aActions,
                time_point aNow);
+  void OrderPromotion(const order_promotion& aOrder, time_point aNow);
   void WriteRecord(const std::string& aService,
                    const primary_record& aRecord,
                    time_point aNow);
--- a/include/snipewalk/session/session_daemon.h
+++ b/include/snipewalk/session/session_daemon.h
@@ -25,8 +25,7 @@
 public:
   virtual ~promotion_client() = default;
   virtual void OrderPromotion(const order_promotion& aOrder,
-                              const std::string& aHolder,
-                              std::uint64_t aFence,
+                              promotion_authority aAuthority,
                               control_links::promotion_handler aOnResult) = 0;
 };
 
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -350,30 +350,42 @@
     } else if (const auto* release = std::get_if<release_instances>(&action)) {
       BeginRelease(*release, aNow);
     } else if (const auto* order = std::get_if<order_promotion>(&action)) {
-      // A promotion order carries the fence and must not be sent after the
-      // lease has expired.
-      if (!mDuty.Holds(aNow)) {
-        continue;
-      }
-      mLinks.OrderPromotion(
-        *order,
-        mOptions.mInstance,
-        mDuty.Fence(),
-        [this, aService, alive = std::weak_ptr<bool>(mAlive)](
-          promotion_result aResult, time_point aThen) {
-          const auto control =
-            alive.expired() ? mServices.end() : mServices.find(aService);
-          if (control != mServices.end() && control->second.mRunning) {
-            Perform(
-              aService,
-              control->second.mRunning->mChange->OnPromoted(aResult, aThen),
-              aThen);
-          }
-        });
+      OrderPromotion(*order, aNow);
     }
   }
 }
 
+void
+session_controller::OrderPromotion(const order_promotion& aOrder,
+                                   time_point aNow)
+{
+  promotion_authority authority{ mOptions.mInstance, mDuty.Fence(), {} };
+  authority.mIsValid = [this,
+                        fence = authority.mFence,
+                        alive = std::weak_ptr<bool>(mAlive)](time_point aThen) {
+    return !alive.expired() && mDuty.Fence() == fence && mDuty.Holds(aThen);
+  };
+  if (!authority.mIsValid(aNow)) {
+    return;
+  }
+  mLinks.OrderPromotion(
+    aOrder,
+    std::move(authority),
+    [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](
+      promotion_result aResult, time_point aThen) {
+      const auto control =
+        alive.expired() ? mServices.end() : mServices.find(aOrder.mService);
+      if (control == mServices.end() || !control->second.mRunning) {
+        return;
+      }
+      // The answer may be to an order of an earlier change.
+      primary_change& change = *control->second.mRunning->mChange;
+      if (change.Candidate() == aOrder.mServer) {
+        Perform(aOrder.mService, change.OnPromoted(aResult, aThen), aThen);
+      }
+    });
+}
+
 void
 session_controller::WriteRecord(const std::string& aService,
                                 const primary_record& aRecord,
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -401,6 +401,7 @@
       return {};
     case promotion_result::Rejected:
     case promotion_result::Unknown:
+    case promotion_result::NotSent:
       // OnTick() repeats the order for the same candidate: it is the only
       // server known to hold every acknowledged commit, and an order without a
       // reply may still take effect.
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -198,11 +198,16 @@
   }
   void CloseControlConnections() override { mServerControl.CloseAll(); }
   void OrderPromotion(const order_promotion& aOrder,
-                      const std::string& aHolder,
-                      std::uint64_t aFence,
+                      promotion_authority aAuthority,
                       promotion_handler aOnResult) override
   {
-    mPromotion->OrderPromotion(aOrder, aHolder, aFence, std::move(aOnResult));
+    aAuthority.mIsValid =
+      [this, isValid = std::move(aAuthority.mIsValid)](time_point aNow) {
+        CheckSuspension(aNow);
+        return isValid(aNow);
+      };
+    mPromotion->OrderPromotion(
+      aOrder, std::move(aAuthority), std::move(aOnResult));
   }
   void SendDatagram(const std::string& aAddress,
                     const peer_datagram& aDatagram) override
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -118,8 +118,7 @@
   void KeepControlConnection(const registered_server&) override {}
   void CloseControlConnections() override {}
   void OrderPromotion(const order_promotion& aOrder,
-                      const std::string&,
-                      std::uint64_t,
+                      promotion_authority,
                       promotion_handler) override
   {
     mNetwork.mPromoted.push_back(aOrder.mServer);
