Let no promotion order be under way when the failover duty passes on

Cause: orders arrive late, and nobody waited for them. The end of a call after 1 s, and the end of the process, closed the connection in order, and the system goes on to deliver what was written to a closed connection. A holder that resigned cleared the record at once, with orders under way, and its successor used the duty at once. So did a process that found an earlier one of its own name in the record.

Now the connection of an order is reset by every end, also that of the process, and by the system if its bytes are not acknowledged within the time limit; the record is cleared only when no order is under way and the previous holder can no longer use the duty; only a cleared record lets the next holder use the duty at once.

--- a/include/snipewalk/connection/stream_connection.h
+++ b/include/snipewalk/connection/stream_connection.h
@@ -70,6 +70,12 @@
   // Appends bytes to the output and writes as much as the socket takes.
   void Send(std::string_view aBytes);
 
+  // From now on every end of the connection resets it, also the end of the
+  // process, and so does output that the other end has not acknowledged for
+  // `aUnacknowledgedLimit`. Without this, the system goes on to deliver what
+  // was written after the connection was closed.
+  void ResetOnClose(milliseconds aUnacknowledgedLimit);
+
   // Closes without further callbacks. Unsent output is lost.
   void Close();
 
--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -29,10 +29,15 @@
   // The holder may use the duty for this long after the time as of which a read
   // named it.
   static constexpr milliseconds kLeaseDuration{ 1'500 };
-  // An instance that has replaced another holder waits this long before it uses
-  // the duty: kLeaseDuration plus the time limit of the previous holder's last
-  // call to the platform.
-  static constexpr milliseconds kTakeoverDelay{ 2'600 };
+  // A promotion order is answered or withdrawn within this time.
+  static constexpr milliseconds kOrderTimeout{ 1'000 };
+  // Time after which an order that left until now is no longer under way:
+  // kOrderTimeout plus a margin for clocks of different speed.
+  static constexpr milliseconds kOrderDelay{ 1'100 };
+  // An instance that takes over from a holder that has not resigned waits this
+  // long before it uses the duty: until the lease of that holder and its last
+  // order have ended.
+  static constexpr milliseconds kTakeoverDelay = kLeaseDuration + kOrderDelay;
   // A holder that no instance has heard from for this long may be replaced.
   static constexpr milliseconds kHolderTimeout{ 1'300 };
 
@@ -73,9 +78,13 @@
   bool IsNamedHolder() const;
   // Fence number in the record; zero if there is no record.
   std::uint64_t Fence() const { return mRecord ? mRecord->mFence : 0; }
-  // Stops claiming and using the duty. Returns the write that clears the holder
-  // if this process is the holder.
-  std::optional<duty_write> Resign();
+  // Stops claiming and using the duty.
+  void Resign() { mResigned = true; }
+  // Returns the write that clears the holder, if this process is the holder and
+  // has resigned. The next holder uses the duty at once, so this must not be
+  // called while an order of this process may be under way. No further write is
+  // returned until OnWritten() has been called.
+  std::optional<duty_write> VacateIfDue(time_point aNow);
   const std::optional<duty_record>& Record() const { return mRecord; }
   // When the holder was last heard from, or when the present record was first
   // seen.
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -120,7 +120,8 @@
   // Called after the process was suspended for a time that the steady clock did
   // not count.
   void OnSuspended(time_point aNow);
-  // Abandons running changes, and gives up the duty if this instance holds it.
+  // Abandons running changes, and gives up the duty if this instance holds it,
+  // as soon as no order is under way.
   void Resign(time_point aNow);
   // Stops routing to primaries and marks this instance as gone in its record.
   void Unregister(time_point aNow);
@@ -288,6 +289,9 @@
                                          time_point aNow) const;
 
   void WriteDuty(const duty_write& aWrite);
+  // Clears the holder in the record of the duty if this instance has resigned
+  // and no order of its own is under way.
+  void VacateDuty(time_point aNow);
   void ReportHealth(time_point aNow);
   void OnHealthReport(const health_report& aReport, time_point aNow);
   void MonitorServices(time_point aNow);
@@ -313,6 +317,9 @@
                const primary_change::actions& aActions,
                time_point aNow);
   void OrderPromotion(const order_promotion& aOrder, time_point aNow);
+  void OnOrderEnded(const order_promotion& aOrder,
+                    promotion_result aResult,
+                    time_point aNow);
   void WriteRecord(const std::string& aService,
                    const primary_record& aRecord,
                    time_point aNow);
@@ -359,6 +366,10 @@
   time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
   bool mHeldDuty = false;
+  // Promotion orders whose calls have not ended.
+  std::size_t mOrdersUnderWay = 0;
+  // When the platform will have carried out the orders without an answer.
+  time_point mOrdersEndedAt = time_point::min();
   // Last health report of each instance to this duty holder, initially the time
   // of the first check after the duty was taken.
   std::map<std::string, time_point> mLastReportAt;
--- a/src/connection/stream_connection.cpp
+++ b/src/connection/stream_connection.cpp
@@ -5,6 +5,9 @@
 #include <Poco/Net/NetException.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -29,6 +32,12 @@
   }
 }
 
+int
+ToSocketOption(milliseconds aTime)
+{
+  return static_cast<int>(aTime.count());
+}
+
 } // namespace
 
 stream_connection::stream_connection(event_loop& aLoop,
@@ -106,6 +115,18 @@
   }
 }
 
+void
+stream_connection::ResetOnClose(milliseconds aUnacknowledgedLimit)
+{
+  try {
+    mSocket.setLinger(true, 0);
+    mSocket.setOption(
+      IPPROTO_TCP, TCP_USER_TIMEOUT, ToSocketOption(aUnacknowledgedLimit));
+  } catch (const Poco::Exception&) {
+    // The connection could not be begun, which is reported from the loop.
+  }
+}
+
 void
 stream_connection::Close()
 {
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -368,22 +368,35 @@
   if (!authority.mIsValid(aNow)) {
     return;
   }
-  mLinks.OrderPromotion(
-    aOrder,
-    std::move(authority),
-    [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](
-      promotion_result aResult, time_point aThen) {
-      const auto control =
-        alive.expired() ? mServices.end() : mServices.find(aOrder.mService);
-      if (control == mServices.end() || !control->second.mRunning) {
-        return;
-      }
-      // The answer may be to an order of an earlier change.
-      primary_change& change = *control->second.mRunning->mChange;
-      if (change.Candidate() == aOrder.mServer) {
-        Perform(aOrder.mService, change.OnPromoted(aResult, aThen), aThen);
-      }
-    });
+  ++mOrdersUnderWay;
+  mLinks.OrderPromotion(aOrder,
+                        std::move(authority),
+                        [this, aOrder, alive = std::weak_ptr<bool>(mAlive)](
+                          promotion_result aResult, time_point aThen) {
+                          if (!alive.expired()) {
+                            OnOrderEnded(aOrder, aResult, aThen);
+                          }
+                        });
+}
+
+void
+session_controller::OnOrderEnded(const order_promotion& aOrder,
+                                 promotion_result aResult,
+                                 time_point aNow)
+{
+  --mOrdersUnderWay;
+  if (aResult == promotion_result::Unknown) {
+    mOrdersEndedAt = aNow + duty_lease::kOrderDelay;
+  }
+  const auto control = mServices.find(aOrder.mService);
+  if (control == mServices.end() || !control->second.mRunning) {
+    return;
+  }
+  // The answer may be to an order of an earlier change.
+  primary_change& change = *control->second.mRunning->mChange;
+  if (change.Candidate() == aOrder.mServer) {
+    Perform(aOrder.mService, change.OnPromoted(aResult, aNow), aNow);
+  }
 }
 
 void
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -41,10 +41,10 @@
                       std::uint64_t aVersion,
                       time_point aNow)
 {
-  // The previous record decides whether another process may still be using the
-  // duty. It is not in use if it was vacant or held by this instance name.
-  const bool unused =
-    mRecordKnown && (IsVacant(mRecord) || mRecord->mHolder == mInstance);
+  // Only a holder that resigned leaves the duty unused. An earlier process of
+  // this instance may have ended while its last order was under way, or while
+  // it waited for its own predecessor.
+  const bool unused = mRecordKnown && IsVacant(mRecord);
   mUsableFrom = unused ? aNow : aNow + kTakeoverDelay;
   mRecord = aRecord;
   mVersion = aVersion;
@@ -136,12 +136,14 @@
 }
 
 std::optional<duty_write>
-duty_lease::Resign()
+duty_lease::VacateIfDue(time_point aNow)
 {
-  mResigned = true;
-  if (!IsNamedHolder()) {
+  // Before mUsableFrom, the previous holder may still be using the duty.
+  if (!mResigned || mWritePending || !IsNamedHolder() ||
+      aNow < std::max(mNextWriteAt, mUsableFrom)) {
     return std::nullopt;
   }
+  mWritePending = true;
   return duty_write{ { "", 0, mRecord->mFence }, mVersion };
 }
 
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -455,6 +455,7 @@
   if (const auto write = mDuty.ClaimIfDue(aNow)) {
     WriteDuty(*write);
   }
+  VacateDuty(aNow);
   ReportHealth(aNow);
   const bool holds = mDuty.Holds(aNow);
   if (holds != std::exchange(mHeldDuty, holds)) {
@@ -476,7 +477,17 @@
 session_controller::Resign(time_point aNow)
 {
   AbandonChanges(aNow);
-  if (const auto write = mDuty.Resign()) {
+  mDuty.Resign();
+  VacateDuty(aNow);
+}
+
+void
+session_controller::VacateDuty(time_point aNow)
+{
+  if (mOrdersUnderWay > 0 || aNow < mOrdersEndedAt) {
+    return;
+  }
+  if (const auto write = mDuty.VacateIfDue(aNow)) {
     WriteDuty(*write);
   }
 }
--- a/tests/platform/promotion_call_test.cpp
+++ b/tests/platform/promotion_call_test.cpp
@@ -91,5 +91,28 @@
   EXPECT_EQ(count, 0);
 }
 
+// Guards against an order that the system goes on to deliver after its call has
+// ended without an answer.
+TEST_F(PromotionCallTest, ResetsTheConnectionOfAnUnansweredOrder)
+{
+  Order();
+  Poco::Net::StreamSocket accepted = mPlatform.acceptConnection();
+  RunUntilResult();
+  EXPECT_EQ(mResult, promotion_result::Unknown);
+  Receive(accepted);
+  EXPECT_THROW(Receive(accepted), Poco::Net::ConnectionResetException);
+}
+
+// The same when the process ends.
+TEST_F(PromotionCallTest, ResetsTheConnectionAtTheEndOfTheClient)
+{
+  Order();
+  Poco::Net::StreamSocket accepted = mPlatform.acceptConnection();
+  mLoop.RunOnce();
+  mClient.reset();
+  Receive(accepted);
+  EXPECT_THROW(Receive(accepted), Poco::Net::ConnectionResetException);
+}
+
 } // namespace
 } // namespace snipewalk::platform
