Promote no log that lacks commits which instances have acknowledged

Cause: a change for a dead primary took the replicas that it knew for all that may have confirmed commits, also after one of them had left, and promoted the newest of the rest. The instances that had told callers of later commits were asked to release the primary, but not how far they had acknowledged.

An instance that releases a primary now says up to which position it has acknowledged commits and how long its process has been running. A log that lacks such a commit is promoted only if all replicas that may have confirmed commits are known and paused, as the stated position can be a little later than the commit. If all instances have answered and none has started within 10 s, a log that reaches the position is proof enough. Whether all replicas are known is decided for dead primaries as for others. Without a proof the change waits 4 s for the old primary, which returns with its log, before the newest log has to do; with a log that is known to lack commits it waits until a server has them, 30 s at most, and logs an error then.

Two tests changed their sense: without a proof a change went on 500 ms after a replica had left, and must wait for the old primary now; and the model needs the old primary's log only where the positions do not cover for it.

A third has a longer run: ReplacesAPrimaryOnlyOnceTheEntriesHaveReappeared, whose processes are too young for a proof and whose old primary never answers; it checks that nothing is promoted before.

--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -5,6 +5,7 @@
 #define SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
 
 #include "snipewalk/session/fleet_records.h"
+#include "snipewalk/session/log_position.h"
 #include "snipewalk/session/primary_monitor.h"
 
 #include <cstdint>
@@ -51,6 +52,12 @@
   std::uint64_t mStarted = 0;
   std::string mService;
   std::uint64_t mTerm = 0;
+  // Newest position of a commit of the service that the sender's process has
+  // acknowledged to a caller. If the request ended writes, it acknowledges none
+  // after it.
+  log_position mAcknowledged;
+  // How long the sender's process has been running.
+  std::uint64_t mUptimeMs = 0;
 };
 
 // Requests the recorded primaries. Instances send it to the holder of the duty,
--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -7,14 +7,18 @@
 // choose the one with the newest log, record and promote it, wait until it
 // leads, record it as stable, resume the others.
 //
-// The promoted log must contain every acknowledged commit. One of two proofs is
-// used:
+// The promoted log must contain every acknowledged commit. One of three proofs
+// is used:
 // - The old primary has reported, after it was stepped down, a log that the
 //   server's log contains.
 // - All replicas that may have confirmed a commit of the old primary have been
 //   paused, and the server has the newest of their logs.
-// If neither holds and the old primary was stepped down, it is promoted again.
-// If it does not answer, the newest log of the known replicas has to do.
+// - Every instance that may have acknowledged a commit has said up to which
+//   position, and the server's log reaches it.
+// If none holds and the old primary was stepped down, it is promoted again. If
+// it does not answer, the change waits for it, as a server that has crashed
+// returns with its log. After a time limit the newest log of the known replicas
+// has to do, unless it lacks a commit that an instance has acknowledged.
 #ifndef SNIPEWALK_SESSION_PRIMARY_CHANGE_H_
 #define SNIPEWALK_SESSION_PRIMARY_CHANGE_H_
 
@@ -31,6 +35,17 @@
 
 namespace snipewalk {
 
+// What the instances have acknowledged to callers of the old primary's commits,
+// once they acknowledge no more of them.
+struct acknowledged_commits
+{
+  // The instances that were asked have acknowledged a commit at this position,
+  // or before it but not after it.
+  log_position mNewest;
+  // No other instance can have acknowledged a later commit.
+  bool mAllKnown = false;
+};
+
 // Actions. The comment of each action names the event that reports its result.
 
 // Sends a control command to a server; the result is reported by
@@ -139,6 +154,10 @@
   // may have been the only one that received the commits up to it, so a log
   // without them can be older than what was acknowledged.
   log_position mRequiredPosition;
+  // Position at which instances have acknowledged a commit, as told to earlier
+  // changes. The server may have stated a later position than that of the
+  // commit, so a proof that does not need it goes before it.
+  log_position mAcknowledgedPosition;
   // The old primary is reachable and is stepped down after a grace period for
   // open transactions.
   bool mPlanned = false;
@@ -162,7 +181,8 @@
                          const std::optional<server_status>& aStatus,
                          time_point aNow);
   actions OnRecordWritten(bool aWritten, time_point aNow);
-  actions OnInstancesReleased(time_point aNow);
+  actions OnInstancesReleased(time_point aNow,
+                              const acknowledged_commits& aAcknowledged = {});
   actions OnPromoted(promotion_result aResult, time_point aNow);
   // Handles a server of the service that registered, or started again, after
   // the plan was made. Its earlier replies no longer count: a restart ends a
@@ -181,6 +201,9 @@
   {
     return mStep == change_step::Done || mStep == change_step::Failed;
   }
+  // Whether the change has failed because no server that answered has a log
+  // with all commits that are required.
+  bool IsLogMissing() const { return mLogMissing; }
   const std::string& Candidate() const { return mCandidate; }
   std::uint64_t Term() const { return mTerm; }
   const change_plan& Plan() const { return mPlan; }
@@ -206,13 +229,18 @@
   // Chooses a candidate, or reverts, without the replies that are missing at
   // the time limit.
   actions ChooseAtTimeLimit(time_point aNow);
+  // Whether the newest log of the replicas that replied is proved to contain
+  // every acknowledged commit.
+  bool IsProved(const replica_info& aNewest) const;
   actions Promote(const std::string& aCandidate, time_point aNow);
   actions Revert(time_point aNow);
   // Replica with the newest log among those that replied, preferably one that
   // is not draining; nullptr if none replied.
   const replica_info* NewestReplica() const;
-  // Whether the log of a replica that replied reaches the old primary's term
-  // and the required position.
+  // Whether a log reaches the old primary's term and the positions that are
+  // required.
+  bool IsRecent(const log_position& aReceived) const;
+  // The same for the log of a replica that replied.
   bool IsLogRecent(const replica_info& aReplica) const;
   // Whether the log of a replica that replied contains that of the old primary,
   // which has reported it after it was stepped down.
@@ -240,6 +268,9 @@
   // Position of the old primary's log when it confirmed that it was stepped
   // down. It acknowledges no commit after that.
   std::optional<log_position> mFinalPosition;
+  // Whether mPlan.mAcknowledgedPosition covers every acknowledged commit.
+  bool mAcknowledgedKnown = false;
+  bool mLogMissing = false;
   // Term in which the promoted candidate leads.
   std::uint64_t mCandidateTerm = 0;
 };
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -101,6 +101,10 @@
   // as of which the record was confirmed. A change of primary waits as long for
   // instances that cannot be reached.
   static constexpr milliseconds kConfirmationLifetime{ 2'200 };
+  // A server or process that left before this instance knew of it may have been
+  // the only one that received commits, or that acknowledged them. After this
+  // time the present servers are taken to have received these commits.
+  static constexpr milliseconds kCatchUpTime{ 10'000 };
 
   session_controller(event_loop& aLoop,
                      store_client& aStore,
@@ -200,6 +204,8 @@
     // When the servers were last read for the release.
     time_point mServersReadAt;
     bool mEndsWrites = false;
+    // What the instances that released the old primary have acknowledged.
+    acknowledged_commits mAcknowledged;
     // When all confirmations given before the change have expired.
     time_point mConfirmationsExpireAt;
     time_point mRequestedAt;
@@ -226,6 +232,11 @@
     // Position that the log of the next primary must contain while the present
     // one is alive.
     log_position mRequiredPosition;
+    // Newest position at which instances said that they have acknowledged a
+    // commit of the primary.
+    log_position mAcknowledgedPosition;
+    // Since when changes have failed because no server has the log.
+    std::optional<time_point> mLogMissingSince;
     // A status request for the monitor is in flight.
     bool mProbing = false;
     // Earliest start of the next change; set after a failed one.
@@ -310,6 +321,8 @@
   // Whether the servers known here, and those seen leaving, include every
   // replica that may have confirmed a commit of the service's primary.
   bool KnowsAllReplicas(const service_control& aControl, time_point aNow) const;
+  // Whether no server has had the required log for so long that none will.
+  static bool IsLogLost(const service_control& aControl, time_point aNow);
   // Tells a change in progress of a server that registered or started again.
   void AddToChange(const registered_server& aServer, time_point aNow);
   void RunChange(const std::string& aService, time_point aNow);
@@ -328,6 +341,13 @@
                          const store_reply& aReply,
                          time_point aNow);
   void ContinueRelease(const std::string& aService, time_point aNow);
+  // Notes what an instance has acknowledged of a service's commits; `aUptime`
+  // is how long its process has been running.
+  static void NoteAcknowledged(running_change& aRunning,
+                               const log_position& aNewest,
+                               duration aUptime);
+  // Passes on that no instance uses the old primary any more.
+  void NoteReleased(const std::string& aService, time_point aNow);
   void OnReleaseAnswer(const release_answer& aAnswer, time_point aNow);
   void AbandonChanges(time_point aNow);
   // Marks instances as gone whose health reports have stopped.
@@ -340,6 +360,7 @@
   control_links& mLinks;
   platform_objects mObjects;
   controller_options mOptions;
+  time_point mStartedAt;
   kind_watcher mDesiredWatcher;
   kind_watcher mServerWatcher;
   kind_watcher mFleetWatcher;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -183,6 +183,9 @@
   // instance. Services without a connection, or failed attempt to connect, to
   // their primary are left out.
   std::vector<primary_observation> ObservePrimaries() const;
+  // Newest position at which a commit of the service was acknowledged to a
+  // caller; zero if there was none.
+  log_position AcknowledgedPosition(const std::string& aService) const;
   session_engine_counts Counts() const;
   const metrics_registry& Metrics() const;
 
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -20,10 +20,9 @@
 // An instance that has sent no health report for this long is marked as gone.
 // Until then, a change of primary waits for its confirmations to expire.
 constexpr milliseconds kReportTimeout{ 2'500 };
-// A replica that left before this instance knew the servers may have been the
-// only one that received commits of the primary. After this time the others are
-// taken to have received them as well.
-constexpr milliseconds kCatchUpTime{ 10'000 };
+// If no server has had a log with the required position for this long, the log
+// is taken to be lost for good, and the service goes on without it.
+constexpr milliseconds kLostLogTimeout{ 30'000 };
 
 } // namespace
 
@@ -233,10 +232,18 @@
   plan.mKnownTerm = control.mRecord ? control.mRecord->mTerm : 0;
   plan.mLeadTerm = primary.mLeadTerm;
   plan.mFence = mDuty.Fence();
-  // A primary that lost its role is alive and can be promoted again.
-  if (primaryAlive || aReason == change_reason::LostRole) {
-    plan.mRequiredPosition = control.mRequiredPosition;
+  const bool logLost = IsLogLost(control, aNow);
+  if (logLost) {
+    Log(log_level::Error,
+        "primary",
+        "no server has the acknowledged commits; they are lost",
+        { { "service", aService },
+          { "acknowledged", control.mAcknowledgedPosition.ToString() } });
+    control.mRequiredPosition = {};
+    control.mAcknowledgedPosition = {};
   }
+  plan.mRequiredPosition = control.mRequiredPosition;
+  plan.mAcknowledgedPosition = control.mAcknowledgedPosition;
   plan.mPlanned =
     aReason == change_reason::Leaving || aReason == change_reason::CutOff;
   if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
@@ -252,9 +259,7 @@
       plan.mReplicas.push_back({ entry.mId, true });
     }
   }
-  // A primary that does not answer cannot make up for missing replicas.
-  plan.mReplicasComplete =
-    aReason == change_reason::Dead || KnowsAllReplicas(control, aNow);
+  plan.mReplicasComplete = logLost || KnowsAllReplicas(control, aNow);
   const std::string required = plan.mRequiredPosition.ToString();
   Log(log_level::Info,
       "primary",
@@ -270,6 +275,13 @@
   Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
 }
 
+bool
+session_controller::IsLogLost(const service_control& aControl, time_point aNow)
+{
+  return aControl.mLogMissingSince &&
+         aNow >= *aControl.mLogMissingSince + kLostLogTimeout;
+}
+
 bool
 session_controller::KnowsAllReplicas(const service_control& aControl,
                                      time_point aNow) const
@@ -302,14 +314,19 @@
     Perform(aService, control.mRunning->mChange->OnTick(aNow), aNow);
   }
   if (control.mRunning && control.mRunning->mChange->IsOver()) {
+    const bool logMissing = control.mRunning->mChange->IsLogMissing();
     const bool failed =
       control.mRunning->mChange->Step() == change_step::Failed;
     control.mRunning.reset();
+    control.mLogMissingSince =
+      logMissing ? std::optional(control.mLogMissingSince.value_or(aNow))
+                 : std::nullopt;
     if (failed) {
       control.mChangeAfter = aNow + kRetryDelayAfterFailedChange;
     } else {
       control.mMonitor.Reset(aNow);
       control.mRequiredPosition = {};
+      control.mAcknowledgedPosition = {};
       PublishPrimary(aService, aNow);
     }
   }
--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -34,6 +34,9 @@
   running.mServersReadAt = aNow;
   running.mListingInstances = true;
   running.mUnreleased.clear();
+  running.mAcknowledged = { {}, true };
+  NoteAcknowledged(
+    running, mEngine.AcknowledgedPosition(service), aNow - mStartedAt);
   running.mConfirmationsExpireAt =
     aNow + kConfirmationLifetime + kClockRateMargin;
   // The instances are listed after the change was recorded: an instance missing
@@ -68,9 +71,13 @@
       continue;
     }
     const auto gone = mGoneSince.find(instance->mName);
+    const bool isGone =
+      instance->mState == instance_state::Gone && gone != mGoneSince.end();
     const bool confirmationExpired =
-      instance->mState == instance_state::Gone && gone != mGoneSince.end() &&
-      aNow >= gone->second + kConfirmationLifetime;
+      isGone && aNow >= gone->second + kConfirmationLifetime;
+    if (isGone) {
+      NoteAcknowledged(running, {}, aNow - gone->second);
+    }
     if (!confirmationExpired) {
       running.mUnreleased[instance->mName] = *instance;
     }
@@ -106,7 +113,9 @@
             { "instances",
               static_cast<std::int64_t>(running.mUnreleased.size()) } });
     }
-    Perform(aService, running.mChange->OnInstancesReleased(aNow), aNow);
+    running.mAcknowledged.mAllKnown =
+      running.mAcknowledged.mAllKnown && allReleased;
+    NoteReleased(aService, aNow);
     return;
   }
   if (running.mRequestedAt != time_point::min() &&
@@ -122,6 +131,38 @@
   }
 }
 
+void
+session_controller::NoteReleased(const std::string& aService, time_point aNow)
+{
+  service_control& control = mServices[aService];
+  running_change& running = *control.mRunning;
+  const std::string acknowledged = running.mAcknowledged.mNewest.ToString();
+  Log(log_level::Info,
+      "primary",
+      "instances have released the primary",
+      { { "service", aService },
+        { "ends_writes", running.mEndsWrites },
+        { "acknowledged", acknowledged },
+        { "all_known", running.mAcknowledged.mAllKnown } });
+  // A change that finds no such log fails, and the next one needs it as well.
+  control.mAcknowledgedPosition =
+    std::max(control.mAcknowledgedPosition, running.mAcknowledged.mNewest);
+  Perform(aService,
+          running.mChange->OnInstancesReleased(aNow, running.mAcknowledged),
+          aNow);
+}
+
+void
+session_controller::NoteAcknowledged(running_change& aRunning,
+                                     const log_position& aNewest,
+                                     duration aUptime)
+{
+  acknowledged_commits& known = aRunning.mAcknowledged;
+  known.mNewest = std::max(known.mNewest, aNewest);
+  // An earlier process of the instance may have acknowledged others.
+  known.mAllKnown = known.mAllKnown && aUptime >= kCatchUpTime;
+}
+
 void
 session_controller::OnReleaseAnswer(const release_answer& aAnswer,
                                     time_point aNow)
@@ -139,6 +180,8 @@
     return;
   }
   running.mUnreleased.erase(unreleased);
+  NoteAcknowledged(
+    running, aAnswer.mAcknowledged, milliseconds(aAnswer.mUptimeMs));
   ContinueRelease(aAnswer.mService, aNow);
 }
 
--- a/src/session/engine_acknowledgement.cpp
+++ b/src/session/engine_acknowledgement.cpp
@@ -8,6 +8,7 @@
 // primary.
 #include "session/engine_state.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipewalk {
@@ -41,7 +42,7 @@
 {
   pending_statement& pending = *aSession.mPending;
   if (IsAcknowledged(mServices[pending.mRoute.mService], aServer, aNow)) {
-    Finish(aSession, aReply, aNow);
+    Acknowledge(aSession, aReply, aNow);
     return;
   }
   pending.mStage = statement_stage::Unproven;
@@ -54,6 +55,20 @@
   ResolveUnproven(aSession, aNow);
 }
 
+void
+session_engine::state::Acknowledge(caller_session& aSession,
+                                   const statement_reply& aReply,
+                                   time_point aNow)
+{
+  // The position is that of the server's log when it replied, which can be
+  // later than the commit.
+  log_position& acknowledged =
+    mServices[aSession.mPending->mRoute.mService].mAcknowledged;
+  acknowledged =
+    std::max(acknowledged, aReply.mPosition.value_or(log_position{}));
+  Finish(aSession, aReply, aNow);
+}
+
 void
 session_engine::state::ResolveUnproven(caller_session& aSession,
                                        time_point aNow)
@@ -64,7 +79,7 @@
   const bool sameTerm = known.mPrimary.mLeadTerm == pending.mUnprovenTerm;
   if (sameTerm &&
       IsAcknowledged(known, pending.mUnprovenServer, pending.mRepliedAt)) {
-    Finish(aSession, std::move(pending.mHeldReply), aNow);
+    Acknowledge(aSession, pending.mHeldReply, aNow);
   } else if (!sameTerm || IsReleased(known, pending.mUnprovenServer) ||
              aNow >= pending.mDeadline) {
     statement_reply reply;
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -227,6 +227,8 @@
   time_point mLastCompleteAt = time_point::min();
   service_primary mPrimary;
   freshness_samples mSamples;
+  // Newest position at which a commit was acknowledged to a caller.
+  log_position mAcknowledged;
   write_gate mWriteGate;
   // The latest check, in progress or finished.
   std::optional<primary_check> mCheck;
@@ -292,6 +294,7 @@
   void SetPrimary(const std::string& aService,
                   const service_primary& aPrimary,
                   time_point aNow);
+  log_position AcknowledgedPosition(const std::string& aService) const;
   std::vector<primary_observation> ObservePrimaries() const;
   // By service: when the oldest write that its primary has not confirmed was
   // sent. Services without a write in flight or stalled are left out.
@@ -402,6 +405,9 @@
                    const statement_reply& aReply,
                    time_point aNow);
   // Sends the reply of a statement in stage Unproven if that is decided.
+  void Acknowledge(caller_session& aSession,
+                   const statement_reply& aReply,
+                   time_point aNow);
   void ResolveUnproven(caller_session& aSession, time_point aNow);
 
   // engine_setup.cpp
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -15,8 +15,13 @@
 using wire_report_entry = std::tuple<std::string, std::string, int>;
 using wire_report = std::tuple<std::string, std::vector<wire_report_entry>>;
 using wire_release_request = std::tuple<std::string, std::uint64_t, bool>;
-using wire_release_answer =
-  std::tuple<std::string, std::uint64_t, std::string, std::uint64_t>;
+using wire_release_answer = std::tuple<std::string,
+                                       std::uint64_t,
+                                       std::string,
+                                       std::uint64_t,
+                                       std::uint64_t,
+                                       std::uint64_t,
+                                       std::uint64_t>;
 using wire_connection_yield_request = std::tuple<std::string>;
 using wire_confirmation_request =
   std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
@@ -99,10 +104,14 @@
   }
   std::string operator()(const release_answer& aAnswer) const
   {
-    return Pack(
-      wire_type::ReleaseAnswer,
-      wire_release_answer{
-        aAnswer.mInstance, aAnswer.mStarted, aAnswer.mService, aAnswer.mTerm });
+    return Pack(wire_type::ReleaseAnswer,
+                wire_release_answer{ aAnswer.mInstance,
+                                     aAnswer.mStarted,
+                                     aAnswer.mService,
+                                     aAnswer.mTerm,
+                                     aAnswer.mAcknowledged.mTerm,
+                                     aAnswer.mAcknowledged.mIndex,
+                                     aAnswer.mUptimeMs });
   }
   std::string operator()(const confirmation_request& aRequest) const
   {
@@ -209,9 +218,21 @@
       return release_request{ service, term, endsWrites };
     }
     case wire_type::ReleaseAnswer: {
-      const auto [instance, started, service, term] =
-        aObject.as<wire_release_answer>();
-      return release_answer{ instance, started, service, term };
+      // Instances of an earlier version omit the last three elements. They
+      // count as started just now, so that nothing is concluded from them.
+      const auto [instance,
+                  started,
+                  service,
+                  term,
+                  acknowledgedTerm,
+                  acknowledgedIndex,
+                  uptime] = aObject.as<wire_release_answer>();
+      return release_answer{ instance,
+                             started,
+                             service,
+                             term,
+                             { acknowledgedTerm, acknowledgedIndex },
+                             uptime };
     }
     case wire_type::Confirmation: {
       const auto [instance, started, number, knownRevision] =
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -278,11 +278,15 @@
 }
 
 primary_change::actions
-primary_change::OnInstancesReleased(time_point aNow)
+primary_change::OnInstancesReleased(time_point aNow,
+                                    const acknowledged_commits& aAcknowledged)
 {
   if (mStep != change_step::Releasing) {
     return {};
   }
+  mPlan.mAcknowledgedPosition =
+    std::max(mPlan.mAcknowledgedPosition, aAcknowledged.mNewest);
+  mAcknowledgedKnown = aAcknowledged.mAllKnown && !mPlan.mPlanned;
   if (mPlan.mPlanned) {
     // OnTick() sends the step-down command after the grace period.
     EnterStep(change_step::SteppingDown, aNow);
@@ -413,6 +417,9 @@
 primary_change::actions
 primary_change::Revert(time_point aNow)
 {
+  const replica_info* newest = NewestReplica();
+  mLogMissing =
+    newest != nullptr && AllReplicasReplied() && !IsLogRecent(*newest);
   if (!mRecorded || mPlan.mOldPrimary.empty()) {
     EnterStep(change_step::Failed, aNow);
     return {};
--- a/src/session/primary_change_choice.cpp
+++ b/src/session/primary_change_choice.cpp
@@ -5,14 +5,21 @@
 
 namespace snipewalk {
 
+namespace {
+
+// How long a change waits for the old primary if no log is proved to contain
+// every acknowledged commit.
+constexpr milliseconds kWitnessTimeout{ 4'000 };
+
+} // namespace
+
 void
 primary_change::OnSteppedDown(const server_status& aStatus)
 {
   // A server that has started again without its log says nothing about what it
   // acknowledged before.
-  const bool keptLog = aStatus.mReceived != log_position{} &&
-                       aStatus.mReceived.mTerm >= mPlan.mLeadTerm &&
-                       aStatus.mReceived >= mPlan.mRequiredPosition;
+  const bool keptLog =
+    aStatus.mReceived != log_position{} && IsRecent(aStatus.mReceived);
   if (aStatus.mRole == server_role::Replica && keptLog) {
     mFinalPosition = aStatus.mReceived;
   }
@@ -42,12 +49,19 @@
   return newest;
 }
 
+bool
+primary_change::IsRecent(const log_position& aReceived) const
+{
+  const bool hasAcknowledged =
+    mPlan.mReplicasComplete || aReceived >= mPlan.mAcknowledgedPosition;
+  return aReceived.mTerm >= mPlan.mLeadTerm &&
+         aReceived >= mPlan.mRequiredPosition && hasAcknowledged;
+}
+
 bool
 primary_change::IsLogRecent(const replica_info& aReplica) const
 {
-  const log_position received = mReplies.at(aReplica.mId).mReceived;
-  return received.mTerm >= mPlan.mLeadTerm &&
-         received >= mPlan.mRequiredPosition;
+  return IsRecent(mReplies.at(aReplica.mId).mReceived);
 }
 
 bool
@@ -58,6 +72,14 @@
          IsLogRecent(aReplica);
 }
 
+bool
+primary_change::IsProved(const replica_info& aNewest) const
+{
+  return ContainsFinalLog(aNewest) ||
+         (IsLogRecent(aNewest) &&
+          (mPlan.mReplicasComplete || mAcknowledgedKnown));
+}
+
 primary_change::actions
 primary_change::TryChoose(time_point aNow)
 {
@@ -65,8 +87,7 @@
   if (newest == nullptr || !AllReplicasReplied()) {
     return {};
   }
-  if (ContainsFinalLog(*newest) ||
-      (IsLogRecent(*newest) && mPlan.mReplicasComplete)) {
+  if (IsProved(*newest)) {
     return Promote(newest->mId, aNow);
   }
   // Without a reply of the old primary, its time limit decides.
@@ -77,14 +98,23 @@
 primary_change::ChooseAtTimeLimit(time_point aNow)
 {
   const replica_info* newest = NewestReplica();
-  if (newest != nullptr && (ContainsFinalLog(*newest) ||
-                            (IsLogRecent(*newest) && AllReplicasReplied()))) {
+  if (newest != nullptr && ContainsFinalLog(*newest)) {
     return Promote(newest->mId, aNow);
   }
   if (mFinalPosition) {
     return Promote(mPlan.mOldPrimary, aNow);
   }
-  return Revert(aNow);
+  if (newest == nullptr || !IsLogRecent(*newest) || !AllReplicasReplied()) {
+    return Revert(aNow);
+  }
+  if (aNow < mStepStartedAt + kWitnessTimeout) {
+    return {};
+  }
+  Log(log_level::Error,
+      "primary",
+      "old primary does not return; its last commits may be lost",
+      { { "service", mPlan.mService }, { "old", mPlan.mOldPrimary } });
+  return Promote(newest->mId, aNow);
 }
 
 primary_change::actions
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -34,6 +34,7 @@
   , mLinks(aLinks)
   , mObjects(std::move(aObjects))
   , mOptions(std::move(aOptions))
+  , mStartedAt(aLoop.Now())
   , mDesiredWatcher(aLoop,
                     aStore,
                     mObjects.mDesiredStateKind,
@@ -419,11 +420,15 @@
     control.mReleasedTerm = std::max(control.mReleasedTerm, release->mTerm);
     NoteRelease(control, release->mTerm, release->mEndsWrites);
     PublishPrimary(release->mService, aNow);
-    mLinks.SendDatagram(aFrom,
-                        release_answer{ mOptions.mInstance,
-                                        mOptions.mStarted,
-                                        release->mService,
-                                        release->mTerm });
+    mLinks.SendDatagram(
+      aFrom,
+      release_answer{
+        mOptions.mInstance,
+        mOptions.mStarted,
+        release->mService,
+        release->mTerm,
+        mEngine.AcknowledgedPosition(release->mService),
+        static_cast<std::uint64_t>(ToMilliseconds(aNow - mStartedAt)) });
   } else if (const auto* answer = std::get_if<release_answer>(&aDatagram)) {
     OnReleaseAnswer(*answer, aNow);
   } else if (const auto* request =
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -124,6 +124,14 @@
   return oldest;
 }
 
+log_position
+session_engine::state::AcknowledgedPosition(const std::string& aService) const
+{
+  const auto service = mServices.find(aService);
+  return service == mServices.end() ? log_position{}
+                                    : service->second.mAcknowledged;
+}
+
 std::vector<primary_observation>
 session_engine::state::ObservePrimaries() const
 {
@@ -299,6 +307,12 @@
   mState->AbortTransactions(aNow);
 }
 
+log_position
+session_engine::AcknowledgedPosition(const std::string& aService) const
+{
+  return mState->AcknowledgedPosition(aService);
+}
+
 std::vector<primary_observation>
 session_engine::ObservePrimaries() const
 {
--- a/tests/session/engine_acknowledgement_test.cpp
+++ b/tests/session/engine_acknowledgement_test.cpp
@@ -47,6 +47,24 @@
   EXPECT_FALSE(LastReply(mSession).mError);
 }
 
+// A change of primary needs to know how far callers have been told of commits.
+TEST_F(AcknowledgementTest, KnowsThePositionOfTheLastAcknowledgedWrite)
+{
+  SendWrite();
+  EXPECT_EQ(mEngine.AcknowledgedPosition("s"), log_position{});
+  Answer(mWriteConnection, Done(5));
+  EXPECT_EQ(mEngine.AcknowledgedPosition("s"), *Done(5).mPosition);
+}
+
+TEST_F(AcknowledgementTest, CountsNoWriteThatIsNotAcknowledged)
+{
+  SendWrite();
+  mEngine.SetPrimary(
+    "s", { "p", 0, false, true, write_permission::Ended }, mNow);
+  Answer(mWriteConnection, Done(5));
+  EXPECT_EQ(mEngine.AcknowledgedPosition("s"), log_position{});
+}
+
 TEST_F(AcknowledgementTest, DoesNotAcknowledgeAWriteOfAReleasedPrimary)
 {
   SendWrite();
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -66,7 +66,7 @@
   const std::vector<peer_datagram> datagrams{
     report,
     release_request{ "s", 4 },
-    release_answer{ "i1", 5, "s", 4 },
+    release_answer{ "i1", 5, "s", 4, { 3, 17 }, 9'000 },
     confirmation_request{ "i1", 5, 6, 7 },
     connection_yield_request{ "p" },
   };
@@ -95,7 +95,8 @@
 
 TEST(PeerDatagramsTest, RefusesEveryTruncation)
 {
-  const std::string bytes = EncodeDatagram(release_answer{ "i1", 5, "s", 4 });
+  const std::string bytes =
+    EncodeDatagram(release_answer{ "i1", 5, "s", 4, { 3, 17 }, 9'000 });
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     EXPECT_FALSE(DecodeDatagram(bytes.substr(0, size)).ok());
   }
@@ -120,5 +121,27 @@
   EXPECT_FALSE(request.mEndsWrites);
 }
 
+// Nothing may be concluded from the answer of an instance of an earlier
+// version, which does not tell what it has acknowledged.
+TEST(PeerDatagramsTest, ReadsReleaseAnswersWithAndWithoutPositions)
+{
+  const auto decoded = DecodeDatagram(
+    EncodeDatagram(release_answer{ "i1", 5, "s", 4, { 3, 17 }, 9'000 }));
+  ASSERT_TRUE(decoded.ok());
+  const auto& current = std::get<release_answer>(*decoded);
+  EXPECT_EQ(current.mAcknowledged, (log_position{ 3, 17 }));
+  EXPECT_EQ(current.mUptimeMs, 9'000U);
+
+  // Array of the type 2 (release answer) and an array of the instance, its
+  // start time, the service and the term.
+  const std::string earlier("\x92\x02\x94\xa2i1\x05\xa1s\x04", 10);
+  const auto read = DecodeDatagram(earlier);
+  ASSERT_TRUE(read.ok());
+  const auto& answer = std::get<release_answer>(*read);
+  EXPECT_EQ(answer.mService, "s");
+  EXPECT_EQ(answer.mTerm, 4U);
+  EXPECT_EQ(answer.mUptimeMs, 0U);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/primary_change_model_test.cpp
+++ b/tests/session/primary_change_model_test.cpp
@@ -23,6 +23,8 @@
 struct model_options
 {
   bool mAskOldPrimary = true;
+  // Instances tell how far they have acknowledged commits.
+  bool mAskInstances = true;
   bool mPauseNewReplicas = true;
 };
 
@@ -91,9 +93,8 @@
         hit.mDeaf = !hit.mDeaf;
         break;
       case 1:
-        // One server at a time is down, and a primary only while another one
-        // has its log: without both, acknowledged commits cannot be kept.
-        if (hit.mRunning && RunningServers() == kServers && !hit.mPrimary) {
+        // Servers return with their logs, so any of them may be down.
+        if (hit.mRunning && RunningServers() > 1) {
           hit.mRunning = false;
         }
         break;
@@ -207,7 +208,11 @@
       mRecorded = std::stoi(mRecord.mPrimary);
       Queue(mChange->OnRecordWritten(true, mNow));
     } else if (std::holds_alternative<release_instances>(action)) {
-      Queue(mChange->OnInstancesReleased(mNow));
+      // Another instance may not have answered, but had not acknowledged more.
+      const bool allKnown = Draw(2) == 0;
+      Queue(mOptions.mAskInstances
+              ? mChange->OnInstancesReleased(mNow, { mAcknowledged, allKnown })
+              : mChange->OnInstancesReleased(mNow));
     } else if (const auto* order = std::get_if<order_promotion>(&action)) {
       Promote(std::stoi(order->mServer));
     }
@@ -300,7 +305,15 @@
 
 TEST(ServiceOverChangesTest, NeedsTheOldPrimarysLog)
 {
-  EXPECT_GT(SeedsWithALoss({ .mAskOldPrimary = false }), 0);
+  // The positions that instances acknowledged would cover for it.
+  const int asked = SeedsWithALoss({ .mAskInstances = false });
+  EXPECT_GT(SeedsWithALoss({ .mAskOldPrimary = false, .mAskInstances = false }),
+            asked);
+}
+
+TEST(ServiceOverChangesTest, NeedsThePositionsThatInstancesAcknowledged)
+{
+  EXPECT_GT(SeedsWithALoss({ .mAskInstances = false }), 0);
 }
 
 TEST(ServiceOverChangesTest, HasAPrimaryAgainAfterTheLastFault)
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -69,13 +69,28 @@
 
 // Advances a change to the step that pauses the replicas.
 void
-AdvanceToPausing(primary_change& aChange)
+AdvanceToPausing(primary_change& aChange,
+                 const acknowledged_commits& aAcknowledged = {})
 {
   aChange.Start(At(0));
   Reply(aChange, "a", Status(server_role::Replica, 3, 10), At(1));
   Reply(aChange, "b", Status(server_role::Replica, 3, 10), At(1));
   aChange.OnRecordWritten(true, At(10));
-  aChange.OnInstancesReleased(At(20));
+  aChange.OnInstancesReleased(At(20), aAcknowledged);
+}
+
+// A change with a replica that may have left, whose others are paused at 4.10
+// and 4.12. The old primary does not answer.
+primary_change
+ChangeWithAWitnessGone(const acknowledged_commits& aAcknowledged)
+{
+  change_plan plan = Plan();
+  plan.mReplicasComplete = false;
+  primary_change change(plan);
+  AdvanceToPausing(change, aAcknowledged);
+  Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
+  Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  return change;
 }
 
 TEST(PrimaryChangeTest, RecordsATermAboveAllSeen)
@@ -370,16 +385,75 @@
   EXPECT_EQ(stable[0].mRecord.mLeadTerm, 5U);
 }
 
-TEST(PrimaryChangeTest, GoesOnWithoutAReplicaThatIsGone)
+// A replica that has left may have been the only one with the last commits, so
+// that the old primary is waited for, but not for ever.
+TEST(PrimaryChangeTest, WaitsForTheOldPrimaryIfAReplicaIsGone)
 {
   primary_change change(Plan());
   AdvanceToPausing(change);
   Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
   change.OnServerRemoved("b", At(500));
   change.OnTick(At(520));
+  change.OnTick(At(4'019));
+  EXPECT_EQ(change.Step(), change_step::Pausing);
+  change.OnTick(At(4'020));
   EXPECT_EQ(change.Candidate(), "a");
 }
 
+// The old primary has crashed and returns with its log while it is waited for.
+TEST(PrimaryChangeTest, PromotesAnOldPrimaryThatReturnsWithItsLog)
+{
+  primary_change change = ChangeWithAWitnessGone({ { 4, 15 }, true });
+  EXPECT_EQ(change.Step(), change_step::Pausing);
+  change.OnServerStatus("p",
+                        step_down_command{ change.Term() },
+                        Status(server_role::Replica, 4, 15),
+                        At(200));
+  EXPECT_EQ(change.Candidate(), "p");
+}
+
+TEST(PrimaryChangeTest, PromotesALogWithAllThatInstancesHaveAcknowledged)
+{
+  const primary_change change = ChangeWithAWitnessGone({ { 4, 12 }, true });
+  EXPECT_EQ(change.Candidate(), "b");
+}
+
+// An instance that did not answer may have acknowledged more than the others.
+TEST(PrimaryChangeTest, WaitsIfNotAllAcknowledgedCommitsAreKnown)
+{
+  primary_change change = ChangeWithAWitnessGone({ { 4, 12 }, false });
+  EXPECT_EQ(change.Step(), change_step::Pausing);
+  change.OnTick(At(4'020));
+  EXPECT_EQ(change.Candidate(), "b");
+}
+
+TEST(PrimaryChangeTest, NeverPromotesALogThatLacksAnAcknowledgedCommit)
+{
+  for (const bool allKnown : { false, true }) {
+    primary_change change = ChangeWithAWitnessGone({ { 4, 13 }, allKnown });
+    for (int ms = 40; ms < 10'000 && !change.IsOver(); ms += 20) {
+      change.OnTick(At(ms));
+      if (change.Step() == change_step::Reverting) {
+        change.OnRecordWritten(true, At(ms));
+      }
+    }
+    EXPECT_EQ(change.Step(), change_step::Failed);
+    EXPECT_TRUE(change.IsLogMissing());
+    EXPECT_EQ(change.Candidate(), "");
+  }
+}
+
+// The position that a server states with a commit can be that of a later one,
+// which no replica has received.
+TEST(PrimaryChangeTest, TrustsTheLogsOfAllReplicasBeforeStatedPositions)
+{
+  primary_change change(Plan());
+  AdvanceToPausing(change, { { 4, 13 }, true });
+  Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
+  Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  EXPECT_EQ(change.Candidate(), "b");
+}
+
 // A reply from before the pause does not show what the server received until it
 // was paused.
 TEST(PrimaryChangeTest, IgnoresAnswersOfEarlierSteps)
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -441,7 +441,10 @@
   mStore.Write("servers", "behind", "replica");
   Run(1'600);
   mStore.Write("servers", "newest", "replica");
+  // The processes are too young for a proof, so the old primary is waited for.
   Run(3'000);
+  EXPECT_TRUE(mNetwork.mPromoted.empty());
+  Run(4'500);
   ASSERT_FALSE(mNetwork.mPromoted.empty());
   EXPECT_EQ(mNetwork.mPromoted.front(), "newest");
 }
