Read from replicas after one has left only if they cover for it

Cause: the check of the primary without the store took the replicas that are left for all that may have confirmed commits, also after one of them had left; the class is the same as for the promoted logs.

The proof by all replicas now also needs that the primary has told its position since a replica last left or lost its log, that the newest log reaches it, and that it reaches what this instance has acknowledged.

Evidence: two new tests fail without the condition. CountsNoServersThatHaveLeft lets the primary answer once after the server has left, as the proof needs.

--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -9,8 +9,10 @@
 //   were asked, and the primary's log contains all acknowledged commits.
 // - All servers except the last primary report that they are replicas. With k
 //   of at least 1, every commit that the last primary acknowledged is in one of
-//   their logs. Commits of earlier terms are as well, once one of the replicas
-//   has an entry of the last primary's term.
+//   their logs, or in that of a replica that has left. The former is shown by a
+//   position of the primary from after the replica left, which their newest log
+//   contains. Commits of earlier terms are in one of their logs as well, once
+//   one of them has an entry of the last primary's term.
 //
 // Both proofs count all servers of the service, including those whose entries
 // are missing although they were never marked as draining: the entry of a
@@ -63,6 +65,29 @@
   }
 }
 
+void
+session_engine::state::AddPrimarySample(known_service& aService,
+                                        time_point aSent,
+                                        const log_position& aPosition)
+{
+  aService.mSamples.Add(aSent, aPosition);
+  if (aService.mReplicaLeftAt && aSent >= *aService.mReplicaLeftAt) {
+    aService.mPositionAfterLeave = aPosition;
+    aService.mReplicaLeftAt.reset();
+  }
+}
+
+bool
+session_engine::state::CoversReplicasThatLeft(const known_service& aService,
+                                              const log_position& aNewest) const
+{
+  const bool witnessGone = aService.mReplicaLeftAt &&
+                           aService.mCheck->mStarted <
+                             *aService.mReplicaLeftAt + kMissingServerTimeout;
+  return !witnessGone && aNewest >= aService.mPositionAfterLeave &&
+         aNewest >= aService.mAcknowledged;
+}
+
 void
 session_engine::state::StartCheck(const std::string& aService, time_point aNow)
 {
@@ -113,6 +138,8 @@
       });
     if (inTerm >= std::max<std::int64_t>(1, expected - syncReplicas)) {
       service.mPrimaryLedAt = service.mCheck->mStarted;
+      AddPrimarySample(
+        service, service.mCheck->mStarted, primary->second.mReceived);
       OnCheckPassed(service,
                     aConnection.mService,
                     primary->second.mReceived,
@@ -133,7 +160,8 @@
   const std::int64_t needed =
     std::max(servers - (mServers.contains(lastPrimary) ? 1 : 0), expected - 1);
   if (syncReplicas >= 1 && replicas >= needed &&
-      newest.mTerm >= service.mPrimary.mLeadTerm) {
+      newest.mTerm >= service.mPrimary.mLeadTerm &&
+      CoversReplicasThatLeft(service, newest)) {
     OnCheckPassed(service, aConnection.mService, newest, "all replicas");
   }
 }
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -70,7 +70,7 @@
   if (aConnection.mServer == service.mPrimary.mServer &&
       service.mPrimary.mAcceptsWork && aSent < mConfirmedUntil &&
       aReply.mError != result_code::NotPrimary) {
-    service.mSamples.Add(aSent, *aReply.mPosition);
+    AddPrimarySample(service, aSent, *aReply.mPosition);
   }
 }
 
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -229,6 +229,13 @@
   freshness_samples mSamples;
   // Newest position at which a commit was acknowledged to a caller.
   log_position mAcknowledged;
+  // When a server other than the primary last left or lost its log. It may have
+  // been the only one that received the newest commits. Unset once the primary
+  // has told its position since.
+  std::optional<time_point> mReplicaLeftAt;
+  // Position of the primary's log after a replica last left, which the logs of
+  // the others must contain together.
+  log_position mPositionAfterLeave;
   write_gate mWriteGate;
   // The latest check, in progress or finished.
   std::optional<primary_check> mCheck;
@@ -459,6 +466,15 @@
   void CloseUnansweredConnections(time_point aNow);
 
   // engine_check.cpp
+  // Notes the position of a server that was known to be the primary when the
+  // command was sent.
+  static void AddPrimarySample(known_service& aService,
+                               time_point aSent,
+                               const log_position& aPosition);
+  // Whether the newest log of the present replicas contains all that replicas
+  // which have left may have confirmed.
+  bool CoversReplicasThatLeft(const known_service& aService,
+                              const log_position& aNewest) const;
   void OnCheckPassed(known_service& aService,
                      const std::string& aName,
                      log_position aPosition,
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -72,6 +72,9 @@
   if (removed.mEntry.mDraining) {
     --service.mExpectedServers;
   }
+  if (service.mPrimary.mServer != aServer) {
+    service.mReplicaLeftAt = aNow;
+  }
   for (const auto connection : removed.mConnections) {
     OnServerClosed(connection, aNow);
     mLinks.CloseServerConnection(connection);
--- a/tests/session/engine_check_test.cpp
+++ b/tests/session/engine_check_test.cpp
@@ -71,6 +71,57 @@
   EXPECT_EQ(command.mMinPosition, (log_position{ 1, 9 }));
 }
 
+// A replica that has left may have been the only one with the last commits that
+// the primary acknowledged.
+TEST_F(SessionEngineTest, TakesNoProofFromReplicasAfterOneHasLeft)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(5));
+  registered_server leaving = Server("c");
+  leaving.mDraining = true;
+  mEngine.PutServer(leaving, mNow);
+  mEngine.RemoveServer("c", mNow);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  AdvanceClock(20);
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 9));
+  AdvanceClock(20);
+  EXPECT_FALSE(LastRequestConnection());
+}
+
+// The primary has told its position since the replica left, so what the others
+// confirmed after that is in their logs, if what came before it is.
+TEST_F(SessionEngineTest, ReadsFromReplicasThatCoverForOneThatHasLeft)
+{
+  for (const int newest : { 4, 5 }) {
+    Configure();
+    registered_server leaving = Server("c");
+    leaving.mDraining = true;
+    mEngine.PutServer(leaving, mNow);
+    mEngine.RemoveServer("c", mNow);
+    const session_id session = Open("main");
+    SendStatement(session, read_statement{ "1" });
+    AcceptConnections();
+    Answer(*LastRequestConnection(), Done(5));
+    mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+    AdvanceClock(20);
+    SendStatement(session, read_statement{ "2" });
+    AcceptConnections();
+    AdvanceClock(300);
+    ASSERT_TRUE(AnswerStatus("a", "replica", 1, newest));
+    ASSERT_TRUE(AnswerStatus("b", "replica", 1, 3));
+    AdvanceClock(20);
+    EXPECT_EQ(LastRequestConnection().has_value(), newest == 5);
+    mEngine.OnCallerClosed(session, mNow);
+  }
+}
+
 // If one of the other servers is already primary, the logs of the replicas do
 // not prove which commits were acknowledged.
 TEST_F(SessionEngineTest, TakesNoProofFromReplicasBesideANewPrimary)
@@ -163,6 +214,10 @@
   leaving.mDraining = true;
   mEngine.PutServer(leaving, mNow);
   mEngine.RemoveServer("b", mNow);
+  SendStatement(Open("main"), read_statement{ "0" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(5));
+  AdvanceClock(3'000);
   const session_id session = Open("own");
   mEngine.RemoveServer("p", mNow);
   mEngine.SetPrimary("s", {}, mNow);
