--- a/tests/soak/session_soak_test.cpp
+++ b/tests/soak/session_soak_test.cpp
@@ -9,8 +9,26 @@
 namespace snipewalk::soak {
 namespace {
 
-// Returns the violations of a run, followed by the faults that led to them;
-// empty if all guarantees held.
+// Returns the violations of a run with the options, followed by the faults that
+// led to them; empty if all guarantees held.
+std::string
+Violations(soak_options aOptions)
+{
+  aOptions.mBinaryDir = SNIPEWALK_BINARY_DIR;
+  aOptions.mFolder = testing::TempDir() + "/session_soak_" +
+                     std::to_string(aOptions.mPlan.mSeed);
+  std::filesystem::create_directories(aOptions.mFolder);
+  std::ostringstream faults;
+  const auto result = RunSoak(aOptions, faults);
+  EXPECT_GT(result.mAcknowledged, 0U);
+  EXPECT_GT(result.mReads, 0U);
+  std::string text;
+  for (const auto& violation : result.mViolations) {
+    text += violation + "\n";
+  }
+  return text.empty() ? text : text + faults.str();
+}
+
 std::string
 Violations(std::uint64_t aSeed,
            bool aPlannedWorkOnly,
@@ -22,19 +40,7 @@
   options.mPlan.mPlannedWorkOnly = aPlannedWorkOnly;
   options.mPlan.mFailRequests = aFailRequests;
   options.mMaxConnections = aConnections;
-  options.mBinaryDir = SNIPEWALK_BINARY_DIR;
-  options.mFolder =
-    testing::TempDir() + "/session_soak_" + std::to_string(aSeed);
-  std::filesystem::create_directories(options.mFolder);
-  std::ostringstream faults;
-  const auto result = RunSoak(options, faults);
-  EXPECT_GT(result.mAcknowledged, 0U);
-  EXPECT_GT(result.mReads, 0U);
-  std::string text;
-  for (const auto& violation : result.mViolations) {
-    text += violation + "\n";
-  }
-  return text.empty() ? text : text + faults.str();
+  return Violations(options);
 }
 
 TEST(SessionSoakTest, KeepsItsPromisesUnderRandomFaults)
@@ -65,6 +71,17 @@
   EXPECT_EQ(Violations(144, false), "");
 }
 
+// Guards against late orders and lost commits while the failover duty passes
+// from one instance to another.
+TEST(SessionSoakTest, KeepsItsPromisesWhileTheDutyIsHandedOver)
+{
+  soak_options options;
+  options.mPlan.mSeed = 2003;
+  options.mPlan.mHandovers = true;
+  options.mPlan.mFaultPeriod = seconds(22);
+  EXPECT_EQ(Violations(options), "");
+}
+
 TEST(SessionSoakTest, CutsNoAnswerByPlannedWork)
 {
   EXPECT_EQ(Violations(2, true), "");
