Begin the search for a lost log anew after a break

What callers would have seen: acknowledged commits lost without the wait for the old primary. Cause: the time since which no server had the log was kept when the primary returned by itself or the duty passed on, so that a change more than 30 s later took its log for lost at once. It was also begun anew whenever one replica did not answer.

The search is a class of its own, which counts from the first of a row of failed changes without a break of 5 s.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -11,6 +11,7 @@
 #include "snipewalk/session/fleet_records.h"
 #include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/kind_watcher.h"
+#include "snipewalk/session/lost_log_search.h"
 #include "snipewalk/session/peer_datagrams.h"
 #include "snipewalk/session/primary_change.h"
 #include "snipewalk/session/primary_monitor.h"
@@ -235,8 +236,7 @@
     // Newest position at which instances said that they have acknowledged a
     // commit of the primary.
     log_position mAcknowledgedPosition;
-    // Since when changes have failed because no server has the log.
-    std::optional<time_point> mLogMissingSince;
+    lost_log_search mLogSearch;
     // A status request for the monitor is in flight.
     bool mProbing = false;
     // Earliest start of the next change; set after a failed one.
@@ -321,8 +321,6 @@
   // Whether the servers known here, and those seen leaving, include every
   // replica that may have confirmed a commit of the service's primary.
   bool KnowsAllReplicas(const service_control& aControl, time_point aNow) const;
-  // Whether no server has had the required log for so long that none will.
-  static bool IsLogLost(const service_control& aControl, time_point aNow);
   // Tells a change in progress of a server that registered or started again.
   void AddToChange(const registered_server& aServer, time_point aNow);
   void RunChange(const std::string& aService, time_point aNow);
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -20,10 +20,6 @@
 // An instance that has sent no health report for this long is marked as gone.
 // Until then, a change of primary waits for its confirmations to expire.
 constexpr milliseconds kReportTimeout{ 2'500 };
-// If no server has had a log with the required position for this long, the log
-// is taken to be lost for good, and the service goes on without it.
-constexpr milliseconds kLostLogTimeout{ 30'000 };
-
 } // namespace
 
 session_controller::running_change::running_change() = default;
@@ -232,7 +228,7 @@
   plan.mKnownTerm = control.mRecord ? control.mRecord->mTerm : 0;
   plan.mLeadTerm = primary.mLeadTerm;
   plan.mFence = mDuty.Fence();
-  const bool logLost = IsLogLost(control, aNow);
+  const bool logLost = control.mLogSearch.IsLost(aNow);
   if (logLost) {
     Log(log_level::Error,
         "primary",
@@ -275,13 +271,6 @@
   Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
 }
 
-bool
-session_controller::IsLogLost(const service_control& aControl, time_point aNow)
-{
-  return aControl.mLogMissingSince &&
-         aNow >= *aControl.mLogMissingSince + kLostLogTimeout;
-}
-
 bool
 session_controller::KnowsAllReplicas(const service_control& aControl,
                                      time_point aNow) const
@@ -318,15 +307,16 @@
     const bool failed =
       control.mRunning->mChange->Step() == change_step::Failed;
     control.mRunning.reset();
-    control.mLogMissingSince =
-      logMissing ? std::optional(control.mLogMissingSince.value_or(aNow))
-                 : std::nullopt;
+    if (logMissing) {
+      control.mLogSearch.OnMissing(aNow);
+    }
     if (failed) {
       control.mChangeAfter = aNow + kRetryDelayAfterFailedChange;
     } else {
       control.mMonitor.Reset(aNow);
       control.mRequiredPosition = {};
       control.mAcknowledgedPosition = {};
+      control.mLogSearch.Reset();
       PublishPrimary(aService, aNow);
     }
   }
