Wait longer for an old primary, and trust no instance that was marked as gone

What callers would have seen: acknowledged commits lost.

Such an instance makes the acknowledged positions incomplete for 60 s, and a change without a proof waits 10 s.

--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -13,6 +13,10 @@
 constexpr milliseconds kReleaseRequestInterval{ 40 };
 // Interval at which a failed read of the servers is repeated.
 constexpr milliseconds kServerReadRetryInterval{ 200 };
+// An instance that was marked as gone may live on, and acknowledge commits for
+// as long as it reaches the primary and a replica. It is taken to do so for
+// this time.
+constexpr milliseconds kGoneAcknowledgementTime{ 60'000 };
 // Safety margin, as the clocks of two instances may run at slightly different
 // speeds.
 constexpr milliseconds kClockRateMargin{ 100 };
@@ -75,8 +79,8 @@
       instance->mState == instance_state::Gone && gone != mGoneSince.end();
     const bool confirmationExpired =
       isGone && aNow >= gone->second + kConfirmationLifetime;
-    if (isGone) {
-      NoteAcknowledged(running, {}, aNow - gone->second);
+    if (isGone && aNow < gone->second + kGoneAcknowledgementTime) {
+      running.mAcknowledged.mAllKnown = false;
     }
     if (!confirmationExpired) {
       running.mUnreleased[instance->mName] = *instance;
--- a/src/session/primary_change_choice.cpp
+++ b/src/session/primary_change_choice.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 // How long a change waits for the old primary if no log is proved to contain
-// every acknowledged commit.
-constexpr milliseconds kWitnessTimeout{ 4'000 };
+// every acknowledged commit: longer than a server takes to start again.
+constexpr milliseconds kWitnessTimeout{ 10'000 };
 
 } // namespace
 
