Write a primary's record only over the version that the change began with

What callers would have seen: a change of primary undone by the previous holder of the duty, and commits lost. Cause: a change wrote its record over the newest version that the instance knew, also if another holder had written that, and whatever had become of the lease. A holder that was stopped reads its buffered replies, and the record of its successor, before it notices that its lease has ended.

A change expects the version that it began with or has written itself, and writes nothing without the lease. The new test failed before (another holder's record was replaced after the wait for the old primary), passes now.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -197,6 +197,9 @@
     running_change();
 
     std::unique_ptr<primary_change> mChange;
+    // Version of the primary's record that the change began with or has
+    // written. A record of another holder must not be replaced.
+    std::uint64_t mRecordVersion = 0;
     // Instances that still have to release the old primary, by name.
     std::map<std::string, instance_record> mUnreleased;
     bool mListingInstances = false;
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -267,6 +267,7 @@
         { "replicas_complete", plan.mReplicasComplete },
         { "required", required } });
   control.mRunning.emplace();
+  control.mRunning->mRecordVersion = control.mRecordVersion;
   control.mRunning->mChange = std::make_unique<primary_change>(std::move(plan));
   Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
 }
@@ -409,16 +410,20 @@
 void
 session_controller::WriteRecord(const std::string& aService,
                                 const primary_record& aRecord,
-                                time_point)
+                                time_point aNow)
 {
-  const std::uint64_t expected = mServices[aService].mRecordVersion;
+  // The process may have been stopped since the duty was last checked.
+  if (!mDuty.Holds(aNow)) {
+    return;
+  }
+  const std::uint64_t expected = mServices[aService].mRunning->mRecordVersion;
   mStore.Submit(
     store_put{ { kFleetKind, PrimaryRecordName(aService) },
                EncodeFleetRecord(aRecord),
                expected },
     store_priority::Terms,
     [this, aService, aRecord, alive = std::weak_ptr<bool>(mAlive)](
-      const store_reply& aReply, time_point aNow) {
+      const store_reply& aReply, time_point aThen) {
       if (alive.expired()) {
         return;
       }
@@ -429,8 +434,8 @@
                            aReply.mObjects.front().mVersion,
                            false,
                            EncodeFleetRecord(aRecord) },
-                         aNow,
-                         aNow);
+                         aThen,
+                         aThen);
       } else {
         Log(log_level::Warning,
             "primary",
@@ -440,9 +445,12 @@
       }
       service_control& control = mServices[aService];
       if (control.mRunning) {
+        if (written) {
+          control.mRunning->mRecordVersion = aReply.mObjects.front().mVersion;
+        }
         Perform(aService,
-                control.mRunning->mChange->OnRecordWritten(written, aNow),
-                aNow);
+                control.mRunning->mChange->OnRecordWritten(written, aThen),
+                aThen);
       }
     });
 }
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -449,5 +449,25 @@
   EXPECT_EQ(mNetwork.mPromoted.front(), "newest");
 }
 
+// Guards against a holder that goes on with a change after another one has
+// carried out a change of its own.
+TEST_F(SessionControllerTest, ReplacesNoRecordOfAnotherHolder)
+{
+  mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 509 }, {} } } };
+  mStore.Write("servers", "a", "replica");
+  Run(1'600);
+  // The change waits for the old primary, which does not answer.
+  mStore.Write("servers", "p", "draining");
+  Run(3'000);
+  ASSERT_EQ(HolderName().empty(), false);
+  const primary_record other{ "s", "b", 9, 9, primary_phase::Stable, 1'000 };
+  const std::string record = PrimaryRecordName("s");
+  ASSERT_NE(mStore.Value(kFleetKind, record), "");
+  mStore.Write(kFleetKind, record, EncodeFleetRecord(other));
+  Run(9'000);
+  EXPECT_TRUE(mNetwork.mPromoted.empty());
+  EXPECT_EQ(mStore.Value(kFleetKind, record), EncodeFleetRecord(other));
+}
+
 } // namespace
 } // namespace snipewalk
