Count a replica whose entry cannot be read as one that has left

What callers would have seen: acknowledged commits lost. Found by the review. Cause: a server whose entry became unreadable was forgotten after 2.2 s without a note that its log was gone, so that the remaining replicas counted as all. The new test failed before (the remaining replica was promoted), passes now.

--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -187,6 +187,9 @@
         "cannot decode server entry",
         { { "entry", aServer }, { "error", entry.status().ToString() } });
     mServers.MarkMissing(aServer, aNow);
+    if (before) {
+      OnLogLost(*before, aNow);
+    }
     return;
   }
   if (!mServers.Put(*entry)) {
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -31,6 +31,9 @@
   objects.mDecodeServer =
     [](const std::string& aId,
        const std::string& aValue) -> absl::StatusOr<registered_server> {
+    if (aValue == "junk") {
+      return absl::InvalidArgumentError("not an entry");
+    }
     registered_server entry;
     entry.mId = aId;
     entry.mService = "s";
@@ -469,5 +472,21 @@
   EXPECT_EQ(mStore.Value(kFleetKind, record), EncodeFleetRecord(other));
 }
 
+// A replica whose entry cannot be read any more may have the only copies of
+// acknowledged commits, like one that has left.
+TEST_F(SessionControllerTest, MissesAReplicaWhoseEntryIsNotReadable)
+{
+  mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 509 }, {} } } };
+  mStore.Write("servers", "a", "replica");
+  mStore.Write("servers", "b", "replica");
+  // From now on the holder knows all replicas.
+  Run(13'000);
+  mStore.Write("servers", "b", "junk");
+  Run(3'000);
+  mStore.Write("servers", "p", "draining");
+  Run(3'000);
+  EXPECT_TRUE(mNetwork.mPromoted.empty());
+}
+
 } // namespace
 } // namespace snipewalk
