Replace a server that left after its promotion was recorded

What callers saw: no writes for good. Cause: a holder of the duty was stopped between the order and the record that the server leads. The server led, and left; each later holder resumed the recorded promotion and ordered the gone server again and again (409), as the record named no other.

A change whose candidate has left fails, and the next one begins from the start with the candidate as the old primary: it may have led, so what instances have acknowledged of its commits is needed. A late order for it finds no server.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -163,6 +163,9 @@
   bool mPlanned = false;
   // Record of a change that an earlier duty holder began and did not finish.
   std::optional<primary_record> mResumed;
+  // The server that the earlier holder ordered to be promoted has left. It may
+  // have led and acknowledged commits before.
+  bool mCandidateLeft = false;
 };
 
 class primary_change
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -133,7 +133,8 @@
 primary_change::Start(time_point aNow)
 {
   mStepStartedAt = aNow;
-  if (mPlan.mResumed && mPlan.mResumed->mPhase == primary_phase::Promoting) {
+  if (mPlan.mResumed && mPlan.mResumed->mPhase == primary_phase::Promoting &&
+      !mPlan.mCandidateLeft) {
     mTerm = mPlan.mResumed->mTerm;
     mCandidate = mPlan.mResumed->mPrimary;
     mRecorded = true;
@@ -328,6 +329,12 @@
 primary_change::actions
 primary_change::OnServerRemoved(const std::string& aServer, time_point aNow)
 {
+  if (aServer == mCandidate && mStep >= change_step::Choosing &&
+      mStep <= change_step::RecordingStable) {
+    // The next change replaces the candidate, which may have led.
+    EnterStep(change_step::Failed, aNow);
+    return {};
+  }
   if (aServer == mPlan.mOldPrimary) {
     mFinalPosition.reset();
   }
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -546,6 +546,38 @@
 }
 
 // A planned change gives open transactions a grace period before it ends them.
+// Guards against a service that never gets a primary again: the platform
+// refuses to promote a server that has left, and the record names no other.
+TEST(PrimaryChangeTest, BeginsAgainIfTheCandidateHasLeft)
+{
+  primary_change change(Plan());
+  AdvanceToPausing(change);
+  Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
+  Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  change.OnRecordWritten(true, At(30));
+  ASSERT_EQ(change.Step(), change_step::Promoting);
+  change.OnPromoted(promotion_result::Rejected, At(40));
+  change.OnServerRemoved("b", At(6'000));
+  EXPECT_EQ(change.Step(), change_step::Failed);
+
+  change_plan next = Plan();
+  next.mOldPrimary = "gone";
+  next.mReplicasComplete = false;
+  next.mKnownTerm = change.Term();
+  next.mResumed = primary_record{
+    "s", "gone", change.Term(), 0, primary_phase::Promoting, 9
+  };
+  next.mCandidateLeft = true;
+  primary_change again(next);
+  // What callers were told of while the candidate led must be kept as well.
+  AdvanceToPausing(again, { { 5, 13 }, true });
+  EXPECT_GT(again.Term(), change.Term());
+  Reply(again, "a", Status(server_role::Replica, 5, 12), At(21));
+  EXPECT_EQ(again.Candidate(), "");
+  Reply(again, "b", Status(server_role::Replica, 5, 13), At(22));
+  EXPECT_EQ(again.Candidate(), "b");
+}
+
 TEST(PrimaryChangeTest, StepsAReachablePrimaryDownAfterAGracePeriod)
 {
   primary_change change(Plan(true));
