Believe no replicas that lack what their primary has told

Cause: the check of the primary without the store takes the known replicas for all. A new replica, i-f7c52d4cfb, confirms commits from 6.63 s on; its entry reaches the instances at 7.53 s, as the store is slow. At 7.496 s the record of a change of primary ends the placement of reads on the primary, and at 7.512 s front-nuernberg-3 has the answers of the two replicas and not yet that of the primary: "all replicas" confirms 1.105, though the same instance had required 1.114 of replicas at 6.9 s to 7.1 s and had had replies of the primary until 7.4997 s. The sample of 1.105 replaces the newer ones, so that reads with bounded staleness follow it as well, until 9.2 s.

The proof by all replicas now needs that their newest log contains every position that a primary of the service has told this instance, also in replies that are no samples because a change of primary is recorded or the confirmation has expired. This includes the position from after a replica left. A position that the known replicas lack shows that another one confirms the commits, or that they were not acknowledged; in neither case are the replicas' logs proof. A check goes on and can still be decided by the primary's answer.

Evidence: the two new tests fail without the condition.

--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -9,10 +9,12 @@
 //   were asked, and the primary's log contains all acknowledged commits.
 // - All servers except the last primary report that they are replicas. With k
 //   of at least 1, every commit that the last primary acknowledged is in one of
-//   their logs, or in that of a replica that has left. The former is shown by a
-//   position of the primary from after the replica left, which their newest log
-//   contains. Commits of earlier terms are in one of their logs as well, once
-//   one of them has an entry of the last primary's term.
+//   their logs, or in that of a replica that has left or is not known yet: one
+//   confirms commits before its entry is in the store. What such a replica may
+//   have confirmed is shown by the positions that the primary told, which their
+//   newest log must contain; one of them must be from after a replica left.
+//   Commits of earlier terms are in one of their logs as well, once one of them
+//   has an entry of the last primary's term.
 //
 // Both proofs count all servers of the service, including those whose entries
 // are missing although they were never marked as draining: the entry of a
@@ -71,20 +73,20 @@
                                         const log_position& aPosition)
 {
   aService.mSamples.Add(aSent, aPosition);
+  aService.mToldPosition = std::max(aService.mToldPosition, aPosition);
   if (aService.mReplicaLeftAt && aSent >= *aService.mReplicaLeftAt) {
-    aService.mPositionAfterLeave = aPosition;
     aService.mReplicaLeftAt.reset();
   }
 }
 
 bool
-session_engine::state::CoversReplicasThatLeft(const known_service& aService,
-                                              const log_position& aNewest) const
+session_engine::state::CoversOtherReplicas(const known_service& aService,
+                                           const log_position& aNewest) const
 {
   const bool witnessGone = aService.mReplicaLeftAt &&
                            aService.mCheck->mStarted <
                              *aService.mReplicaLeftAt + kMissingServerTimeout;
-  return !witnessGone && aNewest >= aService.mPositionAfterLeave &&
+  return !witnessGone && aNewest >= aService.mToldPosition &&
          aNewest >= aService.mAcknowledged;
 }
 
@@ -161,7 +163,7 @@
     std::max(servers - (mServers.contains(lastPrimary) ? 1 : 0), expected - 1);
   if (syncReplicas >= 1 && replicas >= needed &&
       newest.mTerm >= service.mPrimary.mLeadTerm &&
-      CoversReplicasThatLeft(service, newest)) {
+      CoversOtherReplicas(service, newest)) {
     OnCheckPassed(service, aConnection.mService, newest, "all replicas");
   }
 }
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -65,11 +65,18 @@
   }
   server.mApplied = std::max(server.mApplied, *aReply.mPosition);
   known_service& service = mServices[aConnection.mService];
-  // The reply is evidence only if no newer primary could have acknowledged
+  if (aConnection.mServer != service.mPrimary.mServer ||
+      aReply.mError == result_code::NotPrimary) {
+    return;
+  }
+  // Commits up to this position may have been acknowledged, also if a newer
+  // primary has acknowledged others.
+  if (service.mPrimary.mHasLed) {
+    service.mToldPosition = std::max(service.mToldPosition, *aReply.mPosition);
+  }
+  // The reply is a sample only if no newer primary could have acknowledged
   // commits when the command was sent.
-  if (aConnection.mServer == service.mPrimary.mServer &&
-      service.mPrimary.mAcceptsWork && aSent < mConfirmedUntil &&
-      aReply.mError != result_code::NotPrimary) {
+  if (service.mPrimary.mAcceptsWork && aSent < mConfirmedUntil) {
     AddPrimarySample(service, aSent, *aReply.mPosition);
   }
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -233,9 +233,9 @@
   // been the only one that received the newest commits. Unset once the primary
   // has told its position since.
   std::optional<time_point> mReplicaLeftAt;
-  // Position of the primary's log after a replica last left, which the logs of
-  // the others must contain together.
-  log_position mPositionAfterLeave;
+  // Newest position that a primary told. If the known replicas lack it, another
+  // one that has left or is not known yet confirms the commits.
+  log_position mToldPosition;
   write_gate mWriteGate;
   // The latest check, in progress or finished.
   std::optional<primary_check> mCheck;
@@ -471,10 +471,10 @@
   static void AddPrimarySample(known_service& aService,
                                time_point aSent,
                                const log_position& aPosition);
-  // Whether the newest log of the present replicas contains all that replicas
-  // which have left may have confirmed.
-  bool CoversReplicasThatLeft(const known_service& aService,
-                              const log_position& aNewest) const;
+  // Whether the newest log of the known replicas contains all that replicas
+  // which have left, or are not known yet, are known to have confirmed.
+  bool CoversOtherReplicas(const known_service& aService,
+                           const log_position& aNewest) const;
   void OnCheckPassed(known_service& aService,
                      const std::string& aName,
                      log_position aPosition,
--- a/tests/session/engine_check_test.cpp
+++ b/tests/session/engine_check_test.cpp
@@ -71,6 +71,54 @@
   EXPECT_EQ(command.mMinPosition, (log_position{ 1, 9 }));
 }
 
+// The primary has told a position that no known replica has reached, so a
+// replica that is not known yet confirms its commits.
+TEST_F(SessionEngineTest, TakesNoProofFromReplicasThatLackWhatThePrimaryTold)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(5));
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  AdvanceClock(20);
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 4));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 3));
+  AdvanceClock(20);
+  EXPECT_FALSE(LastRequestConnection());
+}
+
+// A position counts even if the reply came after the record of a change of
+// primary, and after the confirmation of the primaries had expired.
+TEST_F(SessionEngineTest, CountsWhatThePrimaryToldDuringAChange)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  const auto first = *LastRequestConnection();
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  mEngine.SetPrimariesConfirmed(mNow, mNow);
+  Answer(first, Done(5));
+  AdvanceClock(20);
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 4));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 4));
+  AdvanceClock(20);
+  EXPECT_FALSE(LastRequestConnection());
+  // The replicas have caught up.
+  AdvanceClock(280);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 5));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 4));
+  AdvanceClock(20);
+  EXPECT_TRUE(LastRequestConnection());
+}
+
 // A replica that has left may have been the only one with the last commits that
 // the primary acknowledged.
 TEST_F(SessionEngineTest, TakesNoProofFromReplicasAfterOneHasLeft)
