Ask a server whose promotion was recorded whether it leads before ordering it

Part of its cause: a holder that takes over in the middle of a change ordered the recorded server at once, also if it led already, so that every hand-over during a change put one more order on its way, beside that of the former holder which a slow platform may still have.

A resumed change asks the recorded server for up to 1 s, and orders its promotion only if it does not lead by then. OrdersNoPromotionThatHasTakenEffect failed before. GoesOnFromARecordedPromotion, which had the order leave at once, checks that it leaves after that second.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -264,6 +264,8 @@
   time_point mLastSentAt;
   std::uint64_t mTerm = 0;
   std::string mCandidate;
+  // Whether this change has ordered the promotion itself.
+  bool mOrdered = false;
   // Replies received in the present step, by server id.
   std::map<std::string, server_status> mReplies;
   // Whether a record of this change was written.
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -34,6 +34,9 @@
 // Time limit for the candidate to become primary; after it the promotion is
 // ordered again.
 constexpr milliseconds kSettlingTimeout{ 3'000 };
+// The same for a candidate that an earlier holder may have ordered. After it
+// this holder orders the promotion.
+constexpr milliseconds kResumedSettlingTimeout{ 1'000 };
 // Time limit for resuming the other replicas. After it the change ends without
 // their confirmation.
 constexpr milliseconds kResumingTimeout{ 1'000 };
@@ -138,8 +141,9 @@
     mTerm = mPlan.mResumed->mTerm;
     mCandidate = mPlan.mResumed->mPrimary;
     mRecorded = true;
-    EnterStep(change_step::Choosing, aNow);
-    return MakeRecord(primary_phase::Promoting, mCandidate);
+    // The order of the earlier holder may have taken effect, or be about to.
+    EnterStep(change_step::Settling, aNow);
+    return { send_command{ mCandidate, status_command{} } };
   }
   if (mPlan.mResumed) {
     mTerm = mPlan.mResumed->mTerm;
@@ -256,6 +260,7 @@
       return { release_instances{ mPlan.mService, mTerm, !mPlan.mPlanned } };
     case change_step::Choosing:
       EnterStep(change_step::Promoting, aNow);
+      mOrdered = true;
       return { order_promotion{ mPlan.mService, mCandidate } };
     case change_step::RecordingStable: {
       EnterStep(change_step::Resuming, aNow);
@@ -485,6 +490,10 @@
                ? actions{ order_promotion{ mPlan.mService, mCandidate } }
                : actions{};
     case change_step::Settling:
+      if (!mOrdered && elapsed >= kResumedSettlingTimeout) {
+        EnterStep(change_step::Choosing, aNow);
+        return MakeRecord(primary_phase::Promoting, mCandidate);
+      }
       if (elapsed >= kSettlingTimeout) {
         EnterStep(change_step::Promoting, aNow);
         return { order_promotion{ mPlan.mService, mCandidate } };
