Probe primaries again after the duty was lost during a probe

What callers saw: statements went to servers more than 7 s after these had said that they leave (DRAIN). The holder of the duty had lost it during a probe, in an outage of the store, and had regained it; from then on it started no change of a primary that is alive once a replica had left.

Cause: service_control::mProbing is cleared by the handler of the probe only. AbandonChanges() closes the control connections, which drops the handlers of the commands under way without a call, and left the flag set for as long as the process lives.

Whoever drops the handlers puts the state right: AbandonChanges() clears the flag. No handler of an earlier probe can clear it during a later one, as all of them are dropped there. Other state that waits for commands is part of the running changes, which are dropped in the same place.

Evidence: the new test fails without the fix (no command after the duty was regained) and passes with it.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -73,7 +73,8 @@
   // Keeps a control connection to the server open, so that a change of primary
   // does not have to compete with client statements for a connection slot.
   virtual void KeepControlConnection(const registered_server& aServer) = 0;
-  // Closes all control connections.
+  // Closes all control connections. The handlers of the commands under way are
+  // dropped without a call.
   virtual void CloseControlConnections() = 0;
   virtual void OrderPromotion(const order_promotion& aOrder,
                               promotion_authority aAuthority,
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -468,6 +468,8 @@
           { { "service", service } });
       control.mRunning.reset();
     }
+    // Probes under way get no reply.
+    control.mProbing = false;
   }
   mLinks.CloseControlConnections();
   mLastReportAt.clear();
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -37,6 +37,7 @@
     entry.mAddress = "10.0.0.1:1";
     entry.mPrimary = aValue == "primary" || aValue == "draining";
     entry.mDraining = aValue == "draining";
+    entry.mStarted = aValue == "restarted" ? 2 : 1;
     return entry;
   };
   return objects;
@@ -108,6 +109,11 @@
                   milliseconds,
                   status_handler aOnStatus) override
   {
+    ++mCommands;
+    if (mHoldsReplies) {
+      mHeldReplies.push_back(std::move(aOnStatus));
+      return;
+    }
     const auto found = mNetwork.mStatuses.find(aServer.mId);
     const auto status = found == mNetwork.mStatuses.end()
                           ? std::nullopt
@@ -116,7 +122,8 @@
       [this, aOnStatus, status] { aOnStatus(status, mNetwork.mLoop.Now()); });
   }
   void KeepControlConnection(const registered_server&) override {}
-  void CloseControlConnections() override {}
+  // The commands under way get no reply, not even that of their time limit.
+  void CloseControlConnections() override { mHeldReplies.clear(); }
   void OrderPromotion(const order_promotion& aOrder,
                       promotion_authority,
                       promotion_handler) override
@@ -146,6 +153,11 @@
   refusable_store mStore;
   // The instance neither sends nor receives datagrams.
   bool mPartitioned = false;
+  // The servers do not reply before the control connections are closed.
+  bool mHoldsReplies = false;
+  std::vector<status_handler> mHeldReplies;
+  // Number of control commands sent.
+  int mCommands = 0;
   // Number of connection_yield_request datagrams sent.
   int mYieldRequests = 0;
   // Holder of the duty that the last confirmation sent has named.
@@ -426,6 +438,31 @@
   EXPECT_EQ(HolderName(), holder);
 }
 
+// A probe that ends with the duty is never answered. The next one must not wait
+// for it: without probes, no change of a primary that is alive begins once a
+// replica has left.
+TEST_F(SessionControllerTest, ProbesAgainAfterTheDutyWasLostDuringAProbe)
+{
+  mStore.Write("servers", "r", "replica");
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::string name = HolderName();
+  instance& holder = *mNetwork.mInstances.at(name);
+  holder.mHoldsReplies = true;
+  mStore.Write("servers", "r", "restarted");
+  Run(300);
+  ASSERT_EQ(holder.mHeldReplies.size(), 1U);
+  mStore.mRefusesCalls = true;
+  Run(4'000);
+  ASSERT_EQ(Holders(), 0);
+  ASSERT_TRUE(holder.mHeldReplies.empty());
+  mStore.mRefusesCalls = false;
+  const int before = holder.mCommands;
+  Run(2'500);
+  ASSERT_EQ(HolderName(), name);
+  EXPECT_GT(holder.mCommands, before);
+}
+
 // Entries that expired during an outage of the store reappear one by one within
 // two seconds. A process that starts in that time knows only some of the
 // servers at first, and the others may have the only copies of acknowledged
