Replace a leaving primary without the replicas that do not reply

What callers saw: a primary that leaves stayed in use, for longer than 7 s after it had said so (DRAIN), while one replica of its service could not be reached and its entry stood.

Cause: Probing ended only when every replica whose entry exists had replied, and failed after 500 ms; so no change got as far as stepping the old primary down. Pausing then waited 2 s for a silent replica, although the first proof does not need its reply: what was acknowledged is in the log that the stepped-down primary reports.

Replicas that were behind it are asked again, as their replies may be older than the primary's. Pausing chooses after 300 ms without the silent ones, if the newest log contains the final one. Nothing else is promoted without all replies: if no log contains the final one, the old primary is promoted again at the time limit, as before; without a final position the change is reverted.

With fewer logs to compare, the final position has to be right on its own, so it counts only if it has reached what the old primary told when it was probed, and what instances have acknowledged: a server that has started again without its log is not believed.

Evidence: four new tests fail before and pass now. A fifth, KeepsThePrimaryIfNoReplicaHasItsLogAndOneIsSilent, and two runs of the model with servers that are down but listed (LosesNoAcknowledgedCommitBesideSilent- Servers, HasAPrimaryAgainBesideSilentServers) passed before as well. Trials on changed code: the choice in Pausing without the final log fails six tests, both models among them; the final position without the new conditions fails BelievesNoOldPrimaryThatHasLostItsLog.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -10,7 +10,8 @@
 // The promoted log must contain every acknowledged commit. One of three proofs
 // is used:
 // - The old primary has reported, after it was stepped down, a log that the
-//   server's log contains.
+//   server's log contains. What the other replicas have received is part of
+//   that log, so those that do not reply are not waited for long.
 // - All replicas that may have confirmed a commit of the old primary have been
 //   paused, and the server has the newest of their logs.
 // - Every instance that may have acknowledged a commit has said up to which
@@ -222,6 +223,14 @@
   // Goes on from Probing once the replies show that a server can be promoted,
   // or fails.
   actions EvaluateProbes(time_point aNow);
+  // Whether the change can go on from Probing without the replicas that do not
+  // reply: the old primary answers, so that it can be stepped down and tell its
+  // last position, and the newest log contains what it has told now.
+  bool CanSkipSilentReplicas(const replica_info& aNewest,
+                             time_point aNow) const;
+  // Forgets the replies of replicas that lack what the old primary has told, so
+  // that they are asked again.
+  void ForgetOlderReplies();
   actions BeginPausing(time_point aNow);
   // Chooses the candidate once the replies prove that its log contains every
   // acknowledged commit.
@@ -268,6 +277,9 @@
   // Position of the old primary's log when it confirmed that it was stepped
   // down. It acknowledges no commit after that.
   std::optional<log_position> mFinalPosition;
+  // Position of its log when it was probed. A shorter log later on means that
+  // it has started again without its log.
+  log_position mProbedPosition;
   // Whether mPlan.mAcknowledgedPosition covers every acknowledged commit.
   bool mAcknowledgedKnown = false;
   bool mLogMissing = false;
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -352,7 +352,8 @@
 primary_change::EvaluateProbes(time_point aNow)
 {
   const replica_info* newest = NewestReplica();
-  if (newest == nullptr || !AllReplicasReplied()) {
+  if (newest == nullptr ||
+      (!AllReplicasReplied() && !CanSkipSilentReplicas(*newest, aNow))) {
     return {};
   }
   const auto oldPrimary = mReplies.find(mPlan.mOldPrimary);
@@ -366,6 +367,9 @@
     }
     return {};
   }
+  if (known) {
+    mProbedPosition = oldPrimary->second.mReceived;
+  }
   std::uint64_t highest = mPlan.mKnownTerm;
   for (const auto& [server, status] : mReplies) {
     highest = std::max({ highest, status.mTerm, status.mReceived.mTerm });
@@ -450,8 +454,14 @@
       if (elapsed >= kProbingTimeout) {
         return Revert(aNow);
       }
-      return retryDue(kCommandRetryInterval) ? SendToAll(status_command{})
-                                             : actions{};
+      if (actions next = EvaluateProbes(aNow); mStep != change_step::Probing) {
+        return next;
+      }
+      if (!retryDue(kCommandRetryInterval)) {
+        return {};
+      }
+      ForgetOlderReplies();
+      return SendToAll(status_command{});
     case change_step::SteppingDown:
       if (elapsed >= kTransactionGracePeriod + kStepDownTimeout) {
         // The old primary may be out of reach and still running. The instances
@@ -472,6 +482,9 @@
           (AllReplicasReplied() ? kStepDownTimeout : kPausingTimeout)) {
         return ChooseAtTimeLimit(aNow);
       }
+      if (actions next = TryChoose(aNow); mStep != change_step::Pausing) {
+        return next;
+      }
       return retryDue(kCommandRetryInterval) ? SendPauseCommands() : actions{};
     case change_step::Promoting:
       return retryDue(kPromotionRetryInterval)
--- a/src/session/primary_change_choice.cpp
+++ b/src/session/primary_change_choice.cpp
@@ -10,6 +10,9 @@
 // How long a change waits for the old primary if no log is proved to contain
 // every acknowledged commit.
 constexpr milliseconds kWitnessTimeout{ 4'000 };
+// How long replicas that do not reply are waited for if the old primary's log
+// shows which of the others can be promoted.
+constexpr milliseconds kSilentReplicaTimeout{ 300 };
 
 } // namespace
 
@@ -18,8 +21,10 @@
 {
   // A server that has started again without its log says nothing about what it
   // acknowledged before.
-  const bool keptLog =
-    aStatus.mReceived != log_position{} && IsRecent(aStatus.mReceived);
+  const bool keptLog = aStatus.mReceived != log_position{} &&
+                       aStatus.mReceived >= mProbedPosition &&
+                       aStatus.mReceived >= mPlan.mAcknowledgedPosition &&
+                       IsRecent(aStatus.mReceived);
   if (aStatus.mRole == server_role::Replica && keptLog) {
     mFinalPosition = aStatus.mReceived;
   }
@@ -80,13 +85,45 @@
           (mPlan.mReplicasComplete || mAcknowledgedKnown));
 }
 
+bool
+primary_change::CanSkipSilentReplicas(const replica_info& aNewest,
+                                      time_point aNow) const
+{
+  const auto oldPrimary = mReplies.find(mPlan.mOldPrimary);
+  if (oldPrimary == mReplies.end() || aNewest.mDraining ||
+      aNow < mStepStartedAt + kSilentReplicaTimeout) {
+    return false;
+  }
+  const log_position told = oldPrimary->second.mReceived;
+  return told != log_position{} && IsRecent(told) &&
+         mReplies.at(aNewest.mId).mReceived >= told;
+}
+
+void
+primary_change::ForgetOlderReplies()
+{
+  const auto oldPrimary = mReplies.find(mPlan.mOldPrimary);
+  if (oldPrimary == mReplies.end()) {
+    return;
+  }
+  const log_position told = oldPrimary->second.mReceived;
+  std::erase_if(mReplies,
+                [&](const auto& aIt) { return aIt.second.mReceived < told; });
+}
+
 primary_change::actions
 primary_change::TryChoose(time_point aNow)
 {
   const replica_info* newest = NewestReplica();
-  if (newest == nullptr || !AllReplicasReplied()) {
+  if (newest == nullptr) {
     return {};
   }
+  if (!AllReplicasReplied()) {
+    // A leaving server is chosen only if no other has its log.
+    const bool chosen = ContainsFinalLog(*newest) && !newest->mDraining &&
+                        aNow >= mStepStartedAt + kSilentReplicaTimeout;
+    return chosen ? Promote(newest->mId, aNow) : actions{};
+  }
   if (IsProved(*newest)) {
     return Promote(newest->mId, aNow);
   }
--- a/tests/session/primary_change_model_test.cpp
+++ b/tests/session/primary_change_model_test.cpp
@@ -26,6 +26,9 @@
   // Instances tell how far they have acknowledged commits.
   bool mAskInstances = true;
   bool mPauseNewReplicas = true;
+  // Half of the changes also know the servers that are down, whose entries have
+  // not expired.
+  bool mListSilentServers = false;
 };
 
 class service_model
@@ -174,16 +177,21 @@
     change_plan plan;
     plan.mService = "s";
     plan.mOldPrimary = Id(mRecorded);
+    bool entriesComplete = true;
     for (int i = 0; i < kServers; ++i) {
-      if (i != mRecorded && mServers[i].mRunning) {
+      // The entry of a server that is down may not have expired yet.
+      const bool listed =
+        mServers[i].mRunning || (mOptions.mListSilentServers && Draw(2) == 0);
+      entriesComplete = entriesComplete && listed;
+      if (i != mRecorded && listed) {
         plan.mReplicas.push_back({ Id(i), false });
       }
     }
     plan.mKnownTerm = mRecord.mTerm;
     plan.mLeadTerm = mRecord.mLeadTerm;
     plan.mPlanned = Draw(2) == 0;
-    // A replica is down, so its log may have to be waited for.
-    plan.mReplicasComplete = mReplicasComplete && RunningServers() == kServers;
+    // A server whose entry is gone may have a log that has to be waited for.
+    plan.mReplicasComplete = mReplicasComplete && entriesComplete;
     if (mRecord.mPhase != primary_phase::Stable) {
       plan.mResumed = mRecord;
     }
@@ -303,6 +311,11 @@
   EXPECT_EQ(SeedsWithALoss({}), 0);
 }
 
+TEST(ServiceOverChangesTest, LosesNoAcknowledgedCommitBesideSilentServers)
+{
+  EXPECT_EQ(SeedsWithALoss({ .mListSilentServers = true }), 0);
+}
+
 TEST(ServiceOverChangesTest, NeedsTheOldPrimarysLog)
 {
   // The positions that instances acknowledged would cover for it.
@@ -316,11 +329,14 @@
   EXPECT_GT(SeedsWithALoss({ .mAskInstances = false }), 0);
 }
 
-TEST(ServiceOverChangesTest, HasAPrimaryAgainAfterTheLastFault)
+// Counts the promotions of 400 runs, and checks that each has a primary again
+// after its last fault.
+int
+PromotionsUntilServed(model_options aOptions)
 {
   int promotions = 0;
   for (std::uint64_t seed = 1; seed <= 400; ++seed) {
-    service_model model(seed, {});
+    service_model model(seed, aOptions);
     model.Run(1'000, true);
     model.EndFaults();
     bool served = false;
@@ -332,7 +348,17 @@
     EXPECT_TRUE(served) << "seed " << seed;
     promotions += model.Promotions();
   }
-  EXPECT_GT(promotions, 400);
+  return promotions;
+}
+
+TEST(ServiceOverChangesTest, HasAPrimaryAgainAfterTheLastFault)
+{
+  EXPECT_GT(PromotionsUntilServed({}), 400);
+}
+
+TEST(ServiceOverChangesTest, HasAPrimaryAgainBesideSilentServers)
+{
+  EXPECT_GT(PromotionsUntilServed({ .mListSilentServers = true }), 400);
 }
 
 } // namespace
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 
 namespace snipewalk {
 namespace {
@@ -175,6 +176,130 @@
   EXPECT_EQ(ActionsOfType<send_command>(reverted).size(), 2U);
 }
 
+// Probes a change whose replica b does not reply, up to `aUntil` ms.
+primary_change
+ProbedWithoutB(const server_status& aPrimary,
+               const server_status& aReplica,
+               int aUntil)
+{
+  primary_change change(Plan(true));
+  change.Start(At(0));
+  Reply(change, "p", aPrimary, At(1));
+  Reply(change, "a", aReplica, At(1));
+  for (int ms = 20; ms <= aUntil && change.Step() == change_step::Probing;
+       ms += 20) {
+    change.OnTick(At(ms));
+  }
+  return change;
+}
+
+// Steps the old primary down at 200 ms after the release, and pauses a.
+void
+StepDownAndPause(primary_change& aChange,
+                 const acknowledged_commits& aAcknowledged,
+                 const server_status& aPrimary,
+                 const server_status& aReplica)
+{
+  aChange.OnRecordWritten(true, At(510));
+  aChange.OnInstancesReleased(At(520), aAcknowledged);
+  aChange.OnTick(At(700));
+  aChange.OnServerStatus(
+    "p", step_down_command{ aChange.Term() }, aPrimary, At(701));
+  Reply(aChange, "a", aReplica, At(702));
+}
+
+// The old primary's last position bounds all that was acknowledged, so a
+// replica that does not reply can have no more.
+TEST(PrimaryChangeTest, ReplacesALeavingPrimaryWithoutASilentReplica)
+{
+  primary_change change = ProbedWithoutB(Status(server_role::Primary, 3, 50),
+                                         Status(server_role::Replica, 3, 50),
+                                         400);
+  ASSERT_EQ(change.Step(), change_step::Recording);
+  StepDownAndPause(change,
+                   { { 3, 51 }, false },
+                   Status(server_role::Replica, 3, 52),
+                   Status(server_role::Replica, 3, 52));
+  EXPECT_EQ(change.Step(), change_step::Pausing);
+  change.OnTick(At(1'020));
+  EXPECT_EQ(change.Candidate(), "a");
+}
+
+// The silent replica may be the only one that has the last commits.
+TEST(PrimaryChangeTest, PromotesNoOlderLogWithoutASilentReplica)
+{
+  primary_change change = ProbedWithoutB(Status(server_role::Primary, 3, 50),
+                                         Status(server_role::Replica, 3, 50),
+                                         400);
+  ASSERT_EQ(change.Step(), change_step::Recording);
+  StepDownAndPause(change,
+                   { { 3, 51 }, false },
+                   Status(server_role::Replica, 3, 52),
+                   Status(server_role::Replica, 3, 51));
+  for (int ms = 720; ms < 4'000; ms += 20) {
+    change.OnTick(At(ms));
+    EXPECT_NE(change.Candidate(), "a");
+  }
+  EXPECT_EQ(change.Candidate(), "p");
+}
+
+// An old primary that starts again without its log says nothing about what it
+// acknowledged.
+TEST(PrimaryChangeTest, BelievesNoOldPrimaryThatHasLostItsLog)
+{
+  for (const std::uint64_t last : { 3, 51 }) {
+    primary_change change = ProbedWithoutB(Status(server_role::Primary, 3, 50),
+                                           Status(server_role::Replica, 3, 50),
+                                           400);
+    ASSERT_EQ(change.Step(), change_step::Recording);
+    StepDownAndPause(change,
+                     { { 3, 52 }, false },
+                     Status(server_role::Replica, 3, last),
+                     Status(server_role::Replica, 3, 51));
+    for (int ms = 720; ms < 4'000; ms += 20) {
+      change.OnTick(At(ms));
+      EXPECT_EQ(change.Candidate(), "");
+    }
+  }
+}
+
+// If the old primary did not answer either, its last position would not be
+// known; and a replica that is behind would only take the service's primary
+// away for a while.
+TEST(PrimaryChangeTest, KeepsThePrimaryIfNoReplicaHasItsLogAndOneIsSilent)
+{
+  const primary_change behind =
+    ProbedWithoutB(Status(server_role::Primary, 3, 50),
+                   Status(server_role::Replica, 3, 49),
+                   600);
+  EXPECT_EQ(behind.Step(), change_step::Failed);
+  primary_change silent(Plan(true));
+  silent.Start(At(0));
+  Reply(silent, "a", Status(server_role::Replica, 3, 50), At(1));
+  for (int ms = 20; ms <= 600; ms += 20) {
+    silent.OnTick(At(ms));
+  }
+  EXPECT_EQ(silent.Step(), change_step::Failed);
+}
+
+// The replica's reply may be older than that of the primary.
+TEST(PrimaryChangeTest, AsksAReplicaAgainThatLacksThePrimarysLog)
+{
+  primary_change change(Plan(true));
+  change.Start(At(0));
+  Reply(change, "p", Status(server_role::Primary, 3, 50), At(1));
+  Reply(change, "a", Status(server_role::Replica, 3, 49), At(1));
+  std::set<std::string> asked;
+  for (const auto& sent : ActionsOfType<send_command>(change.OnTick(At(160)))) {
+    asked.insert(sent.mServer);
+  }
+  EXPECT_EQ(asked, (std::set<std::string>{ "a", "b" }));
+  Reply(change, "a", Status(server_role::Replica, 3, 53), At(161));
+  EXPECT_EQ(change.Step(), change_step::Probing);
+  change.OnTick(At(300));
+  EXPECT_EQ(change.Step(), change_step::Recording);
+}
+
 // A replica that has left may have received commits that no other replica has.
 // While the old primary is alive, it has them and stays.
 TEST(PrimaryChangeTest, KeepsThePrimaryWhoseCommitsNoReplicaHas)
