--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -467,6 +467,8 @@
           { { "service", service } });
       control.mRunning.reset();
     }
+    // Probes under way get no reply.
+    control.mProbing = false;
   }
   mLinks.CloseControlConnections();
   mLastReportAt.clear();
