--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -360,37 +360,6 @@
   return mStep == change_step::Pausing ? TryChoose(aNow) : actions{};
 }
 
-primary_change::actions
-primary_change::EvaluateProbes(time_point aNow)
-{
-  const replica_info* newest = NewestReplica();
-  if (newest == nullptr ||
-      (!AllReplicasReplied() && !CanSkipSilentReplicas(*newest, aNow))) {
-    return {};
-  }
-  const auto oldPrimary = mReplies.find(mPlan.mOldPrimary);
-  const bool known = oldPrimary != mReplies.end();
-  const bool lostRole =
-    known && oldPrimary->second.mRole == server_role::Replica;
-  if (!IsLogRecent(*newest) && !lostRole) {
-    if (known) {
-      // The old primary serves on until a replica has caught up with it.
-      EnterStep(change_step::Failed, aNow);
-    }
-    return {};
-  }
-  if (known) {
-    mProbedPosition = oldPrimary->second.mReceived;
-  }
-  std::uint64_t highest = mPlan.mKnownTerm;
-  for (const auto& [server, status] : mReplies) {
-    highest = std::max({ highest, status.mTerm, status.mReceived.mTerm });
-  }
-  mTerm = highest + 1;
-  EnterStep(change_step::Recording, aNow);
-  return MakeRecord(primary_phase::Changing, mPlan.mOldPrimary);
-}
-
 primary_change::actions
 primary_change::BeginPausing(time_point aNow)
 {
--- a/src/session/primary_change_choice.cpp
+++ b/src/session/primary_change_choice.cpp
@@ -1,8 +1,11 @@
-// Choice of the server to promote, by the logs that the servers have reported.
+// Choice of the server to promote, by the logs that the servers have reported,
+// and the check beforehand whether one can be.
 #include "snipewalk/session/primary_change.h"
 
 #include "snipewalk/base/log.h"
 
+#include <algorithm>
+
 namespace snipewalk {
 
 namespace {
@@ -85,6 +88,37 @@
           (mPlan.mReplicasComplete || mAcknowledgedKnown));
 }
 
+primary_change::actions
+primary_change::EvaluateProbes(time_point aNow)
+{
+  const replica_info* newest = NewestReplica();
+  if (newest == nullptr ||
+      (!AllReplicasReplied() && !CanSkipSilentReplicas(*newest, aNow))) {
+    return {};
+  }
+  const auto oldPrimary = mReplies.find(mPlan.mOldPrimary);
+  const bool known = oldPrimary != mReplies.end();
+  const bool lostRole =
+    known && oldPrimary->second.mRole == server_role::Replica;
+  if (!IsLogRecent(*newest) && !lostRole) {
+    if (known) {
+      // The old primary serves on until a replica has caught up with it.
+      EnterStep(change_step::Failed, aNow);
+    }
+    return {};
+  }
+  if (known) {
+    mProbedPosition = oldPrimary->second.mReceived;
+  }
+  std::uint64_t highest = mPlan.mKnownTerm;
+  for (const auto& [server, status] : mReplies) {
+    highest = std::max({ highest, status.mTerm, status.mReceived.mTerm });
+  }
+  mTerm = highest + 1;
+  EnterStep(change_step::Recording, aNow);
+  return MakeRecord(primary_phase::Changing, mPlan.mOldPrimary);
+}
+
 bool
 primary_change::CanSkipSilentReplicas(const replica_info& aNewest,
                                       time_point aNow) const
