--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -121,14 +121,15 @@
   const primary_record primary{ "s", "p", 3, 2, primary_phase::Stable, 4 };
   confirmation_answer answer;
   answer.mPrimaries.push_back({ primary, 9 });
-  mutator inputs(15,
-                 { EncodeFleetRecord(primary),
-                   EncodeFleetRecord(duty_record{ "i1", 1, 2 }),
-                   EncodeDatagram(answer),
-                   EncodeDatagram(health_report{
-                     "i1", { { "s", "p", primary_health::Answers } } }),
-                   EncodeDatagram(release_answer{ "i1", 5, "s", 4 }),
-                   EncodeDatagram(connection_yield_request{ "p" }) });
+  mutator inputs(
+    15,
+    { EncodeFleetRecord(primary),
+      EncodeFleetRecord(duty_record{ "i1", 1, 2 }),
+      EncodeDatagram(answer),
+      EncodeDatagram(
+        health_report{ "i1", { { "s", "p", primary_health::Answers } } }),
+      EncodeDatagram(release_answer{ "i1", 5, "s", 4, { 3, 17 }, 9'000 }),
+      EncodeDatagram(connection_yield_request{ "p" }) });
   for (int i = 0; i < kInputs; ++i) {
     const std::string text = inputs.Next();
     (void)DecodeFleetRecord("primary.s", text);
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -410,18 +410,19 @@
     }
   }
 
-  void InjectLinkFault(const fault_step& aStep, std::size_t link)
+  void InjectLinkFault(const fault_step& aStep, std::size_t aLink)
   {
-    LogFault(aStep, absl::StrCat("link ", link, " to ", mNetwork.Target(link)));
+    LogFault(aStep,
+             absl::StrCat("link ", aLink, " to ", mNetwork.Target(aLink)));
     standins::link_faults faults;
     switch (aStep.mKind) {
       case fault_kind::Reset:
-        mNetwork.Reset(link);
+        mNetwork.Reset(aLink);
         return;
       case fault_kind::Silence:
-        mNetwork.Silence(link);
+        mNetwork.Silence(aLink);
         ScheduleAfter(kUnreachableDropDelay,
-                      [this, link] { mNetwork.DropSilencedAtTarget(link); });
+                      [this, aLink] { mNetwork.DropSilencedAtTarget(aLink); });
         return;
       case fault_kind::Cut:
         faults.mCut = aStep.mCut;
@@ -433,9 +434,9 @@
         faults.mDelay = std::min(aStep.mDuration, kMaxLinkDelay);
         break;
     }
-    mNetwork.SetFaults(link, faults);
+    mNetwork.SetFaults(aLink, faults);
     ScheduleAfter(aStep.mDuration,
-                  [this, link] { mNetwork.SetFaults(link, {}); });
+                  [this, aLink] { mNetwork.SetFaults(aLink, {}); });
   }
 
   void InjectServerFault(const fault_step& aStep)
