Replace a recorded primary that left before this instance held the duty

What callers saw: no writes for good. Cause: a primary counts as dead once two probes of it have failed, and a holder that has no entry of the primary sent no probe. The primary had left while its change waited for a proof and was reverted; the next holder of the duty knew no such server and never began a change.

A probe of a server without an entry counts as failed.

--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -174,6 +174,8 @@
 {
   const auto entry = mServers.Find(PrimaryOf(aService).mServer);
   if (!entry) {
+    // It may have left before this instance held the duty.
+    mServices[aService].mMonitor.OnProbe(false, aSent);
     return;
   }
   mServices[aService].mProbing = true;
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -525,5 +525,19 @@
   EXPECT_TRUE(mNetwork.mPromoted.empty());
 }
 
+// Guards against a service that never gets a primary again: the recorded one
+// had left before any instance held the duty.
+TEST_F(SessionControllerTest, ReplacesARecordedPrimaryThatIsNotThere)
+{
+  mNetwork.mStatuses = { { "p", { server_role::Replica, 2, { 2, 509 }, {} } } };
+  mStore.Write(kFleetKind,
+               PrimaryRecordName("s"),
+               EncodeFleetRecord(primary_record{
+                 "s", "gone", 2, 1, primary_phase::Stable, 0 }));
+  Run(17'000);
+  ASSERT_FALSE(mNetwork.mPromoted.empty());
+  EXPECT_EQ(mNetwork.mPromoted.front(), "p");
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/soak/session_soak_test.cpp
+++ b/tests/soak/session_soak_test.cpp
@@ -71,16 +71,28 @@
   EXPECT_EQ(Violations(144, false), "");
 }
 
+std::string
+ViolationsOfHandovers(std::uint64_t aSeed)
+{
+  soak_options options;
+  options.mPlan.mSeed = aSeed;
+  options.mPlan.mHandovers = true;
+  options.mPlan.mFaultPeriod = seconds(31);
+  return Violations(options);
+}
+
 // Guards against a service that stays without a primary. A holder of the duty
 // was stopped before it had recorded that the promoted server led, and that
 // server left.
 TEST(SessionSoakTest, ReplacesAPromotedServerThatLeftDuringTheChange)
 {
-  soak_options options;
-  options.mPlan.mSeed = 10'203;
-  options.mPlan.mHandovers = true;
-  options.mPlan.mFaultPeriod = seconds(31);
-  EXPECT_EQ(Violations(options), "");
+  EXPECT_EQ(ViolationsOfHandovers(10'203), "");
+}
+
+// The same for a primary that had left before the present holder held the duty.
+TEST(SessionSoakTest, ReplacesAPrimaryThatLeftDuringAHandover)
+{
+  EXPECT_EQ(ViolationsOfHandovers(30'203), "");
 }
 
 TEST(SessionSoakTest, CutsNoAnswerByPlannedWork)
