Take no proof from replicas before the primary has replied to this process

What callers saw: reads at replicas that lacked acknowledged commits.

Cause: all instances started again at 41.0 s while the primary was dead. The replica with its last commits had left before, which the new processes did not know. They took the two replicas that had received nothing for all.

A process treats its first look at a service like a replica that has just left: the proof by all replicas needs a reply of the primary since, or 30 s. The new test fails without it. Two tests let the primary reply once first, as the proof they are about needs it now.

--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -48,6 +48,10 @@
   }
   mServers[aServer.mId].mEntry = aServer;
   known_service& service = mServices[aServer.mService];
+  if (service.mMaxKnownServers == 0) {
+    // Replicas may have left before this process knew of them.
+    service.mReplicaLeftAt = aNow;
+  }
   service.mServers.insert(aServer.mId);
   const std::size_t known = service.mServers.size();
   service.mMaxKnownServers = std::max(service.mMaxKnownServers, known);
--- a/tests/session/engine_check_test.cpp
+++ b/tests/session/engine_check_test.cpp
@@ -97,8 +97,10 @@
 {
   Configure();
   const session_id session = Open("main");
-  SendStatement(session, read_statement{ "1" });
+  SendStatement(session, read_statement{ "0" });
   AcceptConnections();
+  Answer(*LastRequestConnection(), Done(3));
+  SendStatement(session, read_statement{ "1" });
   const auto first = *LastRequestConnection();
   mEngine.SetPrimary("s", { "p", 0, false }, mNow);
   mEngine.SetPrimariesConfirmed(mNow, mNow);
@@ -170,6 +172,21 @@
   }
 }
 
+// A process that has just started does not know which replicas left before.
+TEST_F(SessionEngineTest, TakesNoProofFromReplicasBeforeThePrimaryHasReplied)
+{
+  Configure();
+  const session_id session = Open("main");
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 9));
+  AdvanceClock(20);
+  EXPECT_FALSE(LastRequestConnection());
+}
+
 // If one of the other servers is already primary, the logs of the replicas do
 // not prove which commits were acknowledged.
 TEST_F(SessionEngineTest, TakesNoProofFromReplicasBesideANewPrimary)
@@ -285,6 +302,10 @@
 {
   Configure();
   const session_id session = Open("main");
+  SendStatement(session, read_statement{ "0" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(3));
+  AdvanceClock(3'000);
   mEngine.RemoveServer("p", mNow);
   mEngine.SetPrimary("s", { "a", 0, false, false }, mNow);
   SendStatement(session, read_statement{ "1" });
