Ask the old primary again while a change waits for it

What callers saw: writes waited the whole 10 s, also when the crashed primary had returned with its log after one. Cause: once the time limit of the pausing step had passed, its tick ended before the commands were repeated, so that the old primary was asked to step down only in the first 300 ms.

The tick goes on to repeat the commands if no server was chosen. The new test failed before (no command to the old primary from 400 ms on).

--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -458,15 +458,15 @@
         return SendCommand({ mPlan.mOldPrimary }, step_down_command{ mTerm });
       }
       return {};
-    case change_step::Pausing:
-      if (elapsed >=
-          (AllReplicasReplied() ? kStepDownTimeout : kPausingTimeout)) {
-        return ChooseAtTimeLimit(aNow);
-      }
-      if (actions next = TryChoose(aNow); mStep != change_step::Pausing) {
+    case change_step::Pausing: {
+      const bool late =
+        elapsed >= (AllReplicasReplied() ? kStepDownTimeout : kPausingTimeout);
+      actions next = late ? ChooseAtTimeLimit(aNow) : TryChoose(aNow);
+      if (mStep != change_step::Pausing) {
         return next;
       }
       return retryDue(kCommandRetryInterval) ? SendPauseCommands() : actions{};
+    }
     case change_step::Promoting:
       return retryDue(kPromotionRetryInterval)
                ? actions{ order_promotion{ mPlan.mService, mCandidate } }
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -525,6 +525,22 @@
   EXPECT_EQ(change.Candidate(), "a");
 }
 
+TEST(PrimaryChangeTest, GoesOnAskingTheOldPrimaryThatItWaitsFor)
+{
+  primary_change change = ChangeWithAWitnessGone({ { 4, 12 }, false });
+  for (int ms = 400; ms < 9'000; ms += 200) {
+    const auto sent = ActionsOfType<send_command>(change.OnTick(At(ms)));
+    EXPECT_TRUE(std::any_of(sent.begin(),
+                            sent.end(),
+                            [](const auto& aSent) {
+                              return aSent.mServer == "p" &&
+                                     std::holds_alternative<step_down_command>(
+                                       aSent.mCommand);
+                            }))
+      << ms;
+  }
+}
+
 // The old primary has crashed and returns with its log while it is waited for.
 TEST(PrimaryChangeTest, PromotesAnOldPrimaryThatReturnsWithItsLog)
 {
