--- /dev/null
+++ b/review/standin-2/scenarios.cmake
@@ -0,0 +1,13 @@
+# Adds the programs of this review to the project's build, after its targets.
+function(add_review_scenarios)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/standin-2/*.cpp)
+  foreach(source ${sources})
+    get_filename_component(name ${source} NAME_WE)
+    add_executable(review-${name} EXCLUDE_FROM_ALL ${source})
+    target_include_directories(review-${name} PRIVATE ${CMAKE_SOURCE_DIR}/review)
+    target_link_libraries(review-${name} PRIVATE standins)
+    list(APPEND programs review-${name})
+  endforeach()
+  add_custom_target(review-scenarios DEPENDS ${programs})
+endfunction()
+cmake_language(DEFER CALL add_review_scenarios)
