--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -4,10 +4,9 @@
 #ifndef REVIEW_STANDIN_2_DEPLOYMENT_H_
 #define REVIEW_STANDIN_2_DEPLOYMENT_H_
 
-#include "snipewalk/session/fleet_records.h"
+#include "standin-2/platform.h"
 #include "standins/free_ports.h"
 #include "standins/link_network.h"
-#include "standins/platform_standin.h"
 #include "standins/process_fleet.h"
 #include "standins/session_caller.h"
 
@@ -122,19 +121,12 @@
     return mPorts.at(aName);
   }
   child_process& At(const std::string& aName) { return mProcesses.At(aName); }
-  platform_standin& Platform() { return mPlatform; }
+  platform& Platform() { return mPlatform; }
 
   // State of an instance in its record: empty if there is none.
   std::string InstanceState(const std::string& aName)
   {
-    std::string state;
-    mPlatform.Change([&](line_server_group&, platform_store& aStore) {
-      instance_record name;
-      name.mName = aName;
-      state =
-        aStore.Spec(kFleetKind, FleetRecordName(name))["state"].asString();
-    });
-    return state;
+    return mPlatform.RecordField(InstanceRecordName(aName), "state");
   }
 
 private:
@@ -163,7 +155,7 @@
   }
 
   link_network mNetwork;
-  platform_standin mPlatform;
+  platform mPlatform;
   process_fleet mProcesses;
   std::string mFolder;
   std::map<std::string, ports> mPorts;
--- a/review/standin-2/gone_but_confirmed.cpp
+++ b/review/standin-2/gone_but_confirmed.cpp
@@ -1,11 +1,11 @@
 // The store turns three of nine instances away; one of these stands still for
 // four seconds meanwhile, and is marked as gone. After it has gone on, the
 // primary leaves. Callers read the last value of an item at that instance.
+#include "standin-2/callers.h"
 #include "standin-2/deployment.h"
 
 #include <algorithm>
 #include <atomic>
-#include <functional>
 
 using namespace review;
 
@@ -13,75 +13,6 @@
 
 constexpr int kRounds = 5;
 constexpr int kReaders = 2;
-constexpr const char* kRoute = "main";
-
-// The item that is written at present, and its newest acknowledged value. Each
-// item gets rising values; one whose write was not acknowledged is written no
-// more, as that write may take effect later.
-class written_item
-{
-public:
-  struct state
-  {
-    int mItem = 0;
-    int mNewest = 0;
-  };
-  void Acknowledge(int aValue)
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mState.mNewest = std::max(mState.mNewest, aValue);
-  }
-  void Leave()
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    mState = { mState.mItem + 1, 0 };
-  }
-  state Get()
-  {
-    const std::lock_guard<std::mutex> lock(mMutex);
-    return mState;
-  }
-
-private:
-  std::mutex mMutex;
-  state mState;
-};
-
-std::string
-ItemName(const written_item::state& aState)
-{
-  return "k" + std::to_string(aState.mItem);
-}
-
-std::string
-OneLine(std::string aText)
-{
-  std::replace(aText.begin(), aText.end(), '\r', ' ');
-  std::replace(aText.begin(), aText.end(), '\n', '/');
-  return aText;
-}
-
-// Calls `aUse` with an open session, again and again.
-void
-WithSessions(std::uint16_t aPort,
-             const std::atomic<bool>& aStop,
-             const std::function<bool(session_caller&)>& aUse)
-{
-  while (!aStop) {
-    try {
-      session_caller session(aPort, milliseconds(1'500));
-      const auto opened = session.Start(kRoute);
-      if (!opened.mWhole || !opened.mError.empty()) {
-        SleepMs(50);
-        continue;
-      }
-      while (!aStop && aUse(session)) {
-      }
-    } catch (const std::exception&) {
-    }
-    SleepMs(20);
-  }
-}
 
 } // namespace
 
@@ -130,47 +61,12 @@
   std::atomic<int> reads{ 0 };
   std::vector<std::thread> callers;
   callers.emplace_back([&] {
-    int value = 0;
-    WithSessions(fleet.Ports(holder).mCallers, stop, [&](session_caller& aAt) {
-      const std::string text = std::to_string(++value);
-      const std::string name = ItemName(item.Get());
-      const auto answer = aAt.Query("WRITE " + name + " " + text);
-      if (answer.mCompleted) {
-        item.Acknowledge(value);
-        lines.Line("write of " + text + " to " + name + " acknowledged by " +
-                   holder + ": " + OneLine(answer.mText));
-      } else {
-        item.Leave();
-      }
-      SleepMs(10);
-      return answer.mWhole;
-    });
+    WriteItems(fleet.Ports(holder).mCallers, holder, item, lines, stop);
   });
   for (int i = 0; i < kReaders; ++i) {
     callers.emplace_back([&] {
-      WithSessions(
-        fleet.Ports(frozen).mCallers, stop, [&](session_caller& aAt) {
-          const auto before = item.Get();
-          const auto sent = NowMs();
-          const auto answer = aAt.Query("READ " + ItemName(before));
-          if (answer.mCompleted) {
-            ++reads;
-            const int seen = std::atoi(answer.mRow.c_str());
-            if (seen >= before.mNewest) {
-              lines.Line("read of " + ItemName(before) + " by " + frozen +
-                         ": " + OneLine(answer.mText));
-            } else {
-              ++stale;
-              lines.Line("STALE: read of " + ItemName(before) + " sent at " +
-                         std::to_string(sent) +
-                         " ms to " + frozen + " got " + answer.mRow +
-                         ", though " + std::to_string(before.mNewest) +
-                         " was acknowledged before: " + OneLine(answer.mText));
-            }
-          }
-          SleepMs(15);
-          return answer.mWhole;
-        });
+      ReadItems(
+        fleet.Ports(frozen).mCallers, frozen, item, lines, stop, reads, stale);
     });
   }
 
