--- a/review/9/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,7 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 folder="$(mktemp -d)" || exit 2
 root="$here/../.."
-program="$root/target/review-2/review-stale_role"
+program="$root/target/review-2/review-gone_but_confirmed"
 [ -x "$program" ] && [ -x "$root/target/snipewalk-sessions" ] || exit 2
 timeout -k 5 115 "$program" "$root/target" "$folder" "$here/record.txt"
 status=$?
