--- a/review/standin-2/callers.h
+++ b/review/standin-2/callers.hh
@@ -3,7 +3,7 @@
 #ifndef REVIEW_STANDIN_2_CALLERS_H_
 #define REVIEW_STANDIN_2_CALLERS_H_
 
-#include "standin-2/deployment.h"
+#include "standin-2/deployment.hh"
 
 #include <algorithm>
 #include <atomic>
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.hh
@@ -4,7 +4,7 @@
 #ifndef REVIEW_STANDIN_2_DEPLOYMENT_H_
 #define REVIEW_STANDIN_2_DEPLOYMENT_H_
 
-#include "standin-2/platform.h"
+#include "standin-2/platform.hh"
 #include "standins/free_ports.h"
 #include "standins/link_network.h"
 #include "standins/process_fleet.h"
--- a/review/standin-2/gone_but_confirmed.cpp
+++ b/review/standin-2/gone_but_confirmed.cc
@@ -1,8 +1,8 @@
 // The store turns three of nine instances away; one of these stands still for
 // four seconds meanwhile, and is marked as gone. After it has gone on, the
 // primary leaves. Callers read the last value of an item at that instance.
-#include "standin-2/callers.h"
-#include "standin-2/deployment.h"
+#include "standin-2/callers.hh"
+#include "standin-2/deployment.hh"
 
 #include <algorithm>
 #include <atomic>
--- a/review/standin-2/scenarios.cmake
+++ b/review/standin-2/scenarios.cmake
@@ -1,6 +1,6 @@
 # Adds the programs of this review to the project's build, after its targets.
 function(add_review_scenarios)
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/standin-2/*.cpp)
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/review/standin-2/*.cc)
   foreach(source ${sources})
     get_filename_component(name ${source} NAME_WE)
     add_executable(review-${name} EXCLUDE_FROM_ALL ${source})
--- a/review/standin-2/stale_role.cpp
+++ b/review/standin-2/stale_role.cc
@@ -2,8 +2,8 @@
 // the store for five seconds, so that its entry goes on to call it the primary.
 // Then its successor leaves, and the first primary is chosen again. Callers
 // commit transactions and read the items on a route of the kind "primary".
-#include "standin-2/callers.h"
-#include "standin-2/deployment.h"
+#include "standin-2/callers.hh"
+#include "standin-2/deployment.hh"
 
 #include <deque>
 
