--- /dev/null
+++ b/tests/session/controller_fixture.h
@@ -0,0 +1,266 @@
+// Fixture for tests of the session controller: several instances with a shared
+// store, in real time.
+#ifndef SNIPEWALK_TESTS_SESSION_CONTROLLER_FIXTURE_H_
+#define SNIPEWALK_TESTS_SESSION_CONTROLLER_FIXTURE_H_
+
+#include "session/engine_fixture.h"
+#include "session/fake_store.h"
+#include "snipewalk/session/session_controller.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipewalk {
+
+// Decoders for test values: the desired state is a version number, and a server
+// entry is a role.
+inline platform_objects
+Objects()
+{
+  platform_objects objects;
+  objects.mDesiredStateKind = "config";
+  objects.mDesiredStateName = "main";
+  objects.mServerKind = "servers";
+  objects.mDecodeDesiredState =
+    [](const std::string& aValue) -> absl::StatusOr<desired_state> {
+    desired_state state;
+    state.mVersion = std::stoull(aValue);
+    state.mServices["s"] = { 23, 1 };
+    return state;
+  };
+  objects.mDecodeServer =
+    [](const std::string& aId,
+       const std::string& aValue) -> absl::StatusOr<registered_server> {
+    if (aValue == "junk") {
+      return absl::InvalidArgumentError("not an entry");
+    }
+    registered_server entry;
+    entry.mId = aId;
+    entry.mService = "s";
+    entry.mAddress = "10.0.0.1:1";
+    entry.mPrimary = aValue == "primary" || aValue == "draining";
+    entry.mDraining = aValue == "draining";
+    entry.mStarted = aValue == "restarted" ? 2 : 1;
+    return entry;
+  };
+  return objects;
+}
+
+class instance;
+
+// Network that delivers datagrams between the instances of a test.
+struct network
+{
+  event_loop& mLoop;
+  std::map<std::string, instance*> mInstances;
+  // Replies of the servers to control commands; the others do not reply.
+  std::map<std::string, server_status> mStatuses = {};
+  // Servers whose promotion was ordered.
+  std::vector<std::string> mPromoted = {};
+};
+
+// Path of one instance to the store, which may refuse all of its calls.
+class refusable_store : public store_client
+{
+public:
+  explicit refusable_store(store_client& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  void Submit(store_request aRequest,
+              store_priority aPriority,
+              reply_handler aOnReply) override
+  {
+    mStore.Submit(std::move(aRequest),
+                  aPriority,
+                  [this, onReply = std::move(aOnReply)](
+                    const store_reply& aReply, time_point aNow) {
+                    store_reply refused;
+                    refused.mStatus = store_status::Refused;
+                    onReply(mRefuses ? refused : aReply, aNow);
+                  });
+  }
+
+  bool mRefuses = false;
+
+private:
+  store_client& mStore;
+};
+
+class instance : public control_links
+{
+public:
+  instance(network& aNetwork, store_client& aStore, const std::string& aName)
+    : mNetwork(aNetwork)
+    , mName(aName)
+    , mStore(aStore)
+    , mEngine(session_engine_options{}, mConnections)
+    , mController(aNetwork.mLoop,
+                  mStore,
+                  mEngine,
+                  *this,
+                  Objects(),
+                  { aName, 1, "dc1", aName, milliseconds(5) })
+  {
+    mNetwork.mInstances[aName] = this;
+    mController.Start();
+  }
+
+  void RunCommand(const registered_server& aServer,
+                  const server_command&,
+                  milliseconds,
+                  status_handler aOnStatus) override
+  {
+    ++mCommands;
+    if (mHoldsReplies) {
+      mHeldReplies.push_back(std::move(aOnStatus));
+      return;
+    }
+    const auto found = mNetwork.mStatuses.find(aServer.mId);
+    const auto status = found == mNetwork.mStatuses.end()
+                          ? std::nullopt
+                          : std::optional(found->second);
+    mNetwork.mLoop.Post(
+      [this, aOnStatus, status] { aOnStatus(status, mNetwork.mLoop.Now()); });
+  }
+  void KeepControlConnection(const registered_server&) override {}
+  // The commands under way get no reply, not even that of their time limit.
+  void CloseControlConnections() override { mHeldReplies.clear(); }
+  void OrderPromotion(const order_promotion& aOrder,
+                      promotion_authority,
+                      promotion_handler) override
+  {
+    mNetwork.mPromoted.push_back(aOrder.mServer);
+  }
+  void SendDatagram(const std::string& aAddress,
+                    const peer_datagram& aDatagram) override
+  {
+    mYieldRequests +=
+      std::holds_alternative<connection_yield_request>(aDatagram) ? 1 : 0;
+    if (const auto* answer = std::get_if<confirmation_answer>(&aDatagram)) {
+      mNamedHolder = answer->mDutyHolder;
+    }
+    const auto to = mNetwork.mInstances.find(aAddress);
+    if (to == mNetwork.mInstances.end() || mPartitioned ||
+        to->second->mPartitioned) {
+      return;
+    }
+    mNetwork.mLoop.Post([this, receiver = to->second, aDatagram] {
+      receiver->mController.OnDatagram(mName, aDatagram, mNetwork.mLoop.Now());
+    });
+  }
+
+  network& mNetwork;
+  std::string mName;
+  refusable_store mStore;
+  // The instance neither sends nor receives datagrams.
+  bool mPartitioned = false;
+  // The servers do not reply before the control connections are closed.
+  bool mHoldsReplies = false;
+  std::vector<status_handler> mHeldReplies;
+  // Number of control commands sent.
+  int mCommands = 0;
+  // Number of connection_yield_request datagrams sent.
+  int mYieldRequests = 0;
+  // Holder of the duty that the last confirmation sent has named.
+  std::string mNamedHolder;
+  recorded_links mConnections;
+  session_engine mEngine;
+  session_controller mController;
+};
+
+class SessionControllerTest : public testing::Test
+{
+protected:
+  SessionControllerTest()
+    : mNetwork{ mLoop, {} }
+    , mStore(mLoop)
+  {
+    mStore.Write("config", "main", "1");
+    mStore.Write("servers", "p", "primary");
+    for (const std::string name : { "i1", "i2", "i3" }) {
+      mInstances.push_back(std::make_unique<instance>(mNetwork, mStore, name));
+    }
+  }
+
+  void Run(int aMs)
+  {
+    const time_point until =
+      std::chrono::steady_clock::now() + milliseconds(aMs);
+    bool done = false;
+    std::function<void(time_point)> tick = [&](time_point aNow) {
+      for (const auto& each : mInstances) {
+        each->mController.OnTick(aNow);
+      }
+      if (aNow < until) {
+        mLoop.RunAt(aNow + milliseconds(10), tick);
+      } else {
+        done = true;
+      }
+    };
+    tick(mLoop.Now());
+    // Not event_loop::Run(): it returns only after Stop(), which takes effect
+    // only once per loop.
+    while (!done) {
+      mLoop.RunOnce();
+    }
+  }
+
+  int Holders() const
+  {
+    int holders = 0;
+    for (const auto& each : mInstances) {
+      holders += each->mController.HoldsDuty(mLoop.Now()) ? 1 : 0;
+    }
+    return holders;
+  }
+  // Empty if no instance holds the duty.
+  std::string HolderName() const
+  {
+    for (const auto& each : mInstances) {
+      if (each->mController.HoldsDuty(mLoop.Now())) {
+        return each->mName;
+      }
+    }
+    return {};
+  }
+  // Lets the store refuse all calls of the holder and of one more instance.
+  // Returns the name of the instance that it serves.
+  std::string RefuseAllButOneThatIsNotTheHolder()
+  {
+    const std::string holder = HolderName();
+    std::string served;
+    for (const auto& each : mInstances) {
+      const bool serves = each->mName != holder && served.empty();
+      each->mStore.mRefuses = !serves;
+      served = serves ? each->mName : served;
+    }
+    return served;
+  }
+  int Confirmed() const
+  {
+    int confirmed = 0;
+    for (const auto& each : mInstances) {
+      const auto age = each->mController.ConfirmationAge(mLoop.Now());
+      confirmed +=
+        age && *age < session_controller::kConfirmationLifetime ? 1 : 0;
+    }
+    return confirmed;
+  }
+
+  event_loop mLoop;
+  network mNetwork;
+  fake_store mStore;
+  std::vector<std::unique_ptr<instance>> mInstances;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_TESTS_SESSION_CONTROLLER_FIXTURE_H_
