Log who confirmed the primaries, and which instances a change did not wait for

A stale read of review/7 could come from an instance that confirmed the recorded primaries wrongly, from the duty holder that did not wait, or from a check of the servers; the logs did not tell these apart.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -266,7 +266,10 @@
   // host selection and the engine.
   void PublishInstances(time_point aNow);
   confirmation_request NewConfirmationRequest(time_point aNow);
-  void Confirm(time_point aAsOf, time_point aNow);
+  // Notes that the recorded primaries known here were up to date at `aAsOf`.
+  // `aSource` names for the log who has confirmed them: an instance, or
+  // "store".
+  void Confirm(const std::string& aSource, time_point aAsOf, time_point aNow);
   // Passes the primary of a service to the engine and the monitor; called after
   // any change that may affect it.
   void PublishPrimary(const std::string& aService, time_point aNow);
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -48,7 +48,9 @@
 }
 
 void
-session_controller::Confirm(time_point aAsOf, time_point aNow)
+session_controller::Confirm(const std::string& aSource,
+                            time_point aAsOf,
+                            time_point aNow)
 {
   if (aAsOf <= mConfirmedAt || mUnregistered) {
     return;
@@ -58,7 +60,10 @@
     mConfirmedAt == time_point::min();
   mConfirmedAt = aAsOf;
   if (confirmationExpired) {
-    Log(log_level::Info, "control", "recorded primaries are confirmed again");
+    Log(log_level::Info,
+        "control",
+        "recorded primaries are confirmed again",
+        { { "by", aSource }, { "age_ms", ToMilliseconds(aNow - aAsOf) } });
   }
   mEngine.SetPrimariesConfirmed(aAsOf + kConfirmationLifetime, aNow);
 }
@@ -304,7 +309,7 @@
   // The answer contains all records that are newer than the revision stated in
   // the request, so there is no gap.
   mKnownRevision = std::max(mKnownRevision, aAnswer.mKnownRevision);
-  Confirm(confirmedAt, aNow);
+  Confirm(aAnswer.mInstance, confirmedAt, aNow);
 }
 
 void
--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -84,7 +84,14 @@
     }
     if (!confirmationExpired) {
       running.mUnreleased[instance->mName] = *instance;
+      continue;
     }
+    Log(log_level::Info,
+        "primary",
+        "change of primary does not wait for an instance that is gone",
+        { { "service", aService },
+          { "instance", instance->mName },
+          { "gone_ms", ToMilliseconds(aNow - gone->second) } });
   }
   running.mListingInstances = false;
   running.mRequestedAt = time_point::min();
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -405,7 +405,7 @@
     PublishInstances(aNow);
   }
   if (IsRegistered()) {
-    Confirm(aUpdate.mAsOf, aNow);
+    Confirm("store", aUpdate.mAsOf, aNow);
   } else {
     Register(aNow);
   }
