Confirm no primaries to an instance that was marked as gone

Cause: the holder does not wait for an instance that has been gone for the lifetime of a confirmation. Another instance that the store turned away had not read the mark, and went on confirming the primaries to it: its confirmations came from the holder, but its view of the instances only from the store.

Why this works: the records of instances are passed on with confirmations, and an instance confirms to others only as of a time at which it knew both the primaries and the instances. A confirmation as of T to a process comes from a view that contains all changes before T and in which it is registered, so it cannot be from after the mark. Answers of the earlier version hold no instances and renew no view of them; one that has no room for all is continued by the next.

--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -71,7 +71,8 @@
   std::uint64_t mStarted = 0;
   // Sequence number that identifies a request of the sender.
   std::uint64_t mSequenceNumber = 0;
-  // The sender knows every record of a primary up to this store revision.
+  // The sender knows every record of a primary or an instance up to this store
+  // revision.
   std::uint64_t mKnownRevision = 0;
 };
 
@@ -81,10 +82,33 @@
   std::uint64_t mVersion = 0;
 };
 
+struct confirmed_instance
+{
+  instance_record mRecord;
+  std::uint64_t mVersion = 0;
+};
+
+// Which of the instance records that are newer than the revision stated in a
+// request its answer contains.
+enum class instance_coverage
+{
+  // None; the sender is of an earlier version.
+  None,
+  // The oldest ones, up to the revision stated in the answer. A datagram has no
+  // room for more.
+  Partial,
+  All
+};
+
+// Limit of instance records in a confirmation_answer, so that it stays within
+// kMaxDatagramBytes.
+inline constexpr std::size_t kMaxConfirmedInstances = 200;
+
 struct confirmation_answer
 {
   std::uint64_t mSequenceNumber = 0;
-  // Age of the sender's own confirmation by the store when it replied.
+  // Age of the sender's own confirmation by the store when it replied. Its view
+  // of the primaries and of the instances was up to date then.
   std::uint64_t mConfirmationAgeMs = 0;
   // The sender's view of the store lists the requesting process as live.
   bool mRequesterRegistered = false;
@@ -103,8 +127,15 @@
   std::uint64_t mServerVersion = 0;
   // Recorded primaries of a later version than the request's `mKnownRevision`.
   std::vector<confirmed_primary> mPrimaries;
-  // The sender knows every record of a primary up to this store revision.
+  // The sender knows every record of a primary or an instance up to this store
+  // revision, and the answer contains all that are newer than the request's
+  // `mKnownRevision`.
   std::uint64_t mKnownRevision = 0;
+  // Records of instances of a later version than the request's
+  // `mKnownRevision`, in the order of their versions. An instance that the
+  // store refuses learns from them which processes it must not confirm.
+  std::vector<confirmed_instance> mInstances;
+  instance_coverage mInstanceCoverage = instance_coverage::None;
 };
 
 // Sent by the holder of the duty while the server refuses its control
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -10,6 +10,7 @@
 #include "snipewalk/session/duty_lease.h"
 #include "snipewalk/session/fleet_records.h"
 #include "snipewalk/session/forwarded_messages.h"
+#include "snipewalk/session/instance_directory.h"
 #include "snipewalk/session/kind_watcher.h"
 #include "snipewalk/session/lost_log_search.h"
 #include "snipewalk/session/peer_datagrams.h"
@@ -303,8 +304,17 @@
                               kind_watcher& aWatcher,
                               time_point aNow);
   void OnConfirmation(const confirmation_answer& aAnswer, time_point aNow);
+  // As of when this instance can confirm the recorded primaries to others: it
+  // also has to know which of them are registered.
+  time_point ConfirmsOthersAsOf() const;
   confirmation_answer AnswerConfirmation(const confirmation_request& aRequest,
                                          time_point aNow) const;
+  // Adds the records that are newer than the revision stated in the request.
+  void AddNewerRecords(confirmation_answer& aAnswer,
+                       std::uint64_t aRevision) const;
+  void ApplyConfirmedInstances(const confirmation_answer& aAnswer,
+                               time_point aConfirmedAt,
+                               time_point aNow);
 
   void WriteDuty(const duty_write& aWrite);
   // Clears the holder in the record of the duty if this instance has resigned
@@ -377,17 +387,17 @@
   // Since when every running server that can reach the store is known here.
   std::optional<time_point> mServersKnownSince;
   std::map<std::string, service_control> mServices;
-  std::map<std::string, instance_record> mInstances;
+  instance_directory mInstances;
   session_hosts mHosts;
   std::function<void(const std::string&, time_point)> mOnInstanceReply;
   std::function<void()> mOnDesiredState;
   time_point mDesiredReadAt = time_point::min();
-  // When this instance first saw each instance marked as gone.
-  std::map<std::string, time_point> mGoneSince;
-  // All primary records up to this store revision are known.
+  // All records of primaries and instances up to this store revision are known.
   std::uint64_t mKnownRevision = 0;
-  // The fleet records known here were up to date at this time.
+  // The records of primaries known here were up to date at this time.
   time_point mConfirmedAt = time_point::min();
+  // The same for the records of instances.
+  time_point mInstancesAsOf = time_point::min();
   bool mRegistering = false;
   time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -42,9 +42,7 @@
 bool
 session_controller::IsRegistered() const
 {
-  const auto own = mInstances.find(mOptions.mInstance);
-  return own != mInstances.end() && own->second.mStarted == mOptions.mStarted &&
-         own->second.mState == instance_state::Live;
+  return mInstances.IsLive(mOptions.mInstance, mOptions.mStarted);
 }
 
 void
@@ -73,6 +71,7 @@
 {
   Log(log_level::Warning, "control", "process was suspended");
   mConfirmedAt = time_point::min();
+  mInstancesAsOf = time_point::min();
   mDuty.OnSuspended();
   mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
   mRequestSentAt.clear();
@@ -162,7 +161,8 @@
   std::vector<std::string> asked;
   std::vector<std::string> others;
   const std::set<std::string> holders = PossibleHolders();
-  for (const auto& [name, record] : mInstances) {
+  for (const auto& [name, known] : mInstances.All()) {
+    const instance_record& record = known.mRecord;
     if (name == mOptions.mInstance || record.mState != instance_state::Live) {
       continue;
     }
@@ -234,6 +234,12 @@
   mLinks.SendDatagram(aPeerAddress, NewConfirmationRequest(aNow));
 }
 
+time_point
+session_controller::ConfirmsOthersAsOf() const
+{
+  return std::min(mConfirmedAt, mInstancesAsOf);
+}
+
 confirmation_answer
 session_controller::AnswerConfirmation(const confirmation_request& aRequest,
                                        time_point aNow) const
@@ -245,7 +251,7 @@
   };
   confirmation_answer answer;
   answer.mSequenceNumber = aRequest.mSequenceNumber;
-  answer.mConfirmationAgeMs = age(mConfirmedAt);
+  answer.mConfirmationAgeMs = age(ConfirmsOthersAsOf());
   answer.mInstance = mOptions.mInstance;
   // Not the holder that this instance last read: if the store refuses it, that
   // record can be older than the confirmation.
@@ -255,17 +261,31 @@
   }
   answer.mDesiredVersion = mDesiredWatcher.NewestVersion();
   answer.mServerVersion = mServerWatcher.NewestVersion();
-  const auto asking = mInstances.find(aRequest.mInstance);
-  answer.mRequesterRegistered = asking != mInstances.end() &&
-                                asking->second.mStarted == aRequest.mStarted &&
-                                asking->second.mState == instance_state::Live;
+  answer.mRequesterRegistered =
+    mInstances.IsLive(aRequest.mInstance, aRequest.mStarted);
+  AddNewerRecords(answer, aRequest.mKnownRevision);
+  return answer;
+}
+
+void
+session_controller::AddNewerRecords(confirmation_answer& aAnswer,
+                                    std::uint64_t aRevision) const
+{
   for (const auto& [service, control] : mServices) {
-    if (control.mRecord && control.mRecordVersion > aRequest.mKnownRevision) {
-      answer.mPrimaries.push_back({ *control.mRecord, control.mRecordVersion });
+    if (control.mRecord && control.mRecordVersion > aRevision) {
+      aAnswer.mPrimaries.push_back(
+        { *control.mRecord, control.mRecordVersion });
     }
   }
-  answer.mKnownRevision = mKnownRevision;
-  return answer;
+  aAnswer.mKnownRevision = mKnownRevision;
+  aAnswer.mInstances =
+    mInstances.ChangedSince(aRevision, kMaxConfirmedInstances);
+  aAnswer.mInstanceCoverage = instance_coverage::All;
+  if (aAnswer.mInstances.size() == kMaxConfirmedInstances) {
+    aAnswer.mInstanceCoverage = instance_coverage::Partial;
+    aAnswer.mKnownRevision =
+      std::min(mKnownRevision, aAnswer.mInstances.back().mVersion);
+  }
 }
 
 void
@@ -306,12 +326,32 @@
                      sent,
                      aNow);
   }
-  // The answer contains all records that are newer than the revision stated in
-  // the request, so there is no gap.
-  mKnownRevision = std::max(mKnownRevision, aAnswer.mKnownRevision);
+  ApplyConfirmedInstances(aAnswer, confirmedAt, aNow);
   Confirm(aAnswer.mInstance, confirmedAt, aNow);
 }
 
+void
+session_controller::ApplyConfirmedInstances(const confirmation_answer& aAnswer,
+                                            time_point aConfirmedAt,
+                                            time_point aNow)
+{
+  bool changed = false;
+  for (const auto& [record, version] : aAnswer.mInstances) {
+    changed = mInstances.Put(record, version, aNow) || changed;
+  }
+  if (changed) {
+    PublishInstances(aNow);
+  }
+  // The answer contains all records between the revision stated in the request
+  // and its own, so there is no gap.
+  if (aAnswer.mInstanceCoverage != instance_coverage::None) {
+    mKnownRevision = std::max(mKnownRevision, aAnswer.mKnownRevision);
+  }
+  if (aAnswer.mInstanceCoverage == instance_coverage::All) {
+    mInstancesAsOf = std::max(mInstancesAsOf, aConfirmedAt);
+  }
+}
+
 void
 session_controller::RestartIfBehind(version_hint& aHint,
                                     kind_watcher& aWatcher,
@@ -338,9 +378,8 @@
   // it stops before the record is written.
   mConfirmedAt = time_point::min();
   mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
-  if (const auto own = mInstances.find(mOptions.mInstance);
-      own != mInstances.end()) {
-    MarkGone(own->second);
+  if (const auto* own = mInstances.Find(mOptions.mInstance)) {
+    MarkGone(own->mRecord);
   }
 }
 
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -85,9 +85,9 @@
     return;
   }
   for (const auto& name : PossibleHolders()) {
-    const auto holder = mInstances.find(name);
-    if (holder != mInstances.end() && name != mOptions.mInstance) {
-      mLinks.SendDatagram(holder->second.mPeerAddress, report);
+    const auto* holder = mInstances.Find(name);
+    if (holder != nullptr && name != mOptions.mInstance) {
+      mLinks.SendDatagram(holder->mRecord.mPeerAddress, report);
     }
   }
 }
@@ -136,7 +136,8 @@
 void
 session_controller::MarkSilentInstances(time_point aNow)
 {
-  for (const auto& [name, record] : mInstances) {
+  for (const auto& [name, known] : mInstances.All()) {
+    const instance_record& record = known.mRecord;
     const auto heard = mLastReportAt.try_emplace(name, aNow).first;
     const bool silent = record.mState == instance_state::Live &&
                         name != mOptions.mInstance &&
@@ -161,7 +162,8 @@
   }
   requested->second = aNow;
   mEngine.YieldConnections(aServer, aNow);
-  for (const auto& [name, record] : mInstances) {
+  for (const auto& [name, known] : mInstances.All()) {
+    const instance_record& record = known.mRecord;
     if (name != mOptions.mInstance && record.mState == instance_state::Live) {
       mLinks.SendDatagram(record.mPeerAddress,
                           connection_yield_request{ aServer });
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -59,7 +59,8 @@
 session_controller::PublishInstances(time_point aNow)
 {
   std::vector<host_candidate> live;
-  for (const auto& [name, record] : mInstances) {
+  for (const auto& [name, known] : mInstances.All()) {
+    const instance_record& record = known.mRecord;
     if (record.mState == instance_state::Live) {
       live.push_back({ name, record.mDataCentre, record.mPeerAddress });
     }
--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -74,12 +74,13 @@
     if (instance == nullptr || instance->mName == mOptions.mInstance) {
       continue;
     }
-    const auto gone = mGoneSince.find(instance->mName);
+    const auto* known = mInstances.Find(instance->mName);
+    const auto goneSince = known == nullptr ? std::nullopt : known->mGoneSince;
     const bool isGone =
-      instance->mState == instance_state::Gone && gone != mGoneSince.end();
+      instance->mState == instance_state::Gone && goneSince.has_value();
     const bool confirmationExpired =
-      isGone && aNow >= gone->second + kConfirmationLifetime;
-    if (isGone && aNow < gone->second + kGoneAcknowledgementTime) {
+      isGone && aNow >= *goneSince + kConfirmationLifetime;
+    if (isGone && aNow < *goneSince + kGoneAcknowledgementTime) {
       running.mAcknowledged.mAllKnown = false;
     }
     if (!confirmationExpired) {
@@ -91,7 +92,7 @@
         "change of primary does not wait for an instance that is gone",
         { { "service", aService },
           { "instance", instance->mName },
-          { "gone_ms", ToMilliseconds(aNow - gone->second) } });
+          { "gone_ms", ToMilliseconds(aNow - *goneSince) } });
   }
   running.mListingInstances = false;
   running.mRequestedAt = time_point::min();
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -32,6 +32,12 @@
                                 int,
                                 std::uint64_t,
                                 std::uint64_t>;
+using wire_instance = std::tuple<std::string,
+                                 std::string,
+                                 std::string,
+                                 std::uint64_t,
+                                 int,
+                                 std::uint64_t>;
 using wire_confirmation_answer = std::tuple<std::uint64_t,
                                             std::uint64_t,
                                             bool,
@@ -41,7 +47,9 @@
                                             std::uint64_t,
                                             std::uint64_t,
                                             std::vector<wire_primary>,
-                                            std::uint64_t>;
+                                            std::uint64_t,
+                                            std::vector<wire_instance>,
+                                            int>;
 
 // Limits on the contents of a received datagram.
 const msgpack::unpack_limit kUnpackLimits(/*array=*/20'000,
@@ -132,7 +140,10 @@
                                    aAnswer.mDesiredVersion,
                                    aAnswer.mServerVersion,
                                    {},
-                                   aAnswer.mKnownRevision };
+                                   aAnswer.mKnownRevision,
+                                   {},
+                                   static_cast<int>(
+                                     aAnswer.mInstanceCoverage) };
     auto& primaries = std::get<std::vector<wire_primary>>(wire);
     for (const auto& [record, version] : aAnswer.mPrimaries) {
       primaries.emplace_back(record.mService,
@@ -143,6 +154,15 @@
                              record.mFence,
                              version);
     }
+    auto& instances = std::get<std::vector<wire_instance>>(wire);
+    for (const auto& [record, version] : aAnswer.mInstances) {
+      instances.emplace_back(record.mName,
+                             record.mDataCentre,
+                             record.mPeerAddress,
+                             record.mStarted,
+                             static_cast<int>(record.mState),
+                             version);
+    }
     return Pack(wire_type::ConfirmationAnswer, wire);
   }
   std::string operator()(const connection_yield_request& aRequest) const
@@ -173,6 +193,7 @@
   return std::min(aAgeMs, kOldestMs);
 }
 
+// Instances of an earlier version omit the last two elements.
 confirmation_answer
 ReadConfirmation(const msgpack::object& aObject)
 {
@@ -185,12 +206,21 @@
               desiredVersion,
               serverVersion,
               primaries,
-              knownRevision] = aObject.as<wire_confirmation_answer>();
-  confirmation_answer answer{
-    number, BoundedAge(age),       registered,     instance,
-    holder, BoundedAge(holderAge), desiredVersion, serverVersion,
-    {},     knownRevision
-  };
+              knownRevision,
+              instances,
+              coverage] = aObject.as<wire_confirmation_answer>();
+  confirmation_answer answer{ number,
+                              BoundedAge(age),
+                              registered,
+                              instance,
+                              holder,
+                              BoundedAge(holderAge),
+                              desiredVersion,
+                              serverVersion,
+                              {},
+                              knownRevision,
+                              {},
+                              ToEnum(coverage, instance_coverage::All) };
   for (const auto& [service, primary, term, leadTerm, phase, fence, version] :
        primaries) {
     answer.mPrimaries.push_back({ { service,
@@ -201,6 +231,15 @@
                                     fence },
                                   version });
   }
+  for (const auto& [name, dataCentre, address, started, state, version] :
+       instances) {
+    answer.mInstances.push_back({ { name,
+                                    dataCentre,
+                                    address,
+                                    started,
+                                    ToEnum(state, instance_state::Gone) },
+                                  version });
+  }
   return answer;
 }
 
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -369,12 +369,7 @@
       PublishPrimary(primary->mService, aNow);
     }
   } else if (const auto* instance = std::get_if<instance_record>(&*record)) {
-    mInstances[instance->mName] = *instance;
-    if (instance->mState == instance_state::Gone) {
-      mGoneSince.try_emplace(instance->mName, aNow);
-    } else {
-      mGoneSince.erase(instance->mName);
-    }
+    mInstances.Put(*instance, aObject.mVersion, aNow);
   }
 }
 
@@ -383,7 +378,10 @@
                             time_point aNow)
 {
   const auto& objects = mFleetWatcher.Objects();
-  mKnownRevision = std::max(mKnownRevision, aUpdate.mCompleteTo);
+  if (aUpdate.mCompleteTo > 0) {
+    mKnownRevision = std::max(mKnownRevision, aUpdate.mCompleteTo);
+    mInstancesAsOf = std::max(mInstancesAsOf, aUpdate.mAsOf);
+  }
   bool instances = false;
   for (const auto& name : aUpdate.mChanged) {
     const auto object = objects.find(name);
@@ -436,7 +434,8 @@
     OnReleaseAnswer(*answer, aNow);
   } else if (const auto* request =
                std::get_if<confirmation_request>(&aDatagram)) {
-    if (mConfirmedAt != time_point::min() && !mUnregistered &&
+    const time_point asOf = ConfirmsOthersAsOf();
+    if (asOf != time_point::min() && !mUnregistered &&
         aNow < mConfirmedAt + kConfirmationLifetime) {
       mLinks.SendDatagram(aFrom, AnswerConfirmation(*request, aNow));
     }
--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -121,6 +121,7 @@
   const primary_record primary{ "s", "p", 3, 2, primary_phase::Stable, 4 };
   confirmation_answer answer;
   answer.mPrimaries.push_back({ primary, 9 });
+  answer.mInstances.push_back({ { "i2", "dc1", "10.0.0.2:7440", 5 }, 10 });
   mutator inputs(
     15,
     { EncodeFleetRecord(primary),
--- /dev/null
+++ b/tests/session/controller_confirmation_test.cpp
@@ -0,0 +1,56 @@
+// Tests of the confirmations of recorded primaries that instances pass on to
+// each other while the store refuses them.
+#include "session/controller_fixture.h"
+
+namespace snipewalk {
+namespace {
+
+// Longer than it takes until an instance that stands still is marked as gone.
+constexpr int kSilentMs = 3'500;
+
+// Guards against stale reads: a change of primary does not wait for an instance
+// that was marked as gone, so no instance may confirm the primaries to it, also
+// none that the store refuses and that has not read the mark.
+TEST_F(SessionControllerTest, NoInstanceConfirmsThePrimariesToOneMarkedAsGone)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::vector<instance*> refused = Others();
+  for (instance* each : refused) {
+    each->mStore.mRefuses = true;
+  }
+  instance& silent = *refused[0];
+  silent.mPaused = true;
+  Run(kSilentMs);
+  ASSERT_EQ(RecordedState(silent.mName), instance_state::Gone);
+  silent.mPaused = false;
+  Run(1'500);
+  EXPECT_TRUE(IsConfirmed(*refused[1]));
+  EXPECT_FALSE(IsConfirmed(silent));
+}
+
+// Once the silent instance has registered again, the instances that the store
+// refuses learn of it from the holder's confirmations.
+TEST_F(SessionControllerTest, RefusedInstancesConfirmOneThatRegisteredAgain)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::vector<instance*> others = Others();
+  instance& refused = *others[0];
+  instance& silent = *others[1];
+  refused.mStore.mRefuses = true;
+  silent.mStore.mRefuses = true;
+  silent.mPaused = true;
+  Run(kSilentMs);
+  ASSERT_EQ(RecordedState(silent.mName), instance_state::Gone);
+  silent.mStore.mRefuses = false;
+  silent.mPaused = false;
+  Run(3'000);
+  ASSERT_EQ(RecordedState(silent.mName), instance_state::Live);
+  refused.mController.OnDatagram(
+    "asking", confirmation_request{ silent.mName, 1, 1, 0 }, mLoop.Now());
+  EXPECT_TRUE(refused.mConfirmsRequester);
+}
+
+} // namespace
+} // namespace snipewalk
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -146,6 +147,7 @@
       std::holds_alternative<connection_yield_request>(aDatagram) ? 1 : 0;
     if (const auto* answer = std::get_if<confirmation_answer>(&aDatagram)) {
       mNamedHolder = answer->mDutyHolder;
+      mConfirmsRequester = answer->mRequesterRegistered;
     }
     const auto to = mNetwork.mInstances.find(aAddress);
     if (to == mNetwork.mInstances.end() || mPartitioned ||
@@ -153,7 +155,10 @@
       return;
     }
     mNetwork.mLoop.Post([this, receiver = to->second, aDatagram] {
-      receiver->mController.OnDatagram(mName, aDatagram, mNetwork.mLoop.Now());
+      if (!receiver->mPaused) {
+        receiver->mController.OnDatagram(
+          mName, aDatagram, mNetwork.mLoop.Now());
+      }
     });
   }
 
@@ -162,6 +167,8 @@
   refusable_store mStore;
   // The instance neither sends nor receives datagrams.
   bool mPartitioned = false;
+  // The process stands still: no ticks, and datagrams to it are lost.
+  bool mPaused = false;
   // The servers do not reply before the control connections are closed.
   bool mHoldsReplies = false;
   std::vector<status_handler> mHeldReplies;
@@ -171,6 +178,8 @@
   int mYieldRequests = 0;
   // Holder of the duty that the last confirmation sent has named.
   std::string mNamedHolder;
+  // Whether the last confirmation sent holds for the instance that asked.
+  bool mConfirmsRequester = false;
   recorded_links mConnections;
   session_engine mEngine;
   session_controller mController;
@@ -197,7 +206,9 @@
     bool done = false;
     std::function<void(time_point)> tick = [&](time_point aNow) {
       for (const auto& each : mInstances) {
-        each->mController.OnTick(aNow);
+        if (!each->mPaused) {
+          each->mController.OnTick(aNow);
+        }
       }
       if (aNow < until) {
         mLoop.RunAt(aNow + milliseconds(10), tick);
@@ -244,15 +255,35 @@
     }
     return served;
   }
+  bool IsConfirmed(const instance& aInstance) const
+  {
+    const auto age = aInstance.mController.ConfirmationAge(mLoop.Now());
+    return age && *age < session_controller::kConfirmationLifetime;
+  }
   int Confirmed() const
   {
-    int confirmed = 0;
+    return static_cast<int>(std::count_if(
+      mInstances.begin(), mInstances.end(), [this](const auto& aEach) {
+        return IsConfirmed(*aEach);
+      }));
+  }
+  // Instances that do not hold the duty.
+  std::vector<instance*> Others() const
+  {
+    std::vector<instance*> others;
     for (const auto& each : mInstances) {
-      const auto age = each->mController.ConfirmationAge(mLoop.Now());
-      confirmed +=
-        age && *age < session_controller::kConfirmationLifetime ? 1 : 0;
+      if (each->mName != HolderName()) {
+        others.push_back(each.get());
+      }
     }
-    return confirmed;
+    return others;
+  }
+  // State of an instance in its record in the store.
+  instance_state RecordedState(const std::string& aInstance) const
+  {
+    const std::string name = InstanceRecordName(aInstance);
+    const auto record = DecodeFleetRecord(name, mStore.Value(kFleetKind, name));
+    return std::get<instance_record>(record.value()).mState;
   }
 
   event_loop mLoop;
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -48,6 +48,9 @@
   answer.mRequesterRegistered = true;
   answer.mPrimaries.push_back(
     { { "s", "p", 3, 2, primary_phase::Changing, 4 }, 99 });
+  answer.mInstances.push_back(
+    { { "i2", "dc1", "10.0.0.2:7440", 5, instance_state::Gone }, 101 });
+  answer.mInstanceCoverage = instance_coverage::Partial;
   const auto decoded = DecodeDatagram(EncodeDatagram(answer));
   ASSERT_TRUE(decoded.ok());
   const auto& kept = std::get<confirmation_answer>(*decoded);
@@ -57,6 +60,27 @@
   ASSERT_EQ(kept.mPrimaries.size(), 1U);
   EXPECT_EQ(kept.mPrimaries[0].mRecord, answer.mPrimaries[0].mRecord);
   EXPECT_EQ(kept.mPrimaries[0].mVersion, 99U);
+  ASSERT_EQ(kept.mInstances.size(), 1U);
+  EXPECT_EQ(kept.mInstances[0].mRecord, answer.mInstances[0].mRecord);
+  EXPECT_EQ(kept.mInstances[0].mVersion, 101U);
+  EXPECT_EQ(kept.mInstanceCoverage, instance_coverage::Partial);
+}
+
+// A datagram that is too large is not sent, and the instance that asked would
+// never be confirmed.
+TEST(PeerDatagramsTest, HasRoomForAllConfirmedInstances)
+{
+  confirmation_answer answer;
+  const std::string longName(64, 'n');
+  for (std::uint64_t i = 0; i < kMaxConfirmedInstances; ++i) {
+    answer.mInstances.push_back({ { longName,
+                                    longName,
+                                    "255.255.255.255:65535",
+                                    1'700'000'000'000,
+                                    instance_state::Live },
+                                  (std::uint64_t{ 1 } << 60U) + i });
+  }
+  EXPECT_LE(EncodeDatagram(answer).size(), kMaxDatagramBytes);
 }
 
 TEST(PeerDatagramsTest, KeepsTheOthers)
@@ -143,5 +167,24 @@
   EXPECT_EQ(answer.mUptimeMs, 0U);
 }
 
+// Nothing may be concluded about instances from the confirmation of an instance
+// of an earlier version, which does not tell their records.
+TEST(PeerDatagramsTest, ReadsConfirmationsWithoutInstances)
+{
+  // Array of the type 4 (confirmation) and an array of the sequence number, the
+  // age, whether the requester is registered, the instance, the duty holder,
+  // its age, the versions of the desired state and of the servers, the
+  // primaries, and the known revision.
+  const std::string earlier(
+    "\x92\x04\x9a\x07\x05\xc3\xa2i1\xa2i2\x06\x08\x09\x90\x0b", 18);
+  const auto read = DecodeDatagram(earlier);
+  ASSERT_TRUE(read.ok());
+  const auto& answer = std::get<confirmation_answer>(*read);
+  EXPECT_EQ(answer.mSequenceNumber, 7U);
+  EXPECT_EQ(answer.mKnownRevision, 11U);
+  EXPECT_TRUE(answer.mInstances.empty());
+  EXPECT_EQ(answer.mInstanceCoverage, instance_coverage::None);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/session_controller_test.cpp
+++ b/tests/session/session_controller_test.cpp
@@ -140,11 +140,7 @@
   EXPECT_EQ(HolderName(), next);
   EXPECT_EQ(Confirmed(), 3);
   for (const auto& each : mInstances) {
-    const std::string name = InstanceRecordName(each->mName);
-    const auto record = DecodeFleetRecord(name, mStore.Value(kFleetKind, name));
-    ASSERT_TRUE(record.ok());
-    EXPECT_EQ(std::get<instance_record>(*record).mState, instance_state::Live)
-      << each->mName;
+    EXPECT_EQ(RecordedState(each->mName), instance_state::Live) << each->mName;
   }
 }
 
