Give a candidate no work before its change of primary is recorded as done

Cause: an instance took the server of a promoting record for the primary if its entry said so. That entry can be from an earlier term: here the server had led before and could not write since. Until the order takes effect it is a replica that lags, and reads at a primary carry no log position.

Why this works: the record becomes stable only after the candidate has replied to the holder that it leads, so no instance depends on when an entry was written. Comparing the entry's revision would not do: the store may execute an old write of the server after the record. So that callers do not wait longer, an entry that changes makes the holder ask the candidate at once.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -196,6 +196,9 @@
   // regarded as lost together with its log, so the change no longer waits for
   // it and does not choose it.
   actions OnServerRemoved(const std::string& aServer, time_point aNow);
+  // Handles an entry by which a server is the primary. The entry can be from an
+  // earlier term, so a candidate is asked; its reply shows whether it leads.
+  actions OnReportedAsPrimary(const std::string& aServer);
   // Repeats commands that got no reply, and ends steps that have exceeded their
   // time limit.
   actions OnTick(time_point aNow);
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -298,6 +298,18 @@
   }
 }
 
+void
+session_controller::AskCandidate(const registered_server& aServer,
+                                 time_point aNow)
+{
+  const auto control = mServices.find(aServer.mService);
+  if (control != mServices.end() && control->second.mRunning) {
+    Perform(aServer.mService,
+            control->second.mRunning->mChange->OnReportedAsPrimary(aServer.mId),
+            aNow);
+  }
+}
+
 void
 session_controller::RunChange(const std::string& aService, time_point aNow)
 {
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -360,6 +360,15 @@
   return mStep == change_step::Pausing ? TryChoose(aNow) : actions{};
 }
 
+primary_change::actions
+primary_change::OnReportedAsPrimary(const std::string& aServer)
+{
+  if (mStep != change_step::Settling || aServer != mCandidate) {
+    return {};
+  }
+  return { send_command{ mCandidate, status_command{} } };
+}
+
 primary_change::actions
 primary_change::BeginPausing(time_point aNow)
 {
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -202,6 +202,9 @@
   if (!before || before->mStarted != entry->mStarted) {
     AddToChange(*entry, aNow);
   }
+  if (entry->mPrimary) {
+    AskCandidate(*entry, aNow);
+  }
   if (!before || !(*before == *entry)) {
     Log(log_level::Info,
         "control",
@@ -304,10 +307,9 @@
     return first;
   }
   const primary_record& record = *control.mRecord;
-  const auto entry = mServers.Find(record.mPrimary);
-  const bool leads =
-    record.mPhase == primary_phase::Stable ||
-    (record.mPhase == primary_phase::Promoting && entry && entry->mPrimary);
+  // The entry of a server that is being promoted doesn't show that it leads: it
+  // can be from an earlier term in which it led.
+  const bool leads = record.mPhase == primary_phase::Stable;
   return { record.mPrimary,
            record.mLeadTerm,
            leads && record.mTerm >= control.mReleasedTerm,
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,12 @@
     desired_state state;
     state.mVersion = std::stoull(aValue);
     state.mServices["s"] = { 23, 1 };
+    database_route route;
+    route.mName = "r";
+    route.mDatabase = "main";
+    route.mService = "s";
+    route.mStatementTimeout = milliseconds(30'000);
+    state.mRoutes["main"] = route;
     return state;
   };
   objects.mDecodeServer =
@@ -162,6 +169,43 @@
     });
   }
 
+  // Opens a session of the database "main", whose reads need the primary, and
+  // sends a read.
+  void SendRead(const std::string& aItem)
+  {
+    const time_point now = mNetwork.mLoop.Now();
+    mEngine.OnCallerMessage(++mLastSession, open_session{ "main" }, now);
+    mEngine.OnCallerMessage(
+      mLastSession, statement_message{ aItem, read_statement{ aItem } }, now);
+  }
+  // Lets the servers accept the connections that are being opened.
+  void AcceptConnections()
+  {
+    const std::size_t known = mAccepted.size();
+    for (const auto& [id, connection] : mConnections.mServers) {
+      if (!connection.mClosed && mAccepted.insert(id).second) {
+        mEngine.OnServerReply(id, {}, mNetwork.mLoop.Now());
+        break;
+      }
+    }
+    if (mAccepted.size() > known) {
+      AcceptConnections();
+    }
+  }
+  // Server that a read was sent to; empty if it still waits.
+  std::string ServerOfRead(const std::string& aItem) const
+  {
+    for (const auto& [id, connection] : mConnections.mServers) {
+      for (const auto& command : connection.mCommands) {
+        const auto* sent = std::get_if<statement_command>(&command);
+        if (sent != nullptr && sent->mRequestId == aItem) {
+          return connection.mServer;
+        }
+      }
+    }
+    return {};
+  }
+
   network& mNetwork;
   std::string mName;
   refusable_store mStore;
@@ -180,6 +224,8 @@
   std::string mNamedHolder;
   // Whether the last confirmation sent holds for the instance that asked.
   bool mConfirmsRequester = false;
+  session_id mLastSession = 0;
+  std::set<server_connection_id> mAccepted;
   recorded_links mConnections;
   session_engine mEngine;
   session_controller mController;
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -671,6 +671,27 @@
   EXPECT_GE(requests, 5);
 }
 
+// The candidate reports its new role at once, and the callers wait for it.
+TEST(PrimaryChangeTest, AsksACandidateThatReportsItselfAsPrimary)
+{
+  primary_change change(Plan());
+  AdvanceToPausing(change);
+  Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
+  Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  EXPECT_TRUE(change.OnReportedAsPrimary("b").empty());
+  change.OnRecordWritten(true, At(30));
+  change.OnPromoted(promotion_result::Accepted, At(40));
+  EXPECT_TRUE(change.OnReportedAsPrimary("a").empty());
+  const auto asked =
+    ActionsOfType<send_command>(change.OnReportedAsPrimary("b"));
+  ASSERT_EQ(asked.size(), 1U);
+  EXPECT_EQ(asked[0].mServer, "b");
+  // The entry was from an earlier term.
+  EXPECT_TRUE(
+    Reply(change, "b", Status(server_role::Replica, 4, 12), At(45)).empty());
+  EXPECT_EQ(change.Step(), change_step::Settling);
+}
+
 // The order of the earlier holder may have been lost.
 TEST(PrimaryChangeTest, GoesOnFromARecordedPromotion)
 {
