Take no sample of a primary from before it led

Cause: whether the server of a reply was the primary was looked up when the reply arrived. If it was promoted after the command was sent, the position is how far it had applied the log as a lagging replica. Dated with the time of sending, it replaced the higher positions that the former primary had told, and replicas were asked only for the lower one. It could also pass for the reply of a primary after a replica had left.

Why this works: a command counts only if it was sent after this instance learned that the server leads, which the record says once the holder has had it from the server; a new lead term begins anew.

--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -74,9 +74,10 @@
   if (service.mPrimary.mHasLed) {
     service.mToldPosition = std::max(service.mToldPosition, *aReply.mPosition);
   }
-  // The reply is a sample only if no newer primary could have acknowledged
-  // commits when the command was sent.
-  if (service.mPrimary.mAcceptsWork && aSent < mConfirmedUntil) {
+  // The reply is a sample only if the server led when the command was sent, and
+  // no newer primary could have acknowledged commits by then.
+  if (service.mPrimary.mAcceptsWork && aSent >= service.mPrimarySince &&
+      aSent < mConfirmedUntil) {
     AddPrimarySample(service, aSent, *aReply.mPosition);
   }
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -226,6 +226,9 @@
   // not confirmed, so that a missing server could not be judged as removed.
   time_point mLastCompleteAt = time_point::min();
   service_primary mPrimary;
+  // Since when mPrimary has been known to lead and to accept work. What a
+  // command that was sent earlier shows may be from before it led.
+  time_point mPrimarySince = time_point::min();
   freshness_samples mSamples;
   // Newest position at which a commit was acknowledged to a caller.
   log_position mAcknowledged;
--- /dev/null
+++ b/tests/session/engine_samples_test.cpp
@@ -0,0 +1,63 @@
+// Tests of the samples of log positions that the engine takes from the replies
+// of primaries.
+#include "session/engine_fixture.h"
+
+namespace snipewalk {
+namespace {
+
+// Guards against stale reads after a change of primary: a reply to a command
+// that a server got while it was a replica shows only how far it lagged then.
+TEST_F(SessionEngineTest, TakesNoSampleFromBeforeAServerBecameThePrimary)
+{
+  Configure();
+  const session_id writer = Open("own");
+  SendStatement(writer, write_statement{ "1", "x" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  AdvanceClock(300);
+  SendStatement(writer, write_statement{ "1", "y" });
+  Answer(*LastRequestConnection(), Done(60));
+  AdvanceClock(200);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  const session_id reader = Open("old");
+  SendStatement(reader, read_statement{ "1" });
+  AcceptConnections();
+  ASSERT_TRUE(LastRequestConnection());
+  const server_connection_id connection = *LastRequestConnection();
+  const std::string replica = ServerOf(connection);
+  ASSERT_NE(replica, "p");
+  AdvanceClock(20);
+  mEngine.SetPrimary("s", { replica, 2, true }, mNow);
+  Answer(connection, Done(45));
+  // The new primary is replaced in its turn. The commit at 1.60 was
+  // acknowledged longer ago than the route allows, and no sample of a primary
+  // is more recent.
+  mEngine.SetPrimary("s", { replica, 2, false }, mNow);
+  AdvanceClock(1'400);
+  SendStatement(reader, read_statement{ "1" });
+  AcceptConnections();
+  EXPECT_FALSE(LastRequestConnection());
+}
+
+// The replies of a server that has become the primary count.
+TEST_F(SessionEngineTest, TakesSamplesOfAServerOnceItIsThePrimary)
+{
+  Configure();
+  mEngine.SetPrimary("s", { "a", 2, true }, mNow);
+  const session_id writer = Open("own");
+  SendStatement(writer, write_statement{ "1", "x" });
+  AcceptConnections();
+  ASSERT_EQ(ServerOf(*LastRequestConnection()), "a");
+  Answer(*LastRequestConnection(), Done(40));
+  mEngine.SetPrimary("s", { "a", 2, false }, mNow);
+  const session_id reader = Open("old");
+  SendStatement(reader, read_statement{ "1" });
+  AcceptConnections();
+  ASSERT_TRUE(LastRequestConnection());
+  const auto& command = std::get<statement_command>(
+    mLinks.mServers.at(*LastRequestConnection()).mCommands.back());
+  EXPECT_EQ(command.mMinPosition, (log_position{ 1, 40 }));
+}
+
+} // namespace
+} // namespace snipewalk
