Count the time since an instance is gone from its newest mark

What callers could have seen: stale reads at an instance that was marked as gone, registered again and was marked again.

Cause: the holder kept the time of the first mark until it saw the instance live. Reads of the store show only the latest record, so it can miss the registration in between, and the list that a change begins with can show a mark that the watch has not delivered. The change then did not wait for confirmations of the time between the marks.

Why this works: a mark is known by the version of its record. The time begins with each new version, also one that the list shows first, and every confirmation of the instance is older than its newest mark.

--- a/include/snipewalk/session/instance_directory.h
+++ b/include/snipewalk/session/instance_directory.h
@@ -23,8 +23,9 @@
     instance_record mRecord;
     // Store revision of the record's last change.
     std::uint64_t mVersion = 0;
-    // Since when the instance has been known as gone; std::nullopt while it is
-    // live.
+    // Since when this version has been known, if it states that the instance is
+    // gone. An earlier one may state the same: the instance can have registered
+    // in between, without its record of that time having been seen here.
     std::optional<time_point> mGoneSince;
   };
 
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -357,6 +357,11 @@
   void OnInstancesListed(const std::string& aService,
                          const store_reply& aReply,
                          time_point aNow);
+  // Lets a change wait for an instance, unless that one has been gone for so
+  // long that its confirmations have expired.
+  void AwaitRelease(const std::string& aService,
+                    const instance_directory::known_instance& aInstance,
+                    time_point aNow);
   void ContinueRelease(const std::string& aService, time_point aNow);
   // Notes what an instance has acknowledged of a service's commits; `aUptime`
   // is how long its process has been running.
--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -74,31 +74,43 @@
     if (instance == nullptr || instance->mName == mOptions.mInstance) {
       continue;
     }
-    const auto* known = mInstances.Find(instance->mName);
-    const auto goneSince = known == nullptr ? std::nullopt : known->mGoneSince;
-    const bool isGone =
-      instance->mState == instance_state::Gone && goneSince.has_value();
-    const bool confirmationExpired =
-      isGone && aNow >= *goneSince + kConfirmationLifetime;
-    if (isGone && aNow < *goneSince + kGoneAcknowledgementTime) {
-      running.mAcknowledged.mAllKnown = false;
+    // The watch may not have delivered this version yet.
+    mInstances.Put(*instance, object.mVersion, aNow);
+    if (const auto* known = mInstances.Find(instance->mName)) {
+      AwaitRelease(aService, *known, aNow);
     }
-    if (!confirmationExpired) {
-      running.mUnreleased[instance->mName] = *instance;
-      continue;
-    }
-    Log(log_level::Info,
-        "primary",
-        "change of primary does not wait for an instance that is gone",
-        { { "service", aService },
-          { "instance", instance->mName },
-          { "gone_ms", ToMilliseconds(aNow - *goneSince) } });
   }
   running.mListingInstances = false;
   running.mRequestedAt = time_point::min();
   ContinueRelease(aService, aNow);
 }
 
+void
+session_controller::AwaitRelease(
+  const std::string& aService,
+  const instance_directory::known_instance& aInstance,
+  time_point aNow)
+{
+  running_change& running = *mServices[aService].mRunning;
+  const std::string& name = aInstance.mRecord.mName;
+  const auto goneSince = aInstance.mGoneSince;
+  if (goneSince && aNow < *goneSince + kGoneAcknowledgementTime) {
+    running.mAcknowledged.mAllKnown = false;
+  }
+  const bool confirmationExpired =
+    goneSince && aNow >= *goneSince + kConfirmationLifetime;
+  if (!confirmationExpired) {
+    running.mUnreleased[name] = aInstance.mRecord;
+    return;
+  }
+  Log(log_level::Info,
+      "primary",
+      "change of primary does not wait for an instance that is gone",
+      { { "service", aService },
+        { "instance", name },
+        { "gone_ms", ToMilliseconds(aNow - *goneSince) } });
+}
+
 void
 session_controller::ContinueRelease(const std::string& aService,
                                     time_point aNow)
--- a/src/session/instance_directory.cpp
+++ b/src/session/instance_directory.cpp
@@ -17,10 +17,9 @@
   mNamesByVersion[aVersion] = aRecord.mName;
   known.mRecord = aRecord;
   known.mVersion = aVersion;
-  if (aRecord.mState == instance_state::Live) {
-    known.mGoneSince.reset();
-  } else {
-    known.mGoneSince = known.mGoneSince.value_or(aNow);
+  known.mGoneSince.reset();
+  if (aRecord.mState == instance_state::Gone) {
+    known.mGoneSince = aNow;
   }
   return true;
 }
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -152,6 +152,9 @@
   {
     mYieldRequests +=
       std::holds_alternative<connection_yield_request>(aDatagram) ? 1 : 0;
+    if (std::holds_alternative<release_request>(aDatagram)) {
+      mAskedToRelease.insert(aAddress);
+    }
     if (const auto* answer = std::get_if<confirmation_answer>(&aDatagram)) {
       mNamedHolder = answer->mDutyHolder;
       mConfirmsRequester = answer->mRequesterRegistered;
@@ -220,6 +223,8 @@
   int mCommands = 0;
   // Number of connection_yield_request datagrams sent.
   int mYieldRequests = 0;
+  // Addresses that were asked to release a primary.
+  std::set<std::string> mAskedToRelease;
   // Holder of the duty that the last confirmation sent has named.
   std::string mNamedHolder;
   // Whether the last confirmation sent holds for the instance that asked.
--- a/tests/session/instance_directory_test.cpp
+++ b/tests/session/instance_directory_test.cpp
@@ -55,6 +55,19 @@
   EXPECT_TRUE(mDirectory.ChangedSince(10, 10).empty());
 }
 
+// The time since an instance has been gone begins with its newest record, as it
+// may have been live between two that state this.
+TEST_F(InstanceDirectoryTest, CountsTheTimeSinceTheNewestMark)
+{
+  mDirectory.Put(Record("a", instance_state::Gone), 7, mNow);
+  mDirectory.Put(Record("a", instance_state::Gone), 7, mNow + seconds(1));
+  EXPECT_EQ(mDirectory.Find("a")->mGoneSince, mNow);
+  mDirectory.Put(Record("a", instance_state::Gone), 9, mNow + seconds(2));
+  EXPECT_EQ(mDirectory.Find("a")->mGoneSince, mNow + seconds(2));
+  mDirectory.Put(Record("a"), 10, mNow + seconds(3));
+  EXPECT_FALSE(mDirectory.Find("a")->mGoneSince);
+}
+
 // The oldest changes come first, so that the next request continues after them.
 TEST_F(InstanceDirectoryTest, ReturnsTheOldestChangesUpToALimit)
 {
