Count no read of the store that was requested before a suspension

What callers could have seen: stale reads at an instance that was suspended, and promotions ordered by two holders of the duty.

Cause: a suspension, which the steady clock does not count, ends the lease and the confirmation of the primaries. A reply that was on its way then renewed both as of the time of the call, which looked as if it were a moment ago.

Why this works: the time at which the process went on is kept, and a read counts only if it was requested later. Its contents are applied as before.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -54,8 +54,8 @@
   // Notes that this or another instance heard from the holder at `aWhen`.
   void OnHolderSeen(const std::string& aHolder, time_point aWhen);
   // Called after the process was suspended for an unknown time. The duty is not
-  // used again before the next read.
-  void OnSuspended();
+  // used again before a read that was requested afterwards.
+  void OnSuspended(time_point aNow);
 
   // Returns the claim to write if one is due. No further claim is returned
   // until OnWritten() has been called.
@@ -106,6 +106,9 @@
   time_point mUsableFrom = time_point::max();
   // Latest time as of which a read named this process as holder.
   time_point mConfirmedAt = time_point::min();
+  // When the process went on after its last suspension. An earlier read may be
+  // older than it seems.
+  time_point mSuspendedUntil = time_point::min();
   time_point mHolderSeenAt = time_point::min();
   bool mWritePending = false;
   // Time of a failed write after which no read has succeeded. Set while the
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -405,6 +405,9 @@
   time_point mConfirmedAt = time_point::min();
   // The same for the records of instances.
   time_point mInstancesAsOf = time_point::min();
+  // When the process went on after its last suspension. What was confirmed as
+  // of an earlier time may be older than it seems.
+  time_point mSuspendedUntil = time_point::min();
   bool mRegistering = false;
   time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -145,6 +145,9 @@
                   time_point aNow);
   // States that no other server becomes primary of any service before `aUntil`.
   void SetPrimariesConfirmed(time_point aUntil, time_point aNow);
+  // Called after the process was suspended for a time that the steady clock did
+  // not count: what servers and instances told before is older than it seems.
+  void OnSuspended(time_point aNow);
   // Sets the number of instances that share the connections of a server.
   void SetInstanceCount(std::size_t aCount, time_point aNow);
 
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -50,7 +50,7 @@
                             time_point aAsOf,
                             time_point aNow)
 {
-  if (aAsOf <= mConfirmedAt || mUnregistered) {
+  if (aAsOf <= std::max(mConfirmedAt, mSuspendedUntil) || mUnregistered) {
     return;
   }
   const bool confirmationExpired =
@@ -70,10 +70,11 @@
 session_controller::OnSuspended(time_point aNow)
 {
   Log(log_level::Warning, "control", "process was suspended");
+  mSuspendedUntil = aNow;
   mConfirmedAt = time_point::min();
   mInstancesAsOf = time_point::min();
-  mDuty.OnSuspended();
-  mEngine.SetPrimariesConfirmed(time_point::min(), aNow);
+  mDuty.OnSuspended(aNow);
+  mEngine.OnSuspended(aNow);
   mRequestSentAt.clear();
 }
 
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -69,7 +69,7 @@
   if (!mRecordKnown || aVersion > mVersion) {
     SetRecord(aRecord, aVersion, aNow);
   }
-  if (aVersion == mVersion && IsNamedHolder()) {
+  if (aVersion == mVersion && IsNamedHolder() && aAsOf > mSuspendedUntil) {
     mConfirmedAt = std::max(mConfirmedAt, aAsOf);
   }
 }
@@ -83,8 +83,9 @@
 }
 
 void
-duty_lease::OnSuspended()
+duty_lease::OnSuspended(time_point aNow)
 {
+  mSuspendedUntil = aNow;
   mConfirmedAt = time_point::min();
 }
 
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -382,7 +382,9 @@
   const auto& objects = mFleetWatcher.Objects();
   if (aUpdate.mCompleteTo > 0) {
     mKnownRevision = std::max(mKnownRevision, aUpdate.mCompleteTo);
-    mInstancesAsOf = std::max(mInstancesAsOf, aUpdate.mAsOf);
+    if (aUpdate.mAsOf > mSuspendedUntil) {
+      mInstancesAsOf = std::max(mInstancesAsOf, aUpdate.mAsOf);
+    }
   }
   bool instances = false;
   for (const auto& name : aUpdate.mChanged) {
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -253,6 +253,12 @@
   }
 }
 
+void
+session_engine::OnSuspended(time_point aNow)
+{
+  SetPrimariesConfirmed(time_point::min(), aNow);
+}
+
 void
 session_engine::SetInstanceCount(std::size_t aCount, time_point aNow)
 {
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -52,5 +52,27 @@
   EXPECT_TRUE(refused.mConfirmsRequester);
 }
 
+// Guards against stale reads and two holders of the duty: the steady clock does
+// not count a suspension, so a reply that was on its way then looks recent.
+TEST_F(SessionControllerTest, CountsNoReadOfTheStoreFromBeforeASuspension)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  for (const auto& each : mInstances) {
+    each->mStore.mHoldsReplies = true;
+  }
+  Run(800);
+  for (const auto& each : mInstances) {
+    each->mController.OnSuspended(mLoop.Now());
+    each->mStore.Release(mLoop.Now());
+  }
+  EXPECT_EQ(Holders(), 0);
+  EXPECT_EQ(Confirmed(), 0);
+  // Reads from after it count.
+  Run(2'000);
+  EXPECT_EQ(Holders(), 1);
+  EXPECT_EQ(Confirmed(), 3);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipewalk {
@@ -92,14 +93,30 @@
                     const store_reply& aReply, time_point aNow) {
                     store_reply refused;
                     refused.mStatus = store_status::Refused;
-                    onReply(mRefuses ? refused : aReply, aNow);
+                    const store_reply& reply = mRefuses ? refused : aReply;
+                    if (mHoldsReplies) {
+                      mHeldReplies.emplace_back(onReply, reply);
+                    } else {
+                      onReply(reply, aNow);
+                    }
                   });
   }
+  // Delivers the replies that were held.
+  void Release(time_point aNow)
+  {
+    mHoldsReplies = false;
+    for (const auto& [onReply, reply] : std::exchange(mHeldReplies, {})) {
+      onReply(reply, aNow);
+    }
+  }
 
   bool mRefuses = false;
+  // Replies are on their way until Release() is called.
+  bool mHoldsReplies = false;
 
 private:
   store_client& mStore;
+  std::vector<std::pair<reply_handler, store_reply>> mHeldReplies;
 };
 
 class instance : public control_links
--- a/tests/session/duty_lease_test.cpp
+++ b/tests/session/duty_lease_test.cpp
@@ -131,6 +131,24 @@
   EXPECT_TRUE(lease.ClaimIfDue(At(9'310)));
 }
 
+// Guards against two holders: the reply was on its way while the process was
+// suspended, and another instance may have taken the duty over since.
+TEST(DutyLeaseTest, CountsNoReadFromBeforeASuspension)
+{
+  duty_lease lease("i1", 1, milliseconds(0));
+  lease.OnRecord(std::nullopt, 0, At(0), At(0));
+  const auto write = lease.ClaimIfDue(At(0));
+  ASSERT_TRUE(write);
+  lease.OnWritten(*write, 5, At(0));
+  lease.OnRecord(write->mRecord, 5, At(1), At(2));
+  ASSERT_TRUE(lease.Holds(At(3)));
+  lease.OnSuspended(At(100));
+  lease.OnRecord(write->mRecord, 5, At(90), At(101));
+  EXPECT_FALSE(lease.Holds(At(101)));
+  lease.OnRecord(write->mRecord, 5, At(102), At(105));
+  EXPECT_TRUE(lease.Holds(At(105)));
+}
+
 TEST(DutyLeaseTest, StopsAfterASuspension)
 {
   duty_lease lease("a", 1, milliseconds(0));
@@ -139,7 +157,7 @@
               !lease.Holds(At(1)));
   lease.OnRecord(duty_record{ "a", 1, 1 }, 5, At(4'000), At(4'000));
   EXPECT_TRUE(lease.Holds(At(4'001)));
-  lease.OnSuspended();
+  lease.OnSuspended(At(4'001));
   EXPECT_FALSE(lease.Holds(At(4'001)));
 }
 
