Forget the samples and proofs of primaries over a suspension

What callers could have seen: reads of a bounded age, just after an instance was suspended, that lacked commits older than the route allows.

Cause: the ages of samples of a log position and of the proofs by checks of the servers are counted with the steady clock, which leaves a suspension out. A suspension ended only the confirmation of the primaries.

Why this works: the engine forgets samples, checks and proofs, and counts the time since a primary leads from the end of the suspension, so that no command sent before gives a sample.

--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -309,6 +309,9 @@
   // By service: when the oldest write that its primary has not confirmed was
   // sent. Services without a write in flight or stalled are left out.
   std::map<std::string, time_point> OldestUnconfirmedWrites() const;
+  // Forgets the samples and proofs of primaries, whose times do not count a
+  // suspension, and takes none from commands that were sent before.
+  void ForgetTimes(time_point aNow);
   session_engine_counts Counts() const;
 
   // Until this time only the known primaries can act as primaries.
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -106,6 +106,18 @@
   Dispatch(aService, aNow);
 }
 
+void
+session_engine::state::ForgetTimes(time_point aNow)
+{
+  for (auto& [name, service] : mServices) {
+    service.mPrimarySince = aNow;
+    service.mSamples = {};
+    service.mCheck.reset();
+    service.mPrimaryVerifiedAt = time_point::min();
+    service.mPrimaryLedAt = time_point::min();
+  }
+}
+
 std::map<std::string, time_point>
 session_engine::state::OldestUnconfirmedWrites() const
 {
@@ -257,6 +269,7 @@
 session_engine::OnSuspended(time_point aNow)
 {
   SetPrimariesConfirmed(time_point::min(), aNow);
+  mState->ForgetTimes(aNow);
 }
 
 void
--- a/tests/session/engine_samples_test.cpp
+++ b/tests/session/engine_samples_test.cpp
@@ -59,5 +59,28 @@
   EXPECT_EQ(command.mMinPosition, (log_position{ 1, 40 }));
 }
 
+// Guards against reads of older data than a route allows: the steady clock does
+// not count a suspension, so samples from before it look more recent than they
+// are.
+TEST_F(SessionEngineTest, ForgetsSamplesFromBeforeASuspension)
+{
+  Configure();
+  const session_id writer = Open("own");
+  SendStatement(writer, write_statement{ "1", "x" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  // Answered after the suspension, but sent before.
+  SendStatement(writer, write_statement{ "1", "y" });
+  const server_connection_id sent = *LastRequestConnection();
+  AdvanceClock(20);
+  mEngine.OnSuspended(mNow);
+  Answer(sent, Done(60));
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  const session_id reader = Open("old");
+  SendStatement(reader, read_statement{ "1" });
+  AcceptConnections();
+  EXPECT_FALSE(LastRequestConnection());
+}
+
 } // namespace
 } // namespace snipewalk
