Let the duty holder register an instance again that lives on

Cause: an instance registers itself, and the store refuses it. The holder, which marked it, hears from it again: its requests for confirmation state its name and the start of its process.

Change: the holder registers an instance that was marked as gone and has been asking for 0.5 s; one that reaches the store does so itself in that time. The write replaces only the version that the holder knows. The instance is confirmed once the record has come back to those who confirm it, with every record before.

The tests' path to the store executed the calls that it refused; it does nothing now, as a real one.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -282,6 +282,9 @@
 
   void Register(time_point aNow);
   bool IsRegistered() const;
+  // Lets the duty holder register an instance again that was marked as gone but
+  // goes on asking for confirmations, as the store may refuse its own calls.
+  void RegisterAgain(const confirmation_request& aRequest, time_point aNow);
   // Reads the fleet records, the desired state and the servers if a read is
   // due: regularly on the duty holder, which confirms the records and reports
   // the newest versions to all instances, and on others only if no instance
@@ -375,6 +378,11 @@
   // Marks instances as gone whose health reports have stopped.
   void MarkSilentInstances(time_point aNow);
   void MarkGone(const instance_record& aInstance);
+  // Replaces the given version of an instance's record; `aEvent` names the
+  // write in the log.
+  void WriteInstance(const instance_record& aRecord,
+                     const char* aEvent,
+                     std::uint64_t aExpectedVersion);
 
   event_loop& mLoop;
   store_client& mStore;
@@ -408,6 +416,9 @@
   // When the process went on after its last suspension. What was confirmed as
   // of an earlier time may be older than it seems.
   time_point mSuspendedUntil = time_point::min();
+  // Since when instances that were marked as gone have been asking for
+  // confirmations, by name.
+  std::map<std::string, time_point> mGoneAskingSince;
   bool mRegistering = false;
   time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr milliseconds kRegistrationRetryDelay{ 200 };
+// An instance that reaches the store registers itself within this time after it
+// was marked as gone.
+constexpr milliseconds kOwnRegistrationTime{ 500 };
 // How often the duty holder reads the fleet records. The confirmations that it
 // sends are at most this old, plus the duration of one store call.
 constexpr milliseconds kHolderReadInterval{ 700 };
@@ -119,6 +122,29 @@
     });
 }
 
+void
+session_controller::RegisterAgain(const confirmation_request& aRequest,
+                                  time_point aNow)
+{
+  const std::string& name = aRequest.mInstance;
+  const auto* known = mInstances.Find(name);
+  const bool gone = known != nullptr && known->mGoneSince.has_value() &&
+                    known->mRecord.mStarted == aRequest.mStarted;
+  if (!gone || !mDuty.Holds(aNow)) {
+    mGoneAskingSince.erase(name);
+    return;
+  }
+  const auto since = mGoneAskingSince.try_emplace(name, aNow).first->second;
+  if (aNow < since + kOwnRegistrationTime) {
+    return;
+  }
+  mGoneAskingSince.erase(name);
+  mLastReportAt[name] = aNow;
+  instance_record live = known->mRecord;
+  live.mState = instance_state::Live;
+  WriteInstance(live, "instance registered again for it", known->mVersion);
+}
+
 void
 session_controller::ReadFleet(time_point aNow)
 {
@@ -394,14 +420,23 @@
   if (held == mFleetWatcher.Objects().end()) {
     return;
   }
+  WriteInstance(gone, "instance marked as gone", held->second.mVersion);
+}
+
+void
+session_controller::WriteInstance(const instance_record& aRecord,
+                                  const char* aEvent,
+                                  std::uint64_t aExpectedVersion)
+{
+  const std::string name = FleetRecordName(aRecord);
   mStore.Submit(
     store_put{
-      { kFleetKind, name }, EncodeFleetRecord(gone), held->second.mVersion },
+      { kFleetKind, name }, EncodeFleetRecord(aRecord), aExpectedVersion },
     store_priority::Urgent,
-    [name](const store_reply& aReply, time_point) {
+    [name, aEvent](const store_reply& aReply, time_point) {
       Log(log_level::Info,
           "control",
-          "instance marked as gone",
+          aEvent,
           { { "record", name },
             { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
     });
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -438,6 +438,7 @@
     OnReleaseAnswer(*answer, aNow);
   } else if (const auto* request =
                std::get_if<confirmation_request>(&aDatagram)) {
+    RegisterAgain(*request, aNow);
     const time_point asOf = ConfirmsOthersAsOf();
     if (asOf != time_point::min() && !mUnregistered &&
         aNow < mConfirmedAt + kConfirmationLifetime) {
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -23,12 +23,33 @@
   silent.mPaused = true;
   Run(kSilentMs);
   ASSERT_EQ(RecordedState(silent.mName), instance_state::Gone);
+  ASSERT_TRUE(IsConfirmed(*refused[1]));
+  refused[1]->mController.OnDatagram(
+    "asking", confirmation_request{ silent.mName, 1, 1, 0 }, mLoop.Now());
+  EXPECT_FALSE(refused[1]->mConfirmsRequester);
   silent.mPaused = false;
-  Run(1'500);
-  EXPECT_TRUE(IsConfirmed(*refused[1]));
+  Run(300);
+  EXPECT_EQ(RecordedState(silent.mName), instance_state::Gone);
   EXPECT_FALSE(IsConfirmed(silent));
 }
 
+// The instance that was silent lives on, and its callers need not wait until
+// the store serves it again.
+TEST_F(SessionControllerTest, TheHolderRegistersAnInstanceAgainThatLives)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  instance& silent = *Others()[0];
+  silent.mStore.mRefuses = true;
+  silent.mPaused = true;
+  Run(kSilentMs);
+  ASSERT_EQ(RecordedState(silent.mName), instance_state::Gone);
+  silent.mPaused = false;
+  Run(2'000);
+  EXPECT_EQ(RecordedState(silent.mName), instance_state::Live);
+  EXPECT_TRUE(IsConfirmed(silent));
+}
+
 // Once the silent instance has registered again, the instances that the store
 // refuses learn of it from the holder's confirmations.
 TEST_F(SessionControllerTest, RefusedInstancesConfirmOneThatRegisteredAgain)
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -78,8 +78,9 @@
 class refusable_store : public store_client
 {
 public:
-  explicit refusable_store(store_client& aStore)
-    : mStore(aStore)
+  refusable_store(event_loop& aLoop, store_client& aStore)
+    : mLoop(aLoop)
+    , mStore(aStore)
   {
   }
 
@@ -87,13 +88,18 @@
               store_priority aPriority,
               reply_handler aOnReply) override
   {
+    if (mRefuses) {
+      mLoop.Post([this, onReply = std::move(aOnReply)] {
+        onReply(Refused(), mLoop.Now());
+      });
+      return;
+    }
     mStore.Submit(std::move(aRequest),
                   aPriority,
                   [this, onReply = std::move(aOnReply)](
                     const store_reply& aReply, time_point aNow) {
-                    store_reply refused;
-                    refused.mStatus = store_status::Refused;
-                    const store_reply& reply = mRefuses ? refused : aReply;
+                    // The path was lost while the call was under way.
+                    const store_reply reply = mRefuses ? Refused() : aReply;
                     if (mHoldsReplies) {
                       mHeldReplies.emplace_back(onReply, reply);
                     } else {
@@ -115,6 +121,14 @@
   bool mHoldsReplies = false;
 
 private:
+  static store_reply Refused()
+  {
+    store_reply refused;
+    refused.mStatus = store_status::Refused;
+    return refused;
+  }
+
+  event_loop& mLoop;
   store_client& mStore;
   std::vector<std::pair<reply_handler, store_reply>> mHeldReplies;
 };
@@ -125,7 +139,7 @@
   instance(network& aNetwork, store_client& aStore, const std::string& aName)
     : mNetwork(aNetwork)
     , mName(aName)
-    , mStore(aStore)
+    , mStore(aNetwork.mLoop, aStore)
     , mEngine(session_engine_options{}, mConnections)
     , mController(aNetwork.mLoop,
                   mStore,
