--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -111,7 +111,7 @@
 {
   for (auto& [name, service] : mServices) {
     service.mPrimarySince = aNow;
-    service.mSamples = {};
+    service.mSamples = freshness_samples();
     service.mCheck.reset();
     service.mPrimaryVerifiedAt = time_point::min();
     service.mPrimaryLedAt = time_point::min();
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -176,7 +176,7 @@
   // its age, the versions of the desired state and of the servers, the
   // primaries, and the known revision.
   const std::string earlier(
-    "\x92\x04\x9a\x07\x05\xc3\xa2i1\xa2i2\x06\x08\x09\x90\x0b", 18);
+    "\x92\x04\x9a\x07\x05\xc3\xa2i1\xa2i2\x06\x08\x09\x90\x0b", 17);
   const auto read = DecodeDatagram(earlier);
   ASSERT_TRUE(read.ok());
   const auto& answer = std::get<confirmation_answer>(*read);
