Ask a candidate whose change of primary stays unrecorded

Change: an instance with waiting statements asks a candidate whose entry says that it leads, 150 ms after it saw the record and the entry, and every 250 ms. Only a reply to a status that was requested in this change counts, as for the holder; the check begins anew with each term of a change.

In a change that goes as usual nobody is asked.

--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -78,6 +78,11 @@
   // False for a server that is still being promoted.
   bool mHasLed = true;
   write_permission mWrites = write_permission::Allowed;
+  // Term of the latest change of primary; zero before the first one.
+  std::uint64_t mChangeTerm = 0;
+  // The server is being promoted and its entry says that it leads. The entry
+  // can be from an earlier term, so it is only a reason to ask the server.
+  bool mReportsToLead = false;
 };
 
 struct session_engine_options
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -289,6 +289,7 @@
   if (NeedsPrimaryCheck(aSession, requirement, service)) {
     StartCheck(aSession.mPending->mRoute.mService, aNow);
   }
+  AskCandidate(aSession.mPending->mRoute.mService, aNow);
   return placement::Waits;
 }
 
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -117,6 +117,7 @@
       OnStatementReply(*connection, aReply, expected.mSent, aNow);
       return;
     case expected_reply_kind::Check:
+      OnCandidateStatus(*connection, aReply, expected.mSent, aNow);
       OnCheckReply(*connection, aReply, expected.mSent);
       ReleaseConnection(*connection, aNow);
       return;
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -50,6 +50,20 @@
   // engine_connections.cpp
   void YieldConnections(const std::string& aServer, time_point aNow);
 
+  // engine_candidate.cpp
+  // Takes over the primary that is recorded, and begins or ends the check of a
+  // candidate.
+  void ApplyPrimary(known_service& aService,
+                    const service_primary& aPrimary,
+                    time_point aNow);
+  // Asks a candidate for its status if its change of primary takes longer than
+  // usual to be recorded as done.
+  void AskCandidate(const std::string& aService, time_point aNow);
+  void OnCandidateStatus(const server_connection& aConnection,
+                         const statement_reply& aReply,
+                         time_point aSent,
+                         time_point aNow);
+
   // engine_timeouts.cpp
   void OnTick(time_point aNow);
 
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -211,6 +211,16 @@
   std::map<std::string, server_status> mAnswers;
 };
 
+// What this instance knows of a server that is being promoted and reports that
+// it leads.
+struct candidate_check
+{
+  // A status that was requested since then shows whether it leads.
+  time_point mSince;
+  time_point mAskedAt = time_point::min();
+  bool mLeads = false;
+};
+
 struct known_service
 {
   service_limits mLimits;
@@ -229,6 +239,8 @@
   // Since when mPrimary has been known to lead and to accept work. What a
   // command that was sent earlier shows may be from before it led.
   time_point mPrimarySince = time_point::min();
+  // Set while mPrimary is being promoted and reports that it leads.
+  std::optional<candidate_check> mCandidate;
   freshness_samples mSamples;
   // Newest position at which a commit was acknowledged to a caller.
   log_position mAcknowledged;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -307,14 +307,16 @@
     return first;
   }
   const primary_record& record = *control.mRecord;
-  // The entry of a server that is being promoted doesn't show that it leads: it
-  // can be from an earlier term in which it led.
-  const bool leads = record.mPhase == primary_phase::Stable;
+  const auto entry = mServers.Find(record.mPrimary);
+  const bool released = record.mTerm < control.mReleasedTerm;
+  const bool promoting = record.mPhase == primary_phase::Promoting;
   return { record.mPrimary,
            record.mLeadTerm,
-           leads && record.mTerm >= control.mReleasedTerm,
-           record.mPhase != primary_phase::Promoting,
-           WritePermission(control) };
+           record.mPhase == primary_phase::Stable && !released,
+           !promoting,
+           WritePermission(control),
+           record.mTerm,
+           promoting && !released && entry && entry->mPrimary };
 }
 
 void
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -95,14 +95,7 @@
   if (service.mPrimary.mServer != aPrimary.mServer) {
     service.mWriteGate.Reset();
   }
-  // With another lead term, records of changes between may have been missed.
-  const bool continues = service.mPrimary.mServer == aPrimary.mServer &&
-                         service.mPrimary.mLeadTerm == aPrimary.mLeadTerm &&
-                         service.mPrimary.mAcceptsWork;
-  if (!continues) {
-    service.mPrimarySince = aNow;
-  }
-  service.mPrimary = aPrimary;
+  ApplyPrimary(service, aPrimary, aNow);
   Dispatch(aService, aNow);
 }
 
