Leave the duty to its holder after a standstill of this instance

What callers could have seen: after any instance had stood still for about 1.5 s, nobody could use the duty for up to 2.6 s, so that a primary that failed then stayed dead for so much longer.

Cause: an instance that has not heard from the holder for 1.3 s claims the duty. One that has stood still has heard from nobody, and checked its claim before it could ask again; the record is not renewed, so the claim took effect.

Why this works: ticks come every 60 ms at most, so a gap of 0.5 s shows that the process has not run; the holder then counts as heard from at its end, as after an outage of the store, and is replaced only if it stays silent.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -57,6 +57,11 @@
   // used again before a read that was requested afterwards.
   void OnSuspended(time_point aNow);
 
+  // Notes that the process has not run for a while until `aNow`, as when it was
+  // stopped. It could hear from nobody, so the holder's silence in that time
+  // says nothing.
+  void OnStoodStill(time_point aNow);
+
   // Returns the claim to write if one is due. No further claim is returned
   // until OnWritten() has been called.
   std::optional<duty_write> ClaimIfDue(time_point aNow);
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -248,6 +248,8 @@
     time_point mChangeAfter = time_point::min();
   };
 
+  // Detects by a missing tick that the process has not run for a while.
+  void NoteStandstill(time_point aNow);
   void OnDesiredState(time_point aNow);
   void OnServers(const kind_watcher::update& aUpdate, time_point aNow);
   // Applies the added, changed or removed entry of one server, and adds the
@@ -422,6 +424,7 @@
   bool mRegistering = false;
   time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
+  std::optional<time_point> mTickedAt;
   bool mHeldDuty = false;
   // Promotion orders whose calls have not ended.
   std::size_t mOrdersUnderWay = 0;
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -89,6 +89,12 @@
   mConfirmedAt = time_point::min();
 }
 
+void
+duty_lease::OnStoodStill(time_point aNow)
+{
+  mHolderSeenAt = std::max(mHolderSeenAt, aNow);
+}
+
 std::optional<duty_write>
 duty_lease::ClaimIfDue(time_point aNow)
 {
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -19,6 +19,8 @@
 // Registrations within this window are delivered to the other instances in one
 // batch.
 constexpr milliseconds kRegistrationBatchWindow{ 500 };
+// A process that runs ticks more often than this, also under load.
+constexpr milliseconds kMaxTickInterval{ 500 };
 
 } // namespace
 
@@ -455,9 +457,23 @@
   }
 }
 
+void
+session_controller::NoteStandstill(time_point aNow)
+{
+  const auto ticked = std::exchange(mTickedAt, aNow);
+  if (ticked && aNow >= *ticked + kMaxTickInterval) {
+    Log(log_level::Warning,
+        "control",
+        "process stood still",
+        { { "ms", ToMilliseconds(aNow - *ticked) } });
+    mDuty.OnStoodStill(aNow);
+  }
+}
+
 void
 session_controller::OnTick(time_point aNow)
 {
+  NoteStandstill(aNow);
   ForgetExpiredServers(aNow);
   if (mFleetWatcher.IsListed() && !IsRegistered()) {
     Register(aNow);
