--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -73,6 +73,37 @@
   EXPECT_TRUE(refused.mConfirmsRequester);
 }
 
+// A datagram has no room for the records of a large fleet that has just
+// started. The answer then states how far it is complete, and the next one goes
+// on there.
+TEST_F(SessionControllerTest, TellsTheRecordsOfALargeFleetInSeveralAnswers)
+{
+  const std::size_t others = kMaxConfirmedInstances + 20;
+  for (std::size_t i = 0; i < others; ++i) {
+    const instance_record record{ "x" + std::to_string(i), "dc1", "x", 1 };
+    mStore.Write(
+      kFleetKind, FleetRecordName(record), EncodeFleetRecord(record));
+  }
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  instance& holder = *mNetwork.mInstances.at(HolderName());
+  holder.mController.OnDatagram(
+    "asking", confirmation_request{ "asking", 1, 1, 0 }, mLoop.Now());
+  const confirmation_answer first = holder.mLastAnswer;
+  EXPECT_EQ(first.mInstanceCoverage, instance_coverage::Partial);
+  ASSERT_EQ(first.mInstances.size(), kMaxConfirmedInstances);
+  EXPECT_EQ(first.mKnownRevision, first.mInstances.back().mVersion);
+  holder.mController.OnDatagram(
+    "asking",
+    confirmation_request{ "asking", 1, 2, first.mKnownRevision },
+    mLoop.Now());
+  const confirmation_answer& second = holder.mLastAnswer;
+  EXPECT_EQ(second.mInstanceCoverage, instance_coverage::All);
+  // The three instances of the test have registered after the others.
+  ASSERT_EQ(second.mInstances.size(), others + 3 - kMaxConfirmedInstances);
+  EXPECT_GT(second.mInstances.front().mVersion, first.mKnownRevision);
+}
+
 // Guards against stale reads and two holders of the duty: the steady clock does
 // not count a suspension, so a reply that was on its way then looks recent.
 TEST_F(SessionControllerTest, CountsNoReadOfTheStoreFromBeforeASuspension)
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -189,6 +189,7 @@
     if (const auto* answer = std::get_if<confirmation_answer>(&aDatagram)) {
       mNamedHolder = answer->mDutyHolder;
       mConfirmsRequester = answer->mRequesterRegistered;
+      mLastAnswer = *answer;
     }
     const auto to = mNetwork.mInstances.find(aAddress);
     if (to == mNetwork.mInstances.end() || mPartitioned ||
@@ -258,6 +259,8 @@
   std::set<std::string> mAskedToRelease;
   // Holder of the duty that the last confirmation sent has named.
   std::string mNamedHolder;
+  // The last confirmation sent.
+  confirmation_answer mLastAnswer;
   // Whether the last confirmation sent holds for the instance that asked.
   bool mConfirmsRequester = false;
   session_id mLastSession = 0;
--- a/tests/session/controller_primary_test.cpp
+++ b/tests/session/controller_primary_test.cpp
@@ -33,5 +33,33 @@
   EXPECT_EQ(reader.ServerOfRead("k"), "r");
 }
 
+// The candidate reports its role as soon as it leads; the callers wait for it.
+TEST_F(SessionControllerTest, AsksACandidateAtOnceWhenItsEntryChanges)
+{
+  mStore.Write("servers", "r", "replica");
+  mStore.Write(
+    kFleetKind, PrimaryRecordName("s"), EncodeFleetRecord(kPromoting));
+  for (const auto& each : mInstances) {
+    each->mHoldsReplies = true;
+  }
+  const auto commands = [this] {
+    int sum = 0;
+    for (const auto& each : mInstances) {
+      sum += each->mCommands;
+    }
+    return sum;
+  };
+  // The holder goes on with the recorded change and asks the candidate once;
+  // the next time would be 200 ms later.
+  for (int i = 0; i < 500 && commands() == 0; ++i) {
+    Run(10);
+  }
+  const int before = commands();
+  ASSERT_GE(before, 1);
+  mStore.Write("servers", "r", "primary");
+  Run(20);
+  EXPECT_GT(commands(), before);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/controller_release_test.cpp
+++ b/tests/session/controller_release_test.cpp
@@ -16,6 +16,22 @@
     mStore.Write(
       kFleetKind, FleetRecordName(record), EncodeFleetRecord(record));
   }
+  // The other instance was marked as gone longer ago than a confirmation lasts.
+  void LetItBeGoneForLong()
+  {
+    mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 9 }, {} } } };
+    mStore.Write("servers", "a", "replica");
+    Record(instance_state::Gone);
+    Run(4'000);
+  }
+  // The watches do not deliver either change.
+  void RegisterAndMarkAsGoneUnseen()
+  {
+    mStore.mWatchesMissChanges = true;
+    Record(instance_state::Live);
+    Record(instance_state::Gone);
+    mStore.mWatchesMissChanges = false;
+  }
   // Whether the holder of the duty asks the other instance to release the
   // primary, which leaves now.
   bool AsksToRelease()
@@ -31,10 +47,7 @@
 // waited for.
 TEST_F(ControllerReleaseTest, WaitsForNoInstanceThatHasBeenGoneForLong)
 {
-  mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 9 }, {} } } };
-  mStore.Write("servers", "a", "replica");
-  Record(instance_state::Gone);
-  Run(4'000);
+  LetItBeGoneForLong();
   EXPECT_FALSE(AsksToRelease());
 }
 
@@ -43,14 +56,8 @@
 // duty sees only the second mark.
 TEST_F(ControllerReleaseTest, WaitsForAnInstanceThatWasMarkedAsGoneAgain)
 {
-  mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 9 }, {} } } };
-  mStore.Write("servers", "a", "replica");
-  Record(instance_state::Gone);
-  Run(4'000);
-  mStore.mWatchesMissChanges = true;
-  Record(instance_state::Live);
-  Record(instance_state::Gone);
-  mStore.mWatchesMissChanges = false;
+  LetItBeGoneForLong();
+  RegisterAndMarkAsGoneUnseen();
   Run(900);
   EXPECT_TRUE(AsksToRelease());
 }
@@ -58,14 +65,8 @@
 // The same if it sees the second mark only as it lists the instances.
 TEST_F(ControllerReleaseTest, WaitsForAnInstanceWhoseNewMarkItHasNotSeen)
 {
-  mNetwork.mStatuses = { { "a", { server_role::Replica, 2, { 2, 9 }, {} } } };
-  mStore.Write("servers", "a", "replica");
-  Record(instance_state::Gone);
-  Run(4'000);
-  mStore.mWatchesMissChanges = true;
-  Record(instance_state::Live);
-  Record(instance_state::Gone);
-  mStore.mWatchesMissChanges = false;
+  LetItBeGoneForLong();
+  RegisterAndMarkAsGoneUnseen();
   EXPECT_TRUE(AsksToRelease());
 }
 
