Accept at the close what a full queue held back

What callers saw: a connection that their system regarded as established was reset when the listener closed, with its request unread.

Cause: a queue with a backlog of 1,024 holds 1,025 connections. If it becomes full during a handshake, the system drops the handshake's last packet, which the caller's system repeats later; the listener was closed by then. The test accepts nothing before the close, so its four callers filled the queue. It is not the load by itself: 20 runs of the test beside 16 busy processes, and 15 without, did not fail.

Why it works: a listener whose queue was full within the last 1.2 s still drops new connections at once, but stays open for the rest of this time, in which the handshakes are repeated. A shutdown counts such a listener as a caller, so the process does not exit first. A listener whose queue was not full closes at once, as before.

--- a/include/snipewalk/connection/listener.h
+++ b/include/snipewalk/connection/listener.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <Poco/Net/ServerSocket.h>
@@ -36,9 +37,14 @@
   // "IP:port" with the port in use.
   std::string Address() const;
 
-  // Accepts what the system queued already, then stops listening.
+  // Accepts what the system queued already, then stops listening. If the queue
+  // was full a moment ago, accepts connections that it held back for about a
+  // second more, but no new ones.
   void Close(time_point aNow);
 
+  // True once no connection can be accepted any more.
+  bool IsClosed() const { return !mOpen; }
+
   void OnReadable(time_point aNow) override;
   void OnWritable(time_point) override {}
   void OnSocketError(time_point) override {}
@@ -48,12 +54,18 @@
   // False when no connection could be accepted.
   bool AcceptOne(time_point aNow);
   void Pause(time_point aNow);
+  void CloseSocket();
 
   event_loop& mLoop;
   accept_handler mOnAccept;
   Poco::Net::ServerSocket mSocket;
   bool mOpen = false;
+  // Set once new connections are dropped.
+  bool mClosing = false;
+  // When the system's queue of this socket was last seen full.
+  std::optional<time_point> mQueueFullAt;
   event_loop::timer_id mResume = 0;
+  event_loop::timer_id mCloseTimer = 0;
 };
 
 } // namespace snipewalk
--- a/src/connection/listener.cpp
+++ b/src/connection/listener.cpp
@@ -7,6 +7,7 @@
 #include <Poco/Net/SocketAddress.h>
 #include <absl/strings/str_cat.h>
 #include <linux/filter.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -18,6 +19,10 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// The caller's system regards a connection that the full queue held back as
+// established. It is accepted when the handshake is repeated, after a second,
+// or the caller's first request, sooner.
+constexpr milliseconds kHandshakeRepeatTime{ 1200 };
 // Without free descriptors the socket stays readable; a pause prevents the loop
 // from spinning.
 constexpr milliseconds kPauseAfterFailure{ 100 };
@@ -49,6 +54,19 @@
                     sizeof(program)) == 0;
 }
 
+bool
+IsQueueFull(const Poco::Net::ServerSocket& aSocket)
+{
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(
+        aSocket.impl()->sockfd(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return false;
+  }
+  // For a listening socket the system gives the queue's length and limit here.
+  return info.tcpi_unacked > info.tcpi_sacked;
+}
+
 } // namespace
 
 listener::listener(event_loop& aLoop, accept_handler aOnAccept)
@@ -60,8 +78,7 @@
 listener::~listener()
 {
   if (mOpen) {
-    mLoop.Cancel(mResume);
-    mLoop.Remove(mSocket);
+    CloseSocket();
   }
 }
 
@@ -105,6 +122,9 @@
 void
 listener::OnReadable(time_point aNow)
 {
+  if (IsQueueFull(mSocket)) {
+    mQueueFullAt = aNow;
+  }
   // One connection an event: the socket stays readable while more wait.
   if (!AcceptOne(aNow)) {
     Pause(aNow);
@@ -124,9 +144,10 @@
 void
 listener::Close(time_point aNow)
 {
-  if (!mOpen) {
+  if (!mOpen || mClosing) {
     return;
   }
+  mClosing = true;
   // A connection established between the last accept and the close would be
   // reset.
   if (!IgnoreNewConnections(mSocket)) {
@@ -134,10 +155,25 @@
         "listener",
         "connections established while the listener closes may be lost");
   }
+  if (IsQueueFull(mSocket)) {
+    mQueueFullAt = aNow;
+  }
   while (AcceptOne(aNow)) {
   }
+  if (!mQueueFullAt || aNow >= *mQueueFullAt + kHandshakeRepeatTime) {
+    CloseSocket();
+    return;
+  }
+  mCloseTimer = mLoop.RunAt(*mQueueFullAt + kHandshakeRepeatTime,
+                            [this](time_point) { CloseSocket(); });
+}
+
+void
+listener::CloseSocket()
+{
   mOpen = false;
   mLoop.Cancel(mResume);
+  mLoop.Cancel(mCloseTimer);
   mLoop.Remove(mSocket);
   mSocket.close();
 }
--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -64,6 +64,13 @@
   }
 }
 
+bool
+connection_table::StoppedListening() const
+{
+  return (!mListener || mListener->IsClosed()) &&
+         (!mPeerListener || mPeerListener->IsClosed());
+}
+
 void
 connection_table::Accept(const Poco::Net::StreamSocket& aSocket, bool aFromPeer)
 {
--- a/src/session/connection_table.h
+++ b/src/session/connection_table.h
@@ -49,6 +49,8 @@
   absl::Status ListenForPeers(const std::string& aAddress);
   void StopListening(time_point aNow);
   void StopListeningForPeers(time_point aNow);
+  // True once neither callers nor peers can connect any more.
+  bool StoppedListening() const;
 
   session_forwarder& Forwarder() { return mForwarder; }
   // Processes held messages of forwarded sessions after a new desired state has
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -373,7 +373,8 @@
       case daemon_phase::Aborting: {
         const bool graceEnding =
           aNow >= mShutdownStartedAt + grace - kFinalWritesReserve;
-        const bool empty = mEngine.Counts().mSessions == 0 &&
+        const bool empty = mTable.StoppedListening() &&
+                           mEngine.Counts().mSessions == 0 &&
                            mTable.Forwarder().SessionCount() == 0;
         if (empty || graceEnding) {
           EnterPhase(daemon_phase::Exiting);
--- a/src/traffic/traffic_thread.cpp
+++ b/src/traffic/traffic_thread.cpp
@@ -314,7 +314,11 @@
   }
   ArmForwarder();
   mHub.Flush();
-  mCallerCount.store(mCallers.size(), std::memory_order_relaxed);
+  // A listener that still closes may hold a caller's connection.
+  const bool accepts =
+    mClosing && mCallerListener && !mCallerListener->IsClosed();
+  mCallerCount.store(mCallers.size() + (accepts ? 1 : 0),
+                     std::memory_order_relaxed);
   mInFlight.store(mRoutes.size() + mHub.Incoming(), std::memory_order_relaxed);
 }
 
