Give the stand-in of the store a return from an earlier copy

The store's stand-in can come back from a copy: what the instances wrote since is gone, revisions are given out again, watches are cut off, a watch from an undone revision gets 410, and its answers carry Store-Era. What the operator and the backend servers wrote since is written again one by one, in any order.

--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 
 namespace snipewalk::standins {
 
@@ -52,18 +53,82 @@
   AnswerWatches();
 }
 
+void
+platform_store::ChangeExternally(const std::string& aKind,
+                                 const std::string& aName,
+                                 const stored& aObject)
+{
+  mLostWrites.erase({ aKind, aName });
+  if (mCopy) {
+    mWrittenSinceCopy[{ aKind, aName }] = aObject;
+  }
+  Change(aKind, aName, aObject);
+}
+
 void
 platform_store::Write(const std::string& aKind,
                       const std::string& aName,
                       const Json::Value& aSpec)
 {
-  Change(aKind, aName, { 0, aSpec, false });
+  ChangeExternally(aKind, aName, { 0, aSpec, false });
 }
 
 void
 platform_store::Delete(const std::string& aKind, const std::string& aName)
 {
-  Change(aKind, aName, { 0, {}, true });
+  ChangeExternally(aKind, aName, { 0, {}, true });
+}
+
+void
+platform_store::TakeCopy()
+{
+  mCopy = { mObjects, mRevision };
+  mWrittenSinceCopy.clear();
+}
+
+void
+platform_store::ReturnFromCopy()
+{
+  mObjects = mCopy->mObjects;
+  mRevision = mCopy->mRevision;
+  mOldestRevision = mRevision;
+  ++mEra;
+  mCopy.reset();
+  // An earlier return may have lost others.
+  for (auto& [key, object] : mWrittenSinceCopy) {
+    mLostWrites[key] = std::move(object);
+  }
+  mWrittenSinceCopy.clear();
+  for (const auto& watch : std::exchange(mWatches, {})) {
+    mHttp.Close(watch.mConnection);
+  }
+}
+
+std::vector<std::pair<std::string, std::string>>
+platform_store::LostWrites() const
+{
+  std::vector<std::pair<std::string, std::string>> lost;
+  for (const auto& [key, object] : mLostWrites) {
+    lost.push_back(key);
+  }
+  return lost;
+}
+
+void
+platform_store::WriteLostAgain(const std::string& aKind,
+                               const std::string& aName)
+{
+  const auto lost = mLostWrites.extract({ aKind, aName });
+  if (!lost.empty()) {
+    ChangeExternally(aKind, aName, lost.mapped());
+  }
+}
+
+void
+platform_store::Answer(connection_number aConnection, http_response aResponse)
+{
+  aResponse.mHeaders.Add("Store-Era", std::to_string(mEra));
+  mHttp.Answer(aConnection, aResponse);
 }
 
 Json::Value
@@ -98,7 +163,7 @@
   // "/v1/objects/KIND" with "/NAME" in calls for one object.
   const auto path = SplitPath(aRequest.mTarget);
   if (mDown || !path.ok() || path->size() < 3) {
-    mHttp.Answer(aConnection, Response(kUnavailable, Json::objectValue));
+    Answer(aConnection, Response(kUnavailable, Json::objectValue));
     return;
   }
   const std::string& kind = (*path)[2];
@@ -116,12 +181,13 @@
 {
   const auto from = QueryValue(aRequest.mTarget, "Watch");
   if (!from) {
-    mHttp.Answer(aConnection, Response(kOk, List(aKind)));
+    Answer(aConnection, Response(kOk, List(aKind)));
     return;
   }
   const std::uint64_t revision = std::stoull(*from);
-  if (revision < mOldestRevision) {
-    mHttp.Answer(aConnection, Response(kGone, Json::objectValue));
+  // Revisions that a return has undone are not part of the history.
+  if (revision < mOldestRevision || revision > mRevision) {
+    Answer(aConnection, Response(kGone, Json::objectValue));
     return;
   }
   mWatches.push_back({ aConnection, aKind, revision });
@@ -141,7 +207,7 @@
     aRequest.mMethod == "POST" ? 0 : body["meta"]["Revision"].asUInt64();
   const bool done = revision == expected;
   if (done) {
-    Write(aKind, name, body["spec"]);
+    Change(aKind, name, { 0, body["spec"], false });
   }
   const auto draw = static_cast<int>(++mWrites * kSpread % 100);
   if (draw < mLostAnswers) {
@@ -149,9 +215,9 @@
     return;
   }
   const stored& now = mObjects[aKind][name];
-  mHttp.Answer(aConnection,
-               Response(done ? kOk : kConflict,
-                        ObjectJson(name, now.mRevision, now.mSpec)));
+  Answer(aConnection,
+         Response(done ? kOk : kConflict,
+                  ObjectJson(name, now.mRevision, now.mSpec)));
 }
 
 Json::Value
@@ -192,7 +258,7 @@
       ++it;
       continue;
     }
-    mHttp.Answer(it->mConnection, Response(kOk, body));
+    Answer(it->mConnection, Response(kOk, body));
     it = mWatches.erase(it);
   }
 }
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -8,7 +8,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <json/json.h>
@@ -39,6 +41,19 @@
   // Drops the history: watches from before get 410.
   void Compact();
 
+  // Remembers the present state for ReturnFromCopy().
+  void TakeCopy();
+  // The store has the state of the copy again, and its era rises by one: what
+  // the instances wrote since is gone, revisions are given out again, and
+  // waiting watches are cut off. What others wrote since is missing until
+  // WriteLostAgain().
+  void ReturnFromCopy();
+  // Objects that others than the instances wrote after the copy and that are
+  // missing since the return, by kind and name.
+  std::vector<std::pair<std::string, std::string>> LostWrites() const;
+  // Its writer writes such an object again. Ignored for others.
+  void WriteLostAgain(const std::string& aKind, const std::string& aName);
+
 private:
   struct stored
   {
@@ -48,6 +63,16 @@
     bool mDeleted = false;
   };
 
+  using object_map = std::map<std::string, std::map<std::string, stored>>;
+  // By kind and name.
+  using external_writes = std::map<std::pair<std::string, std::string>, stored>;
+
+  struct store_copy
+  {
+    object_map mObjects;
+    std::uint64_t mRevision = 0;
+  };
+
   struct waiting_watch
   {
     connection_number mConnection = 0;
@@ -55,6 +80,12 @@
     std::uint64_t mFrom = 0;
   };
 
+  // A write of others than the instances.
+  void ChangeExternally(const std::string& aKind,
+                        const std::string& aName,
+                        const stored& aObject);
+  // Answers with the store's era.
+  void Answer(connection_number aConnection, http_response aResponse);
   void Change(const std::string& aKind,
               const std::string& aName,
               stored aObject);
@@ -68,8 +99,14 @@
   Json::Value List(const std::string& aKind) const;
 
   http_service& mHttp;
-  std::map<std::string, std::map<std::string, stored>> mObjects;
+  object_map mObjects;
   std::uint64_t mRevision = 1;
+  std::uint64_t mEra = 1;
+  std::optional<store_copy> mCopy;
+  // Since the copy.
+  external_writes mWrittenSinceCopy;
+  // Missing since the return.
+  external_writes mLostWrites;
   std::uint64_t mOldestRevision = 0;
   std::uint64_t mWrites = 0;
   std::vector<waiting_watch> mWatches;
