Carry the store's era with each revision

A store that comes back from an older copy gives revisions out again. A revision is now an era and the store's number in one value that only grows: each one of a later era is greater than all of the earlier ones, so that everything that compares revisions goes on to be right.

A write whose condition is from another era counts as unknown, since the number may have been given out again; a watch from one has lost its history; a late list of an earlier era, or one with pages of two, is dropped; the first list of an era replaces the view, and the present watch is begun anew, since it may wait for a revision that was undone. Eight new unit tests.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -1,6 +1,7 @@
 // Maintains a view of all objects of one kind in the store: lists them, watches
 // for changes, and lists again when the store has dropped the history that the
-// watch needs.
+// watch needs. Once the store has come back from an older copy, the first list
+// replaces the view, and replies from before are dropped.
 #ifndef SNIPEWALK_SESSION_KIND_WATCHER_H_
 #define SNIPEWALK_SESSION_KIND_WATCHER_H_
 
@@ -78,6 +79,8 @@
   // The view includes every change that the store made before this time, as
   // shown by the latest list; watches do not advance it.
   time_point AsOf() const { return mAsOf; }
+  // Latest era of the store that a reply was from.
+  std::uint64_t Era() const { return mEra; }
   // Newest version of any object of the kind that a reply contained.
   std::uint64_t NewestVersion() const { return mNewestVersion; }
 
@@ -107,6 +110,8 @@
   void OnWatched(const store_reply& aReply, time_point aAsOf, time_point aNow);
   void Retry(store_status aStatus, time_point aNow);
   bool Apply(const stored_object& aObject);
+  // Whether a reply is from an earlier era of the store than a former one.
+  bool IsOutdated(const store_reply& aReply) const;
 
   event_loop& mLoop;
   store_client& mStore;
@@ -118,6 +123,7 @@
   // Revision reflected by mObjects; zero if a new list is needed.
   std::uint64_t mRevision = 0;
   std::uint64_t mNewestVersion = 0;
+  std::uint64_t mEra = 0;
   bool mListed = false;
   // Number of refreshes in progress.
   int mActiveRefreshes = 0;
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -4,6 +4,7 @@
 #include "snipewalk/session/kind_watcher.h"
 
 #include "snipewalk/base/log.h"
+#include "snipewalk/messages/store_revision.h"
 
 #include <algorithm>
 #include <utility>
@@ -104,6 +105,12 @@
   return mObjects.erase(aObject.mKey.mName) > 0;
 }
 
+bool
+kind_watcher::IsOutdated(const store_reply& aReply) const
+{
+  return aReply.mStatus == store_status::Ok && EraOf(aReply.mRevision) < mEra;
+}
+
 void
 kind_watcher::List(listing aListing)
 {
@@ -124,17 +131,22 @@
                        listing aListing,
                        time_point aNow)
 {
-  const bool last = aReply.mStatus != store_status::Ok || !aReply.mMore ||
-                    aReply.mObjects.empty();
+  // Pages of two eras make no list.
+  const bool mixed = aListing.mRevision != 0 &&
+                     EraOf(aListing.mRevision) != EraOf(aReply.mRevision);
+  const bool usable =
+    aReply.mStatus == store_status::Ok && !mixed && !IsOutdated(aReply);
+  const bool last = !usable || !aReply.mMore || aReply.mObjects.empty();
   if (aListing.mRefresh && last) {
     --mActiveRefreshes;
   }
-  if (aReply.mStatus != store_status::Ok) {
+  if (!usable) {
     if (!aListing.mRefresh) {
       Retry(aReply.mStatus, aNow);
     }
     return;
   }
+  mEra = EraOf(aReply.mRevision);
   if (aListing.mRevision == 0) {
     aListing.mRevision = aReply.mRevision;
   }
@@ -163,6 +175,8 @@
                         aListing.mAsOf,
                         aListing.mRevision };
   mObjects = std::move(listed);
+  const bool watchOutdated =
+    mRevision != 0 && EraOf(mRevision) < EraOf(aListing.mRevision);
   mRevision = std::max(mRevision, aListing.mRevision);
   mAsOf = std::max(mAsOf, aListing.mAsOf);
   if (!aListing.mRefresh) {
@@ -171,6 +185,9 @@
     mRetryDelay = milliseconds(0);
     mListed = true;
     Watch();
+  } else if (watchOutdated) {
+    // A watch from an earlier era may wait for a revision that was undone.
+    Watch();
   }
   mOnUpdate(changes, aNow);
 }
@@ -195,6 +212,10 @@
                         time_point aAsOf,
                         time_point aNow)
 {
+  if (IsOutdated(aReply)) {
+    Retry(store_status::Unknown, aNow);
+    return;
+  }
   if (aReply.mStatus != store_status::Ok) {
     if (aReply.mStatus == store_status::HistoryGone) {
       mRevision = 0;
--- a/tests/platform/store_dialect_test.cpp
+++ b/tests/platform/store_dialect_test.cpp
@@ -1,6 +1,8 @@
 // Tests of the platform's form of the store's calls and objects.
 #include "platform/store_dialect.h"
 
+#include "snipewalk/messages/store_revision.h"
+
 #include <gtest/gtest.h>
 
 namespace snipewalk::platform {
@@ -78,6 +80,69 @@
 }
 
 // A put whose effect is unknown must not be taken as refused.
+http_response
+ResponseOfEra(std::uint64_t aEra, int aStatus, std::string aBody)
+{
+  http_response response = Response(aStatus, std::move(aBody));
+  response.mHeaders.Add("Store-Era", std::to_string(aEra));
+  return response;
+}
+
+TEST(StoreDialectTest, ReadsRevisionsOfAnEra)
+{
+  const store_reply reply = StoreDialect().mDecode(
+    store_watch{ "k" },
+    ResponseOfEra(
+      3, 200, std::string(R"({"items":[)") + kObject + R"(],"At":530})"));
+  EXPECT_EQ(reply.mRevision, MakeRevision(3, 530));
+  EXPECT_EQ(reply.mObjects.at(0).mVersion, MakeRevision(3, 412));
+}
+
+TEST(StoreDialectTest, SendsTheNumbersOfRevisions)
+{
+  const store_dialect dialect = StoreDialect();
+  const http_request replace =
+    dialect.mEncode(store_put{ { "k", "n" }, "{}", MakeRevision(3, 7) });
+  EXPECT_NE(replace.mBody.find("\"Revision\":7"), std::string::npos);
+  EXPECT_EQ(dialect.mEncode(store_watch{ "k", MakeRevision(3, 530) }).mTarget,
+            "/v1/objects/k?Watch=530&WaitMs=20000");
+}
+
+TEST(StoreDialectTest, RefusesAnEraOutOfRange)
+{
+  const std::string list = R"({"items":[],"At":530})";
+  EXPECT_EQ(
+    StoreDialect()
+      .mDecode(store_watch{ "k" }, ResponseOfEra(kMaxEra + 1, 200, list))
+      .mStatus,
+    store_status::Unknown);
+}
+
+// The store compared the number with one that it has given out again.
+TEST(StoreDialectTest, KnowsNothingOfAWriteWhoseConditionIsFromAnotherEra)
+{
+  const store_put put{ { "k", "duty" }, "{}", MakeRevision(2, 411) };
+  const store_dialect dialect = StoreDialect();
+  EXPECT_EQ(dialect.mDecode(put, ResponseOfEra(2, 200, kObject)).mStatus,
+            store_status::Ok);
+  EXPECT_EQ(dialect.mDecode(put, ResponseOfEra(3, 200, kObject)).mStatus,
+            store_status::Unknown);
+  EXPECT_EQ(dialect.mDecode(put, ResponseOfEra(3, 409, kObject)).mStatus,
+            store_status::Unknown);
+}
+
+// The events are those after another change with this number.
+TEST(StoreDialectTest, FindsTheHistoryOfAWatchFromAnotherEraGone)
+{
+  const store_watch watch{ "k", MakeRevision(2, 411) };
+  const std::string events = R"({"events":[],"At":530})";
+  const store_dialect dialect = StoreDialect();
+  EXPECT_EQ(dialect.mDecode(watch, ResponseOfEra(2, 200, events)).mStatus,
+            store_status::Ok);
+  EXPECT_EQ(dialect.mDecode(watch, ResponseOfEra(3, 200, events)).mStatus,
+            store_status::HistoryGone);
+}
+
 TEST(StoreDialectTest, DistinguishesRefusedFromUnknown)
 {
   const store_dialect dialect = StoreDialect();
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -1,6 +1,8 @@
 // Tests for the view of one kind of store objects, against a scripted store.
 #include "snipewalk/session/kind_watcher.h"
 
+#include "snipewalk/messages/store_revision.h"
+
 #include <gtest/gtest.h>
 
 #include <deque>
@@ -114,6 +116,54 @@
   EXPECT_EQ(mStore.mCalls.front().first.mFrom, 12U);
 }
 
+// The store came back from an older copy: what the list lacks was undone, and
+// the numbers of its objects may be lower than those known.
+TEST_F(KindWatcherTest, ReplacesTheViewByTheFirstListOfAnEra)
+{
+  mStore.Answer(
+    Reply(MakeRevision(1, 90),
+          { { "a", MakeRevision(1, 80) }, { "b", MakeRevision(1, 85) } }),
+    mLoop.Now());
+  mWatcher.Refresh();
+  mStore.mCalls.pop_front();
+  mStore.Answer(Reply(MakeRevision(2, 60), { { "a", MakeRevision(2, 50) } }),
+                mLoop.Now());
+  ASSERT_EQ(mWatcher.Objects().size(), 1U);
+  EXPECT_EQ(mWatcher.Objects().at("a").mVersion, MakeRevision(2, 50));
+  EXPECT_EQ(mCompleteTo, MakeRevision(2, 60));
+  // The present watch waits for a revision that may not come for long.
+  ASSERT_EQ(mStore.mCalls.size(), 1U);
+  EXPECT_EQ(mStore.mCalls.front().first.mFrom, MakeRevision(2, 60));
+}
+
+TEST_F(KindWatcherTest, DropsALateListOfAnEarlierEra)
+{
+  mStore.Answer(Reply(MakeRevision(1, 90), {}), mLoop.Now());
+  mWatcher.Refresh();
+  mWatcher.Refresh();
+  mStore.mCalls.pop_front();
+  const auto late = mStore.mCalls.front().second;
+  mStore.mCalls.pop_front();
+  mStore.Answer(Reply(MakeRevision(2, 60), {}), mLoop.Now());
+  const int updates = mUpdates;
+  late(Reply(MakeRevision(1, 95), { { "a", MakeRevision(1, 95) } }),
+       mLoop.Now());
+  EXPECT_EQ(mUpdates, updates);
+  EXPECT_TRUE(mWatcher.Objects().empty());
+  EXPECT_FALSE(mWatcher.IsRefreshing());
+}
+
+TEST_F(KindWatcherTest, DropsAListWithPagesOfTwoEras)
+{
+  mStore.Answer(
+    Reply(MakeRevision(1, 90), { { "a", MakeRevision(1, 80) } }, true),
+    mLoop.Now());
+  mStore.Answer(Reply(MakeRevision(2, 60), { { "b", MakeRevision(2, 50) } }),
+                mLoop.Now());
+  EXPECT_FALSE(mWatcher.IsListed());
+  EXPECT_EQ(mUpdates, 0);
+}
+
 // All instances register at once. Without a pause, each registration would
 // complete the watch of every instance.
 TEST_F(KindWatcherTest, PausesBeforeTheNextWatch)
