Number the claims of the duty above all revisions of the store

The store may have forgotten the last claims when it comes back from an older copy.

A claim's fence number is greater than the revision of the record that it replaces. Revisions only grow over all eras, and a conditional write succeeds once for each, so that no number falls or is used twice, even if every instance was killed. A record of an earlier era gives nobody the duty, and one without a holder is no proof that the duty is unused: a claim may have been forgotten. The one who claims it waits 2.6 s as after any other holder. In a store without eras the numbers are as before.

With the number not above the revision, or a holder of an earlier era counting, the model fails; with a vacant copy counting as unused, WaitsAfterAReturnAlsoIfTheCopyNamesNoHolder does.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -4,10 +4,17 @@
 // use the duty only for a limited time after a read that named it as holder. An
 // instance that takes over from another holder waits until that time has
 // passed.
+//
+// The store may come back from an older copy, which has forgotten who claimed
+// the duty last. In a store with eras, a claim's fence number is therefore
+// greater than the revision of the record that it replaces: revisions only
+// grow, over all eras. A record that was claimed in an earlier era gives nobody
+// the duty.
 #ifndef SNIPEWALK_SESSION_DUTY_LEASE_H_
 #define SNIPEWALK_SESSION_DUTY_LEASE_H_
 
 #include "snipewalk/base/time.h"
+#include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/fleet_records.h"
 
 #include <optional>
@@ -46,7 +53,8 @@
   duty_lease(std::string aInstance, std::uint64_t aStarted, duration aStagger);
 
   // Handles a read of the record as it was in the store at `aAsOf` or later;
-  // std::nullopt if it did not exist.
+  // std::nullopt if it did not exist, with the revision of that read as
+  // `aVersion`.
   void OnRecord(const std::optional<duty_record>& aRecord,
                 std::uint64_t aVersion,
                 time_point aAsOf,
@@ -96,6 +104,15 @@
   time_point HolderSeenAt() const { return mHolderSeenAt; }
 
 private:
+  // Whether the record was claimed in the present era of the store.
+  bool IsOfThisEra() const
+  {
+    return mRecord && EraOf(mRecord->mFence) == EraOf(mVersion);
+  }
+  // Whether the duty was certainly not in use when the record was read.
+  bool IsUnused() const;
+  // Version of the record in the store; zero if there is none.
+  std::uint64_t StoredVersion() const { return mRecord ? mVersion : 0; }
   void SetRecord(const std::optional<duty_record>& aRecord,
                  std::uint64_t aVersion,
                  time_point aNow);
@@ -104,6 +121,7 @@
   std::uint64_t mStarted;
   duration mStagger;
   std::optional<duty_record> mRecord;
+  // Version of the record, or revision as of which there was none.
   std::uint64_t mVersion = 0;
   bool mRecordKnown = false;
   // Earliest time at which this process may use the duty; set with each change
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -32,19 +32,29 @@
 bool
 duty_lease::IsNamedHolder() const
 {
-  return mRecord && mRecord->mHolder == mInstance &&
+  return IsOfThisEra() && mRecord->mHolder == mInstance &&
          mRecord->mStarted == mStarted;
 }
 
+bool
+duty_lease::IsUnused() const
+{
+  if (!mRecord) {
+    // A store with eras may have forgotten a claim.
+    return mRecordKnown && EraOf(mVersion) == 0;
+  }
+  // Only a holder that resigned leaves the duty unused. An earlier process of
+  // this instance may have ended while its last order was under way, or while
+  // it waited for its own predecessor.
+  return mRecord->mHolder.empty() && IsOfThisEra();
+}
+
 void
 duty_lease::SetRecord(const std::optional<duty_record>& aRecord,
                       std::uint64_t aVersion,
                       time_point aNow)
 {
-  // Only a holder that resigned leaves the duty unused. An earlier process of
-  // this instance may have ended while its last order was under way, or while
-  // it waited for its own predecessor.
-  const bool unused = mRecordKnown && IsVacant(mRecord);
+  const bool unused = IsUnused() && EraOf(mVersion) == EraOf(aVersion);
   mUsableFrom = unused ? aNow : aNow + kTakeoverDelay;
   mRecord = aRecord;
   mVersion = aVersion;
@@ -66,7 +76,9 @@
   }
   // Ignores reads that return an older version than one that this instance has
   // written or read since.
-  if (!mRecordKnown || aVersion > mVersion) {
+  const bool stillMissing =
+    mRecordKnown && !mRecord && !aRecord && EraOf(aVersion) == EraOf(mVersion);
+  if (!mRecordKnown || (aVersion > mVersion && !stillMissing)) {
     SetRecord(aRecord, aVersion, aNow);
   }
   if (aVersion == mVersion && IsNamedHolder() && aAsOf > mSuspendedUntil) {
@@ -104,13 +116,17 @@
   }
   // A holder with the same instance name is an earlier process that has ended:
   // two processes of one name never run at the same time.
-  const bool vacant = IsVacant(mRecord) || mRecord->mHolder == mInstance;
+  const bool vacant =
+    IsVacant(mRecord) || mRecord->mHolder == mInstance || !IsOfThisEra();
   const duration wait = vacant ? mStagger : kHolderTimeout + mStagger;
   if (aNow < mHolderSeenAt + wait) {
     return std::nullopt;
   }
   mWritePending = true;
-  return duty_write{ { mInstance, mStarted, Fence() + 1 }, mVersion };
+  // Without eras, the store forgets no fence number.
+  const std::uint64_t used =
+    EraOf(mVersion) == 0 ? Fence() : std::max(Fence(), mVersion);
+  return duty_write{ { mInstance, mStarted, used + 1 }, StoredVersion() };
 }
 
 void
--- a/tests/session/duty_lease_test.cpp
+++ b/tests/session/duty_lease_test.cpp
@@ -2,11 +2,14 @@
 // several instances with a store that loses replies and executes writes late.
 #include "snipewalk/session/duty_lease.h"
 
+#include "snipewalk/messages/store_revision.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <deque>
 #include <random>
+#include <string>
 #include <vector>
 
 namespace snipewalk {
@@ -217,12 +220,61 @@
   duration mExtraUse{ 0 };
   // A holder vacates the duty while its orders are under way.
   bool mVacatesEarly = false;
+  // The store comes back from older copies at times.
+  bool mStoreReturns = false;
 };
 
+// The store gives numbers out again when it came back from an older copy.
+TEST(DutyLeaseTest, CountsNoReadOfANumberThatWasGivenOutAgain)
+{
+  duty_lease lease("a", 1, milliseconds(0));
+  const duty_record own{ "a", 1, MakeRevision(1, 8) };
+  lease.OnRecord(own, MakeRevision(1, 9), At(0), At(0));
+  ASSERT_TRUE(lease.IsNamedHolder());
+  const duty_record other{ "b", 1, MakeRevision(2, 8) };
+  lease.OnRecord(other, MakeRevision(2, 9), At(100), At(100));
+  EXPECT_FALSE(lease.IsNamedHolder());
+}
+
+// The last holder may have been forgotten together with its claim, and may
+// still use the duty.
+TEST(DutyLeaseTest, ClaimsAnewOnceTheStoreCameBack)
+{
+  duty_lease lease("a", 1, milliseconds(0));
+  const duty_record own{ "a", 1, MakeRevision(1, 8) };
+  lease.OnRecord(own, MakeRevision(1, 9), At(0), At(0));
+  lease.OnRecord(own, MakeRevision(1, 9), At(2'600), At(2'600));
+  ASSERT_TRUE(lease.Holds(At(2'600)));
+  lease.OnRecord(own, MakeRevision(2, 9), At(2'700), At(2'700));
+  EXPECT_FALSE(lease.Holds(At(2'700)));
+  const auto claim = lease.ClaimIfDue(At(2'700));
+  ASSERT_TRUE(claim);
+  EXPECT_GT(claim->mRecord.mFence, MakeRevision(2, 9));
+  EXPECT_EQ(claim->mExpectedVersion, MakeRevision(2, 9));
+  lease.OnWritten(*claim, MakeRevision(2, 10), At(2'710));
+  lease.OnRecord(claim->mRecord, MakeRevision(2, 10), At(5'200), At(5'205));
+  EXPECT_FALSE(lease.Holds(At(5'309)));
+  EXPECT_TRUE(lease.Holds(At(5'310)));
+}
+
+// A record without a holder is no proof: a claim may have been forgotten.
+TEST(DutyLeaseTest, WaitsAfterAReturnAlsoIfTheCopyNamesNoHolder)
+{
+  duty_lease lease("a", 1, milliseconds(0));
+  const duty_record vacant{ "", 0, MakeRevision(1, 8) };
+  lease.OnRecord(vacant, MakeRevision(2, 9), At(0), At(0));
+  const auto claim = lease.ClaimIfDue(At(0));
+  ASSERT_TRUE(claim);
+  lease.OnWritten(*claim, MakeRevision(2, 10), At(10));
+  lease.OnRecord(claim->mRecord, MakeRevision(2, 10), At(20), At(20));
+  EXPECT_FALSE(lease.Holds(At(20)));
+}
+
 // Model of several instances, a store, a platform and outstanding calls, with a
 // seeded random schedule. The store loses replies and executes writes late,
 // replies to reads are delayed, orders take their time, and instances are
-// suspended, resign and start again.
+// suspended, resign and start again. The store may come back from older copies
+// of itself.
 class lease_model
 {
 public:
@@ -231,7 +283,7 @@
     , mFaults(aFaults)
   {
     for (int i = 0; i < kInstances; ++i) {
-      mNodes.push_back({ NewLease(i, 1), 1, mNow, false, mNow });
+      mNodes.push_back({ NameOf(i), NewLease(i, 1), 1, mNow, false, mNow });
     }
   }
 
@@ -239,6 +291,7 @@
   {
     mNow += milliseconds(Draw(60));
     Advance();
+    ReturnAtTimes();
     const int index = Draw(kInstances);
     node& self = mNodes[static_cast<std::size_t>(index)];
     if (mNow < self.mResumesAt) {
@@ -250,7 +303,8 @@
     }
     if (Draw(self.mResigned ? 20 : 400) == 0) {
       // The process ends and another one of its name starts.
-      self = { NewLease(index, self.mStarted + 1),
+      self = { self.mName,
+               NewLease(index, self.mStarted + 1),
                self.mStarted + 1,
                mNow + milliseconds(Draw(400)),
                false,
@@ -266,7 +320,8 @@
     Resign(self);
   }
 
-  std::uint64_t Fence() const { return mLastFence; }
+  // Orders with a higher fence number than any before.
+  std::uint64_t Changes() const { return mChanges; }
   bool Violated() const { return mViolated; }
 
 private:
@@ -274,6 +329,7 @@
 
   struct node
   {
+    std::string mName;
     duty_lease mLease;
     std::uint64_t mStarted = 1;
     time_point mResumesAt;
@@ -290,14 +346,22 @@
   {
     std::uint64_t mFence = 0;
     time_point mArrives;
+    // Name and start of the process that gave it.
+    std::string mHolder;
+  };
+  struct store_state
+  {
+    std::optional<duty_record> mRecord;
+    std::uint64_t mNumber = 0;
   };
 
   static duty_lease NewLease(int aIndex, std::uint64_t aStarted)
   {
-    return duty_lease(
-      "n" + std::to_string(aIndex), aStarted, milliseconds(37 * aIndex));
+    return duty_lease(NameOf(aIndex), aStarted, milliseconds(37 * aIndex));
   }
 
+  static std::string NameOf(int aIndex) { return "n" + std::to_string(aIndex); }
+
   int Draw(int aBound)
   {
     return static_cast<int>(mRandom() % static_cast<unsigned>(aBound));
@@ -317,29 +381,53 @@
                      });
     while (!mOrders.empty() && mOrders.front().mArrives <= mNow) {
       // The platform must never see a lower fence after a higher one.
-      mViolated = mViolated || mOrders.front().mFence < mLastFence;
-      mLastFence = std::max(mLastFence, mOrders.front().mFence);
+      // Nor may two holders use the same.
+      const order& next = mOrders.front();
+      const bool reused =
+        next.mFence == mLastFence && next.mHolder != mLastHolder;
+      mViolated = mViolated || next.mFence < mLastFence || reused;
+      mChanges += next.mFence > mLastFence ? 1 : 0;
+      mLastFence = std::max(mLastFence, next.mFence);
+      mLastHolder = next.mHolder;
       mOrders.pop_front();
     }
   }
 
   bool Execute(const duty_write& aWrite)
   {
-    if (aWrite.mExpectedVersion != mVersion) {
+    // The store compares numbers only.
+    const std::uint64_t number = mStore.mRecord ? mStore.mNumber : 0;
+    if (NumberOf(aWrite.mExpectedVersion) != number) {
       return false;
     }
-    mRecord = aWrite.mRecord;
-    ++mVersion;
+    mStore.mRecord = aWrite.mRecord;
+    ++mStore.mNumber;
     return true;
   }
 
+  std::uint64_t Version() const { return MakeRevision(mEra, mStore.mNumber); }
+
+  void ReturnAtTimes()
+  {
+    if (!mFaults.mStoreReturns) {
+      return;
+    }
+    if (Draw(60) == 0) {
+      mCopy = mStore;
+    }
+    if (Draw(400) == 0) {
+      mStore = mCopy;
+      ++mEra;
+    }
+  }
+
   void Read(node& aNode)
   {
     // The reply may be delayed; it contains the record as of the time of the
     // call.
     const time_point asOf = mNow;
-    const auto record = mRecord;
-    const auto version = mVersion;
+    const auto record = mStore.mRecord;
+    const auto version = Version();
     if (Draw(8) == 0) {
       mNow += milliseconds(Draw(1'500));
       Advance();
@@ -349,13 +437,14 @@
 
   void ReportHolder(node& aNode)
   {
-    if (!mRecord || mRecord->mHolder.empty()) {
+    const auto& record = mStore.mRecord;
+    if (!record || record->mHolder.empty()) {
       return;
     }
     const auto holder =
-      static_cast<std::size_t>(std::stoi(mRecord->mHolder.substr(1)));
+      static_cast<std::size_t>(std::stoi(record->mHolder.substr(1)));
     if (mNow >= mNodes[holder].mResumesAt && Draw(4) != 0) {
-      aNode.mLease.OnHolderSeen(mRecord->mHolder, mNow);
+      aNode.mLease.OnHolderSeen(record->mHolder, mNow);
     }
   }
 
@@ -370,8 +459,11 @@
       return;
     }
     const bool done = Execute(aWrite);
-    const std::uint64_t version = mVersion;
-    const bool answered = outcome != 1;
+    const std::uint64_t version = Version();
+    // The answer to a condition from an earlier era says nothing.
+    const bool sameEra =
+      aWrite.mExpectedVersion == 0 || EraOf(aWrite.mExpectedVersion) == mEra;
+    const bool answered = outcome != 1 && sameEra;
     mNow += milliseconds(Draw(300));
     Advance();
     aNode.mLease.OnWritten(
@@ -386,7 +478,9 @@
       const time_point arrives =
         mNow +
         milliseconds(Draw(static_cast<int>(duty_lease::kOrderTimeout.count())));
-      mOrders.push_back({ aNode.mLease.Fence(), arrives });
+      mOrders.push_back({ aNode.mLease.Fence(),
+                          arrives,
+                          aNode.mName + "/" + std::to_string(aNode.mStarted) });
       aNode.mOrderedUntil = std::max(aNode.mOrderedUntil, arrives);
     }
   }
@@ -411,11 +505,15 @@
   lease_faults mFaults;
   time_point mNow = At(0);
   std::vector<node> mNodes;
-  std::optional<duty_record> mRecord;
-  std::uint64_t mVersion = 0;
+  // A store with eras has other objects already.
+  store_state mStore{ std::nullopt, mFaults.mStoreReturns ? 1U : 0U };
+  store_state mCopy = mStore;
+  std::uint64_t mEra = mFaults.mStoreReturns ? 1 : 0;
   std::deque<delayed_write> mDelayedWrites;
   std::deque<order> mOrders;
   std::uint64_t mLastFence = 0;
+  std::string mLastHolder;
+  std::uint64_t mChanges = 0;
   bool mViolated = false;
 };
 
@@ -431,13 +529,27 @@
       model.Step();
     }
     EXPECT_FALSE(model.Violated()) << "seed " << seed;
-    changes += model.Fence();
+    changes += model.Changes();
   }
   // The holder of the duty must have changed often enough for the check to be
   // meaningful.
   EXPECT_GT(changes, 100U);
 }
 
+TEST(DutyLeaseModelTest, SendsOrdersWithRisingFencesOverReturnsOfTheStore)
+{
+  std::uint64_t changes = 0;
+  for (std::uint64_t seed = 1; seed <= kModelSeeds; ++seed) {
+    lease_model model(seed, { .mStoreReturns = true });
+    for (int step = 0; step < kModelSteps; ++step) {
+      model.Step();
+    }
+    EXPECT_FALSE(model.Violated()) << "seed " << seed;
+    changes += model.Changes();
+  }
+  EXPECT_GT(changes, 100U);
+}
+
 // Whether the model finds a fault with one of its seeds.
 bool
 Finds(lease_faults aFaults)
