Give datagrams the era of their revisions, and the fleet a record of it

Datagrams carry the numbers of revisions as before and their era once, at the end, so that instances of earlier builds read them as they did. A damaged era or number is refused: it would count as later than all that the store has. The record "restored" names the latest era for which the instances have written again what the store had forgotten; IsLater() tells which of two states of a service's primary follows the other.

--- a/include/snipewalk/session/fleet_records.h
+++ b/include/snipewalk/session/fleet_records.h
@@ -67,6 +67,11 @@
   bool operator==(const primary_record&) const = default;
 };
 
+// Whether the state of a service's primary in `aRecord` follows the one in
+// `aOther`: terms never go back, nor do the phases of one term.
+bool
+IsLater(const primary_record& aRecord, const primary_record& aOther);
+
 enum class instance_state
 {
   Live,
@@ -93,7 +98,18 @@
   bool operator==(const instance_record&) const = default;
 };
 
-using fleet_record = std::variant<duty_record, primary_record, instance_record>;
+// Latest era of the store for which the instances have written again what it
+// had forgotten. The duty holder writes the record. Until then, a primary's
+// record may be older than one that was carried out.
+struct restored_record
+{
+  std::uint64_t mEra = 0;
+
+  bool operator==(const restored_record&) const = default;
+};
+
+using fleet_record =
+  std::variant<duty_record, primary_record, instance_record, restored_record>;
 
 // Name of the store object that contains a record.
 std::string
@@ -105,6 +121,7 @@
 bool
 IsInstanceRecordName(const std::string& aName);
 inline constexpr const char* kDutyRecordName = "duty";
+inline constexpr const char* kRestoredRecordName = "restored";
 
 std::string
 EncodeFleetRecord(const fleet_record& aRecord);
--- a/src/session/fleet_records.cpp
+++ b/src/session/fleet_records.cpp
@@ -9,6 +9,8 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
 
+#include <utility>
+
 namespace snipewalk {
 
 namespace {
@@ -27,6 +29,10 @@
   {
     return InstanceRecordName(aRecord.mName);
   }
+  std::string operator()(const restored_record&) const
+  {
+    return kRestoredRecordName;
+  }
 };
 
 Json::Value
@@ -66,6 +72,12 @@
     value["state"] = std::string(NameOf(kInstanceStateNames, aRecord.mState));
     return value;
   }
+  Json::Value operator()(const restored_record& aRecord) const
+  {
+    Json::Value value;
+    value["era"] = Number(aRecord.mEra);
+    return value;
+  }
 };
 
 fleet_record
@@ -111,8 +123,36 @@
   return record;
 }
 
+fleet_record
+ReadRestored(record_reader& aReader)
+{
+  return restored_record{ aReader.Number("era") };
+}
+
+// Place of a phase in a change of primary.
+int
+OrderOf(primary_phase aPhase)
+{
+  switch (aPhase) {
+    case primary_phase::Changing:
+      return 0;
+    case primary_phase::Promoting:
+      return 1;
+    case primary_phase::Stable:
+      return 2;
+  }
+  return 0;
+}
+
 } // namespace
 
+bool
+IsLater(const primary_record& aRecord, const primary_record& aOther)
+{
+  return std::pair(aRecord.mTerm, OrderOf(aRecord.mPhase)) >
+         std::pair(aOther.mTerm, OrderOf(aOther.mPhase));
+}
+
 std::string
 FleetRecordName(const fleet_record& aRecord)
 {
@@ -154,6 +194,8 @@
   std::optional<fleet_record> record;
   if (aName == kDutyRecordName) {
     record = ReadDuty(reader);
+  } else if (aName == kRestoredRecordName) {
+    record = ReadRestored(reader);
   } else if (absl::StartsWith(aName, kPrimaryPrefix)) {
     record = ReadPrimary(reader);
   } else if (absl::StartsWith(aName, kInstancePrefix)) {
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -2,6 +2,8 @@
 // number and an array of the fields.
 #include "snipewalk/session/peer_datagrams.h"
 
+#include "snipewalk/messages/store_revision.h"
+
 #include <msgpack.hpp>
 
 #include <algorithm>
@@ -23,8 +25,11 @@
                                        std::uint64_t,
                                        std::uint64_t>;
 using wire_connection_yield_request = std::tuple<std::string>;
-using wire_confirmation_request =
-  std::tuple<std::string, std::uint64_t, std::uint64_t, std::uint64_t>;
+using wire_confirmation_request = std::tuple<std::string,
+                                             std::uint64_t,
+                                             std::uint64_t,
+                                             std::uint64_t,
+                                             std::uint64_t>;
 using wire_primary = std::tuple<std::string,
                                 std::string,
                                 std::uint64_t,
@@ -49,7 +54,18 @@
                                             std::vector<wire_primary>,
                                             std::uint64_t,
                                             std::vector<wire_instance>,
-                                            int>;
+                                            int,
+                                            std::uint64_t>;
+
+// Datagrams contain the numbers of revisions, as instances of earlier versions
+// know them, and their era once, at the end.
+
+// Zero, which is no revision, for one of another era.
+std::uint64_t
+NumberIn(std::uint64_t aEra, std::uint64_t aRevision)
+{
+  return EraOf(aRevision) == aEra ? NumberOf(aRevision) : 0;
+}
 
 // Limits on the contents of a received datagram.
 const msgpack::unpack_limit kUnpackLimits(/*array=*/20'000,
@@ -127,23 +143,25 @@
                 wire_confirmation_request{ aRequest.mInstance,
                                            aRequest.mStarted,
                                            aRequest.mSequenceNumber,
-                                           aRequest.mKnownRevision });
+                                           NumberOf(aRequest.mKnownRevision),
+                                           EraOf(aRequest.mKnownRevision) });
   }
   std::string operator()(const confirmation_answer& aAnswer) const
   {
+    const std::uint64_t era = EraOf(aAnswer.mKnownRevision);
     wire_confirmation_answer wire{ aAnswer.mSequenceNumber,
                                    aAnswer.mConfirmationAgeMs,
                                    aAnswer.mRequesterRegistered,
                                    aAnswer.mInstance,
                                    aAnswer.mDutyHolder,
                                    aAnswer.mDutyHolderSeenAgeMs,
-                                   aAnswer.mDesiredVersion,
-                                   aAnswer.mServerVersion,
+                                   NumberIn(era, aAnswer.mDesiredVersion),
+                                   NumberIn(era, aAnswer.mServerVersion),
                                    {},
-                                   aAnswer.mKnownRevision,
+                                   NumberOf(aAnswer.mKnownRevision),
                                    {},
-                                   static_cast<int>(
-                                     aAnswer.mInstanceCoverage) };
+                                   static_cast<int>(aAnswer.mInstanceCoverage),
+                                   era };
     auto& primaries = std::get<std::vector<wire_primary>>(wire);
     for (const auto& [record, version] : aAnswer.mPrimaries) {
       primaries.emplace_back(record.mService,
@@ -152,7 +170,7 @@
                              record.mLeadTerm,
                              static_cast<int>(record.mPhase),
                              record.mFence,
-                             version);
+                             NumberIn(era, version));
     }
     auto& instances = std::get<std::vector<wire_instance>>(wire);
     for (const auto& [record, version] : aAnswer.mInstances) {
@@ -161,7 +179,7 @@
                              record.mPeerAddress,
                              record.mStarted,
                              static_cast<int>(record.mState),
-                             version);
+                             NumberIn(era, version));
     }
     return Pack(wire_type::ConfirmationAnswer, wire);
   }
@@ -193,7 +211,17 @@
   return std::min(aAgeMs, kOldestMs);
 }
 
-// Instances of an earlier version omit the last two elements.
+// A damaged value must not count as a later era of the store.
+std::uint64_t
+ReadRevision(std::uint64_t aEra, std::uint64_t aNumber)
+{
+  if (!IsRevision(aEra, aNumber)) {
+    throw msgpack::type_error();
+  }
+  return MakeRevision(aEra, aNumber);
+}
+
+// Instances of earlier versions omit the last elements.
 confirmation_answer
 ReadConfirmation(const msgpack::object& aObject)
 {
@@ -208,17 +236,18 @@
               primaries,
               knownRevision,
               instances,
-              coverage] = aObject.as<wire_confirmation_answer>();
+              coverage,
+              era] = aObject.as<wire_confirmation_answer>();
   confirmation_answer answer{ number,
                               BoundedAge(age),
                               registered,
                               instance,
                               holder,
                               BoundedAge(holderAge),
-                              desiredVersion,
-                              serverVersion,
+                              ReadRevision(era, desiredVersion),
+                              ReadRevision(era, serverVersion),
                               {},
-                              knownRevision,
+                              ReadRevision(era, knownRevision),
                               {},
                               ToEnum(coverage, instance_coverage::All) };
   for (const auto& [service, primary, term, leadTerm, phase, fence, version] :
@@ -229,7 +258,7 @@
                                     leadTerm,
                                     ToEnum(phase, primary_phase::Promoting),
                                     fence },
-                                  version });
+                                  ReadRevision(era, version) });
   }
   for (const auto& [name, dataCentre, address, started, state, version] :
        instances) {
@@ -238,7 +267,7 @@
                                     address,
                                     started,
                                     ToEnum(state, instance_state::Gone) },
-                                  version });
+                                  ReadRevision(era, version) });
   }
   return answer;
 }
@@ -274,9 +303,11 @@
                              uptime };
     }
     case wire_type::Confirmation: {
-      const auto [instance, started, number, knownRevision] =
+      const auto [instance, started, number, knownRevision, era] =
         aObject.as<wire_confirmation_request>();
-      return confirmation_request{ instance, started, number, knownRevision };
+      return confirmation_request{
+        instance, started, number, ReadRevision(era, knownRevision)
+      };
     }
     case wire_type::ConfirmationAnswer:
       return ReadConfirmation(aObject);
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -1,5 +1,7 @@
 // Tests for the fleet records in the store and the datagrams between instances.
 #include "snipewalk/session/fleet_records.h"
+
+#include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/peer_datagrams.h"
 
 #include <gtest/gtest.h>
@@ -15,6 +17,7 @@
     duty_record{ "i1", 1'700'000'000'000, 4 },
     primary_record{ "s", "p", 3, 2, primary_phase::Promoting, 4 },
     instance_record{ "i1", "dc1", "10.0.0.1:7440", 5, instance_state::Gone },
+    restored_record{ 3 },
   };
   for (const auto& record : records) {
     const auto decoded =
@@ -24,6 +27,19 @@
   }
 }
 
+TEST(FleetRecordsTest, OrdersTheStatesOfAPrimary)
+{
+  primary_record earlier{ "s", "p", 3, 2, primary_phase::Changing, 4 };
+  primary_record later = earlier;
+  EXPECT_FALSE(IsLater(later, earlier));
+  later.mPhase = primary_phase::Promoting;
+  EXPECT_TRUE(IsLater(later, earlier));
+  earlier.mPhase = primary_phase::Stable;
+  EXPECT_FALSE(IsLater(later, earlier));
+  later.mTerm = 4;
+  EXPECT_TRUE(IsLater(later, earlier));
+}
+
 TEST(FleetRecordsTest, RefusesWhatItDoesNotKnow)
 {
   const std::string duty = EncodeFleetRecord(duty_record{ "i1", 1, 2 });
@@ -66,6 +82,44 @@
   EXPECT_EQ(kept.mInstanceCoverage, instance_coverage::Partial);
 }
 
+// Revisions of an earlier era mean nothing beside those of the present one.
+TEST(PeerDatagramsTest, KeepsTheEraOfRevisions)
+{
+  confirmation_answer answer;
+  answer.mKnownRevision = MakeRevision(2, 30);
+  answer.mDesiredVersion = MakeRevision(2, 7);
+  answer.mServerVersion = MakeRevision(1, 90);
+  answer.mPrimaries.push_back(
+    { { "s", "p", 3, 2, primary_phase::Stable, 4 }, MakeRevision(2, 20) });
+  const auto decoded = DecodeDatagram(EncodeDatagram(answer));
+  ASSERT_TRUE(decoded.ok());
+  const auto& kept = std::get<confirmation_answer>(*decoded);
+  EXPECT_EQ(kept.mKnownRevision, MakeRevision(2, 30));
+  EXPECT_EQ(kept.mDesiredVersion, MakeRevision(2, 7));
+  EXPECT_EQ(kept.mServerVersion, 0U);
+  EXPECT_EQ(kept.mPrimaries[0].mVersion, MakeRevision(2, 20));
+  const auto request = DecodeDatagram(
+    EncodeDatagram(confirmation_request{ "i1", 5, 6, MakeRevision(2, 30) }));
+  ASSERT_TRUE(request.ok());
+  EXPECT_EQ(std::get<confirmation_request>(*request).mKnownRevision,
+            MakeRevision(2, 30));
+}
+
+// A damaged era would count as later than all that the store has.
+TEST(PeerDatagramsTest, RefusesRevisionsOutOfRange)
+{
+  for (const std::uint64_t known :
+       { MakeRevision(kMaxEra, 1) + kNumbersPerEra,
+         std::numeric_limits<std::uint64_t>::max() }) {
+    EXPECT_FALSE(
+      DecodeDatagram(EncodeDatagram(confirmation_request{ "i1", 5, 6, known }))
+        .ok());
+    confirmation_answer answer;
+    answer.mKnownRevision = known;
+    EXPECT_FALSE(DecodeDatagram(EncodeDatagram(answer)).ok());
+  }
+}
+
 // A datagram that is too large is not sent, and the instance that asked would
 // never be confirmed.
 TEST(PeerDatagramsTest, HasRoomForAllConfirmedInstances)
