Keep what the store has forgotten, and write it again

Causes: a forgotten record of a primary was taken for the present one or for "none yet"; an instance whose registration was forgotten went on as registered; an earlier desired state with a higher revision would have replaced a later one.

- A known record of a primary is kept if the store's is older or missing.
The holder of the duty writes it again at once, another instance after 0.5 s, each on the condition of what it has read, so that one succeeds.
No change begins before.
Other instances learn it with confirmations.
- An instance that was confirmed when it first saw the era goes on: no change is carried out while an instance that does not know it is confirmed.
Any other can't tell whether the records are older than a change that was carried out.
It waits for the record "restored", which the holder writes once nothing is known to be missing, or for an instance of the same era that confirms it.
- An instance counts as registered only in the present era, and registers again.
- A desired state with a lower version never replaces one in force.

--- a/include/snipewalk/session/instance_directory.h
+++ b/include/snipewalk/session/instance_directory.h
@@ -38,8 +38,10 @@
   // Returns nullptr for an unknown instance.
   const known_instance* Find(const std::string& aName) const;
   // Whether the process of the instance that started at this time is
-  // registered.
-  bool IsLive(const std::string& aName, std::uint64_t aStarted) const;
+  // registered in the given era of the store or a later one.
+  bool IsLive(const std::string& aName,
+              std::uint64_t aStarted,
+              std::uint64_t aEra) const;
   // All known instances by name.
   const std::map<std::string, known_instance>& All() const
   {
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -179,6 +179,10 @@
   {
     return mDesired ? mDesired->mVersion : 0;
   }
+  // Era of the store as last read; zero if it has none.
+  std::uint64_t StoreEra() const { return mStoreEra.value_or(0); }
+  // How often the store came back from an older copy since the start.
+  std::uint64_t StoreReturns() const { return mStoreReturns; }
   std::optional<duration> ConfirmationAge(time_point aNow) const;
   // Number of servers whose entries are present.
   std::size_t ServerCount() const { return mServers.All().size(); }
@@ -219,8 +223,16 @@
 
   struct service_control
   {
+    // The latest record that this instance has known. The store may have
+    // forgotten it since.
     std::optional<primary_record> mRecord;
     std::uint64_t mRecordVersion = 0;
+    // Version of the store's record; zero if it has none.
+    std::uint64_t mStoredVersion = 0;
+    // Since when the store is known to have forgotten mRecord.
+    std::optional<time_point> mForgottenSince;
+    // Earliest time to write it again.
+    time_point mRestoreAfter = time_point::min();
     // Highest term for which the duty holder has asked this instance to release
     // the primary.
     std::uint64_t mReleasedTerm = 0;
@@ -265,6 +277,27 @@
   void ApplyFleetObject(const stored_object& aObject,
                         time_point aAsOf,
                         time_point aNow);
+  // Handles replies from an era of the store: a new one shows that the store
+  // came back from an older copy.
+  void NoteEra(std::uint64_t aEra, time_point aNow);
+  // Applies a record of the given version. Keeps a later one that is known,
+  // even though the store has forgotten it.
+  void ApplyPrimaryRecord(const primary_record& aRecord,
+                          std::uint64_t aVersion,
+                          time_point aNow);
+  static void NoteForgotten(service_control& aControl, time_point aNow);
+  // Finds records that a list, complete up to the given revision, lacks.
+  void FindForgottenRecords(std::uint64_t aCompleteTo, time_point aNow);
+  // Whether the records of primaries known here are not older than a change
+  // that was carried out before the store came back.
+  bool IsHistoryComplete() const;
+  // Lets the duty holder record that forgotten records have been written again.
+  void MarkRestored(time_point aNow);
+  // Writes forgotten records of primaries again.
+  void RestoreRecords(time_point aNow);
+  void RestoreRecord(const std::string& aService,
+                     const primary_record& aRecord,
+                     std::uint64_t aExpectedVersion);
   // Passes the live instances, among which the services are divided, to the
   // host selection and the engine.
   void PublishInstances(time_point aNow);
@@ -409,6 +442,15 @@
   std::function<void(const std::string&, time_point)> mOnInstanceReply;
   std::function<void()> mOnDesiredState;
   time_point mDesiredReadAt = time_point::min();
+  std::optional<std::uint64_t> mStoreEra;
+  std::uint64_t mStoreReturns = 0;
+  // Era that this instance has seen begin while its records were confirmed. It
+  // knew all changes of primary that had been carried out by then.
+  std::uint64_t mEraSeenBegin = 0;
+  // Era of the restored record.
+  std::uint64_t mRestoredEra = 0;
+  // Earliest time to write that record.
+  time_point mMarkRestoredAfter = time_point::min();
   // All records of primaries and instances up to this store revision are known.
   std::uint64_t mKnownRevision = 0;
   // The records of primaries known here were up to date at this time.
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -1,6 +1,7 @@
 // Registers this instance, and confirms the recorded primaries by reading the
 // store and by asking other instances.
 #include "snipewalk/base/log.h"
+#include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/session_controller.h"
 
 #include <algorithm>
@@ -45,7 +46,7 @@
 bool
 session_controller::IsRegistered() const
 {
-  return mInstances.IsLive(mOptions.mInstance, mOptions.mStarted);
+  return mInstances.IsLive(mOptions.mInstance, mOptions.mStarted, StoreEra());
 }
 
 void
@@ -128,9 +129,12 @@
 {
   const std::string& name = aRequest.mInstance;
   const auto* known = mInstances.Find(name);
-  const bool gone = known != nullptr && known->mGoneSince.has_value() &&
-                    known->mRecord.mStarted == aRequest.mStarted;
-  if (!gone || !mDuty.Holds(aNow)) {
+  const bool sameProcess =
+    known != nullptr && known->mRecord.mStarted == aRequest.mStarted;
+  // The store has forgotten its record.
+  const bool forgotten = sameProcess && EraOf(known->mVersion) < StoreEra();
+  const bool gone = sameProcess && known->mGoneSince.has_value();
+  if (!(gone || forgotten) || !mDuty.Holds(aNow)) {
     mGoneAskingSince.erase(name);
     return;
   }
@@ -142,7 +146,8 @@
   mLastReportAt[name] = aNow;
   instance_record live = known->mRecord;
   live.mState = instance_state::Live;
-  WriteInstance(live, "instance registered again for it", known->mVersion);
+  WriteInstance(
+    live, "instance registered again for it", forgotten ? 0 : known->mVersion);
 }
 
 void
@@ -289,7 +294,7 @@
   answer.mDesiredVersion = mDesiredWatcher.NewestVersion();
   answer.mServerVersion = mServerWatcher.NewestVersion();
   answer.mRequesterRegistered =
-    mInstances.IsLive(aRequest.mInstance, aRequest.mStarted);
+    mInstances.IsLive(aRequest.mInstance, aRequest.mStarted, StoreEra());
   AddNewerRecords(answer, aRequest.mKnownRevision);
   return answer;
 }
@@ -299,14 +304,17 @@
                                     std::uint64_t aRevision) const
 {
   for (const auto& [service, control] : mServices) {
-    if (control.mRecord && control.mRecordVersion > aRevision) {
+    const bool unknown =
+      control.mRecordVersion > aRevision || control.mForgottenSince;
+    if (control.mRecord && unknown) {
       aAnswer.mPrimaries.push_back(
         { *control.mRecord, control.mRecordVersion });
     }
   }
   aAnswer.mKnownRevision = mKnownRevision;
-  aAnswer.mInstances =
-    mInstances.ChangedSince(aRevision, kMaxConfirmedInstances);
+  aAnswer.mInstances = mInstances.ChangedSince(
+    std::max(aRevision, MakeRevision(StoreEra(), 1) - 1),
+    kMaxConfirmedInstances);
   aAnswer.mInstanceCoverage = instance_coverage::All;
   if (aAnswer.mInstances.size() == kMaxConfirmedInstances) {
     aAnswer.mInstanceCoverage = instance_coverage::Partial;
@@ -342,7 +350,11 @@
   mDesiredHint.mVersion =
     std::max(mDesiredHint.mVersion, aAnswer.mDesiredVersion);
   mServerHint.mVersion = std::max(mServerHint.mVersion, aAnswer.mServerVersion);
-  if (!aAnswer.mRequesterRegistered) {
+  NoteEra(EraOf(aAnswer.mKnownRevision), aNow);
+  // An instance that has not seen the store come back can't tell what the store
+  // has forgotten.
+  const bool sameEra = EraOf(aAnswer.mKnownRevision) == StoreEra();
+  if (!aAnswer.mRequesterRegistered || !sameEra) {
     return;
   }
   for (const auto& [record, version] : aAnswer.mPrimaries) {
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -120,6 +120,9 @@
     }
     const bool interrupted =
       control.mRecord && control.mRecord->mPhase != primary_phase::Stable;
+    if (control.mForgottenSince) {
+      continue;
+    }
     const bool needsProbe =
       control.mMonitor.NeedsProbe(aNow) || control.mReplicaLeftAt.has_value();
     if (needsProbe && !control.mProbing) {
@@ -272,7 +275,7 @@
         { "replicas_complete", plan.mReplicasComplete },
         { "required", required } });
   control.mRunning.emplace();
-  control.mRunning->mRecordVersion = control.mRecordVersion;
+  control.mRunning->mRecordVersion = control.mStoredVersion;
   control.mRunning->mChange = std::make_unique<primary_change>(std::move(plan));
   Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
 }
--- a/src/session/controller_release.cpp
+++ b/src/session/controller_release.cpp
@@ -2,6 +2,7 @@
 // instance to stop routing to it, or waits until their confirmations have
 // expired.
 #include "snipewalk/base/log.h"
+#include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/session_controller.h"
 
 #include <algorithm>
@@ -62,7 +63,8 @@
                                       time_point aNow)
 {
   running_change& running = *mServices[aService].mRunning;
-  if (aReply.mStatus != store_status::Ok || aReply.mMore) {
+  const bool sameEra = EraOf(aReply.mRevision) == EraOf(running.mRecordVersion);
+  if (aReply.mStatus != store_status::Ok || aReply.mMore || !sameEra) {
     // Without a complete list, unknown instances may still route to the old
     // primary until their confirmations have expired.
     return;
--- a/src/session/instance_directory.cpp
+++ b/src/session/instance_directory.cpp
@@ -1,6 +1,8 @@
 // Implementation of the directory of instances.
 #include "snipewalk/session/instance_directory.h"
 
+#include "snipewalk/messages/store_revision.h"
+
 namespace snipewalk {
 
 bool
@@ -33,11 +35,13 @@
 
 bool
 instance_directory::IsLive(const std::string& aName,
-                           std::uint64_t aStarted) const
+                           std::uint64_t aStarted,
+                           std::uint64_t aEra) const
 {
   const known_instance* known = Find(aName);
   return known != nullptr && known->mRecord.mStarted == aStarted &&
-         known->mRecord.mState == instance_state::Live;
+         known->mRecord.mState == instance_state::Live &&
+         EraOf(known->mVersion) >= aEra;
 }
 
 std::vector<confirmed_instance>
--- a/src/session/metrics_page.cpp
+++ b/src/session/metrics_page.cpp
@@ -43,6 +43,8 @@
              aSources.mConfirmationAge
                ? ToMilliseconds(*aSources.mConfirmationAge)
                : -1);
+  AppendLine(page, "store_era", aSources.mStoreEra);
+  AppendLine(page, "store_returns_total", aSources.mStoreReturns);
   for (const auto& [name, count] : aSources.mRegistry.Counters()) {
     AppendLine(page, name + "_total", count);
   }
--- a/src/session/metrics_page.h
+++ b/src/session/metrics_page.h
@@ -6,6 +6,7 @@
 #include "snipewalk/base/time.h"
 #include "snipewalk/session/session_engine.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -21,6 +22,10 @@
   bool mHoldsDuty = false;
   bool mReady = false;
   std::optional<duration> mConfirmationAge;
+  // Zero for a store without eras.
+  std::uint64_t mStoreEra = 0;
+  // Times that the store came back from an older copy.
+  std::uint64_t mStoreReturns = 0;
 };
 
 // Returns one line for each value: `name{labels} value`.
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -3,6 +3,7 @@
 #include "snipewalk/session/session_controller.h"
 
 #include "snipewalk/base/log.h"
+#include "snipewalk/messages/store_revision.h"
 
 #include <absl/hash/hash.h>
 
@@ -118,6 +119,7 @@
 void
 session_controller::OnDesiredState(time_point aNow)
 {
+  NoteEra(mDesiredWatcher.Era(), aNow);
   const auto found = mDesiredWatcher.Objects().find(mObjects.mDesiredStateName);
   if (found == mDesiredWatcher.Objects().end() ||
       found->second.mVersion <= mDesiredRevision) {
@@ -133,6 +135,16 @@
           { "error", decoded.status().ToString() } });
     return;
   }
+  if (mDesired && decoded->mVersion < mDesired->mVersion) {
+    // The store came back from an older copy, and the operator has not written
+    // the later state again yet.
+    Log(log_level::Warning,
+        "control",
+        "store has an earlier desired state; the later one stays in force",
+        { { "version", static_cast<std::int64_t>(decoded->mVersion) },
+          { "in_force", static_cast<std::int64_t>(mDesired->mVersion) } });
+    return;
+  }
   Log(log_level::Info,
       "control",
       "desired state in force",
@@ -156,6 +168,7 @@
 session_controller::OnServers(const kind_watcher::update& aUpdate,
                               time_point aNow)
 {
+  NoteEra(mServerWatcher.Era(), aNow);
   std::set<std::string> services;
   for (const auto& id : aUpdate.mChanged) {
     ApplyServer(id, services, aNow);
@@ -355,27 +368,11 @@
   if (const auto* duty = std::get_if<duty_record>(&*record)) {
     mDuty.OnRecord(*duty, aObject.mVersion, aAsOf, aNow);
   } else if (const auto* primary = std::get_if<primary_record>(&*record)) {
-    service_control& control = mServices[primary->mService];
-    if (aObject.mVersion > control.mRecordVersion) {
-      const bool primaryChanged =
-        control.mRecord && control.mRecord->mPrimary != primary->mPrimary;
-      control.mRecord = *primary;
-      control.mRecordVersion = aObject.mVersion;
-      if (primaryChanged) {
-        control.mMonitor.Reset(aNow);
-      }
-      Log(log_level::Info,
-          "primary",
-          "primary recorded",
-          { { "service", primary->mService },
-            { "primary", primary->mPrimary },
-            { "term", static_cast<std::int64_t>(primary->mTerm) },
-            { "phase", NameOf(kPrimaryPhaseNames, primary->mPhase) },
-            { "revision", static_cast<std::int64_t>(aObject.mVersion) } });
-      PublishPrimary(primary->mService, aNow);
-    }
+    ApplyPrimaryRecord(*primary, aObject.mVersion, aNow);
   } else if (const auto* instance = std::get_if<instance_record>(&*record)) {
     mInstances.Put(*instance, aObject.mVersion, aNow);
+  } else if (const auto* restored = std::get_if<restored_record>(&*record)) {
+    mRestoredEra = restored->mEra;
   }
 }
 
@@ -383,8 +380,14 @@
 session_controller::OnFleet(const kind_watcher::update& aUpdate,
                             time_point aNow)
 {
+  NoteEra(mFleetWatcher.Era(), aNow);
   const auto& objects = mFleetWatcher.Objects();
   if (aUpdate.mCompleteTo > 0) {
+    FindForgottenRecords(aUpdate.mCompleteTo, aNow);
+    if (objects.empty() && mStoreReturns == 0) {
+      // Nothing has been recorded yet.
+      mEraSeenBegin = mFleetWatcher.Era();
+    }
     mKnownRevision = std::max(mKnownRevision, aUpdate.mCompleteTo);
     if (aUpdate.mAsOf > mSuspendedUntil) {
       mInstancesAsOf = std::max(mInstancesAsOf, aUpdate.mAsOf);
@@ -404,16 +407,16 @@
   if (const auto duty = objects.find(kDutyRecordName); duty != objects.end()) {
     ApplyFleetObject(duty->second, aUpdate.mAsOf, aNow);
   } else {
-    mDuty.OnRecord(std::nullopt, 0, aUpdate.mAsOf, aNow);
+    mDuty.OnRecord(std::nullopt, aUpdate.mCompleteTo, aUpdate.mAsOf, aNow);
   }
   OnHolderRecorded(aUpdate.mAsOf, RecordedHolder() != holderBefore);
   if (instances) {
     PublishInstances(aNow);
   }
-  if (IsRegistered()) {
-    Confirm("store", aUpdate.mAsOf, aNow);
-  } else {
+  if (!IsRegistered()) {
     Register(aNow);
+  } else if (IsHistoryComplete()) {
+    Confirm("store", aUpdate.mAsOf, aNow);
   }
 }
 
@@ -443,8 +446,10 @@
   } else if (const auto* request =
                std::get_if<confirmation_request>(&aDatagram)) {
     RegisterAgain(*request, aNow);
+    NoteEra(EraOf(request->mKnownRevision), aNow);
     const time_point asOf = ConfirmsOthersAsOf();
-    if (asOf != time_point::min() && !mUnregistered &&
+    const bool sameEra = EraOf(mKnownRevision) == StoreEra();
+    if (asOf != time_point::min() && !mUnregistered && sameEra &&
         aNow < mConfirmedAt + kConfirmationLifetime) {
       mLinks.SendDatagram(aFrom, AnswerConfirmation(*request, aNow));
     }
@@ -486,6 +491,7 @@
     WriteDuty(*write);
   }
   VacateDuty(aNow);
+  RestoreRecords(aNow);
   ReportHealth(aNow);
   const bool holds = mDuty.Holds(aNow);
   if (holds != std::exchange(mHeldDuty, holds)) {
@@ -498,6 +504,9 @@
     }
   }
   if (holds) {
+    MarkRestored(aNow);
+  }
+  if (holds && mRestoredEra == StoreEra()) {
     MonitorServices(aNow);
     MarkSilentInstances(aNow);
   }
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -280,7 +280,9 @@
                          mTable.Forwarder().SessionCount(),
                          mController.HoldsDuty(mLoop.Now()),
                          mController.IsReady(),
-                         mController.ConfirmationAge(mLoop.Now()) });
+                         mController.ConfirmationAge(mLoop.Now()),
+                         mController.StoreEra(),
+                         mController.StoreReturns() });
     return response;
   }
 
--- a/tests/session/fake_store.h
+++ b/tests/session/fake_store.h
@@ -5,6 +5,7 @@
 
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/messages/store_client.h"
+#include "snipewalk/messages/store_revision.h"
 
 #include <list>
 #include <map>
@@ -43,6 +44,27 @@
     }
   }
 
+  // Remembers the present state for ReturnFromCopy().
+  void TakeCopy()
+  {
+    mCopy = mObjects;
+    mCopyRevision = mRevision;
+  }
+
+  // The store has the state of the copy again, in a new era.
+  void ReturnFromCopy()
+  {
+    const std::uint64_t era = EraOf(mRevision) + 1;
+    mObjects = mCopy;
+    for (auto& [key, object] : mObjects) {
+      object.mVersion = MakeRevision(era, NumberOf(object.mVersion));
+    }
+    mRevision = MakeRevision(era, NumberOf(mCopyRevision));
+    for (const auto& watch : std::exchange(mWatches, {})) {
+      AnswerLater(watch.mOnReply, { store_status::HistoryGone });
+    }
+  }
+
   // Value of an object; empty if there is none.
   std::string Value(const std::string& aKind, const std::string& aName) const
   {
@@ -76,6 +98,8 @@
     } else if (const auto* watched = std::get_if<store_watch>(&aRequest)) {
       if (watched->mFrom == 0) {
         aOnReply(Changes(*watched), mLoop.Now());
+      } else if (EraOf(watched->mFrom) != EraOf(mRevision)) {
+        aOnReply({ store_status::HistoryGone }, mLoop.Now());
       } else {
         mWatches.push_back({ *watched, aOnReply });
         if (!mWatchesMissChanges) {
@@ -92,10 +116,18 @@
       held == mObjects.end() ? 0 : held->second.mVersion;
     store_reply reply;
     reply.mStatus = store_status::Conflict;
-    if (version == aPut.mExpectedVersion) {
+    // The store compares numbers; the client knows the era of the condition.
+    if (NumberOf(version) == NumberOf(aPut.mExpectedVersion)) {
       Write(aPut.mKey.mKind, aPut.mKey.mName, aPut.mValue);
       reply.mStatus = store_status::Ok;
     }
+    if (aPut.mExpectedVersion != 0 &&
+        EraOf(aPut.mExpectedVersion) != EraOf(mRevision)) {
+      return {};
+    }
+    if (!mObjects.contains(aPut.mKey)) {
+      return { store_status::NotFound };
+    }
     reply.mObjects = { mObjects.at(aPut.mKey) };
     reply.mRevision = mRevision;
     return reply;
@@ -114,6 +146,11 @@
     return reply;
   }
 
+  void AnswerLater(const reply_handler& aOnReply, const store_reply& aReply)
+  {
+    mLoop.Post([this, aOnReply, aReply] { aOnReply(aReply, mLoop.Now()); });
+  }
+
   void AnswerWatches()
   {
     for (auto it = mWatches.begin(); it != mWatches.end();) {
@@ -122,8 +159,7 @@
         ++it;
         continue;
       }
-      mLoop.Post(
-        [this, reply, onReply = it->mOnReply] { onReply(reply, mLoop.Now()); });
+      AnswerLater(it->mOnReply, reply);
       it = mWatches.erase(it);
     }
   }
@@ -131,6 +167,8 @@
   event_loop& mLoop;
   std::map<object_key, stored_object> mObjects;
   std::uint64_t mRevision = 1;
+  std::map<object_key, stored_object> mCopy;
+  std::uint64_t mCopyRevision = 0;
   std::list<watch> mWatches;
 };
 
--- a/tests/session/instance_directory_test.cpp
+++ b/tests/session/instance_directory_test.cpp
@@ -27,18 +27,18 @@
   EXPECT_FALSE(mDirectory.Put(Record("a"), 7, mNow));
   ASSERT_NE(mDirectory.Find("a"), nullptr);
   EXPECT_EQ(mDirectory.Find("a")->mVersion, 7U);
-  EXPECT_FALSE(mDirectory.IsLive("a", 5));
+  EXPECT_FALSE(mDirectory.IsLive("a", 5, 0));
   EXPECT_TRUE(mDirectory.Put(Record("a"), 8, mNow));
-  EXPECT_TRUE(mDirectory.IsLive("a", 5));
+  EXPECT_TRUE(mDirectory.IsLive("a", 5, 0));
 }
 
 // Another process of an instance is not registered by its predecessor.
 TEST_F(InstanceDirectoryTest, TellsProcessesOfAnInstanceApart)
 {
   mDirectory.Put(Record("a"), 7, mNow);
-  EXPECT_TRUE(mDirectory.IsLive("a", 5));
-  EXPECT_FALSE(mDirectory.IsLive("a", 4));
-  EXPECT_FALSE(mDirectory.IsLive("b", 5));
+  EXPECT_TRUE(mDirectory.IsLive("a", 5, 0));
+  EXPECT_FALSE(mDirectory.IsLive("a", 4, 0));
+  EXPECT_FALSE(mDirectory.IsLive("b", 5, 0));
 }
 
 TEST_F(InstanceDirectoryTest, ReturnsWhatChangedSinceARevision)
