--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -24,6 +24,8 @@
 static_assert(kFaultKindNames[kDrawnKinds].mValue == fault_kind::FailRequests);
 // Interval between the starts of two faults of kind FailRequests.
 constexpr int kFailRequestsIntervalMs = 2'500;
+// The same for StoreReturns.
+constexpr int kStoreReturnsIntervalMs = 4'500;
 
 int
 DrawBetween(std::mt19937_64& aRandom, int aLow, int aHigh)
@@ -48,19 +50,25 @@
   return step;
 }
 
-// Uses a generator of its own, so that a seed's other faults do not depend on
-// whether requests fail.
-std::vector<fault_step>
-DrawFailedRequests(std::uint64_t aSeed, int aLengthMs)
+// Adds faults of one kind. Uses a generator of its own, so that a seed's other
+// faults do not depend on them.
+void
+AddFaults(std::vector<fault_step>& aSteps,
+          fault_kind aKind,
+          int aIntervalMs,
+          const fault_plan_options& aOptions)
 {
-  std::mt19937_64 random(aSeed);
-  std::vector<fault_step> steps;
-  for (int at = kBurstWindowMs; at < aLengthMs; at += kFailRequestsIntervalMs) {
+  std::mt19937_64 random(aOptions.mSeed);
+  const auto length = static_cast<int>(aOptions.mFaultPeriod.count());
+  for (int at = kBurstWindowMs; at < length; at += aIntervalMs) {
     fault_step step = DrawStep(random, at);
-    step.mKind = fault_kind::FailRequests;
-    steps.push_back(step);
+    step.mKind = aKind;
+    aSteps.push_back(step);
   }
-  return steps;
+  std::stable_sort(
+    aSteps.begin(), aSteps.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mStartOffset < aRight.mStartOffset;
+    });
 }
 
 std::vector<fault_step>
@@ -75,14 +83,9 @@
   return steps;
 }
 
-} // namespace
-
 std::vector<fault_step>
-DrawFaults(const fault_plan_options& aOptions)
+DrawBursts(const fault_plan_options& aOptions)
 {
-  if (aOptions.mHandovers) {
-    return DrawHandoverFaults(aOptions);
-  }
   std::mt19937_64 random(aOptions.mSeed);
   const auto length = static_cast<int>(aOptions.mFaultPeriod.count());
   if (aOptions.mPlannedWorkOnly) {
@@ -106,14 +109,29 @@
     at += DrawBetween(
       random, kMeanBurstIntervalMs / 2, kMeanBurstIntervalMs * 3 / 2);
   }
-  if (aOptions.mFailRequests) {
-    const auto failing = DrawFailedRequests(aOptions.mSeed, length);
-    steps.insert(steps.end(), failing.begin(), failing.end());
-  }
+  return steps;
+}
+
+} // namespace
+
+std::vector<fault_step>
+DrawFaults(const fault_plan_options& aOptions)
+{
+  std::vector<fault_step> steps =
+    aOptions.mHandovers ? DrawHandoverFaults(aOptions) : DrawBursts(aOptions);
   std::stable_sort(
     steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
       return aLeft.mStartOffset < aRight.mStartOffset;
     });
+  const bool anyFaults = !aOptions.mHandovers && !aOptions.mPlannedWorkOnly;
+  if (aOptions.mFailRequests && anyFaults) {
+    AddFaults(
+      steps, fault_kind::FailRequests, kFailRequestsIntervalMs, aOptions);
+  }
+  if (aOptions.mStoreReturns) {
+    AddFaults(
+      steps, fault_kind::StoreReturns, kStoreReturnsIntervalMs, aOptions);
+  }
   return steps;
 }
 
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -41,10 +41,13 @@
   // hand-overs.
   Deaf,
   // The platform carries out promotions late.
-  DelayPromotions
+  DelayPromotions,
+  // The store comes back from a copy that it took at the start of the fault.
+  // Only in plans with mStoreReturns.
+  StoreReturns
 };
 
-inline constexpr name_table<fault_kind, 19> kFaultKindNames{ {
+inline constexpr name_table<fault_kind, 20> kFaultKindNames{ {
   { fault_kind::Kill, "kill" },
   { fault_kind::Pause, "pause" },
   { fault_kind::Terminate, "terminate" },
@@ -64,6 +67,7 @@
   { fault_kind::FailRequests, "fail_requests" },
   { fault_kind::Deaf, "deaf" },
   { fault_kind::DelayPromotions, "delay_promotions" },
+  { fault_kind::StoreReturns, "store_returns" },
 } };
 
 // Faults that represent planned work, which must not interrupt any reply.
@@ -109,6 +113,9 @@
   bool mPlannedWorkOnly = false;
   // Adds servers that fail requests; the other faults of a seed do not change.
   bool mFailRequests = false;
+  // Adds returns of the store from older copies; the other faults of a seed do
+  // not change.
+  bool mStoreReturns = false;
   // Only faults around hand-overs of the failover duty: in each burst a primary
   // is to be replaced, and the holder of the duty fails meanwhile.
   bool mHandovers = false;
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -11,6 +11,7 @@
 #include <Poco/Exception.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <deque>
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <thread>
 #include <utility>
@@ -48,6 +50,10 @@
 // unreachable.
 constexpr milliseconds kUnreachableDropDelay{ 3'000 };
 constexpr milliseconds kMaxLinkDelay{ 300 };
+// For which the store is away before it comes back from a copy.
+constexpr milliseconds kStoreAwayTime{ 400 };
+// Between two objects that their writers write again afterwards.
+constexpr milliseconds kWriteAgainInterval{ 150 };
 constexpr milliseconds kMaxReplicaLag{ 1'500 };
 // How long the platform carries out promotions late.
 constexpr milliseconds kPromotionDelayTime{ 4'000 };
@@ -322,6 +328,9 @@
       case fault_kind::StoreCompacts:
         InjectStoreFault(aStep);
         return;
+      case fault_kind::StoreReturns:
+        InjectStoreReturn(aStep);
+        return;
     }
   }
 
@@ -546,6 +555,36 @@
     ScheduleAfter(aStep.mDuration, [lose] { lose(0); });
   }
 
+  // What others than the instances wrote is written again one by one, in an
+  // order that the step selects.
+  void InjectStoreReturn(const fault_step& aStep)
+  {
+    LogFault(aStep, "the store");
+    mPlatform.Change(
+      [](line_server_group&, platform_store& aStore) { aStore.TakeCopy(); });
+    ScheduleAfter(aStep.mDuration, [this] { mPlatform.SetStoreDown(true); });
+    ScheduleAfter(aStep.mDuration + kStoreAwayTime, [this, aStep] {
+      LogEvent("store returns");
+      std::vector<std::pair<std::string, std::string>> lost;
+      mPlatform.Change([&](line_server_group&, platform_store& aStore) {
+        aStore.ReturnFromCopy();
+        aStore.SetDown(false);
+        lost = aStore.LostWrites();
+      });
+      std::shuffle(
+        lost.begin(), lost.end(), std::minstd_rand(1 + aStep.mTarget));
+      milliseconds delay{ 0 };
+      for (const auto& object : lost) {
+        delay += kWriteAgainInterval;
+        ScheduleAfter(delay, [this, object] {
+          mPlatform.Change([&](line_server_group&, platform_store& aStore) {
+            aStore.WriteLostAgain(object.first, object.second);
+          });
+        });
+      }
+    });
+  }
+
   // Checks that each instance serves writes again after the last fault.
   void CheckRecovery()
   {
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -20,6 +20,10 @@
           false,
           "faults around hand-overs of the failover duty only");
 ABSL_FLAG(bool, failing, true, "servers also fail a part of their requests");
+ABSL_FLAG(bool,
+          store_returns,
+          false,
+          "the store also comes back from older copies");
 ABSL_FLAG(int,
           connections,
           20,
@@ -46,6 +50,7 @@
   options.mPlan.mPlannedWorkOnly = absl::GetFlag(FLAGS_planned);
   options.mPlan.mHandovers = absl::GetFlag(FLAGS_handovers);
   options.mPlan.mFailRequests = absl::GetFlag(FLAGS_failing);
+  options.mPlan.mStoreReturns = absl::GetFlag(FLAGS_store_returns);
   options.mMaxConnections = absl::GetFlag(FLAGS_connections);
   options.mBinaryDir = absl::GetFlag(FLAGS_binary_dir);
   const std::filesystem::path folder =
--- a/tests/standins/platform_store.cpp
+++ b/tests/standins/platform_store.cpp
@@ -89,6 +89,9 @@
 void
 platform_store::ReturnFromCopy()
 {
+  if (!mCopy) {
+    return;
+  }
   mObjects = mCopy->mObjects;
   mRevision = mCopy->mRevision;
   mOldestRevision = mRevision;
--- a/tests/standins/platform_store.h
+++ b/tests/standins/platform_store.h
@@ -43,7 +43,8 @@
 
   // Remembers the present state for ReturnFromCopy().
   void TakeCopy();
-  // The store has the state of the copy again, and its era rises by one: what
+  // The store has the state of the copy again, if there is one that it has not
+  // returned from yet, and its era rises by one: what
   // the instances wrote since is gone, revisions are given out again, and
   // waiting watches are cut off. What others wrote since is missing until
   // WriteLostAgain().
