--- a/src/session/controller_store_return.cpp
+++ b/src/session/controller_store_return.cpp
@@ -1,5 +1,5 @@
-// Return of the store from an older copy: reads everything anew, keeps recorded
-// primaries that the store has forgotten, and writes them again.
+// Return of the store from an older copy: reads everything anew, and writes
+// again what the store has forgotten.
 #include "snipewalk/base/log.h"
 #include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/session_controller.h"
@@ -54,47 +54,6 @@
   }
 }
 
-void
-session_controller::ApplyPrimaryRecord(const primary_record& aRecord,
-                                       std::uint64_t aVersion,
-                                       time_point aNow)
-{
-  service_control& control = mServices[aRecord.mService];
-  const bool newer = aVersion > control.mRecordVersion;
-  const bool storeWentBack =
-    control.mRecord && (control.mForgottenSince ||
-                        EraOf(aVersion) > EraOf(control.mRecordVersion));
-  if (newer) {
-    control.mRecordVersion = aVersion;
-    control.mStoredVersion = aVersion;
-    if (storeWentBack && IsLater(*control.mRecord, aRecord)) {
-      NoteForgotten(control, aNow);
-      return;
-    }
-    control.mForgottenSince.reset();
-  } else if (control.mRecord && aRecord.mTerm > control.mRecord->mTerm) {
-    // Another instance knows a change that the store has forgotten.
-    NoteForgotten(control, aNow);
-  } else {
-    return;
-  }
-  const bool primaryChanged =
-    control.mRecord && control.mRecord->mPrimary != aRecord.mPrimary;
-  control.mRecord = aRecord;
-  if (primaryChanged) {
-    control.mMonitor.Reset(aNow);
-  }
-  Log(log_level::Info,
-      "primary",
-      "primary recorded",
-      { { "service", aRecord.mService },
-        { "primary", aRecord.mPrimary },
-        { "term", static_cast<std::int64_t>(aRecord.mTerm) },
-        { "phase", NameOf(kPrimaryPhaseNames, aRecord.mPhase) },
-        { "revision", static_cast<std::int64_t>(aVersion) } });
-  PublishPrimary(aRecord.mService, aNow);
-}
-
 void
 session_controller::NoteForgotten(service_control& aControl, time_point aNow)
 {
