--- a/tests/integration/session_store_return_test.cpp
+++ b/tests/integration/session_store_return_test.cpp
@@ -141,9 +141,10 @@
 // the last claim, and an instance that starts makes it again.
 TEST_F(SessionStoreReturnTest, NoFenceNumberIsUsedTwice)
 {
+  // The first claim is made some time after the start.
   Start("i1");
-  Start("i2");
   ASSERT_TRUE(WaitFor([&] { return mPlatform.DutyHolder() == "i1"; }));
+  Start("i2");
   TakeCopy();
   mFleet.At("i1").Kill();
   ASSERT_TRUE(
