--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -317,8 +317,9 @@
 
   void Register(time_point aNow);
   bool IsRegistered() const;
-  // Lets the duty holder register an instance again that was marked as gone but
-  // goes on asking for confirmations, as the store may refuse its own calls.
+  // Lets the duty holder register an instance again that was marked as gone, or
+  // whose record the store has forgotten, but that goes on asking for
+  // confirmations, as the store may refuse its own calls.
   void RegisterAgain(const confirmation_request& aRequest, time_point aNow);
   // Reads the fleet records, the desired state and the servers if a read is
   // due: regularly on the duty holder, which confirms the records and reports
@@ -460,7 +461,7 @@
   // When the process went on after its last suspension. What was confirmed as
   // of an earlier time may be older than it seems.
   time_point mSuspendedUntil = time_point::min();
-  // Since when instances that were marked as gone have been asking for
+  // Since when instances that RegisterAgain() is about have been asking for
   // confirmations, by name.
   std::map<std::string, time_point> mGoneAskingSince;
   bool mRegistering = false;
--- a/src/connection/listener.cpp
+++ b/src/connection/listener.cpp
@@ -22,7 +22,7 @@
 // The caller's system regards a connection that the full queue held back as
 // established. It is accepted when the handshake is repeated, after a second,
 // or the caller's first request, sooner.
-constexpr milliseconds kHandshakeRepeatTime{ 1200 };
+constexpr milliseconds kHandshakeRepeatTime{ 1'200 };
 // Without free descriptors the socket stays readable; a pause prevents the loop
 // from spinning.
 constexpr milliseconds kPauseAfterFailure{ 100 };
--- a/tests/platform/store_dialect_test.cpp
+++ b/tests/platform/store_dialect_test.cpp
@@ -79,7 +79,6 @@
   EXPECT_TRUE(reply.mObjects[0].mDeleted);
 }
 
-// A put whose effect is unknown must not be taken as refused.
 http_response
 ResponseOfEra(std::uint64_t aEra, int aStatus, std::string aBody)
 {
@@ -143,6 +142,25 @@
             store_status::HistoryGone);
 }
 
+// It would count as a revision of a later era.
+TEST(StoreDialectTest, RefusesANumberOutOfRange)
+{
+  const std::string list = R"({"items":[],"At":9000000000000000000})";
+  EXPECT_EQ(StoreDialect()
+              .mDecode(store_watch{ "k" }, ResponseOfEra(3, 200, list))
+              .mStatus,
+            store_status::Unknown);
+}
+
+// The status alone says that the put had no effect.
+TEST(StoreDialectTest, ReadsAConflictWithoutAReadableObject)
+{
+  const store_put put{ { "k", "duty" }, "{}", MakeRevision(2, 411) };
+  EXPECT_EQ(StoreDialect().mDecode(put, ResponseOfEra(2, 409, "{}")).mStatus,
+            store_status::Conflict);
+}
+
+// A put whose effect is unknown must not be taken as refused.
 TEST(StoreDialectTest, DistinguishesRefusedFromUnknown)
 {
   const store_dialect dialect = StoreDialect();
