--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -421,6 +421,8 @@
                                    minPosition,
                                    *TranslateStatement(aSession.mContext,
                                                        pending.mStatement) };
+  const auto* execute = std::get_if<execute_statement>(&command.mStatement);
+  pending.mPreparedName = execute == nullptr ? std::string() : execute->mName;
   SendCommands(aConnection, { command }, expected_reply_kind::Statement, aNow);
 }
 
--- a/src/session/engine_setup.cpp
+++ b/src/session/engine_setup.cpp
@@ -41,6 +41,7 @@
               ? session->mPending->mRequestId
               : std::string("-") },
           { "server", aConnection.mServer },
+          { "connection", static_cast<std::int64_t>(aConnection.mId) },
           { "code", aReply.mErrorCode } });
   }
   // Further setup commands or the begin of a transaction were sent with it.
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -55,6 +55,9 @@
   wait_group mGroup;
   time_point mSentAt;
   server_connection_id mConnection = 0;
+  // Name by which the last attempt executed a prepared statement on its
+  // connection; empty for other statements.
+  std::string mPreparedName;
   // Number of attempts. Refusals because a server lacks the required position
   // are not counted.
   int mAttempts = 0;
