Reproduce statements that run with text of another client's shape

The stand-in of the backend servers reads each field to its end now, knows prepared statements, and keeps what it ran for callers. Before, PARSE and CLOSE had no effect there and a session value ended at its first blank, so that no test could see the fault.

--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -1,5 +1,6 @@
 // The session front end as real processes in front of a stand-in of the
 // platform.
+#include "integration/session_front_fixture.h"
 #include "standins/platform_standin.h"
 #include "standins/process_fleet.h"
 #include "standins/session_caller.h"
@@ -22,30 +23,6 @@
 // Ample for a process to take a signal and to read its settings.
 constexpr milliseconds kReloadTime{ 500 };
 
-class SessionFrontTest : public testing::Test
-{
-protected:
-  explicit SessionFrontTest(
-    int aMaxConnections = platform_standin::kMaxConnections)
-    : mPlatform(3, aMaxConnections)
-    , mFleet(SNIPEWALK_BINARY_DIR, testing::TempDir())
-  {
-  }
-
-  // Returns once the instance is ready.
-  session_fleet::ports Start(const std::string& aName)
-  {
-    const std::string platform = mPlatform.StoreAddress();
-    const auto started = mFleet.Configure(aName, platform, platform);
-    EXPECT_TRUE(mFleet.Start(aName).ok());
-    EXPECT_TRUE(WaitFor([&] { return mFleet.IsReady(aName); }));
-    return started;
-  }
-
-  platform_standin mPlatform;
-  session_fleet mFleet;
-};
-
 // Three instances in front of servers with connections for two: two instances
 // host the service and the third forwards its sessions to them.
 class SessionForwardingTest : public SessionFrontTest
--- /dev/null
+++ b/tests/integration/session_text_test.cpp
@@ -0,0 +1,163 @@
+// Texts of callers that look like parts of the protocol, with instances as real
+// processes: servers run what was sent, with the shapes and values of its
+// sender.
+#include "integration/session_front_fixture.h"
+#include "standins/odd_texts.h"
+#include "standins/sent_statements.h"
+#include "standins/session_caller.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace snipewalk::standins {
+namespace {
+
+constexpr milliseconds kAnswerTimeout{ 8'000 };
+
+// A session whose statements are recorded as they are sent.
+class recorded_session
+{
+public:
+  recorded_session(std::uint16_t aPort,
+                   std::string aName,
+                   sent_statements& aSent)
+    : mCaller(aPort, kAnswerTimeout, std::move(aName))
+    , mSent(aSent)
+  {
+    EXPECT_TRUE(mCaller.Start("main").mError.empty());
+  }
+
+  session_answer Query(const std::string& aText)
+  {
+    mSent.Add(mCaller.NextId(), aText, mSetup);
+    return mCaller.Query(aText);
+  }
+
+  void Prepare(const std::string& aName, const std::string& aShape)
+  {
+    EXPECT_TRUE(Query(absl::StrCat("PARSE ", aName, " ", aShape)).mCompleted);
+    mSetup.mPrepared[aName] = aShape;
+  }
+
+  void Set(const std::string& aName, const std::string& aValue)
+  {
+    EXPECT_TRUE(Query(absl::StrCat("SET ", aName, " ", aValue)).mCompleted);
+    mSetup.mValues[aName] = aValue;
+  }
+
+private:
+  session_caller mCaller;
+  sent_statements& mSent;
+  session_setup mSetup;
+};
+
+class SessionTextTest : public SessionFrontTest
+{
+protected:
+  // Three instances share the two connections to each server that are left
+  // besides those for control, so that sessions are forwarded.
+  static constexpr int kTwoStatementConnections = 4;
+
+  SessionTextTest()
+    : SessionFrontTest(kTwoStatementConnections)
+  {
+  }
+
+  // What servers ran otherwise than it was sent; empty if there is nothing.
+  std::string Faults()
+  {
+    std::vector<std::string> faults;
+    mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+      faults = mSent.Compare(aServers.Executed());
+    });
+    return absl::StrJoin(faults, "\n");
+  }
+
+  sent_statements mSent;
+};
+
+// Guards against a statement whose shape is replaced by that of another client:
+// "q1 READ my" made the instance prepare "my READ q1 READ my" under the name of
+// "q1".
+TEST_F(SessionTextTest, RunsThePreparedShapeBesideAShapeWithBlanks)
+{
+  const auto one = Start("i1");
+  recorded_session plain(one.mCallers, "p", mSent);
+  recorded_session odd(one.mCallers, "o", mSent);
+  plain.Prepare("s1", "READ q1");
+  odd.Prepare("s1", "READ q1 READ my");
+  EXPECT_TRUE(plain.Query("EXECUTE s1 7").mCompleted);
+  EXPECT_TRUE(odd.Query("EXECUTE s1 7").mCompleted);
+  EXPECT_TRUE(plain.Query("EXECUTE s1 7").mCompleted);
+  EXPECT_EQ(Faults(), "");
+}
+
+// Guards against an execution that gets words of its shape as item and data.
+TEST_F(SessionTextTest, WritesTheItemThatWasSentThoughTheShapeContainsBlanks)
+{
+  const auto one = Start("i1");
+  recorded_session plain(one.mCallers, "p", mSent);
+  recorded_session odd(one.mCallers, "o", mSent);
+  plain.Prepare("s1", "WRITE q1");
+  EXPECT_TRUE(plain.Query("EXECUTE s1 k v1").mCompleted);
+  odd.Prepare("s1", "WRITE q1 READ other");
+  EXPECT_TRUE(odd.Query("EXECUTE s1 k v2").mCompleted);
+  EXPECT_EQ(Faults(), "");
+  EXPECT_EQ(mPlatform.Items(),
+            (std::map<std::string, std::string>{ { "k", "v2" } }));
+}
+
+// Guards against any text of a caller that ends a field of a line early.
+TEST_F(SessionTextTest, RunsOddTextsAsTheyWereSent)
+{
+  constexpr std::size_t kOperations = 600;
+  std::vector<recorded_session> sessions;
+  for (const std::string name : { "i1", "i2", "i3" }) {
+    Start(name);
+  }
+  for (const std::string name : { "i1", "i2", "i3", "i1", "i2", "i3" }) {
+    sessions.emplace_back(mFleet.Ports(name).mCallers,
+                          absl::StrCat("c", sessions.size(), "."),
+                          mSent);
+  }
+  odd_texts texts(45);
+  std::map<std::string, std::string> items;
+  for (std::size_t i = 0; i < kOperations; ++i) {
+    recorded_session& session = sessions[texts.Below(sessions.size())];
+    const std::string item = texts.Word();
+    const std::string data = texts.Text();
+    switch (texts.Below(6)) {
+      case 0:
+        session.Set(texts.Word(), data);
+        break;
+      case 1:
+        EXPECT_TRUE(session.Query("WRITE " + item + " " + data).mCompleted);
+        items[item] = data;
+        break;
+      case 2:
+        session.Prepare("w", "WRITE " + texts.Text());
+        EXPECT_TRUE(session.Query("EXECUTE w " + item + " " + data).mCompleted);
+        items[item] = data;
+        break;
+      case 3:
+        session.Prepare("r", "READ " + texts.Text());
+        EXPECT_EQ(session.Query("EXECUTE r " + item).mRow,
+                  items.contains(item) ? items[item] : "none");
+        break;
+      default:
+        EXPECT_EQ(session.Query("READ " + item).mRow,
+                  items.contains(item) ? items[item] : "none");
+        break;
+    }
+  }
+  EXPECT_EQ(Faults(), "");
+  EXPECT_EQ(mPlatform.Items(), items);
+}
+
+} // namespace
+} // namespace snipewalk::standins
--- a/tests/standins/line_server_commands.cpp
+++ b/tests/standins/line_server_commands.cpp
@@ -2,6 +2,7 @@
 // commands, and their answers.
 #include "standins/line_server_group.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/string_view.h>
@@ -19,6 +20,19 @@
 // Items with this prefix stand for session values of the connection.
 constexpr absl::string_view kSessionValuePrefix = "session.";
 
+// Id of the statements that an instance issues on its own behalf.
+constexpr absl::string_view kNoRequestId = "-";
+
+// Removes and returns the text up to the next blank; the rest follows it.
+std::string
+TakeWord(std::string& aText)
+{
+  const std::size_t end = aText.find(' ');
+  std::string word = aText.substr(0, end);
+  aText.erase(0, end == std::string::npos ? end : end + 1);
+  return word;
+}
+
 // "TERM.NUMBER" as a pair that compares like a position.
 std::pair<std::uint64_t, std::uint64_t>
 ParsePosition(const std::string& aText)
@@ -100,7 +114,7 @@
     aConnection.mStream->Close();
     return;
   }
-  const std::string answer = Execute(aServer, aConnection, parts[2]);
+  const std::string answer = Execute(aServer, aConnection, parts[1], parts[2]);
   const auto draw = static_cast<int>(++mRequests * kSpread % 100);
   if (draw < aServer.mLostAnswers) {
     aConnection.mStream->Close();
@@ -125,19 +139,20 @@
 std::string
 line_server_group::Execute(server& aServer,
                            connection& aConnection,
-                           const std::string& aText)
+                           const std::string& aRequestId,
+                           std::string aText)
 {
-  std::vector<std::string> words = absl::StrSplit(aText, ' ');
-  if (words[0] == "AFTERLSN") {
-    if (ParsePosition(Applied(aServer)) < ParsePosition(words[1])) {
-      return absl::StrCat("ERROR LAGGING ", aServer.mId, "\r\n");
+  if (absl::StartsWith(aText, "AFTERLSN ")) {
+    TakeWord(aText);
+    if (ParsePosition(Applied(aServer)) < ParsePosition(TakeWord(aText))) {
+      return Refusal(aServer, "LAGGING");
     }
-    words.erase(words.begin(), words.begin() + 2);
   }
-  const std::string& verb = words[0];
+  std::string rest = aText;
+  const std::string verb = TakeWord(rest);
   if (verb == "STATUS" || verb == "PAUSE" || verb == "RESUME" ||
       verb == "STEPDOWN") {
-    return ExecuteCommand(aServer, words);
+    return ExecuteCommand(aServer, verb, rest);
   }
   const bool ends = verb == "COMMIT" || verb == "ROLLBACK";
   if (DrawsFailure(aServer)) {
@@ -146,12 +161,19 @@
       aConnection.mInTransaction = false;
       aConnection.mWrites.clear();
     }
-    return absl::StrCat("ERROR FAILED ", aServer.mId, "\r\n");
+    return Refusal(aServer, "FAILED");
   }
   if (aConnection.mFailed && verb != "ROLLBACK" && verb != "DISCARD") {
-    return absl::StrCat("ERROR MALFORMED ", aServer.mId, "\r\n");
+    return Refusal(aServer, "MALFORMED");
   }
-  return ExecuteStatement(aServer, aConnection, words);
+  aConnection.mRunning = { aRequestId, aText, {}, aConnection.mValues };
+  return ExecuteStatement(aServer, aConnection, verb, std::move(rest));
+}
+
+std::string
+line_server_group::Refusal(const server& aServer, const char* aCode)
+{
+  return absl::StrCat("ERROR ", aCode, " ", aServer.mId, "\r\n");
 }
 
 bool
@@ -163,52 +185,98 @@
 std::string
 line_server_group::ExecuteStatement(server& aServer,
                                     connection& aConnection,
-                                    const std::vector<std::string>& aWords)
+                                    const std::string& aVerb,
+                                    std::string aRest)
 {
-  const std::string& verb = aWords[0];
-  if (verb == "BEGIN") {
-    if (aWords.size() == 1 && !aServer.mPrimary) {
-      return absl::StrCat("ERROR READONLY ", aServer.mId, "\r\n");
+  if (aVerb == "BEGIN") {
+    if (aRest.empty() && !aServer.mPrimary) {
+      return Refusal(aServer, "READONLY");
     }
     aConnection.mInTransaction = true;
     return "COMPLETE -\r\n";
   }
-  if (verb == "ROLLBACK" || verb == "DISCARD") {
+  if (aVerb == "ROLLBACK" || aVerb == "DISCARD") {
     aConnection.mInTransaction = false;
     aConnection.mFailed = false;
     aConnection.mWrites.clear();
-    if (verb == "DISCARD") {
+    if (aVerb == "DISCARD") {
       aConnection.mValues.clear();
+      aConnection.mPrepared.clear();
     }
     return "COMPLETE -\r\n";
   }
-  if (verb == "READ") {
-    return ExecuteRead(aServer, aConnection, aWords[1]);
+  if (aVerb == "READ") {
+    return ExecuteRead(aServer, aConnection, aRest);
+  }
+  if (aVerb == "WRITE") {
+    return ExecuteWrite(aServer, aConnection, std::move(aRest));
+  }
+  if (aVerb == "COMMIT") {
+    return ExecuteCommit(aServer, aConnection);
+  }
+  if (aVerb == "SET") {
+    const std::string name = TakeWord(aRest);
+    aConnection.mValues[name] = aRest;
+    return "COMPLETE -\r\n";
+  }
+  if (aVerb == "PARSE") {
+    return Prepare(aServer, aConnection, std::move(aRest));
+  }
+  if (aVerb == "EXECUTE") {
+    return ExecutePrepared(aServer, aConnection, std::move(aRest));
   }
-  if (verb == "WRITE" || verb == "COMMIT") {
-    return ExecuteWrite(aServer, aConnection, aWords);
+  if (aVerb == "CLOSE") {
+    aConnection.mPrepared.erase(aRest);
+    return "COMPLETE -\r\n";
   }
-  if (verb == "SET") {
-    aConnection.mValues[aWords[1]] = aWords[2];
+  return Refusal(aServer, "MALFORMED");
+}
+
+std::string
+line_server_group::Prepare(const server& aServer,
+                           connection& aConnection,
+                           std::string aRest)
+{
+  const std::string name = TakeWord(aRest);
+  const std::string access = TakeWord(aRest);
+  if (name.empty() || aRest.empty() ||
+      (access != "READ" && access != "WRITE")) {
+    return Refusal(aServer, "MALFORMED");
   }
-  // PARSE and CLOSE have no effect.
+  aConnection.mPrepared[name] = absl::StrCat(access, " ", aRest);
   return "COMPLETE -\r\n";
 }
 
+std::string
+line_server_group::ExecutePrepared(server& aServer,
+                                   connection& aConnection,
+                                   std::string aRest)
+{
+  const auto found = aConnection.mPrepared.find(TakeWord(aRest));
+  if (found == aConnection.mPrepared.end()) {
+    return Refusal(aServer, "NOSTMT");
+  }
+  aConnection.mRunning.mShape = found->second;
+  return absl::StartsWith(found->second, "READ ")
+           ? ExecuteRead(aServer, aConnection, aRest)
+           : ExecuteWrite(aServer, aConnection, std::move(aRest));
+}
+
 std::string
 line_server_group::ExecuteCommand(server& aServer,
-                                  const std::vector<std::string>& aWords)
+                                  const std::string& aVerb,
+                                  const std::string& aTerm)
 {
-  if (aWords[0] == "PAUSE") {
-    const std::uint64_t term = std::stoull(aWords[1]);
+  if (aVerb == "PAUSE") {
+    const std::uint64_t term = std::stoull(aTerm);
     if (!aServer.mPrimary && term > aServer.mTerm) {
       aServer.mHeld = term;
     }
-  } else if (aWords[0] == "RESUME") {
+  } else if (aVerb == "RESUME") {
     aServer.mHeld = 0;
     CatchUp();
-  } else if (aWords[0] == "STEPDOWN") {
-    if (aServer.mPrimary && aServer.mTerm < std::stoull(aWords[1])) {
+  } else if (aVerb == "STEPDOWN") {
+    if (aServer.mPrimary && aServer.mTerm < std::stoull(aTerm)) {
       aServer.mPrimary = false;
       Publish(aServer);
     }
@@ -216,11 +284,20 @@
   return StatusRow(aServer);
 }
 
+void
+line_server_group::RecordRunning(const connection& aConnection)
+{
+  if (aConnection.mRunning.mRequestId != kNoRequestId) {
+    mExecuted.push_back(aConnection.mRunning);
+  }
+}
+
 std::string
 line_server_group::ExecuteRead(const server& aServer,
                                const connection& aConnection,
-                               const std::string& aItem) const
+                               const std::string& aItem)
 {
+  RecordRunning(aConnection);
   absl::string_view name = aItem;
   const bool session = absl::ConsumePrefix(&name, kSessionValuePrefix);
   const item_map& first = session ? aConnection.mValues : aConnection.mWrites;
@@ -232,23 +309,43 @@
   return absl::StrCat("DATAROW ", value, "\r\n", Signature(aServer));
 }
 
+std::string
+line_server_group::RefuseAsReplica(const server& aServer,
+                                   connection& aConnection)
+{
+  aConnection.mInTransaction = false;
+  aConnection.mWrites.clear();
+  return Refusal(aServer, "READONLY");
+}
+
 std::string
 line_server_group::ExecuteWrite(server& aServer,
                                 connection& aConnection,
-                                const std::vector<std::string>& aWords)
+                                std::string aRest)
 {
-  const bool readOnly = aWords[0] == "COMMIT" && aConnection.mWrites.empty();
-  if (!aServer.mPrimary && !readOnly) {
-    aConnection.mInTransaction = false;
-    aConnection.mWrites.clear();
-    return absl::StrCat("ERROR READONLY ", aServer.mId, "\r\n");
+  if (!aServer.mPrimary) {
+    return RefuseAsReplica(aServer, aConnection);
   }
-  if (aWords[0] == "WRITE") {
-    aConnection.mWrites[aWords[1]] = aWords[2];
-    if (aConnection.mInTransaction) {
-      return Signature(aServer);
-    }
+  RecordRunning(aConnection);
+  const std::string item = TakeWord(aRest);
+  aConnection.mWrites[item] = aRest;
+  return aConnection.mInTransaction ? Signature(aServer)
+                                    : CommitWrites(aServer, aConnection);
+}
+
+std::string
+line_server_group::ExecuteCommit(server& aServer, connection& aConnection)
+{
+  if (!aServer.mPrimary && !aConnection.mWrites.empty()) {
+    return RefuseAsReplica(aServer, aConnection);
   }
+  RecordRunning(aConnection);
+  return CommitWrites(aServer, aConnection);
+}
+
+std::string
+line_server_group::CommitWrites(server& aServer, connection& aConnection)
+{
   const item_map writes = std::exchange(aConnection.mWrites, {});
   aConnection.mInTransaction = false;
   if (!writes.empty()) {
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -27,6 +27,19 @@
 public:
   using item_map = std::map<std::string, std::string>;
 
+  // A caller's statement as a server ran it.
+  struct executed_statement
+  {
+    std::string mRequestId;
+    // As received, without the position that the instance requires.
+    std::string mText;
+    // Access kind and shape of the prepared statement that it executed; empty
+    // for other statements.
+    std::string mShape;
+    // Session values of its connection.
+    item_map mValues;
+  };
+
   struct handlers
   {
     // A server's entry changed; null when the entry lapsed.
@@ -80,6 +93,8 @@
   std::set<std::string> LoggedValues() const;
   // Position that a server's log has reached.
   std::string Position(const std::string& aId) { return Received(At(aId)); }
+  // Reads, writes and commits that any server ran for callers, in their order.
+  const std::vector<executed_statement>& Executed() const { return mExecuted; }
   // How often each value was committed on any server.
   const std::map<std::string, int>& Commits() const { return mCommits; }
 
@@ -105,6 +120,9 @@
     item_map mWrites;
     // Session values by name.
     item_map mValues;
+    // Access kind and shape of prepared statements by name.
+    item_map mPrepared;
+    executed_statement mRunning;
   };
 
   struct server
@@ -140,20 +158,37 @@
               const std::string& aLine);
   std::string Execute(server& aServer,
                       connection& aConnection,
-                      const std::string& aText);
+                      const std::string& aRequestId,
+                      std::string aText);
   std::string ExecuteCommand(server& aServer,
-                             const std::vector<std::string>& aWords);
+                             const std::string& aVerb,
+                             const std::string& aTerm);
+  // `aRest` is the text after the verb.
   std::string ExecuteStatement(server& aServer,
                                connection& aConnection,
-                               const std::vector<std::string>& aWords);
+                               const std::string& aVerb,
+                               std::string aRest);
+  static std::string Refusal(const server& aServer, const char* aCode);
+  static std::string RefuseAsReplica(const server& aServer,
+                                     connection& aConnection);
   // Whether the next request to the server fails.
   bool DrawsFailure(const server& aServer);
+  static std::string Prepare(const server& aServer,
+                             connection& aConnection,
+                             std::string aRest);
+  std::string ExecutePrepared(server& aServer,
+                              connection& aConnection,
+                              std::string aRest);
+  // Keeps the statement that the connection runs, if it is a caller's.
+  void RecordRunning(const connection& aConnection);
   std::string ExecuteRead(const server& aServer,
                           const connection& aConnection,
-                          const std::string& aItem) const;
+                          const std::string& aItem);
   std::string ExecuteWrite(server& aServer,
                            connection& aConnection,
-                           const std::vector<std::string>& aWords);
+                           std::string aRest);
+  std::string ExecuteCommit(server& aServer, connection& aConnection);
+  std::string CommitWrites(server& aServer, connection& aConnection);
   std::string StatusRow(const server& aServer) const;
   static std::string Received(const server& aServer);
   static std::string Applied(const server& aServer);
@@ -178,6 +213,7 @@
   handlers mHandlers;
   std::map<std::string, std::unique_ptr<server>> mServers;
   std::map<std::string, int> mCommits;
+  std::vector<executed_statement> mExecuted;
   int mStarted = 0;
   int mPromotions = 0;
   std::uint64_t mRequests = 0;
--- a/tests/standins/session_caller.cpp
+++ b/tests/standins/session_caller.cpp
@@ -6,8 +6,10 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 
 #include <array>
+#include <utility>
 #include <vector>
 
 namespace snipewalk::standins {
@@ -36,8 +38,9 @@
   for (const std::string& line : lines) {
     const std::vector<std::string> words =
       absl::StrSplit(line, absl::MaxSplits(' ', 2));
-    if (words[0] == "DATAROW" && words.size() > 1) {
-      answer.mRow = words[1];
+    absl::string_view row = line;
+    if (absl::ConsumePrefix(&row, "DATAROW ")) {
+      answer.mRow = std::string(row);
     } else if (words[0] == "ERROR" && words.size() > 1) {
       answer.mError = words[1];
     } else if (words[0] == "COMPLETE") {
@@ -50,8 +53,11 @@
 
 } // namespace
 
-session_caller::session_caller(std::uint16_t aPort, milliseconds aTimeout)
+session_caller::session_caller(std::uint16_t aPort,
+                               milliseconds aTimeout,
+                               std::string aIdPrefix)
   : mSocket(Poco::Net::SocketAddress("127.0.0.1", aPort))
+  , mIdPrefix(std::move(aIdPrefix))
 {
   mSocket.setReceiveTimeout(Poco::Timespan(aTimeout.count() * 1'000));
 }
@@ -65,7 +71,15 @@
 session_answer
 session_caller::Query(const std::string& aText)
 {
-  return Call(absl::StrCat("QUERY q", ++mRequests, " ", aText));
+  const std::string id = NextId();
+  ++mRequests;
+  return Call(absl::StrCat("QUERY ", id, " ", aText));
+}
+
+std::string
+session_caller::NextId() const
+{
+  return absl::StrCat(mIdPrefix, mRequests + 1);
 }
 
 session_answer
--- a/tests/standins/session_caller.h
+++ b/tests/standins/session_caller.h
@@ -29,18 +29,23 @@
 class session_caller
 {
 public:
-  // Throws Poco::Exception when nothing listens.
+  // Throws Poco::Exception when nothing listens. The ids of its requests begin
+  // with `aIdPrefix`.
   explicit session_caller(std::uint16_t aPort,
-                          milliseconds aTimeout = milliseconds(8'000));
+                          milliseconds aTimeout = milliseconds(8'000),
+                          std::string aIdPrefix = "q");
 
   session_answer Start(const std::string& aDatabase);
   session_answer Query(const std::string& aText);
+  // Id of the next Query().
+  std::string NextId() const;
   // Sends one line and reads until the answer ends, the connection does, or
   // nothing came for the time limit.
   session_answer Call(const std::string& aLine);
 
 private:
   Poco::Net::StreamSocket mSocket;
+  std::string mIdPrefix;
   int mRequests = 0;
 };
 
