Name prepared statements on server connections without text of callers

Cause: the name of a prepared statement on a connection was composed of its access kind and its shape. A shape is the last field of its line and may contain blanks; a name is followed by other fields and may not. So the shape "q1 READ my" made the instance send PARSE r_q1 READ my READ q1 READ my, which gives "q1" another shape for all sessions on the connection, and an execution carried the rest of the name as its item.

Fix: a connection numbers its prepared statements (s1, s2) and keeps which access kind and shape each number stands for. A name therefore has no byte of a caller, whatever a shape contains, and two shapes cannot get one name. A number is not given again on a connection, as the server may still have a statement that the instance has forgotten.

--- a/include/snipewalk/session/connection_context.h
+++ b/include/snipewalk/session/connection_context.h
@@ -6,9 +6,9 @@
 
 #include "snipewalk/session/session_messages.h"
 
+#include <compare>
+#include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -22,25 +22,40 @@
   std::map<std::string, prepare_statement> mPrepared;
 };
 
+// What a prepared statement executes.
+struct prepared_shape
+{
+  access_kind mAccess = access_kind::Read;
+  std::string mShape;
+
+  auto operator<=>(const prepared_shape&) const = default;
+};
+
 // Session values and prepared statements present on a connection once all
 // commands sent on it have succeeded.
 struct connection_context
 {
   std::map<std::string, std::string> mValues;
-  // Shared names, see SharedStatementName().
-  std::set<std::string> mPrepared;
+  // Names of the prepared statements on the connection. Callers that prepare
+  // the same statement share it. A name contains no text of a caller, which
+  // could contain blanks and so end the name early.
+  std::map<prepared_shape, std::string> mPrepared;
+  // Number of names given on the connection. A name is never given twice: the
+  // server may still have a statement that is no longer in mPrepared.
+  std::uint64_t mNamesGiven = 0;
 };
 
-// Returns the name of a prepared statement on server connections. It depends on
-// access kind and shape only, so that callers with the same statement share it
-// and names chosen by different callers never collide.
-std::string
-SharedStatementName(const prepare_statement& aPrepare);
+// Returns whether the statement executes a name that the session has not
+// prepared.
+bool
+ExecutesUnknownName(const session_context& aSession,
+                    const session_statement& aStatement);
 
-// Returns the statement with the caller's prepared name replaced by the shared
-// one, or std::nullopt if the session has not prepared that name.
-std::optional<session_statement>
+// Returns the statement as it is sent on a connection that PlanSetup() has set
+// up for it: with the connection's name of a prepared statement.
+session_statement
 TranslateStatement(const session_context& aSession,
+                   const connection_context& aConnection,
                    const session_statement& aStatement);
 
 // Appends the commands that apply the session's values to the connection and
--- a/src/session/connection_context.cpp
+++ b/src/session/connection_context.cpp
@@ -1,6 +1,8 @@
 // Implementation of session contexts and connection contexts.
 #include "snipewalk/session/connection_context.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 
 namespace snipewalk {
@@ -24,6 +26,12 @@
   return found == aSession.mPrepared.end() ? nullptr : &found->second;
 }
 
+prepared_shape
+ShapeOf(const prepare_statement& aPrepare)
+{
+  return { aPrepare.mAccess, aPrepare.mShape };
+}
+
 bool
 HasExtraValues(const session_context& aSession,
                const connection_context& aConnection)
@@ -37,27 +45,27 @@
 
 } // namespace
 
-std::string
-SharedStatementName(const prepare_statement& aPrepare)
+bool
+ExecutesUnknownName(const session_context& aSession,
+                    const session_statement& aStatement)
 {
-  return (aPrepare.mAccess == access_kind::Read ? "r_" : "w_") +
-         aPrepare.mShape;
+  return std::holds_alternative<execute_statement>(aStatement) &&
+         FindPrepared(aSession, aStatement) == nullptr;
 }
 
-std::optional<session_statement>
+session_statement
 TranslateStatement(const session_context& aSession,
+                   const connection_context& aConnection,
                    const session_statement& aStatement)
 {
-  const auto* execute = std::get_if<execute_statement>(&aStatement);
-  if (execute == nullptr) {
-    return aStatement;
-  }
   const prepare_statement* prepared = FindPrepared(aSession, aStatement);
   if (prepared == nullptr) {
-    return std::nullopt;
+    return aStatement;
   }
-  return execute_statement{ SharedStatementName(*prepared),
-                            execute->mArguments };
+  return execute_statement{
+    aConnection.mPrepared.at(ShapeOf(*prepared)),
+    std::get<execute_statement>(aStatement).mArguments
+  };
 }
 
 void
@@ -71,7 +79,8 @@
                      aConnection.mPrepared.size() >= kMaxPreparedStatements;
   if (reset && !aInTransaction) {
     aCommands.emplace_back(reset_command{});
-    aConnection = {};
+    aConnection.mValues.clear();
+    aConnection.mPrepared.clear();
   }
   for (const auto& [name, value] : aSession.mValues) {
     auto& current = aConnection.mValues[name];
@@ -82,12 +91,18 @@
     }
   }
   const prepare_statement* prepared = FindPrepared(aSession, aStatement);
-  if (prepared != nullptr) {
-    prepare_statement shared = *prepared;
-    shared.mName = SharedStatementName(*prepared);
-    if (aConnection.mPrepared.insert(shared.mName).second) {
-      aCommands.emplace_back(statement_command{ "", {}, std::move(shared) });
-    }
+  if (prepared == nullptr) {
+    return;
+  }
+  const auto [entry, added] =
+    aConnection.mPrepared.try_emplace(ShapeOf(*prepared));
+  if (added) {
+    entry->second = absl::StrCat("s", ++aConnection.mNamesGiven);
+    aCommands.emplace_back(statement_command{
+      "",
+      {},
+      prepare_statement{
+        entry->second, prepared->mAccess, prepared->mShape } });
   }
 }
 
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -153,7 +153,7 @@
     return true;
   }
   if (std::holds_alternative<unknown_statement>(aStatement) ||
-      !TranslateStatement(aSession.mContext, aStatement)) {
+      ExecutesUnknownName(aSession.mContext, aStatement)) {
     AnswerError(aSession, result_code::Malformed, "unknown statement");
     return true;
   }
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -419,8 +419,9 @@
   pending.mSentAt = aNow;
   const statement_command command{ pending.mRequestId,
                                    minPosition,
-                                   *TranslateStatement(aSession.mContext,
-                                                       pending.mStatement) };
+                                   TranslateStatement(aSession.mContext,
+                                                      aConnection.mContext,
+                                                      pending.mStatement) };
   const auto* execute = std::get_if<execute_statement>(&command.mStatement);
   pending.mPreparedName = execute == nullptr ? std::string() : execute->mName;
   SendCommands(aConnection, { command }, expected_reply_kind::Statement, aNow);
