--- a/tests/platform/line_protocol_test.cpp
+++ b/tests/platform/line_protocol_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the platform's line protocol.
 #include "platform/line_protocol.h"
+#include "standins/odd_texts.h"
 
 #include <gtest/gtest.h>
 
@@ -71,6 +72,72 @@
   }
 }
 
+std::string
+Compose(const statement_message& aMessage)
+{
+  return line_protocol().WriteCommand(
+    statement_command{ aMessage.mRequestId, {}, aMessage.mStatement });
+}
+
+// Guards against statements that run with another text than was sent: a blank
+// more or less, or the id of the instance's own statements.
+TEST(LineProtocolTest, TakesNoStatementThatItWouldChange)
+{
+  for (const std::string text : { "COMMIT ",
+                                  "ROLLBACK ",
+                                  "BEGIN ",
+                                  "BEGIN READ ",
+                                  "READ",
+                                  "READ ",
+                                  "WRITE k",
+                                  "WRITE  v",
+                                  "EXECUTE s1",
+                                  "EXECUTE  7",
+                                  "SET n",
+                                  "SET  v",
+                                  "PARSE s1 R",
+                                  "PARSE s1 READ",
+                                  "PARSE  READ q",
+                                  "CLOSE",
+                                  "CLOSE " }) {
+    std::string buffer = "QUERY 5c0e " + text + "\r\n";
+    const auto message = ReadOne(buffer);
+    ASSERT_TRUE(message);
+    EXPECT_TRUE(std::holds_alternative<unknown_statement>(
+      std::get<statement_message>(*message).mStatement))
+      << text;
+  }
+  std::string withoutId = "QUERY  READ k\r\n";
+  const auto message = ReadOne(withoutId);
+  ASSERT_TRUE(message);
+  EXPECT_TRUE(std::holds_alternative<unknown_statement>(
+    std::get<statement_message>(*message).mStatement));
+}
+
+// The same for texts of which nobody has thought.
+TEST(LineProtocolTest, ComposesWhatItHasRead)
+{
+  constexpr int kMessages = 100'000;
+  const std::vector<std::string> verbs{ "READ",    "WRITE", "SET",   "PARSE",
+                                        "EXECUTE", "CLOSE", "BEGIN", "COMMIT" };
+  standins::odd_texts texts(46);
+  int known = 0;
+  for (int i = 0; i < kMessages; ++i) {
+    std::string buffer = "QUERY " + texts.Word() + " " +
+                         verbs[texts.Below(verbs.size())] + " " + texts.Text() +
+                         "\r\n";
+    const std::string sent = buffer;
+    const auto message = ReadOne(buffer);
+    ASSERT_TRUE(message);
+    const auto& statement = std::get<statement_message>(*message);
+    if (!std::holds_alternative<unknown_statement>(statement.mStatement)) {
+      ++known;
+      ASSERT_EQ(Compose(statement), sent);
+    }
+  }
+  EXPECT_GT(known, kMessages / 4);
+}
+
 TEST(LineProtocolTest, WritesAPositionBeforeTheStatement)
 {
   EXPECT_EQ(line_protocol().WriteCommand(statement_command{
