Set empty session values on connections

A caller that set a value to the empty text got an answer, and its statements ran without the value (PINNED): on a connection that lacks the value, the empty one looked like the one that is there.

Measured: SessionTextTest.SetsAnEmptyValue, with real processes, and ConnectionContextTest.SetsAnEmptyValue failed before and pass.

--- a/src/session/connection_context.cpp
+++ b/src/session/connection_context.cpp
@@ -83,9 +83,9 @@
     aConnection.mPrepared.clear();
   }
   for (const auto& [name, value] : aSession.mValues) {
-    auto& current = aConnection.mValues[name];
-    if (current != value) {
-      current = value;
+    const auto current = aConnection.mValues.find(name);
+    if (current == aConnection.mValues.end() || current->second != value) {
+      aConnection.mValues[name] = value;
       aCommands.emplace_back(
         statement_command{ "", {}, set_statement{ name, value } });
     }
--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -112,6 +112,16 @@
             (std::map<std::string, std::string>{ { "k", "v2" } }));
 }
 
+// Guards against a value that was acknowledged to its caller and never set.
+TEST_F(SessionTextTest, SetsAnEmptyValue)
+{
+  const auto one = Start("i1");
+  recorded_session session(one.mCallers, "p", mSent);
+  session.Set("lang", "");
+  EXPECT_TRUE(session.Query("READ k").mCompleted);
+  EXPECT_EQ(Faults(), "");
+}
+
 // Guards against any text of a caller that ends a field of a line early.
 TEST_F(SessionTextTest, RunsOddTextsAsTheyWereSent)
 {
--- a/tests/session/connection_context_test.cpp
+++ b/tests/session/connection_context_test.cpp
@@ -36,6 +36,16 @@
   EXPECT_EQ(Plan(session, kRead, connection).size(), 1U);
 }
 
+// An empty value is not the same as none.
+TEST(ConnectionContextTest, SetsAnEmptyValue)
+{
+  session_context session;
+  session.mValues["lang"] = "";
+  connection_context connection;
+  EXPECT_EQ(Plan(session, kRead, connection).size(), 1U);
+  EXPECT_TRUE(Plan(session, kRead, connection).empty());
+}
+
 // A session must not see a value set by another session.
 TEST(ConnectionContextTest, ResetsValuesThatTheSessionHasNotSet)
 {
