--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -25,11 +25,12 @@
 public:
   recorded_session(std::uint16_t aPort,
                    std::string aName,
-                   sent_statements& aSent)
+                   sent_statements& aSent,
+                   const std::string& aDatabase = "main")
     : mCaller(aPort, kAnswerTimeout, std::move(aName))
     , mSent(aSent)
   {
-    EXPECT_TRUE(mCaller.Start("main").mError.empty());
+    EXPECT_TRUE(mCaller.Start(aDatabase).mError.empty());
   }
 
   session_answer Query(const std::string& aText)
@@ -122,6 +123,23 @@
   EXPECT_EQ(Faults(), "");
 }
 
+// Guards against work that an entry of another writer brings to a server: the
+// id of a server stands in the opening of each connection to it.
+TEST_F(SessionTextTest, OpensNoConnectionToAServerWhoseIdEndsTheLine)
+{
+  constexpr int kReads = 50;
+  const auto one = Start("i1");
+  mPlatform.Change([&](line_server_group&, platform_store& aStore) {
+    aStore.Write(
+      "servers", "s9\r\nQUERY x WRITE k v", aStore.Spec("servers", "s1"));
+  });
+  recorded_session session(one.mCallers, "p", mSent, "own");
+  for (int i = 0; i < kReads; ++i) {
+    EXPECT_TRUE(session.Query("READ k").mCompleted);
+  }
+  EXPECT_EQ(Faults(), "");
+}
+
 // Guards against any text of a caller that ends a field of a line early.
 TEST_F(SessionTextTest, RunsOddTextsAsTheyWereSent)
 {
--- a/tests/platform/store_dialect_test.cpp
+++ b/tests/platform/store_dialect_test.cpp
@@ -3,6 +3,8 @@
 
 #include "snipewalk/messages/store_revision.h"
 
+#include "snipewalk/base/json_text.h"
+
 #include <gtest/gtest.h>
 
 namespace snipewalk::platform {
@@ -213,6 +215,26 @@
   }
 }
 
+// Guards against names that become several fields or lines of the opening of a
+// connection, or that no datagram can hold.
+TEST(ServerEntryTest, RefusesNamesThatAreNoWord)
+{
+  for (const std::string& bad : { std::string(),
+                                  std::string("i 1"),
+                                  std::string("i\r\nQUERY x WRITE k v"),
+                                  std::string("i\t1"),
+                                  std::string("i\0", 2),
+                                  std::string("i\x7f"),
+                                  std::string(257, 'i') }) {
+    EXPECT_FALSE(DecodeServerEntry(bad, kEntry).ok()) << bad;
+    Json::Value entry = *ParseJsonObject(kEntry);
+    entry["Service"] = bad;
+    EXPECT_FALSE(DecodeServerEntry("i-1", WriteJson(entry)).ok()) << bad;
+  }
+  EXPECT_TRUE(DecodeServerEntry(std::string(256, 'i'), kEntry).ok());
+  EXPECT_TRUE(DecodeServerEntry("i-\xc3\xa9", kEntry).ok());
+}
+
 TEST(DesiredStateTest, ReadsRoutesServicesAndLimits)
 {
   const auto state = DecodeDesiredState(
