Log statements whose texts are long or hold a zero byte

A text was also cut at a zero byte, so that two ids looked alike.

Fix: a text in a line has at most 512 bytes as written, and ends with three dots where it is cut; a zero byte is written as an escape.

--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -30,10 +30,42 @@
   return name;
 }
 
+// Limit of a quoted text in bytes, without its quotes. Texts may come from
+// callers, and a line must stay below bounded_appender::kAtomicBytes.
+constexpr std::size_t kMaxQuotedBytes = 512;
+// Stands for the rest of a text that is cut.
+constexpr std::string_view kCut = "...";
+
+// Text between the quotes of a JSON string.
+std::string
+EscapeJson(std::string_view aText)
+{
+  std::string escaped;
+  while (true) {
+    // The library takes the text up to its first zero byte.
+    const std::size_t end = aText.find('\0');
+    const std::string part(aText.substr(0, end));
+    const std::string quoted = Json::valueToQuotedString(part.c_str());
+    escaped.append(quoted, 1, quoted.size() - 2);
+    if (end == std::string_view::npos) {
+      return escaped;
+    }
+    escaped += "\\u0000";
+    aText.remove_prefix(end + 1);
+  }
+}
+
 std::string
 QuoteJson(std::string_view aText)
 {
-  return Json::valueToQuotedString(std::string(aText).c_str());
+  std::string_view kept = aText.substr(0, kMaxQuotedBytes);
+  std::string escaped = EscapeJson(kept);
+  while (escaped.size() > kMaxQuotedBytes) {
+    kept = kept.substr(0, kept.size() / 2);
+    escaped = EscapeJson(kept);
+  }
+  const bool cut = kept.size() < aText.size();
+  return "\"" + escaped + (cut ? std::string(kCut) : std::string()) + "\"";
 }
 
 log4cplus::LogLevel
--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -2,6 +2,7 @@
 // processes: servers run what was sent, with the shapes and values of its
 // sender.
 #include "integration/session_front_fixture.h"
+#include "snipewalk/base/json_text.h"
 #include "standins/odd_texts.h"
 #include "standins/sent_statements.h"
 #include "standins/session_caller.h"
@@ -140,6 +141,35 @@
   EXPECT_EQ(Faults(), "");
 }
 
+// Guards against statements that the log does not show because their id, or
+// that of their database, makes the line too long for it.
+TEST_F(SessionTextTest, LogsStatementsWithLongIds)
+{
+  const auto one = Start("i1");
+  session_caller unknown(one.mCallers);
+  EXPECT_EQ(unknown.Start(std::string(10'000, 'd')).mError, "NODATABASE");
+  session_caller session(one.mCallers);
+  session.Start("main");
+  const std::string id = "first" + std::string(10'000, '\x01');
+  EXPECT_TRUE(session.Call("QUERY " + id + " READ k").mCompleted);
+  EXPECT_TRUE(
+    session.Call("QUERY " + std::string("a\0b", 3) + " READ k").mCompleted);
+  std::string requests;
+  bool refused = false;
+  while (const auto line = mFleet.At("i1").ReadLine(milliseconds(1'000))) {
+    const auto event = ParseJsonObject(*line);
+    ASSERT_TRUE(event.ok()) << *line;
+    const std::string message = (*event)["message"].asString();
+    refused = refused || message == "session refused: unknown database";
+    if (message == "statement finished") {
+      const std::string request = (*event)["request"].asString();
+      requests += request.substr(0, request.find('\x01')) + ";";
+    }
+  }
+  EXPECT_TRUE(refused);
+  EXPECT_EQ(requests, "first;" + std::string("a\0b", 3) + ";");
+}
+
 // Guards against any text of a caller that ends a field of a line early.
 TEST_F(SessionTextTest, RunsOddTextsAsTheyWereSent)
 {
