Let the soak prepare statements of odd shapes and compare what ran

The soak could not see the incident: its callers prepared nothing, and its servers kept nothing of what they ran. Now each session sets an odd value, prepares a read and a write whose shapes contain words of the protocol, blanks and control characters, and executes them in half of its reads and writes. At the end each statement that a server ran must be one that was sent, with its text, prepared shape and session values.

--- a/tests/soak/promise_checks.cpp
+++ b/tests/soak/promise_checks.cpp
@@ -172,6 +172,23 @@
   }
 }
 
+void
+promise_checks::BeginStatement(const std::string& aRequestId,
+                               const std::string& aText,
+                               const standins::session_setup& aSetup)
+{
+  mSent.Add(aRequestId, aText, aSetup);
+}
+
+void
+promise_checks::CheckExecuted(
+  const std::vector<standins::line_server_group::executed_statement>& aExecuted)
+{
+  for (const auto& fault : mSent.Compare(aExecuted)) {
+    AddViolation(fault);
+  }
+}
+
 void
 promise_checks::AddViolation(const std::string& aWhat)
 {
--- a/tests/soak/promise_checks.h
+++ b/tests/soak/promise_checks.h
@@ -5,6 +5,7 @@
 #define SNIPEWALK_SOAK_PROMISE_CHECKS_H_
 
 #include "snipewalk/base/time.h"
+#include "standins/sent_statements.h"
 
 #include <cstdint>
 #include <map>
@@ -57,6 +58,15 @@
   // Checks that the values in the primary's log contain every acknowledged one,
   // also those that were overwritten since.
   void CheckLog(const std::set<std::string>& aValues);
+  // Records a statement before it is sent; its id must be unique.
+  void BeginStatement(const std::string& aRequestId,
+                      const std::string& aText,
+                      const standins::session_setup& aSetup);
+  // Checks that the servers ran nothing but what callers sent, each statement
+  // with its text, prepared shape and session values.
+  void CheckExecuted(
+    const std::vector<standins::line_server_group::executed_statement>&
+      aExecuted);
   void AddViolation(const std::string& aWhat);
 
   std::vector<std::string> Violations() const;
@@ -85,6 +95,8 @@
   std::map<std::string, key_history> mKeys;
   std::vector<std::string> mViolations;
   std::size_t mReads = 0;
+  // Thread-safe by itself.
+  standins::sent_statements mSent;
 };
 
 } // namespace snipewalk::soak
--- a/tests/soak/promise_checks_test.cpp
+++ b/tests/soak/promise_checks_test.cpp
@@ -90,5 +90,25 @@
   EXPECT_EQ(mChecks.Acknowledged("absent", mNow), 0U);
 }
 
+TEST_F(PromiseChecksTest, FindsWhatRanOtherwiseThanItWasSent)
+{
+  const standins::session_setup setup{ { { "lang", "mn" } },
+                                       { { "s1", "READ q1 READ my" } } };
+  mChecks.BeginStatement("c1", "EXECUTE s1 7", setup);
+  mChecks.CheckExecuted(
+    { { "c1", "EXECUTE s4 7", "READ q1 READ my", { { "lang", "mn" } } } });
+  EXPECT_THAT(mChecks.Violations(), IsEmpty());
+  mChecks.CheckExecuted(
+    { { "c1", "EXECUTE r_q1 READ my 7", "READ q1", { { "lang", "mn" } } },
+      { "c1", "EXECUTE s4 7", "READ q1", { { "lang", "mn" } } },
+      { "c1", "EXECUTE s4 7", "READ q1 READ my", {} },
+      { "c2", "READ 7", "", {} } });
+  EXPECT_THAT(mChecks.Violations(),
+              ElementsAre(HasSubstr("sent"),
+                          HasSubstr("prepared"),
+                          HasSubstr("other values"),
+                          HasSubstr("nobody sent")));
+}
+
 } // namespace
 } // namespace snipewalk::soak
--- a/tests/soak/session_soak.cpp
+++ b/tests/soak/session_soak.cpp
@@ -61,6 +61,7 @@
 constexpr int kFailedRequestPercent = 40;
 constexpr int kLostWritePercent = 30;
 constexpr int kFinalWrites = 20;
+constexpr milliseconds kFinalAnswerTimeout{ 8'000 };
 constexpr seconds kReadyTimeout{ 10 };
 
 // State of an instance's process as the platform sees it.
@@ -596,14 +597,14 @@
     for (const auto& one : mInstances) {
       int served = 0;
       try {
-        standins::session_caller session(one.mCallerPort);
+        standins::session_caller session(
+          one.mCallerPort, kFinalAnswerTimeout, "final." + one.mName + ".");
         session.Start("main");
         for (int i = 0; i < kFinalWrites; ++i) {
-          const std::string value = absl::StrCat("final.", one.mName, ".", i);
-          served +=
-            session.Query("WRITE final." + one.mName + " " + value).mCompleted
-              ? 1
-              : 0;
+          const std::string text =
+            absl::StrCat("WRITE final.", one.mName, " value.", one.mName, i);
+          mChecks.BeginStatement(session.NextId(), text, {});
+          served += session.Query(text).mCompleted ? 1 : 0;
         }
       } catch (const Poco::Exception& error) {
         LogEvent(absl::StrCat(one.mName, ": ", error.displayText()));
@@ -625,6 +626,7 @@
     mPlatform.Change([&](const line_server_group& aServers, platform_store&) {
       mChecks.CheckFinalState(aServers.Items(), aServers.Commits());
       mChecks.CheckLog(aServers.LoggedValues());
+      mChecks.CheckExecuted(aServers.Executed());
       result.mPromotions = aServers.Promotions();
     });
     mPlatform.ChangePromotions([&](standins::promotion_service& aService) {
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -1,6 +1,7 @@
 // Implementation of the callers of a soak run.
 #include "soak/soak_callers.h"
 
+#include "standins/odd_texts.h"
 #include "standins/session_caller.h"
 
 #include <Poco/Exception.h>
@@ -23,6 +24,9 @@
 constexpr milliseconds kOperationPause{ 4 };
 constexpr milliseconds kReconnectPause{ 50 };
 constexpr int kMaxSessionOperations = 60;
+// Names of the prepared statements of each session.
+constexpr const char* kPreparedRead = "s1";
+constexpr const char* kPreparedWrite = "s2";
 // Session value that a server returns where none was set.
 constexpr const char* kNoTenant = "none";
 // An instance may close an idle session while a request is being sent. The
@@ -59,6 +63,7 @@
     , mChecks(aChecks)
     , mNumber(aNumber)
     , mRandom(aOptions.mSeed * 1'000 + aNumber)
+    , mTexts(aOptions.mSeed * 1'000 + aNumber)
   {
     StartNewKey();
   }
@@ -70,14 +75,20 @@
     const std::uint16_t port = mOptions.mPorts[Draw(mOptions.mPorts.size())];
     const bool primary = Draw(2) == 0;
     try {
-      standins::session_caller session(port, kAnswerTimeout);
+      standins::session_caller session(
+        port,
+        kAnswerTimeout,
+        absl::StrCat("c", mNumber, ".", ++mSessions, "."));
+      mSetup = {};
       if (!session.Start(primary ? kPrimaryDatabase : kOwnWritesDatabase)
              .mError.empty()) {
         return false;
       }
       mOwnAcknowledged = 0;
       mOwnKey.clear();
-      bool open = SetTenant(session);
+      bool open = SetTenant(session) && SetOddValue(session) &&
+                  Prepare(session, kPreparedRead, "READ") &&
+                  Prepare(session, kPreparedWrite, "WRITE");
       for (int i = 0; open && i < kMaxSessionOperations && !aStopped; ++i) {
         open = RunOperation(session, primary);
         std::this_thread::sleep_for(kOperationPause);
@@ -102,6 +113,7 @@
   standins::session_answer SendRequest(standins::session_caller& aSession,
                                        const std::string& aText)
   {
+    mChecks.BeginStatement(aSession.NextId(), aText, mSetup);
     const time_point sent = Now();
     auto answer = aSession.Query(aText);
     if (mOptions.mRequireCompleteReplies && !answer.mWhole &&
@@ -131,10 +143,7 @@
   {
     const std::uint64_t number = mNextNumber++;
     mChecks.BeginWrite(mKey, number);
-    return RecordOutcome(
-      SendRequest(aSession,
-                  absl::StrCat("WRITE ", mKey, " ", ValueOf(mKey, number))),
-      number);
+    return RecordOutcome(SendRequest(aSession, WriteText(number)), number);
   }
 
   // Records the outcome of a write or commit. Returns false if the session was
@@ -162,8 +171,7 @@
     }
     const std::uint64_t number = mNextNumber++;
     mChecks.BeginWrite(mKey, number);
-    const auto written = SendRequest(
-      aSession, absl::StrCat("WRITE ", mKey, " ", ValueOf(mKey, number)));
+    const auto written = SendRequest(aSession, WriteText(number));
     const bool sound =
       written.mWhole && written.mCompleted && CheckTenant(aSession);
     const bool rollBack = Draw(4) == 0;
@@ -180,8 +188,52 @@
   bool SetTenant(standins::session_caller& aSession)
   {
     mTenant = Draw(2) == 0 ? absl::StrCat("c", mNumber) : kNoTenant;
-    return mTenant == kNoTenant ||
-           SendRequest(aSession, "SET tenant " + mTenant).mCompleted;
+    if (mTenant == kNoTenant) {
+      return true;
+    }
+    const bool set = SendRequest(aSession, "SET tenant " + mTenant).mCompleted;
+    mSetup.mValues["tenant"] = mTenant;
+    return set;
+  }
+
+  // Sets a value that other sessions have not set or set otherwise. Returns
+  // false if the session was lost.
+  bool SetOddValue(standins::session_caller& aSession)
+  {
+    const std::string name = mTexts.Word();
+    const std::string value = mTexts.Text();
+    const bool set =
+      SendRequest(aSession, absl::StrCat("SET ", name, " ", value)).mCompleted;
+    mSetup.mValues[name] = value;
+    return set;
+  }
+
+  // Prepares a statement under the name. Other sessions give the same name to
+  // other shapes, and some shapes contain those of others. Returns false if the
+  // session was lost.
+  bool Prepare(standins::session_caller& aSession,
+               const std::string& aName,
+               const std::string& aAccess)
+  {
+    const std::string shape = absl::StrCat(aAccess, " ", mTexts.Text());
+    const bool prepared =
+      SendRequest(aSession, absl::StrCat("PARSE ", aName, " ", shape))
+        .mCompleted;
+    mSetup.mPrepared[aName] = shape;
+    return prepared;
+  }
+
+  // The word of a statement, or the execution of a prepared one in its place.
+  std::string Verb(const std::string& aWord, const std::string& aPrepared)
+  {
+    return mTexts.Below(2) == 0 ? aWord + " "
+                                : absl::StrCat("EXECUTE ", aPrepared, " ");
+  }
+
+  std::string WriteText(std::uint64_t aNumber)
+  {
+    return absl::StrCat(
+      Verb("WRITE", kPreparedWrite), mKey, " ", ValueOf(mKey, aNumber));
   }
 
   // Checks the session value that a statement sees. Returns false if the
@@ -206,7 +258,8 @@
     if (own) {
       floor = std::max(floor, mOwnAcknowledged);
     }
-    const auto answer = SendRequest(aSession, "READ " + key);
+    const auto answer =
+      SendRequest(aSession, Verb("READ", kPreparedRead) + key);
     if (answer.mWhole && answer.mCompleted) {
       mChecks.CheckRead(
         key, floor, answer.mRow, aPrimary ? "primary" : "own writes");
@@ -218,6 +271,11 @@
   promise_checks& mChecks;
   std::size_t mNumber;
   std::mt19937_64 mRandom;
+  // Draws of its own, so that the operations do not depend on them.
+  standins::odd_texts mTexts;
+  std::size_t mSessions = 0;
+  // What the current session has set up.
+  standins::session_setup mSetup;
   std::string mKey;
   std::uint64_t mKeyCount = 0;
   std::uint64_t mNextNumber = 1;
