Divide long replies between the frames of forwarded sessions

A caller whose session another instance serves got an error for each read whose rows come to more than 1,040 KiB, and its session was closed: the reply was put into one frame, above the limit that the receiver accepts. On its own instance the same read succeeded.

Found by reading what the program composes. Fix: a reply goes in as many frames as it needs; the receiver joins their bytes until the reply is complete. A message of a caller always fits into one frame.

--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -186,8 +186,7 @@
   }
   caller& to = found->second;
   to.mStream->Send(to.mFromPeer
-                     ? EncodeForwardedMessage(
-                         { mLinks.DesiredRevision(), aBytes, std::nullopt })
+                     ? EncodeForwardedBytes(mLinks.DesiredRevision(), aBytes)
                      : aBytes);
 }
 
--- a/src/session/forwarded_messages.cpp
+++ b/src/session/forwarded_messages.cpp
@@ -48,6 +48,19 @@
   return frame;
 }
 
+std::string
+EncodeForwardedBytes(std::uint64_t aDesiredRevision, std::string_view aBytes)
+{
+  std::string frames;
+  do {
+    const std::string_view part = aBytes.substr(0, kFrameLimitBytes);
+    frames += EncodeForwardedMessage(
+      { aDesiredRevision, std::string(part), std::nullopt });
+    aBytes.remove_prefix(part.size());
+  } while (!aBytes.empty());
+  return frames;
+}
+
 absl::StatusOr<std::optional<forwarded_message>>
 PeekForwardedMessage(const std::string& aInput, std::size_t& aFrameBytes)
 {
--- a/src/session/session_forwarder.cpp
+++ b/src/session/session_forwarder.cpp
@@ -153,14 +153,17 @@
       return absl::OkStatus();
     }
     OnHostRevision(held, (*frame)->mDesiredRevision, aNow);
-    const std::string bytes = (*frame)->mBytes;
-    const auto reply = mProtocol.ReadReply((*frame)->mBytes, !held.mOpened);
+    held.mReply += (*frame)->mBytes;
+    std::string bytes = held.mReply;
+    const auto reply = mProtocol.ReadReply(held.mReply, !held.mOpened);
     if (!reply.ok()) {
       return reply.status();
     }
     if (!*reply) {
-      return absl::InvalidArgumentError("a frame without a complete reply");
+      // The rest of a long reply comes with the next frames.
+      continue;
     }
+    bytes.resize(bytes.size() - held.mReply.size());
     mCallers.SendToCaller(aSession, bytes);
     mAwaitingReply.erase(aSession);
     held.mOpened = true;
--- a/src/session/session_forwarder.h
+++ b/src/session/session_forwarder.h
@@ -87,6 +87,8 @@
     forwarded_session mState;
     open_session mOpen;
     time_point mOpeningSince;
+    // Received part of the reply that is not complete yet.
+    std::string mReply;
     // The host has accepted the session.
     bool mOpened = false;
   };
--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -287,6 +287,30 @@
   EXPECT_EQ(mPlatform.Items().at("k"), "v2");
 }
 
+// Guards against a reply that no frame between instances can hold: the host's
+// connection was closed and the statement could never be answered.
+TEST_F(SessionForwardingTest, ReturnsALongReplyToAForwardedSession)
+{
+  constexpr std::size_t kRows = 40;
+  caller session = OpenForwarded("main");
+  const auto answer = session.Query(absl::StrCat("READ rows.", kRows));
+  EXPECT_TRUE(answer.mCompleted);
+  EXPECT_GT(answer.mText.size(), kRows * line_server_group::kLongRowBytes);
+  EXPECT_TRUE(session.Query("WRITE k v1").mCompleted);
+}
+
+// The longest messages that the protocol allows, in both directions.
+TEST_F(SessionForwardingTest, ForwardsTheLongestMessage)
+{
+  constexpr std::size_t kMaxMessageBytes = 1024 * 1024;
+  caller session = OpenForwarded("main");
+  const std::string start =
+    absl::StrCat("QUERY ", session.NextId(), " WRITE k ");
+  const std::string data(kMaxMessageBytes - start.size(), 'd');
+  EXPECT_TRUE(session.Query("WRITE k " + data).mCompleted);
+  EXPECT_EQ(session.Query("READ k").mRow, data);
+}
+
 // The hosts are killed: the caller is told that the transaction is not kept,
 // and new sessions are served by the instance itself.
 TEST_F(SessionForwardingTest, OutlivesItsHosts)
--- a/tests/session/forwarded_messages_test.cpp
+++ b/tests/session/forwarded_messages_test.cpp
@@ -49,5 +49,22 @@
   EXPECT_FALSE(*message);
 }
 
+// Guards against a reply that no receiver accepts because of its length.
+TEST(ForwardedMessagesTest, DividesALongReply)
+{
+  const std::string reply(3 * 1024 * 1024, 'r');
+  std::string frames = EncodeForwardedBytes(7, reply);
+  std::string received;
+  while (!frames.empty()) {
+    std::size_t frameBytes = 0;
+    const auto message = PeekForwardedMessage(frames, frameBytes);
+    ASSERT_TRUE(message.ok() && *message);
+    EXPECT_EQ((*message)->mDesiredRevision, 7U);
+    received += (*message)->mBytes;
+    frames.erase(0, frameBytes);
+  }
+  EXPECT_EQ(received, reply);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/standins/line_server_commands.cpp
+++ b/tests/standins/line_server_commands.cpp
@@ -20,6 +20,8 @@
 // Items with this prefix stand for session values of the connection.
 constexpr absl::string_view kSessionValuePrefix = "session.";
 
+// Items with this prefix stand for a number of long rows.
+constexpr absl::string_view kRowsPrefix = "rows.";
 // Id of the statements that an instance issues on its own behalf.
 constexpr absl::string_view kNoRequestId = "-";
 
@@ -299,6 +301,14 @@
 {
   RecordRunning(aConnection);
   absl::string_view name = aItem;
+  if (absl::ConsumePrefix(&name, kRowsPrefix)) {
+    const std::string row(kLongRowBytes, 'r');
+    std::string rows;
+    for (int i = std::stoi(std::string(name)); i > 0; --i) {
+      absl::StrAppend(&rows, "DATAROW ", row, "\r\n");
+    }
+    return rows + Signature(aServer);
+  }
   const bool session = absl::ConsumePrefix(&name, kSessionValuePrefix);
   const item_map& first = session ? aConnection.mValues : aConnection.mWrites;
   const auto own = first.find(std::string(name));
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -1,7 +1,8 @@
 // Backend servers of one service that speak the platform's line protocol, on
 // one event loop. Replicas receive a commit at once and apply it after their
 // lag. A read of the item "session.NAME" returns the session value NAME of the
-// connection that it runs on, so that callers see whose values are in force.
+// connection that it runs on, so that callers see whose values are in force. A
+// read of "rows.COUNT" returns that many rows of kLongRowBytes.
 #ifndef SNIPEWALK_STANDINS_LINE_SERVER_GROUP_H_
 #define SNIPEWALK_STANDINS_LINE_SERVER_GROUP_H_
 
@@ -27,6 +28,8 @@
 public:
   using item_map = std::map<std::string, std::string>;
 
+  static constexpr std::size_t kLongRowBytes = 64 * 1024;
+
   // A caller's statement as a server ran it.
   struct executed_statement
   {
