--- a/tests/platform/line_protocol_test.cpp
+++ b/tests/platform/line_protocol_test.cpp
@@ -216,6 +216,34 @@
   }
 }
 
+// Guards against a statement that the position or the name before it makes
+// longer than a server accepts, so that the connection is closed.
+TEST(LineProtocolTest, TakesNoStatementThatIsTooLongToBeSentOn)
+{
+  const line_protocol protocol;
+  const log_position last{ UINT64_MAX, UINT64_MAX };
+  const std::string longestName = "s" + std::to_string(UINT64_MAX);
+  for (std::size_t spare = 0; spare < 100; ++spare) {
+    for (const std::string start : { "QUERY 1 READ ", "QUERY 1 EXECUTE a " }) {
+      std::string buffer =
+        start +
+        std::string(line_protocol::kMaxMessageBytes - start.size() - spare,
+                    'x') +
+        "\r\n";
+      auto statement = std::get<statement_message>(*ReadOne(buffer)).mStatement;
+      EXPECT_FALSE(spare == 99 &&
+                   std::holds_alternative<unknown_statement>(statement));
+      if (auto* execute = std::get_if<execute_statement>(&statement)) {
+        execute->mName = longestName;
+      }
+      const bool taken = !std::holds_alternative<unknown_statement>(statement);
+      const std::string sent =
+        protocol.WriteCommand(statement_command{ "1", last, statement });
+      EXPECT_FALSE(taken && sent.size() - 2 > line_protocol::kMaxMessageBytes);
+    }
+  }
+}
+
 TEST(LineProtocolTest, LimitsTheSizeOfAMessage)
 {
   std::string buffer(line_protocol::kMaxMessageBytes + 1, 'x');
