--- a/include/snipewalk/session/connection_context.h
+++ b/include/snipewalk/session/connection_context.h
@@ -6,10 +6,10 @@
 
 #include "snipewalk/session/session_messages.h"
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace snipewalk {
@@ -28,7 +28,10 @@
   access_kind mAccess = access_kind::Read;
   std::string mShape;
 
-  auto operator<=>(const prepared_shape&) const = default;
+  bool operator<(const prepared_shape& aOther) const
+  {
+    return std::tie(mAccess, mShape) < std::tie(aOther.mAccess, aOther.mShape);
+  }
 };
 
 // Session values and prepared statements present on a connection once all
--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -194,12 +194,14 @@
         session.Set(texts.Word(), data);
         break;
       case 1:
-        EXPECT_TRUE(session.Query("WRITE " + item + " " + data).mCompleted);
+        EXPECT_TRUE(
+          session.Query(absl::StrCat("WRITE ", item, " ", data)).mCompleted);
         items[item] = data;
         break;
       case 2:
         session.Prepare("w", "WRITE " + texts.Text());
-        EXPECT_TRUE(session.Query("EXECUTE w " + item + " " + data).mCompleted);
+        EXPECT_TRUE(session.Query(absl::StrCat("EXECUTE w ", item, " ", data))
+                      .mCompleted);
         items[item] = data;
         break;
       case 3:
