Test odd texts while servers fail requests

Transactions, executions, statements that are closed and prepared again, six sessions at three instances, with 30 of 100 requests failed.

--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -219,5 +219,46 @@
   EXPECT_EQ(mPlatform.Items(), items);
 }
 
+// The same while servers fail statements and the setup of connections, with
+// transactions and statements that are closed and prepared again. What is sent
+// may be refused; what runs must be what was sent.
+TEST_F(SessionTextTest, RunsOnlyOddTextsThatWereSentWhileServersFailRequests)
+{
+  constexpr std::size_t kOperations = 400;
+  constexpr int kFailedPercent = 30;
+  std::vector<recorded_session> sessions;
+  for (const std::string name : { "i1", "i2", "i3" }) {
+    Start(name);
+    sessions.emplace_back(mFleet.Ports(name).mCallers, name + ".a.", mSent);
+    sessions.emplace_back(mFleet.Ports(name).mCallers, name + ".b.", mSent);
+  }
+  mPlatform.Change([](line_server_group& aServers, platform_store&) {
+    for (const auto& id : aServers.Running()) {
+      aServers.SetFailedRequests(id, kFailedPercent);
+    }
+  });
+  odd_texts texts(46);
+  std::size_t completed = 0;
+  for (std::size_t i = 0; i < kOperations; ++i) {
+    recorded_session& session = sessions[texts.Below(sessions.size())];
+    session.Set("n", texts.Text());
+    session.Prepare("w", "WRITE " + texts.Text());
+    const std::string write =
+      absl::StrCat("EXECUTE w ", texts.Word(), " ", texts.Text());
+    if (texts.Below(2) == 0) {
+      completed += session.Query(write).mCompleted ? 1 : 0;
+    } else {
+      session.Query("BEGIN");
+      session.Query("READ " + texts.Text());
+      session.Query(write);
+      session.Query(texts.Below(2) == 0 ? "COMMIT" : "ROLLBACK");
+    }
+    EXPECT_TRUE(session.Query("CLOSE w").mCompleted);
+    EXPECT_FALSE(session.Query(write).mCompleted);
+  }
+  EXPECT_GT(completed, kOperations / 8);
+  EXPECT_EQ(Faults(), "");
+}
+
 } // namespace
 } // namespace snipewalk::standins
