--- a/include/snipewalk/session/forwarded_messages.h
+++ b/include/snipewalk/session/forwarded_messages.h
@@ -27,9 +27,8 @@
   // Store revision of the newest desired state that the sender knows.
   std::uint64_t mDesiredRevision = 0;
   // One complete message of a caller, or the next part of a reply. If it is
-  // empty, the frame
-  // sends `mState` or, without it, requests the receiver's desired state.
-  // Instances whose calls the store refuses request it this way.
+  // empty, the frame sends `mState` or, without it, requests the receiver's
+  // desired state. Instances whose calls the store refuses request it this way.
   std::string mBytes;
   std::optional<relayed_desired_state> mState;
 
