Ask of the decoder's fuzz test that messages are composed byte for byte

It asked only that a composed line has one end. A text that the decoder takes apart more leniently than the writer joins it passed. It is still asked; beside it, a known statement must come out as it was read.

--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -14,8 +14,8 @@
 
 constexpr int kInputs = 100'000;
 
-// Whatever the decoder accepts must be encodable again without growing beyond
-// the input's order of size, and no decoder may consume nothing and go on.
+// Whatever the decoder accepts must be encoded again byte for byte, and no
+// decoder may consume nothing and go on.
 TEST(PlatformFuzzTest, CallerMessages)
 {
   mutator inputs(
@@ -29,17 +29,22 @@
   for (int i = 0; i < kInputs; ++i) {
     std::string buffer = inputs.Next();
     while (true) {
-      const std::size_t before = buffer.size();
+      const std::string before = buffer;
       const auto message = protocol.ReadCallerMessage(buffer);
       if (!message.ok() || !*message) {
         break;
       }
       ++accepted;
-      ASSERT_LT(buffer.size(), before);
-      if (const auto* statement = std::get_if<statement_message>(&**message)) {
-        const std::string bytes = protocol.WriteCommand(statement_command{
-          statement->mRequestId, {}, statement->mStatement });
-        EXPECT_EQ(bytes.find("\r\n"), bytes.size() - 2);
+      ASSERT_LT(buffer.size(), before.size());
+      const auto* statement = std::get_if<statement_message>(&**message);
+      if (statement == nullptr) {
+        continue;
+      }
+      const std::string bytes = protocol.WriteCommand(
+        statement_command{ statement->mRequestId, {}, statement->mStatement });
+      EXPECT_EQ(bytes.find("\r\n"), bytes.size() - 2);
+      if (!std::holds_alternative<unknown_statement>(statement->mStatement)) {
+        EXPECT_EQ(bytes, before.substr(0, before.size() - buffer.size()));
       }
     }
   }
