Read HTTP heads byte for byte, and refuse those that can be read in two ways

Callers of snipewalkd saw a write answered with another write's result: the keys "order-7" and "order-=?7" were one, so that the second write never ran, and an account =?x?q?workshop-7?= was workshop-7.

POCO's reader of message headers is made for mail too: it decodes values by RFC 2047, ends a head at two line feeds, and drops lines without a colon, while the codec looked for the end and the length of a message by HTTP's rules.

Fix: start line and fields are read in http_head.cpp. Values are taken as they are; a line feed, carriage return or zero byte inside a line, a field name that is no token, a line without a colon, a folded line and a start line of other than three fields are malformed.

--- a/src/connection/http_codec.cpp
+++ b/src/connection/http_codec.cpp
@@ -1,9 +1,8 @@
 // Implementation of the HTTP/1.1 codec.
 #include "snipewalk/connection/http_codec.h"
 
-#include <Poco/Exception.h>
-#include <Poco/MemoryStream.h>
-#include <Poco/Net/HTTPRequest.h>
+#include "connection/http_head.h"
+
 #include <Poco/Net/HTTPResponse.h>
 
 #include <absl/strings/ascii.h>
@@ -20,6 +19,7 @@
 
 namespace {
 
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 absl::string_view
@@ -28,14 +28,15 @@
   return { aText.data(), aText.size() };
 }
 
-http_headers
-HeadersOf(const Poco::Net::MessageHeader& aMessage)
+// Removes the empty lines that may precede a request (RFC 9112).
+void
+SkipEmptyLines(std::string& aBuffer)
 {
-  http_headers headers;
-  for (const auto& [name, value] : aMessage) {
-    headers.Add(name, value);
+  std::size_t skipped = 0;
+  while (aBuffer.compare(skipped, kLineEnd.size(), kLineEnd) == 0) {
+    skipped += kLineEnd.size();
   }
-  return headers;
+  aBuffer.erase(0, skipped);
 }
 
 void
@@ -54,39 +55,6 @@
   absl::StrAppend(&aOut, "\r\n");
 }
 
-// Parses a head with a POCO message class; false when it is malformed.
-template<typename Message>
-bool
-ParseHead(const std::string& aBuffer, std::size_t aLength, Message& aMessage)
-{
-  try {
-    Poco::MemoryInputStream stream(aBuffer.data(),
-                                   static_cast<std::streamsize>(aLength));
-    aMessage.read(stream);
-    return true;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
-// Whether the status line has a code that POCO's enumeration can hold; others
-// would be undefined behaviour there. Codes above 511 are not assigned.
-bool
-HasKnownStatus(std::string_view aHead)
-{
-  constexpr int kLowest = 100;
-  constexpr int kHighest = 511;
-  const std::size_t space = aHead.find(' ');
-  if (space == std::string_view::npos || space + 4 > aHead.size()) {
-    return false;
-  }
-  int status = 0;
-  const std::string_view code = aHead.substr(space + 1, 3);
-  const char next = aHead[space + 4 < aHead.size() ? space + 4 : space + 3];
-  return absl::SimpleAtoi(Absl(code), &status) && status >= kLowest &&
-         status <= kHighest && (next == ' ' || next == '\r');
-}
-
 int
 HexValue(char aDigit)
 {
@@ -202,23 +170,19 @@
 http_reader::ReadRequest(std::string& aBuffer)
 {
   if (!mRequest) {
+    SkipEmptyLines(aBuffer);
     const auto found = FindHead(aBuffer);
     if (!found.ok() || !*found) {
       return found.ok() ? absl::StatusOr<std::optional<http_request>>(
                             std::optional<http_request>())
                         : found.status();
     }
-    Poco::Net::HTTPRequest parsed;
-    if (!ParseHead(aBuffer, mHeadLength, parsed) ||
-        parsed.getMethod().empty() || parsed.getURI().empty()) {
+    auto request =
+      ParseRequestHead(std::string_view(aBuffer).substr(0, mHeadLength));
+    if (!request) {
       return absl::InvalidArgumentError("malformed request head");
     }
-    http_request request;
-    request.mMethod = parsed.getMethod();
-    request.mTarget = parsed.getURI();
-    request.mKeepAlive = parsed.getKeepAlive();
-    request.mHeaders = HeadersOf(parsed);
-    const absl::Status status = SetBodyLength(request.mHeaders);
+    const absl::Status status = SetBodyLength(request->mHeaders);
     if (!status.ok()) {
       return status;
     }
@@ -244,17 +208,12 @@
                             std::optional<http_response>())
                         : found.status();
     }
-    Poco::Net::HTTPResponse parsed;
-    const std::string_view head =
-      std::string_view(aBuffer).substr(0, mHeadLength);
-    if (!HasKnownStatus(head) || !ParseHead(aBuffer, mHeadLength, parsed)) {
+    auto response =
+      ParseResponseHead(std::string_view(aBuffer).substr(0, mHeadLength));
+    if (!response) {
       return absl::InvalidArgumentError("malformed response head");
     }
-    http_response response;
-    response.mStatus = static_cast<int>(parsed.getStatus());
-    response.mKeepAlive = parsed.getKeepAlive();
-    response.mHeaders = HeadersOf(parsed);
-    const absl::Status status = SetBodyLength(response.mHeaders);
+    const absl::Status status = SetBodyLength(response->mHeaders);
     if (!status.ok()) {
       return status;
     }
--- a/tests/integration/idempotency_test.cpp
+++ b/tests/integration/idempotency_test.cpp
@@ -120,5 +120,16 @@
   EXPECT_EQ((*fleet)->Write(0, "add counter 0").mBody, "7");
 }
 
+// Guards against a write that is answered with the result of another one: its
+// key was read as the other's.
+TEST(IdempotencyTest, KeepsKeysApartThatLookLikeEncodedWords)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  EXPECT_EQ((*fleet)->Write(0, "add counter 1", "order-7").mBody, "1");
+  EXPECT_EQ((*fleet)->Write(1, "add counter 1", "order-=?7").mBody, "2");
+  EXPECT_EQ((*fleet)->Outcome(1, "order-%3D%3F7").mBody, "2");
+}
+
 } // namespace
 } // namespace snipewalk::standins
