Take no address with blanks or another spelling of its port

The port was read by a function that skips blanks and takes a sign and leading zeros, and the host by one that skips a blank at its end, while connections and comparisons use the text.

Fix: no blanks; a port is one to five digits without a leading zero.

--- a/src/base/json_reader.cpp
+++ b/src/base/json_reader.cpp
@@ -67,6 +67,20 @@
   return result;
 }
 
+// One spelling for each port: two addresses that differ as texts are two.
+bool
+IsPort(const std::string& aText)
+{
+  constexpr std::size_t kMaxDigits = 5;
+  constexpr int kHighestPort = 65'535;
+  const bool digits = !aText.empty() && aText.size() <= kMaxDigits &&
+                      aText.front() != '0' &&
+                      std::all_of(aText.begin(), aText.end(), [](char aChar) {
+                        return aChar >= '0' && aChar <= '9';
+                      });
+  return digits && std::stoi(aText) <= kHighestPort;
+}
+
 } // namespace
 
 std::optional<json_text>
@@ -346,7 +360,10 @@
 IsAddress(const std::string& aText)
 {
   const std::size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
+  const bool blank = std::any_of(aText.begin(), aText.end(), [](char aChar) {
+    return absl::ascii_isspace(static_cast<unsigned char>(aChar));
+  });
+  if (colon == std::string::npos || blank) {
     return false;
   }
   std::string host = aText.substr(0, colon);
@@ -355,10 +372,9 @@
   } else if (host.find(':') != std::string::npos) {
     return false;
   }
-  int port = 0;
   Poco::Net::IPAddress parsed;
-  return absl::SimpleAtoi(aText.substr(colon + 1), &port) && port >= 1 &&
-         port <= 65535 && Poco::Net::IPAddress::tryParse(host, parsed);
+  return IsPort(aText.substr(colon + 1)) &&
+         Poco::Net::IPAddress::tryParse(host, parsed);
 }
 
 bool
