Receive queries to take a slot over whole

Of a service with many slots, the slot of an ended instance stayed unused: the query to take it over carries the record of all holders, and the receiver's buffer of 2,400 bytes cut it, so that it was rejected.

Fix: the buffer holds the longest datagram, 64 holders with names of 64 bytes.

--- a/include/snipewalk/version/fleet_messages.h
+++ b/include/snipewalk/version/fleet_messages.h
@@ -19,6 +19,9 @@
 // Maximum size of a datagram in bytes, including its authentication code. Fits
 // into one Ethernet frame with room for the headers of tunnels.
 inline constexpr std::size_t kDatagramBytes = 1'200;
+// Longest datagram in bytes: a query to take a slot over carries the record of
+// up to 64 holders with names of up to 64 bytes.
+inline constexpr std::size_t kLongestDatagramBytes = 16 * 1'024;
 
 enum class membership_kind
 {
--- a/src/control/control_port.cpp
+++ b/src/control/control_port.cpp
@@ -55,7 +55,7 @@
 
   void OnReadable(time_point aNow) override
   {
-    std::array<char, 2 * kDatagramBytes> buffer;
+    std::array<char, kLongestDatagramBytes> buffer;
     for (int i = 0; i < kDatagramsAtOnce; ++i) {
       Poco::Net::SocketAddress from;
       int received = 0;
