Read the outcome of a key also where its JSON text is long

A caller could not learn the outcome of a write whose reply had about 175 kB or more (by its bytes: a JSON text takes up to six for one): the answer exceeded the limit of a reply, the connection was closed and the question asked again until the time was over.

Fix: an answer of a backend server may have six times the body's limit and the fields beside it; the body itself keeps its limit of 1 MiB.

--- a/include/snipewalk/connection/backend_adapter.h
+++ b/include/snipewalk/connection/backend_adapter.h
@@ -25,6 +25,13 @@
   Follow
 };
 
+// Limits of a server's answer. The outcome of a key carries a reply body, whose
+// own limit is that of http_limits, as a JSON text with up to six bytes for
+// each byte of the body.
+inline constexpr http_limits kBackendReplyLimits{
+  .mBodyBytes = 6 * http_limits().mBodyBytes + 1024
+};
+
 backend_call
 CallOf(const backend_request& aRequest);
 
@@ -35,7 +42,8 @@
 
 // Decodes the answer to a request of kind `aCall`. A refusal by the server is a
 // reply with mError set. Errors: InvalidArgument when the answer does not
-// follow the protocol; the connection must then be closed.
+// follow the protocol, ResourceExhausted for a body above its limit; the
+// connection must then be closed.
 absl::StatusOr<backend_reply>
 DecodeBackendReply(backend_call aCall, const http_response& aResponse);
 
--- a/include/snipewalk/connection/backend_connection.h
+++ b/include/snipewalk/connection/backend_connection.h
@@ -56,7 +56,7 @@
 
   server_endpoint mServer;
   handlers mHandlers;
-  http_reader mReader;
+  http_reader mReader{ kBackendReplyLimits };
   // Kind and id of the outstanding request.
   std::optional<backend_call> mCall;
   std::string mRequestId;
--- a/src/connection/backend_adapter.cpp
+++ b/src/connection/backend_adapter.cpp
@@ -308,6 +308,9 @@
   if (!status.ok()) {
     return status;
   }
+  if (reply.mBody.size() > http_limits().mBodyBytes) {
+    return absl::ResourceExhaustedError("reply body is too large");
+  }
   const bool orders = aCall == backend_call::Fence ||
                       aCall == backend_call::Promote ||
                       aCall == backend_call::Follow;
--- a/tests/integration/idempotency_test.cpp
+++ b/tests/integration/idempotency_test.cpp
@@ -131,5 +131,18 @@
   EXPECT_EQ((*fleet)->Outcome(1, "order-%3D%3F7").mBody, "2");
 }
 
+// Guards against a write whose outcome cannot be told: as a JSON text it is
+// several times as long as the reply was.
+TEST(IdempotencyTest, TellsTheOutcomeOfALongReply)
+{
+  const auto fleet = system_fleet::Start({});
+  ASSERT_TRUE(fleet.ok()) << fleet.status();
+  const std::string quotes(600'000, '"');
+  ASSERT_TRUE((*fleet)->Write(0, "set k " + quotes, "long").Done());
+  const auto outcome = (*fleet)->Outcome(1, "long");
+  EXPECT_TRUE(outcome.Done()) << outcome.mReason;
+  EXPECT_EQ(outcome.mBody.size(), quotes.size());
+}
+
 } // namespace
 } // namespace snipewalk::standins
