--- a/tests/connection/http_codec_test.cpp
+++ b/tests/connection/http_codec_test.cpp
@@ -72,7 +72,7 @@
   for (const std::string& head : { line + "X: a\n\nContent-Length: 4",
                                    line + "X: a\nContent-Length: 4",
                                    line + "X: a\rContent-Length: 4",
-                                   line + std::string("X: a\0b", 7),
+                                   line + std::string("X: a\0b", 6),
                                    line + "Content-Length : 4",
                                    line + "Transfer-Encoding : chunked",
                                    line + "Content-Length 4",
