Promise nothing for a commit that a forwarded session has sent on

A caller that sent another request before the answer to its COMMIT was told ABORTED, a promise that nothing is kept, while the commit was kept (REFUSED), if another instance served its session. Found by the review.

Cause: the instance that accepted the caller kept one pending statement and replaced the commit by the later request; when the host refused that one and closed, it answered by the later request's purpose.

Fix: a request before the answer to the last one ends the session as malformed, as on an instance that serves the session itself.

The review also found that the tests of odd texts had no forwarded session: they opened their sessions before any instance forwarded. They use the fixture of the forwarding tests now and check that two sessions are forwarded; and the stand-in keeps what ran with the id of the instance's own statements too.

--- a/src/session/session_forwarder.cpp
+++ b/src/session/session_forwarder.cpp
@@ -81,6 +81,15 @@
     CloseSession(aSession);
     return;
   }
+  if (held.mState.PendingSince()) {
+    // The outcome of the pending statement is not known, so nothing is said
+    // about it.
+    mCallers.SendToCaller(
+      aSession,
+      mProtocol.WriteRefusal(result_code::Malformed, "unexpected message"));
+    CloseSession(aSession);
+    return;
+  }
   if (const auto* statement = std::get_if<statement_message>(&aMessage)) {
     held.mState.OnStatement(*statement, aNow);
     mAwaitingReply.insert(aSession);
--- a/tests/integration/session_front_fixture.h
+++ b/tests/integration/session_front_fixture.h
@@ -5,10 +5,13 @@
 
 #include "standins/platform_standin.h"
 #include "standins/process_fleet.h"
+#include "standins/session_caller.h"
 #include "standins/session_fleet.h"
 
+#include <absl/strings/match.h>
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 
 namespace snipewalk::standins {
@@ -37,6 +40,60 @@
   session_fleet mFleet;
 };
 
+// Three instances in front of servers with connections for two: two instances
+// host the service and the third forwards its sessions to them.
+class SessionForwardingTest : public SessionFrontTest
+{
+protected:
+  static constexpr int kTwoStatementConnections = 4;
+
+  SessionForwardingTest()
+    : SessionFrontTest(kTwoStatementConnections)
+  {
+    for (const char* name : { "i1", "i2", "i3" }) {
+      mPorts[name] = Start(name);
+    }
+    EXPECT_TRUE(WaitFor([&] {
+      mForwarding = FindForwarding();
+      return !mForwarding.empty();
+    }));
+  }
+
+  // Instance that forwards a session just opened.
+  std::string FindForwarding()
+  {
+    for (const auto& [name, ports] : mPorts) {
+      session_caller probe(ports.mCallers);
+      probe.Start("main");
+      const auto page = HttpCall(ports.mMetrics, "GET", "/metrics");
+      if (page.ok() &&
+          absl::StrContains(page->mBody, "snipewalk_sessions_forwarded 1\n")) {
+        return name;
+      }
+    }
+    return {};
+  }
+
+  session_caller OpenForwarded(const std::string& aDatabase)
+  {
+    session_caller session(mPorts[mForwarding].mCallers);
+    EXPECT_EQ(session.Start(aDatabase).mText, "READY I -\r\n");
+    return session;
+  }
+
+  void SignalHosts(int aSignal)
+  {
+    for (const auto& [name, ports] : mPorts) {
+      if (name != mForwarding) {
+        mFleet.At(name).Signal(aSignal);
+      }
+    }
+  }
+
+  std::map<std::string, session_fleet::ports> mPorts;
+  std::string mForwarding;
+};
+
 } // namespace snipewalk::standins
 
 #endif // SNIPEWALK_TESTS_INTEGRATION_SESSION_FRONT_FIXTURE_H_
--- a/tests/integration/session_front_test.cpp
+++ b/tests/integration/session_front_test.cpp
@@ -23,60 +23,6 @@
 // Ample for a process to take a signal and to read its settings.
 constexpr milliseconds kReloadTime{ 500 };
 
-// Three instances in front of servers with connections for two: two instances
-// host the service and the third forwards its sessions to them.
-class SessionForwardingTest : public SessionFrontTest
-{
-protected:
-  static constexpr int kTwoStatementConnections = 4;
-
-  SessionForwardingTest()
-    : SessionFrontTest(kTwoStatementConnections)
-  {
-    for (const char* name : { "i1", "i2", "i3" }) {
-      mPorts[name] = Start(name);
-    }
-    EXPECT_TRUE(WaitFor([&] {
-      mForwarding = FindForwarding();
-      return !mForwarding.empty();
-    }));
-  }
-
-  // Instance that forwards a session just opened.
-  std::string FindForwarding()
-  {
-    for (const auto& [name, ports] : mPorts) {
-      session_caller probe(ports.mCallers);
-      probe.Start("main");
-      const auto page = HttpCall(ports.mMetrics, "GET", "/metrics");
-      if (page.ok() &&
-          absl::StrContains(page->mBody, "snipewalk_sessions_forwarded 1\n")) {
-        return name;
-      }
-    }
-    return {};
-  }
-
-  caller OpenForwarded(const std::string& aDatabase)
-  {
-    caller session(mPorts[mForwarding].mCallers);
-    EXPECT_EQ(session.Start(aDatabase).mText, "READY I -\r\n");
-    return session;
-  }
-
-  void SignalHosts(int aSignal)
-  {
-    for (const auto& [name, ports] : mPorts) {
-      if (name != mForwarding) {
-        mFleet.At(name).Signal(aSignal);
-      }
-    }
-  }
-
-  std::map<std::string, session_fleet::ports> mPorts;
-  std::string mForwarding;
-};
-
 TEST_F(SessionFrontTest, ServesReadsWritesAndTransactions)
 {
   const auto one = Start("i1");
@@ -299,6 +245,17 @@
   EXPECT_TRUE(session.Query("WRITE k v1").mCompleted);
 }
 
+// Guards against a promise that nothing is kept, given for a commit that was
+// sent on: the next request had come before its answer.
+TEST_F(SessionForwardingTest, PromisesNothingForACommitWithARequestBehindIt)
+{
+  caller session = OpenForwarded("main");
+  EXPECT_TRUE(session.Query("BEGIN").mCompleted);
+  EXPECT_TRUE(session.Query("WRITE k v1").mCompleted);
+  EXPECT_EQ(session.Call("QUERY c1 COMMIT\r\nQUERY c2 READ k").mError,
+            "MALFORMED");
+}
+
 // The longest messages that the protocol allows, in both directions.
 TEST_F(SessionForwardingTest, ForwardsTheLongestMessage)
 {
--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -7,6 +7,7 @@
 #include "standins/sent_statements.h"
 #include "standins/session_caller.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <gtest/gtest.h>
@@ -58,23 +59,16 @@
   session_setup mSetup;
 };
 
-class SessionTextTest : public SessionFrontTest
+// Compares what servers ran with what sessions sent.
+template<typename Fixture>
+class text_test : public Fixture
 {
 protected:
-  // Three instances share the two connections to each server that are left
-  // besides those for control, so that sessions are forwarded.
-  static constexpr int kTwoStatementConnections = 4;
-
-  SessionTextTest()
-    : SessionFrontTest(kTwoStatementConnections)
-  {
-  }
-
   // What servers ran otherwise than it was sent; empty if there is nothing.
   std::string Faults()
   {
     std::vector<std::string> faults;
-    mPlatform.Change([&](line_server_group& aServers, platform_store&) {
+    this->mPlatform.Change([&](line_server_group& aServers, platform_store&) {
       faults = mSent.Compare(aServers.Executed());
     });
     return absl::StrJoin(faults, "\n");
@@ -83,6 +77,28 @@
   sent_statements mSent;
 };
 
+using SessionTextTest = text_test<SessionFrontTest>;
+
+// Sessions at an instance that serves them and at one that forwards them.
+class ForwardedTextTest : public text_test<SessionForwardingTest>
+{
+protected:
+  // Two sessions at each instance.
+  std::vector<recorded_session> OpenSessions()
+  {
+    std::vector<recorded_session> sessions;
+    for (const auto& [name, ports] : mPorts) {
+      sessions.emplace_back(ports.mCallers, name + ".a.", mSent);
+      sessions.emplace_back(ports.mCallers, name + ".b.", mSent);
+    }
+    const auto page = HttpCall(mPorts[mForwarding].mMetrics, "GET", "/metrics");
+    EXPECT_TRUE(
+      page.ok() &&
+      absl::StrContains(page->mBody, "snipewalk_sessions_forwarded 2\n"));
+    return sessions;
+  }
+};
+
 // Guards against a statement whose shape is replaced by that of another client:
 // "q1 READ my" made the instance prepare "my READ q1 READ my" under the name of
 // "q1".
@@ -171,18 +187,10 @@
 }
 
 // Guards against any text of a caller that ends a field of a line early.
-TEST_F(SessionTextTest, RunsOddTextsAsTheyWereSent)
+TEST_F(ForwardedTextTest, RunsOddTextsAsTheyWereSent)
 {
   constexpr std::size_t kOperations = 600;
-  std::vector<recorded_session> sessions;
-  for (const std::string name : { "i1", "i2", "i3" }) {
-    Start(name);
-  }
-  for (const std::string name : { "i1", "i2", "i3", "i1", "i2", "i3" }) {
-    sessions.emplace_back(mFleet.Ports(name).mCallers,
-                          absl::StrCat("c", sessions.size(), "."),
-                          mSent);
-  }
+  std::vector<recorded_session> sessions = OpenSessions();
   odd_texts texts(45);
   std::map<std::string, std::string> items;
   for (std::size_t i = 0; i < kOperations; ++i) {
@@ -222,16 +230,11 @@
 // The same while servers fail statements and the setup of connections, with
 // transactions and statements that are closed and prepared again. What is sent
 // may be refused; what runs must be what was sent.
-TEST_F(SessionTextTest, RunsOnlyOddTextsThatWereSentWhileServersFailRequests)
+TEST_F(ForwardedTextTest, RunsOnlyOddTextsThatWereSentWhileServersFailRequests)
 {
   constexpr std::size_t kOperations = 400;
   constexpr int kFailedPercent = 30;
-  std::vector<recorded_session> sessions;
-  for (const std::string name : { "i1", "i2", "i3" }) {
-    Start(name);
-    sessions.emplace_back(mFleet.Ports(name).mCallers, name + ".a.", mSent);
-    sessions.emplace_back(mFleet.Ports(name).mCallers, name + ".b.", mSent);
-  }
+  std::vector<recorded_session> sessions = OpenSessions();
   mPlatform.Change([](line_server_group& aServers, platform_store&) {
     for (const auto& id : aServers.Running()) {
       aServers.SetFailedRequests(id, kFailedPercent);
--- a/tests/standins/line_server_commands.cpp
+++ b/tests/standins/line_server_commands.cpp
@@ -22,8 +22,6 @@
 
 // Items with this prefix stand for a number of long rows.
 constexpr absl::string_view kRowsPrefix = "rows.";
-// Id of the statements that an instance issues on its own behalf.
-constexpr absl::string_view kNoRequestId = "-";
 
 // Removes and returns the text up to the next blank; the rest follows it.
 std::string
@@ -286,20 +284,12 @@
   return StatusRow(aServer);
 }
 
-void
-line_server_group::RecordRunning(const connection& aConnection)
-{
-  if (aConnection.mRunning.mRequestId != kNoRequestId) {
-    mExecuted.push_back(aConnection.mRunning);
-  }
-}
-
 std::string
 line_server_group::ExecuteRead(const server& aServer,
                                const connection& aConnection,
                                const std::string& aItem)
 {
-  RecordRunning(aConnection);
+  mExecuted.push_back(aConnection.mRunning);
   absl::string_view name = aItem;
   if (absl::ConsumePrefix(&name, kRowsPrefix)) {
     const std::string row(kLongRowBytes, 'r');
@@ -336,7 +326,7 @@
   if (!aServer.mPrimary) {
     return RefuseAsReplica(aServer, aConnection);
   }
-  RecordRunning(aConnection);
+  mExecuted.push_back(aConnection.mRunning);
   const std::string item = TakeWord(aRest);
   aConnection.mWrites[item] = aRest;
   return aConnection.mInTransaction ? Signature(aServer)
@@ -349,7 +339,7 @@
   if (!aServer.mPrimary && !aConnection.mWrites.empty()) {
     return RefuseAsReplica(aServer, aConnection);
   }
-  RecordRunning(aConnection);
+  mExecuted.push_back(aConnection.mRunning);
   return CommitWrites(aServer, aConnection);
 }
 
--- a/tests/standins/line_server_group.h
+++ b/tests/standins/line_server_group.h
@@ -30,7 +30,7 @@
 
   static constexpr std::size_t kLongRowBytes = 64 * 1024;
 
-  // A caller's statement as a server ran it.
+  // A read, write or commit as a server ran it.
   struct executed_statement
   {
     std::string mRequestId;
@@ -96,7 +96,8 @@
   std::set<std::string> LoggedValues() const;
   // Position that a server's log has reached.
   std::string Position(const std::string& aId) { return Received(At(aId)); }
-  // Reads, writes and commits that any server ran for callers, in their order.
+  // Reads, writes and commits that any server ran, in their order. Instances
+  // send none of their own.
   const std::vector<executed_statement>& Executed() const { return mExecuted; }
   // How often each value was committed on any server.
   const std::map<std::string, int>& Commits() const { return mCommits; }
@@ -182,8 +183,6 @@
   std::string ExecutePrepared(server& aServer,
                               connection& aConnection,
                               std::string aRest);
-  // Keeps the statement that the connection runs, if it is a caller's.
-  void RecordRunning(const connection& aConnection);
   std::string ExecuteRead(const server& aServer,
                           const connection& aConnection,
                           const std::string& aItem);
