--- a/tests/platform/line_protocol_test.cpp
+++ b/tests/platform/line_protocol_test.cpp
@@ -224,7 +224,8 @@
   const log_position last{ UINT64_MAX, UINT64_MAX };
   const std::string longestName = "s" + std::to_string(UINT64_MAX);
   for (std::size_t spare = 0; spare < 100; ++spare) {
-    for (const std::string start : { "QUERY 1 READ ", "QUERY 1 EXECUTE a " }) {
+    for (const std::string start :
+         { "QUERY 1 READ ", "QUERY 1 EXECUTE a ", "QUERY 1 PARSE a READ " }) {
       std::string buffer =
         start +
         std::string(line_protocol::kMaxMessageBytes - start.size() - spare,
@@ -235,6 +236,8 @@
                    std::holds_alternative<unknown_statement>(statement));
       if (auto* execute = std::get_if<execute_statement>(&statement)) {
         execute->mName = longestName;
+      } else if (auto* prepare = std::get_if<prepare_statement>(&statement)) {
+        prepare->mName = longestName;
       }
       const bool taken = !std::holds_alternative<unknown_statement>(statement);
       const std::string sent =
@@ -244,6 +247,19 @@
   }
 }
 
+// Guards against a longest message that is refused because its line end arrives
+// in two parts.
+TEST(LineProtocolTest, TakesTheLongestMessageWhoseLineEndArrivesInTwoParts)
+{
+  const std::string start = "QUERY 1 WRITE k ";
+  std::string buffer =
+    start + std::string(line_protocol::kMaxMessageBytes - start.size(), 'x') +
+    "\r";
+  EXPECT_FALSE(ReadOne(buffer));
+  buffer += "\n";
+  EXPECT_TRUE(ReadOne(buffer));
+}
+
 TEST(LineProtocolTest, LimitsTheSizeOfAMessage)
 {
   std::string buffer(line_protocol::kMaxMessageBytes + 1, 'x');
