--- a/tests/integration/session_text_test.cpp
+++ b/tests/integration/session_text_test.cpp
@@ -77,7 +77,8 @@
   sent_statements mSent;
 };
 
-using SessionTextTest = text_test<SessionFrontTest>;
+class SessionTextTest : public text_test<SessionFrontTest>
+{};
 
 // Sessions at an instance that serves them and at one that forwards them.
 class ForwardedTextTest : public text_test<SessionForwardingTest>
