--- a/include/snipewalk/base/log.h
+++ b/include/snipewalk/base/log.h
@@ -66,7 +66,8 @@
 void
 SetLogLevel(log_level aLevel);
 
-// Writes one event. Any thread.
+// Writes one event. A text of more than 512 bytes, as written in JSON, is cut
+// and ends with three dots. Any thread.
 void
 Log(log_level aLevel,
     std::string_view aModule,
--- a/tests/integration/session_front_fixture.h
+++ b/tests/integration/session_front_fixture.h
@@ -16,6 +16,7 @@
 
 namespace snipewalk::standins {
 
+// Three backend servers; tests start the instances that they need.
 class SessionFrontTest : public testing::Test
 {
 protected:
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -28,6 +28,7 @@
   Down
 };
 
+// Not thread-safe, but for the orders that arrive on the stand-in's thread.
 class soak_run
 {
 public:
