Add the division of rate limits between instances

Cause: the rate limit of a client account counts over all instances, also those that are cut off; no instance may assume what the others admit.

--- /dev/null
+++ b/src/account/allowance_reserve.cpp
@@ -0,0 +1,233 @@
+// Implementation of the tokens that an instance holds.
+#include "snipewalk/account/allowance_reserve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipewalk {
+
+namespace {
+
+// Demand that the reserve covers. Operations go on for about this long after
+// the issuing instance was lost.
+constexpr milliseconds kReserveTime{ 2'000 };
+// Below this number of recent arrivals an account counts as unused.
+constexpr double kUnusedArrivals = 0.05;
+// Tokens are requested when fewer than this part of the reserve is left, or
+// when they are about to expire.
+constexpr double kLowPart = 0.6;
+constexpr milliseconds kRenewalTime{ 1'500 };
+// Minimum times between two requests, by what they are needed for. Tokens of an
+// exhausted limit arrive at its rate, however often they are requested.
+constexpr milliseconds kRefillInterval{ 400 };
+constexpr milliseconds kLimitedInterval{ 100 };
+constexpr milliseconds kUrgentInterval{ 30 };
+// Minimum time after a request that has not been answered.
+constexpr milliseconds kUnansweredInterval{ 100 };
+// How long an answer that could not satisfy the request says that the limit is
+// exhausted.
+constexpr milliseconds kLimitedTime{ 1'000 };
+
+} // namespace
+
+void
+allowance_reserve::SetLimits(const account_directory& aAccounts)
+{
+  std::map<std::string, account_tokens> accounts;
+  for (const auto& [name, account] : aAccounts.All()) {
+    if (!account.mLimit) {
+      continue;
+    }
+    account_tokens& tokens = accounts[name];
+    if (const auto known = mAccounts.find(name); known != mAccounts.end()) {
+      tokens = known->second;
+      if (account.mLimit->mPerSecond < tokens.mLimit.mPerSecond) {
+        tokens.mTokens = static_cast<std::uint32_t>(tokens.mTokens *
+                                                    account.mLimit->mPerSecond /
+                                                    tokens.mLimit.mPerSecond);
+      }
+    }
+    tokens.mLimit = *account.mLimit;
+  }
+  mAccounts = std::move(accounts);
+}
+
+void
+allowance_reserve::Decay(account_tokens& aTokens, time_point aNow)
+{
+  if (aTokens.mDecayedAt != time_point::min()) {
+    const double elapsed =
+      std::chrono::duration<double>(aNow - aTokens.mDecayedAt).count();
+    aTokens.mRecentArrivals *=
+      std::exp(-elapsed / std::chrono::duration<double>(kReserveTime).count());
+  }
+  aTokens.mDecayedAt = aNow;
+}
+
+void
+allowance_reserve::DropExpired(account_tokens& aTokens, time_point aNow)
+{
+  if (aNow >= aTokens.mExpiresAt) {
+    aTokens.mTokens = 0;
+  }
+}
+
+std::uint32_t
+allowance_reserve::WantedOf(const account_tokens& aTokens)
+{
+  // The decayed number of arrivals is the usual number in kReserveTime.
+  return aTokens.mRecentArrivals < kUnusedArrivals
+           ? 0
+           : static_cast<std::uint32_t>(std::ceil(aTokens.mRecentArrivals)) + 1;
+}
+
+void
+allowance_reserve::OnArrival(const std::string& aAccount, time_point aNow)
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found != mAccounts.end()) {
+    Decay(found->second, aNow);
+    ++found->second.mRecentArrivals;
+  }
+}
+
+bool
+allowance_reserve::Take(const std::string& aAccount, time_point aNow)
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end()) {
+    return true;
+  }
+  account_tokens& tokens = found->second;
+  DropExpired(tokens, aNow);
+  if (tokens.mTokens == 0) {
+    return false;
+  }
+  --tokens.mTokens;
+  ++tokens.mTakenSinceRequest;
+  return true;
+}
+
+bool
+allowance_reserve::Await(const std::string& aAccount,
+                         std::size_t aAhead,
+                         time_point aNow)
+{
+  account_tokens& tokens = mAccounts.at(aAccount);
+  // The next answer is expected to add as many tokens as the latest one.
+  if (aNow < tokens.mLimitedUntil && aAhead >= tokens.mLastIssued) {
+    return false;
+  }
+  tokens.mAwaited = true;
+  return true;
+}
+
+void
+allowance_reserve::Return(const std::string& aAccount, time_point aNow)
+{
+  const auto found = mAccounts.find(aAccount);
+  if (found == mAccounts.end()) {
+    return;
+  }
+  account_tokens& tokens = found->second;
+  DropExpired(tokens, aNow);
+  // The latest request has reported tokens taken before it as used.
+  if (tokens.mTakenSinceRequest > 0 && aNow < tokens.mExpiresAt) {
+    --tokens.mTakenSinceRequest;
+    ++tokens.mTokens;
+  }
+}
+
+allowance_reserve::need
+allowance_reserve::NeedOf(const account_tokens& aTokens, time_point aNow)
+{
+  const std::uint32_t wanted = WantedOf(aTokens);
+  if (wanted == 0) {
+    return need::None;
+  }
+  if (aTokens.mAwaited) {
+    return aNow < aTokens.mLimitedUntil ? need::Limited : need::Urgent;
+  }
+  const bool low = aTokens.mTokens < kLowPart * wanted;
+  const bool expiring = aNow + kRenewalTime >= aTokens.mExpiresAt;
+  return low || expiring ? need::Refill : need::None;
+}
+
+std::optional<allowance_request>
+allowance_reserve::RequestIfDue(time_point aNow)
+{
+  need most = need::None;
+  for (auto& [name, tokens] : mAccounts) {
+    Decay(tokens, aNow);
+    DropExpired(tokens, aNow);
+    most = std::max(most, NeedOf(tokens, aNow));
+  }
+  if (most == need::None) {
+    return std::nullopt;
+  }
+  milliseconds interval = most == need::Urgent    ? kUrgentInterval
+                          : most == need::Limited ? kLimitedInterval
+                                                  : kRefillInterval;
+  if (!mAnswered) {
+    interval = std::max(interval, kUnansweredInterval);
+  }
+  if (mRequestedAt != time_point::min() && aNow < mRequestedAt + interval) {
+    return std::nullopt;
+  }
+  return NewRequest(aNow);
+}
+
+allowance_request
+allowance_reserve::NewRequest(time_point aNow)
+{
+  mRequestedAt = aNow;
+  mAnswered = false;
+  allowance_request request{ ++mSequenceNumber, {} };
+  for (auto& [name, tokens] : mAccounts) {
+    const std::uint32_t wanted = WantedOf(tokens);
+    tokens.mTakenSinceRequest = 0;
+    if (wanted > 0) {
+      request.mWants.push_back({ name, tokens.mTokens, wanted });
+    }
+  }
+  return request;
+}
+
+void
+allowance_reserve::OnGrant(const allowance_grant& aGrant, time_point aNow)
+{
+  if (aGrant.mSequenceNumber != mSequenceNumber || mAnswered ||
+      aNow >= mRequestedAt + kTokenLifetime) {
+    return;
+  }
+  mAnswered = true;
+  for (const auto& share : aGrant.mShares) {
+    const auto found = mAccounts.find(share.mAccount);
+    if (found == mAccounts.end()) {
+      continue;
+    }
+    account_tokens& tokens = found->second;
+    DropExpired(tokens, aNow);
+    const std::uint32_t before = tokens.mTokens;
+    const std::uint32_t taken = tokens.mTakenSinceRequest;
+    tokens.mTokens = share.mTokens > taken ? share.mTokens - taken : 0;
+    tokens.mLastIssued = tokens.mTokens > before ? tokens.mTokens - before : 0;
+    tokens.mExpiresAt = mRequestedAt + kTokenLifetime;
+    tokens.mLimitedUntil =
+      share.mLimited ? aNow + kLimitedTime : time_point::min();
+    tokens.mAwaited = false;
+  }
+}
+
+void
+allowance_reserve::DropTokens()
+{
+  for (auto& [name, tokens] : mAccounts) {
+    tokens.mTokens = 0;
+    tokens.mExpiresAt = time_point::min();
+  }
+  // An answer to a request from before may have been under way for long.
+  mAnswered = true;
+}
+
+} // namespace snipewalk
