--- a/include/snipewalk/session/desired_state.h
+++ b/include/snipewalk/session/desired_state.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_SESSION_DESIRED_STATE_H_
 #define SNIPEWALK_SESSION_DESIRED_STATE_H_
 
+#include "snipewalk/account/account_directory.h"
 #include "snipewalk/base/name_table.h"
 #include "snipewalk/base/time.h"
 
@@ -10,6 +11,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace snipewalk {
@@ -45,6 +48,8 @@
   int mPriority = 0;
   // Maximum data age of bounded reads; zero on routes with primary consistency.
   milliseconds mMaxStaleness{ 0 };
+  // Whether callers need no key. Their statements belong to no client account.
+  bool mPublic = false;
 };
 
 // Connections to each server that are reserved for control commands.
@@ -74,8 +79,16 @@
   std::map<std::string, database_route> mRoutes;
   // Limits by service name.
   std::map<std::string, service_limits> mServices;
+  // Client accounts; null if the operator has configured none.
+  std::shared_ptr<const account_directory> mAccounts;
   // A transaction that has been idle for this long may be ended.
   milliseconds mTransactionIdleLimit{ 3'000 };
+
+  // Returns the name of the client account for which a caller with this key
+  // uses a route. It is empty without client accounts and on public routes;
+  // std::nullopt if the key identifies no account.
+  std::optional<std::string> AccountFor(const database_route& aRoute,
+                                        const std::string& aKey) const;
 };
 
 // A backend server as described by its registration in the store.
--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -4,6 +4,7 @@
 #ifndef SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
 #define SNIPEWALK_SESSION_PEER_DATAGRAMS_H_
 
+#include "snipewalk/account/allowance_messages.h"
 #include "snipewalk/session/fleet_records.h"
 #include "snipewalk/session/log_position.h"
 #include "snipewalk/session/primary_monitor.h"
@@ -146,12 +147,25 @@
   std::string mServer;
 };
 
+// Sent to the holder of the duty: requests tokens of the rate limits of client
+// accounts. The answer is an allowance_grant.
+struct allowance_datagram
+{
+  std::string mInstance;
+  // Start time of the sender's process, which distinguishes it from earlier
+  // processes of the same instance.
+  std::uint64_t mStarted = 0;
+  allowance_request mRequest;
+};
+
 using peer_datagram = std::variant<health_report,
                                    release_request,
                                    release_answer,
                                    confirmation_request,
                                    confirmation_answer,
-                                   connection_yield_request>;
+                                   connection_yield_request,
+                                   allowance_datagram,
+                                   allowance_grant>;
 
 // Size limit of a datagram in bytes; larger ones are not sent.
 inline constexpr std::size_t kMaxDatagramBytes = 60'000;
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -4,6 +4,7 @@
 #ifndef SNIPEWALK_SESSION_SESSION_CONTROLLER_H_
 #define SNIPEWALK_SESSION_SESSION_CONTROLLER_H_
 
+#include "snipewalk/account/allowance_allocator.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/messages/store_client.h"
 #include "snipewalk/session/desired_state.h"
@@ -92,6 +93,7 @@
   std::uint64_t mStarted = 0;
   std::string mDataCentre;
   std::string mPeerAddress;
+  allowance_rules mAllowanceRules;
   // Delay of this instance's claims of the duty. It differs between instances,
   // so that they do not all claim at once.
   milliseconds mClaimStagger{ 0 };
@@ -141,9 +143,9 @@
   {
     return mHosts.HostingOf(aService);
   }
-  // Returns the instance that hosts new sessions of a database, or std::nullopt
-  // if that is this instance or the database has no route.
-  std::optional<host_candidate> HostFor(const std::string& aDatabase,
+  // Returns the instance that hosts a new session, or std::nullopt if that is
+  // this instance or the session will be refused.
+  std::optional<host_candidate> HostFor(const open_session& aOpen,
                                         time_point aNow) const;
   void OnHostFailed(const std::string& aInstance, time_point aNow)
   {
@@ -327,6 +329,11 @@
   // confirms the records to them.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
+  // Requests tokens of the accounts' rate limits from the duty holder.
+  void RequestAllowances(time_point aNow);
+  void OnAllowanceRequest(const std::string& aFrom,
+                          const allowance_datagram& aDatagram,
+                          time_point aNow);
   // Names of the instances that may hold the duty: by the record known here and
   // by the latest confirmation. They differ while the store refuses this
   // instance.
@@ -440,6 +447,8 @@
   std::map<std::string, service_control> mServices;
   instance_directory mInstances;
   session_hosts mHosts;
+  // Used while this instance holds the duty.
+  allowance_allocator mAllowances;
   std::function<void(const std::string&, time_point)> mOnInstanceReply;
   std::function<void()> mOnDesiredState;
   time_point mDesiredReadAt = time_point::min();
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -6,6 +6,7 @@
 #ifndef SNIPEWALK_SESSION_SESSION_ENGINE_H_
 #define SNIPEWALK_SESSION_SESSION_ENGINE_H_
 
+#include "snipewalk/account/allowance_messages.h"
 #include "snipewalk/base/metrics.h"
 #include "snipewalk/base/time.h"
 #include "snipewalk/session/desired_state.h"
@@ -43,8 +44,11 @@
   // Closes the connection once all pending output has been sent.
   virtual void CloseCallerConnection(session_id aSession) = 0;
 
+  // Opens a connection for the statements of a client account, or for the
+  // instance itself if `aAccount` is empty.
   virtual void OpenServerConnection(server_connection_id aConnection,
-                                    const registered_server& aServer) = 0;
+                                    const registered_server& aServer,
+                                    const std::string& aAccount) = 0;
   virtual void SendCommands(server_connection_id aConnection,
                             const std::vector<server_command>& aCommands) = 0;
   virtual void CloseServerConnection(server_connection_id aConnection) = 0;
@@ -156,6 +160,11 @@
   // Sets the number of instances that share the connections of a server.
   void SetInstanceCount(std::size_t aCount, time_point aNow);
 
+  // Returns the request for tokens of the accounts' rate limits that is to be
+  // sent now, if there is one.
+  std::optional<allowance_request> AllowanceRequestIfDue(time_point aNow);
+  void OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow);
+
   // Keeps this instance to its share of the server's connections, rounded down,
   // for a while, so that the duty holder can open a control connection.
   void YieldConnections(const std::string& aServer, time_point aNow);
--- a/include/snipewalk/session/session_hosts.h
+++ b/include/snipewalk/session/session_hosts.h
@@ -74,6 +74,15 @@
   // std::nullopt if this instance serves the session itself.
   std::optional<host_candidate> HostFor(const std::string& aService,
                                         time_point aNow) const;
+  // The same for a session of a client account. Connections belong to accounts,
+  // so the hosts of a service divide the accounts: each is served by one host,
+  // or by one in each data centre if its part of the connections is large
+  // enough to be divided. `aShare` is the account's part of the load, from 0
+  // to 1.
+  std::optional<host_candidate> HostForAccount(const std::string& aService,
+                                               const std::string& aAccount,
+                                               double aShare,
+                                               time_point aNow) const;
   void OnHostFailed(const std::string& aInstance, time_point aNow);
 
 private:
@@ -86,6 +95,7 @@
 
   const std::vector<host_candidate>& HostsOf(const std::string& aName,
                                              const service& aService) const;
+  bool IsAvoided(const host_candidate& aHost, time_point aNow) const;
 
   std::string mInstance;
   std::string mDataCentre;
--- a/include/snipewalk/session/session_messages.h
+++ b/include/snipewalk/session/session_messages.h
@@ -57,12 +57,14 @@
   // Codes of requests that were refused because of their content.
   Malformed,
   UnknownDatabase,
+  // The caller's key identifies no client account.
+  Unauthorized,
   // A code that this program does not know; it says nothing about the effect of
   // the request.
   Other
 };
 
-inline constexpr name_table<result_code, 13> kResultCodeNames{ {
+inline constexpr name_table<result_code, 14> kResultCodeNames{ {
   { result_code::Busy, "busy" },
   { result_code::Aborted, "aborted" },
   { result_code::Behind, "behind" },
@@ -75,6 +77,7 @@
   { result_code::InDoubt, "in_doubt" },
   { result_code::Malformed, "malformed" },
   { result_code::UnknownDatabase, "unknown_database" },
+  { result_code::Unauthorized, "unauthorized" },
   { result_code::Other, "other" },
 } };
 
@@ -152,6 +155,8 @@
 struct open_session
 {
   std::string mDatabase;
+  // Identifies the caller's client account; never logged or sent to a server.
+  std::string mKey = {};
 };
 struct statement_message
 {
--- a/include/snipewalk/session/session_protocol.h
+++ b/include/snipewalk/session/session_protocol.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_SESSION_SESSION_PROTOCOL_H_
 #define SNIPEWALK_SESSION_SESSION_PROTOCOL_H_
 
+#include "snipewalk/session/desired_state.h"
 #include "snipewalk/session/session_messages.h"
 
 #include <optional>
@@ -35,8 +36,10 @@
 
   // Encodes the first message on a connection to a backend server. The server
   // refuses the connection unless it is the named server of the named service.
-  virtual std::string WriteServerOpening(const std::string& aService,
-                                         const std::string& aServer) const = 0;
+  // The connection is opened for a client account, or for the instance itself
+  // if `aAccount` is empty.
+  virtual std::string WriteServerOpening(const registered_server& aServer,
+                                         const std::string& aAccount) const = 0;
   virtual std::string WriteCommand(const server_command& aCommand) const = 0;
   // Reads the rows, result and session state of one reply: the reply to the
   // opening message if `aOpening` is set, else the reply to a command.
--- a/include/snipewalk/session/session_settings.h
+++ b/include/snipewalk/session/session_settings.h
@@ -3,6 +3,7 @@
 #ifndef SNIPEWALK_SESSION_SESSION_SETTINGS_H_
 #define SNIPEWALK_SESSION_SESSION_SETTINGS_H_
 
+#include "snipewalk/account/allowance_allocator.h"
 #include "snipewalk/base/findings.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/base/time.h"
@@ -31,6 +32,8 @@
   std::string mPromotionAddress;
   // Limit of calls to the store per second by this instance.
   int mStoreCallsPerSecond = 40;
+  // By how much the operations of a client account may exceed its rate limit.
+  allowance_rules mRateLimitTolerance;
   // Time from the shutdown request until the process is killed from outside.
   milliseconds mShutdownGrace{ 6'000 };
   // Limit of log lines per second; further lines are dropped and counted.
--- a/include/snipewalk/session/wait_order.h
+++ b/include/snipewalk/session/wait_order.h
@@ -20,6 +20,8 @@
   time_point mReceived;
   // Latency objective.
   duration mObjective{ 0 };
+  // Turn of the statement's client account; zero without client accounts.
+  double mTurn = 0;
 };
 
 // Statements with smaller ranks are placed first.
@@ -28,6 +30,7 @@
   // Whether the statement can no longer meet its latency objective.
   bool mLate = false;
   int mPriority = 0;
+  double mTurn = 0;
   // Time by which the reply must arrive to meet the latency objective.
   time_point mDue;
 
--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -132,7 +132,7 @@
   caller& from = mCallers.at(aSession);
   const auto* open = std::get_if<open_session>(&aReceived.mMessage);
   if (open != nullptr && !from.mServedLocally) {
-    if (const auto host = mLinks.HostFor(open->mDatabase, aNow)) {
+    if (const auto host = mLinks.HostFor(*open, aNow)) {
       mForwarder.Open(aSession, *host, *open, aReceived.mBytes, aNow);
       return;
     }
@@ -238,11 +238,12 @@
 
 void
 connection_table::OpenServerConnection(server_connection_id aConnection,
-                                       const registered_server& aServer)
+                                       const registered_server& aServer,
+                                       const std::string& aAccount)
 {
   server& opened = mServers[aConnection];
   const std::string openingMessage =
-    mProtocol.WriteServerOpening(aServer.mService, aServer.mId);
+    mProtocol.WriteServerOpening(aServer, aAccount);
   opened.mStream = stream_connection::Connect(
     mLoop,
     aServer.mAddress,
--- a/src/session/connection_table.h
+++ b/src/session/connection_table.h
@@ -72,7 +72,8 @@
                     time_point aNow) override;
   void SendToCaller(session_id aSession, const std::string& aBytes) override;
   void OpenServerConnection(server_connection_id aConnection,
-                            const registered_server& aServer) override;
+                            const registered_server& aServer,
+                            const std::string& aAccount) override;
   void SendCommands(server_connection_id aConnection,
                     const std::vector<server_command>& aCommands) override;
   void CloseServerConnection(server_connection_id aConnection) override;
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -71,15 +71,28 @@
 }
 
 std::optional<host_candidate>
-session_controller::HostFor(const std::string& aDatabase, time_point aNow) const
+session_controller::HostFor(const open_session& aOpen, time_point aNow) const
 {
   if (!mDesired) {
     return std::nullopt;
   }
-  const auto route = mDesired->mRoutes.find(aDatabase);
-  return route == mDesired->mRoutes.end()
-           ? std::nullopt
-           : mHosts.HostFor(route->second.mService, aNow);
+  const auto found = mDesired->mRoutes.find(aOpen.mDatabase);
+  if (found == mDesired->mRoutes.end()) {
+    return std::nullopt;
+  }
+  const database_route& route = found->second;
+  const auto account = mDesired->AccountFor(route, aOpen.mKey);
+  if (!account) {
+    return std::nullopt;
+  }
+  if (account->empty()) {
+    return mHosts.HostFor(route.mService, aNow);
+  }
+  const account_directory& accounts = *mDesired->mAccounts;
+  return mHosts.HostForAccount(route.mService,
+                               *account,
+                               accounts.RateShare(*accounts.Find(*account)),
+                               aNow);
 }
 
 } // namespace snipewalk
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -60,10 +60,12 @@
     // once it arrives.
     aSession.mOpened = true;
     aSession.mDatabase = aOpen.mDatabase;
+    aSession.mKey = aOpen.mKey;
     mPendingOpenings.push_back(aSession.mId);
     return;
   }
-  if (FindRoute(aOpen.mDatabase) == nullptr) {
+  const database_route* route = FindRoute(aOpen.mDatabase);
+  if (route == nullptr) {
     Log(log_level::Info,
         "session",
         "session refused: unknown database",
@@ -75,9 +77,24 @@
     OnCallerClosed(aSession.mId, aNow);
     return;
   }
+  auto account = mDesired->AccountFor(*route, aOpen.mKey);
+  if (!account) {
+    Log(log_level::Info,
+        "session",
+        "session refused: unknown key",
+        { { "database", aOpen.mDatabase },
+          { "desired_state", static_cast<std::int64_t>(mDesired->mVersion) } });
+    mMetrics.Count("sessions_unauthorized");
+    mLinks.RefuseSession(
+      aSession.mId, result_code::Unauthorized, "unknown key");
+    OnCallerClosed(aSession.mId, aNow);
+    return;
+  }
   mMetrics.Count("sessions_opened");
   aSession.mOpened = true;
   aSession.mDatabase = aOpen.mDatabase;
+  aSession.mKey = aOpen.mKey;
+  aSession.mAccount = *std::move(account);
   mLinks.AcceptSession(aSession.mId);
 }
 
@@ -96,6 +113,10 @@
                                    const statement_message& aMessage,
                                    time_point aNow)
 {
+  if (!Authorize(aSession)) {
+    EndUnauthorized(aSession, aNow);
+    return;
+  }
   const auto& statement = aMessage.mStatement;
   const bool ends = std::holds_alternative<commit_statement>(statement) ||
                     std::holds_alternative<rollback_statement>(statement);
@@ -218,6 +239,7 @@
   aSession.mPending = std::move(pending);
   mActiveSessions.insert(aSession.mId);
   if (waits) {
+    RequireAllowance(aSession, aNow);
     Enqueue(aSession, aNow);
   } else {
     ++aSession.mPending->mAttempts;
@@ -258,6 +280,7 @@
 {
   const pending_statement pending = *std::exchange(aSession.mPending, {});
   mActiveSessions.erase(aSession.mId);
+  ReturnAllowance(aSession, pending, aNow);
   aReply.mState = aSession.mState;
   const std::string_view outcome =
     aReply.mError ? NameOf(kResultCodeNames, *aReply.mError) : "done";
@@ -278,6 +301,7 @@
         { "outcome", outcome },
         { "reason", aReply.mErrorText },
         { "database", aSession.mDatabase },
+        { "account", aSession.mAccount },
         { "service", pending.mRoute.mService },
         { "purpose", NameOf(kStatementPurposeNames, pending.mPurpose) },
         { "server", connection ? connection->mServer : std::string("-") },
@@ -324,6 +348,7 @@
   server_connection_id used =
     session.mTransaction ? session.mTransaction->mConnection : 0;
   if (session.mPending) {
+    ReturnAllowance(session, *session.mPending, aNow);
     std::erase(mServices[session.mPending->mRoute.mService].mWaiting, aSession);
     if (session.mPending->mConnection != 0) {
       used = session.mPending->mConnection;
--- a/src/session/engine_candidate.cpp
+++ b/src/session/engine_candidate.cpp
@@ -58,11 +58,11 @@
        aNow < candidate->mAskedAt + kAskInterval)) {
     return;
   }
-  if (server_connection* idle = FindIdleConnection(server->second, {})) {
+  if (server_connection* idle = FindIdleConnection(server->second)) {
     candidate->mAskedAt = aNow;
     SendCommands(*idle, { status_command{} }, expected_reply_kind::Check, aNow);
   } else if (CanOpen(server->second, aNow)) {
-    OpenConnection(server->second, aNow);
+    OpenConnection(server->second, std::string(), aNow);
   }
 }
 
--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -101,11 +101,11 @@
   service.mCheck = primary_check{ aNow, {} };
   for (const auto& id : service.mServers) {
     known_server& server = mServers.at(id);
-    if (server_connection* idle = FindIdleConnection(server, {})) {
+    if (server_connection* idle = FindIdleConnection(server)) {
       SendCommands(
         *idle, { status_command{} }, expected_reply_kind::Check, aNow);
     } else if (CanOpen(server, aNow)) {
-      OpenConnection(server, aNow);
+      OpenConnection(server, std::string(), aNow);
     }
   }
   mMetrics.Count("primary_checks");
--- a/src/session/engine_connections.cpp
+++ b/src/session/engine_connections.cpp
@@ -1,6 +1,7 @@
 // Connections to backend servers: how many this instance may open, and when
 // they are opened and closed.
 #include "session/engine_state.h"
+#include "snipewalk/account/connection_eviction.h"
 
 #include <algorithm>
 
@@ -13,6 +14,9 @@
 // the old connections for seconds, and the restarted instances need free
 // connections in addition.
 constexpr milliseconds kSurplusIdleTimeout{ 400 };
+// Idle time of connections that belong to client accounts. Each serves one
+// account only, and is closed earlier if another account needs its place.
+constexpr milliseconds kAccountIdleTimeout{ 5'000 };
 // An instance that does not host the service closes all its connections after
 // this idle time, to leave them to the hosts.
 constexpr milliseconds kNonHostIdleTimeout{ 60 };
@@ -73,40 +77,95 @@
 }
 
 bool
-session_engine::state::CanOpen(const known_server& aServer,
-                               time_point aNow) const
+session_engine::state::MustDelayOpening(const known_server& aServer,
+                                        time_point aNow) const
 {
   if (aNow < aServer.mOpenAfter) {
-    return false;
+    return true;
   }
-  const std::size_t share = ConnectionShareOf(aServer, aNow);
   // Only one opening at a time per server: an existing connection may become
   // idle before another one is needed.
-  const bool opening =
-    std::any_of(aServer.mConnections.begin(),
-                aServer.mConnections.end(),
-                [this](server_connection_id aId) {
-                  const auto& expected = mConnections.at(aId).mExpectedReplies;
-                  return !expected.empty() &&
-                         expected.front().mKind == expected_reply_kind::Opening;
-                });
-  return !opening && aServer.mConnections.size() < share;
+  return std::any_of(
+    aServer.mConnections.begin(),
+    aServer.mConnections.end(),
+    [this](server_connection_id aId) {
+      const auto& expected = mConnections.at(aId).mExpectedReplies;
+      return !expected.empty() &&
+             expected.front().mKind == expected_reply_kind::Opening;
+    });
+}
+
+bool
+session_engine::state::CanOpen(const known_server& aServer,
+                               time_point aNow) const
+{
+  return !MustDelayOpening(aServer, aNow) &&
+         aServer.mConnections.size() < ConnectionShareOf(aServer, aNow);
+}
+
+std::optional<server_connection_id>
+session_engine::state::EvictionFor(const caller_session& aSession,
+                                   const known_server& aServer,
+                                   time_point aNow) const
+{
+  std::vector<server_connection_id> ids;
+  std::vector<account_connection> connections;
+  for (const auto id : aServer.mConnections) {
+    const server_connection& connection = mConnections.at(id);
+    ids.push_back(id);
+    connections.push_back({ connection.mAccount,
+                            connection.IsIdle()
+                              ? std::optional(connection.mIdleSince)
+                              : std::nullopt });
+  }
+  const auto chosen = ChooseEviction(
+    connections, aSession.mAccount, aSession.mPending->mReceived, aNow);
+  return chosen ? std::optional(ids[*chosen]) : std::nullopt;
+}
+
+bool
+session_engine::state::CanOpenFor(const caller_session& aSession,
+                                  const known_server& aServer,
+                                  time_point aNow) const
+{
+  if (CanOpen(aServer, aNow)) {
+    return true;
+  }
+  return HasAccounts() && !MustDelayOpening(aServer, aNow) &&
+         EvictionFor(aSession, aServer, aNow);
+}
+
+void
+session_engine::state::OpenConnectionFor(const caller_session& aSession,
+                                         known_server& aServer,
+                                         time_point aNow)
+{
+  if (!CanOpen(aServer, aNow)) {
+    if (const auto evicted = EvictionFor(aSession, aServer, aNow)) {
+      mMetrics.Count("server_connections_evicted");
+      DiscardConnection(*evicted);
+    }
+  }
+  OpenConnection(aServer, aSession.mAccount, aNow);
 }
 
 void
-session_engine::state::OpenConnection(known_server& aServer, time_point aNow)
+session_engine::state::OpenConnection(known_server& aServer,
+                                      const std::string& aAccount,
+                                      time_point aNow)
 {
   const server_connection_id id = mNextConnection++;
   server_connection& connection = mConnections[id];
   connection.mId = id;
   connection.mServer = aServer.mEntry.mId;
   connection.mService = aServer.mEntry.mService;
+  connection.mAccount = aAccount;
   connection.mExpectedReplies.push_back({ expected_reply_kind::Opening, aNow });
   connection.mIdleSince = aNow;
   aServer.mConnections.insert(id);
   aServer.mOpenAfter = aNow;
   mMetrics.Count("server_connections_opened");
-  mLinks.OpenServerConnection(id, aServer.mEntry);
+  mLinks.OpenServerConnection(id, aServer.mEntry, aAccount);
 }
 
 bool
@@ -129,8 +188,9 @@
     }
     const known_server& server = found->second;
     const bool keeps = KeepsIdleConnection(server);
-    const milliseconds limit =
-      keeps ? kSurplusIdleTimeout : kNonHostIdleTimeout;
+    const milliseconds surplusLimit =
+      HasAccounts() ? kAccountIdleTimeout : kSurplusIdleTimeout;
+    const milliseconds limit = keeps ? surplusLimit : kNonHostIdleTimeout;
     const std::size_t kept = keeps ? 1 : 0;
     const std::set<server_connection_id> connections = server.mConnections;
     for (const auto connection : connections) {
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -35,6 +35,10 @@
 {
   const std::string service = aSession.mPending->mRoute.mService;
   aSession.mPending->mStage = statement_stage::Waiting;
+  if (!aSession.mAccount.empty()) {
+    aSession.mPending->mTurn = mServices[service].mTurns.Assign(
+      aSession.mAccount, aSession.mPending->mRoute.mPriority);
+  }
   mServices[service].mWaiting.push_back(aSession.mId);
   Dispatch(service, aNow);
 }
@@ -68,17 +72,24 @@
     return;
   }
   SortWaiting(aService, aNow);
+  std::vector<session_id> overLimit;
   std::size_t index = 0;
   while (index < waiting.size()) {
     caller_session& session = mSessions.at(waiting[index]);
-    if (session.mPending->mRetryAt > aNow ||
-        Place(session, aNow) == placement::Waits) {
+    const placement result = session.mPending->mRetryAt > aNow
+                               ? placement::Waits
+                               : Place(session, aNow);
+    if (result == placement::Waits) {
       ++index;
       continue;
     }
+    if (result == placement::OverLimit) {
+      overLimit.push_back(session.mId);
+    }
     waiting.erase(waiting.begin() + static_cast<std::ptrdiff_t>(index));
   }
   UpdateBacklog(aService, aNow);
+  RefuseOverLimit(overLimit, aNow);
 }
 
 void
@@ -109,7 +120,8 @@
     primary == mServers.end() ? duration(0) : primary->second.mAnswerTime;
   return ComputeWaitRank({ aPending.mRoute.mPriority,
                            aPending.mReceived,
-                           aPending.mRoute.mLatencyObjective },
+                           aPending.mRoute.mLatencyObjective,
+                           aPending.mTurn },
                          expected,
                          aNow);
 }
@@ -213,12 +225,14 @@
     int inFlight = 0;
     for (const auto connection : server.mConnections) {
       const server_connection& serverConnection = mConnections.at(connection);
-      idle = idle || serverConnection.IsIdle();
+      idle = idle || (serverConnection.IsIdle() &&
+                      serverConnection.mAccount == aSession.mAccount);
       candidate.mOutstanding += serverConnection.IsIdle() ? 0 : 1;
       inFlight += serverConnection.mExpectedReplies.empty() ? 0 : 1;
     }
-    candidate.mHasConnection = server.mSendWindow.Admits(inFlight) &&
-                               (aOpen ? CanOpen(server, aNow) : idle);
+    candidate.mHasConnection =
+      server.mSendWindow.Admits(inFlight) &&
+      (aOpen ? CanOpenFor(aSession, server, aNow) : idle);
     candidates.push_back(candidate);
     names.push_back(id);
   }
@@ -273,18 +287,20 @@
 placement
 session_engine::state::Place(caller_session& aSession, time_point aNow)
 {
+  const placement allowed = TakeAllowance(aSession, aNow);
+  if (allowed != placement::Placed) {
+    return allowed;
+  }
   const known_service& service = mServices[aSession.mPending->mRoute.mService];
   const read_requirement requirement = RequirementOf(aSession, service, aNow);
   if (const auto idle = ChooseServer(aSession, requirement, false, aNow)) {
     known_server& server = mServers.at(*idle);
-    SendPlacedStatement(aSession,
-                        *FindIdleConnection(server, aSession.mContext),
-                        requirement,
-                        aNow);
+    SendPlacedStatement(
+      aSession, *FindIdleConnection(server, aSession), requirement, aNow);
     return placement::Placed;
   }
   if (const auto opened = ChooseServer(aSession, requirement, true, aNow)) {
-    OpenConnection(mServers.at(*opened), aNow);
+    OpenConnectionFor(aSession, mServers.at(*opened), aNow);
   }
   if (NeedsPrimaryCheck(aSession, requirement, service)) {
     StartCheck(aSession.mPending->mRoute.mService, aNow);
@@ -295,7 +311,7 @@
 
 server_connection*
 session_engine::state::FindIdleConnection(const known_server& aServer,
-                                          const session_context& aContext)
+                                          const caller_session& aSession)
 {
   // Prefers a connection that already holds the session's values and needs no
   // setup for them.
@@ -303,10 +319,11 @@
   bool bestMatches = false;
   for (const auto id : aServer.mConnections) {
     server_connection& connection = mConnections.at(id);
-    if (!connection.IsIdle()) {
+    if (!connection.IsIdle() || connection.mAccount != aSession.mAccount) {
       continue;
     }
-    const bool matches = connection.mContext.mValues == aContext.mValues;
+    const bool matches =
+      connection.mContext.mValues == aSession.mContext.mValues;
     if (best == nullptr || (matches && !bestMatches)) {
       best = &connection;
       bestMatches = matches;
@@ -315,6 +332,18 @@
   return best;
 }
 
+server_connection*
+session_engine::state::FindIdleConnection(const known_server& aServer)
+{
+  for (const auto id : aServer.mConnections) {
+    server_connection& connection = mConnections.at(id);
+    if (connection.IsIdle()) {
+      return &connection;
+    }
+  }
+  return nullptr;
+}
+
 void
 session_engine::state::SendCommands(
   server_connection& aConnection,
@@ -358,6 +387,8 @@
             aConnection.mContext,
             commands);
   aConnection.mSession = aSession.mId;
+  mServices.at(aConnection.mService)
+    .mTurns.OnPlaced(pending.mRoute.mPriority, pending.mTurn);
   ++pending.mAttempts;
   pending.mGroup = { RankOf(pending, aNow).mLate, pending.mRoute.mPriority };
   if (aSession.mTransaction) {
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -18,7 +18,9 @@
 enum class placement
 {
   Placed,
-  Waits
+  Waits,
+  // The rate limit of the client account does not allow the operation.
+  OverLimit
 };
 
 class session_engine::state
@@ -67,6 +69,10 @@
   // engine_timeouts.cpp
   void OnTick(time_point aNow);
 
+  // engine_accounts.cpp
+  std::optional<allowance_request> AllowanceRequestIfDue(time_point aNow);
+  void OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow);
+
   // session_engine.cpp
   void SetDesiredState(std::shared_ptr<const desired_state> aState,
                        time_point aNow);
@@ -124,6 +130,33 @@
   void CloseIfShuttingDown(session_id aSession, time_point aNow);
   const database_route* FindRoute(const std::string& aDatabase) const;
 
+  // engine_accounts.cpp
+  // Finds the client account of a new statement. Returns false if the session's
+  // key does not identify one, or another one than in the open transaction.
+  bool Authorize(caller_session& aSession);
+  // Answers the statement whose session has lost its authorization, rolls back
+  // its transaction and closes the session.
+  void EndUnauthorized(caller_session& aSession, time_point aNow);
+  // Ends what sessions may no longer do after a change of the accounts.
+  void EndRevokedSessions(time_point aNow);
+  // Notes that the operation which begins with the pending statement needs a
+  // token.
+  void RequireAllowance(caller_session& aSession, time_point aNow);
+  // Takes a token for the pending statement if it needs one. Returns Waits
+  // while tokens are expected soon.
+  placement TakeAllowance(caller_session& aSession, time_point aNow);
+  // Number of other operations of the account that have waited for a token for
+  // as long as the session's.
+  std::size_t CountAwaitingAllowance(const caller_session& aSession) const;
+  // Gives back the token and the turn of a statement that ends without an
+  // attempt.
+  void ReturnAllowance(const caller_session& aSession,
+                       const pending_statement& aPending,
+                       time_point aNow);
+  // Refuses statements whose accounts have exhausted their rate limits.
+  void RefuseOverLimit(const std::vector<session_id>& aSessions,
+                       time_point aNow);
+
   // engine_placement.cpp
   void Enqueue(caller_session& aSession, time_point aNow);
   std::vector<std::string> ServicesWithWaitingStatements() const;
@@ -149,8 +182,11 @@
   bool NeedsPrimaryCheck(const caller_session& aSession,
                          const read_requirement& aRequirement,
                          const known_service& aService) const;
+  // Returns an idle connection of the session's client account.
   server_connection* FindIdleConnection(const known_server& aServer,
-                                        const session_context& aContext);
+                                        const caller_session& aSession);
+  // Returns any idle connection, for commands of the instance itself.
+  server_connection* FindIdleConnection(const known_server& aServer);
   void SendPlacedStatement(caller_session& aSession,
                            server_connection& aConnection,
                            const read_requirement& aRequirement,
@@ -232,7 +268,26 @@
   std::size_t ConnectionShareOf(const known_server& aServer,
                                 time_point aNow) const;
   bool CanOpen(const known_server& aServer, time_point aNow) const;
-  void OpenConnection(known_server& aServer, time_point aNow);
+  // Whether a connection can be opened for the session's pending statement,
+  // perhaps after closing an idle one of another client account.
+  bool CanOpenFor(const caller_session& aSession,
+                  const known_server& aServer,
+                  time_point aNow) const;
+  // Returns the idle connection that is closed so that one can be opened for
+  // the session's pending statement.
+  std::optional<server_connection_id> EvictionFor(
+    const caller_session& aSession,
+    const known_server& aServer,
+    time_point aNow) const;
+  void OpenConnection(known_server& aServer,
+                      const std::string& aAccount,
+                      time_point aNow);
+  void OpenConnectionFor(const caller_session& aSession,
+                         known_server& aServer,
+                         time_point aNow);
+  // Whether another opening is in progress or was refused shortly before.
+  bool MustDelayOpening(const known_server& aServer, time_point aNow) const;
+  bool HasAccounts() const { return mDesired && mDesired->mAccounts; }
   // Whether this instance keeps one idle connection to the server.
   bool KeepsIdleConnection(const known_server& aServer) const;
   void CloseSurplusConnections(time_point aNow);
@@ -331,6 +386,7 @@
   std::map<std::string, known_service> mServices;
   // Last time at which idle transactions and missing servers were checked.
   time_point mLastSlowTick = time_point::min();
+  allowance_reserve mAllowances;
   // Whether sessions are closed as soon as they are idle.
   bool mShuttingDown = false;
   // Whether transactions are aborted between statements.
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -3,6 +3,8 @@
 #ifndef SNIPEWALK_SESSION_ENGINE_TYPES_H_
 #define SNIPEWALK_SESSION_ENGINE_TYPES_H_
 
+#include "snipewalk/account/allowance_reserve.h"
+#include "snipewalk/account/fair_turns.h"
 #include "snipewalk/session/connection_context.h"
 #include "snipewalk/session/failure_answer.h"
 #include "snipewalk/session/freshness.h"
@@ -38,6 +40,14 @@
   Unproven
 };
 
+enum class allowance_need
+{
+  // The account has no limit, or an earlier statement has taken the token.
+  None,
+  Needed,
+  Taken
+};
+
 struct pending_statement
 {
   std::string mRequestId;
@@ -69,6 +79,11 @@
   std::string mUnprovenServer;
   std::uint64_t mUnprovenTerm = 0;
   time_point mRepliedAt;
+  // Whether the operation of which this is the first statement needs a token of
+  // its account's rate limit, or has taken one.
+  allowance_need mAllowance = allowance_need::None;
+  // Turn of the client account for the latest placement; see fair_turns.
+  double mTurn = 0;
   // Log position that the last attempt requires of the chosen replica; it is
   // sent as statement_command::mMinPosition. Unset if the primary was chosen.
   std::optional<log_position> mMinPosition;
@@ -131,6 +146,10 @@
   session_id mId = 0;
   bool mOpened = false;
   std::string mDatabase;
+  // Identifies the caller's client account.
+  std::string mKey;
+  // Client account of the present or latest operation; empty without accounts.
+  std::string mAccount;
   session_context mContext;
   session_state mState = session_state::Idle;
   // Set if and only if mState is InTransaction.
@@ -168,6 +187,9 @@
   server_connection_id mId = 0;
   std::string mServer;
   std::string mService;
+  // Client account whose statements the connection may execute; empty for those
+  // without an account.
+  std::string mAccount;
   // Session that uses the connection, or zero.
   session_id mSession = 0;
   connection_context mContext;
@@ -266,6 +288,7 @@
   // Sessions with a waiting statement. Sorted by rank before statements are
   // placed.
   std::vector<session_id> mWaiting;
+  fair_turns mTurns;
   // Wait forecasts of the statements that only the primary can execute, and of
   // all other statements.
   wait_forecast mPrimaryForecast;
--- a/src/session/forwarding_links.h
+++ b/src/session/forwarding_links.h
@@ -8,6 +8,7 @@
 #include "snipewalk/connection/stream_connection.h"
 #include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/session_hosts.h"
+#include "snipewalk/session/session_messages.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,9 +28,9 @@
 public:
   virtual ~forwarding_links() = default;
 
-  // Returns the instance that serves a new session of a database; std::nullopt
-  // if it is this instance.
-  virtual std::optional<host_candidate> HostFor(const std::string& aDatabase,
+  // Returns the instance that serves a new session; std::nullopt if it is this
+  // instance.
+  virtual std::optional<host_candidate> HostFor(const open_session& aOpen,
                                                 time_point aNow) = 0;
   virtual void OnHostFailed(const std::string& aHost, time_point aNow) = 0;
   // Probes a host. The reply arrives as session_forwarder::OnHostHeard().
--- a/src/session/peer_datagrams.cpp
+++ b/src/session/peer_datagrams.cpp
@@ -57,6 +57,16 @@
                                             int,
                                             std::uint64_t>;
 
+using wire_allowance_want =
+  std::tuple<std::string, std::uint32_t, std::uint32_t>;
+using wire_allowance_request = std::tuple<std::string,
+                                          std::uint64_t,
+                                          std::uint64_t,
+                                          std::vector<wire_allowance_want>>;
+using wire_allowance_share = std::tuple<std::string, std::uint32_t, bool>;
+using wire_allowance_grant =
+  std::tuple<std::uint64_t, std::vector<wire_allowance_share>>;
+
 // Datagrams contain the numbers of revisions, as instances of earlier versions
 // know them, and their era once, at the end.
 
@@ -84,7 +94,9 @@
   ReleaseAnswer,
   Confirmation,
   ConfirmationAnswer,
-  ConnectionYield
+  ConnectionYield,
+  AllowanceRequest,
+  AllowanceGrant
 };
 
 template<typename Enum>
@@ -188,6 +200,26 @@
     return Pack(wire_type::ConnectionYield,
                 wire_connection_yield_request{ aRequest.mServer });
   }
+  std::string operator()(const allowance_datagram& aDatagram) const
+  {
+    wire_allowance_request wire{ aDatagram.mInstance,
+                                 aDatagram.mStarted,
+                                 aDatagram.mRequest.mSequenceNumber,
+                                 {} };
+    for (const auto& want : aDatagram.mRequest.mWants) {
+      std::get<3>(wire).emplace_back(want.mAccount, want.mHeld, want.mWanted);
+    }
+    return Pack(wire_type::AllowanceRequest, wire);
+  }
+  std::string operator()(const allowance_grant& aGrant) const
+  {
+    wire_allowance_grant wire{ aGrant.mSequenceNumber, {} };
+    for (const auto& share : aGrant.mShares) {
+      std::get<1>(wire).emplace_back(
+        share.mAccount, share.mTokens, share.mLimited);
+    }
+    return Pack(wire_type::AllowanceGrant, wire);
+  }
 };
 
 health_report
@@ -272,6 +304,29 @@
   return answer;
 }
 
+allowance_datagram
+ReadAllowanceRequest(const msgpack::object& aObject)
+{
+  const auto [instance, started, number, wants] =
+    aObject.as<wire_allowance_request>();
+  allowance_datagram datagram{ instance, started, { number, {} } };
+  for (const auto& [account, held, wanted] : wants) {
+    datagram.mRequest.mWants.push_back({ account, held, wanted });
+  }
+  return datagram;
+}
+
+allowance_grant
+ReadAllowanceGrant(const msgpack::object& aObject)
+{
+  const auto [number, shares] = aObject.as<wire_allowance_grant>();
+  allowance_grant grant{ number, {} };
+  for (const auto& [account, tokens, limited] : shares) {
+    grant.mShares.push_back({ account, tokens, limited });
+  }
+  return grant;
+}
+
 peer_datagram
 Read(wire_type aType, const msgpack::object& aObject)
 {
@@ -314,6 +369,10 @@
     case wire_type::ConnectionYield:
       return connection_yield_request{ std::get<0>(
         aObject.as<wire_connection_yield_request>()) };
+    case wire_type::AllowanceRequest:
+      return ReadAllowanceRequest(aObject);
+    case wire_type::AllowanceGrant:
+      return ReadAllowanceGrant(aObject);
   }
   throw msgpack::type_error();
 }
@@ -334,7 +393,7 @@
       aBytes.data(), aBytes.size(), nullptr, nullptr, kUnpackLimits);
     const auto [type, fields] =
       handle.get().as<std::tuple<int, msgpack::object>>();
-    return Read(ToEnum(type, wire_type::ConnectionYield), fields);
+    return Read(ToEnum(type, wire_type::AllowanceGrant), fields);
   } catch (const std::exception& error) {
     return absl::InvalidArgumentError(error.what());
   }
--- a/src/session/server_control.cpp
+++ b/src/session/server_control.cpp
@@ -93,8 +93,8 @@
     { [this, id, current](time_point) {
        if (current()) {
          channel& opened = mChannels.at(id);
-         opened.mStream->Send(mProtocol.WriteServerOpening(
-           opened.mServer.mService, opened.mServer.mId));
+         opened.mStream->Send(
+           mProtocol.WriteServerOpening(opened.mServer, std::string()));
        }
      },
       [this, id, current](std::string& aInput, time_point aNow) {
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -60,6 +60,7 @@
                   })
   , mDuty(mOptions.mInstance, mOptions.mStarted, mOptions.mClaimStagger)
   , mHosts(mOptions.mInstance, mOptions.mDataCentre)
+  , mAllowances(mOptions.mAllowanceRules)
 {
 }
 
@@ -152,6 +153,9 @@
         { "revision", static_cast<std::int64_t>(mDesiredRevision) },
         { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) } });
   mDesired = std::make_shared<const desired_state>(*std::move(decoded));
+  if (mDesired->mAccounts) {
+    mAllowances.SetLimits(*mDesired->mAccounts, aNow);
+  }
   mEngine.SetDesiredState(mDesired, aNow);
   for (const auto& [name, limits] : mDesired->mServices) {
     mHosts.SetService(name, limits.StatementConnections());
@@ -390,6 +394,10 @@
   } else if (const auto* yield =
                std::get_if<connection_yield_request>(&aDatagram)) {
     mEngine.YieldConnections(yield->mServer, aNow);
+  } else if (const auto* wanted = std::get_if<allowance_datagram>(&aDatagram)) {
+    OnAllowanceRequest(aFrom, *wanted, aNow);
+  } else if (const auto* granted = std::get_if<allowance_grant>(&aDatagram)) {
+    mEngine.OnAllowanceGrant(*granted, aNow);
   }
 }
 
@@ -430,10 +438,13 @@
         "primary",
         holds ? "duty held" : "duty lost",
         { { "fence", static_cast<std::int64_t>(mDuty.Fence()) } });
-    if (!holds) {
+    if (holds) {
+      mAllowances.Begin(aNow);
+    } else {
       AbandonChanges(aNow);
     }
   }
+  RequestAllowances(aNow);
   if (holds) {
     MarkRestored(aNow);
   }
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -141,6 +141,7 @@
           aStarted,
           mSettings.mDataCentre,
           mSettings.mPeerAddress,
+          mSettings.mRateLimitTolerance,
           milliseconds(static_cast<std::int64_t>(
             absl::HashOf(mSettings.mInstance) % kDutyClaimSpreadMs)) })
     , mSuspendedTime(SuspendedTime())
@@ -216,10 +217,10 @@
   }
 
   // Implements forwarding_links.
-  std::optional<host_candidate> HostFor(const std::string& aDatabase,
+  std::optional<host_candidate> HostFor(const open_session& aOpen,
                                         time_point aNow) override
   {
-    return mController.HostFor(aDatabase, aNow);
+    return mController.HostFor(aOpen, aNow);
   }
   void OnHostFailed(const std::string& aHost, time_point aNow) override
   {
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -26,11 +26,15 @@
   for (const auto& [name, limits] : mDesired->mServices) {
     mServices[name].mLimits = limits;
   }
+  if (HasAccounts()) {
+    mAllowances.SetLimits(*mDesired->mAccounts);
+  }
   for (const auto id : std::exchange(mPendingOpenings, {})) {
     if (caller_session* session = FindSession(id)) {
-      OpenSession(*session, { session->mDatabase }, aNow);
+      OpenSession(*session, { session->mDatabase, session->mKey }, aNow);
     }
   }
+  EndRevokedSessions(aNow);
   DispatchAll(aNow);
 }
 
@@ -102,6 +106,7 @@
 void
 session_engine::state::ForgetTimes(time_point aNow)
 {
+  mAllowances.DropTokens();
   for (auto& [name, service] : mServices) {
     service.mPrimarySince = aNow;
     service.mSamples = freshness_samples();
@@ -274,6 +279,18 @@
   }
 }
 
+std::optional<allowance_request>
+session_engine::AllowanceRequestIfDue(time_point aNow)
+{
+  return mState->AllowanceRequestIfDue(aNow);
+}
+
+void
+session_engine::OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow)
+{
+  mState->OnAllowanceGrant(aGrant, aNow);
+}
+
 void
 session_engine::YieldConnections(const std::string& aServer, time_point aNow)
 {
--- a/src/session/session_hosts.cpp
+++ b/src/session/session_hosts.cpp
@@ -158,8 +158,7 @@
   std::uint64_t bestWeight = 0;
   bool bestSameDataCentre = false;
   for (const auto& host : HostsOf(aService, found->second)) {
-    const auto avoided = mAvoidedUntil.find(host.mName);
-    if (avoided != mAvoidedUntil.end() && aNow < avoided->second) {
+    if (IsAvoided(host, aNow)) {
       continue;
     }
     // The weight depends on this instance, so that the instances spread over
@@ -176,6 +175,45 @@
   return chosen;
 }
 
+std::optional<host_candidate>
+session_hosts::HostForAccount(const std::string& aService,
+                              const std::string& aAccount,
+                              double aShare,
+                              time_point aNow) const
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return std::nullopt;
+  }
+  const bool inEachDataCentre =
+    aShare * static_cast<double>(found->second.mConnections) >=
+    static_cast<double>(mDataCentres);
+  std::optional<host_candidate> chosen;
+  std::pair<bool, std::uint64_t> best;
+  for (const auto& host : HostsOf(aService, found->second)) {
+    if (IsAvoided(host, aNow)) {
+      continue;
+    }
+    // The same on all instances, but for accounts that have a host in each data
+    // centre.
+    const std::pair preference{ inEachDataCentre &&
+                                  host.mDataCentre == mDataCentre,
+                                RendezvousWeight(aAccount, host.mName) };
+    if (!chosen || preference > best) {
+      chosen = host;
+      best = preference;
+    }
+  }
+  return chosen && chosen->mName == mInstance ? std::nullopt : chosen;
+}
+
+bool
+session_hosts::IsAvoided(const host_candidate& aHost, time_point aNow) const
+{
+  const auto avoided = mAvoidedUntil.find(aHost.mName);
+  return avoided != mAvoidedUntil.end() && aNow < avoided->second;
+}
+
 void
 session_hosts::OnHostFailed(const std::string& aInstance, time_point aNow)
 {
--- a/src/session/session_settings.cpp
+++ b/src/session/session_settings.cpp
@@ -13,8 +13,35 @@
 
 constexpr integer_range kStoreCallsPerSecondRange{ 1, 10'000 };
 constexpr double kMaxShutdownGraceSeconds = 600;
+constexpr double kMinRateLimitWindowSeconds = 1;
+constexpr double kMaxRateLimitWindowSeconds = 3'600;
+constexpr double kMaxRateLimitOverage = 1;
+constexpr double kMaxRateLimitSlack = 1'000'000;
 constexpr integer_range kLogLinesPerSecondRange{ 1, 100'000 };
 
+milliseconds
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<milliseconds>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+allowance_rules
+ReadRateLimitTolerance(object_reader& aRoot)
+{
+  allowance_rules rules;
+  rules.mWindow = FromSeconds(
+    aRoot.OptionalNumber("rate_limit_window_seconds",
+                         std::chrono::duration<double>(rules.mWindow).count(),
+                         kMinRateLimitWindowSeconds,
+                         kMaxRateLimitWindowSeconds));
+  rules.mOverage = aRoot.OptionalNumber(
+    "rate_limit_overage", rules.mOverage, 0, kMaxRateLimitOverage);
+  rules.mSlack = aRoot.OptionalNumber(
+    "rate_limit_slack", rules.mSlack, 0, kMaxRateLimitSlack);
+  return rules;
+}
+
 session_settings
 Read(object_reader& aRoot)
 {
@@ -36,8 +63,8 @@
     std::chrono::duration<double>(settings.mShutdownGrace).count(),
     0,
     kMaxShutdownGraceSeconds);
-  settings.mShutdownGrace = std::chrono::duration_cast<milliseconds>(
-    std::chrono::duration<double>(grace));
+  settings.mShutdownGrace = FromSeconds(grace);
+  settings.mRateLimitTolerance = ReadRateLimitTolerance(aRoot);
   settings.mLogLinesPerSecond =
     static_cast<int>(aRoot.OptionalInteger("log_lines_per_second",
                                            settings.mLogLinesPerSecond,
@@ -91,6 +118,9 @@
   if (aCurrent.mLogLinesPerSecond != aNew.mLogLinesPerSecond) {
     difference.mAppliedAtNextStart.emplace_back("log_lines_per_second");
   }
+  if (aCurrent.mRateLimitTolerance != aNew.mRateLimitTolerance) {
+    difference.mAppliedAtNextStart.emplace_back("rate_limit_tolerance");
+  }
   return difference;
 }
 
--- a/src/session/wait_order.cpp
+++ b/src/session/wait_order.cpp
@@ -9,7 +9,9 @@
                 time_point aNow)
 {
   const time_point due = aStatement.mReceived + aStatement.mObjective;
-  return { aNow + aExpected > due, aStatement.mPriority, due };
+  return {
+    aNow + aExpected > due, aStatement.mPriority, aStatement.mTurn, due
+  };
 }
 
 } // namespace snipewalk
--- a/tests/platform/line_protocol_test.cpp
+++ b/tests/platform/line_protocol_test.cpp
@@ -29,6 +29,7 @@
   const auto message = ReadOne(buffer);
   ASSERT_TRUE(message);
   EXPECT_EQ(std::get<open_session>(*message).mDatabase, "lepu270");
+  EXPECT_EQ(std::get<open_session>(*message).mKey, "u3f1");
   EXPECT_EQ(buffer, "QUERY");
   EXPECT_FALSE(ReadOne(buffer));
 }
--- a/tests/platform/store_dialect_test.cpp
+++ b/tests/platform/store_dialect_test.cpp
@@ -251,6 +251,58 @@
   EXPECT_EQ(state->mServices.at("s").mSyncReplicas, 1);
 }
 
+// Encodes a desired state with these entries of accounts.
+std::string
+StateWithAccounts(const std::string& aEntries)
+{
+  return R"({"Version":7,"Routes":[],"Services":[],"Tenants":[)" + aEntries +
+         "]}";
+}
+
+TEST(DesiredStateTest, ReadsAccounts)
+{
+  const auto state = DecodeDesiredState(StateWithAccounts(
+    R"({"Name":"ann","ApiKeys":["k1","k2"],"Priority":1,"RatePerS":2.5,)"
+    R"("Burst":4},{"Name":"bob","ApiKeys":["k3"]})"));
+  ASSERT_TRUE(state.ok()) << state.status();
+  const client_account* ann = state->mAccounts->FindByKey("k2");
+  ASSERT_NE(ann, nullptr);
+  EXPECT_EQ(ann->mName, "ann");
+  EXPECT_EQ(ann->mPriority, 1);
+  EXPECT_EQ(ann->mLimit, (rate_limit{ 2.5, 4 }));
+  EXPECT_FALSE(state->mAccounts->FindByKey("k3")->mLimit);
+}
+
+TEST(DesiredStateTest, HasNoAccountsUnlessTheyAreListed)
+{
+  const auto state =
+    DecodeDesiredState(R"({"Version":7,"Routes":[],"Services":[]})");
+  ASSERT_TRUE(state.ok());
+  EXPECT_EQ(state->mAccounts, nullptr);
+}
+
+// Guards against one bad entry that disables all accounts.
+TEST(DesiredStateTest, KeepsTheAccountsBesideABadOne)
+{
+  for (const std::string bad :
+       { R"(7)",
+         R"({"Name":"ann"})",
+         R"({"Name":"ann","ApiKeys":"k1"})",
+         R"({"Name":"ann","ApiKeys":[7]})",
+         R"({"Name":"ann","ApiKeys":["k1"],"RatePerS":-1})",
+         R"({"Name":"ann","ApiKeys":["k1"],"RatePerS":"5"})",
+         R"({"Name":"ann","ApiKeys":["k1"],"Burst":5})",
+         R"({"Name":"ann","ApiKeys":["k1"],"Priority":77})",
+         R"({"Name":"ann","ApiKeys":["k1"],"Priority":"high"})",
+         R"({"Name":"ann b","ApiKeys":["k1"]})" }) {
+    const auto state = DecodeDesiredState(
+      StateWithAccounts(bad + R"(,{"Name":"bob","ApiKeys":["k3"]})"));
+    ASSERT_TRUE(state.ok()) << bad;
+    EXPECT_EQ(state->mAccounts->FindByKey("k1"), nullptr) << bad;
+    EXPECT_NE(state->mAccounts->FindByKey("k3"), nullptr) << bad;
+  }
+}
+
 TEST(DesiredStateTest, RefusesAMalformedState)
 {
   for (const std::string bad :
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -25,6 +25,8 @@
   struct recorded_connection
   {
     std::string mServer;
+    // Client account that it was opened for.
+    std::string mAccount;
     bool mClosed = false;
     std::vector<server_command> mCommands;
   };
@@ -45,9 +47,11 @@
     mClosed.insert(aSession);
   }
   void OpenServerConnection(server_connection_id aConnection,
-                            const registered_server& aServer) override
+                            const registered_server& aServer,
+                            const std::string& aAccount) override
   {
     mServers[aConnection].mServer = aServer.mId;
+    mServers[aConnection].mAccount = aAccount;
   }
   void SendCommands(server_connection_id aConnection,
                     const std::vector<server_command>& aCommands) override
@@ -164,10 +168,10 @@
     }
   }
 
-  session_id Open(const std::string& aDatabase)
+  session_id Open(const std::string& aDatabase, const std::string& aKey = {})
   {
     const session_id id = mNextSession++;
-    mEngine.OnCallerMessage(id, open_session{ aDatabase }, mNow);
+    mEngine.OnCallerMessage(id, open_session{ aDatabase, aKey }, mNow);
     return id;
   }
 
--- a/tests/session/session_hosts_test.cpp
+++ b/tests/session/session_hosts_test.cpp
@@ -177,6 +177,58 @@
             first);
 }
 
+// A connection belongs to one account, so each host that serves an account
+// needs connections of its own for it.
+TEST_F(SessionHostsTest, ServesASmallAccountAtOneHost)
+{
+  std::set<std::string> hosts;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    session_hosts here("i" + std::to_string(i), "dc" + std::to_string(i % 3));
+    here.SetInstances(Candidates(kInstances));
+    here.SetService("s", 18);
+    const auto host = here.HostForAccount("s", "ann", 0.01, mNow);
+    hosts.insert(host ? host->mName : "i" + std::to_string(i));
+  }
+  EXPECT_EQ(hosts.size(), 1U);
+}
+
+// Guards against one host that gets the whole load of the largest account.
+TEST_F(SessionHostsTest, ServesALargeAccountInEachDataCentre)
+{
+  std::set<std::string> dataCentres;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    const std::string dataCentre = "dc" + std::to_string(i % 3);
+    session_hosts here("i" + std::to_string(i), dataCentre);
+    here.SetInstances(Candidates(kInstances));
+    here.SetService("s", 18);
+    if (const auto host = here.HostForAccount("s", "ann", 0.5, mNow)) {
+      EXPECT_EQ(host->mDataCentre, dataCentre);
+      dataCentres.insert(host->mDataCentre);
+    }
+  }
+  EXPECT_EQ(dataCentres.size(), 3U);
+}
+
+TEST_F(SessionHostsTest, DividesTheAccountsBetweenTheHosts)
+{
+  std::set<std::string> hosts;
+  for (int i = 0; i < 50; ++i) {
+    const auto host =
+      mHosts.HostForAccount("s", "a" + std::to_string(i), 0.01, mNow);
+    hosts.insert(host ? host->mName : "i0");
+  }
+  EXPECT_EQ(hosts.size(), 3U);
+}
+
+TEST_F(SessionHostsTest, ServesAnAccountElsewhereWhenItsHostFailed)
+{
+  const auto first = mHosts.HostForAccount("s", "ann", 0.01, mNow);
+  ASSERT_TRUE(first);
+  mHosts.OnHostFailed(first->mName, mNow);
+  const auto second = mHosts.HostForAccount("s", "ann", 0.01, mNow);
+  EXPECT_NE(second, first);
+}
+
 TEST_F(SessionHostsTest, ServesHereWhenNoHostIsLeft)
 {
   while (const auto host = mHosts.HostFor("s", mNow)) {
