Let each account have an owner that issues its tokens

Change: allowance_owners chooses the issuer of each account by rendezvous hashing among the live instances. A read also opens a connection to a server that would have been chosen if it had one. Ownership of new accounts dates from the last change of the instances; that part was not measured yet.

--- a/include/snipewalk/account/allowance_allocator.h
+++ b/include/snipewalk/account/allowance_allocator.h
@@ -1,8 +1,8 @@
 // Divides the rate limits of client accounts between instances. An account's
 // operations are counted over all instances, also those that are cut off, so an
-// operation needs a token that one place has issued. The holder of the failover
-// duty, of which there is at most one at a time, issues them to the instances
-// that ask, according to their demand.
+// operation needs a token that one place has issued. The owner of the account
+// (see allowance_owners), of which there is at most one at a time, issues them
+// to the instances that ask, according to their demand.
 //
 // Invariant: tokens that were issued and may still be used, together with those
 // that can be issued at once, never exceed the account's capacity. In any
@@ -39,9 +39,9 @@
 public:
   explicit allowance_allocator(const allowance_rules& aRules);
 
-  // Starts without any tokens to issue, as the instance has taken the duty.
-  // Instances may hold tokens that another one has issued.
-  void Begin(time_point aNow);
+  // Starts to issue tokens of an account whose former owner has issued its last
+  // ones at `aFrom` at the latest. Instances may hold these still.
+  void Begin(const std::string& aAccount, time_point aFrom);
   // Sets the limits of the accounts that have one.
   void SetLimits(const account_directory& aAccounts, time_point aNow);
 
@@ -75,11 +75,11 @@
     rate_limit mLimit;
     // Tokens that can be issued.
     double mTokens = 0;
-    // Tokens that were issued before the duty was taken and are still held, as
-    // far as their holders have reported.
+    // Tokens that another owner has issued and that are still held, as far as
+    // their holders have reported.
     double mAdopted = 0;
     time_point mRefilledAt;
-    // When the instance took the duty or learned of the account. Tokens may
+    // When the instance became the owner or learned of the account. Tokens may
     // have been issued before.
     time_point mBegunAt;
     // By name of the instance.
--- a/include/snipewalk/account/allowance_reserve.h
+++ b/include/snipewalk/account/allowance_reserve.h
@@ -38,7 +38,8 @@
 
   // Returns the request to send if one is due.
   std::optional<allowance_request> RequestIfDue(time_point aNow);
-  // Applies the answer to the latest request; earlier ones are ignored.
+  // Applies an answer to the latest request; earlier ones are ignored.
+  // Different instances may answer for different accounts.
   void OnGrant(const allowance_grant& aGrant, time_point aNow);
   // Called after a suspension that the clock did not count: the tokens may have
   // expired.
@@ -62,6 +63,8 @@
     std::uint32_t mLastIssued = 0;
     // An operation has been waiting for a token since the latest answer.
     bool mAwaited = false;
+    // The latest request for tokens of the account has not been answered.
+    bool mUnanswered = false;
   };
 
   // What the accounts need, in ascending order of urgency.
@@ -70,8 +73,9 @@
     None,
     // The tokens of an account run low or expire soon.
     Refill,
-    // Operations wait for tokens of accounts whose limit is exhausted.
-    Limited,
+    // Operations wait for tokens of accounts whose limit is exhausted, or that
+    // were requested before in vain.
+    Slow,
     // Operations wait for tokens that are probably available.
     Urgent
   };
@@ -86,8 +90,6 @@
   std::map<std::string, account_tokens> mAccounts;
   std::uint64_t mSequenceNumber = 0;
   time_point mRequestedAt = time_point::min();
-  // Whether the latest request has been answered.
-  bool mAnswered = true;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/session/peer_datagrams.h
+++ b/include/snipewalk/session/peer_datagrams.h
@@ -147,8 +147,8 @@
   std::string mServer;
 };
 
-// Sent to the holder of the duty: requests tokens of the rate limits of client
-// accounts. The answer is an allowance_grant.
+// Sent to the owners of client accounts: requests tokens of their rate limits.
+// The answer is an allowance_grant.
 struct allowance_datagram
 {
   std::string mInstance;
--- a/include/snipewalk/session/server_choice.h
+++ b/include/snipewalk/session/server_choice.h
@@ -20,6 +20,8 @@
   bool mSameDataCentre = false;
   // Whether the server has an idle connection, or one can be opened now.
   bool mHasConnection = false;
+  // Whether the connection would have to be opened first.
+  bool mNeedsOpening = false;
   // Number of this instance's connections to the server that are in use.
   int mOutstanding = 0;
   // Moving average of answer times, or the time for which the server has been
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -5,6 +5,7 @@
 #define SNIPEWALK_SESSION_SESSION_CONTROLLER_H_
 
 #include "snipewalk/account/allowance_allocator.h"
+#include "snipewalk/account/allowance_owners.h"
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/messages/store_client.h"
 #include "snipewalk/session/desired_state.h"
@@ -329,11 +330,16 @@
   // confirms the records to them.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
-  // Requests tokens of the accounts' rate limits from the duty holder.
+  // Requests tokens of the accounts' rate limits from the accounts' owners.
   void RequestAllowances(time_point aNow);
-  void OnAllowanceRequest(const std::string& aFrom,
-                          const allowance_datagram& aDatagram,
-                          time_point aNow);
+  // Whether this instance may issue tokens of the account's rate limit.
+  bool MayIssue(const std::string& aAccount, time_point aNow) const;
+  // Answers a request of a process for the accounts that this instance owns.
+  std::optional<allowance_grant> IssueAllowances(
+    const allowance_datagram& aDatagram,
+    time_point aNow);
+  void PublishAllowanceOwners(const std::vector<host_candidate>& aLive,
+                              time_point aNow);
   // Names of the instances that may hold the duty: by the record known here and
   // by the latest confirmation. They differ while the store refuses this
   // instance.
@@ -447,8 +453,16 @@
   std::map<std::string, service_control> mServices;
   instance_directory mInstances;
   session_hosts mHosts;
-  // Used while this instance holds the duty.
+  allowance_owners mAllowanceOwners;
+  // Used for the accounts that this instance owns.
   allowance_allocator mAllowances;
+  // Number of known instances, and version of the record of this process (zero
+  // if none), at the latest change of the instances.
+  std::size_t mKnownInstances = 0;
+  std::uint64_t mOwnRecordVersion = 0;
+  // Since when this instance has been the owner, as of the latest request for
+  // tokens of each account.
+  std::map<std::string, time_point> mIssuingSince;
   std::function<void(const std::string&, time_point)> mOnInstanceReply;
   std::function<void()> mOnDesiredState;
   time_point mDesiredReadAt = time_point::min();
--- a/src/account/allowance_allocator.cpp
+++ b/src/account/allowance_allocator.cpp
@@ -13,7 +13,7 @@
 
 // Part of the tolerance that counts as capacity.
 constexpr double kToleranceInUse = 0.7;
-// While tokens of an earlier holder of the duty may be in use, and it is not
+// While tokens of an earlier owner may be in use, and it is not
 // known whose. Small enough for several takeovers within their lifetime.
 constexpr double kToleranceAfterTakeover = 0.1;
 // A requester whose last request is older does not take part in the division of
@@ -36,10 +36,11 @@
 }
 
 void
-allowance_allocator::Begin(time_point aNow)
+allowance_allocator::Begin(const std::string& aAccount, time_point aFrom)
 {
-  for (auto& [name, known] : mBuckets) {
-    known = NewBucket(known.mLimit, aNow);
+  const auto found = mBuckets.find(aAccount);
+  if (found != mBuckets.end()) {
+    found->second = NewBucket(found->second.mLimit, aFrom);
   }
 }
 
@@ -135,7 +136,7 @@
   if (aNow >= aBucket.mBegunAt + kTokenLifetime) {
     return 0;
   }
-  // Tokens that another duty holder has issued.
+  // Tokens that another owner has issued.
   const double most = aBucket.mLimit.mBurst +
                       kToleranceInUse * ToleranceOf(aBucket.mLimit) -
                       aBucket.mAdopted;
--- a/src/account/allowance_reserve.cpp
+++ b/src/account/allowance_reserve.cpp
@@ -20,10 +20,8 @@
 // Minimum times between two requests, by what they are needed for. Tokens of an
 // exhausted limit arrive at its rate, however often they are requested.
 constexpr milliseconds kRefillInterval{ 400 };
-constexpr milliseconds kLimitedInterval{ 100 };
+constexpr milliseconds kSlowInterval{ 100 };
 constexpr milliseconds kUrgentInterval{ 30 };
-// Minimum time after a request that has not been answered.
-constexpr milliseconds kUnansweredInterval{ 100 };
 // How long an answer that could not satisfy the request says that the limit is
 // exhausted.
 constexpr milliseconds kLimitedTime{ 1'000 };
@@ -146,7 +144,8 @@
     return need::None;
   }
   if (aTokens.mAwaited) {
-    return aNow < aTokens.mLimitedUntil ? need::Limited : need::Urgent;
+    return aNow < aTokens.mLimitedUntil || aTokens.mUnanswered ? need::Slow
+                                                               : need::Urgent;
   }
   const bool low = aTokens.mTokens < kLowPart * wanted;
   const bool expiring = aNow + kRenewalTime >= aTokens.mExpiresAt;
@@ -165,12 +164,9 @@
   if (most == need::None) {
     return std::nullopt;
   }
-  milliseconds interval = most == need::Urgent    ? kUrgentInterval
-                          : most == need::Limited ? kLimitedInterval
-                                                  : kRefillInterval;
-  if (!mAnswered) {
-    interval = std::max(interval, kUnansweredInterval);
-  }
+  const milliseconds interval = most == need::Urgent ? kUrgentInterval
+                                : most == need::Slow ? kSlowInterval
+                                                     : kRefillInterval;
   if (mRequestedAt != time_point::min() && aNow < mRequestedAt + interval) {
     return std::nullopt;
   }
@@ -181,11 +177,11 @@
 allowance_reserve::NewRequest(time_point aNow)
 {
   mRequestedAt = aNow;
-  mAnswered = false;
   allowance_request request{ ++mSequenceNumber, {} };
   for (auto& [name, tokens] : mAccounts) {
     const std::uint32_t wanted = WantedOf(tokens);
     tokens.mTakenSinceRequest = 0;
+    tokens.mUnanswered = wanted > 0;
     if (wanted > 0) {
       request.mWants.push_back({ name, tokens.mTokens, wanted });
     }
@@ -196,14 +192,13 @@
 void
 allowance_reserve::OnGrant(const allowance_grant& aGrant, time_point aNow)
 {
-  if (aGrant.mSequenceNumber != mSequenceNumber || mAnswered ||
+  if (aGrant.mSequenceNumber != mSequenceNumber ||
       aNow >= mRequestedAt + kTokenLifetime) {
     return;
   }
-  mAnswered = true;
   for (const auto& share : aGrant.mShares) {
     const auto found = mAccounts.find(share.mAccount);
-    if (found == mAccounts.end()) {
+    if (found == mAccounts.end() || !found->second.mUnanswered) {
       continue;
     }
     account_tokens& tokens = found->second;
@@ -216,6 +211,7 @@
     tokens.mLimitedUntil =
       share.mLimited ? aNow + kLimitedTime : time_point::min();
     tokens.mAwaited = false;
+    tokens.mUnanswered = false;
   }
 }
 
@@ -225,9 +221,9 @@
   for (auto& [name, tokens] : mAccounts) {
     tokens.mTokens = 0;
     tokens.mExpiresAt = time_point::min();
+    // An answer may have been under way for long.
+    tokens.mUnanswered = false;
   }
-  // An answer to a request from before may have been under way for long.
-  mAnswered = true;
 }
 
 } // namespace snipewalk
--- a/src/session/controller_allowances.cpp
+++ b/src/session/controller_allowances.cpp
@@ -1,44 +1,107 @@
-// Exchange of tokens of the accounts' rate limits with the holder of the duty.
+// Exchange of tokens of the accounts' rate limits between instances.
 #include "snipewalk/session/session_controller.h"
 
+#include <set>
+
 namespace snipewalk {
 
+namespace {
+
+// Covers an owner whose clock is slower than that of its successor.
+constexpr milliseconds kLeaseMargin{ 100 };
+
+} // namespace
+
 void
-session_controller::RequestAllowances(time_point aNow)
+session_controller::PublishAllowanceOwners(
+  const std::vector<host_candidate>& aLive,
+  time_point aNow)
 {
-  const auto request = mEngine.AllowanceRequestIfDue(aNow);
-  if (!request) {
-    return;
+  const time_point asOf = ConfirmsOthersAsOf();
+  const bool lapsed =
+    asOf == time_point::min() || aNow >= asOf + allowance_owners::kLease;
+  const auto* own = mInstances.Find(mOptions.mInstance);
+  const bool ownChanged = own != nullptr &&
+                          own->mRecord.mStarted == mOptions.mStarted &&
+                          own->mVersion != mOwnRecordVersion;
+  const bool registeredAgain = ownChanged && mOwnRecordVersion != 0;
+  const bool othersJoined = mInstances.All().size() != mKnownInstances;
+  if (lapsed && (registeredAgain || othersJoined)) {
+    // Another instance may have been an owner in the meantime: one that has
+    // joined, or any while this one counted as gone.
+    mAllowanceOwners.Restart(aNow);
   }
-  if (mDuty.Holds(aNow) && mHeldDuty) {
-    mEngine.OnAllowanceGrant(
-      mAllowances.OnRequest(
-        mOptions.mInstance, mOptions.mStarted, *request, aNow),
-      aNow);
-    return;
+  mKnownInstances = mInstances.All().size();
+  if (ownChanged) {
+    mOwnRecordVersion = own->mVersion;
+  }
+  std::set<std::string> names;
+  for (const auto& instance : aLive) {
+    names.insert(instance.mName);
   }
-  const allowance_datagram datagram{ mOptions.mInstance,
-                                     mOptions.mStarted,
-                                     *request };
-  for (const auto& name : PossibleHolders()) {
-    const auto* holder = mInstances.Find(name);
-    if (holder != nullptr && name != mOptions.mInstance) {
-      mLinks.SendDatagram(holder->mRecord.mPeerAddress, datagram);
+  mAllowanceOwners.SetInstances(names, aNow);
+}
+
+bool
+session_controller::MayIssue(const std::string& aAccount, time_point aNow) const
+{
+  const time_point asOf = ConfirmsOthersAsOf();
+  const auto since = mAllowanceOwners.OwnedSince(aAccount);
+  return since && asOf != time_point::min() && IsRegistered() &&
+         !mUnregistered && aNow < asOf + allowance_owners::kLease &&
+         aNow >= *since + allowance_owners::kLease + kLeaseMargin;
+}
+
+std::optional<allowance_grant>
+session_controller::IssueAllowances(const allowance_datagram& aDatagram,
+                                    time_point aNow)
+{
+  allowance_request owned{ aDatagram.mRequest.mSequenceNumber, {} };
+  for (const auto& want : aDatagram.mRequest.mWants) {
+    if (!MayIssue(want.mAccount, aNow)) {
+      continue;
     }
+    const time_point since = *mAllowanceOwners.OwnedSince(want.mAccount);
+    const auto [issuing, added] =
+      mIssuingSince.try_emplace(want.mAccount, since);
+    if (added || issuing->second != since) {
+      issuing->second = since;
+      mAllowances.Begin(want.mAccount,
+                        since + allowance_owners::kLease + kLeaseMargin);
+    }
+    owned.mWants.push_back(want);
+  }
+  if (owned.mWants.empty()) {
+    return std::nullopt;
   }
+  return mAllowances.OnRequest(
+    aDatagram.mInstance, aDatagram.mStarted, owned, aNow);
 }
 
 void
-session_controller::OnAllowanceRequest(const std::string& aFrom,
-                                       const allowance_datagram& aDatagram,
-                                       time_point aNow)
+session_controller::RequestAllowances(time_point aNow)
 {
-  // The duty may have begun since the latest tick, which resets the allocator.
-  if (mDuty.Holds(aNow) && mHeldDuty) {
-    mLinks.SendDatagram(
-      aFrom,
-      mAllowances.OnRequest(
-        aDatagram.mInstance, aDatagram.mStarted, aDatagram.mRequest, aNow));
+  const auto request = mEngine.AllowanceRequestIfDue(aNow);
+  if (!request) {
+    return;
+  }
+  std::map<std::string, allowance_datagram> byOwner;
+  for (const auto& want : request->mWants) {
+    allowance_datagram& datagram =
+      byOwner[mAllowanceOwners.OwnerOf(want.mAccount)];
+    datagram.mRequest.mWants.push_back(want);
+  }
+  for (auto& [owner, datagram] : byOwner) {
+    datagram.mInstance = mOptions.mInstance;
+    datagram.mStarted = mOptions.mStarted;
+    datagram.mRequest.mSequenceNumber = request->mSequenceNumber;
+    if (owner == mOptions.mInstance) {
+      if (const auto grant = IssueAllowances(datagram, aNow)) {
+        mEngine.OnAllowanceGrant(*grant, aNow);
+      }
+    } else if (const auto* instance = mInstances.Find(owner)) {
+      mLinks.SendDatagram(instance->mRecord.mPeerAddress, datagram);
+    }
   }
 }
 
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -78,7 +78,6 @@
   mConfirmedAt = time_point::min();
   mInstancesAsOf = time_point::min();
   mDuty.OnSuspended(aNow);
-  mAllowances.Begin(aNow);
   mEngine.OnSuspended(aNow);
   mRequestSentAt.clear();
 }
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -65,6 +65,7 @@
       live.push_back({ name, record.mDataCentre, record.mPeerAddress });
     }
   }
+  PublishAllowanceOwners(live, aNow);
   const std::size_t count = live.size();
   mHosts.SetInstances(std::move(live));
   mEngine.SetInstanceCount(count, aNow);
--- a/src/session/controller_store_return.cpp
+++ b/src/session/controller_store_return.cpp
@@ -37,6 +37,8 @@
       aNow < mConfirmedAt + kConfirmationLifetime) {
     mEraSeenBegin = aEra;
   }
+  // The store may have forgotten instances that joined.
+  mAllowanceOwners.Restart(aNow);
   ++mStoreReturns;
   Log(log_level::Warning,
       "store",
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -196,7 +196,7 @@
 std::optional<std::string>
 session_engine::state::ChooseServer(const caller_session& aSession,
                                     const read_requirement& aRequirement,
-                                    bool aOpen,
+                                    connection_source aSource,
                                     time_point aNow) const
 {
   const pending_statement& pending = *aSession.mPending;
@@ -221,18 +221,21 @@
     candidate.mTried =
       std::find(pending.mTried.begin(), pending.mTried.end(), id) !=
       pending.mTried.end();
-    bool idle = false;
     int inFlight = 0;
     for (const auto connection : server.mConnections) {
       const server_connection& serverConnection = mConnections.at(connection);
-      idle = idle || (serverConnection.IsIdle() &&
-                      serverConnection.mAccount == aSession.mAccount);
       candidate.mOutstanding += serverConnection.IsIdle() ? 0 : 1;
       inFlight += serverConnection.mExpectedReplies.empty() ? 0 : 1;
     }
+    const bool idle = aSource != connection_source::Opened &&
+                      HasIdleConnection(aSession, server);
+    const bool opens = !idle && (aSource == connection_source::Opened
+                                   ? CanOpenFor(aSession, server, aNow)
+                                   : aSource == connection_source::IdleOrFree &&
+                                       CanOpen(server, aNow));
+    candidate.mNeedsOpening = opens && aSource == connection_source::IdleOrFree;
     candidate.mHasConnection =
-      server.mSendWindow.Admits(inFlight) &&
-      (aOpen ? CanOpenFor(aSession, server, aNow) : idle);
+      server.mSendWindow.Admits(inFlight) && (idle || opens);
     candidates.push_back(candidate);
     names.push_back(id);
   }
@@ -243,6 +246,36 @@
   return names[*chosen];
 }
 
+bool
+session_engine::state::HasIdleConnection(const caller_session& aSession,
+                                         const known_server& aServer) const
+{
+  return std::any_of(
+    aServer.mConnections.begin(),
+    aServer.mConnections.end(),
+    [&](server_connection_id aId) {
+      const server_connection& connection = mConnections.at(aId);
+      return connection.IsIdle() && connection.mAccount == aSession.mAccount;
+    });
+}
+
+void
+session_engine::state::OpenToBetterServer(const caller_session& aSession,
+                                          const read_requirement& aRequirement,
+                                          const std::string& aChosen,
+                                          time_point aNow)
+{
+  if (!HasAccounts() || NeedsPrimary(aSession)) {
+    return;
+  }
+  const auto best =
+    ChooseServer(aSession, aRequirement, connection_source::IdleOrFree, aNow);
+  if (best && *best != aChosen &&
+      !HasIdleConnection(aSession, mServers.at(*best))) {
+    OpenConnection(mServers.at(*best), aSession.mAccount, aNow);
+  }
+}
+
 bool
 session_engine::state::AdmitsWrite(const known_service& aService,
                                    time_point aNow) const
@@ -293,13 +326,16 @@
   }
   const known_service& service = mServices[aSession.mPending->mRoute.mService];
   const read_requirement requirement = RequirementOf(aSession, service, aNow);
-  if (const auto idle = ChooseServer(aSession, requirement, false, aNow)) {
+  if (const auto idle =
+        ChooseServer(aSession, requirement, connection_source::Idle, aNow)) {
     known_server& server = mServers.at(*idle);
+    OpenToBetterServer(aSession, requirement, *idle, aNow);
     SendPlacedStatement(
       aSession, *FindIdleConnection(server, aSession), requirement, aNow);
     return placement::Placed;
   }
-  if (const auto opened = ChooseServer(aSession, requirement, true, aNow)) {
+  if (const auto opened =
+        ChooseServer(aSession, requirement, connection_source::Opened, aNow)) {
     OpenConnectionFor(aSession, mServers.at(*opened), aNow);
   }
   if (NeedsPrimaryCheck(aSession, requirement, service)) {
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -14,6 +14,17 @@
 
 namespace snipewalk {
 
+// Servers that are considered for a statement.
+enum class connection_source
+{
+  // Those with an idle connection.
+  Idle,
+  // Those to which one can be opened, perhaps in the place of another one.
+  Opened,
+  // Those with an idle connection, or with room for another one.
+  IdleOrFree
+};
+
 // Result of trying to place one waiting statement.
 enum class placement
 {
@@ -169,8 +180,17 @@
                                  time_point aNow) const;
   std::optional<std::string> ChooseServer(const caller_session& aSession,
                                           const read_requirement& aRequirement,
-                                          bool aOpen,
+                                          connection_source aSource,
                                           time_point aNow) const;
+  bool HasIdleConnection(const caller_session& aSession,
+                         const known_server& aServer) const;
+  // Opens a connection to a server that would have been chosen if it had one,
+  // so that the account's reads do not stay with the servers that it used
+  // first.
+  void OpenToBetterServer(const caller_session& aSession,
+                          const read_requirement& aRequirement,
+                          const std::string& aChosen,
+                          time_point aNow);
   bool AdmitsWrite(const known_service& aService, time_point aNow) const;
   // Time for which the server has had commands outstanding without sending any
   // reply; zero when no reply is outstanding.
--- a/src/session/server_choice.cpp
+++ b/src/session/server_choice.cpp
@@ -22,6 +22,9 @@
 // Cost of a replica that is not known to have applied the required position, in
 // statements of the replica's average answer time.
 constexpr double kUnknownPositionCost = 0.5;
+// Cost of opening a connection, which occupies the server like a short
+// statement.
+constexpr double kOpeningCost = 0.5;
 // Cost of a server where the statement has already failed: such a server is
 // used only if no other is eligible.
 constexpr double kTriedCost = 1'000;
@@ -61,6 +64,9 @@
   if (!aCandidate.mSameDataCentre) {
     statements += kRemoteCost;
   }
+  if (aCandidate.mNeedsOpening) {
+    statements += kOpeningCost;
+  }
   if (aCandidate.mTried) {
     statements += kTriedCost;
   }
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -60,6 +60,7 @@
                   })
   , mDuty(mOptions.mInstance, mOptions.mStarted, mOptions.mClaimStagger)
   , mHosts(mOptions.mInstance, mOptions.mDataCentre)
+  , mAllowanceOwners(mOptions.mInstance)
   , mAllowances(mOptions.mAllowanceRules)
 {
 }
@@ -154,6 +155,7 @@
         { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) } });
   mDesired = std::make_shared<const desired_state>(*std::move(decoded));
   if (mDesired->mAccounts) {
+    mAllowanceOwners.SetAccounts(*mDesired->mAccounts);
     mAllowances.SetLimits(*mDesired->mAccounts, aNow);
   }
   mEngine.SetDesiredState(mDesired, aNow);
@@ -395,7 +397,9 @@
                std::get_if<connection_yield_request>(&aDatagram)) {
     mEngine.YieldConnections(yield->mServer, aNow);
   } else if (const auto* wanted = std::get_if<allowance_datagram>(&aDatagram)) {
-    OnAllowanceRequest(aFrom, *wanted, aNow);
+    if (const auto grant = IssueAllowances(*wanted, aNow)) {
+      mLinks.SendDatagram(aFrom, *grant);
+    }
   } else if (const auto* granted = std::get_if<allowance_grant>(&aDatagram)) {
     mEngine.OnAllowanceGrant(*granted, aNow);
   }
@@ -438,9 +442,7 @@
         "primary",
         holds ? "duty held" : "duty lost",
         { { "fence", static_cast<std::int64_t>(mDuty.Fence()) } });
-    if (holds) {
-      mAllowances.Begin(aNow);
-    } else {
+    if (!holds) {
       AbandonChanges(aNow);
     }
   }
