--- a/include/snipewalk/account/allowance_allocator.h
+++ b/include/snipewalk/account/allowance_allocator.h
@@ -89,11 +89,14 @@
   static token_bucket NewBucket(const rate_limit& aLimit, time_point aNow);
   double CapacityOf(const token_bucket& aBucket, time_point aNow) const;
   double ToleranceOf(const rate_limit& aLimit) const;
-  static void DropExpired(token_bucket& aBucket, time_point aNow);
+  static double InUseOf(const token_bucket& aBucket);
   // Whether a later request of the instance has been answered. The tokens that
   // a process reports are up to date in its latest request only.
   static bool IsOutdated(const token_bucket& aBucket, const process& aProcess);
-  void Refill(token_bucket& aBucket, time_point aNow);
+  // Limits the tokens that can be issued to what the capacity leaves.
+  void LimitTokens(token_bucket& aBucket, time_point aNow) const;
+  // Adds what the rate allows since the last call, and drops expired holdings.
+  void Refill(token_bucket& aBucket, time_point aNow) const;
   // Returns how many of the tokens that the process reports are valid.
   std::uint32_t ValidOf(token_bucket& aBucket,
                         const process& aProcess,
--- a/include/snipewalk/account/allowance_reserve.h
+++ b/include/snipewalk/account/allowance_reserve.h
@@ -26,16 +26,18 @@
 
   // Records the arrival of an operation, which determines the demand.
   void OnArrival(const std::string& aAccount, time_point aNow);
-  // Takes a token for an operation; returns false if there is none. Accounts
-  // without a limit need none.
+  // Whether Take() would succeed.
+  bool HasToken(const std::string& aAccount, time_point aNow) const;
+  // Takes a token for an operation that is sent to a server now; returns false
+  // if there is none. Accounts without a limit need none.
   bool Take(const std::string& aAccount, time_point aNow);
   // Notes that an operation waits for a token, while `aAhead` others of the
   // account do so already. Returns false if the account's limit is exhausted,
   // so that the operation should be refused instead.
   bool Await(const std::string& aAccount, std::size_t aAhead, time_point aNow);
-  // Gives back the token of an operation that no server has received.
-  void Return(const std::string& aAccount, time_point aNow);
 
+  // Whether an operation waits for tokens that have not been requested yet.
+  bool IsUrgent() const { return mUrgent; }
   // Returns the request to send if one is due.
   std::optional<allowance_request> RequestIfDue(time_point aNow);
   // Applies an answer to the latest request; earlier ones are ignored.
@@ -57,6 +59,7 @@
     // Operations that arrived, each weighted less the longer ago it was.
     double mRecentArrivals = 0;
     time_point mDecayedAt = time_point::min();
+    time_point mLastArrival = time_point::min();
     // Until this time the limit is known to allow fewer operations than arrive.
     time_point mLimitedUntil = time_point::min();
     // Tokens that the latest answer added.
@@ -82,7 +85,7 @@
 
   static void Decay(account_tokens& aTokens, time_point aNow);
   static void DropExpired(account_tokens& aTokens, time_point aNow);
-  static std::uint32_t WantedOf(const account_tokens& aTokens);
+  static std::uint32_t WantedOf(const account_tokens& aTokens, time_point aNow);
   static need NeedOf(const account_tokens& aTokens, time_point aNow);
   allowance_request NewRequest(time_point aNow);
 
@@ -90,6 +93,7 @@
   std::map<std::string, account_tokens> mAccounts;
   std::uint64_t mSequenceNumber = 0;
   time_point mRequestedAt = time_point::min();
+  bool mUrgent = false;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -169,6 +169,9 @@
   {
     mOnDesiredState = std::move(aHandler);
   }
+  // Requests tokens of the accounts' rate limits from the accounts' owners, if
+  // any are needed.
+  void RequestAllowances(time_point aNow);
   // Sends a confirmation request to an instance to check that it is alive. Its
   // answer is reported to the handler set by SetOnInstanceReply().
   void ProbeInstance(const std::string& aPeerAddress, time_point aNow);
@@ -330,14 +333,15 @@
   // confirms the records to them.
   void ReadFleet(time_point aNow);
   void AskForConfirmation(time_point aNow);
-  // Requests tokens of the accounts' rate limits from the accounts' owners.
-  void RequestAllowances(time_point aNow);
   // Whether this instance may issue tokens of the account's rate limit.
   bool MayIssue(const std::string& aAccount, time_point aNow) const;
   // Answers a request of a process for the accounts that this instance owns.
   std::optional<allowance_grant> IssueAllowances(
     const allowance_datagram& aDatagram,
     time_point aNow);
+  // Whether an instance may have been live, or this one gone, without this
+  // instance having noticed it at the time.
+  bool MissedChangeOfOwners() const;
   void PublishAllowanceOwners(const std::vector<host_candidate>& aLive,
                               time_point aNow);
   // Names of the instances that may hold the duty: by the record known here and
@@ -456,10 +460,8 @@
   allowance_owners mAllowanceOwners;
   // Used for the accounts that this instance owns.
   allowance_allocator mAllowances;
-  // Number of known instances, and version of the record of this process (zero
-  // if none), at the latest change of the instances.
-  std::size_t mKnownInstances = 0;
-  std::uint64_t mOwnRecordVersion = 0;
+  // Records of the instances at their latest change, by name.
+  std::map<std::string, instance_directory::known_instance> mPublishedInstances;
   // Since when this instance has been the owner, as of the latest request for
   // tokens of each account.
   std::map<std::string, time_point> mIssuingSince;
--- a/include/snipewalk/session/session_engine.h
+++ b/include/snipewalk/session/session_engine.h
@@ -163,6 +163,8 @@
   // Returns the request for tokens of the accounts' rate limits that is to be
   // sent now, if there is one.
   std::optional<allowance_request> AllowanceRequestIfDue(time_point aNow);
+  // Whether AllowanceRequestIfDue() should be called before the next tick.
+  bool NeedsAllowances() const;
   void OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow);
 
   // Keeps this instance to its share of the server's connections, rounded down,
--- a/src/account/allowance_allocator.cpp
+++ b/src/account/allowance_allocator.cpp
@@ -95,29 +95,40 @@
   return aBucket.mLimit.mBurst + kToleranceInUse * tolerance;
 }
 
+double
+allowance_allocator::InUseOf(const token_bucket& aBucket)
+{
+  double inUse = 0;
+  for (const auto& [instance, held] : aBucket.mHoldings) {
+    inUse += held.mTokens;
+  }
+  return inUse;
+}
+
 void
-allowance_allocator::DropExpired(token_bucket& aBucket, time_point aNow)
+allowance_allocator::LimitTokens(token_bucket& aBucket, time_point aNow) const
 {
-  std::erase_if(aBucket.mHoldings, [aNow](const auto& aEntry) {
-    return aNow >= aEntry.second.mExpiresAt;
-  });
+  aBucket.mTokens =
+    std::clamp(aBucket.mTokens,
+               0.0,
+               std::max(0.0, CapacityOf(aBucket, aNow) - InUseOf(aBucket)));
 }
 
 void
-allowance_allocator::Refill(token_bucket& aBucket, time_point aNow)
+allowance_allocator::Refill(token_bucket& aBucket, time_point aNow) const
 {
-  DropExpired(aBucket, aNow);
-  double inUse = 0;
-  for (const auto& [instance, held] : aBucket.mHoldings) {
-    inUse += held.mTokens;
+  if (aNow <= aBucket.mRefilledAt) {
+    return;
   }
-  const double added =
+  // Limited by what was in use in that time, as far as it is known. Tokens that
+  // have been used or have expired since make room for later ones only.
+  aBucket.mTokens +=
     aBucket.mLimit.mPerSecond * Seconds(aNow - aBucket.mRefilledAt);
-  aBucket.mTokens =
-    std::clamp(aBucket.mTokens + added,
-               0.0,
-               std::max(0.0, CapacityOf(aBucket, aNow) - inUse));
+  LimitTokens(aBucket, aBucket.mRefilledAt);
   aBucket.mRefilledAt = aNow;
+  std::erase_if(aBucket.mHoldings, [aNow](const auto& aEntry) {
+    return aNow >= aEntry.second.mExpiresAt;
+  });
 }
 
 std::uint32_t
@@ -171,7 +182,7 @@
                            const allowance_want& aWant,
                            time_point aNow)
 {
-  DropExpired(aBucket, aNow);
+  Refill(aBucket, aNow);
   const std::uint32_t valid = ValidOf(aBucket, aProcess, aWant.mHeld, aNow);
   const std::uint32_t kept = std::min(valid, aWant.mWanted);
   const std::uint32_t missing = aWant.mWanted - kept;
@@ -182,7 +193,7 @@
           missing,
           aNow,
           aNow + kTokenLifetime + kExpiryMargin };
-  Refill(aBucket, aNow);
+  LimitTokens(aBucket, aNow);
   if (missing == 0) {
     return { aWant.mAccount, kept, false };
   }
--- a/src/account/allowance_reserve.cpp
+++ b/src/account/allowance_reserve.cpp
@@ -11,8 +11,9 @@
 // Demand that the reserve covers. Operations go on for about this long after
 // the issuing instance was lost.
 constexpr milliseconds kReserveTime{ 2'000 };
-// Below this number of recent arrivals an account counts as unused.
-constexpr double kUnusedArrivals = 0.05;
+// One token is kept of an account that has been used in this time. Tokens that
+// are given up lapse, which costs a small account much of its limit.
+constexpr milliseconds kUnusedAfter{ 10'000 };
 // Tokens are requested when fewer than this part of the reserve is left, or
 // when they are about to expire.
 constexpr double kLowPart = 0.6;
@@ -24,7 +25,7 @@
 constexpr milliseconds kUrgentInterval{ 30 };
 // How long an answer that could not satisfy the request says that the limit is
 // exhausted.
-constexpr milliseconds kLimitedTime{ 1'000 };
+constexpr milliseconds kLimitedTime{ 300 };
 
 } // namespace
 
@@ -71,12 +72,15 @@
 }
 
 std::uint32_t
-allowance_reserve::WantedOf(const account_tokens& aTokens)
+allowance_reserve::WantedOf(const account_tokens& aTokens, time_point aNow)
 {
+  if (aTokens.mLastArrival == time_point::min() ||
+      aNow >= aTokens.mLastArrival + kUnusedAfter) {
+    return 0;
+  }
   // The decayed number of arrivals is the usual number in kReserveTime.
-  return aTokens.mRecentArrivals < kUnusedArrivals
-           ? 0
-           : static_cast<std::uint32_t>(std::ceil(aTokens.mRecentArrivals)) + 1;
+  return static_cast<std::uint32_t>(
+    std::max(1.0, std::round(aTokens.mRecentArrivals)));
 }
 
 void
@@ -86,9 +90,18 @@
   if (found != mAccounts.end()) {
     Decay(found->second, aNow);
     ++found->second.mRecentArrivals;
+    found->second.mLastArrival = aNow;
   }
 }
 
+bool
+allowance_reserve::HasToken(const std::string& aAccount, time_point aNow) const
+{
+  const auto found = mAccounts.find(aAccount);
+  return found == mAccounts.end() ||
+         (found->second.mTokens > 0 && aNow < found->second.mExpiresAt);
+}
+
 bool
 allowance_reserve::Take(const std::string& aAccount, time_point aNow)
 {
@@ -117,29 +130,14 @@
     return false;
   }
   tokens.mAwaited = true;
+  mUrgent = mUrgent || !tokens.mUnanswered;
   return true;
 }
 
-void
-allowance_reserve::Return(const std::string& aAccount, time_point aNow)
-{
-  const auto found = mAccounts.find(aAccount);
-  if (found == mAccounts.end()) {
-    return;
-  }
-  account_tokens& tokens = found->second;
-  DropExpired(tokens, aNow);
-  // The latest request has reported tokens taken before it as used.
-  if (tokens.mTakenSinceRequest > 0 && aNow < tokens.mExpiresAt) {
-    --tokens.mTakenSinceRequest;
-    ++tokens.mTokens;
-  }
-}
-
 allowance_reserve::need
 allowance_reserve::NeedOf(const account_tokens& aTokens, time_point aNow)
 {
-  const std::uint32_t wanted = WantedOf(aTokens);
+  const std::uint32_t wanted = WantedOf(aTokens, aNow);
   if (wanted == 0) {
     return need::None;
   }
@@ -177,9 +175,10 @@
 allowance_reserve::NewRequest(time_point aNow)
 {
   mRequestedAt = aNow;
+  mUrgent = false;
   allowance_request request{ ++mSequenceNumber, {} };
   for (auto& [name, tokens] : mAccounts) {
-    const std::uint32_t wanted = WantedOf(tokens);
+    const std::uint32_t wanted = WantedOf(tokens, aNow);
     tokens.mTakenSinceRequest = 0;
     tokens.mUnanswered = wanted > 0;
     if (wanted > 0) {
--- a/src/session/connection_table.cpp
+++ b/src/session/connection_table.cpp
@@ -173,6 +173,9 @@
       return;
     }
     Deliver(aSession, **received, aNow);
+    if (mAfterInput) {
+      mAfterInput(aNow);
+    }
   }
   aInput.clear();
 }
--- a/src/session/connection_table.h
+++ b/src/session/connection_table.h
@@ -42,6 +42,12 @@
     mBeforeInput = std::move(aHandler);
   }
 
+  // Sets a handler that is called after input of callers was processed.
+  void SetAfterInput(std::function<void(time_point)> aHandler)
+  {
+    mAfterInput = std::move(aHandler);
+  }
+
   // Listens for callers. Errors: Unavailable when the address cannot be bound.
   absl::Status Listen(const std::string& aAddress);
   // Listens for sessions that other instances forward to this one. Errors:
@@ -146,6 +152,7 @@
   forwarding_links& mLinks;
   session_engine* mEngine = nullptr;
   std::function<void(time_point)> mBeforeInput;
+  std::function<void(time_point)> mAfterInput;
   session_forwarder mForwarder;
   std::unique_ptr<listener> mListener;
   std::unique_ptr<listener> mPeerListener;
--- a/src/session/controller_allowances.cpp
+++ b/src/session/controller_allowances.cpp
@@ -12,29 +12,39 @@
 
 } // namespace
 
+bool
+session_controller::MissedChangeOfOwners() const
+{
+  for (const auto& [name, known] : mInstances.All()) {
+    const auto before = mPublishedInstances.find(name);
+    const bool unknown = before == mPublishedInstances.end();
+    if (!unknown && before->second.mVersion == known.mVersion) {
+      continue;
+    }
+    const bool wasLive =
+      !unknown && before->second.mRecord.mState == instance_state::Live;
+    // It was live after the former record, and has left since.
+    if (known.mRecord.mState == instance_state::Gone && !wasLive) {
+      return true;
+    }
+    // This process was registered again, so it has counted as gone.
+    if (name == mOptions.mInstance && wasLive &&
+        before->second.mRecord.mStarted == mOptions.mStarted) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 session_controller::PublishAllowanceOwners(
   const std::vector<host_candidate>& aLive,
   time_point aNow)
 {
-  const time_point asOf = ConfirmsOthersAsOf();
-  const bool lapsed =
-    asOf == time_point::min() || aNow >= asOf + allowance_owners::kLease;
-  const auto* own = mInstances.Find(mOptions.mInstance);
-  const bool ownChanged = own != nullptr &&
-                          own->mRecord.mStarted == mOptions.mStarted &&
-                          own->mVersion != mOwnRecordVersion;
-  const bool registeredAgain = ownChanged && mOwnRecordVersion != 0;
-  const bool othersJoined = mInstances.All().size() != mKnownInstances;
-  if (lapsed && (registeredAgain || othersJoined)) {
-    // Another instance may have been an owner in the meantime: one that has
-    // joined, or any while this one counted as gone.
+  if (MissedChangeOfOwners()) {
     mAllowanceOwners.Restart(aNow);
   }
-  mKnownInstances = mInstances.All().size();
-  if (ownChanged) {
-    mOwnRecordVersion = own->mVersion;
-  }
+  mPublishedInstances = mInstances.All();
   std::set<std::string> names;
   for (const auto& instance : aLive) {
     names.insert(instance.mName);
--- a/src/session/engine_accounts.cpp
+++ b/src/session/engine_accounts.cpp
@@ -21,6 +21,10 @@
 session_engine::state::Authorize(caller_session& aSession)
 {
   if (!HasAccounts()) {
+    // The connection of an open transaction still belongs to its account.
+    if (!aSession.mTransaction) {
+      aSession.mAccount.clear();
+    }
     return true;
   }
   const database_route* route = aSession.mTransaction
@@ -44,7 +48,7 @@
   const session_id id = aSession.mId;
   mMetrics.Count("statements_unauthorized");
   if (aSession.mPending) {
-    ReturnAllowance(aSession, *aSession.mPending, aNow);
+    DropTurn(aSession, *aSession.mPending);
     std::erase(mServices[aSession.mPending->mRoute.mService].mWaiting, id);
     aSession.mPending.reset();
     mActiveSessions.erase(id);
@@ -60,7 +64,7 @@
 {
   std::vector<session_id> waiting;
   std::vector<session_id> idle;
-  for (const auto& [id, session] : mSessions) {
+  for (auto& [id, session] : mSessions) {
     if (!HasAccounts() || !session.mOpened) {
       continue;
     }
@@ -68,15 +72,19 @@
     const auto account = route == nullptr
                            ? std::optional(session.mAccount)
                            : mDesired->AccountFor(*route, session.mKey);
+    const bool waits =
+      session.mPending && session.mPending->mStage == statement_stage::Waiting;
     if (account) {
+      if (waits) {
+        session.mAccount = *account;
+      }
       continue;
     }
     // Statements that were sent are answered, and open transactions end with
     // their next statement.
     if (!session.mPending && session.mState == session_state::Idle) {
       idle.push_back(id);
-    } else if (session.mPending &&
-               session.mPending->mStage == statement_stage::Waiting) {
+    } else if (waits) {
       waiting.push_back(id);
     }
   }
@@ -85,7 +93,9 @@
     OnCallerClosed(id, aNow);
   }
   for (const auto id : waiting) {
-    EndUnauthorized(mSessions.at(id), aNow);
+    if (caller_session* session = FindSession(id)) {
+      EndUnauthorized(*session, aNow);
+    }
   }
   if (!idle.empty() || !waiting.empty()) {
     Log(log_level::Info,
@@ -114,24 +124,24 @@
     mActiveSessions.begin(), mActiveSessions.end(), [&](session_id aId) {
       const caller_session& other = mSessions.at(aId);
       return aId != aSession.mId && other.mAccount == aSession.mAccount &&
-             other.mPending->mAllowance == allowance_need::Needed &&
+             other.mPending->mTokenMissingSince &&
              other.mPending->mReceived <= aSession.mPending->mReceived;
     });
   return static_cast<std::size_t>(count);
 }
 
 placement
-session_engine::state::TakeAllowance(caller_session& aSession, time_point aNow)
+session_engine::state::CheckAllowance(caller_session& aSession, time_point aNow)
 {
   pending_statement& pending = *aSession.mPending;
-  if (pending.mAllowance != allowance_need::Needed) {
-    return placement::Placed;
-  }
-  if (mAllowances.Take(aSession.mAccount, aNow)) {
-    pending.mAllowance = allowance_need::Taken;
+  if (pending.mAllowance != allowance_need::Needed ||
+      mAllowances.HasToken(aSession.mAccount, aNow)) {
+    pending.mTokenMissingSince.reset();
     return placement::Placed;
   }
-  if (aNow >= pending.mReceived + kAllowanceTimeout ||
+  const time_point since = pending.mTokenMissingSince.value_or(aNow);
+  pending.mTokenMissingSince = since;
+  if (aNow >= since + kAllowanceTimeout ||
       !mAllowances.Await(
         aSession.mAccount, CountAwaitingAllowance(aSession), aNow)) {
     return placement::OverLimit;
@@ -140,17 +150,27 @@
 }
 
 void
-session_engine::state::ReturnAllowance(const caller_session& aSession,
-                                       const pending_statement& aPending,
-                                       time_point aNow)
+session_engine::state::OnFirstSend(caller_session& aSession, time_point aNow)
 {
-  if (aSession.mAccount.empty() || aPending.mAttempts > 0) {
-    return;
+  pending_statement& pending = *aSession.mPending;
+  if (pending.mAllowance == allowance_need::Needed) {
+    // Not earlier: a token that waits with its statement would be used together
+    // with those that replace it.
+    mAllowances.Take(aSession.mAccount, aNow);
+    pending.mAllowance = allowance_need::Taken;
   }
-  if (aPending.mAllowance == allowance_need::Taken) {
-    mAllowances.Return(aSession.mAccount, aNow);
+  if (pending.mHasTurn) {
+    pending.mHasTurn = false;
+    mServices.at(pending.mRoute.mService)
+      .mTurns.OnPlaced(pending.mRoute.mPriority, pending.mTurn);
   }
-  if (WaitsForPlacement(aPending.mPurpose)) {
+}
+
+void
+session_engine::state::DropTurn(const caller_session& aSession,
+                                const pending_statement& aPending)
+{
+  if (aPending.mHasTurn) {
     mServices[aPending.mRoute.mService].mTurns.OnDropped(
       aSession.mAccount, aPending.mRoute.mPriority);
   }
--- a/src/session/engine_callers.cpp
+++ b/src/session/engine_callers.cpp
@@ -280,7 +280,7 @@
 {
   const pending_statement pending = *std::exchange(aSession.mPending, {});
   mActiveSessions.erase(aSession.mId);
-  ReturnAllowance(aSession, pending, aNow);
+  DropTurn(aSession, pending);
   aReply.mState = aSession.mState;
   const std::string_view outcome =
     aReply.mError ? NameOf(kResultCodeNames, *aReply.mError) : "done";
@@ -348,7 +348,7 @@
   server_connection_id used =
     session.mTransaction ? session.mTransaction->mConnection : 0;
   if (session.mPending) {
-    ReturnAllowance(session, *session.mPending, aNow);
+    DropTurn(session, *session.mPending);
     std::erase(mServices[session.mPending->mRoute.mService].mWaiting, aSession);
     if (session.mPending->mConnection != 0) {
       used = session.mPending->mConnection;
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -38,6 +38,7 @@
   if (!aSession.mAccount.empty()) {
     aSession.mPending->mTurn = mServices[service].mTurns.Assign(
       aSession.mAccount, aSession.mPending->mRoute.mPriority);
+    aSession.mPending->mHasTurn = true;
   }
   mServices[service].mWaiting.push_back(aSession.mId);
   Dispatch(service, aNow);
@@ -320,7 +321,7 @@
 placement
 session_engine::state::Place(caller_session& aSession, time_point aNow)
 {
-  const placement allowed = TakeAllowance(aSession, aNow);
+  const placement allowed = CheckAllowance(aSession, aNow);
   if (allowed != placement::Placed) {
     return allowed;
   }
@@ -423,8 +424,7 @@
             aConnection.mContext,
             commands);
   aConnection.mSession = aSession.mId;
-  mServices.at(aConnection.mService)
-    .mTurns.OnPlaced(pending.mRoute.mPriority, pending.mTurn);
+  OnFirstSend(aSession, aNow);
   ++pending.mAttempts;
   pending.mGroup = { RankOf(pending, aNow).mLate, pending.mRoute.mPriority };
   if (aSession.mTransaction) {
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -82,6 +82,7 @@
 
   // engine_accounts.cpp
   std::optional<allowance_request> AllowanceRequestIfDue(time_point aNow);
+  bool NeedsAllowances() const { return mAllowances.IsUrgent(); }
   void OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow);
 
   // session_engine.cpp
@@ -153,17 +154,17 @@
   // Notes that the operation which begins with the pending statement needs a
   // token.
   void RequireAllowance(caller_session& aSession, time_point aNow);
-  // Takes a token for the pending statement if it needs one. Returns Waits
-  // while tokens are expected soon.
-  placement TakeAllowance(caller_session& aSession, time_point aNow);
+  // Whether the pending statement may be placed as far as its account's rate
+  // limit is concerned. Returns Waits while tokens are expected soon.
+  placement CheckAllowance(caller_session& aSession, time_point aNow);
+  // Takes the token of a statement that is sent now, and ends its turn.
+  void OnFirstSend(caller_session& aSession, time_point aNow);
   // Number of other operations of the account that have waited for a token for
   // as long as the session's.
   std::size_t CountAwaitingAllowance(const caller_session& aSession) const;
-  // Gives back the token and the turn of a statement that ends without an
-  // attempt.
-  void ReturnAllowance(const caller_session& aSession,
-                       const pending_statement& aPending,
-                       time_point aNow);
+  // Gives back the turn of a statement that leaves the queue unplaced.
+  void DropTurn(const caller_session& aSession,
+                const pending_statement& aPending);
   // Refuses statements whose accounts have exhausted their rate limits.
   void RefuseOverLimit(const std::vector<session_id>& aSessions,
                        time_point aNow);
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -82,8 +82,11 @@
   // Whether the operation of which this is the first statement needs a token of
   // its account's rate limit, or has taken one.
   allowance_need mAllowance = allowance_need::None;
+  // Since when the token has been missing; std::nullopt if it has not.
+  std::optional<time_point> mTokenMissingSince;
   // Turn of the client account for the latest placement; see fair_turns.
   double mTurn = 0;
+  bool mHasTurn = false;
   // Log position that the last attempt requires of the chosen replica; it is
   // sent as statement_command::mMinPosition. Unset if the primary was chosen.
   std::optional<log_position> mMinPosition;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -154,10 +154,10 @@
         { "revision", static_cast<std::int64_t>(mDesiredRevision) },
         { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) } });
   mDesired = std::make_shared<const desired_state>(*std::move(decoded));
-  if (mDesired->mAccounts) {
-    mAllowanceOwners.SetAccounts(*mDesired->mAccounts);
-    mAllowances.SetLimits(*mDesired->mAccounts, aNow);
-  }
+  const account_directory accounts =
+    mDesired->mAccounts ? *mDesired->mAccounts : account_directory();
+  mAllowanceOwners.SetAccounts(accounts);
+  mAllowances.SetLimits(accounts, aNow);
   mEngine.SetDesiredState(mDesired, aNow);
   for (const auto& [name, limits] : mDesired->mServices) {
     mHosts.SetService(name, limits.StatementConnections());
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -148,6 +148,11 @@
   {
     mTable.SetEngine(mEngine);
     mTable.SetBeforeInput([this](time_point aNow) { CheckSuspension(aNow); });
+    mTable.SetAfterInput([this](time_point aNow) {
+      if (mEngine.NeedsAllowances()) {
+        mController.RequestAllowances(aNow);
+      }
+    });
     mController.SetOnDesiredState([this] { mTable.OnDesiredState(); });
     mController.SetOnInstanceReply(
       [this](const std::string& aInstance, time_point aNow) {
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -26,9 +26,8 @@
   for (const auto& [name, limits] : mDesired->mServices) {
     mServices[name].mLimits = limits;
   }
-  if (HasAccounts()) {
-    mAllowances.SetLimits(*mDesired->mAccounts);
-  }
+  mAllowances.SetLimits(HasAccounts() ? *mDesired->mAccounts
+                                      : account_directory());
   for (const auto id : std::exchange(mPendingOpenings, {})) {
     if (caller_session* session = FindSession(id)) {
       OpenSession(*session, { session->mDatabase, session->mKey }, aNow);
@@ -285,6 +284,12 @@
   return mState->AllowanceRequestIfDue(aNow);
 }
 
+bool
+session_engine::NeedsAllowances() const
+{
+  return mState->NeedsAllowances();
+}
+
 void
 session_engine::OnAllowanceGrant(const allowance_grant& aGrant, time_point aNow)
 {
