Issue tokens at once after all instances have restarted

Change: if all live instances have started within 2 s of this one, and none was marked as gone or has joined since, no process can hold or issue older tokens; owners start at once with empty buckets. Accounts that can use as many connections as there are hosts are served by all hosts.

--- a/include/snipewalk/account/allowance_allocator.h
+++ b/include/snipewalk/account/allowance_allocator.h
@@ -40,8 +40,9 @@
   explicit allowance_allocator(const allowance_rules& aRules);
 
   // Starts to issue tokens of an account whose former owner has issued its last
-  // ones at `aFrom` at the latest. Instances may hold these still.
-  void Begin(const std::string& aAccount, time_point aFrom);
+  // ones at `aFrom` at the latest. Instances may hold these still, unless
+  // `aNoneHeld` is set.
+  void Begin(const std::string& aAccount, time_point aFrom, bool aNoneHeld);
   // Sets the limits of the accounts that have one.
   void SetLimits(const account_directory& aAccounts, time_point aNow);
 
@@ -79,9 +80,8 @@
     // their holders have reported.
     double mAdopted = 0;
     time_point mRefilledAt;
-    // When the instance became the owner or learned of the account. Tokens may
-    // have been issued before.
-    time_point mBegunAt;
+    // Until then instances may hold tokens of a former owner.
+    time_point mOthersExpireAt;
     // By name of the instance.
     std::map<std::string, held_tokens> mHoldings;
   };
--- a/include/snipewalk/account/allowance_owners.h
+++ b/include/snipewalk/account/allowance_owners.h
@@ -29,8 +29,9 @@
   // Sets the accounts with a limit. The owner of a new one is determined by the
   // live instances alone, and counts as owner since they changed.
   void SetAccounts(const account_directory& aAccounts);
-  // Sets the names of the live instances.
-  void SetInstances(const std::set<std::string>& aInstances, time_point aNow);
+  // Sets the names of the live instances. Returns whether they differ from the
+  // former ones.
+  bool SetInstances(const std::set<std::string>& aInstances, time_point aNow);
   // Called when this instance may have missed changes of the live instances.
   // What it owns counts as owned since now.
   void Restart(time_point aNow);
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -342,6 +342,12 @@
   // Whether an instance may have been live, or this one gone, without this
   // instance having noticed it at the time.
   bool MissedChangeOfOwners() const;
+  // Whether all live instances have started at about the same time as this one,
+  // so that no process knows, or holds, anything from before.
+  bool HasFleetRestarted() const;
+  // When this instance can begin to issue tokens of an account that it owns
+  // since `aSince`.
+  time_point IssuesFrom(time_point aSince) const;
   void PublishAllowanceOwners(const std::vector<host_candidate>& aLive,
                               time_point aNow);
   // Names of the instances that may hold the duty: by the record known here and
@@ -462,6 +468,12 @@
   allowance_allocator mAllowances;
   // Records of the instances at their latest change, by name.
   std::map<std::string, instance_directory::known_instance> mPublishedInstances;
+  // The same at the first change, and whether none has joined or left since.
+  std::map<std::string, instance_directory::known_instance> mFirstInstances;
+  bool mSameInstancesAsFirst = true;
+  bool mOwnersKnown = false;
+  // When all instances had restarted.
+  std::optional<time_point> mFleetRestartedAt;
   // Since when this instance has been the owner, as of the latest request for
   // tokens of each account.
   std::map<std::string, time_point> mIssuingSince;
--- a/include/snipewalk/session/session_hosts.h
+++ b/include/snipewalk/session/session_hosts.h
@@ -75,10 +75,10 @@
   std::optional<host_candidate> HostFor(const std::string& aService,
                                         time_point aNow) const;
   // The same for a session of a client account. Connections belong to accounts,
-  // so the hosts of a service divide the accounts: each is served by one host,
-  // or by one in each data centre if its part of the connections is large
-  // enough to be divided. `aShare` is the account's part of the load, from 0
-  // to 1.
+  // so the hosts of a service divide the accounts: a small one is served by one
+  // host, one that can use as many connections as there are data centres by a
+  // host in each, and one that can use as many as there are hosts by all.
+  // `aShare` is the account's part of the load, from 0 to 1.
   std::optional<host_candidate> HostForAccount(const std::string& aService,
                                                const std::string& aAccount,
                                                double aShare,
--- a/src/account/allowance_allocator.cpp
+++ b/src/account/allowance_allocator.cpp
@@ -36,11 +36,16 @@
 }
 
 void
-allowance_allocator::Begin(const std::string& aAccount, time_point aFrom)
+allowance_allocator::Begin(const std::string& aAccount,
+                           time_point aFrom,
+                           bool aNoneHeld)
 {
   const auto found = mBuckets.find(aAccount);
   if (found != mBuckets.end()) {
     found->second = NewBucket(found->second.mLimit, aFrom);
+    if (aNoneHeld) {
+      found->second.mOthersExpireAt = aFrom;
+    }
   }
 }
 
@@ -71,7 +76,7 @@
   token_bucket fresh;
   fresh.mLimit = aLimit;
   fresh.mRefilledAt = aNow;
-  fresh.mBegunAt = aNow;
+  fresh.mOthersExpireAt = aNow + kTokenLifetime + kExpiryMargin;
   return fresh;
 }
 
@@ -88,7 +93,7 @@
                                 time_point aNow) const
 {
   const double tolerance = ToleranceOf(aBucket.mLimit);
-  if (aNow < aBucket.mBegunAt + kTokenLifetime + kExpiryMargin) {
+  if (aNow < aBucket.mOthersExpireAt) {
     // Processes that have not reported yet may hold the rest of the capacity.
     return aBucket.mAdopted + kToleranceAfterTakeover * tolerance;
   }
@@ -144,7 +149,7 @@
              ? std::min(aHeld, known->second.mTokens)
              : 0;
   }
-  if (aNow >= aBucket.mBegunAt + kTokenLifetime) {
+  if (aNow >= aBucket.mOthersExpireAt) {
     return 0;
   }
   // Tokens that another owner has issued.
--- a/src/account/allowance_owners.cpp
+++ b/src/account/allowance_owners.cpp
@@ -54,12 +54,12 @@
   mOwnerships = std::move(ownerships);
 }
 
-void
+bool
 allowance_owners::SetInstances(const std::set<std::string>& aInstances,
                                time_point aNow)
 {
   if (aInstances == mInstances) {
-    return;
+    return false;
   }
   mChangedAt = aNow;
   const auto joined = Difference(aInstances, mInstances);
@@ -73,6 +73,7 @@
       Offer(account, instance, aNow, known);
     }
   }
+  return true;
 }
 
 void
--- a/src/session/controller_allowances.cpp
+++ b/src/session/controller_allowances.cpp
@@ -1,6 +1,7 @@
 // Exchange of tokens of the accounts' rate limits between instances.
 #include "snipewalk/session/session_controller.h"
 
+#include <algorithm>
 #include <set>
 
 namespace snipewalk {
@@ -9,6 +10,9 @@
 
 // Covers an owner whose clock is slower than that of its successor.
 constexpr milliseconds kLeaseMargin{ 100 };
+// Time within which instances start again that were all stopped at once. It is
+// shorter than what a new owner otherwise waits.
+constexpr std::uint64_t kRestartSpreadMs = 2'000;
 
 } // namespace
 
@@ -36,6 +40,32 @@
   return false;
 }
 
+bool
+session_controller::HasFleetRestarted() const
+{
+  const auto isNew = [this](const auto& aEntry) {
+    const instance_record& record = aEntry.second.mRecord;
+    if (record.mState == instance_state::Gone) {
+      const auto first = mFirstInstances.find(aEntry.first);
+      return first != mFirstInstances.end() &&
+             first->second.mVersion == aEntry.second.mVersion;
+    }
+    return record.mStarted + kRestartSpreadMs >= mOptions.mStarted &&
+           record.mStarted <= mOptions.mStarted + kRestartSpreadMs;
+  };
+  return mSameInstancesAsFirst && IsRegistered() &&
+         std::all_of(mInstances.All().begin(), mInstances.All().end(), isNew);
+}
+
+time_point
+session_controller::IssuesFrom(time_point aSince) const
+{
+  if (mFleetRestartedAt && *mFleetRestartedAt >= aSince) {
+    return *mFleetRestartedAt;
+  }
+  return aSince + allowance_owners::kLease + kLeaseMargin;
+}
+
 void
 session_controller::PublishAllowanceOwners(
   const std::vector<host_candidate>& aLive,
@@ -44,12 +74,22 @@
   if (MissedChangeOfOwners()) {
     mAllowanceOwners.Restart(aNow);
   }
+  if (mFirstInstances.empty()) {
+    mFirstInstances = mInstances.All();
+  }
   mPublishedInstances = mInstances.All();
   std::set<std::string> names;
   for (const auto& instance : aLive) {
     names.insert(instance.mName);
   }
-  mAllowanceOwners.SetInstances(names, aNow);
+  const bool changed = mAllowanceOwners.SetInstances(names, aNow);
+  if (changed && mOwnersKnown) {
+    mSameInstancesAsFirst = false;
+  }
+  mOwnersKnown = true;
+  if (!mFleetRestartedAt && HasFleetRestarted()) {
+    mFleetRestartedAt = aNow;
+  }
 }
 
 bool
@@ -59,7 +99,7 @@
   const auto since = mAllowanceOwners.OwnedSince(aAccount);
   return since && asOf != time_point::min() && IsRegistered() &&
          !mUnregistered && aNow < asOf + allowance_owners::kLease &&
-         aNow >= *since + allowance_owners::kLease + kLeaseMargin;
+         aNow >= IssuesFrom(*since);
 }
 
 std::optional<allowance_grant>
@@ -77,7 +117,8 @@
     if (added || issuing->second != since) {
       issuing->second = since;
       mAllowances.Begin(want.mAccount,
-                        since + allowance_owners::kLease + kLeaseMargin);
+                        IssuesFrom(since),
+                        IssuesFrom(since) == mFleetRestartedAt);
     }
     owned.mWants.push_back(want);
   }
--- a/src/session/session_hosts.cpp
+++ b/src/session/session_hosts.cpp
@@ -185,12 +185,17 @@
   if (found == mServices.end()) {
     return std::nullopt;
   }
+  const auto& hosts = HostsOf(aService, found->second);
+  const double connections =
+    aShare * static_cast<double>(found->second.mConnections);
+  if (connections >= static_cast<double>(hosts.size())) {
+    return HostFor(aService, aNow);
+  }
   const bool inEachDataCentre =
-    aShare * static_cast<double>(found->second.mConnections) >=
-    static_cast<double>(mDataCentres);
+    connections >= static_cast<double>(mDataCentres);
   std::optional<host_candidate> chosen;
   std::pair<bool, std::uint64_t> best;
-  for (const auto& host : HostsOf(aService, found->second)) {
+  for (const auto& host : hosts) {
     if (IsAvoided(host, aNow)) {
       continue;
     }
