Accrue tokens at the capacity of each span, and keep larger reserves

Cause: an owner that had been idle since before the tokens of its predecessor expired accrued them at the small capacity of that time, so small accounts began with one token; the model refused 4 of some 180 operations below the limit. Change: the refill is divided where the capacity changes; reserves are refilled below 80 % instead of 60 %; 85 % of the tolerance are in use, 5 % after a takeover.

--- a/include/snipewalk/account/allowance_allocator.h
+++ b/include/snipewalk/account/allowance_allocator.h
@@ -95,6 +95,7 @@
   static bool IsOutdated(const token_bucket& aBucket, const process& aProcess);
   // Limits the tokens that can be issued to what the capacity leaves.
   void LimitTokens(token_bucket& aBucket, time_point aNow) const;
+  void Accrue(token_bucket& aBucket, time_point aUntil) const;
   // Adds what the rate allows since the last call, and drops expired holdings.
   void Refill(token_bucket& aBucket, time_point aNow) const;
   // Returns how many of the tokens that the process reports are valid.
--- a/src/account/allowance_allocator.cpp
+++ b/src/account/allowance_allocator.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 // Part of the tolerance that counts as capacity.
-constexpr double kToleranceInUse = 0.7;
+constexpr double kToleranceInUse = 0.85;
 // While tokens of an earlier owner may be in use, and it is not
 // known whose. Small enough for several takeovers within their lifetime.
-constexpr double kToleranceAfterTakeover = 0.1;
+constexpr double kToleranceAfterTakeover = 0.05;
 // A requester whose last request is older does not take part in the division of
 // scarce tokens.
 constexpr milliseconds kRecentRequest{ 1'000 };
@@ -120,17 +120,25 @@
 }
 
 void
-allowance_allocator::Refill(token_bucket& aBucket, time_point aNow) const
+allowance_allocator::Accrue(token_bucket& aBucket, time_point aUntil) const
 {
-  if (aNow <= aBucket.mRefilledAt) {
+  if (aUntil <= aBucket.mRefilledAt) {
     return;
   }
   // Limited by what was in use in that time, as far as it is known. Tokens that
   // have been used or have expired since make room for later ones only.
   aBucket.mTokens +=
-    aBucket.mLimit.mPerSecond * Seconds(aNow - aBucket.mRefilledAt);
+    aBucket.mLimit.mPerSecond * Seconds(aUntil - aBucket.mRefilledAt);
   LimitTokens(aBucket, aBucket.mRefilledAt);
-  aBucket.mRefilledAt = aNow;
+  aBucket.mRefilledAt = aUntil;
+}
+
+void
+allowance_allocator::Refill(token_bucket& aBucket, time_point aNow) const
+{
+  // The capacity changes then.
+  Accrue(aBucket, std::min(aBucket.mOthersExpireAt, aNow));
+  Accrue(aBucket, aNow);
   std::erase_if(aBucket.mHoldings, [aNow](const auto& aEntry) {
     return aNow >= aEntry.second.mExpiresAt;
   });
--- a/src/account/allowance_reserve.cpp
+++ b/src/account/allowance_reserve.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds kUnusedAfter{ 10'000 };
 // Tokens are requested when fewer than this part of the reserve is left, or
 // when they are about to expire.
-constexpr double kLowPart = 0.6;
+constexpr double kLowPart = 0.8;
 constexpr milliseconds kRenewalTime{ 1'500 };
 // Minimum times between two requests, by what they are needed for. Tokens of an
 // exhausted limit arrive at its rate, however often they are requested.
