Log when issuing tokens starts anew, and group the flags of the controller

Cause: an operator could not see why an owner refuses; the linter refused the padding of the controller. Change: two log lines; the flags of the controller stand together.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -474,10 +474,8 @@
   std::map<std::string, instance_directory::known_instance> mPublishedInstances;
   // The same at the first change.
   std::map<std::string, instance_directory::known_instance> mFirstInstances;
-  // When they became known, and whether a former process of this instance had
-  // been live for long by then.
+  // When they became known.
   time_point mFirstInstancesAt = time_point::min();
-  bool mReplacesProcess = false;
   // Owners of the accounts if all known instances were live.
   allowance_owners mPossibleOwners;
   // When all instances had restarted.
@@ -510,13 +508,15 @@
   // confirmations, by name.
   std::map<std::string, time_point> mGoneAskingSince;
   bool mRegistering = false;
-  time_point mRegisterAfter = time_point::min();
   bool mUnregistered = false;
+  time_point mRegisterAfter = time_point::min();
   std::optional<time_point> mTickedAt;
   bool mHeldDuty = false;
   // Whether the live instances are known, and the same as when they first were.
   bool mOwnersKnown = false;
   bool mSameInstancesAsFirst = true;
+  // Whether a former process of this instance had been live for long by then.
+  bool mReplacesProcess = false;
   // Promotion orders whose calls have not ended.
   std::size_t mOrdersUnderWay = 0;
   // When the platform will have carried out the orders without an answer.
--- a/src/session/controller_allowances.cpp
+++ b/src/session/controller_allowances.cpp
@@ -1,4 +1,5 @@
 // Exchange of tokens of the accounts' rate limits between instances.
+#include "snipewalk/base/log.h"
 #include "snipewalk/session/session_controller.h"
 
 #include <algorithm>
@@ -98,6 +99,10 @@
   time_point aNow)
 {
   if (MissedChangeOfOwners()) {
+    Log(log_level::Info,
+        "control",
+        "instances changed unseen; issuing tokens starts anew",
+        { { "live", static_cast<std::int64_t>(aLive.size()) } });
     mAllowanceOwners.Restart(aNow);
   }
   if (mFirstInstances.empty()) {
@@ -120,6 +125,9 @@
   mOwnersKnown = true;
   if (!mFleetRestartedAt && HasFleetRestarted()) {
     mFleetRestartedAt = aNow;
+    Log(log_level::Info,
+        "control",
+        "all instances have restarted; issuing tokens at once");
   }
 }
 
