Show how far behind an instance's desired state is, and calls without a connection

A call that waited for a connection was reported as rate_limited, like one that the rate limits held; nothing counted restarted watches, and nothing said how long an instance had known that others have a newer desired state.

The time since when a view is behind survives a restart of its watch; the time between restarts is as before.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -83,6 +83,8 @@
   std::uint64_t Era() const { return mEra; }
   // Newest version of any object of the kind that a reply contained.
   std::uint64_t NewestVersion() const { return mNewestVersion; }
+  // How often Restart() has abandoned a watch.
+  std::uint64_t Restarts() const { return mRestarts; }
 
   // Applies an object that was obtained in another way, if it is newer than the
   // known one.
@@ -123,6 +125,7 @@
   // Revision reflected by mObjects; zero if a new list is needed.
   std::uint64_t mRevision = 0;
   std::uint64_t mNewestVersion = 0;
+  std::uint64_t mRestarts = 0;
   std::uint64_t mEra = 0;
   bool mListed = false;
   // Number of refreshes in progress.
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -185,6 +185,15 @@
   {
     return mDesired ? mDesired->mVersion : 0;
   }
+  // How long another instance has been known to have a newer desired state;
+  // zero if none has.
+  duration DesiredStateAge(time_point aNow) const;
+  // How often a watch of the store was restarted because it had missed a
+  // change.
+  std::uint64_t WatchRestarts() const
+  {
+    return mDesiredWatcher.Restarts() + mServerWatcher.Restarts();
+  }
   // Era of the store as last read; zero if it has none.
   std::uint64_t StoreEra() const { return mStoreEra.value_or(0); }
   // How often the store came back from an older copy since the start.
@@ -200,6 +209,8 @@
     std::uint64_t mVersion = 0;
     // Since when this instance's view has been older than mVersion.
     std::optional<time_point> mBehindSince;
+    // When the watch was last restarted for it.
+    time_point mRestartedAt = time_point::min();
   };
 
   // A change of primary in progress, and the instances that have not released
@@ -369,6 +380,11 @@
   static void RestartIfBehind(version_hint& aHint,
                               kind_watcher& aWatcher,
                               time_point aNow);
+  // Notes since when a watch has been behind the newest version named by
+  // another instance.
+  static void NoteBehind(version_hint& aHint,
+                         const kind_watcher& aWatcher,
+                         time_point aNow);
   void OnConfirmation(const confirmation_answer& aAnswer, time_point aNow);
   // As of when this instance can confirm the recorded primaries to others: it
   // also has to know which of them are registered.
--- a/include/snipewalk/store/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -66,6 +66,14 @@
   // Since when no call was answered although calls were made; nothing while
   // the store answers.
   std::optional<time_point> UnreachableSince() const { return mFailingSince; }
+  // Connections to the store, idle or with a call.
+  std::size_t ConnectionCount() const { return mConnections.size(); }
+  // Calls since the start that were given up because other calls held all
+  // connections.
+  std::uint64_t CallsWithoutConnection() const
+  {
+    return mCallsWithoutConnection;
+  }
 
 private:
   struct call
@@ -98,6 +106,7 @@
   void Enqueue(call aCall, bool aFirst, time_point aNow);
   call TakeWaiting(store_schedule::call_id aCall);
   void ReplyExpired(time_point aNow);
+  void NoteConnections(bool aLacksConnection);
   // An idle open connection, a new one, or the end when there can be none now.
   connection_entry FindConnection(time_point aNow);
   connection_entry OpenConnection();
@@ -132,6 +141,9 @@
   time_point mConnectAfter;
   milliseconds mBackoff{ 0 };
   std::optional<time_point> mFailingSince;
+  // Whether the calls that wait lack a connection, as there may be no more.
+  bool mLacksConnection = false;
+  std::uint64_t mCallsWithoutConnection = 0;
   bool mPumpPosted = false;
   event_loop::timer_id mPumpTimer = 0;
   // Expires with the client; guards posted tasks.
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -396,19 +396,36 @@
                                     kind_watcher& aWatcher,
                                     time_point aNow)
 {
-  if (aHint.mVersion <= aWatcher.NewestVersion()) {
-    aHint.mBehindSince.reset();
+  NoteBehind(aHint, aWatcher, aNow);
+  if (!aHint.mBehindSince) {
     return;
   }
-  if (!aHint.mBehindSince) {
-    aHint.mBehindSince = aNow;
+  const time_point since = std::max(*aHint.mBehindSince, aHint.mRestartedAt);
+  if (aNow >= since + kVersionHintTimeout) {
+    aHint.mRestartedAt = aNow;
+    aWatcher.Restart();
   }
-  if (aNow >= *aHint.mBehindSince + kVersionHintTimeout) {
+}
+
+void
+session_controller::NoteBehind(version_hint& aHint,
+                               const kind_watcher& aWatcher,
+                               time_point aNow)
+{
+  if (aHint.mVersion <= aWatcher.NewestVersion()) {
     aHint.mBehindSince.reset();
-    aWatcher.Restart();
+  } else if (!aHint.mBehindSince) {
+    aHint.mBehindSince = aNow;
   }
 }
 
+duration
+session_controller::DesiredStateAge(time_point aNow) const
+{
+  return mDesiredHint.mBehindSince ? aNow - *mDesiredHint.mBehindSince
+                                   : duration(0);
+}
+
 void
 session_controller::Unregister(time_point aNow)
 {
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -79,6 +79,7 @@
       "watch is started again",
       { { "kind", mKind },
         { "revision", static_cast<std::int64_t>(mRevision) } });
+  ++mRestarts;
   ++mWatchNumber;
   mRevision = 0;
   List({ false, mLoop.Now() });
--- a/src/session/metrics_page.cpp
+++ b/src/session/metrics_page.cpp
@@ -45,6 +45,14 @@
                : -1);
   AppendLine(page, "store_era", aSources.mStoreEra);
   AppendLine(page, "store_returns_total", aSources.mStoreReturns);
+  AppendLine(page, "desired_state_version", aSources.mDesiredVersion);
+  AppendLine(
+    page, "desired_state_behind_ms", ToMilliseconds(aSources.mDesiredStateAge));
+  AppendLine(page, "watch_restarts_total", aSources.mWatchRestarts);
+  AppendLine(page, "store_connections", aSources.mStoreConnections);
+  AppendLine(page,
+             "store_calls_without_connection_total",
+             aSources.mStoreCallsWithoutConnection);
   for (const auto& [name, count] : aSources.mRegistry.Counters()) {
     AppendLine(page, name + "_total", count);
   }
--- a/src/session/metrics_page.h
+++ b/src/session/metrics_page.h
@@ -26,6 +26,13 @@
   std::uint64_t mStoreEra = 0;
   // Times that the store came back from an older copy.
   std::uint64_t mStoreReturns = 0;
+  // Operator's version of the desired state in force.
+  std::uint64_t mDesiredVersion = 0;
+  // How long another instance has been known to have a newer one.
+  duration mDesiredStateAge{ 0 };
+  std::uint64_t mWatchRestarts = 0;
+  std::size_t mStoreConnections = 0;
+  std::uint64_t mStoreCallsWithoutConnection = 0;
 };
 
 // Returns one line for each value: `name{labels} value`.
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -287,7 +287,12 @@
                          mController.IsReady(),
                          mController.ConfirmationAge(mLoop.Now()),
                          mController.StoreEra(),
-                         mController.StoreReturns() });
+                         mController.StoreReturns(),
+                         mController.DesiredVersion(),
+                         mController.DesiredStateAge(mLoop.Now()),
+                         mController.WatchRestarts(),
+                         mStore.ConnectionCount(),
+                         mStore.CallsWithoutConnection() });
     return response;
   }
 
--- a/src/store/store_http_client.cpp
+++ b/src/store/store_http_client.cpp
@@ -97,6 +97,7 @@
 {
   while (const auto expired = mSchedule.TakeExpired(aNow)) {
     call late = TakeWaiting(*expired);
+    mCallsWithoutConnection += mLacksConnection ? 1 : 0;
     // A call that only the rate limits held says nothing about the store.
     store_status status = store_status::RateLimited;
     if (mFailingSince) {
@@ -113,6 +114,8 @@
   ReplyExpired(aNow);
   while (!mWaiting.empty()) {
     const auto free = FindConnection(aNow);
+    NoteConnections(free == mConnections.end() &&
+                    mConnections.size() >= mOptions.mMaxConnections);
     const auto next =
       free == mConnections.end() ? std::nullopt : mSchedule.TakeNext(aNow);
     if (!next) {
@@ -123,6 +126,19 @@
   }
 }
 
+void
+store_http_client::NoteConnections(bool aLacksConnection)
+{
+  if (aLacksConnection && !mLacksConnection) {
+    Log(log_level::Warning,
+        "store",
+        "all connections are held by calls under way",
+        { { "connections", static_cast<std::int64_t>(mConnections.size()) },
+          { "waiting", static_cast<std::int64_t>(mWaiting.size()) } });
+  }
+  mLacksConnection = aLacksConnection;
+}
+
 void
 store_http_client::SchedulePump(time_point aWhen)
 {
