Start no watch again for a version whose object is gone

Callers saw: routes and keys refused as an older desired state says (CONFIG); the users' report does not say more. Here, 77 of 85 instances were up to 4.5 s late with the store and all links whole.

Cause: instances tell each other the newest version of an object that they have seen, and an instance whose watch has seen less restarts it. The version of an object that was removed since is in no list, so an instance that started after the newest change of the servers was a removal restarted its watch about three times a second until the next change: 1,804 restarts in 23 s by 43 instances. Each left a call behind that held one of 16 connections to the store for 10 s, so that after 4 to 5 s no call was sent for up to 5 s more, that for the desired state included.

Change: a list shows every change up to its revision, whatever became of the object. A version up to the revision of the latest list counts as seen.

Evidence: SessionControllerTest.RestartsNoWatchForAServerThatIsGone failed before (1 of 1) and passes. KindWatcher tests pass.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -9,6 +9,7 @@
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/messages/store_client.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -83,6 +84,12 @@
   std::uint64_t Era() const { return mEra; }
   // Newest version of any object of the kind that a reply contained.
   std::uint64_t NewestVersion() const { return mNewestVersion; }
+  // Whether the view is not older than the given version of some object. That
+  // object may have been removed since, so no list needs to contain it.
+  bool HasSeen(std::uint64_t aVersion) const
+  {
+    return aVersion <= std::max(mNewestVersion, mListedTo);
+  }
   // How often Restart() has abandoned a watch.
   std::uint64_t Restarts() const { return mRestarts; }
 
@@ -125,6 +132,8 @@
   // Revision reflected by mObjects; zero if a new list is needed.
   std::uint64_t mRevision = 0;
   std::uint64_t mNewestVersion = 0;
+  // The latest list contained every change up to this revision.
+  std::uint64_t mListedTo = 0;
   std::uint64_t mRestarts = 0;
   std::uint64_t mEra = 0;
   bool mListed = false;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -412,7 +412,7 @@
                                const kind_watcher& aWatcher,
                                time_point aNow)
 {
-  if (aHint.mVersion <= aWatcher.NewestVersion()) {
+  if (aWatcher.HasSeen(aHint.mVersion)) {
     aHint.mBehindSince.reset();
   } else if (!aHint.mBehindSince) {
     aHint.mBehindSince = aNow;
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -179,6 +179,7 @@
   const bool watchOutdated =
     mRevision != 0 && EraOf(mRevision) < EraOf(aListing.mRevision);
   mRevision = std::max(mRevision, aListing.mRevision);
+  mListedTo = std::max(mListedTo, aListing.mRevision);
   mAsOf = std::max(mAsOf, aListing.mAsOf);
   if (!aListing.mRefresh) {
     mContactSince = mContactSince.value_or(aNow);
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -104,6 +104,21 @@
   EXPECT_GT(second.mInstances.front().mVersion, first.mKnownRevision);
 }
 
+// Guards against watches that are started again without end: the version that
+// the other instances know belongs to an object that no list contains any more.
+TEST_F(SessionControllerTest, RestartsNoWatchForAServerThatIsGone)
+{
+  mStore.Write("servers", "r", "replica");
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  mStore.Remove("servers", "r");
+  mInstances.push_back(
+    std::make_unique<instance>(mNetwork, mStore, std::string("late")));
+  Run(2'500);
+  ASSERT_TRUE(IsConfirmed(*mInstances.back()));
+  EXPECT_EQ(mInstances.back()->mController.WatchRestarts(), 0U);
+}
+
 // Guards against stale reads and two holders of the duty: the steady clock does
 // not count a suspension, so a reply that was on its way then looks recent.
 TEST_F(SessionControllerTest, CountsNoReadOfTheStoreFromBeforeASuspension)
--- a/tests/session/fake_store.h
+++ b/tests/session/fake_store.h
@@ -44,6 +44,14 @@
     }
   }
 
+  // Removes an object. Watches are not notified, as when they are not listening
+  // at the time.
+  void Remove(const std::string& aKind, const std::string& aName)
+  {
+    mObjects.erase({ aKind, aName });
+    ++mRevision;
+  }
+
   // Remembers the present state for ReturnFromCopy().
   void TakeCopy()
   {
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -116,6 +116,22 @@
   EXPECT_EQ(mStore.mCalls.front().first.mFrom, 12U);
 }
 
+// Whoever has seen a version cannot tell whether its object still exists.
+TEST_F(KindWatcherTest, HasSeenTheVersionsThatAListWouldContain)
+{
+  mStore.Answer(Reply(10, { { "a", 3 } }), mLoop.Now());
+  EXPECT_TRUE(mWatcher.HasSeen(10));
+  EXPECT_FALSE(mWatcher.HasSeen(11));
+  // A watch may have missed changes, but for those that it delivers.
+  mStore.Answer(Reply(20, { { "b", 15 } }), mLoop.Now());
+  EXPECT_TRUE(mWatcher.HasSeen(15));
+  EXPECT_FALSE(mWatcher.HasSeen(16));
+  mWatcher.Refresh();
+  mStore.mCalls.pop_front();
+  mStore.Answer(Reply(30, { { "a", 3 } }), mLoop.Now());
+  EXPECT_TRUE(mWatcher.HasSeen(30));
+}
+
 // The store came back from an older copy: what the list lacks was undone, and
 // the numbers of its objects may be lower than those known.
 TEST_F(KindWatcherTest, ReplacesTheViewByTheFirstListOfAnEra)
