Cancel the store call of a watch that is abandoned

A watch that was started again left its call behind, which held one of the 16 connections to the store until the store answered it, for up to 10 s; a call that was still waiting to be sent took a connection later all the same, from the watch of the desired state too.

Cause: the store client had no way to give up a call. The replies of abandoned watches were ignored, their connections were not.

Change: Submit() returns an id, and Cancel() removes a call that waits or closes the connection of one that was sent. The view of a kind cancels the watch that it abandons.

--- a/include/snipewalk/messages/store_client.h
+++ b/include/snipewalk/messages/store_client.h
@@ -147,8 +147,11 @@
   bool mMore = false;
 };
 
+// Identifies a call of one store client. Never zero.
+using store_call_id = std::uint64_t;
+
 // Loop thread only. Each request gets exactly one reply, from the loop, never
-// from within Submit().
+// from within Submit(), unless it is cancelled.
 class store_client
 {
 public:
@@ -156,9 +159,13 @@
     std::function<void(const store_reply& aReply, time_point aNow)>;
 
   virtual ~store_client() = default;
-  virtual void Submit(store_request aRequest,
-                      store_priority aPriority,
-                      reply_handler aOnReply) = 0;
+  virtual store_call_id Submit(store_request aRequest,
+                               store_priority aPriority,
+                               reply_handler aOnReply) = 0;
+  // Gives up a call whose reply is not needed any more: its handler is not
+  // called, and it holds no connection. The store may still execute it. Does
+  // nothing if the call has been answered.
+  virtual void Cancel(store_call_id aCall) = 0;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -112,6 +112,9 @@
 
   void List(listing aListing);
   void Watch();
+  // Cancels the present watch, which would hold a connection of the store
+  // client until the store answers it.
+  void AbandonWatch();
   // Continues after a pause: with a list if one is needed, otherwise with a
   // watch.
   void ContinueAfter(duration aPause, time_point aNow);
@@ -141,6 +144,8 @@
   int mActiveRefreshes = 0;
   // Number of the present watch. Replies to earlier watches are ignored.
   std::uint64_t mWatchNumber = 0;
+  // Call of the present watch while it waits for its reply.
+  std::optional<store_call_id> mWatchCall;
   // Longest delay of the present retry; zero if the last call succeeded.
   milliseconds mRetryDelay{ 0 };
   std::mt19937_64 mRandom;
--- a/include/snipewalk/store/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -59,9 +59,12 @@
   store_http_client(const store_http_client&) = delete;
   store_http_client& operator=(const store_http_client&) = delete;
 
-  void Submit(store_request aRequest,
-              store_priority aPriority,
-              reply_handler aOnReply) override;
+  store_call_id Submit(store_request aRequest,
+                       store_priority aPriority,
+                       reply_handler aOnReply) override;
+  // Closes the connection of a call that was sent: the store would answer there
+  // first.
+  void Cancel(store_call_id aCall) override;
 
   // Since when no call was answered although calls were made; nothing while
   // the store answers.
@@ -78,6 +81,7 @@
 private:
   struct call
   {
+    store_call_id mId = 0;
     store_request mRequest;
     store_priority mPriority = store_priority::Background;
     reply_handler mOnReply;
@@ -132,8 +136,8 @@
   std::minstd_rand mRandom;
   store_schedule mSchedule;
   // Exactly the calls of the schedule.
-  std::map<store_schedule::call_id, call> mWaiting;
-  store_schedule::call_id mNextCall = 1;
+  std::map<store_call_id, call> mWaiting;
+  store_call_id mNextCall = 1;
   // List: handlers keep iterators.
   std::list<connection> mConnections;
   std::size_t mAddress = 0;
--- a/include/snipewalk/store/store_schedule.h
+++ b/include/snipewalk/store/store_schedule.h
@@ -49,6 +49,8 @@
            bool aFirst,
            time_point aSendBy,
            time_point aNow);
+  // Removes a call that has not been taken yet; does nothing otherwise.
+  void Remove(call_id aCall);
   // Removes a call that was not sent in time.
   std::optional<call_id> TakeExpired(time_point aNow);
   // Removes the call to be sent now; nothing while none may be sent.
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -80,7 +80,7 @@
       { { "kind", mKind },
         { "revision", static_cast<std::int64_t>(mRevision) } });
   ++mRestarts;
-  ++mWatchNumber;
+  AbandonWatch();
   mRevision = 0;
   List({ false, mLoop.Now() });
 }
@@ -197,16 +197,27 @@
 void
 kind_watcher::Watch()
 {
+  AbandonWatch();
   const time_point asOf = mLoop.Now();
-  const std::uint64_t number = ++mWatchNumber;
-  mStore.Submit(store_watch{ mKind, mRevision, mWatchTimeout },
-                store_priority::Watch,
-                [this, asOf, number, alive = std::weak_ptr<bool>(mAlive)](
-                  const store_reply& aReply, time_point aNow) {
-                  if (!alive.expired() && number == mWatchNumber) {
-                    OnWatched(aReply, asOf, aNow);
-                  }
-                });
+  mWatchCall = mStore.Submit(
+    store_watch{ mKind, mRevision, mWatchTimeout },
+    store_priority::Watch,
+    [this, asOf, number = mWatchNumber, alive = std::weak_ptr<bool>(mAlive)](
+      const store_reply& aReply, time_point aNow) {
+      if (!alive.expired() && number == mWatchNumber) {
+        mWatchCall.reset();
+        OnWatched(aReply, asOf, aNow);
+      }
+    });
+}
+
+void
+kind_watcher::AbandonWatch()
+{
+  ++mWatchNumber;
+  if (const auto call = std::exchange(mWatchCall, std::nullopt)) {
+    mStore.Cancel(*call);
+  }
 }
 
 void
--- a/src/store/store_http_client.cpp
+++ b/src/store/store_http_client.cpp
@@ -50,19 +50,20 @@
   }
 }
 
-void
+store_call_id
 store_http_client::Submit(store_request aRequest,
                           store_priority aPriority,
                           reply_handler aOnReply)
 {
-  call next{ std::move(aRequest), aPriority, std::move(aOnReply), false };
+  const store_call_id id = mNextCall++;
+  call next{ id, std::move(aRequest), aPriority, std::move(aOnReply), false };
   if (mWaiting.size() >= mOptions.mMaxWaiting || mOptions.mAddresses.empty()) {
     mLoop.Post([this, next, alive = std::weak_ptr<bool>(mAlive)]() mutable {
       if (!alive.expired()) {
         Reply(next, { store_status::Refused, {}, 0, {} }, mLoop.Now());
       }
     });
-    return;
+    return id;
   }
   Enqueue(std::move(next), false, mLoop.Now());
   if (!std::exchange(mPumpPosted, true)) {
@@ -73,15 +74,32 @@
       }
     });
   }
+  return id;
+}
+
+void
+store_http_client::Cancel(store_call_id aCall)
+{
+  mSchedule.Remove(aCall);
+  mWaiting.erase(aCall);
+  const auto sent = std::find_if(
+    mConnections.begin(), mConnections.end(), [aCall](const auto& aEntry) {
+      return aEntry.mCall && aEntry.mCall->mId == aCall;
+    });
+  if (sent == mConnections.end()) {
+    return;
+  }
+  sent->mCall.reset();
+  mLoop.Cancel(sent->mTimer);
+  Release(sent);
 }
 
 void
 store_http_client::Enqueue(call aCall, bool aFirst, time_point aNow)
 {
-  const auto id = mNextCall++;
   mSchedule.Add(
-    id, aCall.mPriority, aFirst, aNow + mOptions.mCallTimeout, aNow);
-  mWaiting.emplace(id, std::move(aCall));
+    aCall.mId, aCall.mPriority, aFirst, aNow + mOptions.mCallTimeout, aNow);
+  mWaiting.emplace(aCall.mId, std::move(aCall));
 }
 
 store_http_client::call
--- a/src/store/store_schedule.cpp
+++ b/src/store/store_schedule.cpp
@@ -68,6 +68,16 @@
   ++mSize;
 }
 
+void
+store_schedule::Remove(call_id aCall)
+{
+  for (auto& entry : mClasses) {
+    mSize -= std::erase_if(entry.mCalls, [aCall](const waiting_call& aWaiting) {
+      return aWaiting.mCall == aCall;
+    });
+  }
+}
+
 std::optional<store_schedule::call_id>
 store_schedule::TakeExpired(time_point aNow)
 {
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -77,13 +77,15 @@
 class scripted_store : public store_client
 {
 public:
-  void Submit(store_request aRequest,
-              store_priority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
     mRequest = std::get<store_watch>(std::move(aRequest));
     mOnReply = std::move(aOnReply);
+    return 1;
   }
+  void Cancel(store_call_id) override {}
 
   void Reply(std::string aBody, time_point aNow)
   {
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -119,6 +119,27 @@
   EXPECT_EQ(mInstances.back()->mController.WatchRestarts(), 0U);
 }
 
+// Guards against abandoned watches that hold all connections to the store. Each
+// instance has one watch of each of three kinds.
+TEST_F(SessionControllerTest, LeavesNoWatchBehindWhenItRestartsOne)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  const std::size_t watches = mStore.WaitingWatches();
+  mStore.mWatchesMissChanges = true;
+  for (const std::string version : { "2", "3", "4" }) {
+    mStore.Write("config", "main", version);
+    Run(1'500);
+  }
+  std::uint64_t restarts = 0;
+  for (const auto& each : mInstances) {
+    EXPECT_EQ(each->mController.DesiredVersion(), 4U);
+    restarts += each->mController.WatchRestarts();
+  }
+  EXPECT_GE(restarts, 3U);
+  EXPECT_EQ(mStore.WaitingWatches(), watches);
+}
+
 // Guards against stale reads and two holders of the duty: the steady clock does
 // not count a suspension, so a reply that was on its way then looks recent.
 TEST_F(SessionControllerTest, CountsNoReadOfTheStoreFromBeforeASuspension)
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -93,28 +93,35 @@
   {
   }
 
-  void Submit(store_request aRequest,
-              store_priority aPriority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority aPriority,
+                       reply_handler aOnReply) override
   {
     if (mRefuses) {
       mLoop.Post([this, onReply = std::move(aOnReply)] {
         onReply(Refused(), mLoop.Now());
       });
-      return;
+      return kRefusedCall;
+    }
+    return mStore.Submit(std::move(aRequest),
+                         aPriority,
+                         [this, onReply = std::move(aOnReply)](
+                           const store_reply& aReply, time_point aNow) {
+                           // The path was lost while the call was under way.
+                           const store_reply reply =
+                             mRefuses ? Refused() : aReply;
+                           if (mHoldsReplies) {
+                             mHeldReplies.emplace_back(onReply, reply);
+                           } else {
+                             onReply(reply, aNow);
+                           }
+                         });
+  }
+  void Cancel(store_call_id aCall) override
+  {
+    if (aCall != kRefusedCall) {
+      mStore.Cancel(aCall);
     }
-    mStore.Submit(std::move(aRequest),
-                  aPriority,
-                  [this, onReply = std::move(aOnReply)](
-                    const store_reply& aReply, time_point aNow) {
-                    // The path was lost while the call was under way.
-                    const store_reply reply = mRefuses ? Refused() : aReply;
-                    if (mHoldsReplies) {
-                      mHeldReplies.emplace_back(onReply, reply);
-                    } else {
-                      onReply(reply, aNow);
-                    }
-                  });
   }
   // Delivers the replies that were held.
   void Release(time_point aNow)
@@ -130,6 +137,9 @@
   bool mHoldsReplies = false;
 
 private:
+  // Not an id of the store's.
+  static constexpr store_call_id kRefusedCall = ~store_call_id{ 0 };
+
   static store_reply Refused()
   {
     store_reply refused;
--- a/tests/session/fake_store.h
+++ b/tests/session/fake_store.h
@@ -22,15 +22,28 @@
   {
   }
 
-  void Submit(store_request aRequest,
-              store_priority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
-    mLoop.Post([this,
-                request = std::move(aRequest),
-                onReply = std::move(aOnReply)] { Execute(request, onReply); });
+    const store_call_id id = ++mLastCall;
+    mLoop.Post(
+      [this, id, request = std::move(aRequest), onReply = std::move(aOnReply)] {
+        Execute(id, request, onReply);
+      });
+    return id;
   }
 
+  // Only watches that wait can be cancelled.
+  void Cancel(store_call_id aCall) override
+  {
+    mWatches.remove_if(
+      [aCall](const watch& aWatch) { return aWatch.mId == aCall; });
+  }
+
+  // Number of watches that wait for a change.
+  std::size_t WaitingWatches() const { return mWatches.size(); }
+
   // Writes an object, as the operator or a server would.
   void Write(const std::string& aKind,
              const std::string& aName,
@@ -90,11 +103,14 @@
 private:
   struct watch
   {
+    store_call_id mId = 0;
     store_watch mRequest;
     reply_handler mOnReply;
   };
 
-  void Execute(const store_request& aRequest, const reply_handler& aOnReply)
+  void Execute(store_call_id aId,
+               const store_request& aRequest,
+               const reply_handler& aOnReply)
   {
     ++mCalls;
     if (mRefusesCalls) {
@@ -109,7 +125,7 @@
       } else if (EraOf(watched->mFrom) != EraOf(mRevision)) {
         aOnReply({ store_status::HistoryGone }, mLoop.Now());
       } else {
-        mWatches.push_back({ *watched, aOnReply });
+        mWatches.push_back({ aId, *watched, aOnReply });
         if (!mWatchesMissChanges) {
           AnswerWatches();
         }
@@ -178,6 +194,7 @@
   std::map<object_key, stored_object> mCopy;
   std::uint64_t mCopyRevision = 0;
   std::list<watch> mWatches;
+  store_call_id mLastCall = 0;
 };
 
 } // namespace snipewalk
--- a/tests/session/kind_watcher_property_test.cpp
+++ b/tests/session/kind_watcher_property_test.cpp
@@ -22,12 +22,15 @@
 class delaying_store : public store_client
 {
 public:
-  void Submit(store_request aRequest,
-              store_priority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
     mCalls.push_back({ std::get<store_watch>(aRequest), std::move(aOnReply) });
+    return ++mLastCall;
   }
+  // Replies that are on their way arrive all the same.
+  void Cancel(store_call_id) override {}
 
   void Write()
   {
@@ -93,6 +96,7 @@
   // Versions by the revision that created them; both numbers are the same.
   std::map<std::uint64_t, std::uint64_t> mHistory;
   std::vector<call> mCalls;
+  store_call_id mLastCall = 0;
   std::vector<std::pair<store_reply, reply_handler>> mAnswers;
 };
 
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -14,13 +14,17 @@
 class scripted_store : public store_client
 {
 public:
-  void Submit(store_request aRequest,
-              store_priority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
     mCalls.emplace_back(std::get<store_watch>(aRequest), std::move(aOnReply));
+    return ++mLastCall;
   }
 
+  // Replies that are on their way arrive all the same.
+  void Cancel(store_call_id aCall) override { mCancelled.push_back(aCall); }
+
   // Answers the oldest call.
   void Answer(const store_reply& aReply, time_point aNow)
   {
@@ -31,6 +35,9 @@
   }
 
   std::deque<std::pair<store_watch, reply_handler>> mCalls;
+  // Id of the last call.
+  store_call_id mLastCall = 0;
+  std::vector<store_call_id> mCancelled;
 };
 
 store_reply
@@ -132,6 +139,21 @@
   EXPECT_TRUE(mWatcher.HasSeen(30));
 }
 
+// Guards against abandoned watches that hold all connections to the store until
+// it answers them.
+TEST_F(KindWatcherTest, CancelsTheWatchThatItAbandons)
+{
+  mStore.Answer(Reply(10, { { "a", 3 } }), mLoop.Now());
+  const store_call_id watch = mStore.mLastCall;
+  mWatcher.Restart();
+  EXPECT_EQ(mStore.mCancelled, std::vector<store_call_id>{ watch });
+  // A watch that was answered is not cancelled.
+  mStore.mCalls.pop_front();
+  mStore.Answer(Reply(12, { { "a", 12 } }), mLoop.Now());
+  mStore.Answer(Reply(13, { { "a", 13 } }), mLoop.Now());
+  EXPECT_EQ(mStore.mCancelled.size(), 1U);
+}
+
 // The store came back from an older copy: what the list lacks was undone, and
 // the numbers of its objects may be lower than those known.
 TEST_F(KindWatcherTest, ReplacesTheViewByTheFirstListOfAnEra)
@@ -255,7 +277,9 @@
   {
   }
 
-  void Submit(store_request, store_priority, reply_handler aOnReply) override
+  store_call_id Submit(store_request,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
     ++mCalls;
     mLoop.Post([this, onReply = std::move(aOnReply)] {
@@ -263,7 +287,9 @@
       refused.mStatus = store_status::Refused;
       onReply(refused, mLoop.Now());
     });
+    return static_cast<store_call_id>(mCalls);
   }
+  void Cancel(store_call_id) override {}
 
   int mCalls = 0;
 
--- a/tests/store/audit_trail_test.cpp
+++ b/tests/store/audit_trail_test.cpp
@@ -12,12 +12,14 @@
 class memory_store : public store_client
 {
 public:
-  void Submit(store_request aRequest,
-              store_priority,
-              reply_handler aOnReply) override
+  store_call_id Submit(store_request aRequest,
+                       store_priority,
+                       reply_handler aOnReply) override
   {
     mCalls.emplace_back(std::move(aRequest), std::move(aOnReply));
+    return mCalls.size();
   }
+  void Cancel(store_call_id) override {}
 
   void AnswerAll(time_point aNow)
   {
--- a/tests/store/store_http_client_test.cpp
+++ b/tests/store/store_http_client_test.cpp
@@ -48,6 +48,15 @@
     return replies;
   }
 
+  void RunFor(milliseconds aTime)
+  {
+    bool done = false;
+    mLoop.RunAt(mLoop.Now() + aTime, [&done](time_point) { done = true; });
+    while (!done) {
+      mLoop.RunOnce();
+    }
+  }
+
   event_loop mLoop;
   standins::store_service mService{ mLoop, {} };
   const object_key mKey{ "terms", "ledger" };
@@ -115,6 +124,53 @@
   EXPECT_FALSE(client.UnreachableSince());
 }
 
+// Guards against calls that are not sent since watches that nobody needs any
+// more hold all connections.
+TEST_F(StoreHttpClientTest, FreesTheConnectionOfACancelledCall)
+{
+  store_client_options options = OptionsFor({ StoreAddress() });
+  options.mMaxConnections = 2;
+  store_http_client client(mLoop, options);
+  std::vector<store_reply> replies;
+  const auto keep = [&](const store_reply& aReply, time_point) {
+    replies.push_back(aReply);
+  };
+  client.Submit(store_put{ mKey, "{}", 0 }, store_priority::Terms, keep);
+  RunFor(milliseconds(50));
+  ASSERT_EQ(replies.size(), 1U);
+  // Two of the watches are sent, and one waits for a connection.
+  const store_watch watch{ "terms", replies[0].mRevision, seconds(10) };
+  std::vector<store_call_id> watches;
+  for (int i = 0; i < 3; ++i) {
+    watches.push_back(client.Submit(watch, store_priority::Watch, keep));
+  }
+  RunFor(milliseconds(50));
+  for (const auto id : watches) {
+    client.Cancel(id);
+  }
+  client.Submit(store_get{ mKey }, store_priority::Terms, keep);
+  RunFor(milliseconds(150));
+  ASSERT_EQ(replies.size(), 2U);
+  EXPECT_EQ(replies[1].mStatus, store_status::Ok);
+  EXPECT_EQ(client.CallsWithoutConnection(), 0U);
+}
+
+// Guards against a lack of connections that looks like a rate limit.
+TEST_F(StoreHttpClientTest, CountsCallsThatFoundNoConnection)
+{
+  store_client_options options = OptionsFor({ StoreAddress() });
+  options.mMaxConnections = 1;
+  store_http_client client(mLoop, options);
+  client.Submit(store_put{ mKey, "{}", 0 }, store_priority::Terms, {});
+  RunFor(milliseconds(50));
+  client.Submit(
+    store_watch{ "terms", 1, seconds(10) }, store_priority::Watch, {});
+  client.Submit(store_get{ mKey }, store_priority::Terms, {});
+  RunFor(milliseconds(300));
+  EXPECT_EQ(client.ConnectionCount(), 1U);
+  EXPECT_EQ(client.CallsWithoutConnection(), 1U);
+}
+
 // Guards against calls above the cap, such as after the store's return.
 TEST_F(StoreHttpClientTest, KeepsTheCapOnCalls)
 {
