Ask another instance for a desired state that the store does not deliver

Callers saw: with 18 requests a second, instances that the store refused for 12 s were up to 11.7 s late, and refused 45 openings of a route that was 5 s old.

Cause: an instance that is confirmed by its peers knows from them that there is a newer desired state, but could get it only from the store, or from an instance that a session was just being forwarded to or from. Where few sessions are forwarded there was no second way.

Change: after 500 ms the instance asks a peer for its desired state, with the frame that forwarded sessions use, on a connection of its own, and the next peer after each further 500 ms. Each instance starts with another peer. What it does while it is behind is a class of its own (version_hint), out of the controller. A state from a peer counts as seen.

Evidence: SessionControllerTest.GetsTheDesiredStateFromItsPeers fails with the request switched off (version 1 in place of 2) and passes.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -82,7 +82,8 @@
   time_point AsOf() const { return mAsOf; }
   // Latest era of the store that a reply was from.
   std::uint64_t Era() const { return mEra; }
-  // Newest version of any object of the kind that a reply contained.
+  // Newest version of any object of the kind that a reply contained or that was
+  // obtained in another way.
   std::uint64_t NewestVersion() const { return mNewestVersion; }
   // Whether the view is not older than the given version of some object. That
   // object may have been removed since, so no list needs to contain it.
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -21,6 +21,7 @@
 #include "snipewalk/session/server_directory.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/session_hosts.h"
+#include "snipewalk/session/version_hint.h"
 
 #include <functional>
 #include <map>
@@ -85,6 +86,9 @@
                               promotion_handler aOnResult) = 0;
   virtual void SendDatagram(const std::string& aAddress,
                             const peer_datagram& aDatagram) = 0;
+  // Asks an instance for its desired state, which is passed to
+  // session_controller::AdoptDesiredState().
+  virtual void RequestDesiredState(const std::string& aPeerAddress) = 0;
 };
 
 struct controller_options
@@ -187,7 +191,10 @@
   }
   // How long another instance has been known to have a newer desired state;
   // zero if none has.
-  duration DesiredStateAge(time_point aNow) const;
+  duration DesiredStateAge(time_point aNow) const
+  {
+    return mDesiredHint.BehindFor(aNow);
+  }
   // How often a watch of the store was restarted because it had missed a
   // change.
   std::uint64_t WatchRestarts() const
@@ -203,16 +210,6 @@
   std::size_t ServerCount() const { return mServers.All().size(); }
 
 private:
-  // Newest object version that another instance has seen.
-  struct version_hint
-  {
-    std::uint64_t mVersion = 0;
-    // Since when this instance's view has been older than mVersion.
-    std::optional<time_point> mBehindSince;
-    // When the watch was last restarted for it.
-    time_point mRestartedAt = time_point::min();
-  };
-
   // A change of primary in progress, and the instances that have not released
   // the old primary yet.
   struct running_change
@@ -380,11 +377,9 @@
   static void RestartIfBehind(version_hint& aHint,
                               kind_watcher& aWatcher,
                               time_point aNow);
-  // Notes since when a watch has been behind the newest version named by
-  // another instance.
-  static void NoteBehind(version_hint& aHint,
-                         const kind_watcher& aWatcher,
-                         time_point aNow);
+  // Asks another instance for its desired state if the store does not deliver
+  // a version that others have seen.
+  void RequestDesiredStateIfBehind(time_point aNow);
   void OnConfirmation(const confirmation_answer& aAnswer, time_point aNow);
   // As of when this instance can confirm the recorded primaries to others: it
   // also has to know which of them are registered.
@@ -561,6 +556,8 @@
   time_point mFleetReadAt = time_point::min();
   time_point mServersReadAt = time_point::min();
   version_hint mDesiredHint;
+  // Number of requests for the desired state of another instance.
+  std::uint64_t mStateRequests = 0;
   version_hint mServerHint;
   std::shared_ptr<bool> mAlive = std::make_shared<bool>(true);
 };
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -25,9 +25,6 @@
 // How often any other instance reads the fleet records while no instance
 // confirms them to it.
 constexpr milliseconds kFallbackReadInterval{ 1'000 };
-// A version that other instances have seen must reach this instance's watch
-// within this time; otherwise the watch is restarted.
-constexpr milliseconds kVersionHintTimeout{ 250 };
 // Confirmation requests go to the duty holder, and also to
 // kExtraPeersPerRequest other instances if the last confirmation is older than
 // kStaleConfirmationAge.
@@ -347,9 +344,8 @@
     mHolderConfirmedAt = confirmedAt;
     mConfirmedHolderSeenAt = holderSeenAt;
   }
-  mDesiredHint.mVersion =
-    std::max(mDesiredHint.mVersion, aAnswer.mDesiredVersion);
-  mServerHint.mVersion = std::max(mServerHint.mVersion, aAnswer.mServerVersion);
+  mDesiredHint.Note(aAnswer.mDesiredVersion);
+  mServerHint.Note(aAnswer.mServerVersion);
   NoteEra(EraOf(aAnswer.mKnownRevision), aNow);
   // An instance that has not seen the store come back can't tell what the store
   // has forgotten.
@@ -396,36 +392,12 @@
                                     kind_watcher& aWatcher,
                                     time_point aNow)
 {
-  NoteBehind(aHint, aWatcher, aNow);
-  if (!aHint.mBehindSince) {
-    return;
-  }
-  const time_point since = std::max(*aHint.mBehindSince, aHint.mRestartedAt);
-  if (aNow >= since + kVersionHintTimeout) {
-    aHint.mRestartedAt = aNow;
+  aHint.Compare(aWatcher.HasSeen(aHint.Version()), aNow);
+  if (aHint.TakeRestart(aNow)) {
     aWatcher.Restart();
   }
 }
 
-void
-session_controller::NoteBehind(version_hint& aHint,
-                               const kind_watcher& aWatcher,
-                               time_point aNow)
-{
-  if (aWatcher.HasSeen(aHint.mVersion)) {
-    aHint.mBehindSince.reset();
-  } else if (!aHint.mBehindSince) {
-    aHint.mBehindSince = aNow;
-  }
-}
-
-duration
-session_controller::DesiredStateAge(time_point aNow) const
-{
-  return mDesiredHint.mBehindSince ? aNow - *mDesiredHint.mBehindSince
-                                   : duration(0);
-}
-
 void
 session_controller::Unregister(time_point aNow)
 {
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -2,8 +2,11 @@
 // other instances.
 #include "snipewalk/session/session_controller.h"
 
+#include <absl/hash/hash.h>
+
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace snipewalk {
 
@@ -19,7 +22,7 @@
 session_controller::RequestDesiredRevision(std::uint64_t aRevision,
                                            time_point aNow)
 {
-  mDesiredHint.mVersion = std::max(mDesiredHint.mVersion, aRevision);
+  mDesiredHint.Note(aRevision);
   const bool due = aNow >= mDesiredReadAt + kDesiredReadInterval;
   // Allows one read at a time, so that calls do not pile up while the store is
   // unresponsive and overload it when it recovers.
@@ -30,6 +33,29 @@
   }
 }
 
+void
+session_controller::RequestDesiredStateIfBehind(time_point aNow)
+{
+  if (mUnregistered || !mDesiredHint.TakeRequest(aNow)) {
+    return;
+  }
+  std::vector<std::string> peers;
+  for (const auto& [name, known] : mInstances.All()) {
+    const instance_record& record = known.mRecord;
+    if (name != mOptions.mInstance && record.mState == instance_state::Live) {
+      peers.push_back(record.mPeerAddress);
+    }
+  }
+  if (peers.empty()) {
+    return;
+  }
+  // Many instances may be behind at once: each starts with another peer, and
+  // goes on to the next one if that peer is behind, too.
+  const std::uint64_t choice =
+    absl::HashOf(mOptions.mInstance) + mStateRequests++;
+  mLinks.RequestDesiredState(peers[choice % peers.size()]);
+}
+
 relayed_desired_state
 session_controller::DesiredState() const
 {
--- /dev/null
+++ b/src/session/desired_state_request.cpp
@@ -0,0 +1,64 @@
+// Implementation of requests for the desired state of another instance.
+#include "session/desired_state_request.h"
+
+#include <utility>
+
+namespace snipewalk {
+
+namespace {
+
+// Time limit from the connection to the whole reply.
+constexpr milliseconds kRequestTimeout{ 1'000 };
+
+} // namespace
+
+desired_state_request::desired_state_request(event_loop& aLoop,
+                                             forwarding_links& aLinks)
+  : mLoop(aLoop)
+  , mLinks(aLinks)
+{
+}
+
+desired_state_request::~desired_state_request()
+{
+  mLoop.Cancel(mTimeout);
+}
+
+void
+desired_state_request::Send(const std::string& aPeerAddress, time_point aNow)
+{
+  End();
+  mStream = stream_connection::Connect(
+    mLoop,
+    aPeerAddress,
+    { [this](time_point) { RequestDesiredState(mLinks, *mStream); },
+      [this](std::string& aInput, time_point aThen) { OnInput(aInput, aThen); },
+      [this](close_cause, time_point) { End(); } });
+  mTimeout = mLoop.RunAt(aNow + kRequestTimeout, [this](time_point) { End(); });
+}
+
+void
+desired_state_request::OnInput(std::string& aInput, time_point aNow)
+{
+  const std::size_t received = aInput.size();
+  const auto frame = ReadForwardedMessage(aInput, mLinks, *mStream, aNow);
+  // The reply is a single frame, which leaves the input once it is complete.
+  if (!frame.ok() || aInput.size() != received) {
+    aInput.clear();
+    End();
+  }
+}
+
+void
+desired_state_request::End()
+{
+  mLoop.Cancel(mTimeout);
+  const std::shared_ptr<stream_connection> stream = std::move(mStream);
+  if (stream) {
+    stream->Close();
+    // A handler of the stream may be running.
+    mLoop.Post([stream] {});
+  }
+}
+
+} // namespace snipewalk
--- /dev/null
+++ b/src/session/desired_state_request.h
@@ -0,0 +1,43 @@
+// Requests the desired state of another instance, over a connection of its own.
+// An instance whose view of the store is older than that of others gets the
+// state this way although it forwards no session to them.
+#ifndef SNIPEWALK_SESSION_DESIRED_STATE_REQUEST_H_
+#define SNIPEWALK_SESSION_DESIRED_STATE_REQUEST_H_
+
+#include "session/forwarding_links.h"
+#include "snipewalk/base/time.h"
+#include "snipewalk/connection/event_loop.h"
+#include "snipewalk/connection/stream_connection.h"
+
+#include <memory>
+#include <string>
+
+namespace snipewalk {
+
+class desired_state_request
+{
+public:
+  // The state is passed to forwarding_links::AdoptDesiredState().
+  desired_state_request(event_loop& aLoop, forwarding_links& aLinks);
+  ~desired_state_request();
+  desired_state_request(const desired_state_request&) = delete;
+  desired_state_request& operator=(const desired_state_request&) = delete;
+
+  // Asks the instance whose peer address is given. A request that is under way
+  // ends without a reply.
+  void Send(const std::string& aPeerAddress, time_point aNow);
+
+private:
+  void OnInput(std::string& aInput, time_point aNow);
+  void End();
+
+  event_loop& mLoop;
+  forwarding_links& mLinks;
+  // Null while no request is under way.
+  std::shared_ptr<stream_connection> mStream;
+  event_loop::timer_id mTimeout = 0;
+};
+
+} // namespace snipewalk
+
+#endif // SNIPEWALK_SESSION_DESIRED_STATE_REQUEST_H_
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -89,6 +89,7 @@
 kind_watcher::ApplyNewer(const stored_object& aObject)
 {
   Apply(aObject);
+  mNewestVersion = std::max(mNewestVersion, aObject.mVersion);
 }
 
 bool
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -433,6 +433,7 @@
   AskForConfirmation(aNow);
   RestartIfBehind(mDesiredHint, mDesiredWatcher, aNow);
   RestartIfBehind(mServerHint, mServerWatcher, aNow);
+  RequestDesiredStateIfBehind(aNow);
   if (const auto write = mDuty.ClaimIfDue(aNow)) {
     WriteDuty(*write);
   }
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -2,6 +2,7 @@
 #include "snipewalk/session/session_daemon.h"
 
 #include "session/connection_table.h"
+#include "session/desired_state_request.h"
 #include "session/http_responder.h"
 #include "session/metrics_page.h"
 #include "session/peer_socket.h"
@@ -110,6 +111,7 @@
     , mAdapter(std::move(aAdapter))
     , mStore(mLoop, StoreOptions(mSettings, mAdapter.mStoreDialect))
     , mTable(mLoop, *mAdapter.mProtocol, *this)
+    , mStateRequest(mLoop, *this)
     , mEngine(EngineOptions(), mTable)
     , mServerControl(mLoop,
                      *mAdapter.mProtocol,
@@ -220,6 +222,11 @@
     mPeerSocket.Send(aAddress, aDatagram);
   }
 
+  void RequestDesiredState(const std::string& aPeerAddress) override
+  {
+    mStateRequest.Send(aPeerAddress, mLoop.Now());
+  }
+
   // Implements forwarding_links.
   std::optional<host_candidate> HostFor(const open_session& aOpen,
                                         time_point aNow) override
@@ -414,6 +421,7 @@
   event_loop mLoop;
   store_http_client mStore;
   connection_table mTable;
+  desired_state_request mStateRequest;
   session_engine mEngine;
   server_control mServerControl;
   std::unique_ptr<promotion_client> mPromotion;
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -119,6 +119,20 @@
   EXPECT_EQ(mInstances.back()->mController.WatchRestarts(), 0U);
 }
 
+// Guards against refusals by an old desired state on an instance that the store
+// refuses, and to which no forwarded session shows a newer one.
+TEST_F(SessionControllerTest, GetsTheDesiredStateFromItsPeers)
+{
+  Run(1'500);
+  ASSERT_EQ(Holders(), 1);
+  instance& refused = *Others()[0];
+  refused.mStore.mRefuses = true;
+  mStore.Write("config", "main", "2");
+  Run(2'000);
+  EXPECT_EQ(refused.mController.DesiredVersion(), 2U);
+  EXPECT_EQ(refused.mController.DesiredStateAge(mLoop.Now()), duration(0));
+}
+
 // Guards against abandoned watches that hold all connections to the store. Each
 // instance has one watch of each of three kinds.
 TEST_F(SessionControllerTest, LeavesNoWatchBehindWhenItRestartsOne)
--- a/tests/session/controller_fixture.h
+++ b/tests/session/controller_fixture.h
@@ -224,6 +224,19 @@
     });
   }
 
+  void RequestDesiredState(const std::string& aPeerAddress) override
+  {
+    const auto to = mNetwork.mInstances.find(aPeerAddress);
+    if (to == mNetwork.mInstances.end() || mPartitioned ||
+        to->second->mPartitioned) {
+      return;
+    }
+    mNetwork.mLoop.Post([this, asked = to->second] {
+      mController.AdoptDesiredState(asked->mController.DesiredState(),
+                                    mNetwork.mLoop.Now());
+    });
+  }
+
   // Opens a session of the database "main", whose reads need the primary, and
   // sends a read.
   void SendRead(const std::string& aItem)
--- /dev/null
+++ b/tests/session/desired_state_request_test.cpp
@@ -0,0 +1,112 @@
+// Tests for requests for the desired state of another instance, on real
+// sockets.
+#include "session/desired_state_request.h"
+
+#include "snipewalk/connection/listener.h"
+
+#include <gtest/gtest.h>
+
+#include <utility>
+
+namespace snipewalk {
+namespace {
+
+class state_holder : public forwarding_links
+{
+public:
+  std::optional<host_candidate> HostFor(const open_session&,
+                                        time_point) override
+  {
+    return std::nullopt;
+  }
+  void OnHostFailed(const std::string&, time_point) override {}
+  void ProbeHost(const host_candidate&, time_point) override {}
+  std::uint64_t DesiredRevision() const override { return mState.mRevision; }
+  void RequestDesiredRevision(std::uint64_t, time_point) override {}
+  relayed_desired_state DesiredState() const override { return mState; }
+  void AdoptDesiredState(const relayed_desired_state& aState,
+                         time_point) override
+  {
+    mState = aState;
+  }
+
+  relayed_desired_state mState;
+};
+
+class DesiredStateRequestTest : public testing::Test
+{
+protected:
+  DesiredStateRequestTest()
+  {
+    auto opened = listener::Open(mLoop,
+                                 "127.0.0.1:0",
+                                 [this](const Poco::Net::StreamSocket& aSocket,
+                                        time_point) { Accept(aSocket); });
+    mListener = *std::move(opened);
+    mPeer.mState = { 7, R"({"Version":3})" };
+  }
+
+  void Accept(const Poco::Net::StreamSocket& aSocket)
+  {
+    mAccepted = stream_connection::Adopt(
+      mLoop,
+      aSocket,
+      { {},
+        [this](std::string& aInput, time_point aNow) {
+          if (mAnswers) {
+            (void)ReadForwardedMessage(aInput, mPeer, *mAccepted, aNow);
+          }
+        },
+        [this](close_cause, time_point) { ++mClosed; } });
+  }
+
+  void RunFor(milliseconds aTime)
+  {
+    bool done = false;
+    mLoop.RunAt(mLoop.Now() + aTime, [&done](time_point) { done = true; });
+    while (!done) {
+      mLoop.RunOnce();
+    }
+  }
+
+  event_loop mLoop;
+  std::unique_ptr<listener> mListener;
+  state_holder mOwn;
+  state_holder mPeer;
+  std::unique_ptr<stream_connection> mAccepted;
+  bool mAnswers = true;
+  int mClosed = 0;
+  desired_state_request mRequest{ mLoop, mOwn };
+};
+
+TEST_F(DesiredStateRequestTest, PassesTheStateOnAndCloses)
+{
+  mRequest.Send(mListener->Address(), mLoop.Now());
+  RunFor(milliseconds(200));
+  EXPECT_EQ(mOwn.mState.mRevision, 7U);
+  EXPECT_EQ(mOwn.mState.mValue, mPeer.mState.mValue);
+  EXPECT_EQ(mClosed, 1);
+}
+
+TEST_F(DesiredStateRequestTest, GivesUpOnASilentPeer)
+{
+  mAnswers = false;
+  mRequest.Send(mListener->Address(), mLoop.Now());
+  RunFor(milliseconds(1'300));
+  EXPECT_EQ(mClosed, 1);
+  EXPECT_EQ(mOwn.mState.mRevision, 0U);
+}
+
+TEST_F(DesiredStateRequestTest, ReplacesARequestThatIsUnderWay)
+{
+  mAnswers = false;
+  mRequest.Send(mListener->Address(), mLoop.Now());
+  RunFor(milliseconds(100));
+  mAnswers = true;
+  mRequest.Send(mListener->Address(), mLoop.Now());
+  RunFor(milliseconds(200));
+  EXPECT_EQ(mOwn.mState.mRevision, 7U);
+}
+
+} // namespace
+} // namespace snipewalk
