--- a/src/apps/snipewalk_sessions.cpp
+++ b/src/apps/snipewalk_sessions.cpp
@@ -2,6 +2,7 @@
 #include "platform/line_protocol.h"
 #include "platform/promotion_call.h"
 #include "platform/store_dialect.h"
+#include "platform/stored_values.h"
 #include "snipewalk/base/command_line.h"
 #include "snipewalk/base/log.h"
 #include "snipewalk/session/session_daemon.h"
--- a/tests/platform/odd_entry_test.cpp
+++ b/tests/platform/odd_entry_test.cpp
@@ -1,6 +1,7 @@
 // Tests of lists and watches in which one entry was left by another writer and
 // cannot be read. The other entries must be in force, and the watch must go on.
 #include "platform/store_dialect.h"
+#include "platform/stored_values.h"
 #include "snipewalk/session/kind_watcher.h"
 
 #include <gtest/gtest.h>
--- a/tests/platform/platform_fuzz_test.cpp
+++ b/tests/platform/platform_fuzz_test.cpp
@@ -3,6 +3,7 @@
 #include "connection/mutator.h"
 #include "platform/line_protocol.h"
 #include "platform/store_dialect.h"
+#include "platform/stored_values.h"
 #include "snipewalk/session/fleet_records.h"
 #include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/peer_datagrams.h"
--- a/tests/platform/store_dialect_test.cpp
+++ b/tests/platform/store_dialect_test.cpp
@@ -1,5 +1,6 @@
 // Tests of the platform's form of the store's calls and objects.
 #include "platform/store_dialect.h"
+#include "platform/stored_values.h"
 
 #include "snipewalk/messages/store_revision.h"
 
