--- a/include/snipewalk/messages/store_client.h
+++ b/include/snipewalk/messages/store_client.h
@@ -151,7 +151,7 @@
 using store_call_id = std::uint64_t;
 
 // Loop thread only. Each request gets exactly one reply, from the loop, never
-// from within Submit(), unless it is cancelled.
+// from within Submit(). After Cancel() it may get none.
 class store_client
 {
 public:
@@ -162,9 +162,9 @@
   virtual store_call_id Submit(store_request aRequest,
                                store_priority aPriority,
                                reply_handler aOnReply) = 0;
-  // Gives up a call whose reply is not needed any more: its handler is not
-  // called, and it holds no connection. The store may still execute it. Does
-  // nothing if the call has been answered.
+  // Gives up a call whose reply is not needed any more, so that it holds no
+  // connection. The store may still execute it, and a reply that is already on
+  // its way may still arrive. Does nothing if the call has been answered.
   virtual void Cancel(store_call_id aCall) = 0;
 };
 
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -191,7 +191,7 @@
   }
   // How long another instance has been known to have a newer desired state;
   // zero if none has.
-  duration DesiredStateAge(time_point aNow) const
+  duration DesiredStateBehindFor(time_point aNow) const
   {
     return mDesiredHint.BehindFor(aNow);
   }
--- a/include/snipewalk/session/version_hint.h
+++ b/include/snipewalk/session/version_hint.h
@@ -19,8 +19,9 @@
   // within this time; otherwise the watch is restarted, and again after each
   // further interval of this length.
   static constexpr milliseconds kRestartInterval{ 250 };
-  // Time from then until another instance is asked, which leaves a restarted
-  // watch the time for one call; the same between two requests.
+  // Another instance is asked after this time, which leaves a restarted watch
+  // the time for one call, and again after each further interval of this
+  // length.
   static constexpr milliseconds kRequestInterval{ 500 };
 
   // Notes a version that another instance has seen.
@@ -40,6 +41,7 @@
 
 private:
   std::uint64_t mVersion = 0;
+  // Unset while the view is as recent as mVersion.
   std::optional<time_point> mBehindSince;
   time_point mRestartedAt = time_point::min();
   time_point mRequestedAt = time_point::min();
--- a/include/snipewalk/store/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -110,6 +110,8 @@
   void Enqueue(call aCall, bool aFirst, time_point aNow);
   call TakeWaiting(store_schedule::call_id aCall);
   void ReplyExpired(time_point aNow);
+  // Notes whether the calls that wait lack a connection, and logs when that
+  // begins.
   void NoteConnections(bool aLacksConnection);
   // An idle open connection, a new one, or the end when there can be none now.
   connection_entry FindConnection(time_point aNow);
@@ -145,7 +147,8 @@
   time_point mConnectAfter;
   milliseconds mBackoff{ 0 };
   std::optional<time_point> mFailingSince;
-  // Whether the calls that wait lack a connection, as there may be no more.
+  // Whether the calls that wait lack a connection, because calls under way hold
+  // as many as there may be.
   bool mLacksConnection = false;
   std::uint64_t mCallsWithoutConnection = 0;
   bool mPumpPosted = false;
--- a/src/session/metrics_page.cpp
+++ b/src/session/metrics_page.cpp
@@ -46,8 +46,9 @@
   AppendLine(page, "store_era", aSources.mStoreEra);
   AppendLine(page, "store_returns_total", aSources.mStoreReturns);
   AppendLine(page, "desired_state_version", aSources.mDesiredVersion);
-  AppendLine(
-    page, "desired_state_behind_ms", ToMilliseconds(aSources.mDesiredStateAge));
+  AppendLine(page,
+             "desired_state_behind_ms",
+             ToMilliseconds(aSources.mDesiredBehindFor));
   AppendLine(page, "watch_restarts_total", aSources.mWatchRestarts);
   AppendLine(page, "store_connections", aSources.mStoreConnections);
   AppendLine(page,
--- a/src/session/metrics_page.h
+++ b/src/session/metrics_page.h
@@ -29,7 +29,7 @@
   // Operator's version of the desired state in force.
   std::uint64_t mDesiredVersion = 0;
   // How long another instance has been known to have a newer one.
-  duration mDesiredStateAge{ 0 };
+  duration mDesiredBehindFor{ 0 };
   std::uint64_t mWatchRestarts = 0;
   std::size_t mStoreConnections = 0;
   std::uint64_t mStoreCallsWithoutConnection = 0;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -154,7 +154,7 @@
       { { "version", static_cast<std::int64_t>(decoded->mVersion) },
         { "revision", static_cast<std::int64_t>(mDesiredRevision) },
         { "routes", static_cast<std::int64_t>(decoded->mRoutes.size()) },
-        { "behind_ms", ToMilliseconds(DesiredStateAge(aNow)) } });
+        { "behind_ms", ToMilliseconds(DesiredStateBehindFor(aNow)) } });
   mDesired = std::make_shared<const desired_state>(*std::move(decoded));
   const account_directory accounts =
     mDesired->mAccounts ? *mDesired->mAccounts : account_directory();
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -296,7 +296,7 @@
                          mController.StoreEra(),
                          mController.StoreReturns(),
                          mController.DesiredVersion(),
-                         mController.DesiredStateAge(mLoop.Now()),
+                         mController.DesiredStateBehindFor(mLoop.Now()),
                          mController.WatchRestarts(),
                          mStore.ConnectionCount(),
                          mStore.CallsWithoutConnection() });
--- a/tests/session/controller_confirmation_test.cpp
+++ b/tests/session/controller_confirmation_test.cpp
@@ -130,7 +130,8 @@
   mStore.Write("config", "main", "2");
   Run(2'000);
   EXPECT_EQ(refused.mController.DesiredVersion(), 2U);
-  EXPECT_EQ(refused.mController.DesiredStateAge(mLoop.Now()), duration(0));
+  EXPECT_EQ(refused.mController.DesiredStateBehindFor(mLoop.Now()),
+            duration(0));
 }
 
 // Guards against abandoned watches that hold all connections to the store. Each
