--- a/tests/store/store_http_client_test.cpp
+++ b/tests/store/store_http_client_test.cpp
@@ -140,9 +140,9 @@
   ASSERT_EQ(replies.size(), 1U);
   // Two of the watches are sent, and one waits for a connection.
   const store_watch watch{ "terms", replies[0].mRevision, seconds(10) };
-  std::vector<store_call_id> watches;
-  for (int i = 0; i < 3; ++i) {
-    watches.push_back(client.Submit(watch, store_priority::Watch, keep));
+  std::vector<store_call_id> watches(3);
+  for (auto& id : watches) {
+    id = client.Submit(watch, store_priority::Watch, keep);
   }
   RunFor(milliseconds(50));
   for (const auto id : watches) {
