--- a/review/standin-3/callers.cpp
+++ b/review/standin-3/callers.cpp
@@ -114,6 +114,7 @@
 {
   const std::lock_guard<std::mutex> lock(mMutex);
   int stale = 0;
+  std::map<log, std::set<std::string>> values;
   for (const auto& read : mReads) {
     const auto ran = aExecuted.find(read.mId);
     if (ran == aExecuted.end()) {
@@ -122,11 +123,15 @@
     const duration age = read.mDatabase == "main"
                            ? duration(0)
                            : duration(case_system::kMaxStaleness);
+    const auto logged = values.try_emplace(ran->second.mLog);
+    if (logged.second) {
+      logged.first->second = ValuesOf(ran->second.mLog);
+    }
     const acknowledged_write* missing = nullptr;
     for (const auto& write : mWrites) {
       const bool needed =
         write.mAt + age < read.mSent && aKept.contains(write.mValue);
-      if (needed && !ran->second.mLoggedValues.contains(write.mValue)) {
+      if (needed && !logged.first->second.contains(write.mValue)) {
         missing = &write;
       }
     }
@@ -141,7 +146,7 @@
                                 " ran at ",
                                 ran->second.mServer,
                                 ", whose log stood at ",
-                                ran->second.mPosition.ToString(),
+                                PositionOf(ran->second.mLog).ToString(),
                                 " and lacked ",
                                 missing->mValue,
                                 ", acknowledged ",
--- a/review/standin-3/case_system.cpp
+++ b/review/standin-3/case_system.cpp
@@ -106,7 +106,7 @@
                 },
                  [this](const std::string& aText) { mRecord.Note(aText); } })
 {
-  WriteDesiredState();
+  WriteDesiredState({});
   for (const auto& id : aServers) {
     const std::string address = Loopback(standins::FreePorts(1).at(0));
     mServerAddresses[id] = address;
@@ -145,10 +145,10 @@
 }
 
 void
-case_system::WriteDesiredState()
+case_system::WriteDesiredState(const std::vector<std::string>& aMore)
 {
   Json::Value state;
-  state["Version"] = 3;
+  state["Version"] = mVersion;
   Json::Value look = Route("look", "bounded_staleness", 2'000);
   look["MaxStalenessMs"] = static_cast<int>(kMaxStaleness.count());
   Json::Value own = Route("own", "read_your_writes", 800);
@@ -156,6 +156,12 @@
   state["Routes"].append(Route("main", "primary", 800));
   state["Routes"].append(look);
   state["Routes"].append(own);
+  for (const auto& database : aMore) {
+    Json::Value added = look;
+    added["Name"] = "r-" + database;
+    added["DbName"] = database;
+    state["Routes"].append(added);
+  }
   Json::Value service;
   service["Name"] = kService;
   service["MaxConns"] = kMaxConnections;
@@ -225,11 +231,14 @@
 case_system::Start(const std::string& aInstance)
 {
   instance& started = mInstances.at(aInstance);
-  const std::string log = mFolder + "/" + aInstance + ".log";
+  const std::string logPath = mFolder + "/" + aInstance + ".log";
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(
-    &actions, STDOUT_FILENO, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_addopen(&actions,
+                                   STDOUT_FILENO,
+                                   logPath.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND,
+                                   0644);
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::string program = kProgram;
   std::string boot = "SNIPEWALK_BOOT=" + started.mSettingsPath;
@@ -319,6 +328,28 @@
   RunOnLoop([&] { mInstances.at(aInstance).mStoreLink->SetCut(aCut); });
 }
 
+void
+case_system::AddRoute(const std::string& aDatabase)
+{
+  RunOnLoop([&] {
+    mVersion += 3;
+    WriteDesiredState({ aDatabase });
+  });
+  mRecord.Note("operator adds " + aDatabase);
+}
+
+void
+case_system::Silence(const std::string& aInstance)
+{
+  RunOnLoop([&] {
+    instance& one = mInstances.at(aInstance);
+    one.mStoreLink->Silence();
+    for (auto& [id, link] : one.mServerLinks) {
+      link->Silence();
+    }
+  });
+}
+
 void
 case_system::CutServer(const std::string& aInstance,
                        const std::string& aServer,
--- a/review/standin-3/case_system.h
+++ b/review/standin-3/case_system.h
@@ -79,10 +79,14 @@
 
   // Runs a task on the thread of the stand-ins, and waits until it is done.
   void Run(const std::function<void(databases&)>& aTask);
+  // The operator adds a route of bounded staleness.
+  void AddRoute(const std::string& aDatabase);
   // Adds a server to which all instances have a direct way.
   void AddServer(const std::string& aId);
   // Links of an instance. Any thread.
   void CutStore(const std::string& aInstance, bool aCut);
+  // Silences the present connections of an instance to store and servers.
+  void Silence(const std::string& aInstance);
   void CutServer(const std::string& aInstance,
                  const std::string& aServer,
                  bool aCut);
@@ -107,7 +111,7 @@
   };
 
   void RunOnLoop(const std::function<void()>& aTask);
-  void WriteDesiredState();
+  void WriteDesiredState(const std::vector<std::string>& aMore);
   // Gives each pair of instances a relay, and each instance its address of the
   // store. Returns the addresses under which each sees the others.
   void LinkInstances();
@@ -115,6 +119,7 @@
 
   case_record& mRecord;
   std::string mFolder;
+  int mVersion = 3;
   event_loop mLoop;
   object_store mStore;
   databases mDatabases;
--- a/review/standin-3/databases.cpp
+++ b/review/standin-3/databases.cpp
@@ -52,6 +52,23 @@
 
 } // namespace
 
+log_position
+PositionOf(const log& aLog)
+{
+  return aLog ? aLog->mPosition : log_position{};
+}
+
+std::set<std::string>
+ValuesOf(const log& aLog)
+{
+  std::set<std::string> values;
+  for (const log_entry* entry = aLog.get(); entry != nullptr;
+       entry = entry->mBefore.get()) {
+    values.insert(entry->mValue);
+  }
+  return values;
+}
+
 databases::databases(event_loop& aLoop,
                      std::string aService,
                      handlers aHandlers)
@@ -242,7 +259,7 @@
     started.mPrimary = false;
     started.mTerm = 0;
     started.mHeld = 0;
-    started.mLog.clear();
+    started.mLog.reset();
     started.mBorn = UnixMilliseconds();
     started.mSeq = 0;
     mHandlers.mNote(absl::StrCat("process of ", aId, " starts, with no log"));
@@ -316,16 +333,6 @@
   return primary;
 }
 
-std::set<std::string>
-databases::ValuesOf(const std::string& aId) const
-{
-  std::set<std::string> values;
-  for (const auto& entry : mServers.at(aId).mLog) {
-    values.insert(entry.mValue);
-  }
-  return values;
-}
-
 void
 databases::Accept(server& aServer, const Poco::Net::StreamSocket& aSocket)
 {
@@ -380,8 +387,8 @@
     aConnection.mStream->CloseAfterOutput();
     return;
   }
-  aConnection.mStream->Send(
-    absl::StrCat(answer, "READY I ", aServer.Position().ToString(), "\r\n"));
+  aConnection.mStream->Send(absl::StrCat(
+    answer, "READY I ", PositionOf(aServer.mLog).ToString(), "\r\n"));
 }
 
 std::string
@@ -392,7 +399,7 @@
 {
   if (absl::StartsWith(aText, "AFTERLSN ")) {
     TakeWord(aText);
-    if (aServer.Position() < ParsePosition(TakeWord(aText))) {
+    if (PositionOf(aServer.mLog) < ParsePosition(TakeWord(aText))) {
       return absl::StrCat("ERROR LAGGING ", aServer.mId, "\r\n");
     }
   }
@@ -435,7 +442,7 @@
                       aServer.mPrimary ? "primary " : "replica ",
                       aServer.mTerm,
                       " ",
-                      aServer.Position().ToString(),
+                      PositionOf(aServer.mLog).ToString(),
                       " ",
                       aServer.mHeld,
                       " 0 0 1\r\n",
@@ -447,14 +454,10 @@
                         const std::string& aRequestId,
                         const std::string& aText)
 {
-  mExecuted[aRequestId] = { std::chrono::steady_clock::now(),
-                            aServer.mId,
-                            aText,
-                            aServer.Position(),
-                            ValuesOf(aServer.mId) };
+  mExecuted[aRequestId] = { aServer.mId, aServer.mLog };
   mHandlers.mNote(absl::StrCat(aServer.mId,
                                " at ",
-                               aServer.Position().ToString(),
+                               PositionOf(aServer.mLog).ToString(),
                                " runs ",
                                aRequestId,
                                " ",
@@ -469,10 +472,10 @@
 {
   NoteExecuted(aServer, aRequestId, aText);
   std::string value = "none";
-  for (const auto& entry : aServer.mLog) {
-    if (entry.mItem == aItem) {
-      value = entry.mValue;
-    }
+  for (const log_entry* entry = aServer.mLog.get();
+       entry != nullptr && value == "none";
+       entry = entry->mBefore.get()) {
+    value = entry->mItem == aItem ? entry->mValue : value;
   }
   return absl::StrCat(
     "DATAROW ", value, "\r\nCOMPLETE ", aServer.mId, ".", aRequestId, "\r\n");
@@ -489,8 +492,9 @@
     return absl::StrCat("ERROR READONLY ", aServer.mId, "\r\n");
   }
   const std::string item = TakeWord(aRest);
-  const log_position next{ aServer.mTerm, aServer.Position().mIndex + 1 };
-  aServer.mLog.push_back({ next, item, aRest });
+  const log_position next{ aServer.mTerm, PositionOf(aServer.mLog).mIndex + 1 };
+  aServer.mLog = std::make_shared<const log_entry>(
+    log_entry{ next, item, aRest, aServer.mLog });
   NoteExecuted(aServer, aRequestId, aText);
   aConnection.mWaits = true;
   Replicate(aServer, &aConnection);
@@ -524,7 +528,7 @@
       open->mStream->Send(absl::StrCat("COMPLETE ",
                                        aPrimary.mId,
                                        ".late\r\nREADY I ",
-                                       aPrimary.Position().ToString(),
+                                       PositionOf(aPrimary.mLog).ToString(),
                                        "\r\n"));
     }
   }
--- a/review/standin-3/databases.h
+++ b/review/standin-3/databases.h
@@ -22,15 +22,28 @@
 
 namespace snipewalk::review {
 
+// An entry of a log, with those before it.
+struct log_entry
+{
+  log_position mPosition;
+  std::string mItem;
+  std::string mValue;
+  std::shared_ptr<const log_entry> mBefore;
+};
+// The newest entry; null for an empty log.
+using log = std::shared_ptr<const log_entry>;
+
+log_position
+PositionOf(const log& aLog);
+std::set<std::string>
+ValuesOf(const log& aLog);
+
 // A read or write that a server ran.
 struct executed_statement
 {
-  time_point mAt;
   std::string mServer;
-  std::string mText;
   // The server's log when it ran the statement.
-  log_position mPosition;
-  std::set<std::string> mLoggedValues;
+  log mLog;
 };
 
 // Loop thread only.
@@ -76,16 +89,9 @@
   {
     return mExecuted;
   }
-  std::set<std::string> ValuesOf(const std::string& aId) const;
+  log LogOf(const std::string& aId) const { return mServers.at(aId).mLog; }
 
 private:
-  struct log_entry
-  {
-    log_position mPosition;
-    std::string mItem;
-    std::string mValue;
-  };
-
   struct connection
   {
     std::unique_ptr<stream_connection> mStream;
@@ -110,13 +116,8 @@
     std::uint64_t mBorn = 0;
     std::uint64_t mSeq = 0;
     time_point mLastBeat;
-    std::vector<log_entry> mLog;
+    log mLog;
     std::vector<std::shared_ptr<connection>> mConnections;
-
-    log_position Position() const
-    {
-      return mLog.empty() ? log_position{} : mLog.back().mPosition;
-    }
   };
 
   void Listen(server& aServer);
--- a/review/standin-3/reborn_primary.cpp
+++ b/review/standin-3/reborn_primary.cpp
@@ -87,7 +87,7 @@
   system.Run([&](databases& aServers) {
     executed = aServers.Executed();
     const std::string primary = aServers.Primary();
-    kept = primary.empty() ? kept : aServers.ValuesOf(primary);
+    kept = primary.empty() ? kept : ValuesOf(aServers.LogOf(primary));
   });
   const int stale = calls.CountStale(executed, kept);
   record.Note(absl::StrCat(calls.Acknowledged(),
--- a/review/standin-3/two_primaries.cpp
+++ b/review/standin-3/two_primaries.cpp
@@ -141,7 +141,7 @@
   std::set<std::string> kept;
   system.Run([&](databases& aServers) {
     executed = aServers.Executed();
-    kept = aServers.ValuesOf(aServers.Primary());
+    kept = ValuesOf(aServers.LogOf(aServers.Primary()));
   });
   const int stale = calls.CountStale(executed, kept);
   record.Note(absl::StrCat(calls.Acknowledged(),
