--- a/review/standin-3/callers.cpp
+++ b/review/standin-3/callers.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds kPauseAfterFailure{ 60 };
 constexpr milliseconds kAnswerTimeout{ 4'000 };
 constexpr const char* kWriting = "";
-constexpr int kNotedReads = 5;
+constexpr int kNotedCases = 5;
 
 } // namespace
 
@@ -138,7 +138,7 @@
     if (missing == nullptr) {
       continue;
     }
-    if (++stale <= kNotedReads) {
+    if (++stale <= kNotedCases) {
       mRecord.Note(absl::StrCat("STALE: read ",
                                 read.mId,
                                 " of ",
@@ -157,6 +157,19 @@
   return stale;
 }
 
+int
+callers::CountLost(const std::set<std::string>& aKept)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  int lost = 0;
+  for (const auto& write : mWrites) {
+    if (!aKept.contains(write.mValue) && ++lost <= kNotedCases) {
+      mRecord.Note("LOST: " + write.mValue + " was acknowledged");
+    }
+  }
+  return lost;
+}
+
 int
 callers::Acknowledged()
 {
--- a/review/standin-3/callers.h
+++ b/review/standin-3/callers.h
@@ -39,6 +39,9 @@
   // has rolled back the others.
   int CountStale(const std::map<std::string, executed_statement>& aExecuted,
                  const std::set<std::string>& aKept);
+  // Counts the writes that were acknowledged and are not in `aKept`, and notes
+  // the first ones.
+  int CountLost(const std::set<std::string>& aKept);
   int Acknowledged();
   int Reads();
 
--- a/review/standin-3/case_system.cpp
+++ b/review/standin-3/case_system.cpp
@@ -26,10 +26,9 @@
 
 constexpr const char* kProgram = "target/snipewalk-sessions";
 constexpr const char* kServerKind = "servers";
+constexpr int kUnavailable = 503;
 constexpr int kGraceSeconds = 6;
 constexpr int kMaxConnections = 23;
-constexpr milliseconds kEndTimeout{ 3'000 };
-constexpr milliseconds kPollInterval{ 20 };
 
 std::string
 Loopback(std::uint16_t aPort)
@@ -216,6 +215,11 @@
 {
   const auto body = ParseJsonObject(aRequest.mBody);
   const std::string id = body.ok() ? (*body)["Id"].asString() : std::string();
+  mLastOrdered = id;
+  if (mPromotionsDown) {
+    mRecord.Note("order to promote " + id + ": the platform is down");
+    return standins::JsonResponse(kUnavailable, "{}");
+  }
   const bool done = mDatabases.Promote(id);
   mRecord.Note(absl::StrCat("order to promote ",
                             id,
@@ -298,6 +302,21 @@
   return holder;
 }
 
+void
+case_system::SetPromotionsDown(bool aDown)
+{
+  RunOnLoop([&] { mPromotionsDown = aDown; });
+  mRecord.Note(aDown ? "promotions: down" : "promotions: up");
+}
+
+std::string
+case_system::LastOrdered()
+{
+  std::string ordered;
+  RunOnLoop([&] { ordered = mLastOrdered; });
+  return ordered;
+}
+
 void
 case_system::RunOnLoop(const std::function<void()>& aTask)
 {
--- a/review/standin-3/case_system.h
+++ b/review/standin-3/case_system.h
@@ -77,6 +77,12 @@
   // orders promotions; empty if there is none.
   std::string DutyHolder();
 
+  // The platform takes no orders of promotions, or takes them again.
+  void SetPromotionsDown(bool aDown);
+  // Server named in the latest order, also in one that was not taken; empty
+  // without an order.
+  std::string LastOrdered();
+
   // Runs a task on the thread of the stand-ins, and waits until it is done.
   void Run(const std::function<void(databases&)>& aTask);
   // The operator adds a route of bounded staleness.
@@ -120,6 +126,8 @@
   case_record& mRecord;
   std::string mFolder;
   int mVersion = 3;
+  bool mPromotionsDown = false;
+  std::string mLastOrdered;
   event_loop mLoop;
   object_store mStore;
   databases mDatabases;
--- a/review/standin-3/two_primaries.cpp
+++ b/review/standin-3/two_primaries.cpp
@@ -1,4 +1,4 @@
-// Case: for a few seconds a primary and four of seven instances are cut off
+// Case: for a few seconds a primary and five of eight instances are cut off
 // from the store, from the other servers and from the other instances.
 // Afterwards they read from the replaced primary what their callers must not
 // get.
@@ -17,10 +17,10 @@
 const std::vector<std::string> kInstances{ "front-a-1", "front-a-2",
                                            "front-b-1", "front-b-2",
                                            "front-c-1", "front-c-2",
-                                           "front-d-1" };
-// Of seven instances: the pages' partitions cut a primary off together with up
+                                           "front-d-1", "front-d-2" };
+// Of eight instances: the pages' partitions cut a primary off together with up
 // to 0.65 of them.
-constexpr std::size_t kCutOff = 4;
+constexpr std::size_t kCutOff = 5;
 constexpr const char* kOldPrimary = "i-9c41";
 constexpr const char* kSecond = "i-3d73";
 constexpr const char* kThird = "i-5b02";
@@ -30,7 +30,7 @@
 // The pages' partitions of a primary last up to 7 s.
 constexpr milliseconds kShortestCut{ 5'500 };
 constexpr milliseconds kLongestCut{ 6'900 };
-constexpr milliseconds kNextBeat{ 870 };
+constexpr milliseconds kNextBeat{ 900 };
 constexpr milliseconds kAfterwards{ 4'000 };
 constexpr milliseconds kLookInterval{ 2 };
 constexpr int kReaders = 4;
