--- a/review/standin-3/case_system.cpp
+++ b/review/standin-3/case_system.cpp
@@ -105,7 +105,7 @@
                 },
                  [this](const std::string& aText) { mRecord.Note(aText); } })
 {
-  WriteDesiredState({});
+  WriteDesiredState();
   for (const auto& id : aServers) {
     const std::string address = Loopback(standins::FreePorts(1).at(0));
     mServerAddresses[id] = address;
@@ -144,10 +144,10 @@
 }
 
 void
-case_system::WriteDesiredState(const std::vector<std::string>& aMore)
+case_system::WriteDesiredState()
 {
   Json::Value state;
-  state["Version"] = mVersion;
+  state["Version"] = 3;
   Json::Value look = Route("look", "bounded_staleness", 2'000);
   look["MaxStalenessMs"] = static_cast<int>(kMaxStaleness.count());
   Json::Value own = Route("own", "read_your_writes", 800);
@@ -155,12 +155,6 @@
   state["Routes"].append(Route("main", "primary", 800));
   state["Routes"].append(look);
   state["Routes"].append(own);
-  for (const auto& database : aMore) {
-    Json::Value added = look;
-    added["Name"] = "r-" + database;
-    added["DbName"] = database;
-    state["Routes"].append(added);
-  }
   Json::Value service;
   service["Name"] = kService;
   service["MaxConns"] = kMaxConnections;
@@ -275,17 +269,6 @@
     aTimeout);
 }
 
-bool
-case_system::HasEnded(const std::string& aInstance)
-{
-  instance& looked = mInstances.at(aInstance);
-  if (looked.mProcess != 0 &&
-      ::waitpid(looked.mProcess, nullptr, WNOHANG) == looked.mProcess) {
-    looked.mProcess = 0;
-  }
-  return looked.mProcess == 0;
-}
-
 std::uint16_t
 case_system::CallerPort(const std::string& aInstance) const
 {
@@ -347,28 +330,6 @@
   RunOnLoop([&] { mInstances.at(aInstance).mStoreLink->SetCut(aCut); });
 }
 
-void
-case_system::AddRoute(const std::string& aDatabase)
-{
-  RunOnLoop([&] {
-    mVersion += 3;
-    WriteDesiredState({ aDatabase });
-  });
-  mRecord.Note("operator adds " + aDatabase);
-}
-
-void
-case_system::Silence(const std::string& aInstance)
-{
-  RunOnLoop([&] {
-    instance& one = mInstances.at(aInstance);
-    one.mStoreLink->Silence();
-    for (auto& [id, link] : one.mServerLinks) {
-      link->Silence();
-    }
-  });
-}
-
 void
 case_system::CutServer(const std::string& aInstance,
                        const std::string& aServer,
--- a/review/standin-3/case_system.h
+++ b/review/standin-3/case_system.h
@@ -69,8 +69,6 @@
   // Starts an instance with the command of the deploy file.
   bool Start(const std::string& aInstance);
   bool WaitUntilReady(const std::string& aInstance, milliseconds aTimeout);
-  // Whether the process of an instance has ended by itself.
-  bool HasEnded(const std::string& aInstance);
   std::uint16_t CallerPort(const std::string& aInstance) const;
 
   // Instance that the instances' record in the store names as the one that
@@ -85,14 +83,10 @@
 
   // Runs a task on the thread of the stand-ins, and waits until it is done.
   void Run(const std::function<void(databases&)>& aTask);
-  // The operator adds a route of bounded staleness.
-  void AddRoute(const std::string& aDatabase);
   // Adds a server to which all instances have a direct way.
   void AddServer(const std::string& aId);
   // Links of an instance. Any thread.
   void CutStore(const std::string& aInstance, bool aCut);
-  // Silences the present connections of an instance to store and servers.
-  void Silence(const std::string& aInstance);
   void CutServer(const std::string& aInstance,
                  const std::string& aServer,
                  bool aCut);
@@ -117,7 +111,7 @@
   };
 
   void RunOnLoop(const std::function<void()>& aTask);
-  void WriteDesiredState(const std::vector<std::string>& aMore);
+  void WriteDesiredState();
   // Gives each pair of instances a relay, and each instance its address of the
   // store. Returns the addresses under which each sees the others.
   void LinkInstances();
@@ -125,7 +119,6 @@
 
   case_record& mRecord;
   std::string mFolder;
-  int mVersion = 3;
   bool mPromotionsDown = false;
   std::string mLastOrdered;
   event_loop mLoop;
--- a/review/standin-3/links.cpp
+++ b/review/standin-3/links.cpp
@@ -36,14 +36,6 @@
 
 tcp_link::~tcp_link() = default;
 
-void
-tcp_link::Silence()
-{
-  for (auto& [number, one] : mPairs) {
-    one.mSilent = true;
-  }
-}
-
 void
 tcp_link::Accept(const Poco::Net::StreamSocket& aSocket)
 {
@@ -111,10 +103,6 @@
 tcp_link::Forward(std::uint64_t aPair, direction aTowards)
 {
   half& towards = mPairs.at(aPair)[aTowards];
-  if (mPairs.at(aPair).mSilent) {
-    towards.mHeld.clear();
-    return;
-  }
   if (towards.mStalled || (towards.mHeld.empty() && !towards.mEnding)) {
     return;
   }
@@ -153,7 +141,7 @@
 {
   const auto ended =
     std::make_shared<pair>(std::move(mPairs.extract(aPair).mapped()));
-  for (auto& towards : ended->mHalves) {
+  for (auto& towards : *ended) {
     if (towards.mStream) {
       towards.mStream->CloseAfterOutput();
     }
--- a/review/standin-3/links.h
+++ b/review/standin-3/links.h
@@ -36,8 +36,6 @@
 
   std::string Address() const { return mListener->Address(); }
   void SetCut(bool aCut) { mCut = aCut; }
-  // The present connections stay open and carry nothing any more.
-  void Silence();
   void SetWatcher(watcher aWatcher) { mWatcher = std::move(aWatcher); }
 
 private:
@@ -57,13 +55,7 @@
     // A repetition is scheduled; everything waits for it.
     bool mStalled = false;
   };
-  struct pair
-  {
-    std::array<half, 2> mHalves;
-    bool mSilent = false;
-
-    half& operator[](std::size_t aTowards) { return mHalves.at(aTowards); }
-  };
+  using pair = std::array<half, 2>;
 
   void Accept(const Poco::Net::StreamSocket& aSocket);
   // Tries to reach the target after a lost attempt.
