Tie a check of the primary to the server that it was made for

Cause: two faults that meet. An instance that has no record of the primary took the last, in the order of ids, of the servers that call themselves primary. And the proof of a check of the primary was kept for the service, not for the server: once the entry of the old primary was back, the proof made for the new one let reads run at the old one, without a position.

Change: what checks have proved stands with the known server and ends with it, so that it holds neither for another server nor for another process under the same id. Of two servers that call themselves primary, neither is taken until the record or the entries tell which one leads; reads go on at replicas with a position meanwhile. The same cause let a write that one server reported be acknowledged because another one led afterwards (no case known).

Failed before, on with these tests: SessionControllerTest. TakesNeitherOfTwoServersThatCallThemselvesPrimary, SessionEngineTest. TakesNoProofThatWasMadeForAnotherServer and TakesNoProofThatWasMadeBeforeTheServerStartedAgain, AcknowledgementTest. TakesNoProofThatWasMadeForAnotherServer.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -324,6 +324,11 @@
   // any change that may affect it.
   void PublishPrimary(const std::string& aService, time_point aNow);
   service_primary PrimaryOf(const std::string& aService) const;
+  // The primary of a service without a record. No change of primary has been
+  // ordered as far as this instance knows, so that the server whose entry says
+  // so is the primary. With two such entries one of them has been replaced, and
+  // which one only the record shows.
+  service_primary UnrecordedPrimaryOf(const std::string& aService) const;
   static void NoteRelease(service_control& aControl,
                           std::uint64_t aTerm,
                           bool aEndsWrites);
--- a/src/session/engine_acknowledgement.cpp
+++ b/src/session/engine_acknowledgement.cpp
@@ -22,8 +22,10 @@
   const bool replicated = aService.mLimits.mSyncReplicas > 0;
   const bool allowed = aService.mPrimary.mServer == aServer &&
                        aService.mPrimary.mWrites == write_permission::Allowed;
-  return !replicated || (allowed && (mConfirmedUntil > aReplied ||
-                                     aService.mPrimaryLedAt >= aReplied));
+  const auto server = mServers.find(aServer);
+  const bool led =
+    server != mServers.end() && server->second.mLedAt >= aReplied;
+  return !replicated || (allowed && (mConfirmedUntil > aReplied || led));
 }
 
 bool
--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -44,7 +44,10 @@
 session_engine::state::IsPrimaryKnown(const known_service& aService,
                                       time_point aMoment) const
 {
-  return mConfirmedUntil > aMoment || aService.mPrimaryVerifiedAt >= aMoment;
+  const auto primary = mServers.find(aService.mPrimary.mServer);
+  const bool verified =
+    primary != mServers.end() && primary->second.mVerifiedAt >= aMoment;
+  return mConfirmedUntil > aMoment || verified;
 }
 
 bool
@@ -98,7 +101,7 @@
       (service.mCheck && aNow < service.mCheck->mStarted + kMinCheckInterval)) {
     return;
   }
-  service.mCheck = primary_check{ aNow, {} };
+  service.mCheck = primary_check{ aNow };
   for (const auto& id : service.mServers) {
     known_server& server = mServers.at(id);
     if (server_connection* idle = FindIdleConnection(server)) {
@@ -121,51 +124,72 @@
   if (!status.ok() || !service.mCheck || aSent < service.mCheck->mStarted) {
     return;
   }
-  auto& answers = service.mCheck->mAnswers;
-  answers[aConnection.mServer] = *status;
-  if (service.mPrimaryVerifiedAt >= service.mCheck->mStarted) {
+  service.mCheck->mAnswers[aConnection.mServer] = *status;
+  if (service.mCheck->mPassed) {
     return;
   }
-  const auto servers = static_cast<std::int64_t>(service.mServers.size());
-  const auto expected = static_cast<std::int64_t>(service.mExpectedServers);
-  const int syncReplicas = service.mLimits.mSyncReplicas;
-  const auto primary = answers.find(service.mPrimary.mServer);
-  if (primary != answers.end() &&
+  const auto primary = service.mCheck->mAnswers.find(service.mPrimary.mServer);
+  if (primary != service.mCheck->mAnswers.end() &&
       primary->second.mRole == server_role::Primary) {
-    const std::uint64_t term = primary->second.mTerm;
-    const auto inTerm =
-      std::count_if(answers.begin(), answers.end(), [&](const auto& aEntry) {
-        return aEntry.second.mTerm <= term &&
-               aEntry.second.mReceived.mTerm <= term;
-      });
-    if (inTerm >= std::max<std::int64_t>(1, expected - syncReplicas)) {
-      service.mPrimaryLedAt = service.mCheck->mStarted;
-      AddPrimarySample(
-        service, service.mCheck->mStarted, primary->second.mReceived);
-      OnCheckPassed(service,
-                    aConnection.mService,
-                    primary->second.mReceived,
-                    "primary in its term");
-    }
+    CheckLeadingPrimary(service, aConnection.mService, primary->second);
+  } else {
+    CheckReplicas(service, aConnection.mService);
+  }
+}
+
+void
+session_engine::state::CheckLeadingPrimary(known_service& aService,
+                                           const std::string& aName,
+                                           const server_status& aStatus)
+{
+  const auto& answers = aService.mCheck->mAnswers;
+  const auto expected = static_cast<std::int64_t>(aService.mExpectedServers);
+  const auto inTerm =
+    std::count_if(answers.begin(), answers.end(), [&](const auto& aEntry) {
+      return aEntry.second.mTerm <= aStatus.mTerm &&
+             aEntry.second.mReceived.mTerm <= aStatus.mTerm;
+    });
+  const int syncReplicas = aService.mLimits.mSyncReplicas;
+  const auto primary = mServers.find(aService.mPrimary.mServer);
+  if (primary == mServers.end() ||
+      inTerm < std::max<std::int64_t>(1, expected - syncReplicas)) {
     return;
   }
+  const time_point started = aService.mCheck->mStarted;
+  primary->second.mVerifiedAt = started;
+  primary->second.mLedAt = started;
+  AddPrimarySample(aService, started, aStatus.mReceived);
+  OnCheckPassed(aService, aName, aStatus.mReceived, "primary in its term");
+}
+
+void
+session_engine::state::CheckReplicas(known_service& aService,
+                                     const std::string& aName)
+{
   const std::string lastPrimary =
-    service.mPrimary.mHasLed ? service.mPrimary.mServer : std::string();
+    aService.mPrimary.mHasLed ? aService.mPrimary.mServer : std::string();
   log_position newest;
   std::int64_t replicas = 0;
-  for (const auto& [id, answer] : answers) {
+  for (const auto& [id, answer] : aService.mCheck->mAnswers) {
     newest = std::max(newest, answer.mReceived);
     replicas +=
       id != lastPrimary && answer.mRole == server_role::Replica ? 1 : 0;
   }
+  const auto primary = mServers.find(lastPrimary);
+  const auto servers = static_cast<std::int64_t>(aService.mServers.size());
+  const auto expected = static_cast<std::int64_t>(aService.mExpectedServers);
   // A missing server may be the last primary.
   const std::int64_t needed =
-    std::max(servers - (mServers.contains(lastPrimary) ? 1 : 0), expected - 1);
-  if (syncReplicas >= 1 && replicas >= needed &&
-      newest.mTerm >= service.mPrimary.mLeadTerm &&
-      CoversOtherReplicas(service, newest)) {
-    OnCheckPassed(service, aConnection.mService, newest, "all replicas");
+    std::max(servers - (primary != mServers.end() ? 1 : 0), expected - 1);
+  if (aService.mLimits.mSyncReplicas < 1 || replicas < needed ||
+      newest.mTerm < aService.mPrimary.mLeadTerm ||
+      !CoversOtherReplicas(aService, newest)) {
+    return;
+  }
+  if (primary != mServers.end()) {
+    primary->second.mVerifiedAt = aService.mCheck->mStarted;
   }
+  OnCheckPassed(aService, aName, newest, "all replicas");
 }
 
 void
@@ -174,8 +198,8 @@
                                      log_position aPosition,
                                      const char* aProof)
 {
-  aService.mPrimaryVerifiedAt = aService.mCheck->mStarted;
-  aService.mSamples.Add(aService.mPrimaryVerifiedAt, aPosition);
+  aService.mCheck->mPassed = true;
+  aService.mSamples.Add(aService.mCheck->mStarted, aPosition);
   const std::string position = aPosition.ToString();
   Log(log_level::Info,
       "session",
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -337,6 +337,12 @@
   // which have left, or are not known yet, are known to have confirmed.
   bool CoversOtherReplicas(const known_service& aService,
                            const log_position& aNewest) const;
+  // Tries the two proofs of a check on the answers received so far: that of a
+  // primary which answered with `aStatus`, and that of the replicas.
+  void CheckLeadingPrimary(known_service& aService,
+                           const std::string& aName,
+                           const server_status& aStatus);
+  void CheckReplicas(known_service& aService, const std::string& aName);
   void OnCheckPassed(known_service& aService,
                      const std::string& aName,
                      log_position aPosition,
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -229,6 +229,14 @@
   time_point mOpenAfter = time_point::min();
   time_point mLastAnswer = time_point::min();
   int mFailedConnects = 0;
+  // What checks of the primary have proved of this server while it was taken
+  // for the primary. A server that has started again has another known_server,
+  // and no proof holds for it.
+  // No newer primary had acknowledged a commit before this time.
+  time_point mVerifiedAt = time_point::min();
+  // The server still led at this time, as shown by the latest check that it
+  // answered.
+  time_point mLedAt = time_point::min();
 };
 
 // Status requests to the primary and the replicas. Their replies show, without
@@ -237,6 +245,7 @@
 {
   time_point mStarted;
   std::map<std::string, server_status> mAnswers;
+  bool mPassed = false;
 };
 
 // What this instance knows of a server that is being promoted and reports that
@@ -282,12 +291,6 @@
   write_gate mWriteGate;
   // The latest check, in progress or finished.
   std::optional<primary_check> mCheck;
-  // No newer primary had acknowledged a commit before this time, as shown by
-  // the latest successful check.
-  time_point mPrimaryVerifiedAt = time_point::min();
-  // The primary still led at this time, as shown by the latest check that it
-  // answered.
-  time_point mPrimaryLedAt = time_point::min();
   // Sessions with a waiting statement. Sorted by rank before statements are
   // placed.
   std::vector<session_id> mWaiting;
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -310,25 +310,33 @@
            : write_permission::Allowed;
 }
 
+service_primary
+session_controller::UnrecordedPrimaryOf(const std::string& aService) const
+{
+  const service_control& control = mServices.at(aService);
+  std::vector<std::string> claimants;
+  for (const auto& entry : mServers.Present(aService)) {
+    if (entry.mPrimary) {
+      claimants.push_back(entry.mId);
+    }
+  }
+  if (claimants.size() != 1) {
+    return {};
+  }
+  return { claimants.front(),
+           0,
+           control.mReleasedTerm == 0,
+           true,
+           control.mWritesEndedTerm == 0 ? write_permission::Allowed
+                                         : write_permission::Ended };
+}
+
 service_primary
 session_controller::PrimaryOf(const std::string& aService) const
 {
   const service_control& control = mServices.at(aService);
   if (!control.mRecord) {
-    // Without a record, no change of primary has ever been ordered, and the
-    // server that reports itself as primary is the primary.
-    service_primary first;
-    for (const auto& entry : mServers.Present(aService)) {
-      if (entry.mPrimary) {
-        first = { entry.mId,
-                  0,
-                  control.mReleasedTerm == 0,
-                  true,
-                  control.mWritesEndedTerm == 0 ? write_permission::Allowed
-                                                : write_permission::Ended };
-      }
-    }
-    return first;
+    return UnrecordedPrimaryOf(aService);
   }
   const primary_record& record = *control.mRecord;
   const auto entry = mServers.Find(record.mPrimary);
--- a/src/session/session_engine.cpp
+++ b/src/session/session_engine.cpp
@@ -110,8 +110,10 @@
     service.mPrimarySince = aNow;
     service.mSamples = freshness_samples();
     service.mCheck.reset();
-    service.mPrimaryVerifiedAt = time_point::min();
-    service.mPrimaryLedAt = time_point::min();
+  }
+  for (auto& [id, server] : mServers) {
+    server.mVerifiedAt = time_point::min();
+    server.mLedAt = time_point::min();
   }
 }
 
--- a/tests/session/controller_primary_test.cpp
+++ b/tests/session/controller_primary_test.cpp
@@ -61,5 +61,25 @@
   EXPECT_GT(commands(), before);
 }
 
+// Guards against stale reads: after a partition, a replaced primary still calls
+// itself the primary for a moment, as its successor does. An instance that has
+// not read the record of the change yet cannot tell which of them it is.
+TEST_F(SessionControllerTest, TakesNeitherOfTwoServersThatCallThemselvesPrimary)
+{
+  Run(1'000);
+  instance& reader = *mInstances[0];
+  mStore.Write("servers", "r", "primary");
+  Run(100);
+  reader.SendRead("k");
+  reader.AcceptConnections();
+  Run(20);
+  EXPECT_EQ(reader.ServerOfRead("k"), "");
+  mStore.Write("servers", "r", "replica");
+  // The watch of the servers waits for further ones after a new server.
+  Run(800);
+  reader.AcceptConnections();
+  EXPECT_EQ(reader.ServerOfRead("k"), "p");
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/engine_acknowledgement_test.cpp
+++ b/tests/session/engine_acknowledgement_test.cpp
@@ -135,6 +135,23 @@
   EXPECT_FALSE(LastReply(mSession).mError);
 }
 
+// Guards against lost commits: that another server led after the reply does not
+// prove that the server which reported the write did.
+TEST_F(AcknowledgementTest, TakesNoProofThatWasMadeForAnotherServer)
+{
+  SendWrite();
+  ExpireConfirmations();
+  Answer(mWriteConnection, Done(5));
+  AcceptConnections();
+  AdvanceClock(280);
+  mEngine.SetPrimary("s", { "a", 0, true }, mNow);
+  ASSERT_TRUE(AnswerStatus("a", "primary", 2, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 2, 9));
+  mEngine.SetPrimary("s", { "p", 0, true }, mNow);
+  AdvanceClock(20);
+  EXPECT_EQ(ReplyCount(), 0U);
+}
+
 // A paused replica is in the term of a change of primary.
 TEST_F(AcknowledgementTest, DoesNotAcknowledgeAWriteWhileReplicasArePaused)
 {
--- a/tests/session/engine_check_test.cpp
+++ b/tests/session/engine_check_test.cpp
@@ -27,6 +27,53 @@
   EXPECT_EQ(ServerOf(*LastRequestConnection()), "p");
 }
 
+// Guards against stale reads: after a partition, an instance that can't read
+// the records takes the new primary and then the replaced one, whose entry is
+// back. What a check has proved of the one says nothing about the other.
+TEST_F(SessionEngineTest, TakesNoProofThatWasMadeForAnotherServer)
+{
+  Configure();
+  mEngine.SetPrimariesConfirmed(mNow, mNow);
+  AdvanceClock(3'000);
+  mEngine.SetPrimary("s", { "a", 0, true }, mNow);
+  const session_id session = Open("old");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "primary", 2, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 2, 9));
+  ASSERT_TRUE(LastRequestConnection());
+  Answer(*LastRequestConnection(), Done(9));
+  mEngine.SetPrimary("s", { "p", 0, true }, mNow);
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  EXPECT_FALSE(LastRequestConnection());
+}
+
+// As above for a server that has started again under its id.
+TEST_F(SessionEngineTest, TakesNoProofThatWasMadeBeforeTheServerStartedAgain)
+{
+  Configure();
+  mEngine.SetPrimariesConfirmed(mNow, mNow);
+  AdvanceClock(3'000);
+  const session_id session = Open("old");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("p", "primary", 1, 9));
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(LastRequestConnection());
+  Answer(*LastRequestConnection(), Done(9));
+  registered_server again = Server("p");
+  again.mStarted = 2;
+  mEngine.PutServer(again, mNow);
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "2" });
+  AcceptConnections();
+  EXPECT_FALSE(LastRequestConnection());
+}
+
 // A replica in a newer term may follow a newer primary, whose commits the known
 // primary lacks.
 TEST_F(SessionEngineTest, DoesNotConfirmAPrimaryWhenAReplicaIsInANewerTerm)
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -153,6 +153,16 @@
     return entry;
   }
 
+  // The replicas are about to leave and get no reads.
+  void LeaveOnlyThePrimary()
+  {
+    for (const std::string id : { "a", "b" }) {
+      registered_server entry = Server(id);
+      entry.mDraining = true;
+      mEngine.PutServer(entry, mNow);
+    }
+  }
+
   void Confirm(milliseconds aFor = milliseconds(3'000))
   {
     mEngine.SetPrimariesConfirmed(mNow + aFor, mNow);
