Take a record of the primary for one process of the server

Cause: the record names a server by its id, and an id can stand for a second process that holds nothing of the first. The entry told so at once (another start time), and nothing compared it. Reads at the primary required no position, so that the server could not refuse them either.

Change, one for each side: - primary_process keeps which process a record is about. If the server starts again, no work is placed on it, the duty holder replaces it at once (reason "restarted") in place of after 1.5 s, and a change is not reverted to it. - Reads at the primary require the newest position that it has told while it led. The process that has it answers as before; another one refuses, also where its new entry has not been read yet. A primary that refuses is asked less often, as a replica that lags. The log line "server entry changed" has the start time.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -164,9 +164,10 @@
   bool mPlanned = false;
   // Record of a change that an earlier duty holder began and did not finish.
   std::optional<primary_record> mResumed;
-  // The server that the earlier holder ordered to be promoted has left. It may
-  // have led and acknowledged commits before.
-  bool mCandidateLeft = false;
+  // mOldPrimary has left, or has started again without its log. If the earlier
+  // holder ordered its promotion, it may have led and acknowledged commits
+  // before.
+  bool mOldPrimaryLost = false;
 };
 
 class primary_change
--- a/include/snipewalk/session/primary_monitor.h
+++ b/include/snipewalk/session/primary_monitor.h
@@ -50,6 +50,8 @@
   CutOff,
   // The server's commits are not confirmed by its replicas.
   WritesStall,
+  // The server has started again without its log.
+  Restarted,
   // The server is running, but not as primary; or an earlier change was
   // interrupted.
   LostRole,
@@ -57,12 +59,13 @@
   Unknown
 };
 
-inline constexpr name_table<change_reason, 7> kChangeReasonNames{ {
+inline constexpr name_table<change_reason, 8> kChangeReasonNames{ {
   { change_reason::None, "none" },
   { change_reason::Leaving, "leaving" },
   { change_reason::Dead, "dead" },
   { change_reason::CutOff, "cut_off" },
   { change_reason::WritesStall, "writes_stall" },
+  { change_reason::Restarted, "restarted" },
   { change_reason::LostRole, "lost_role" },
   { change_reason::Unknown, "unknown" },
 } };
@@ -89,6 +92,9 @@
   // Called while no primary is recorded and no registered server reports itself
   // as primary.
   void OnPrimaryUnknown(time_point aNow);
+  // Sets whether the primary has started again without its log since it was
+  // recorded.
+  void SetRestarted(bool aRestarted) { mRestarted = aRestarted; }
   void OnProbe(bool aAnswered, time_point aNow);
   // Discards all observations and starts a quiet period; called when the
   // primary has changed.
@@ -121,6 +127,7 @@
   std::optional<time_point> mNotPrimarySince;
   // Since when no primary has been known.
   std::optional<time_point> mUnknownSince;
+  bool mRestarted = false;
   probe_result mProbe = probe_result::None;
   time_point mProbedAt = time_point::min();
   // Number of consecutive failed probes.
--- a/include/snipewalk/session/server_choice.h
+++ b/include/snipewalk/session/server_choice.h
@@ -45,6 +45,9 @@
   // Whether replicas that have applied mPosition may serve the read.
   bool mReplicasAllowed = false;
   log_position mPosition;
+  // Position that the primary is known to have. It lacks it only if it has
+  // started again without its log.
+  log_position mPrimaryPosition;
 };
 
 // Returns the delay after another refusal for lack of a position, given the
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -18,6 +18,7 @@
 #include "snipewalk/session/peer_datagrams.h"
 #include "snipewalk/session/primary_change.h"
 #include "snipewalk/session/primary_monitor.h"
+#include "snipewalk/session/primary_process.h"
 #include "snipewalk/session/server_directory.h"
 #include "snipewalk/session/session_engine.h"
 #include "snipewalk/session/session_hosts.h"
@@ -255,6 +256,7 @@
     // Highest term of a change that lets writes go on until it steps the
     // primary down.
     std::uint64_t mPlannedTerm = 0;
+    primary_process mProcess;
     primary_monitor mMonitor;
     std::optional<running_change> mRunning;
     // When a replica last left or lost its log, which may have been the only
@@ -283,8 +285,8 @@
   void ApplyServer(const std::string& aServer,
                    std::set<std::string>& aServices,
                    time_point aNow);
-  // Notes that a server's log is gone, because the server has left or started
-  // again without it.
+  // Notes that the log of a server that is not the last primary is gone,
+  // because the server has left or started again without it.
   void OnLogLost(const registered_server& aServer, time_point aNow);
   void ForgetExpiredServers(time_point aNow);
   void OnFleet(const kind_watcher::update& aUpdate, time_point aNow);
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -251,8 +251,9 @@
     aReason == change_reason::Leaving || aReason == change_reason::CutOff;
   if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
     plan.mResumed = control.mRecord;
-    plan.mCandidateLeft = !mServers.Find(control.mRecord->mPrimary);
   }
+  plan.mOldPrimaryLost = !mServers.Find(primary.mServer) ||
+                         control.mProcess.HasRestarted(primary.mServer);
   for (const auto& entry : mServers.Present(aService)) {
     if (entry.mId != primary.mServer) {
       plan.mReplicas.push_back({ entry.mId, entry.mDraining });
--- a/src/session/engine_candidate.cpp
+++ b/src/session/engine_candidate.cpp
@@ -29,8 +29,8 @@
   service_primary& known = aService.mPrimary;
   const bool sameServer = known.mServer == aPrimary.mServer;
   // With another lead term, records of changes between may have been missed.
-  const bool continues =
-    sameServer && known.mAcceptsWork && known.mLeadTerm == aPrimary.mLeadTerm;
+  const bool sameLead = sameServer && known.mLeadTerm == aPrimary.mLeadTerm;
+  const bool continues = sameLead && known.mAcceptsWork;
   if (!aPrimary.mReportsToLead) {
     aService.mCandidate.reset();
   } else if (!aService.mCandidate || !sameServer ||
@@ -40,11 +40,25 @@
   if (!continues) {
     aService.mPrimarySince = aNow;
   }
+  if (!sameLead) {
+    OnOtherLead(aService, aPrimary.mServer);
+  }
   known = aPrimary;
   known.mAcceptsWork = aPrimary.mAcceptsWork ||
                        (aService.mCandidate && aService.mCandidate->mLeads);
 }
 
+void
+session_engine::state::OnOtherLead(known_service& aService,
+                                   const std::string& aPrimary)
+{
+  aService.mLedPosition = {};
+  if (const auto server = mServers.find(aPrimary); server != mServers.end()) {
+    // What it lacked as a replica.
+    server->second.mRefusedUntil = time_point::min();
+  }
+}
+
 void
 session_engine::state::AskCandidate(const std::string& aService,
                                     time_point aNow)
--- a/src/session/engine_placement.cpp
+++ b/src/session/engine_placement.cpp
@@ -153,6 +153,7 @@
       requirement.mPrimaryAllowed && AdmitsWrite(aService, aNow);
     return requirement;
   }
+  requirement.mPrimaryPosition = aService.mLedPosition;
   const bool anyCommit =
     pending.mRoute.mConsistency == read_consistency::Primary;
   if (anyCommit && requirement.mPrimaryAllowed &&
@@ -399,9 +400,12 @@
   const read_requirement& aRequirement) const
 {
   const auto& primary = mServices.at(aConnection.mService).mPrimary.mServer;
+  const log_position& required = aConnection.mServer == primary
+                                   ? aRequirement.mPrimaryPosition
+                                   : aRequirement.mPosition;
   aPending.mMinPosition.reset();
-  if (aConnection.mServer != primary) {
-    aPending.mMinPosition = aRequirement.mPosition;
+  if (required != log_position{}) {
+    aPending.mMinPosition = required;
   }
 }
 
--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -76,8 +76,12 @@
   }
   // The reply is a sample only if the server led when the command was sent, and
   // no newer primary could have acknowledged commits by then.
-  if (service.mPrimary.mAcceptsWork && aSent >= service.mPrimarySince &&
-      aSent < mConfirmedUntil) {
+  const bool led =
+    service.mPrimary.mAcceptsWork && aSent >= service.mPrimarySince;
+  if (led) {
+    service.mLedPosition = std::max(service.mLedPosition, *aReply.mPosition);
+  }
+  if (led && aSent < mConfirmedUntil) {
     AddPrimarySample(service, aSent, *aReply.mPosition);
   }
 }
--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -66,6 +66,8 @@
   // engine_candidate.cpp
   // Takes over the primary that is recorded, and begins or ends the check of a
   // candidate.
+  // Forgets what holds only while the same primary leads in the same term.
+  void OnOtherLead(known_service& aService, const std::string& aPrimary);
   void ApplyPrimary(known_service& aService,
                     const service_primary& aPrimary,
                     time_point aNow);
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -88,7 +88,7 @@
   double mTurn = 0;
   bool mHasTurn = false;
   // Log position that the last attempt requires of the chosen replica; it is
-  // sent as statement_command::mMinPosition. Unset if the primary was chosen.
+  // sent as statement_command::mMinPosition. Unset if nothing is required.
   std::optional<log_position> mMinPosition;
 };
 
@@ -276,6 +276,10 @@
   // Since when mPrimary has been known to lead and to accept work. What a
   // command that was sent earlier shows may be from before it led.
   time_point mPrimarySince = time_point::min();
+  // Newest position that mPrimary has told while it led. Its process can end,
+  // and another one start without the log; that one refuses reads which require
+  // this position.
+  log_position mLedPosition;
   // Set while mPrimary is being promoted and reports that it leads.
   std::optional<candidate_check> mCandidate;
   freshness_samples mSamples;
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -137,7 +137,7 @@
 {
   mStepStartedAt = aNow;
   if (mPlan.mResumed && mPlan.mResumed->mPhase == primary_phase::Promoting &&
-      !mPlan.mCandidateLeft) {
+      !mPlan.mOldPrimaryLost) {
     mTerm = mPlan.mResumed->mTerm;
     mCandidate = mPlan.mResumed->mPrimary;
     mRecorded = true;
@@ -309,6 +309,7 @@
     return {};
   }
   if (aServer.mId == mPlan.mOldPrimary) {
+    mPlan.mOldPrimaryLost = true;
     mFinalPosition.reset();
     mReplies.erase(aServer.mId);
     return {};
@@ -414,7 +415,7 @@
   const replica_info* newest = NewestReplica();
   mLogMissing =
     newest != nullptr && AllReplicasReplied() && !IsLogRecent(*newest);
-  if (!mRecorded || mPlan.mOldPrimary.empty()) {
+  if (!mRecorded || mPlan.mOldPrimary.empty() || mPlan.mOldPrimaryLost) {
     EnterStep(change_step::Failed, aNow);
     return {};
   }
--- a/src/session/primary_monitor.cpp
+++ b/src/session/primary_monitor.cpp
@@ -142,6 +142,9 @@
   if (aNow < mQuietUntil) {
     return change_reason::None;
   }
+  if (mRestarted) {
+    return change_reason::Restarted;
+  }
   if (mEntry && mEntry->mDraining) {
     return change_reason::Leaving;
   }
--- a/src/session/server_choice.cpp
+++ b/src/session/server_choice.cpp
@@ -37,12 +37,14 @@
   if (!aCandidate.mHasConnection) {
     return false;
   }
-  if (aCandidate.mPrimary) {
-    return aRequirement.mPrimaryAllowed;
-  }
-  const bool behind = aNow < aCandidate.mRefusedUntil &&
-                      aRequirement.mPosition >= aCandidate.mRefusedPosition;
-  return aRequirement.mReplicasAllowed && !behind;
+  const bool allowed = aCandidate.mPrimary ? aRequirement.mPrimaryAllowed
+                                           : aRequirement.mReplicasAllowed;
+  const log_position& required = aCandidate.mPrimary
+                                   ? aRequirement.mPrimaryPosition
+                                   : aRequirement.mPosition;
+  const bool behind =
+    aNow < aCandidate.mRefusedUntil && required >= aCandidate.mRefusedPosition;
+  return allowed && !behind;
 }
 
 // Returns the expected time to an answer in milliseconds, with the weights
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -226,6 +226,10 @@
   if (!before || before->mStarted != entry->mStarted) {
     AddToChange(*entry, aNow);
   }
+  if (const auto control = mServices.find(entry->mService);
+      control != mServices.end()) {
+    control->second.mProcess.OnEntry(*entry);
+  }
   if (entry->mPrimary) {
     AskCandidate(*entry, aNow);
   }
@@ -237,7 +241,8 @@
           { "service", entry->mService },
           { "address", entry->mAddress },
           { "primary", entry->mPrimary },
-          { "draining", entry->mDraining } });
+          { "draining", entry->mDraining },
+          { "started", static_cast<std::int64_t>(entry->mStarted) } });
   }
   mEngine.PutServer(*entry, aNow);
 }
@@ -340,7 +345,8 @@
   }
   const primary_record& record = *control.mRecord;
   const auto entry = mServers.Find(record.mPrimary);
-  const bool released = record.mTerm < control.mReleasedTerm;
+  const bool released = record.mTerm < control.mReleasedTerm ||
+                        control.mProcess.HasRestarted(record.mPrimary);
   const bool promoting = record.mPhase == primary_phase::Promoting;
   return { record.mPrimary,
            record.mLeadTerm,
@@ -363,6 +369,7 @@
   mEngine.SetPrimary(aService, primary, aNow);
   if (!primary.mServer.empty()) {
     monitor.OnEntry(mServers.Find(primary.mServer), aNow);
+    monitor.SetRestarted(found->second.mProcess.HasRestarted(primary.mServer));
   } else if (!mServers.Present(aService).empty()) {
     monitor.OnPrimaryUnknown(aNow);
   }
--- a/tests/session/controller_primary_test.cpp
+++ b/tests/session/controller_primary_test.cpp
@@ -33,6 +33,26 @@
   EXPECT_EQ(reader.ServerOfRead("k"), "r");
 }
 
+// Guards against stale reads: a recorded primary that has started again under
+// its id holds nothing of what callers were told.
+TEST_F(SessionControllerTest, TakesNoRecordForAProofAfterThePrimaryStartedAgain)
+{
+  const primary_record stable{ "s", "r", 2, 2, primary_phase::Stable, 1 };
+  mStore.Write("servers", "r", "primary");
+  mStore.Write(kFleetKind, PrimaryRecordName("s"), EncodeFleetRecord(stable));
+  Run(1'000);
+  ASSERT_EQ(Confirmed(), 3);
+  instance& reader = *mInstances[0];
+  reader.SendRead("before");
+  reader.AcceptConnections();
+  ASSERT_EQ(reader.ServerOfRead("before"), "r");
+  mStore.Write("servers", "r", "restarted");
+  Run(100);
+  reader.SendRead("after");
+  reader.AcceptConnections();
+  EXPECT_EQ(reader.ServerOfRead("after"), "");
+}
+
 // The candidate reports its role as soon as it leads; the callers wait for it.
 TEST_F(SessionControllerTest, AsksACandidateAtOnceWhenItsEntryChanges)
 {
--- a/tests/session/engine_fixture.h
+++ b/tests/session/engine_fixture.h
@@ -280,6 +280,14 @@
   {
     return ConnectionOf("q" + std::to_string(mRequests));
   }
+  // Log position that the last command requires on the connection of the last
+  // request.
+  std::optional<log_position> LastMinPosition() const
+  {
+    return std::get<statement_command>(
+             mLinks.mServers.at(*LastRequestConnection()).mCommands.back())
+      .mMinPosition;
+  }
   const std::string& ServerOf(server_connection_id aConnection) const
   {
     return mLinks.mServers.at(aConnection).mServer;
--- a/tests/session/engine_samples_test.cpp
+++ b/tests/session/engine_samples_test.cpp
@@ -82,5 +82,77 @@
   EXPECT_FALSE(LastRequestConnection());
 }
 
+// Guards against stale reads: a primary can start again under its id without
+// its log, and is reached before its new entry is read. It refuses a read that
+// requires what it has told.
+TEST_F(SessionEngineTest, RequiresOfThePrimaryWhatItHasTold)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  ASSERT_TRUE(LastRequestConnection());
+  EXPECT_FALSE(LastMinPosition());
+  Answer(*LastRequestConnection(), Done(40));
+  SendStatement(session, read_statement{ "1" });
+  ASSERT_EQ(ServerOf(*LastRequestConnection()), "p");
+  EXPECT_EQ(LastMinPosition(), (log_position{ 1, 40 }));
+}
+
+// As above for a change of primary that was reverted in between.
+TEST_F(SessionEngineTest, RequiresWhatThePrimaryHasToldAfterARevertedChange)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  mEngine.SetPrimary("s", { "p", 0, true }, mNow);
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "1" });
+  ASSERT_EQ(ServerOf(*LastRequestConnection()), "p");
+  EXPECT_EQ(LastMinPosition(), (log_position{ 1, 40 }));
+}
+
+// Guards against refused reads: what a server told in an earlier term may have
+// been rolled back.
+TEST_F(SessionEngineTest, RequiresNothingThatThePrimaryToldInAnEarlierTerm)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  mEngine.SetPrimary("s", { "p", 3, true }, mNow);
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "1" });
+  ASSERT_EQ(ServerOf(*LastRequestConnection()), "p");
+  EXPECT_FALSE(LastMinPosition());
+}
+
+// A primary without its log is not asked for every read until it is replaced.
+TEST_F(SessionEngineTest, AsksAPrimaryThatLacksItsLogLessOften)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "2" });
+  int sent = 0;
+  for (int ms = 0; ms < 600; ms += 20) {
+    if (const auto connection = NextConnectionOf("q2")) {
+      ++sent;
+      Answer(*connection, Error(result_code::Behind));
+    }
+    AdvanceClock(20);
+  }
+  EXPECT_GE(sent, 1);
+  EXPECT_LE(sent, 6);
+  EXPECT_EQ(mLinks.mReplies[session].size(), 1U);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -262,7 +262,7 @@
   next.mResumed = primary_record{
     "s", "gone", change.Term(), 0, primary_phase::Promoting, 9
   };
-  next.mCandidateLeft = true;
+  next.mOldPrimaryLost = true;
   primary_change again(next);
   // What callers were told of while the candidate led must be kept as well.
   AdvanceToPausing(again, { { 5, 13 }, true });
@@ -273,6 +273,18 @@
   EXPECT_EQ(again.Candidate(), "b");
 }
 
+// Guards against stale reads: no change is reverted to a primary that has lost
+// its log.
+TEST(PrimaryChangeTest, DoesNotRevertToAPrimaryThatHasStartedAgain)
+{
+  primary_change change(Plan());
+  AdvanceToPausing(change);
+  change.OnServerAdded({ "p", false }, At(21));
+  const auto actions = change.OnTick(At(5'000));
+  EXPECT_TRUE(ActionsOfType<write_primary_record>(actions).empty());
+  EXPECT_EQ(change.Step(), change_step::Failed);
+}
+
 // A planned change gives open transactions a grace period before it ends them.
 TEST(PrimaryChangeTest, StepsAReachablePrimaryDownAfterAGracePeriod)
 {
--- a/tests/session/primary_monitor_test.cpp
+++ b/tests/session/primary_monitor_test.cpp
@@ -43,6 +43,17 @@
   EXPECT_EQ(monitor.Decide(At(2'600)), change_reason::Unknown);
 }
 
+// A primary without its log is replaced at once, and not if it has been chosen
+// again.
+TEST(PrimaryMonitorTest, ReplacesAPrimaryThatHasStartedAgain)
+{
+  primary_monitor monitor = Monitor();
+  monitor.SetRestarted(true);
+  EXPECT_EQ(monitor.Decide(At(20)), change_reason::Restarted);
+  monitor.SetRestarted(false);
+  EXPECT_EQ(monitor.Decide(At(20)), change_reason::None);
+}
+
 TEST(PrimaryMonitorTest, WaitsForTheEntryOfAPrimaryThatReturns)
 {
   primary_monitor monitor = Monitor();
