Order no promotion of a server that has started again since it was chosen

From the choice on the change ignored a new process of its candidate, and an instance that resumed the change knew nothing of it.

Change: a candidate that starts again ends the change, as one that leaves does. The next change takes it for an old primary that has lost its log, chooses among the other servers and asks the instances again what they have acknowledged, as the candidate may have led. The candidate's log counts as lost like that of another replica.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -266,6 +266,8 @@
   std::uint64_t LeadTerm(primary_phase aPhase,
                          const std::string& aPrimary) const;
   bool AllReplicasReplied() const;
+  // Whether the change can't go on without the log that the server had.
+  bool NeedsLogOf(const std::string& aServer) const;
   // Whether the present step is waiting for the reply to this command.
   bool IsExpected(const std::string& aServer,
                   const server_command& aCommand) const;
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -236,6 +236,15 @@
     time_point mRequestedAt;
   };
 
+  // A record that this instance has written or tried to write, and the entry of
+  // the server that it names from that time. The server may start again before
+  // the record is known to be in the store.
+  struct submitted_record
+  {
+    primary_record mRecord;
+    std::optional<registered_server> mEntry;
+  };
+
   struct service_control
   {
     // The latest record that this instance has known. The store may have
@@ -256,6 +265,7 @@
     // Highest term of a change that lets writes go on until it steps the
     // primary down.
     std::uint64_t mPlannedTerm = 0;
+    std::optional<submitted_record> mSubmitted;
     primary_process mProcess;
     primary_monitor mMonitor;
     std::optional<running_change> mRunning;
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -437,7 +437,9 @@
   if (!mDuty.Holds(aNow)) {
     return;
   }
-  const std::uint64_t expected = mServices[aService].mRunning->mRecordVersion;
+  service_control& writing = mServices[aService];
+  const std::uint64_t expected = writing.mRunning->mRecordVersion;
+  writing.mSubmitted = { aRecord, mServers.Find(aRecord.mPrimary) };
   mStore.Submit(
     store_put{ { kFleetKind, PrimaryRecordName(aService) },
                EncodeFleetRecord(aRecord),
--- a/src/session/controller_records.cpp
+++ b/src/session/controller_records.cpp
@@ -101,6 +101,9 @@
   const bool primaryChanged =
     control.mRecord && control.mRecord->mPrimary != aRecord.mPrimary;
   control.mRecord = aRecord;
+  if (control.mSubmitted && control.mSubmitted->mRecord == aRecord) {
+    control.mProcess.OnRecord(aRecord, control.mSubmitted->mEntry);
+  }
   control.mProcess.OnRecord(aRecord, mServers.Find(aRecord.mPrimary));
   if (!newer) {
     // Another instance knows a change that the store has forgotten.
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -132,6 +132,13 @@
     });
 }
 
+bool
+primary_change::NeedsLogOf(const std::string& aServer) const
+{
+  return aServer == mCandidate && mStep >= change_step::Choosing &&
+         mStep <= change_step::RecordingStable;
+}
+
 primary_change::actions
 primary_change::Start(time_point aNow)
 {
@@ -304,6 +311,11 @@
 primary_change::actions
 primary_change::OnServerAdded(const replica_info& aServer, time_point aNow)
 {
+  if (NeedsLogOf(aServer.mId)) {
+    // The next change replaces the candidate, which may have led.
+    EnterStep(change_step::Failed, aNow);
+    return {};
+  }
   if (mStep >= change_step::Choosing) {
     // No instance passes on commits of the old primary any more.
     return {};
@@ -335,8 +347,7 @@
 primary_change::actions
 primary_change::OnServerRemoved(const std::string& aServer, time_point aNow)
 {
-  if (aServer == mCandidate && mStep >= change_step::Choosing &&
-      mStep <= change_step::RecordingStable) {
+  if (NeedsLogOf(aServer)) {
     // The next change replaces the candidate, which may have led.
     EnterStep(change_step::Failed, aNow);
     return {};
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -251,8 +251,11 @@
 session_controller::OnLogLost(const registered_server& aServer, time_point aNow)
 {
   const auto control = mServices.find(aServer.mService);
-  if (control != mServices.end() &&
-      PrimaryOf(aServer.mService).mServer != aServer.mId) {
+  if (control == mServices.end()) {
+    return;
+  }
+  const service_primary primary = PrimaryOf(aServer.mService);
+  if (primary.mServer != aServer.mId || !primary.mHasLed) {
     control->second.mReplicaLeftAt = aNow;
   }
 }
--- a/tests/session/controller_primary_test.cpp
+++ b/tests/session/controller_primary_test.cpp
@@ -53,6 +53,27 @@
   EXPECT_EQ(reader.ServerOfRead("after"), "");
 }
 
+// Guards against lost commits: a candidate that starts again under its id has
+// lost its log, and an instance that resumes the change must not order it.
+TEST_F(SessionControllerTest, OrdersNoCandidateThatHasStartedAgain)
+{
+  mStore.Write("servers", "r", "replica");
+  mNetwork.mStatuses = { { "p", Status(server_role::Replica, 1) } };
+  Run(300);
+  mStore.Write(
+    kFleetKind, PrimaryRecordName("s"), EncodeFleetRecord(kPromoting));
+  // The watch of the records waits for further ones after registrations.
+  Run(800);
+  mStore.Write("servers", "r", "restarted");
+  mNetwork.mStatuses["r"] = { server_role::Replica, 0, {}, {} };
+  Run(4'000);
+  EXPECT_FALSE(std::ranges::count(mNetwork.mPromoted, "r"));
+  // The change begins again.
+  const auto record = DecodeFleetRecord(
+    PrimaryRecordName("s"), mStore.Value(kFleetKind, PrimaryRecordName("s")));
+  EXPECT_GT(std::get<primary_record>(record.value()).mTerm, kPromoting.mTerm);
+}
+
 // The candidate reports its role as soon as it leads; the callers wait for it.
 TEST_F(SessionControllerTest, AsksACandidateAtOnceWhenItsEntryChanges)
 {
--- a/tests/session/primary_change_test.cpp
+++ b/tests/session/primary_change_test.cpp
@@ -273,6 +273,25 @@
   EXPECT_EQ(again.Candidate(), "b");
 }
 
+// Guards against lost commits: a candidate that has started again has lost the
+// log for which it was chosen.
+TEST(PrimaryChangeTest, BeginsAgainIfTheCandidateHasStartedAgain)
+{
+  for (const bool ordered : { false, true }) {
+    primary_change change(Plan());
+    AdvanceToPausing(change);
+    Reply(change, "a", Status(server_role::Replica, 4, 10), At(21));
+    Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+    if (ordered) {
+      change.OnRecordWritten(true, At(30));
+      change.OnPromoted(promotion_result::Unknown, At(40));
+    }
+    EXPECT_TRUE(change.OnServerAdded({ "b", false }, At(500)).empty());
+    EXPECT_EQ(change.Step(), change_step::Failed);
+    EXPECT_TRUE(change.OnTick(At(5'000)).empty());
+  }
+}
+
 // Guards against stale reads: no change is reverted to a primary that has lost
 // its log.
 TEST(PrimaryChangeTest, DoesNotRevertToAPrimaryThatHasStartedAgain)
