Record which process of a server was chosen for promotion

Found by a first form of OrdersNoCandidateThatHasStartedAgain: an instance that reads the record of a change after the entry of the candidate's next process takes that one for the chosen one. As the next holder of the duty it then ordered the promotion of a server without its log. The watch of the records alone can be half a second late while instances register.

Cause: the record names an id, so each instance could only take the process that it knew when it read the record.

Change: before the duty holder records a candidate, it writes which process it has chosen (candidate.<service>: server, term of the change, start time). It is a record of its own, as earlier builds refuse an unknown field in that of the primary; they log it and go on. An instance that knows no such record of the change goes by what it knew first, as before. Cost: one call to the store more in a change.

A change can now end while a write is under way, so the replies of the store and of the servers are passed only to the change that they belong to. Before, a late reply to a write of an ended change counted as that of the next one.

An instance that gets the record of a change from another instance alone, as the store refuses it, still goes by what it knew first; to hold the duty it must read the store.

--- a/include/snipewalk/session/fleet_records.h
+++ b/include/snipewalk/session/fleet_records.h
@@ -67,6 +67,21 @@
   bool operator==(const primary_record&) const = default;
 };
 
+// Process of a server that a change of primary has chosen for promotion. The
+// server may start again under its id without its log. It is a record of its
+// own because earlier builds refuse a primary's record with further fields.
+struct candidate_record
+{
+  std::string mService;
+  std::string mServer;
+  // Term of the change.
+  std::uint64_t mTerm = 0;
+  // Start time of the server process in Unix milliseconds; zero if unknown.
+  std::uint64_t mStarted = 0;
+
+  bool operator==(const candidate_record&) const = default;
+};
+
 // Whether the state of a service's primary in `aRecord` follows the one in
 // `aOther`: terms never go back, nor do the phases of one term.
 bool
@@ -108,8 +123,11 @@
   bool operator==(const restored_record&) const = default;
 };
 
-using fleet_record =
-  std::variant<duty_record, primary_record, instance_record, restored_record>;
+using fleet_record = std::variant<duty_record,
+                                  primary_record,
+                                  candidate_record,
+                                  instance_record,
+                                  restored_record>;
 
 // Name of the store object that contains a record.
 std::string
--- a/include/snipewalk/session/primary_process.h
+++ b/include/snipewalk/session/primary_process.h
@@ -16,6 +16,8 @@
 class primary_process
 {
 public:
+  // Handles the record of a process that was chosen for promotion.
+  void OnChosen(const candidate_record& aChosen) { mChosen = aChosen; }
   // Handles a record of the service. `aEntry` is the entry of the server that
   // it names, if that is known. A record that follows from the last one, such
   // as the end of the same change, is about the same process.
@@ -25,21 +27,23 @@
   // say nothing.
   void OnEntry(const registered_server& aEntry);
 
-  // Whether the server that the last record names has started again since.
-  bool HasRestarted(const std::string& aServer) const
-  {
-    return mRestarted && mRecord && mRecord->mPrimary == aServer;
-  }
+  // Whether the server that the last record names has started again since it
+  // was chosen, or since this instance first knew it under that record if the
+  // chosen process is not known.
+  bool HasRestarted(const std::string& aServer) const;
 
 private:
   // Whether a record is about the process that mRecord is about.
   bool IsAboutSameProcess(const primary_record& aRecord) const;
+  // Whether mChosen is about the process that mRecord is about.
+  bool IsChosenKnown() const;
 
   std::optional<primary_record> mRecord;
-  // Start time of the process in Unix milliseconds; std::nullopt until an entry
-  // of the server is known.
-  std::optional<std::uint64_t> mStarted;
-  bool mRestarted = false;
+  std::optional<candidate_record> mChosen;
+  // Start times in Unix milliseconds of the first process of the server that
+  // was known under mRecord, and of the latest one; zero if there was none.
+  std::uint64_t mFirstStarted = 0;
+  std::uint64_t mLastStarted = 0;
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -217,6 +217,8 @@
   {
     running_change();
 
+    // Distinguishes the changes that this instance has run.
+    std::uint64_t mNumber = 0;
     std::unique_ptr<primary_change> mChange;
     // Version of the primary's record that the change began with or has
     // written. A record of another holder must not be replaced.
@@ -236,15 +238,6 @@
     time_point mRequestedAt;
   };
 
-  // A record that this instance has written or tried to write, and the entry of
-  // the server that it names from that time. The server may start again before
-  // the record is known to be in the store.
-  struct submitted_record
-  {
-    primary_record mRecord;
-    std::optional<registered_server> mEntry;
-  };
-
   struct service_control
   {
     // The latest record that this instance has known. The store may have
@@ -253,6 +246,8 @@
     std::uint64_t mRecordVersion = 0;
     // Version of the store's record; zero if it has none.
     std::uint64_t mStoredVersion = 0;
+    // Version of the record of the latest candidate; zero if there is none.
+    std::uint64_t mCandidateVersion = 0;
     // Since when the store is known to have forgotten mRecord.
     std::optional<time_point> mForgottenSince;
     // Earliest time to write it again.
@@ -265,7 +260,6 @@
     // Highest term of a change that lets writes go on until it steps the
     // primary down.
     std::uint64_t mPlannedTerm = 0;
-    std::optional<submitted_record> mSubmitted;
     primary_process mProcess;
     primary_monitor mMonitor;
     std::optional<running_change> mRunning;
@@ -444,9 +438,22 @@
   void OnOrderEnded(const order_promotion& aOrder,
                     promotion_result aResult,
                     time_point aNow);
+  // Returns a change that this instance has begun, or nullptr if it has ended.
+  running_change* FindChange(const std::string& aService,
+                             std::uint64_t aNumber);
+  // Writes a record of a change. If it names a candidate, first writes which
+  // process was chosen, so that no instance knows the one without the other.
   void WriteRecord(const std::string& aService,
                    const primary_record& aRecord,
                    time_point aNow);
+  void WriteCandidate(const std::string& aService,
+                      const primary_record& aRecord);
+  void SubmitRecord(const std::string& aService, const primary_record& aRecord);
+  // Passes on that the records of a step were written, or were not.
+  void OnRecordWritten(const std::string& aService,
+                       std::uint64_t aChange,
+                       bool aWritten,
+                       time_point aNow);
   void BeginRelease(const release_instances& aRelease, time_point aNow);
   void OnInstancesListed(const std::string& aService,
                          const store_reply& aReply,
@@ -545,6 +552,8 @@
   bool mSameInstancesAsFirst = true;
   // Whether a former process of this instance had been live for long by then.
   bool mReplacesProcess = false;
+  // Number of changes of primary that this instance has begun.
+  std::uint64_t mChangesBegun = 0;
   // Promotion orders whose calls have not ended.
   std::size_t mOrdersUnderWay = 0;
   // When the platform will have carried out the orders without an answer.
--- a/src/session/controller_duty.cpp
+++ b/src/session/controller_duty.cpp
@@ -1,6 +1,7 @@
 // Work of the failover duty: claiming it, monitoring the primaries, and
 // carrying out changes of primary.
 #include "snipewalk/base/log.h"
+#include "snipewalk/messages/store_revision.h"
 #include "snipewalk/session/session_controller.h"
 
 #include <algorithm>
@@ -276,6 +277,7 @@
         { "replicas_complete", plan.mReplicasComplete },
         { "required", required } });
   control.mRunning.emplace();
+  control.mRunning->mNumber = ++mChangesBegun;
   control.mRunning->mRecordVersion = control.mStoredVersion;
   control.mRunning->mChange = std::make_unique<primary_change>(std::move(plan));
   Perform(aService, control.mRunning->mChange->Start(aNow), aNow);
@@ -361,17 +363,18 @@
         kCommandTimeout,
         [this,
          aService,
+         change = mServices[aService].mRunning->mNumber,
          server = sent->mServer,
          command = sent->mCommand,
          alive = std::weak_ptr<bool>(mAlive)](
           const std::optional<server_status>& aStatus, time_point aThen) {
-          const auto control =
-            alive.expired() ? mServices.end() : mServices.find(aService);
-          if (control != mServices.end() && control->second.mRunning) {
-            Perform(aService,
-                    control->second.mRunning->mChange->OnServerStatus(
-                      server, command, aStatus, aThen),
-                    aThen);
+          running_change* running =
+            alive.expired() ? nullptr : FindChange(aService, change);
+          if (running != nullptr) {
+            Perform(
+              aService,
+              running->mChange->OnServerStatus(server, command, aStatus, aThen),
+              aThen);
           }
         });
     } else if (const auto* write = std::get_if<write_primary_record>(&action)) {
@@ -428,6 +431,18 @@
   }
 }
 
+session_controller::running_change*
+session_controller::FindChange(const std::string& aService,
+                               std::uint64_t aNumber)
+{
+  const auto control = mServices.find(aService);
+  if (control == mServices.end() || !control->second.mRunning ||
+      control->second.mRunning->mNumber != aNumber) {
+    return nullptr;
+  }
+  return &*control->second.mRunning;
+}
+
 void
 session_controller::WriteRecord(const std::string& aService,
                                 const primary_record& aRecord,
@@ -437,16 +452,77 @@
   if (!mDuty.Holds(aNow)) {
     return;
   }
-  service_control& writing = mServices[aService];
-  const std::uint64_t expected = writing.mRunning->mRecordVersion;
-  writing.mSubmitted = { aRecord, mServers.Find(aRecord.mPrimary) };
+  if (aRecord.mPhase == primary_phase::Promoting) {
+    WriteCandidate(aService, aRecord);
+  } else {
+    SubmitRecord(aService, aRecord);
+  }
+}
+
+void
+session_controller::WriteCandidate(const std::string& aService,
+                                   const primary_record& aRecord)
+{
+  service_control& control = mServices[aService];
+  const auto entry = mServers.Find(aRecord.mPrimary);
+  const candidate_record chosen{
+    aService, aRecord.mPrimary, aRecord.mTerm, entry ? entry->mStarted : 0
+  };
+  control.mProcess.OnChosen(chosen);
+  const std::uint64_t known = control.mCandidateVersion;
+  const std::uint64_t expected = EraOf(known) == StoreEra() ? known : 0;
+  mStore.Submit(
+    store_put{ { kFleetKind, FleetRecordName(chosen) },
+               EncodeFleetRecord(chosen),
+               expected },
+    store_priority::Terms,
+    [this,
+     aService,
+     aRecord,
+     change = control.mRunning->mNumber,
+     alive = std::weak_ptr<bool>(mAlive)](const store_reply& aReply,
+                                          time_point aNow) {
+      if (alive.expired()) {
+        return;
+      }
+      const bool written =
+        aReply.mStatus == store_status::Ok && !aReply.mObjects.empty();
+      if (written) {
+        mServices[aService].mCandidateVersion =
+          aReply.mObjects.front().mVersion;
+      }
+      const running_change* running = FindChange(aService, change);
+      const bool needed = running != nullptr && mDuty.Holds(aNow) &&
+                          running->mChange->Step() == change_step::Choosing;
+      if (written && needed) {
+        SubmitRecord(aService, aRecord);
+      } else if (!written) {
+        Log(log_level::Warning,
+            "primary",
+            "candidate was not written",
+            { { "service", aService },
+              { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
+        OnRecordWritten(aService, change, false, aNow);
+      }
+    });
+}
+
+void
+session_controller::SubmitRecord(const std::string& aService,
+                                 const primary_record& aRecord)
+{
+  const running_change& running = *mServices[aService].mRunning;
   mStore.Submit(
     store_put{ { kFleetKind, PrimaryRecordName(aService) },
                EncodeFleetRecord(aRecord),
-               expected },
+               running.mRecordVersion },
     store_priority::Terms,
-    [this, aService, aRecord, alive = std::weak_ptr<bool>(mAlive)](
-      const store_reply& aReply, time_point aThen) {
+    [this,
+     aService,
+     aRecord,
+     change = running.mNumber,
+     alive = std::weak_ptr<bool>(mAlive)](const store_reply& aReply,
+                                          time_point aThen) {
       if (alive.expired()) {
         return;
       }
@@ -466,18 +542,25 @@
             { { "service", aService },
               { "status", NameOf(kStoreStatusNames, aReply.mStatus) } });
       }
-      service_control& control = mServices[aService];
-      if (control.mRunning) {
-        if (written) {
-          control.mRunning->mRecordVersion = aReply.mObjects.front().mVersion;
-        }
-        Perform(aService,
-                control.mRunning->mChange->OnRecordWritten(written, aThen),
-                aThen);
+      if (running_change* running = FindChange(aService, change);
+          running != nullptr && written) {
+        running->mRecordVersion = aReply.mObjects.front().mVersion;
       }
+      OnRecordWritten(aService, change, written, aThen);
     });
 }
 
+void
+session_controller::OnRecordWritten(const std::string& aService,
+                                    std::uint64_t aChange,
+                                    bool aWritten,
+                                    time_point aNow)
+{
+  if (running_change* running = FindChange(aService, aChange)) {
+    Perform(aService, running->mChange->OnRecordWritten(aWritten, aNow), aNow);
+  }
+}
+
 void
 session_controller::AbandonChanges(time_point)
 {
--- a/src/session/controller_records.cpp
+++ b/src/session/controller_records.cpp
@@ -26,6 +26,11 @@
     mDuty.OnRecord(*duty, aObject.mVersion, aAsOf, aNow);
   } else if (const auto* primary = std::get_if<primary_record>(&*record)) {
     ApplyPrimaryRecord(*primary, aObject.mVersion, aNow);
+  } else if (const auto* chosen = std::get_if<candidate_record>(&*record)) {
+    service_control& control = mServices[chosen->mService];
+    control.mCandidateVersion = aObject.mVersion;
+    control.mProcess.OnChosen(*chosen);
+    PublishPrimary(chosen->mService, aNow);
   } else if (const auto* instance = std::get_if<instance_record>(&*record)) {
     mInstances.Put(*instance, aObject.mVersion, aNow);
   } else if (const auto* restored = std::get_if<restored_record>(&*record)) {
@@ -101,9 +106,6 @@
   const bool primaryChanged =
     control.mRecord && control.mRecord->mPrimary != aRecord.mPrimary;
   control.mRecord = aRecord;
-  if (control.mSubmitted && control.mSubmitted->mRecord == aRecord) {
-    control.mProcess.OnRecord(aRecord, control.mSubmitted->mEntry);
-  }
   control.mProcess.OnRecord(aRecord, mServers.Find(aRecord.mPrimary));
   if (!newer) {
     // Another instance knows a change that the store has forgotten.
--- a/src/session/fleet_records.cpp
+++ b/src/session/fleet_records.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr const char* kPrimaryPrefix = "primary.";
+constexpr const char* kCandidatePrefix = "candidate.";
 constexpr const char* kInstancePrefix = "instance.";
 
 struct record_name
@@ -25,6 +26,10 @@
   {
     return PrimaryRecordName(aRecord.mService);
   }
+  std::string operator()(const candidate_record& aRecord) const
+  {
+    return kCandidatePrefix + aRecord.mService;
+  }
   std::string operator()(const instance_record& aRecord) const
   {
     return InstanceRecordName(aRecord.mName);
@@ -62,6 +67,15 @@
     value["fence"] = Number(aRecord.mFence);
     return value;
   }
+  Json::Value operator()(const candidate_record& aRecord) const
+  {
+    Json::Value value;
+    value["service"] = aRecord.mService;
+    value["server"] = aRecord.mServer;
+    value["term"] = Number(aRecord.mTerm);
+    value["started"] = Number(aRecord.mStarted);
+    return value;
+  }
   Json::Value operator()(const instance_record& aRecord) const
   {
     Json::Value value;
@@ -107,6 +121,17 @@
   return record;
 }
 
+fleet_record
+ReadCandidate(record_reader& aReader)
+{
+  candidate_record record;
+  record.mService = aReader.Text("service");
+  record.mServer = aReader.Text("server");
+  record.mTerm = aReader.Number("term");
+  record.mStarted = aReader.Number("started");
+  return record;
+}
+
 fleet_record
 ReadInstance(record_reader& aReader)
 {
@@ -198,6 +223,8 @@
     record = ReadRestored(reader);
   } else if (absl::StartsWith(aName, kPrimaryPrefix)) {
     record = ReadPrimary(reader);
+  } else if (absl::StartsWith(aName, kCandidatePrefix)) {
+    record = ReadCandidate(reader);
   } else if (absl::StartsWith(aName, kInstancePrefix)) {
     record = ReadInstance(reader);
   } else {
--- a/src/session/primary_process.cpp
+++ b/src/session/primary_process.cpp
@@ -27,13 +27,24 @@
   return false;
 }
 
+bool
+primary_process::IsChosenKnown() const
+{
+  // The term of the change, and later on that in which the server leads, which
+  // is the same unless the server knew a later one.
+  return mChosen && mChosen->mStarted != 0 &&
+         mChosen->mServer == mRecord->mPrimary &&
+         (mChosen->mTerm == mRecord->mTerm ||
+          mChosen->mTerm == mRecord->mLeadTerm);
+}
+
 void
 primary_process::OnRecord(const primary_record& aRecord,
                           const std::optional<registered_server>& aEntry)
 {
   if (!IsAboutSameProcess(aRecord)) {
-    mStarted.reset();
-    mRestarted = false;
+    mFirstStarted = 0;
+    mLastStarted = 0;
   }
   mRecord = aRecord;
   if (aEntry) {
@@ -48,8 +59,17 @@
   if (!named || aEntry.mStarted == 0) {
     return;
   }
-  mStarted = mStarted.value_or(aEntry.mStarted);
-  mRestarted = mRestarted || *mStarted != aEntry.mStarted;
+  mFirstStarted = mFirstStarted == 0 ? aEntry.mStarted : mFirstStarted;
+  mLastStarted = aEntry.mStarted;
+}
+
+bool
+primary_process::HasRestarted(const std::string& aServer) const
+{
+  if (!mRecord || mRecord->mPrimary != aServer || mLastStarted == 0) {
+    return false;
+  }
+  return mLastStarted != (IsChosenKnown() ? mChosen->mStarted : mFirstStarted);
 }
 
 } // namespace snipewalk
--- a/tests/session/controller_primary_test.cpp
+++ b/tests/session/controller_primary_test.cpp
@@ -60,10 +60,11 @@
   mStore.Write("servers", "r", "replica");
   mNetwork.mStatuses = { { "p", Status(server_role::Replica, 1) } };
   Run(300);
+  const candidate_record chosen{ "s", "r", kPromoting.mTerm, 1 };
+  mStore.Write(kFleetKind, FleetRecordName(chosen), EncodeFleetRecord(chosen));
   mStore.Write(
     kFleetKind, PrimaryRecordName("s"), EncodeFleetRecord(kPromoting));
-  // The watch of the records waits for further ones after registrations.
-  Run(800);
+  // The instances can read the records after this entry.
   mStore.Write("servers", "r", "restarted");
   mNetwork.mStatuses["r"] = { server_role::Replica, 0, {}, {} };
   Run(4'000);
@@ -74,6 +75,30 @@
   EXPECT_GT(std::get<primary_record>(record.value()).mTerm, kPromoting.mTerm);
 }
 
+// Guards against lost commits: an instance that resumes a change has to know
+// which process was chosen.
+TEST_F(SessionControllerTest, RecordsWhichProcessItPromotes)
+{
+  mStore.Write("servers", "r", "replica");
+  mNetwork.mStatuses = { { "p", Status(server_role::Replica, 1) },
+                         { "r", Status(server_role::Replica, 1) } };
+  Run(2'600);
+  mStore.Write("servers", "p", "draining");
+  Run(1'500);
+  ASSERT_FALSE(mNetwork.mPromoted.empty());
+  EXPECT_EQ(mNetwork.mPromoted.front(), "r");
+  const std::string name = FleetRecordName(candidate_record{ "s" });
+  const auto chosen =
+    DecodeFleetRecord(name, mStore.Value(kFleetKind, name)).value();
+  const auto record =
+    DecodeFleetRecord(PrimaryRecordName("s"),
+                      mStore.Value(kFleetKind, PrimaryRecordName("s")))
+      .value();
+  const std::uint64_t term = std::get<primary_record>(record).mTerm;
+  EXPECT_EQ(std::get<candidate_record>(chosen),
+            (candidate_record{ "s", "r", term, 1 }));
+}
+
 // The candidate reports its role as soon as it leads; the callers wait for it.
 TEST_F(SessionControllerTest, AsksACandidateAtOnceWhenItsEntryChanges)
 {
--- a/tests/session/fleet_records_test.cpp
+++ b/tests/session/fleet_records_test.cpp
@@ -16,6 +16,7 @@
   const std::vector<fleet_record> records{
     duty_record{ "i1", 1'700'000'000'000, 4 },
     primary_record{ "s", "p", 3, 2, primary_phase::Promoting, 4 },
+    candidate_record{ "s", "p", 3, 1'700'000'000'000 },
     instance_record{ "i1", "dc1", "10.0.0.1:7440", 5, instance_state::Gone },
     restored_record{ 3 },
   };
--- a/tests/session/primary_process_test.cpp
+++ b/tests/session/primary_process_test.cpp
@@ -77,6 +77,32 @@
   EXPECT_TRUE(process.HasRestarted("r"));
 }
 
+// Guards against an order by an instance that reads the records after the entry
+// of the next process.
+TEST(PrimaryProcessTest, KnowsTheChosenProcessFromItsRecord)
+{
+  primary_process process;
+  process.OnChosen({ "s", "r", 2, kBefore });
+  process.OnRecord(Record(primary_phase::Promoting, 2, 1), Entry(kAfter));
+  EXPECT_TRUE(process.HasRestarted("r"));
+  process.OnRecord(Record(primary_phase::Stable, 2, 2), Entry(kAfter));
+  EXPECT_TRUE(process.HasRestarted("r"));
+  process.OnRecord(Record(primary_phase::Changing, 5, 2), Entry(kAfter));
+  EXPECT_TRUE(process.HasRestarted("r"));
+}
+
+// Guards against a service without a primary: earlier builds promote a server
+// without a record of its process.
+TEST(PrimaryProcessTest, IgnoresTheProcessThatAnotherChangeChose)
+{
+  primary_process process;
+  process.OnChosen({ "s", "r", 2, kBefore });
+  process.OnRecord(Record(primary_phase::Promoting, 4, 3), Entry(kAfter));
+  EXPECT_FALSE(process.HasRestarted("r"));
+  process.OnChosen({ "s", "a", 4, kBefore });
+  EXPECT_FALSE(process.HasRestarted("r"));
+}
+
 // Guards against reads from a server without its log after a change that was
 // abandoned.
 TEST(PrimaryProcessTest, KeepsTheProcessOverAChangeThatIsReverted)
