Take no log position from a primary that has started again without its log

Until the new entry of a restarted primary is read, its replies still counted as samples: position 0.0, sent just now, "covers" every commit acknowledged so far. Replicas then got reads without a position, on all kinds of routes, however far they lag.

Cause: a sample was taken from whatever process answered under the id of the primary.

--- a/src/session/engine_replies.cpp
+++ b/src/session/engine_replies.cpp
@@ -75,13 +75,17 @@
     service.mToldPosition = std::max(service.mToldPosition, *aReply.mPosition);
   }
   // The reply is a sample only if the server led when the command was sent, and
-  // no newer primary could have acknowledged commits by then.
-  const bool led =
-    service.mPrimary.mAcceptsWork && aSent >= service.mPrimarySince;
-  if (led) {
-    service.mLedPosition = std::max(service.mLedPosition, *aReply.mPosition);
+  // no newer primary could have acknowledged commits by then. An earlier
+  // position than it has told before can come from another process of the
+  // server, which does not have the log.
+  const bool led = service.mPrimary.mAcceptsWork &&
+                   aSent >= service.mPrimarySince &&
+                   *aReply.mPosition >= service.mLedPosition;
+  if (!led) {
+    return;
   }
-  if (led && aSent < mConfirmedUntil) {
+  service.mLedPosition = *aReply.mPosition;
+  if (aSent < mConfirmedUntil) {
     AddPrimarySample(service, aSent, *aReply.mPosition);
   }
 }
--- a/tests/session/engine_samples_test.cpp
+++ b/tests/session/engine_samples_test.cpp
@@ -154,5 +154,33 @@
   EXPECT_EQ(mLinks.mReplies[session].size(), 1U);
 }
 
+// Guards against stale reads at replicas: the position of a primary that has
+// started again without its log covers no commit.
+TEST_F(SessionEngineTest, TakesNoSampleOfAPrimaryThatHasLostItsLog)
+{
+  Configure();
+  const session_id session = Open("main");
+  SendStatement(session, read_statement{ "1" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(40));
+  for (const auto connection : Connections("p")) {
+    mEngine.OnServerClosed(connection, mNow);
+    mLinks.mServers.at(connection).mClosed = true;
+  }
+  AdvanceClock(200);
+  SendStatement(session, read_statement{ "1" });
+  ASSERT_EQ(Connections("p").size(), 1U);
+  statement_reply opened;
+  opened.mPosition = log_position{};
+  Answer(Connections("p").front(), opened);
+  mEngine.SetPrimary("s", { "p", 0, false }, mNow);
+  const session_id reader = Open("old");
+  SendStatement(reader, read_statement{ "1" });
+  AcceptConnections();
+  ASSERT_TRUE(LastRequestConnection());
+  EXPECT_NE(ServerOf(*LastRequestConnection()), "p");
+  EXPECT_EQ(LastMinPosition(), (log_position{ 1, 40 }));
+}
+
 } // namespace
 } // namespace snipewalk
