Log which servers contradict a record, and contradictions without one

An operator could not tell from the log that a recorded primary was another process by now, nor that no primary was used because two servers called themselves so. Two lines: "recorded server has started again without its log" (once, when its entry is read) and "several servers report themselves as primary; none is used" (when the entries or the record change). No decision changes.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -292,6 +292,8 @@
   // Notes that the log of a server that is not the last primary is gone,
   // because the server has left or started again without it.
   void OnLogLost(const registered_server& aServer, time_point aNow);
+  // Notes which process of a server an entry is about.
+  void NoteProcess(const registered_server& aServer);
   void ForgetExpiredServers(time_point aNow);
   void OnFleet(const kind_watcher::update& aUpdate, time_point aNow);
   void ApplyFleetObject(const stored_object& aObject,
@@ -330,6 +332,8 @@
   // any change that may affect it.
   void PublishPrimary(const std::string& aService, time_point aNow);
   service_primary PrimaryOf(const std::string& aService) const;
+  // Servers of the service whose entries call them the primary.
+  std::vector<std::string> ReportedPrimaries(const std::string& aService) const;
   // The primary of a service without a record. No change of primary has been
   // ordered as far as this instance knows, so that the server whose entry says
   // so is the primary. With two such entries one of them has been replaced, and
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -6,6 +6,7 @@
 #include "snipewalk/messages/store_revision.h"
 
 #include <absl/hash/hash.h>
+#include <absl/strings/str_join.h>
 
 #include <algorithm>
 #include <utility>
@@ -226,10 +227,7 @@
   if (!before || before->mStarted != entry->mStarted) {
     AddToChange(*entry, aNow);
   }
-  if (const auto control = mServices.find(entry->mService);
-      control != mServices.end()) {
-    control->second.mProcess.OnEntry(*entry);
-  }
+  NoteProcess(*entry);
   if (entry->mPrimary) {
     AskCandidate(*entry, aNow);
   }
@@ -247,6 +245,26 @@
   mEngine.PutServer(*entry, aNow);
 }
 
+void
+session_controller::NoteProcess(const registered_server& aServer)
+{
+  const auto control = mServices.find(aServer.mService);
+  if (control == mServices.end()) {
+    return;
+  }
+  primary_process& process = control->second.mProcess;
+  const bool restartedBefore = process.HasRestarted(aServer.mId);
+  process.OnEntry(aServer);
+  if (!restartedBefore && process.HasRestarted(aServer.mId)) {
+    Log(log_level::Warning,
+        "primary",
+        "recorded server has started again without its log",
+        { { "service", aServer.mService },
+          { "server", aServer.mId },
+          { "started", static_cast<std::int64_t>(aServer.mStarted) } });
+  }
+}
+
 void
 session_controller::OnLogLost(const registered_server& aServer, time_point aNow)
 {
@@ -318,20 +336,27 @@
            : write_permission::Allowed;
 }
 
-service_primary
-session_controller::UnrecordedPrimaryOf(const std::string& aService) const
+std::vector<std::string>
+session_controller::ReportedPrimaries(const std::string& aService) const
 {
-  const service_control& control = mServices.at(aService);
-  std::vector<std::string> claimants;
+  std::vector<std::string> servers;
   for (const auto& entry : mServers.Present(aService)) {
     if (entry.mPrimary) {
-      claimants.push_back(entry.mId);
+      servers.push_back(entry.mId);
     }
   }
-  if (claimants.size() != 1) {
+  return servers;
+}
+
+service_primary
+session_controller::UnrecordedPrimaryOf(const std::string& aService) const
+{
+  const service_control& control = mServices.at(aService);
+  const std::vector<std::string> reported = ReportedPrimaries(aService);
+  if (reported.size() != 1) {
     return {};
   }
-  return { claimants.front(),
+  return { reported.front(),
            0,
            control.mReleasedTerm == 0,
            true,
@@ -373,9 +398,18 @@
   if (!primary.mServer.empty()) {
     monitor.OnEntry(mServers.Find(primary.mServer), aNow);
     monitor.SetRestarted(found->second.mProcess.HasRestarted(primary.mServer));
-  } else if (!mServers.Present(aService).empty()) {
+    return;
+  }
+  if (!mServers.Present(aService).empty()) {
     monitor.OnPrimaryUnknown(aNow);
   }
+  if (const auto reported = ReportedPrimaries(aService); reported.size() > 1) {
+    Log(
+      log_level::Info,
+      "primary",
+      "several servers report themselves as primary; none is used",
+      { { "service", aService }, { "servers", absl::StrJoin(reported, " ") } });
+  }
 }
 
 void
