Count the proof of the replicas for a position only, not for the primary

That all known servers but the last primary are replicas proves which position covers what was acknowledged. It was also taken for a proof that the last primary still led. A server that the instance could not know had been promoted.

Change: that proof gives a position; reads go to replicas with it. Reads at the primary need its own answer in its term, which now counts also if those of the replicas came first.

--- a/src/session/engine_check.cpp
+++ b/src/session/engine_check.cpp
@@ -14,7 +14,9 @@
 //   have confirmed is shown by the positions that the primary told, which their
 //   newest log must contain; one of them must be from after a replica left.
 //   Commits of earlier terms are in one of their logs as well, once one of them
-//   has an entry of the last primary's term.
+//   has an entry of the last primary's term. This proves a position only, and
+//   nothing about the last primary: a server that is not known yet may have
+//   replaced it.
 //
 // Both proofs count all servers of the service, including those whose entries
 // are missing although they were never marked as draining: the entry of a
@@ -125,14 +127,11 @@
     return;
   }
   service.mCheck->mAnswers[aConnection.mServer] = *status;
-  if (service.mCheck->mPassed) {
-    return;
-  }
   const auto primary = service.mCheck->mAnswers.find(service.mPrimary.mServer);
   if (primary != service.mCheck->mAnswers.end() &&
       primary->second.mRole == server_role::Primary) {
     CheckLeadingPrimary(service, aConnection.mService, primary->second);
-  } else {
+  } else if (!service.mCheck->mPassed) {
     CheckReplicas(service, aConnection.mService);
   }
 }
@@ -156,6 +155,9 @@
     return;
   }
   const time_point started = aService.mCheck->mStarted;
+  if (primary->second.mVerifiedAt >= started) {
+    return;
+  }
   primary->second.mVerifiedAt = started;
   primary->second.mLedAt = started;
   AddPrimarySample(aService, started, aStatus.mReceived);
@@ -175,20 +177,16 @@
     replicas +=
       id != lastPrimary && answer.mRole == server_role::Replica ? 1 : 0;
   }
-  const auto primary = mServers.find(lastPrimary);
   const auto servers = static_cast<std::int64_t>(aService.mServers.size());
   const auto expected = static_cast<std::int64_t>(aService.mExpectedServers);
   // A missing server may be the last primary.
   const std::int64_t needed =
-    std::max(servers - (primary != mServers.end() ? 1 : 0), expected - 1);
+    std::max(servers - (mServers.contains(lastPrimary) ? 1 : 0), expected - 1);
   if (aService.mLimits.mSyncReplicas < 1 || replicas < needed ||
       newest.mTerm < aService.mPrimary.mLeadTerm ||
       !CoversOtherReplicas(aService, newest)) {
     return;
   }
-  if (primary != mServers.end()) {
-    primary->second.mVerifiedAt = aService.mCheck->mStarted;
-  }
   OnCheckPassed(aService, aName, newest, "all replicas");
 }
 
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -229,8 +229,8 @@
   time_point mOpenAfter = time_point::min();
   time_point mLastAnswer = time_point::min();
   int mFailedConnects = 0;
-  // What checks of the primary have proved of this server while it was taken
-  // for the primary. A server that has started again has another known_server,
+  // What checks of the primary have proved of this server as the primary in its
+  // term. A server that has started again has another known_server,
   // and no proof holds for it.
   // No newer primary had acknowledged a commit before this time.
   time_point mVerifiedAt = time_point::min();
@@ -245,6 +245,7 @@
 {
   time_point mStarted;
   std::map<std::string, server_status> mAnswers;
+  // Whether a log position was proved.
   bool mPassed = false;
 };
 
--- a/tests/session/engine_check_test.cpp
+++ b/tests/session/engine_check_test.cpp
@@ -74,6 +74,60 @@
   EXPECT_FALSE(LastRequestConnection());
 }
 
+// Guards against stale reads: that the replicas have a position says nothing
+// about the last primary, which may have been replaced by a server that is not
+// known yet.
+TEST_F(SessionEngineTest, TakesNoProofOfTheReplicasForOneOfThePrimary)
+{
+  Configure();
+  const session_id session = Open("old");
+  SendStatement(session, read_statement{ "0" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(5));
+  mEngine.SetPrimariesConfirmed(mNow, mNow);
+  AdvanceClock(3'000);
+  SendStatement(session, read_statement{ "1" });
+  // Only the primary has a connection when the first check begins.
+  ASSERT_TRUE(AnswerStatus("p", "replica", 1, 9));
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("p", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 9));
+  AdvanceClock(20);
+  ASSERT_TRUE(LastRequestConnection());
+  EXPECT_NE(ServerOf(*LastRequestConnection()), "p");
+  Answer(*LastRequestConnection(), Done(9));
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "2" });
+  EXPECT_FALSE(LastRequestConnection());
+}
+
+// The answer of the primary counts also if those of the replicas came first.
+TEST_F(SessionEngineTest, TakesTheAnswerOfThePrimaryAfterThoseOfTheReplicas)
+{
+  Configure();
+  const session_id session = Open("old");
+  SendStatement(session, read_statement{ "0" });
+  AcceptConnections();
+  Answer(*LastRequestConnection(), Done(5));
+  mEngine.SetPrimariesConfirmed(mNow, mNow);
+  AdvanceClock(3'000);
+  SendStatement(session, read_statement{ "1" });
+  // Only the primary has a connection when the first check begins.
+  ASSERT_TRUE(AnswerStatus("p", "primary", 1, 9));
+  AcceptConnections();
+  AdvanceClock(300);
+  ASSERT_TRUE(AnswerStatus("a", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("b", "replica", 1, 9));
+  ASSERT_TRUE(AnswerStatus("p", "primary", 1, 9));
+  Answer(*LastRequestConnection(), Done(9));
+  LeaveOnlyThePrimary();
+  SendStatement(session, read_statement{ "2" });
+  ASSERT_TRUE(LastRequestConnection());
+  EXPECT_EQ(ServerOf(*LastRequestConnection()), "p");
+}
+
 // A replica in a newer term may follow a newer primary, whose commits the known
 // primary lacks.
 TEST_F(SessionEngineTest, DoesNotConfirmAPrimaryWhenAReplicaIsInANewerTerm)
