Count a replica whose entry has expired as one that may confirm commits

Cause: the absence of the first replica was settled by one status of the primary, as if it had left. It had not said so, lived on and was the only one that confirmed commits; the change took the known replicas for all.

Change: lapsed_replicas keeps such a replica until its entry is back, its address has another server, or 30 s have passed. Until then a change needs one of its other proofs, or waits for the old primary.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -14,6 +14,7 @@
 #include "snipewalk/session/forwarded_messages.h"
 #include "snipewalk/session/instance_directory.h"
 #include "snipewalk/session/kind_watcher.h"
+#include "snipewalk/session/lapsed_replicas.h"
 #include "snipewalk/session/lost_log_search.h"
 #include "snipewalk/session/peer_datagrams.h"
 #include "snipewalk/session/primary_change.h"
@@ -267,6 +268,7 @@
     // one that received the newest commits. Unset once mRequiredPosition covers
     // these.
     std::optional<time_point> mReplicaLeftAt;
+    lapsed_replicas mLapsed;
     // Position that the log of the next primary must contain while the present
     // one is alive.
     log_position mRequiredPosition;
@@ -289,9 +291,17 @@
   void ApplyServer(const std::string& aServer,
                    std::set<std::string>& aServices,
                    time_point aNow);
+  // Whether the server was the primary when the latest commits were
+  // acknowledged. Requires a known service.
+  bool IsLastPrimary(const registered_server& aServer) const;
   // Notes that the log of a server that is not the last primary is gone,
   // because the server has left or started again without it.
   void OnLogLost(const registered_server& aServer, time_point aNow);
+  // Notes that the entry of a server is missing or cannot be decoded. `aLast`
+  // is its last known entry, if there was one.
+  void OnEntryLost(const std::string& aServer,
+                   const std::optional<registered_server>& aLast,
+                   time_point aNow);
   // Notes which process of a server an entry is about.
   void NoteProcess(const registered_server& aServer);
   void ForgetExpiredServers(time_point aNow);
--- a/src/session/controller_change.cpp
+++ b/src/session/controller_change.cpp
@@ -89,7 +89,7 @@
                                      time_point aNow) const
 {
   return mServersKnownSince && aNow >= *mServersKnownSince + kCatchUpTime &&
-         !aControl.mReplicaLeftAt;
+         !aControl.mReplicaLeftAt && !aControl.mLapsed.MayConfirm(aNow);
 }
 
 void
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -199,10 +199,7 @@
   }
   const auto object = mServerWatcher.Objects().find(aServer);
   if (object == mServerWatcher.Objects().end()) {
-    mServers.MarkMissing(aServer, aNow);
-    if (before) {
-      OnLogLost(*before, aNow);
-    }
+    OnEntryLost(aServer, before, aNow);
     return;
   }
   const auto entry = mObjects.mDecodeServer(aServer, object->second.mValue);
@@ -211,10 +208,7 @@
         "control",
         "cannot decode server entry",
         { { "entry", aServer }, { "error", entry.status().ToString() } });
-    mServers.MarkMissing(aServer, aNow);
-    if (before) {
-      OnLogLost(*before, aNow);
-    }
+    OnEntryLost(aServer, before, aNow);
     return;
   }
   if (!mServers.Put(*entry)) {
@@ -245,6 +239,22 @@
   mEngine.PutServer(*entry, aNow);
 }
 
+void
+session_controller::OnEntryLost(const std::string& aServer,
+                                const std::optional<registered_server>& aLast,
+                                time_point aNow)
+{
+  mServers.MarkMissing(aServer, aNow);
+  if (!aLast) {
+    return;
+  }
+  OnLogLost(*aLast, aNow);
+  const auto control = mServices.find(aLast->mService);
+  if (control != mServices.end() && !IsLastPrimary(*aLast)) {
+    control->second.mLapsed.OnEntryLost(*aLast, aNow);
+  }
+}
+
 void
 session_controller::NoteProcess(const registered_server& aServer)
 {
@@ -252,6 +262,7 @@
   if (control == mServices.end()) {
     return;
   }
+  control->second.mLapsed.OnEntry(aServer);
   primary_process& process = control->second.mProcess;
   const bool restartedBefore = process.HasRestarted(aServer.mId);
   process.OnEntry(aServer);
@@ -265,15 +276,18 @@
   }
 }
 
+bool
+session_controller::IsLastPrimary(const registered_server& aServer) const
+{
+  const service_primary primary = PrimaryOf(aServer.mService);
+  return primary.mServer == aServer.mId && primary.mHasLed;
+}
+
 void
 session_controller::OnLogLost(const registered_server& aServer, time_point aNow)
 {
   const auto control = mServices.find(aServer.mService);
-  if (control == mServices.end()) {
-    return;
-  }
-  const service_primary primary = PrimaryOf(aServer.mService);
-  if (primary.mServer != aServer.mId || !primary.mHasLed) {
+  if (control != mServices.end() && !IsLastPrimary(aServer)) {
     control->second.mReplicaLeftAt = aNow;
   }
 }
