Let processes that have just started claim the failover duty last

Cause, by the logs: a primary crashes 0.4 s after the duty had to be taken over. If the instance that takes it has just started (front-ub-sukhbaatar-3, the replacement of a removed one), it can't take the replicas that it knows for all in its first 10 s, and the change waits 10 s for the crashed primary.

Change: an instance in its first 10 s adds the longest stagger to its claim when it takes over from another holder, so that one which knows more goes first; if there is none, it claims 0.25 s later. The stagger is XXH64 of the name, the same in each build.

DutyLeaseTest.LeavesTheDutyToProcessesThatHaveRunForLonger is new; the claim was due 0.25 s earlier before.

--- a/include/snipewalk/session/duty_lease.h
+++ b/include/snipewalk/session/duty_lease.h
@@ -48,6 +48,12 @@
   // A holder that no instance has heard from for this long may be replaced.
   static constexpr milliseconds kHolderTimeout{ 1'300 };
 
+  // Longest stagger, see the constructor.
+  static constexpr milliseconds kMaxStagger{ 250 };
+
+  // Returns the stagger of an instance, which depends on its name alone.
+  static milliseconds StaggerOf(const std::string& aInstance);
+
   // `aStagger` delays the claims of this instance, so that the instances do not
   // all claim at once.
   duty_lease(std::string aInstance, std::uint64_t aStarted, duration aStagger);
@@ -61,6 +67,9 @@
                 time_point aNow);
   // Notes that this or another instance heard from the holder at `aWhen`.
   void OnHolderSeen(const std::string& aHolder, time_point aWhen);
+  // Until `aUntil` the process may not know enough of the fleet to use the duty
+  // well, so it claims it later than all others from an earlier holder.
+  void SetClaimsLastUntil(time_point aUntil) { mClaimsLastUntil = aUntil; }
   // Called after the process was suspended for an unknown time. The duty is not
   // used again before a read that was requested afterwards.
   void OnSuspended(time_point aNow);
@@ -120,6 +129,7 @@
   std::string mInstance;
   std::uint64_t mStarted;
   duration mStagger;
+  time_point mClaimsLastUntil = time_point::min();
   std::optional<duty_record> mRecord;
   // Version of the record, or revision as of which there was none.
   std::uint64_t mVersion = 0;
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -2,6 +2,8 @@
 // determines when a claim is due, and checks that the lease has not expired.
 #include "snipewalk/session/duty_lease.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -20,6 +22,14 @@
 
 } // namespace
 
+milliseconds
+duty_lease::StaggerOf(const std::string& aInstance)
+{
+  const std::uint64_t hash = XXH64(aInstance.data(), aInstance.size(), 0);
+  return milliseconds(
+    static_cast<std::int64_t>(hash % std::uint64_t{ kMaxStagger.count() }));
+}
+
 duty_lease::duty_lease(std::string aInstance,
                        std::uint64_t aStarted,
                        duration aStagger)
@@ -118,7 +128,11 @@
   // two processes of one name never run at the same time.
   const bool vacant =
     IsVacant(mRecord) || mRecord->mHolder == mInstance || !IsOfThisEra();
-  const duration wait = vacant ? mStagger : kHolderTimeout + mStagger;
+  const bool young =
+    mRecord && mRecord->mHolder != mInstance && aNow < mClaimsLastUntil;
+  const duration wait = (vacant ? duration(0) : duration(kHolderTimeout)) +
+                        mStagger +
+                        (young ? duration(kMaxStagger) : duration(0));
   if (aNow < mHolderSeenAt + wait) {
     return std::nullopt;
   }
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -65,6 +65,7 @@
   , mAllowances(mOptions.mAllowanceRules)
   , mPossibleOwners(mOptions.mInstance)
 {
+  mDuty.SetClaimsLastUntil(mStartedAt + kCatchUpTime);
 }
 
 void
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -41,9 +41,6 @@
 constexpr milliseconds kStoreCallTimeout{ 1'000 };
 constexpr milliseconds kStoreWatchMargin{ 700 };
 constexpr milliseconds kMaxStoreBackoff{ 200 };
-// Range of the delays by which the instances spread their first claims of the
-// duty.
-constexpr std::size_t kDutyClaimSpreadMs = 250;
 
 std::chrono::nanoseconds
 ReadClock(clockid_t aClock)
@@ -142,8 +139,7 @@
                     aStarted,
                     mSettings.mDataCentre,
                     mSettings.mPeerAddress,
-                    milliseconds(static_cast<std::int64_t>(
-                      absl::HashOf(mSettings.mInstance) % kDutyClaimSpreadMs)),
+                    duty_lease::StaggerOf(mSettings.mInstance),
                     mSettings.mRateLimitTolerance })
     , mSuspendedTime(SuspendedTime())
   {
--- a/tests/session/duty_lease_test.cpp
+++ b/tests/session/duty_lease_test.cpp
@@ -27,6 +27,40 @@
   EXPECT_EQ(claim->mExpectedVersion, 0U);
 }
 
+// Guards against services without a primary for 10 s: a process that has just
+// started does not know all replicas, and cannot prove as much of their logs as
+// others can.
+TEST(DutyLeaseTest, LeavesTheDutyToProcessesThatHaveRunForLonger)
+{
+  const duty_record former{ "h", 1, 4 };
+  duty_lease young("a", 1, milliseconds(0));
+  young.SetClaimsLastUntil(At(10'000));
+  young.OnRecord(former, 7, At(0), At(0));
+  duty_lease old("b", 1, duty_lease::kMaxStagger - milliseconds(1));
+  old.OnRecord(former, 7, At(0), At(0));
+  const int timeout = static_cast<int>(duty_lease::kHolderTimeout.count());
+  const int stagger = static_cast<int>(duty_lease::kMaxStagger.count());
+  EXPECT_FALSE(young.ClaimIfDue(At(timeout + stagger - 1)));
+  EXPECT_TRUE(old.ClaimIfDue(At(timeout + stagger - 1)));
+  EXPECT_TRUE(young.ClaimIfDue(At(timeout + stagger)));
+}
+
+// All processes of a new fleet are young.
+TEST(DutyLeaseTest, ClaimsADutyThatNobodyHasHeldWithoutFurtherDelay)
+{
+  duty_lease lease("a", 1, milliseconds(0));
+  lease.SetClaimsLastUntil(At(10'000));
+  lease.OnRecord(std::nullopt, 0, At(0), At(0));
+  EXPECT_TRUE(lease.ClaimIfDue(At(0)));
+}
+
+TEST(DutyLeaseTest, StaggersInstancesByTheirNames)
+{
+  EXPECT_EQ(duty_lease::StaggerOf("i1"), duty_lease::StaggerOf("i1"));
+  EXPECT_NE(duty_lease::StaggerOf("i1"), duty_lease::StaggerOf("i2"));
+  EXPECT_LT(duty_lease::StaggerOf("i1"), duty_lease::kMaxStagger);
+}
+
 // The duty may be used only after a read that named this process, and for a
 // limited time counted from the start of that read.
 TEST(DutyLeaseTest, HoldsForAWhileAfterAReadWasMade)
