--- a/src/session/controller_change.cpp
+++ b/src/session/controller_change.cpp
@@ -16,8 +16,6 @@
 
 } // namespace
 
-session_controller::running_change::running_change() = default;
-
 void
 session_controller::StartChange(const std::string& aService,
                                 change_reason aReason,
@@ -232,7 +230,7 @@
   }
 }
 
-session_controller::running_change*
+running_change*
 session_controller::FindChange(const std::string& aService,
                                std::uint64_t aNumber)
 {
