Revert changes to a primary whose entry has expired, as before

Found on the read-through. Since a change was not reverted to an old primary without an entry, although that one may live on without its path to the store and serve: the record would have stayed "changing" until a change came through. Only a primary that has started again without its log, and a candidate that has left before it was recorded as primary, are no targets.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -164,9 +164,10 @@
   bool mPlanned = false;
   // Record of a change that an earlier duty holder began and did not finish.
   std::optional<primary_record> mResumed;
-  // mOldPrimary has left, or has started again without its log. If the earlier
-  // holder ordered its promotion, it may have led and acknowledged commits
-  // before.
+  // mOldPrimary has started again without its log; or it is the server that an
+  // earlier holder ordered to be promoted, and has left. In both cases it may
+  // have led and acknowledged commits before, and the change is not reverted to
+  // it.
   bool mOldPrimaryLost = false;
 };
 
--- a/src/session/controller_change.cpp
+++ b/src/session/controller_change.cpp
@@ -52,8 +52,10 @@
   if (control.mRecord && control.mRecord->mPhase != primary_phase::Stable) {
     plan.mResumed = control.mRecord;
   }
-  plan.mOldPrimaryLost = !mServers.Find(primary.mServer) ||
-                         control.mProcess.HasRestarted(primary.mServer);
+  const bool promoting =
+    control.mRecord && control.mRecord->mPhase == primary_phase::Promoting;
+  plan.mOldPrimaryLost = control.mProcess.HasRestarted(primary.mServer) ||
+                         (promoting && !mServers.Find(primary.mServer));
   for (const auto& entry : mServers.Present(aService)) {
     if (entry.mId != primary.mServer) {
       plan.mReplicas.push_back({ entry.mId, entry.mDraining });
--- a/src/session/duty_lease.cpp
+++ b/src/session/duty_lease.cpp
@@ -128,11 +128,11 @@
   // two processes of one name never run at the same time.
   const bool vacant =
     IsVacant(mRecord) || mRecord->mHolder == mInstance || !IsOfThisEra();
-  const bool young =
+  const bool claimsLast =
     mRecord && mRecord->mHolder != mInstance && aNow < mClaimsLastUntil;
   const duration wait = (vacant ? duration(0) : duration(kHolderTimeout)) +
                         mStagger +
-                        (young ? duration(kMaxStagger) : duration(0));
+                        (claimsLast ? duration(kMaxStagger) : duration(0));
   if (aNow < mHolderSeenAt + wait) {
     return std::nullopt;
   }
