Tell a change of primary that a server begins to leave

Cause: of equal logs a change prefers the server that stays, by what it knew at its start. It can wait for 10 s before it chooses.

Change: the entry is passed to the change in progress.

PrimaryChangeTest PrefersAStayingServerToOneThatHasBegunToLeave is new.

--- a/include/snipewalk/session/primary_change.h
+++ b/include/snipewalk/session/primary_change.h
@@ -198,6 +198,8 @@
   // regarded as lost together with its log, so the change no longer waits for
   // it and does not choose it.
   actions OnServerRemoved(const std::string& aServer, time_point aNow);
+  // Notes that a server has said that it leaves since the plan was made.
+  void OnServerDraining(const std::string& aServer);
   // Handles an entry by which a server is the primary. The entry can be from an
   // earlier term, so a candidate is asked; its reply shows whether it leads.
   actions OnReportedAsPrimary(const std::string& aServer);
--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -370,6 +370,8 @@
   bool KnowsAllReplicas(const service_control& aControl, time_point aNow) const;
   // Tells a change in progress of a server that registered or started again.
   void AddToChange(const registered_server& aServer, time_point aNow);
+  // Tells a change in progress of a server that is about to leave.
+  void NoteDraining(const registered_server& aServer);
   // Tells a change in progress of a server that reports itself as primary.
   void AskCandidate(const registered_server& aServer, time_point aNow);
   void RunChange(const std::string& aService, time_point aNow);
--- a/src/session/controller_change.cpp
+++ b/src/session/controller_change.cpp
@@ -105,6 +105,15 @@
   }
 }
 
+void
+session_controller::NoteDraining(const registered_server& aServer)
+{
+  const auto control = mServices.find(aServer.mService);
+  if (control != mServices.end() && control->second.mRunning) {
+    control->second.mRunning->mChange->OnServerDraining(aServer.mId);
+  }
+}
+
 void
 session_controller::AskCandidate(const registered_server& aServer,
                                  time_point aNow)
--- a/src/session/primary_change.cpp
+++ b/src/session/primary_change.cpp
@@ -372,6 +372,14 @@
   return mStep == change_step::Pausing ? TryChoose(aNow) : actions{};
 }
 
+void
+primary_change::OnServerDraining(const std::string& aServer)
+{
+  for (auto& replica : mPlan.mReplicas) {
+    replica.mDraining = replica.mDraining || replica.mId == aServer;
+  }
+}
+
 primary_change::actions
 primary_change::OnReportedAsPrimary(const std::string& aServer)
 {
--- a/src/session/session_controller.cpp
+++ b/src/session/session_controller.cpp
@@ -223,6 +223,9 @@
     AddToChange(*entry, aNow);
   }
   NoteProcess(*entry);
+  if (entry->mDraining) {
+    NoteDraining(*entry);
+  }
   if (entry->mPrimary) {
     AskCandidate(*entry, aNow);
   }
--- a/tests/session/primary_change_choice_test.cpp
+++ b/tests/session/primary_change_choice_test.cpp
@@ -37,6 +37,18 @@
   EXPECT_EQ(change.Candidate(), "b");
 }
 
+// Guards against requests that reach a leaving server for too long: a change
+// can wait for seconds before it chooses.
+TEST(PrimaryChangeTest, PrefersAStayingServerToOneThatHasBegunToLeave)
+{
+  primary_change change(Plan());
+  AdvanceToPausing(change);
+  change.OnServerDraining("a");
+  Reply(change, "a", Status(server_role::Replica, 4, 12), At(21));
+  Reply(change, "b", Status(server_role::Replica, 4, 12), At(22));
+  EXPECT_EQ(change.Candidate(), "b");
+}
+
 TEST(PrimaryChangeTest, TakesALeavingServerWithANewerLog)
 {
   change_plan plan = Plan();
