Say in three comments that the primary can be asked for a position too

No code changes (compared token by token); the format is clean, and the session tests of the engine, the controller and the changes of primary pass.

--- a/src/session/engine_state.h
+++ b/src/session/engine_state.h
@@ -228,8 +228,9 @@
   void SendStatement(caller_session& aSession,
                      server_connection& aConnection,
                      time_point aNow);
-  // Sets the position that a replica must have applied to execute the pending
-  // statement.
+  // Sets the position that the server must have to execute the pending
+  // statement: on a replica the one that the read requires, on the primary the
+  // one that it has told while it led.
   void SetMinPosition(pending_statement& aPending,
                       const server_connection& aConnection,
                       const read_requirement& aRequirement) const;
--- a/src/session/engine_types.h
+++ b/src/session/engine_types.h
@@ -87,7 +87,7 @@
   // Turn of the client account for the latest placement; see fair_turns.
   double mTurn = 0;
   bool mHasTurn = false;
-  // Log position that the last attempt requires of the chosen replica; it is
+  // Log position that the last attempt requires of the chosen server; it is
   // sent as statement_command::mMinPosition. Unset if nothing is required.
   std::optional<log_position> mMinPosition;
 };
@@ -229,9 +229,9 @@
   time_point mOpenAfter = time_point::min();
   time_point mLastAnswer = time_point::min();
   int mFailedConnects = 0;
-  // What checks of the primary have proved of this server as the primary in its
-  // term. A server that has started again has another known_server,
-  // and no proof holds for it.
+  // The next two are what checks have proved of this server as the primary in
+  // its term. A server that has started again has another known_server, for
+  // which no proof holds.
   // No newer primary had acknowledged a commit before this time.
   time_point mVerifiedAt = time_point::min();
   // The server still led at this time, as shown by the latest check that it
