Show replies that are given up while they arrive

Cause: a call that ends by its time limit looks the same whether nothing or half of the reply had arrived, so the log cannot tell a large state on a slow link from a store that does not answer. Change: counters and log lines with the bytes that had arrived, for replies of the store and for desired states of other instances. No decision changes.

--- a/include/snipewalk/store/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -77,6 +77,9 @@
   {
     return mCallsWithoutConnection;
   }
+  // Replies since the start that were given up after a part of them had
+  // arrived, by a time limit or because the call was cancelled.
+  std::uint64_t RepliesCutOff() const { return mRepliesCutOff; }
 
 private:
   struct call
@@ -96,6 +99,8 @@
     std::optional<call> mCall;
     // Set once bytes of the present call may have been sent.
     bool mSent = false;
+    // Bytes of the present reply that have arrived.
+    std::size_t mReplyBytes = 0;
     // The connection carried an answer before.
     bool mUsed = false;
     event_loop::timer_id mTimer = 0;
@@ -130,6 +135,8 @@
   void Fail(call aCall, bool aSent, time_point aNow);
   void Release(connection_entry aConnection);
   void NoteFailure(time_point aNow);
+  // Counts and logs the reply of a call that ends, if a part has arrived.
+  void NoteCutOff(const connection& aConnection, const char* aCause);
   duration TimeoutOf(const call& aCall) const;
   static void Reply(call& aCall, const store_reply& aReply, time_point aNow);
 
@@ -151,6 +158,7 @@
   // as many as there may be.
   bool mLacksConnection = false;
   std::uint64_t mCallsWithoutConnection = 0;
+  std::uint64_t mRepliesCutOff = 0;
   bool mPumpPosted = false;
   event_loop::timer_id mPumpTimer = 0;
   // Expires with the client; guards posted tasks.
--- a/src/session/desired_state_request.cpp
+++ b/src/session/desired_state_request.cpp
@@ -1,6 +1,8 @@
 // Implementation of requests for the desired state of another instance.
 #include "session/desired_state_request.h"
 
+#include "snipewalk/base/log.h"
+
 #include <utility>
 
 namespace snipewalk {
@@ -43,7 +45,9 @@
   const std::size_t received = aInput.size();
   const auto frame = ReadForwardedMessage(aInput, mLinks, *mStream, aNow);
   // The reply is a single frame, which leaves the input once it is complete.
-  if (!frame.ok() || aInput.size() != received) {
+  const bool complete = !frame.ok() || aInput.size() != received;
+  mReplyBytes = complete ? 0 : received;
+  if (complete) {
     aInput.clear();
     End();
   }
@@ -53,6 +57,13 @@
 desired_state_request::End()
 {
   mLoop.Cancel(mTimeout);
+  if (const auto bytes = std::exchange(mReplyBytes, 0); bytes > 0) {
+    ++mRepliesCutOff;
+    Log(log_level::Warning,
+        "control",
+        "a desired state from another instance was given up while it arrived",
+        { { "bytes", static_cast<std::int64_t>(bytes) } });
+  }
   const std::shared_ptr<stream_connection> stream = std::move(mStream);
   if (stream) {
     stream->Close();
--- a/src/session/desired_state_request.h
+++ b/src/session/desired_state_request.h
@@ -9,6 +9,8 @@
 #include "snipewalk/connection/event_loop.h"
 #include "snipewalk/connection/stream_connection.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -27,6 +29,10 @@
   // ends without a reply.
   void Send(const std::string& aPeerAddress, time_point aNow);
 
+  // Replies since the start that were given up after a part of them had
+  // arrived.
+  std::uint64_t RepliesCutOff() const { return mRepliesCutOff; }
+
 private:
   void OnInput(std::string& aInput, time_point aNow);
   void End();
@@ -36,6 +42,9 @@
   // Null while no request is under way.
   std::shared_ptr<stream_connection> mStream;
   event_loop::timer_id mTimeout = 0;
+  // Bytes of the reply that have arrived.
+  std::size_t mReplyBytes = 0;
+  std::uint64_t mRepliesCutOff = 0;
 };
 
 } // namespace snipewalk
--- a/src/session/metrics_page.cpp
+++ b/src/session/metrics_page.cpp
@@ -54,6 +54,8 @@
   AppendLine(page,
              "store_calls_without_connection_total",
              aSources.mStoreCallsWithoutConnection);
+  AppendLine(page, "store_replies_cut_off_total", aSources.mStoreRepliesCutOff);
+  AppendLine(page, "peer_states_cut_off_total", aSources.mPeerStatesCutOff);
   for (const auto& [name, count] : aSources.mRegistry.Counters()) {
     AppendLine(page, name + "_total", count);
   }
--- a/src/session/metrics_page.h
+++ b/src/session/metrics_page.h
@@ -33,6 +33,10 @@
   std::uint64_t mWatchRestarts = 0;
   std::size_t mStoreConnections = 0;
   std::uint64_t mStoreCallsWithoutConnection = 0;
+  // Replies of the store, and desired states of other instances, that were
+  // given up while they arrived.
+  std::uint64_t mStoreRepliesCutOff = 0;
+  std::uint64_t mPeerStatesCutOff = 0;
 };
 
 // Returns one line for each value: `name{labels} value`.
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -295,7 +295,9 @@
                          mController.DesiredStateBehindFor(mLoop.Now()),
                          mController.WatchRestarts(),
                          mStore.ConnectionCount(),
-                         mStore.CallsWithoutConnection() });
+                         mStore.CallsWithoutConnection(),
+                         mStore.RepliesCutOff(),
+                         mStateRequest.RepliesCutOff() });
     return response;
   }
 
--- a/src/store/store_http_client.cpp
+++ b/src/store/store_http_client.cpp
@@ -89,6 +89,7 @@
   if (sent == mConnections.end()) {
     return;
   }
+  NoteCutOff(*sent, "cancelled");
   sent->mCall.reset();
   mLoop.Cancel(sent->mTimer);
   Release(sent);
@@ -239,8 +240,10 @@
 {
   const auto response = aConnection->mReader.ReadResponse(aInput);
   if (response.ok() && !*response) {
+    aConnection->mReplyBytes = aInput.size();
     return;
   }
+  aConnection->mReplyBytes = 0;
   if (!response.ok() || !aConnection->mCall) {
     // Malformed, or an answer without a call.
     aConnection->mStream->Close();
@@ -281,6 +284,7 @@
   if (!aConnection->mCall) {
     return;
   }
+  NoteCutOff(*aConnection, "timeout");
   // Established connections can become silent: never reuse this one.
   call failed = *std::exchange(aConnection->mCall, std::nullopt);
   const bool sent = aConnection->mSent;
@@ -354,6 +358,20 @@
   mConnectAfter = aNow + milliseconds(wait(mRandom));
 }
 
+void
+store_http_client::NoteCutOff(const connection& aConnection, const char* aCause)
+{
+  if (aConnection.mReplyBytes == 0) {
+    return;
+  }
+  ++mRepliesCutOff;
+  Log(log_level::Warning,
+      "store",
+      "a reply was given up while it arrived",
+      { { "cause", aCause },
+        { "bytes", static_cast<std::int64_t>(aConnection.mReplyBytes) } });
+}
+
 void
 store_http_client::Reply(call& aCall,
                          const store_reply& aReply,
