--- a/tests/session/desired_state_request_test.cpp
+++ b/tests/session/desired_state_request_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace snipewalk {
@@ -48,18 +49,35 @@
 
   void Accept(const Poco::Net::StreamSocket& aSocket)
   {
+    mLoop.Cancel(mPartTimer);
     mAccepted = stream_connection::Adopt(
       mLoop,
       aSocket,
       { {},
         [this](std::string& aInput, time_point aNow) {
-          if (mAnswers) {
+          if (mAnswers && mPartInterval == milliseconds(0)) {
             (void)ReadForwardedMessage(aInput, mPeer, *mAccepted, aNow);
+          } else if (mAnswers) {
+            aInput.clear();
+            mRest = EncodeForwardedMessage({ 7, {}, mPeer.mState });
+            SendPart(aNow);
           }
         },
         [this](close_cause, time_point) { ++mClosed; } });
   }
 
+  // Sends a part of the reply, and the next one after the interval.
+  void SendPart(time_point aNow)
+  {
+    constexpr std::size_t kPartBytes = 10;
+    mAccepted->Send(mRest.substr(0, kPartBytes));
+    mRest.erase(0, std::min(kPartBytes, mRest.size()));
+    if (!mRest.empty()) {
+      mPartTimer = mLoop.RunAt(aNow + mPartInterval,
+                               [this](time_point aThen) { SendPart(aThen); });
+    }
+  }
+
   void RunFor(milliseconds aTime)
   {
     bool done = false;
@@ -75,6 +93,10 @@
   state_holder mPeer;
   std::unique_ptr<stream_connection> mAccepted;
   bool mAnswers = true;
+  // Not zero: the peer has a slow link and sends its reply in parts.
+  milliseconds mPartInterval{ 0 };
+  std::string mRest;
+  event_loop::timer_id mPartTimer = 0;
   int mClosed = 0;
   desired_state_request mRequest{ mLoop, mOwn };
 };
@@ -108,5 +130,18 @@
   EXPECT_EQ(mOwn.mState.mRevision, 7U);
 }
 
+// Guards against large states that never arrive from a peer with a slow link:
+// each request was replaced by the next one, or gave up, while they arrived.
+TEST_F(DesiredStateRequestTest, KeepsARequestWhoseReplyIsArriving)
+{
+  mPartInterval = milliseconds(400);
+  for (int i = 0; i < 5; ++i) {
+    mRequest.Send(mListener->Address(), mLoop.Now());
+    RunFor(milliseconds(500));
+  }
+  EXPECT_EQ(mOwn.mState.mRevision, 7U);
+  EXPECT_EQ(mRequest.RepliesCutOff(), 0U);
+}
+
 } // namespace
 } // namespace snipewalk
--- a/tests/store/store_http_client_test.cpp
+++ b/tests/store/store_http_client_test.cpp
@@ -1,5 +1,7 @@
 // Tests of the store client over sockets.
 #include "snipewalk/store/store_http_client.h"
+
+#include "snipewalk/connection/listener.h"
 #include "standins/store_service.h"
 
 #include <Poco/Net/ServerSocket.h>
@@ -194,5 +196,92 @@
   EXPECT_GE(answered, 1);
 }
 
+// Store on a slow link: it answers each call with one object, whose value it
+// sends in parts, and may stop after some of them.
+class slow_store
+{
+public:
+  static constexpr milliseconds kPartInterval{ 60 };
+  static constexpr int kParts = 10;
+
+  explicit slow_store(event_loop& aLoop)
+    : mLoop(aLoop)
+  {
+    auto opened = listener::Open(mLoop,
+                                 "127.0.0.1:0",
+                                 [this](const Poco::Net::StreamSocket& aSocket,
+                                        time_point) { Accept(aSocket); });
+    mListener = *std::move(opened);
+  }
+
+  std::string Address() const { return mListener->Address(); }
+
+  // Number of parts that are sent.
+  int mSentParts = kParts;
+
+private:
+  void Accept(const Poco::Net::StreamSocket& aSocket)
+  {
+    mStream = stream_connection::Adopt(
+      mLoop,
+      aSocket,
+      { {},
+        [this](std::string& aInput, time_point aNow) {
+          aInput.clear();
+          http_response response;
+          response.mStatus = 200;
+          response.mHeaders.Add("ETag", "7");
+          response.mBody = R"({"a":")" + std::string(1'000, 'x') + R"("})";
+          mRest = WriteResponse(response);
+          mPartBytes = mRest.size() / kParts + 1;
+          SendPart(0, aNow);
+        },
+        {} });
+  }
+
+  void SendPart(int aPart, time_point aNow)
+  {
+    if (aPart == mSentParts || mRest.empty()) {
+      return;
+    }
+    mStream->Send(mRest.substr(0, mPartBytes));
+    mRest.erase(0, mPartBytes);
+    mLoop.RunAt(aNow + kPartInterval, [this, aPart](time_point aThen) {
+      SendPart(aPart + 1, aThen);
+    });
+  }
+
+  event_loop& mLoop;
+  std::unique_ptr<listener> mListener;
+  std::unique_ptr<stream_connection> mStream;
+  std::string mRest;
+  std::size_t mPartBytes = 0;
+};
+
+// Guards against large objects that never arrive on a slow link, as each call
+// is given up before the end of its reply.
+TEST_F(StoreHttpClientTest, WaitsForAReplyThatIsArriving)
+{
+  slow_store store(mLoop);
+  store_http_client client(mLoop, OptionsFor({ store.Address() }));
+  const auto replies = Run(client, { store_get{ mKey } });
+  ASSERT_EQ(replies[0].mStatus, store_status::Ok);
+  EXPECT_GT(replies[0].mObjects.at(0).mValue.size(), 1'000U);
+  EXPECT_EQ(client.RepliesCutOff(), 0U);
+}
+
+// Guards against a call that waits for the rest of a reply for ever.
+TEST_F(StoreHttpClientTest, GivesUpAReplyThatStopsArriving)
+{
+  slow_store store(mLoop);
+  store.mSentParts = slow_store::kParts / 2;
+  store_http_client client(mLoop, OptionsFor({ store.Address() }));
+  const time_point started = mLoop.Now();
+  const auto replies = Run(client, { store_get{ mKey } });
+  EXPECT_EQ(replies[0].mStatus, store_status::Unknown);
+  EXPECT_EQ(client.RepliesCutOff(), 1U);
+  EXPECT_LT(mLoop.Now() - started, milliseconds(800));
+}
+
 } // namespace
 } // namespace snipewalk
