Wait for a reply of the store that is arriving

Cause: the time limit of a store call counted from its start. A list that takes longer than 1 s on a slow link was given up each time, and each attempt filled the link for the next one. Change: a reply whose last part arrived within the time limit is waited for, for 10 s beyond the limit at most. A reply that stops arriving ends its call as before.

--- a/include/snipewalk/messages/store_client.h
+++ b/include/snipewalk/messages/store_client.h
@@ -166,6 +166,12 @@
   // connection. The store may still execute it, and a reply that is already on
   // its way may still arrive. Does nothing if the call has been answered.
   virtual void Cancel(store_call_id aCall) = 0;
+  // Whether a part of the call's reply has arrived and the rest is on its way.
+  // False in clients that receive replies as a whole.
+  virtual bool IsReplyArriving(store_call_id, time_point) const
+  {
+    return false;
+  }
 };
 
 } // namespace snipewalk
--- a/include/snipewalk/store/store_http_client.h
+++ b/include/snipewalk/store/store_http_client.h
@@ -37,7 +37,11 @@
 {
   // "IP:port", at least one; the next is tried when one fails.
   std::vector<std::string> mAddresses;
+  // Time limit of a call, but for watches. A reply whose last part arrived
+  // within this time is waited for beyond the limit.
   milliseconds mCallTimeout{ 2'000 };
+  // Bounds how long a reply that is arriving is waited for beyond the limit.
+  milliseconds mLongestReply{ 10'000 };
   // Added to a watch's own waiting time.
   milliseconds mWatchMargin{ 2'000 };
   // Cap on this instance's calls; the store's limit is shared by the fleet.
@@ -65,6 +69,7 @@
   // Closes the connection of a call that was sent: the store would answer there
   // first.
   void Cancel(store_call_id aCall) override;
+  bool IsReplyArriving(store_call_id aCall, time_point aNow) const override;
 
   // Since when no call was answered although calls were made; nothing while
   // the store answers.
@@ -99,8 +104,12 @@
     std::optional<call> mCall;
     // Set once bytes of the present call may have been sent.
     bool mSent = false;
-    // Bytes of the present reply that have arrived.
+    // Bytes of the present reply that have arrived, and when the last of them
+    // did.
     std::size_t mReplyBytes = 0;
+    time_point mReplyAt;
+    // The call ends by then, also if its reply is still arriving.
+    time_point mEndBy;
     // The connection carried an answer before.
     bool mUsed = false;
     event_loop::timer_id mTimer = 0;
@@ -123,6 +132,9 @@
   connection_entry OpenConnection();
   void Start(connection_entry aConnection, call aCall, time_point aNow);
   void Transmit(connection_entry aConnection);
+  void SetTimeout(connection_entry aConnection, time_point aWhen);
+  // Until when the reply counts as arriving; the past before its first part.
+  time_point ArrivingUntil(const connection& aConnection) const;
   void OnInput(connection_entry aConnection,
                std::string& aInput,
                time_point aNow);
--- a/src/store/store_http_client.cpp
+++ b/src/store/store_http_client.cpp
@@ -95,6 +95,25 @@
   Release(sent);
 }
 
+bool
+store_http_client::IsReplyArriving(store_call_id aCall, time_point aNow) const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [&](const auto& aEntry) {
+      return aEntry.mCall && aEntry.mCall->mId == aCall &&
+             aNow < ArrivingUntil(aEntry);
+    });
+}
+
+time_point
+store_http_client::ArrivingUntil(const connection& aConnection) const
+{
+  return aConnection.mReplyBytes == 0
+           ? time_point::min()
+           : std::min(aConnection.mReplyAt + mOptions.mCallTimeout,
+                      aConnection.mEndBy);
+}
+
 void
 store_http_client::Enqueue(call aCall, bool aFirst, time_point aNow)
 {
@@ -206,14 +225,24 @@
 {
   aConnection->mCall = std::move(aCall);
   aConnection->mSent = false;
-  aConnection->mTimer = mLoop.RunAt(
-    aNow + TimeoutOf(*aConnection->mCall),
-    [this, aConnection](time_point aThen) { OnTimeout(aConnection, aThen); });
+  const time_point limit = aNow + TimeoutOf(*aConnection->mCall);
+  aConnection->mEndBy = limit + mOptions.mLongestReply;
+  SetTimeout(aConnection, limit);
   if (aConnection->mStream->IsConnected()) {
     Transmit(aConnection);
   }
 }
 
+void
+store_http_client::SetTimeout(connection_entry aConnection, time_point aWhen)
+{
+  mLoop.Cancel(aConnection->mTimer);
+  aConnection->mTimer =
+    mLoop.RunAt(aWhen, [this, aConnection](time_point aNow) {
+      OnTimeout(aConnection, aNow);
+    });
+}
+
 duration
 store_http_client::TimeoutOf(const call& aCall) const
 {
@@ -239,8 +268,9 @@
                            time_point aNow)
 {
   const auto response = aConnection->mReader.ReadResponse(aInput);
-  if (response.ok() && !*response) {
+  if (response.ok() && !*response && aConnection->mCall) {
     aConnection->mReplyBytes = aInput.size();
+    aConnection->mReplyAt = aNow;
     return;
   }
   aConnection->mReplyBytes = 0;
@@ -284,6 +314,10 @@
   if (!aConnection->mCall) {
     return;
   }
+  if (const auto until = ArrivingUntil(*aConnection); aNow < until) {
+    SetTimeout(aConnection, until);
+    return;
+  }
   NoteCutOff(*aConnection, "timeout");
   // Established connections can become silent: never reuse this one.
   call failed = *std::exchange(aConnection->mCall, std::nullopt);
