Keep a request for the desired state whose reply is arriving

Cause: an instance that is behind asks a peer each 500 ms, and the next request replaced the one under way; the whole reply also had to arrive within 1 s. A state that takes longer on the peer's link never arrived. Change: a request whose reply is arriving goes on until nothing more has arrived for 1 s, or 10 s have passed. A silent peer is replaced as before. Measured: DesiredStateRequestTest.KeepsARequestWhoseReplyIsArriving failed before and passes; the other three tests of the request pass.

--- a/src/session/desired_state_request.cpp
+++ b/src/session/desired_state_request.cpp
@@ -3,14 +3,17 @@
 
 #include "snipewalk/base/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipewalk {
 
 namespace {
 
-// Time limit from the connection to the whole reply.
+// Time limit until the reply begins to arrive, and then for each further part.
 constexpr milliseconds kRequestTimeout{ 1'000 };
+// Time limit from the connection to the whole reply.
+constexpr milliseconds kLongestReply{ 10'000 };
 
 } // namespace
 
@@ -29,6 +32,9 @@
 void
 desired_state_request::Send(const std::string& aPeerAddress, time_point aNow)
 {
+  if (mReplyBytes > 0) {
+    return;
+  }
   End();
   mStream = stream_connection::Connect(
     mLoop,
@@ -36,7 +42,15 @@
     { [this](time_point) { RequestDesiredState(mLinks, *mStream); },
       [this](std::string& aInput, time_point aThen) { OnInput(aInput, aThen); },
       [this](close_cause, time_point) { End(); } });
-  mTimeout = mLoop.RunAt(aNow + kRequestTimeout, [this](time_point) { End(); });
+  mEndBy = aNow + kLongestReply;
+  SetTimeout(aNow + kRequestTimeout);
+}
+
+void
+desired_state_request::SetTimeout(time_point aWhen)
+{
+  mLoop.Cancel(mTimeout);
+  mTimeout = mLoop.RunAt(aWhen, [this](time_point) { End(); });
 }
 
 void
@@ -50,7 +64,9 @@
   if (complete) {
     aInput.clear();
     End();
+    return;
   }
+  SetTimeout(std::min(aNow + kRequestTimeout, mEndBy));
 }
 
 void
--- a/src/session/desired_state_request.h
+++ b/src/session/desired_state_request.h
@@ -26,7 +26,8 @@
   desired_state_request& operator=(const desired_state_request&) = delete;
 
   // Asks the instance whose peer address is given. A request that is under way
-  // ends without a reply.
+  // ends without a reply, unless its reply is arriving: then it goes on, and
+  // this call does nothing.
   void Send(const std::string& aPeerAddress, time_point aNow);
 
   // Replies since the start that were given up after a part of them had
@@ -34,6 +35,7 @@
   std::uint64_t RepliesCutOff() const { return mRepliesCutOff; }
 
 private:
+  void SetTimeout(time_point aWhen);
   void OnInput(std::string& aInput, time_point aNow);
   void End();
 
@@ -44,6 +46,8 @@
   event_loop::timer_id mTimeout = 0;
   // Bytes of the reply that have arrived.
   std::size_t mReplyBytes = 0;
+  // The request ends by then, also if its reply is still arriving.
+  time_point mEndBy;
   std::uint64_t mRepliesCutOff = 0;
 };
 
