Send no further call for a state that is arriving

Cause: an instance that heard of a newer version restarted its watch after 250 ms although the reply was arriving, which gave up what had arrived. The holder of the duty listed the desired state each 700 ms, however long the last list had taken, so that a state of 750 kB filled a link of 10 Mbit/s. Change: no restart, list or request to a peer while the reply to the watch or to the latest list is arriving; regular lists of the desired state take a quarter of the time at most.

--- a/include/snipewalk/session/kind_watcher.h
+++ b/include/snipewalk/session/kind_watcher.h
@@ -72,6 +72,12 @@
   bool IsListed() const { return mListed; }
   // Whether a list started by Refresh() is in progress.
   bool IsRefreshing() const { return mActiveRefreshes > 0; }
+  // Whether the reply to the present watch, or to the latest list, is arriving.
+  // Further calls would compete with it for the link.
+  bool IsReplyArriving(time_point aNow) const;
+  // Whether a further list may be sent: none is in progress, and lists take a
+  // small part of the time even if the objects are large and the link is slow.
+  bool HasTimeForRefresh(time_point aNow) const;
   // Store revision reflected by the view; zero if a new list is needed.
   std::uint64_t Revision() const { return mRevision; }
   // When the first call succeeded after the start, or after the last call that
@@ -147,6 +153,12 @@
   std::uint64_t mWatchNumber = 0;
   // Call of the present watch while it waits for its reply.
   std::optional<store_call_id> mWatchCall;
+  // Call of the latest page of a list, which may have been answered; zero
+  // before the first.
+  store_call_id mListCall = 0;
+  // How long the latest list took, and when it ended.
+  duration mListTime{ 0 };
+  time_point mListedAt = time_point::min();
   // Longest delay of the present retry; zero if the last call succeeded.
   milliseconds mRetryDelay{ 0 };
   std::mt19937_64 mRandom;
--- a/src/session/controller_confirmation.cpp
+++ b/src/session/controller_confirmation.cpp
@@ -163,7 +163,7 @@
   mFleetWatcher.Refresh();
   // A watch that has missed a change may not return before its timeout, and
   // this can happen on all instances at once.
-  if (mDesiredWatcher.IsListed()) {
+  if (mDesiredWatcher.IsListed() && mDesiredWatcher.HasTimeForRefresh(aNow)) {
     mDesiredWatcher.Refresh();
   }
   const bool serversDue =
@@ -393,7 +393,8 @@
                                     time_point aNow)
 {
   aHint.Compare(aWatcher.HasSeen(aHint.Version()), aNow);
-  if (aHint.TakeRestart(aNow)) {
+  // What is arriving may contain the version.
+  if (!aWatcher.IsReplyArriving(aNow) && aHint.TakeRestart(aNow)) {
     aWatcher.Restart();
   }
 }
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -27,7 +27,8 @@
   // Allows one read at a time, so that calls do not pile up while the store is
   // unresponsive and overload it when it recovers.
   if (aRevision > mDesiredRevision && due && mDesiredWatcher.IsListed() &&
-      !mDesiredWatcher.IsRefreshing()) {
+      !mDesiredWatcher.IsRefreshing() &&
+      !mDesiredWatcher.IsReplyArriving(aNow)) {
     mDesiredReadAt = aNow;
     mDesiredWatcher.Refresh();
   }
@@ -36,7 +37,8 @@
 void
 session_controller::RequestDesiredStateIfBehind(time_point aNow)
 {
-  if (mUnregistered || !mDesiredHint.TakeRequest(aNow)) {
+  if (mUnregistered || mDesiredWatcher.IsReplyArriving(aNow) ||
+      !mDesiredHint.TakeRequest(aNow)) {
     return;
   }
   std::vector<std::string> peers;
--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -19,6 +19,8 @@
 // the instances must not return together when it serves them again.
 constexpr milliseconds kFirstRetryDelay{ 100 };
 constexpr milliseconds kMaxRetryDelay{ 1'000 };
+// Lists that could wait take at most one part in kRefreshPause + 1 of the time.
+constexpr int kRefreshPause = 3;
 
 using object_map = std::map<std::string, stored_object>;
 
@@ -85,6 +87,21 @@
   List({ false, mLoop.Now() });
 }
 
+bool
+kind_watcher::IsReplyArriving(time_point aNow) const
+{
+  return mStore.IsReplyArriving(mListCall, aNow) ||
+         (mWatchCall && mStore.IsReplyArriving(*mWatchCall, aNow));
+}
+
+bool
+kind_watcher::HasTimeForRefresh(time_point aNow) const
+{
+  return !IsRefreshing() && !IsReplyArriving(aNow) &&
+         (mListedAt == time_point::min() ||
+          aNow >= mListedAt + kRefreshPause * mListTime);
+}
+
 void
 kind_watcher::ApplyNewer(const stored_object& aObject)
 {
@@ -117,7 +134,7 @@
 kind_watcher::List(listing aListing)
 {
   store_watch list{ mKind, 0, milliseconds(0), aListing.mAfter };
-  mStore.Submit(
+  mListCall = mStore.Submit(
     std::move(list),
     store_priority::Watch,
     [this, listing = std::move(aListing), alive = std::weak_ptr<bool>(mAlive)](
@@ -182,6 +199,8 @@
   mRevision = std::max(mRevision, aListing.mRevision);
   mListedTo = std::max(mListedTo, aListing.mRevision);
   mAsOf = std::max(mAsOf, aListing.mAsOf);
+  mListTime = aNow - aListing.mAsOf;
+  mListedAt = aNow;
   if (!aListing.mRefresh) {
     mContactSince = mContactSince.value_or(aNow);
     mLastCallFailed = false;
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -25,6 +25,11 @@
   // Replies that are on their way arrive all the same.
   void Cancel(store_call_id aCall) override { mCancelled.push_back(aCall); }
 
+  bool IsReplyArriving(store_call_id aCall, time_point) const override
+  {
+    return aCall == mArriving;
+  }
+
   // Answers the oldest call.
   void Answer(const store_reply& aReply, time_point aNow)
   {
@@ -37,6 +42,8 @@
   std::deque<std::pair<store_watch, reply_handler>> mCalls;
   // Id of the last call.
   store_call_id mLastCall = 0;
+  // Call whose reply has arrived in part; zero for none.
+  store_call_id mArriving = 0;
   std::vector<store_call_id> mCancelled;
 };
 
@@ -139,6 +146,30 @@
   EXPECT_TRUE(mWatcher.HasSeen(30));
 }
 
+// Guards against calls that compete with the large reply that they wait for.
+TEST_F(KindWatcherTest, KnowsWhetherAReplyIsArriving)
+{
+  mStore.mArriving = mStore.mLastCall;
+  EXPECT_TRUE(mWatcher.IsReplyArriving(mLoop.Now()));
+  mStore.Answer(Reply(10, { { "a", 3 } }), mLoop.Now());
+  mStore.mArriving = 0;
+  EXPECT_FALSE(mWatcher.IsReplyArriving(mLoop.Now()));
+  mStore.mArriving = mStore.mLastCall;
+  EXPECT_TRUE(mWatcher.IsReplyArriving(mLoop.Now()));
+  EXPECT_FALSE(mWatcher.HasTimeForRefresh(mLoop.Now() + seconds(10)));
+}
+
+// Guards against lists that fill a slow link one after the other.
+TEST_F(KindWatcherTest, LeavesTimeBetweenLongLists)
+{
+  const time_point listed = mLoop.Now() + milliseconds(600);
+  mStore.Answer(Reply(10, { { "a", 3 } }), listed);
+  EXPECT_FALSE(mWatcher.HasTimeForRefresh(listed + milliseconds(1'700)));
+  EXPECT_TRUE(mWatcher.HasTimeForRefresh(listed + milliseconds(1'900)));
+  mWatcher.Refresh();
+  EXPECT_FALSE(mWatcher.HasTimeForRefresh(listed + milliseconds(1'900)));
+}
+
 // Guards against abandoned watches that hold all connections to the store until
 // it answers them.
 TEST_F(KindWatcherTest, CancelsTheWatchThatItAbandons)
