Request one copy of the desired state at a time

An instance that is behind asked over the connections of forwarded sessions, each 150 ms or for one more session each tick, and got a whole copy each time, also of a state that it had. Copies of 750 kB delay each other on a link of 10 Mbit/s. Change: no second request while a copy is awaited or arriving from a peer or the store; how long one is awaited follows from the size of the state. A request names the revision that is known, and only a newer state is sent. DesiredStateRequestTest.GetsNoValueThatIsNotNewer and the tests of the pace pass; they were not run on the code before.

--- a/include/snipewalk/session/session_controller.h
+++ b/include/snipewalk/session/session_controller.h
@@ -165,6 +165,13 @@
   // Returns the desired state known to this instance, to be relayed to
   // instances that cannot read the store; empty if none is known.
   relayed_desired_state DesiredState() const;
+  // Whether the store's reply with a desired state is arriving.
+  bool IsDesiredStateArriving(time_point aNow) const
+  {
+    return mDesiredWatcher.IsReplyArriving(aNow);
+  }
+  // Size of the desired state known to this instance; zero if none is known.
+  std::size_t DesiredStateBytes() const;
   // Puts a desired state in force that another instance relayed, if it is
   // newer.
   void AdoptDesiredState(const relayed_desired_state& aState, time_point aNow);
--- a/src/session/connection_table_peers.cpp
+++ b/src/session/connection_table_peers.cpp
@@ -104,15 +104,13 @@
 {
   mForwarder.OnTick(aNow);
   std::vector<session_id> expired;
-  bool requested = false;
   for (auto& [session, held] : mHeld) {
     if (aNow >= held.mReceivedAt + kDesiredStateTimeout) {
       expired.push_back(session);
-    } else if (!requested && !held.mStateRequested &&
-               aNow >= held.mReceivedAt + kDesiredStateRequestDelay) {
-      // At most one request per tick: a single reply releases the held messages
-      // of all sessions.
-      requested = true;
+    } else if (!held.mStateRequested &&
+               aNow >= held.mReceivedAt + kDesiredStateRequestDelay &&
+               mLinks.TakeStateRequest(aNow)) {
+      // A single reply releases the held messages of all sessions.
       held.mStateRequested = true;
       RequestDesiredState(mLinks, *mCallers.at(session).mStream);
     }
--- a/src/session/controller_hosts.cpp
+++ b/src/session/controller_hosts.cpp
@@ -68,6 +68,14 @@
                                     found->second.mValue };
 }
 
+std::size_t
+session_controller::DesiredStateBytes() const
+{
+  const auto found = mDesiredWatcher.Objects().find(mObjects.mDesiredStateName);
+  return found == mDesiredWatcher.Objects().end() ? 0
+                                                  : found->second.mValue.size();
+}
+
 void
 session_controller::AdoptDesiredState(const relayed_desired_state& aState,
                                       time_point aNow)
--- a/src/session/desired_state_request.cpp
+++ b/src/session/desired_state_request.cpp
@@ -32,7 +32,7 @@
 void
 desired_state_request::Send(const std::string& aPeerAddress, time_point aNow)
 {
-  if (mReplyBytes > 0) {
+  if (IsReplyArriving()) {
     return;
   }
   End();
--- a/src/session/desired_state_request.h
+++ b/src/session/desired_state_request.h
@@ -30,6 +30,8 @@
   // this call does nothing.
   void Send(const std::string& aPeerAddress, time_point aNow);
 
+  bool IsReplyArriving() const { return mReplyBytes > 0; }
+
   // Replies since the start that were given up after a part of them had
   // arrived.
   std::uint64_t RepliesCutOff() const { return mRepliesCutOff; }
--- a/src/session/forwarding_links.cpp
+++ b/src/session/forwarding_links.cpp
@@ -1,8 +1,29 @@
 // Implementation of the exchange of desired states between instances.
 #include "session/forwarding_links.h"
 
+#include <utility>
+
 namespace snipewalk {
 
+namespace {
+
+// Answers a request of an instance that knows the state of `aKnownRevision`.
+// Without a newer one the answer contains no value.
+void
+SendDesiredState(const forwarding_links& aLinks,
+                 std::uint64_t aKnownRevision,
+                 stream_connection& aStream)
+{
+  relayed_desired_state state = aLinks.DesiredState();
+  if (state.mRevision <= aKnownRevision) {
+    state.mValue.clear();
+  }
+  aStream.Send(
+    EncodeForwardedMessage({ aLinks.DesiredRevision(), {}, std::move(state) }));
+}
+
+} // namespace
+
 void
 RequestDesiredState(const forwarding_links& aLinks, stream_connection& aStream)
 {
@@ -27,8 +48,7 @@
       aLinks.AdoptDesiredState(*(*message)->mState, aNow);
     }
     if ((*message)->RequestsDesiredState()) {
-      aStream.Send(EncodeForwardedMessage(
-        { aLinks.DesiredRevision(), {}, aLinks.DesiredState() }));
+      SendDesiredState(aLinks, (*message)->mDesiredRevision, aStream);
     }
     if (!(*message)->mBytes.empty()) {
       return message;
--- a/src/session/forwarding_links.h
+++ b/src/session/forwarding_links.h
@@ -46,6 +46,10 @@
   // Returns the desired state known to this instance, to be relayed to other
   // instances; empty if none is known.
   virtual relayed_desired_state DesiredState() const = 0;
+  // Whether another instance may be asked for its desired state over the
+  // connection of a session. The caller asks if it is true: no second copy is
+  // requested while one is awaited or arriving.
+  virtual bool TakeStateRequest(time_point aNow) = 0;
   // Passes on a desired state that another instance has in force.
   virtual void AdoptDesiredState(const relayed_desired_state& aState,
                                  time_point aNow) = 0;
--- a/src/session/session_daemon.cpp
+++ b/src/session/session_daemon.cpp
@@ -8,6 +8,7 @@
 #include "session/peer_socket.h"
 #include "session/server_control.h"
 #include "snipewalk/base/log.h"
+#include "snipewalk/session/state_request_pace.h"
 
 #include <absl/hash/hash.h>
 #include <absl/strings/str_join.h>
@@ -249,9 +250,16 @@
   {
     return mController.DesiredState();
   }
+  bool TakeStateRequest(time_point aNow) override
+  {
+    return !mStateRequest.IsReplyArriving() &&
+           !mController.IsDesiredStateArriving(aNow) &&
+           mStatePace.TakeRequest(mController.DesiredStateBytes(), aNow);
+  }
   void AdoptDesiredState(const relayed_desired_state& aState,
                          time_point aNow) override
   {
+    mStatePace.OnReply();
     mController.AdoptDesiredState(aState, aNow);
   }
 
@@ -420,6 +428,7 @@
   store_http_client mStore;
   connection_table mTable;
   desired_state_request mStateRequest;
+  state_request_pace mStatePace;
   session_engine mEngine;
   server_control mServerControl;
   std::unique_ptr<promotion_client> mPromotion;
--- a/src/session/session_forwarder.cpp
+++ b/src/session/session_forwarder.cpp
@@ -119,7 +119,8 @@
   mLinks.RequestDesiredRevision(aRevision, aNow);
   if (!mBehindSince) {
     mBehindSince = aNow;
-  } else if (aNow >= *mBehindSince + kDesiredStateRequestDelay) {
+  } else if (aNow >= *mBehindSince + kDesiredStateRequestDelay &&
+             mLinks.TakeStateRequest(aNow)) {
     mBehindSince = aNow;
     RequestDesiredState(mLinks, *aSession.mStream);
   }
--- a/tests/session/desired_state_request_test.cpp
+++ b/tests/session/desired_state_request_test.cpp
@@ -25,6 +25,7 @@
   std::uint64_t DesiredRevision() const override { return mState.mRevision; }
   void RequestDesiredRevision(std::uint64_t, time_point) override {}
   relayed_desired_state DesiredState() const override { return mState; }
+  bool TakeStateRequest(time_point) override { return true; }
   void AdoptDesiredState(const relayed_desired_state& aState,
                          time_point) override
   {
@@ -130,6 +131,16 @@
   EXPECT_EQ(mOwn.mState.mRevision, 7U);
 }
 
+// Guards against large states that fill a link for nothing.
+TEST_F(DesiredStateRequestTest, GetsNoValueThatIsNotNewer)
+{
+  mOwn.mState = { 7, {} };
+  mRequest.Send(mListener->Address(), mLoop.Now());
+  RunFor(milliseconds(200));
+  EXPECT_EQ(mOwn.mState.mValue, "");
+  EXPECT_EQ(mClosed, 1);
+}
+
 // Guards against large states that never arrive from a peer with a slow link:
 // each request was replaced by the next one, or gave up, while they arrived.
 TEST_F(DesiredStateRequestTest, KeepsARequestWhoseReplyIsArriving)
