Bound the pause between regular lists of the desired state

The pause is three times as long as the last list took, without a bound. After a list that was slow because the store was, or the process stood still, the duty's holder would have read no newer version for up to half a minute. Change: the pause is 2 s at most.

--- a/src/session/kind_watcher.cpp
+++ b/src/session/kind_watcher.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kMaxRetryDelay{ 1'000 };
 // Lists that could wait take at most one part in kRefreshPause + 1 of the time.
 constexpr int kRefreshPause = 3;
+// A list can also have been slow because the store was.
+constexpr milliseconds kMaxRefreshPause{ 2'000 };
 
 using object_map = std::map<std::string, stored_object>;
 
@@ -99,7 +101,8 @@
 {
   return !IsRefreshing() && !IsReplyArriving(aNow) &&
          (mListedAt == time_point::min() ||
-          aNow >= mListedAt + kRefreshPause * mListTime);
+          aNow >= mListedAt + std::min<duration>(kRefreshPause * mListTime,
+                                                 kMaxRefreshPause));
 }
 
 void
--- a/tests/session/kind_watcher_test.cpp
+++ b/tests/session/kind_watcher_test.cpp
@@ -170,6 +170,15 @@
   EXPECT_FALSE(mWatcher.HasTimeForRefresh(listed + milliseconds(1'900)));
 }
 
+// Guards against a holder of the duty that hears of no change for long after
+// one list was slow.
+TEST_F(KindWatcherTest, BoundsTheTimeBetweenLongLists)
+{
+  const time_point listed = mLoop.Now() + seconds(10);
+  mStore.Answer(Reply(10, { { "a", 3 } }), listed);
+  EXPECT_TRUE(mWatcher.HasTimeForRefresh(listed + milliseconds(2'000)));
+}
+
 // Guards against abandoned watches that hold all connections to the store until
 // it answers them.
 TEST_F(KindWatcherTest, CancelsTheWatchThatItAbandons)
